workspace: lay the frame of area crates, ids, codes, events and effects

Every area gets its crate so that each can be read and tested alone; the reducer's events and effects are fixed first because all adapters meet there.

--- /dev/null
+++ b/bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Benchmarks and the demonstration on loopback.
--- /dev/null
+++ b/sl-back/src/lib.rs
@@ -0,0 +1,1 @@
+//! HTTP towards backend servers.
--- /dev/null
+++ b/sl-core/src/lib.rs
@@ -0,0 +1,1 @@
+//! The command functions behind the binary.
--- /dev/null
+++ b/sl-fair/src/lib.rs
@@ -0,0 +1,1 @@
+//! Shares across the fleet: service counters, queues and the choice of the next team.
--- /dev/null
+++ b/sl-front/src/lib.rs
@@ -0,0 +1,1 @@
+//! HTTP towards callers, the balancer and operators.
--- /dev/null
+++ b/sl-member/src/lib.rs
@@ -0,0 +1,1 @@
+//! Members of the fleet: the platform's list corrected by probes.
--- /dev/null
+++ b/sl-node/src/lib.rs
@@ -0,0 +1,1 @@
+//! The daemon: the reducer and its adapters on one runtime.
--- /dev/null
+++ b/sl-peer/src/lib.rs
@@ -0,0 +1,1 @@
+//! Links between instances over tarpc.
--- /dev/null
+++ b/sl-report/src/lib.rs
@@ -0,0 +1,1 @@
+//! Service-level objectives, histograms and burn rates.
--- /dev/null
+++ b/sl-slots/src/lib.rs
@@ -0,0 +1,1 @@
+//! Lending of backend servers' slots between instances.
--- /dev/null
+++ b/sl-step/src/lib.rs
@@ -0,0 +1,14 @@
+//! The one reducer: [`step`](State::step) takes an event and gives effects. It does no
+//! I/O, reads no clock and draws no randomness from outside, so that a test can replay
+//! any schedule; docs/design.md says how the adapters surround it.
+
+pub mod effect;
+pub mod event;
+pub mod message;
+mod request;
+pub mod state;
+
+pub use effect::Effect;
+pub use event::Event;
+pub use message::Message;
+pub use state::{Options, State};
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! The `sesamelock` binary.
+
+fn main() {}
--- /dev/null
+++ b/stand-ins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small stand-ins for what lies outside the system.
