sl-config: settings and templates from INI, with every fault at once

Each fault points at its line and value, so that an operator mends a file in one go. ini_core takes the place of rust-ini, which merges sections and forgets where they stood. strsim gives the "did you mean". The example files are tested: they show the defaults.

--- /dev/null
+++ b/sl-config/src/raw.rs
@@ -0,0 +1,187 @@
+//! From a raw value to a checked one.
+
+use std::net::SocketAddr;
+
+/// A value as written, without the white space around it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Raw<'a>(pub(crate) &'a str);
+
+/// What a value should have been, for people.
+#[derive(Clone, Debug)]
+pub(crate) struct Wanted(pub(crate) String);
+
+impl Wanted {
+    fn a(what: &str) -> Wanted {
+        Wanted(what.to_owned())
+    }
+}
+
+impl TryFrom<Raw<'_>> for u64 {
+    type Error = Wanted;
+
+    fn try_from(Raw(text): Raw<'_>) -> Result<u64, Wanted> {
+        text.parse().map_err(|_| Wanted::a("a whole number"))
+    }
+}
+
+impl TryFrom<Raw<'_>> for SocketAddr {
+    type Error = Wanted;
+
+    fn try_from(Raw(text): Raw<'_>) -> Result<SocketAddr, Wanted> {
+        text.parse()
+            .map_err(|_| Wanted::a("an IP address with a port, such as 127.0.0.1:8080"))
+    }
+}
+
+/// A switch in a file.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Flag(pub(crate) bool);
+
+impl TryFrom<Raw<'_>> for Flag {
+    type Error = Wanted;
+
+    fn try_from(Raw(text): Raw<'_>) -> Result<Flag, Wanted> {
+        match text {
+            "yes" => Ok(Flag(true)),
+            "no" => Ok(Flag(false)),
+            _ => Err(Wanted::a("`yes` or `no`")),
+        }
+    }
+}
+
+/// A name that may stand in keys, metrics and logs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Name(pub(crate) String);
+
+/// Bytes in the longest name.
+const NAME_BYTES_MAX: usize = 64;
+
+impl TryFrom<Raw<'_>> for Name {
+    type Error = Wanted;
+
+    fn try_from(Raw(text): Raw<'_>) -> Result<Name, Wanted> {
+        let is_plain = |it: char| it.is_ascii_alphanumeric() || matches!(it, '-' | '_' | '.');
+        let starts_well = text.starts_with(|it: char| it.is_ascii_alphanumeric());
+        if starts_well && text.len() <= NAME_BYTES_MAX && text.chars().all(is_plain) {
+            return Ok(Name(text.to_owned()));
+        }
+        Err(Wanted::a(
+            "a name of up to 64 letters, digits, `-`, `_` and `.`",
+        ))
+    }
+}
+
+/// A base address of an HTTP service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Base(pub(crate) String);
+
+impl TryFrom<Raw<'_>> for Base {
+    type Error = Wanted;
+
+    fn try_from(Raw(text): Raw<'_>) -> Result<Base, Wanted> {
+        let host = text
+            .strip_prefix("http://")
+            .or_else(|| text.strip_prefix("https://"));
+        let is_plain = |it: &str| !it.is_empty() && !it.contains(char::is_whitespace);
+        match host {
+            Some(host) if is_plain(host) => Ok(Base(text.trim_end_matches('/').to_owned())),
+            _ => Err(Wanted::a("an HTTP address, such as http://192.0.2.1:8400")),
+        }
+    }
+}
+
+/// BLAKE3 hashes in hex, parted by commas.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Hashes(pub(crate) Vec<String>);
+
+impl TryFrom<Raw<'_>> for Hashes {
+    type Error = Wanted;
+
+    fn try_from(Raw(text): Raw<'_>) -> Result<Hashes, Wanted> {
+        let hash = |it: &str| {
+            let hash = blake3::Hash::from_hex(it.trim().to_ascii_lowercase()).ok()?;
+            Some(hash.to_hex().to_string())
+        };
+        let hashes: Option<Vec<String>> = text.split(',').map(hash).collect();
+        hashes
+            .map(Hashes)
+            .ok_or_else(|| Wanted::a("a BLAKE3 hash of 64 hex digits, or several with commas"))
+    }
+}
+
+/// HTTP methods in capitals, parted by white space or commas; `any` for all of them.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Methods(pub(crate) Vec<String>);
+
+impl TryFrom<Raw<'_>> for Methods {
+    type Error = Wanted;
+
+    fn try_from(Raw(text): Raw<'_>) -> Result<Methods, Wanted> {
+        if text == "any" {
+            return Ok(Methods::default());
+        }
+        let methods: Vec<String> = text
+            .split([',', ' '])
+            .filter(|it| !it.is_empty())
+            .map(str::to_owned)
+            .collect();
+        let is_method = |it: &String| it.bytes().all(|it| it.is_ascii_uppercase());
+        if !methods.is_empty() && methods.iter().all(is_method) {
+            return Ok(Methods(methods));
+        }
+        Err(Wanted::a(
+            "`any`, or methods in capitals, such as GET, POST",
+        ))
+    }
+}
+
+/// A path, or a prefix of paths where it ends in `*`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct PathPattern(pub(crate) String);
+
+impl TryFrom<Raw<'_>> for PathPattern {
+    type Error = Wanted;
+
+    fn try_from(Raw(text): Raw<'_>) -> Result<PathPattern, Wanted> {
+        let fixed = text.strip_suffix('*').unwrap_or(text);
+        let is_path_byte = |it: u8| it.is_ascii_graphic() && !matches!(it, b'*' | b'?' | b'#');
+        if fixed.starts_with('/') && fixed.bytes().all(is_path_byte) {
+            return Ok(PathPattern(text.to_owned()));
+        }
+        Err(Wanted::a(
+            "a path that starts with `/` and has `*` only at its end",
+        ))
+    }
+}
+
+/// Parts in a million, written as a percentage with up to four decimals.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Percent {
+    pub(crate) ppm: u32,
+}
+
+/// Decimals of a percentage that parts in a million can carry.
+const PERCENT_DECIMALS: usize = 4;
+
+/// Parts in a million that make a hundred percent.
+const PPM_WHOLE: u32 = 1_000_000;
+
+impl TryFrom<Raw<'_>> for Percent {
+    type Error = Wanted;
+
+    fn try_from(Raw(text): Raw<'_>) -> Result<Percent, Wanted> {
+        ppm(text)
+            .filter(|&ppm| 0 < ppm && ppm < PPM_WHOLE)
+            .map(|ppm| Percent { ppm })
+            .ok_or_else(|| Wanted::a("a percentage above 0 and below 100, such as 99.9"))
+    }
+}
+
+fn ppm(text: &str) -> Option<u32> {
+    let (whole, part) = text.split_once('.').unwrap_or((text, "0"));
+    let is_number = |it: &str| !it.is_empty() && it.bytes().all(|it| it.is_ascii_digit());
+    if !is_number(whole) || !is_number(part) || part.len() > PERCENT_DECIMALS {
+        return None;
+    }
+    format!("{whole}{part:0<PERCENT_DECIMALS$}").parse().ok()
+}
--- a/sl-config/src/template.rs
+++ b/sl-config/src/template.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 use sl_base::{Millis, PoolId, TeamId};
-use strum::{Display, EnumString};
+use strum::{Display, EnumString, VariantNames};
 
 /// A template that passed every check.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -80,7 +80,19 @@
 }
 
 /// Whether an idempotency key is wanted.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display, EnumString, Serialize, Deserialize)]
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    Hash,
+    Display,
+    EnumString,
+    VariantNames,
+    Serialize,
+    Deserialize,
+)]
 #[strum(serialize_all = "kebab-case")]
 #[serde(rename_all = "kebab-case")]
 pub enum KeyRule {
@@ -91,7 +103,19 @@
 }
 
 /// The unit in which a route's service is counted.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display, EnumString, Serialize, Deserialize)]
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    Hash,
+    Display,
+    EnumString,
+    VariantNames,
+    Serialize,
+    Deserialize,
+)]
 #[strum(serialize_all = "kebab-case")]
 #[serde(rename_all = "kebab-case")]
 pub enum Cost {
--- /dev/null
+++ b/sl-config/tests/it/main.rs
@@ -0,0 +1,6 @@
+//! Tests of sl-config.
+
+mod examples;
+mod seeds;
+mod settings;
+mod template;
