--- a/sl-config/src/fault.rs
+++ b/sl-config/src/fault.rs
@@ -159,6 +159,13 @@
         }
     }
 
+    /// The same faults under another name of the text.
+    pub fn named(self, name: &str) -> Faults {
+        let text = self.source.inner().clone();
+        let source = NamedSource::new(name, text).with_language("ini");
+        Faults { source, ..self }
+    }
+
     /// The faults, in the order of the text.
     pub fn faults(&self) -> &[Fault] {
         &self.faults
--- a/sl-config/src/parse.rs
+++ b/sl-config/src/parse.rs
@@ -31,6 +31,17 @@
     pub fn parse(name: &str, text: &str) -> Result<Template, Faults> {
         Template::try_from(TemplateText { name, text })
     }
+
+    /// Reads a template from a file, which is named after it.
+    ///
+    /// # Errors
+    ///
+    /// Every fault of the text at once, under the file's path.
+    pub fn parse_file(path: &str, text: &str) -> Result<Template, Faults> {
+        let file = path.rsplit('/').next().unwrap_or(path);
+        let name = file.strip_suffix(".ini").unwrap_or(file);
+        Template::parse(name, text).map_err(|it| it.named(path))
+    }
 }
 
 impl TryFrom<TemplateText<'_>> for Template {
--- a/sl-core/src/lib.rs
+++ b/sl-core/src/lib.rs
@@ -1,1 +1,16 @@
-//! The command functions behind the binary.
+//! The command functions behind the binary: each command is a module with its `Options`,
+//! its `Outcome` and its own error, so that a program may call it as well as a person.
+//! docs/operating.md shows the commands at work.
+
+pub mod check;
+pub mod cli;
+pub mod error;
+pub mod exit;
+pub mod run;
+
+mod output;
+
+pub use cli::main;
+pub use error::Error;
+pub use exit::Exit;
+pub use output::Form;
--- /dev/null
+++ b/sl-core/src/run.rs
@@ -0,0 +1,64 @@
+//! `sesamelock run`: the daemon.
+
+use std::{fs, io, path::PathBuf};
+
+use miette::Diagnostic;
+use sl_config::{Faults, Settings};
+use thiserror::Error;
+
+use crate::exit::Exit;
+
+/// How to run.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The settings file.
+    pub settings: PathBuf,
+}
+
+/// Why the daemon did not run.
+#[derive(Debug, Error, Diagnostic)]
+pub enum Error {
+    /// The settings could not be read.
+    #[error("{} cannot be read", path.display())]
+    Read {
+        /// The file.
+        path: PathBuf,
+        /// What the system said.
+        source: io::Error,
+    },
+    /// The settings have faults.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Settings(#[from] Faults),
+    /// The daemon is not linked in yet.
+    #[error("the settings are good, but this build has no daemon yet")]
+    NoDaemon,
+}
+
+impl Error {
+    /// The exit code that it leads to.
+    pub fn exit(&self) -> Exit {
+        match self {
+            Error::Settings(_) => Exit::Faults,
+            Error::Read { .. } | Error::NoDaemon => Exit::Failed,
+        }
+    }
+}
+
+/// Reads the settings and runs the daemon until a signal stops it.
+///
+/// # Errors
+///
+/// [`Error`] where the settings are no good or the daemon fails.
+pub fn run(options: &Options) -> Result<(), Error> {
+    read(&options.settings)?;
+    Err(Error::NoDaemon)
+}
+
+fn read(path: &PathBuf) -> Result<Settings, Error> {
+    let text = fs::read_to_string(path).map_err(|source| Error::Read {
+        path: path.clone(),
+        source,
+    })?;
+    Ok(Settings::parse(&path.display().to_string(), &text)?)
+}
--- /dev/null
+++ b/sl-core/tests/it/main.rs
@@ -0,0 +1,4 @@
+//! Tests of sl-core.
+
+mod check;
+mod cli;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,3 +1,7 @@
 //! The `sesamelock` binary.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    sl_core::main()
+}
