--- a/sl-step/src/lib.rs
+++ b/sl-step/src/lib.rs
@@ -2,11 +2,17 @@
 //! I/O, reads no clock and draws no randomness from outside, so that a test can replay
 //! any schedule; docs/design.md says how the adapters surround it.
 
+mod admit;
+mod attempt;
+mod dispatch;
 pub mod effect;
 pub mod event;
+mod list;
 pub mod message;
 mod request;
+mod spread;
 pub mod state;
+mod stop;
 
 pub use effect::Effect;
 pub use event::Event;
