--- /dev/null
+++ b/sl-base/tests/it/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the base crate.
+
+mod code;
+mod hash;
+mod time;
