--- a/sl-config/tests/it/accept.rs
+++ b/sl-config/tests/it/accept.rs
@@ -252,7 +252,7 @@
 }
 
 proptest! {
-    #![proptest_config(crate::seeds::config())]
+    #![proptest_config(crate::seeds::long())]
 
     /// Accepted configurations are one total order, none is lost or taken back, each can be
     /// run, and each operator learns what came of the own edit.
