--- /dev/null
+++ b/stand-ins/src/main.rs
@@ -0,0 +1,3 @@
+//! Runs a stand-in as a process of its own.
+
+fn main() {}
--- /dev/null
+++ b/stand-ins/src/relay.rs
@@ -0,0 +1,337 @@
+//! A TCP relay in front of a port. It can refuse, close, fall silent and delay, which a
+//! server behind it cannot do to itself.
+
+use std::{
+    collections::HashMap,
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{
+        TcpListener, TcpStream,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
+    sync::{mpsc, watch},
+    time::Instant,
+};
+
+/// A relay on a port of its own; it ends when the last clone is dropped.
+#[derive(Clone, Debug)]
+pub struct Relay {
+    address: SocketAddr,
+    shared: Arc<Shared>,
+    _alive: watch::Receiver<()>,
+}
+
+/// One connection through a relay, seen from the server behind it.
+#[derive(Clone, Debug)]
+pub(crate) struct Link {
+    flow: watch::Sender<Flow>,
+    owner: usize,
+}
+
+/// The connections through relays, by the address that the server behind sees.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Links(Arc<Mutex<HashMap<SocketAddr, Link>>>);
+
+/// Which way bytes go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Way {
+    /// From the client to the server.
+    Up,
+    /// From the server to the client.
+    Down,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Flow {
+    Open,
+    Silent,
+    Cut,
+}
+
+#[derive(Debug)]
+struct Shared {
+    target: SocketAddr,
+    owner: usize,
+    links: Links,
+    refuse: watch::Sender<bool>,
+    silent_new: AtomicBool,
+    up_micros: AtomicU64,
+    down_micros: AtomicU64,
+    alive: watch::Sender<()>,
+}
+
+/// Bytes read from a connection at a time.
+const CHUNK: usize = 32 * 1024;
+
+/// Pieces that may be under way in one direction of a delayed connection.
+const PIECES: usize = 64;
+
+impl Relay {
+    /// Listens on `listen` and relays to `target`.
+    ///
+    /// # Errors
+    ///
+    /// Where the port cannot be had.
+    pub async fn start(listen: SocketAddr, target: SocketAddr) -> io::Result<Relay> {
+        Relay::with_links(listen, target, Links::default(), 0).await
+    }
+
+    pub(crate) async fn with_links(
+        listen: SocketAddr,
+        target: SocketAddr,
+        links: Links,
+        owner: usize,
+    ) -> io::Result<Relay> {
+        let listener = TcpListener::bind(listen).await?;
+        let address = listener.local_addr()?;
+        let (alive, alive_rx) = watch::channel(());
+        let shared = Arc::new(Shared {
+            target,
+            owner,
+            links,
+            refuse: watch::Sender::new(false),
+            silent_new: AtomicBool::new(false),
+            up_micros: AtomicU64::new(0),
+            down_micros: AtomicU64::new(0),
+            alive,
+        });
+        tokio::spawn(accept(shared.clone(), listener, address));
+        Ok(Relay {
+            address,
+            shared,
+            _alive: alive_rx,
+        })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Refuses new connections, or takes them again. Those that stand go on.
+    pub fn refuse(&self, on: bool) {
+        self.shared.refuse.send_replace(on);
+    }
+
+    /// Closes every connection that stands.
+    pub fn cut(&self) {
+        self.each(Link::cut);
+    }
+
+    /// Leaves the connections that stand open and passes nothing on any more; new ones work.
+    pub fn silence_old(&self) {
+        self.each(Link::silence);
+    }
+
+    /// Passes nothing on any more, on connections that stand and on new ones.
+    pub fn silence(&self) {
+        self.shared.silent_new.store(true, Ordering::Release);
+        self.each(Link::silence);
+    }
+
+    /// Delays what goes one way.
+    pub fn delay(&self, way: Way, span: Duration) {
+        let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+        self.shared.delay(way).store(micros, Ordering::Release);
+    }
+
+    /// Ends every fault; silent connections pass on what they held back.
+    pub fn heal(&self) {
+        self.shared.silent_new.store(false, Ordering::Release);
+        self.delay(Way::Up, Duration::ZERO);
+        self.delay(Way::Down, Duration::ZERO);
+        self.refuse(false);
+        self.each(Link::open);
+    }
+
+    /// How many connections stand.
+    pub fn connections(&self) -> usize {
+        let links = self.shared.links.lock();
+        links
+            .values()
+            .filter(|link| link.owner == self.shared.owner)
+            .count()
+    }
+
+    fn each(&self, act: impl Fn(&Link)) {
+        let links = self.shared.links.lock();
+        links
+            .values()
+            .filter(|link| link.owner == self.shared.owner)
+            .for_each(act);
+    }
+}
+
+impl Link {
+    pub(crate) fn owner(&self) -> usize {
+        self.owner
+    }
+
+    pub(crate) fn cut(&self) {
+        self.flow.send_replace(Flow::Cut);
+    }
+
+    pub(crate) fn silence(&self) {
+        self.turn(Flow::Silent);
+    }
+
+    fn open(&self) {
+        self.turn(Flow::Open);
+    }
+
+    fn turn(&self, to: Flow) {
+        self.flow.send_if_modified(|flow| {
+            let turns = *flow != Flow::Cut;
+            if turns {
+                *flow = to;
+            }
+            turns
+        });
+    }
+}
+
+impl Links {
+    pub(crate) fn get(&self, address: SocketAddr) -> Option<Link> {
+        self.lock().get(&address).cloned()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, Link>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Shared {
+    fn delay(&self, way: Way) -> &AtomicU64 {
+        match way {
+            Way::Up => &self.up_micros,
+            Way::Down => &self.down_micros,
+        }
+    }
+}
+
+async fn accept(shared: Arc<Shared>, first: TcpListener, address: SocketAddr) {
+    let mut refuse = shared.refuse.subscribe();
+    let mut listener = Some(first);
+    loop {
+        let Some(open) = &listener else {
+            tokio::select! {
+                () = shared.alive.closed() => return,
+                _ = refuse.wait_for(|&on| !on) => {}
+            }
+            listener = TcpListener::bind(address).await.ok();
+            if listener.is_none() {
+                tokio::time::sleep(REBIND_EVERY).await;
+            }
+            continue;
+        };
+        tokio::select! {
+            biased;
+            () = shared.alive.closed() => return,
+            _ = refuse.wait_for(|&on| on) => listener = None,
+            Ok((client, _)) = open.accept() => {
+                tokio::spawn(relay(shared.clone(), client));
+            }
+        }
+    }
+}
+
+/// How often a relay that takes connections again tries to get its port back.
+const REBIND_EVERY: Duration = Duration::from_millis(10);
+
+async fn relay(shared: Arc<Shared>, client: TcpStream) {
+    let Ok(server) = TcpStream::connect(shared.target).await else {
+        return;
+    };
+    let Ok(seen_as) = server.local_addr() else {
+        return;
+    };
+    let _ = client.set_nodelay(true);
+    let _ = server.set_nodelay(true);
+    let flow = watch::Sender::new(if shared.silent_new.load(Ordering::Acquire) {
+        Flow::Silent
+    } else {
+        Flow::Open
+    });
+    let link = Link {
+        flow: flow.clone(),
+        owner: shared.owner,
+    };
+    shared.links.lock().insert(seen_as, link);
+    let (client_rx, client_tx) = client.into_split();
+    let (server_rx, server_tx) = server.into_split();
+    let mut cut = flow.subscribe();
+    tokio::select! {
+        _ = cut.wait_for(|&it| it == Flow::Cut) => {}
+        () = shared.alive.closed() => {}
+        () = both(
+            pump(&shared, Way::Up, flow.subscribe(), client_rx, server_tx),
+            pump(&shared, Way::Down, flow.subscribe(), server_rx, client_tx),
+        ) => {}
+    }
+    shared.links.lock().remove(&seen_as);
+}
+
+async fn both(up: impl Future<Output = ()>, down: impl Future<Output = ()>) {
+    tokio::pin!(up, down);
+    tokio::select! {
+        () = &mut up => down.await,
+        // The server's end of an answer is the end of the connection.
+        () = &mut down => {}
+    }
+}
+
+async fn pump(
+    shared: &Shared,
+    way: Way,
+    flow: watch::Receiver<Flow>,
+    mut from: OwnedReadHalf,
+    to: OwnedWriteHalf,
+) {
+    let (tx, rx) = mpsc::channel(PIECES);
+    let read = async move {
+        let mut buf = vec![0; CHUNK];
+        while let Ok(n) = from.read(&mut buf).await {
+            if n == 0 {
+                break;
+            }
+            let delay = Duration::from_micros(shared.delay(way).load(Ordering::Acquire));
+            let piece = Bytes::copy_from_slice(&buf[..n]);
+            if tx.send((Instant::now() + delay, piece)).await.is_err() {
+                break;
+            }
+        }
+    };
+    tokio::join!(read, write(rx, flow, to));
+}
+
+async fn write(
+    mut rx: mpsc::Receiver<(Instant, Bytes)>,
+    mut flow: watch::Receiver<Flow>,
+    mut to: OwnedWriteHalf,
+) {
+    while let Some((due, piece)) = rx.recv().await {
+        if due > Instant::now() {
+            tokio::time::sleep_until(due).await;
+        }
+        let open = flow.wait_for(|&it| it != Flow::Silent).await;
+        if !open.is_ok_and(|it| *it == Flow::Open) {
+            return;
+        }
+        if to.write_all(&piece).await.is_err() {
+            return;
+        }
+    }
+    // An end that comes while the relay is silent is held back too.
+    let _ = flow.wait_for(|&it| it != Flow::Silent).await;
+    let _ = to.shutdown().await;
+}
