edges: the platform's client, attempts on backend servers, and stand-ins that fail on call

Every connection fault of a stand-in is carried out by a relay before it, since a server can't refuse or fall silent by itself.

--- /dev/null
+++ b/sl-back/tests/it/main.rs
@@ -0,0 +1,7 @@
+//! Attempts against stand-ins and against bare sockets.
+
+mod cost;
+mod filter;
+mod run;
+mod support;
+mod wire;
--- a/sl-platform/src/counters.rs
+++ b/sl-platform/src/counters.rs
@@ -19,13 +19,7 @@
 
 impl Kind {
     /// Every kind, in the order of its discriminant.
-    pub const ALL: [Kind; 5] = [
-        Kind::Get,
-        Kind::Watch,
-        Kind::Put,
-        Kind::Delete,
-        Kind::List,
-    ];
+    pub const ALL: [Kind; 5] = [Kind::Get, Kind::Watch, Kind::Put, Kind::Delete, Kind::List];
 
     /// The kind's name as a metric label.
     pub const fn name(self) -> &'static str {
--- a/stand-ins/src/backends.rs
+++ b/stand-ins/src/backends.rs
@@ -24,7 +24,7 @@
     chance::{Chance, Dice},
     engine, plain,
     relay::{Link, Links, Relay},
-    serve::{self, Answer, Incoming, Service, Serving},
+    serve::{self, Answer, Incoming, Refusal, Service, Serving},
 };
 
 /// A backend server to be started.
@@ -206,8 +206,7 @@
         let serving = serve::serve(any_port(), core.clone()).await?;
         for (at, unit) in core.0.units.iter().enumerate() {
             let links = core.0.links.clone();
-            let relay =
-                Relay::with_links(unit.spec.listen, serving.address, links, at).await?;
+            let relay = Relay::with_links(unit.spec.listen, serving.address, links, at).await?;
             let _ = unit.relay.set(relay);
         }
         Ok(Backends { core, serving })
@@ -234,23 +233,23 @@
     }
 
     /// Sets what is wrong with every server; the default heals them.
-    pub fn fault(&self, fault: Fault) {
+    pub async fn fault(&self, fault: Fault) {
         for unit in &self.core.0.units {
-            unit.set_fault(fault);
+            unit.set_fault(fault).await;
         }
     }
 
     /// Sets what is wrong with one server.
-    pub fn fault_at(&self, name: &str, fault: Fault) {
+    pub async fn fault_at(&self, name: &str, fault: Fault) {
         if let Some(unit) = self.core.unit(name) {
-            unit.set_fault(fault);
+            unit.set_fault(fault).await;
         }
     }
 
     /// Crashes a server: its connections close, and it refuses new ones for `span`.
-    pub fn crash(&self, name: &str, span: Duration) {
+    pub async fn crash(&self, name: &str, span: Duration) {
         if let Some(unit) = self.core.unit(name) {
-            unit.crash(span);
+            unit.crash(span).await;
         }
     }
 }
@@ -437,7 +436,7 @@
         if crashes {
             let mut job = job;
             let _slot = job.begin().await;
-            unit.crash(CRASHED_FOR);
+            unit.crash(CRASHED_FOR).await;
             return serve::empty(Status::InternalServerError);
         }
         match unit.spec.kind {
@@ -446,7 +445,7 @@
         }
     }
 
-    fn administer(&self, call: &Incoming) -> Result<Answer, Answer> {
+    async fn administer(&self, call: &Incoming) -> Result<Answer, Refusal> {
         let units = &self.0.units;
         match (call.method, call.path.as_str()) {
             (Method::Get, "/admin/servers") => {
@@ -457,21 +456,23 @@
             (Method::Delete, "/admin/runs") => self.runs().clear(),
             (Method::Post, "/admin/fault") => {
                 let fault = call.json()?;
-                units.iter().for_each(|it| it.set_fault(fault));
+                for unit in units {
+                    unit.set_fault(fault).await;
+                }
             }
             (Method::Post, path) => {
                 let (what, name) = path.rsplit_once('/').unwrap_or_default();
-                let unit = self.unit(name).ok_or(serve::empty(Status::NotFound))?;
+                let unit = self.unit(name).ok_or_else(Refusal::not_found)?;
                 match what {
-                    "/admin/fault" => unit.set_fault(call.json()?),
+                    "/admin/fault" => unit.set_fault(call.json()?).await,
                     "/admin/crash" => {
                         let span = call.query_number("ms").map(Duration::from_millis);
-                        unit.crash(span.unwrap_or(CRASHED_FOR));
+                        unit.crash(span.unwrap_or(CRASHED_FOR)).await;
                     }
-                    _ => return Err(serve::empty(Status::NotFound)),
+                    _ => return Err(Refusal::not_found()),
                 }
             }
-            _ => return Err(serve::empty(Status::NotFound)),
+            _ => return Err(Refusal::not_found()),
         }
         Ok(serve::empty(Status::Ok))
     }
@@ -481,7 +482,7 @@
     async fn answer(&self, call: Incoming) -> Answer {
         match call.remote.and_then(|it| self.0.links.get(it)) {
             Some(link) => self.work(call, link).await,
-            None => self.administer(&call).unwrap_or_else(|refusal| refusal),
+            None => self.administer(&call).await.unwrap_or_else(Answer::from),
         }
     }
 }
@@ -529,7 +530,7 @@
         }
     }
 
-    fn set_fault(&self, fault: Fault) {
+    async fn set_fault(&self, fault: Fault) {
         self.lock().fault = fault;
         let Some(relay) = self.relay.get() else {
             return;
@@ -542,15 +543,17 @@
         if fault.silent_old {
             relay.silence_old();
         }
+        relay.settled().await;
     }
 
-    fn crash(&self, span: Duration) {
+    async fn crash(&self, span: Duration) {
         self.lock().crashes += 1;
         let Some(relay) = self.relay.get().cloned() else {
             return;
         };
         relay.refuse(true);
         relay.cut();
+        relay.settled().await;
         tokio::spawn(async move {
             tokio::time::sleep(span).await;
             relay.refuse(false);
--- a/stand-ins/src/lib.rs
+++ b/stand-ins/src/lib.rs
@@ -8,6 +8,7 @@
 mod plain;
 pub mod platform;
 pub mod relay;
+mod relay_admin;
 mod serve;
 mod store;
 
@@ -15,3 +16,4 @@
 pub use chance::Chance;
 pub use platform::Platform;
 pub use relay::Relay;
+pub use relay_admin::{RelayAdmin, RelayFault};
--- a/stand-ins/src/platform.rs
+++ b/stand-ins/src/platform.rs
@@ -30,7 +30,7 @@
 use crate::{
     chance::{Chance, Dice},
     relay::{Link, Links, Relay},
-    serve::{self, Answer, Incoming, Service, Serving},
+    serve::{self, Answer, Incoming, Refusal, Service, Serving},
     store::{Entry, Store, Written},
 };
 
@@ -184,8 +184,8 @@
     }
 
     /// Sets what is wrong with it; the default heals it.
-    pub fn fault(&self, fault: Fault) {
-        self.core.fault(fault);
+    pub async fn fault(&self, fault: Fault) {
+        self.core.fault(fault).await;
     }
 
     /// Calls so far.
@@ -200,7 +200,8 @@
 
     /// Takes an instance off the list.
     pub fn remove_instance(&self, name: &str) {
-        self.core.edit(|it| it.instances.retain(|it| it.name != name));
+        self.core
+            .edit(|it| it.instances.retain(|it| it.name != name));
     }
 
     /// Lists a backend server, or changes its entry.
@@ -245,7 +246,7 @@
         }
     }
 
-    fn fault(&self, fault: Fault) {
+    async fn fault(&self, fault: Fault) {
         self.lock().fault = fault;
         let Some(relay) = self.0.relay.get() else {
             return;
@@ -261,6 +262,7 @@
         if fault.silent_old {
             relay.silence_old();
         }
+        relay.settled().await;
     }
 
     fn edit(&self, change: impl FnOnce(&mut Listing)) {
@@ -415,10 +417,10 @@
         serve::bytes(Status::Ok, body.into())
     }
 
-    fn administer(&self, call: &Incoming) -> Result<Answer, Answer> {
+    async fn administer(&self, call: &Incoming) -> Result<Answer, Refusal> {
         match (call.method, call.path.as_str()) {
             (Method::Get, "/admin/counters") => return Ok(serve::json(&self.counters())),
-            (Method::Post, "/admin/fault") => self.fault(call.json()?),
+            (Method::Post, "/admin/fault") => self.fault(call.json()?).await,
             (Method::Post, "/admin/instances") => self.list_instance(call.json()?),
             (Method::Post, "/admin/servers") => self.list_server(call.json()?),
             (Method::Delete, path) => match path.rsplit_once('/') {
@@ -428,9 +430,9 @@
                 Some(("/admin/servers", name)) => {
                     self.edit(|it| it.servers.retain(|it| it.name != name));
                 }
-                _ => return Err(serve::empty(Status::NotFound)),
+                _ => return Err(Refusal::not_found()),
             },
-            _ => return Err(serve::empty(Status::NotFound)),
+            _ => return Err(Refusal::not_found()),
         }
         Ok(serve::empty(Status::Ok))
     }
@@ -441,7 +443,7 @@
         let link = call.remote.and_then(|it| self.0.links.get(it));
         match link {
             Some(link) => self.platform(&call, &link).await,
-            None => self.administer(&call).unwrap_or_else(|refusal| refusal),
+            None => self.administer(&call).await.unwrap_or_else(Answer::from),
         }
     }
 }
--- a/stand-ins/src/relay.rs
+++ b/stand-ins/src/relay.rs
@@ -16,7 +16,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{
-        TcpListener, TcpStream,
+        TcpListener, TcpSocket, TcpStream,
         tcp::{OwnedReadHalf, OwnedWriteHalf},
     },
     sync::{mpsc, watch},
@@ -64,6 +64,7 @@
     owner: usize,
     links: Links,
     refuse: watch::Sender<bool>,
+    refuses: watch::Sender<bool>,
     silent_new: AtomicBool,
     up_micros: AtomicU64,
     down_micros: AtomicU64,
@@ -100,6 +101,7 @@
             owner,
             links,
             refuse: watch::Sender::new(false),
+            refuses: watch::Sender::new(false),
             silent_new: AtomicBool::new(false),
             up_micros: AtomicU64::new(0),
             down_micros: AtomicU64::new(0),
@@ -123,6 +125,13 @@
         self.shared.refuse.send_replace(on);
     }
 
+    /// Waits until connections are refused, or taken, as was last asked for.
+    pub async fn settled(&self) {
+        let asked = *self.shared.refuse.borrow();
+        let mut refuses = self.shared.refuses.subscribe();
+        let _ = refuses.wait_for(|&it| it == asked).await;
+    }
+
     /// Closes every connection that stands.
     pub fn cut(&self) {
         self.each(Link::cut);
@@ -219,34 +228,63 @@
     }
 }
 
-async fn accept(shared: Arc<Shared>, first: TcpListener, address: SocketAddr) {
-    let mut refuse = shared.refuse.subscribe();
-    let mut listener = Some(first);
+async fn accept(shared: Arc<Shared>, listener: TcpListener, address: SocketAddr) {
+    let mut listener = Some(listener);
     loop {
         let Some(open) = &listener else {
-            tokio::select! {
-                () = shared.alive.closed() => return,
-                _ = refuse.wait_for(|&on| !on) => {}
-            }
-            listener = TcpListener::bind(address).await.ok();
+            listener = refuse_a_while(&shared, address).await;
             if listener.is_none() {
-                tokio::time::sleep(REBIND_EVERY).await;
+                return;
             }
             continue;
         };
-        tokio::select! {
+        let mut refuse = shared.refuse.subscribe();
+        let client = tokio::select! {
             biased;
             () = shared.alive.closed() => return,
-            _ = refuse.wait_for(|&on| on) => listener = None,
-            Ok((client, _)) = open.accept() => {
-                tokio::spawn(relay(shared.clone(), client));
-            }
+            _ = refuse.wait_for(|&on| on) => None,
+            client = open.accept() => client.ok(),
+        };
+        match client {
+            Some((client, _)) => drop(tokio::spawn(relay(shared.clone(), client))),
+            None => listener = None,
         }
     }
 }
 
-/// How often a relay that takes connections again tries to get its port back.
-const REBIND_EVERY: Duration = Duration::from_millis(10);
+// A socket that is bound and does not listen refuses connections and keeps the port.
+async fn refuse_a_while(shared: &Shared, address: SocketAddr) -> Option<TcpListener> {
+    let mut socket = bound(address);
+    while socket.is_err() {
+        tokio::time::sleep(BIND_EVERY).await;
+        socket = bound(address);
+    }
+    shared.refuses.send_replace(true);
+    let mut refuse = shared.refuse.subscribe();
+    tokio::select! {
+        () = shared.alive.closed() => return None,
+        _ = refuse.wait_for(|&on| !on) => {}
+    }
+    let listener = socket.ok()?.listen(BACKLOG).ok()?;
+    shared.refuses.send_replace(false);
+    Some(listener)
+}
+
+fn bound(address: SocketAddr) -> io::Result<TcpSocket> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4(),
+        SocketAddr::V6(_) => TcpSocket::new_v6(),
+    }?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    Ok(socket)
+}
+
+/// How often a relay tries again to get its port.
+const BIND_EVERY: Duration = Duration::from_millis(5);
+
+/// Connections that may wait to be taken.
+const BACKLOG: u32 = 1_024;
 
 async fn relay(shared: Arc<Shared>, client: TcpStream) {
     let Ok(server) = TcpStream::connect(shared.target).await else {
--- a/stand-ins/src/serve.rs
+++ b/stand-ins/src/serve.rs
@@ -42,9 +42,25 @@
         pairs.find(|(it, _)| *it == name)?.1.parse().ok()
     }
 
-    pub(crate) fn json<T: DeserializeOwned>(&self) -> Result<T, Answer> {
+    pub(crate) fn json<T: DeserializeOwned>(&self) -> Result<T, Refusal> {
         serde_json::from_slice(&self.body)
-            .map_err(|err| text(Status::UnprocessableEntity, err.to_string()))
+            .map_err(|err| Refusal(Status::UnprocessableEntity, err.to_string()))
+    }
+}
+
+/// A call that is not taken, and why.
+#[derive(Debug)]
+pub(crate) struct Refusal(Status, String);
+
+impl Refusal {
+    pub(crate) fn not_found() -> Refusal {
+        Refusal(Status::NotFound, "there is no such thing here".to_owned())
+    }
+}
+
+impl From<Refusal> for Answer {
+    fn from(Refusal(status, why): Refusal) -> Answer {
+        text(status, why)
     }
 }
 
