sl-front: the caller, operator and metrics ports over rocket

Every check before the reducer, answers of our own with their numbered code, and bodies that never look whole when their source fails. Rocket tells a handler nothing of its caller's socket, so a closed connection is found, and a cut body's connection broken, through the kernel by the caller's address.

--- /dev/null
+++ b/sl-front/tests/it/main.rs
@@ -0,0 +1,6 @@
+//! The front against a fake daemon, over real sockets.
+
+mod door;
+mod fake;
+mod operator;
+mod stream;
