--- a/sl-base/src/lib.rs
+++ b/sl-base/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod hash;
 pub mod id;
 pub mod listing;
+pub mod status;
 pub mod time;
 
 pub use code::{Code, Outcome};
