--- a/sl-base/src/lib.rs
+++ b/sl-base/src/lib.rs
@@ -6,8 +6,10 @@
 pub mod hash;
 pub mod id;
 pub mod listing;
+pub mod need;
 pub mod time;
 
 pub use code::{Code, Outcome};
 pub use id::{AttemptId, Incarnation, InstanceId, PoolId, RequestId, Revision, ServerId, TeamId};
+pub use need::Need;
 pub use time::{Millis, Timestamp};
