sl-back: refuse targets that the HTTP library would turn into another path

A path with dot segments would pass a route's check as one path and reach the backend server as another; one without its first slash could even name another host.

--- a/sl-back/src/client.rs
+++ b/sl-back/src/client.rs
@@ -17,6 +17,7 @@
     filter,
     gate::Gate,
     sink::{AnswerSink, CallerGone, Head},
+    target::Target,
 };
 
 /// How connections are kept.
@@ -45,8 +46,8 @@
 pub struct Forward {
     /// The caller's method.
     pub method: Method,
-    /// The caller's path and query, beginning with `/`.
-    pub path_and_query: String,
+    /// The caller's path and query.
+    pub target: Target,
     /// The caller's headers; what must not pass is removed here.
     pub headers: HeaderMap,
     /// The caller's body.
@@ -133,7 +134,7 @@
         let mut headers = forward.headers;
         filter::clean_request(&mut headers);
         headers.insert(filter::ATTEMPT, HeaderValue::from(dispatch.attempt.0));
-        let url = format!("http://{}{}", dispatch.address, forward.path_and_query);
+        let url = format!("http://{}{}", dispatch.address, forward.target);
         let request = client
             .request(forward.method, url)
             .headers(headers)
--- a/sl-back/src/lib.rs
+++ b/sl-back/src/lib.rs
@@ -6,9 +6,11 @@
 pub mod filter;
 mod gate;
 pub mod sink;
+pub mod target;
 
 pub use client::{Client, Forward, Options};
 pub use cost::Meter;
 pub use sink::{AnswerSink, CallerGone, Head};
+pub use target::{Target, TargetError};
 
 pub use reqwest::{Method, header::HeaderMap};
--- a/sl-back/tests/it/cost.rs
+++ b/sl-back/tests/it/cost.rs
@@ -1,11 +1,10 @@
-use proptest::{
-    prelude::*,
-    test_runner::{Config, RngSeed},
-};
+use proptest::prelude::*;
 use rstest::rstest;
 use sl_back::Meter;
 use sl_config::Cost;
 
+use crate::seeds::seeds;
+
 fn units(chunks: &[&[u8]]) -> u64 {
     let mut meter = Meter::new(Cost::Tokens);
     chunks.iter().for_each(|it| meter.feed(it));
@@ -60,11 +59,7 @@
 }
 
 proptest! {
-    #![proptest_config(Config {
-        rng_seed: RngSeed::Fixed(seed()),
-        failure_persistence: None,
-        ..Config::default()
-    })]
+    #![proptest_config(seeds())]
 
     #[test]
     fn where_chunks_end_does_not_matter(
@@ -93,11 +88,3 @@
         }
     }
 }
-
-/// The fixed seed, or the one that a longer run asks for.
-pub fn seed() -> u64 {
-    std::env::var("SESAMELOCK_SEEDS")
-        .ok()
-        .and_then(|it| it.parse().ok())
-        .unwrap_or(7)
-}
--- a/sl-back/tests/it/filter.rs
+++ b/sl-back/tests/it/filter.rs
@@ -1,11 +1,8 @@
-use proptest::{
-    prelude::*,
-    test_runner::{Config, RngSeed},
-};
+use proptest::prelude::*;
 use reqwest::header::{HeaderMap, HeaderName, HeaderValue};
 use sl_back::filter::{HOP_BY_HOP, clean_answer, clean_request};
 
-use crate::cost::seed;
+use crate::seeds::seeds;
 
 fn headers(pairs: &[(String, String)]) -> HeaderMap {
     let mut headers = HeaderMap::new();
@@ -45,11 +42,7 @@
 }
 
 proptest! {
-    #![proptest_config(Config {
-        rng_seed: RngSeed::Fixed(seed()),
-        failure_persistence: None,
-        ..Config::default()
-    })]
+    #![proptest_config(seeds())]
 
     #[test]
     fn only_end_to_end_headers_pass(
--- a/sl-back/tests/it/main.rs
+++ b/sl-back/tests/it/main.rs
@@ -3,5 +3,7 @@
 mod cost;
 mod filter;
 mod run;
+mod seeds;
 mod support;
+mod target;
 mod wire;
--- a/sl-back/tests/it/run.rs
+++ b/sl-back/tests/it/run.rs
@@ -1,8 +1,8 @@
-use std::{future::pending, time::Duration};
+use std::time::Duration;
 
 use rstest::rstest;
 use sl_back::{Forward, HeaderMap, Method};
-use sl_base::{Millis, Timestamp};
+use sl_base::Millis;
 use sl_step::event::AttemptEnd;
 use stand_ins::{Chance, backends::Fault};
 
@@ -141,28 +141,6 @@
     assert!(backends.runs().is_empty());
 }
 
-#[tokio::test]
-async fn the_slot_is_looked_at_again_before_the_first_byte() {
-    use std::sync::atomic::{AtomicU64, Ordering};
-    let backends = plain(0).await;
-    let reads = std::sync::Arc::new(AtomicU64::new(0));
-    let counted = reads.clone();
-    // The first reading lies before the deadline and each later one past it.
-    let clock = move || match counted.fetch_add(1, Ordering::Relaxed) {
-        0 => Timestamp::from_micros(0),
-        _ => Timestamp::from_micros(10_000_000),
-    };
-    let mut dispatch = dispatch(backends.listed()[0].address);
-    dispatch.dispatch_by = Timestamp::from_micros(5_000_000);
-    let client = sl_back::Client::new(sl_back::Options::default(), clock).unwrap();
-    let end = client
-        .run(&dispatch, booking("{}"), &mut Sink::default(), pending())
-        .await;
-    assert_eq!(end, AttemptEnd::NotSent);
-    assert_eq!(reads.load(Ordering::Relaxed), 2);
-    assert!(backends.runs().is_empty());
-}
-
 #[tokio::test]
 async fn any_method_path_and_query_pass() {
     let backends = plain(0).await;
@@ -170,7 +148,7 @@
     for method in ["GET", "HEAD", "PUT", "DELETE", "OPTIONS", "PATCH"] {
         let forward = Forward {
             method: Method::from_bytes(method.as_bytes()).unwrap(),
-            path_and_query: "/status/a%20b?c=d%2Fe".into(),
+            target: "/status/a%20b?c=d%2Fe".parse().unwrap(),
             headers: HeaderMap::new(),
             body: bytes::Bytes::new(),
             idempotent: true,
--- a/sl-back/tests/it/support.rs
+++ b/sl-back/tests/it/support.rs
@@ -70,7 +70,7 @@
     let body = format!(r#"{{"max_tokens":{tokens},"prompt_tokens":80,"stream":true}}"#);
     Forward {
         method: Method::POST,
-        path_and_query: "/v1/chat/completions".into(),
+        target: "/v1/chat/completions".parse().unwrap(),
         headers: HeaderMap::new(),
         body: body.into(),
         idempotent: true,
@@ -81,7 +81,7 @@
 pub fn booking(body: &str) -> Forward {
     Forward {
         method: Method::POST,
-        path_and_query: "/bookings".into(),
+        target: "/bookings".parse().unwrap(),
         headers: HeaderMap::new(),
         body: Bytes::copy_from_slice(body.as_bytes()),
         idempotent: false,
--- a/sl-back/tests/it/wire.rs
+++ b/sl-back/tests/it/wire.rs
@@ -1,6 +1,7 @@
 //! What hyper and reqwest do on the wire, against bare sockets that count what they read.
 
 use std::{
+    future::pending,
     net::SocketAddr,
     sync::{
         Arc,
@@ -9,7 +10,8 @@
 };
 
 use rstest::rstest;
-use sl_base::Millis;
+use sl_back::{Client, Options};
+use sl_base::{Millis, Timestamp};
 use sl_step::event::AttemptEnd;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -195,6 +197,32 @@
     assert_eq!(seen.requests.load(Ordering::SeqCst), 1);
 }
 
+// The bytes count, not only whole requests: hyper has the head in hand by then.
+#[tokio::test]
+async fn a_closed_slot_lets_no_byte_out() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let server = tokio::spawn(async move {
+        let mut bytes = Vec::new();
+        let (mut socket, _) = listener.accept().await.unwrap();
+        socket.read_to_end(&mut bytes).await.unwrap();
+        bytes
+    });
+    let readings = Arc::new(AtomicUsize::new(0));
+    let clock = move || match readings.fetch_add(1, Ordering::SeqCst) {
+        0 => Timestamp::from_micros(0),
+        _ => Timestamp::from_micros(10_000_000),
+    };
+    let mut dispatch = dispatch(address);
+    dispatch.dispatch_by = Timestamp::from_micros(5_000_000);
+    let client = Client::new(Options::default(), clock).unwrap();
+    let end = client
+        .run(&dispatch, booking("{}"), &mut Sink::default(), pending())
+        .await;
+    assert_eq!(end, AttemptEnd::NotSent);
+    assert!(server.await.unwrap().is_empty());
+}
+
 // A listener whose queue of pending connections is full leaves a connection hanging.
 #[tokio::test]
 async fn a_slot_that_ends_while_connecting_is_not_sent() {
