--- /dev/null
+++ b/sl-peer/src/count.rs
@@ -0,0 +1,112 @@
+//! Counts what control traffic costs.
+
+use std::{
+    io,
+    pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    task::{Context, Poll, ready},
+};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+/// Bytes and messages of all links, both ways, handshakes and frames included; what TCP
+/// and IP add is not.
+#[derive(Clone, Debug, Default)]
+pub struct Counters(Arc<Inner>);
+
+#[derive(Debug, Default)]
+struct Inner {
+    bytes_sent: AtomicU64,
+    bytes_received: AtomicU64,
+    frames_sent: AtomicU64,
+    frames_received: AtomicU64,
+}
+
+/// The counts at one moment.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Traffic {
+    /// Bytes sent.
+    pub bytes_sent: u64,
+    /// Bytes received.
+    pub bytes_received: u64,
+    /// Calls and answers sent.
+    pub frames_sent: u64,
+    /// Calls and answers received.
+    pub frames_received: u64,
+}
+
+impl Counters {
+    /// The counts so far.
+    pub fn read(&self) -> Traffic {
+        Traffic {
+            bytes_sent: self.0.bytes_sent.load(Ordering::Relaxed),
+            bytes_received: self.0.bytes_received.load(Ordering::Relaxed),
+            frames_sent: self.0.frames_sent.load(Ordering::Relaxed),
+            frames_received: self.0.frames_received.load(Ordering::Relaxed),
+        }
+    }
+
+    pub(crate) fn frame_sent(&self) {
+        self.0.frames_sent.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(crate) fn frame_received(&self) {
+        self.0.frames_received.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
+/// A connection whose bytes are counted.
+#[derive(Debug)]
+pub(crate) struct Counted<S> {
+    inner: S,
+    counters: Counters,
+}
+
+impl<S> Counted<S> {
+    pub(crate) fn new(inner: S, counters: Counters) -> Counted<S> {
+        Counted { inner, counters }
+    }
+
+    pub(crate) fn into_inner(self) -> S {
+        self.inner
+    }
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for Counted<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut self.inner).poll_read(cx, buf))?;
+        let n = buf.filled().len() - before;
+        let received = &self.counters.0.bytes_received;
+        received.fetch_add(n as u64, Ordering::Relaxed);
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for Counted<S> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let n = ready!(Pin::new(&mut self.inner).poll_write(cx, buf))?;
+        let sent = &self.counters.0.bytes_sent;
+        sent.fetch_add(n as u64, Ordering::Relaxed);
+        Poll::Ready(Ok(n))
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(cx)
+    }
+}
--- /dev/null
+++ b/sl-peer/src/service.rs
@@ -0,0 +1,13 @@
+//! The calls between instances.
+
+use sl_base::status::InstanceStatus;
+use sl_step::Message;
+
+/// What one instance may ask of another.
+#[tarpc::service]
+pub(crate) trait Control {
+    /// Hands messages over; the answer says that they were taken.
+    async fn deliver(messages: Vec<Message>);
+    /// Asks what the instance says of itself.
+    async fn status() -> InstanceStatus;
+}
