--- a/sl-back/src/lib.rs
+++ b/sl-back/src/lib.rs
@@ -11,4 +11,7 @@
 pub use cost::Meter;
 pub use sink::{AnswerSink, CallerGone, Head};
 
-pub use reqwest::{Method, header::HeaderMap};
+pub use reqwest::{
+    Method,
+    header::{self, HeaderMap},
+};
--- /dev/null
+++ b/sl-node/src/held.rs
@@ -0,0 +1,146 @@
+//! The requests that the reducer decides on, with what it does not need to see: headers,
+//! body, and the way back to the caller.
+
+use std::{collections::HashMap, sync::Arc};
+
+use sl_base::{AttemptId, Code, Millis, RequestId, ServerId, TeamId, Timestamp};
+use sl_front::{CallerRequest, Job, Part};
+use sl_step::event::Arrival;
+use tokio::sync::{mpsc, oneshot};
+
+/// Every request between its arrival and its final answer.
+#[derive(Debug, Default)]
+pub(crate) struct Requests {
+    held: HashMap<RequestId, Held>,
+    running: HashMap<AttemptId, Running>,
+}
+
+/// One request.
+#[derive(Clone, Debug)]
+pub(crate) struct Held {
+    pub(crate) arrival: Arrival,
+    pub(crate) arrived: Timestamp,
+    pub(crate) request: Arc<CallerRequest>,
+    pub(crate) answer: mpsc::Sender<Part>,
+    pub(crate) is_running: bool,
+}
+
+/// One attempt.
+#[derive(Debug)]
+pub(crate) struct Running {
+    pub(crate) request: RequestId,
+    pub(crate) server: ServerId,
+    /// Dropping it breaks the attempt off.
+    pub(crate) abort: Option<oneshot::Sender<()>>,
+}
+
+/// What waits and runs of one team.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct TeamLoad {
+    pub(crate) waiting: u64,
+    pub(crate) waiting_bytes: u64,
+    pub(crate) running: u64,
+}
+
+impl Requests {
+    pub(crate) fn insert(&mut self, now: Timestamp, job: Job) {
+        let held = Held {
+            arrival: job.arrival,
+            arrived: now,
+            request: Arc::new(job.request),
+            answer: job.answer,
+            is_running: false,
+        };
+        self.held.insert(held.arrival.request, held);
+    }
+
+    pub(crate) fn get(&self, id: RequestId) -> Option<&Held> {
+        self.held.get(&id)
+    }
+
+    pub(crate) fn by_attempt(&self, attempt: AttemptId) -> Option<&Held> {
+        self.get(self.running.get(&attempt)?.request)
+    }
+
+    pub(crate) fn remove(&mut self, id: RequestId) -> Option<Held> {
+        self.held.remove(&id)
+    }
+
+    /// Notes that an attempt begins; the receiver ends when it is to be broken off.
+    pub(crate) fn begin(
+        &mut self,
+        attempt: AttemptId,
+        request: RequestId,
+        server: ServerId,
+    ) -> oneshot::Receiver<()> {
+        let (abort, aborted) = oneshot::channel();
+        let running = Running {
+            request,
+            server,
+            abort: Some(abort),
+        };
+        self.running.insert(attempt, running);
+        if let Some(held) = self.held.get_mut(&request) {
+            held.is_running = true;
+        }
+        aborted
+    }
+
+    pub(crate) fn abort(&mut self, attempt: AttemptId) {
+        if let Some(running) = self.running.get_mut(&attempt) {
+            running.abort = None;
+        }
+    }
+
+    /// Notes that an attempt ended, and gives its request.
+    pub(crate) fn end(&mut self, attempt: AttemptId) -> Option<RequestId> {
+        let request = self.running.remove(&attempt)?.request;
+        if let Some(held) = self.held.get_mut(&request) {
+            held.is_running = false;
+        }
+        Some(request)
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.held.len()
+    }
+
+    pub(crate) fn attempts(&self) -> usize {
+        self.running.len()
+    }
+
+    pub(crate) fn by_team(&self) -> HashMap<TeamId, TeamLoad> {
+        let mut loads: HashMap<TeamId, TeamLoad> = HashMap::new();
+        for held in self.held.values() {
+            let load = loads.entry(held.arrival.team).or_default();
+            if held.is_running {
+                load.running += 1;
+            } else {
+                load.waiting += 1;
+                load.waiting_bytes += held.arrival.bytes;
+            }
+        }
+        loads
+    }
+
+    pub(crate) fn by_server(&self) -> HashMap<ServerId, u32> {
+        let mut counts = HashMap::new();
+        for running in self.running.values() {
+            *counts.entry(running.server).or_default() += 1;
+        }
+        counts
+    }
+}
+
+impl Held {
+    /// Gives the caller its final answer, behind what is on its way already.
+    pub(crate) fn fail(self, code: Code, retry_after: Option<Millis>) {
+        let part = Part::Failed { code, retry_after };
+        if let Err(mpsc::error::TrySendError::Full(part)) = self.answer.try_send(part) {
+            tokio::spawn(async move {
+                // The caller may go away meanwhile; then no one wants the answer.
+                let _ = self.answer.send(part).await;
+            });
+        }
+    }
+}
--- /dev/null
+++ b/sl-node/src/metrics.rs
@@ -0,0 +1,226 @@
+//! Counters and gauges. Label sets are bounded: codes, kinds and directions, never
+//! teams, callers or paths.
+
+use std::sync::Arc;
+
+use prometheus_client::{
+    collector::Collector,
+    encoding::{DescriptorEncoder, EncodeLabelSet, EncodeMetric, text},
+    metrics::{
+        counter::{ConstCounter, Counter},
+        family::Family,
+        gauge::Gauge,
+        histogram::Histogram,
+    },
+    registry::Registry,
+};
+use sl_base::Code;
+use sl_step::event::AttemptEnd;
+
+/// All metrics of a daemon; clones are the same.
+#[derive(Clone, Debug)]
+pub(crate) struct Metrics {
+    registry: Arc<Registry>,
+    answers: Family<Answer, Counter>,
+    attempts: Family<Attempt, Counter>,
+    notes: Family<Note, Counter>,
+    /// Seconds from a request's arrival to the head of its answer.
+    pub(crate) first_byte: Histogram,
+    /// Requests that the reducer decides on.
+    pub(crate) held: Gauge,
+    /// Attempts under way.
+    pub(crate) running: Gauge,
+    /// Commands that wait for the owner.
+    pub(crate) commands: Gauge,
+    /// The configuration revision in force.
+    pub(crate) revision: Gauge,
+    /// Whether new work is welcome.
+    pub(crate) ready: Gauge,
+    /// Backend servers on the platform's list.
+    pub(crate) servers: Gauge,
+    /// Fellow instances on the platform's list.
+    pub(crate) instances: Gauge,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Answer {
+    outcome: &'static str,
+    code: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Attempt {
+    end: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Note {
+    what: &'static str,
+}
+
+impl Metrics {
+    /// Metrics at zero; `peers` and `platform` count for themselves and are read when
+    /// metrics are collected.
+    pub(crate) fn new(peers: sl_peer::Counters, platform: sl_platform::Client) -> Metrics {
+        let mut registry = Registry::with_prefix("sesamelock");
+        let metrics = Metrics {
+            registry: Arc::default(),
+            answers: Family::default(),
+            attempts: Family::default(),
+            notes: Family::default(),
+            first_byte: Histogram::new(FIRST_BYTE_SECONDS),
+            held: Gauge::default(),
+            running: Gauge::default(),
+            commands: Gauge::default(),
+            revision: Gauge::default(),
+            ready: Gauge::default(),
+            servers: Gauge::default(),
+            instances: Gauge::default(),
+        };
+        metrics.register(&mut registry);
+        registry.register_collector(Box::new(Traffic { peers, platform }));
+        Metrics {
+            registry: Arc::new(registry),
+            ..metrics
+        }
+    }
+
+    /// Counts a final answer of ours.
+    pub(crate) fn answered(&self, code: Code) {
+        let answer = Answer {
+            outcome: outcome(code),
+            code: code.into(),
+        };
+        self.answers.get_or_create(&answer).inc();
+    }
+
+    /// Counts how an attempt ended; a whole answer is a request's final one.
+    pub(crate) fn ended(&self, end: AttemptEnd) {
+        let name = end_name(end);
+        self.attempts.get_or_create(&Attempt { end: name }).inc();
+        if let AttemptEnd::Complete { status, .. } = end {
+            let answer = Answer {
+                outcome: "ran",
+                code: class(status),
+            };
+            self.answers.get_or_create(&answer).inc();
+        }
+    }
+
+    /// Counts a change of state.
+    pub(crate) fn noted(&self, what: &'static str) {
+        self.notes.get_or_create(&Note { what }).inc();
+    }
+
+    /// All metrics in OpenMetrics text.
+    pub(crate) fn encode(&self) -> String {
+        let mut text = String::new();
+        // Writing to a string fails only where a collector does, and none does.
+        let _ = text::encode(&mut text, &self.registry);
+        text
+    }
+
+    fn register(&self, registry: &mut Registry) {
+        registry.register("answers", "Final answers", self.answers.clone());
+        registry.register("attempts", "Attempts that ended", self.attempts.clone());
+        registry.register("changes", "Changes of state", self.notes.clone());
+        registry.register(
+            "first_byte_seconds",
+            "From a request's arrival to the head of its answer",
+            self.first_byte.clone(),
+        );
+        let gauges = [
+            ("held_requests", "Requests inside", &self.held),
+            ("running_attempts", "Attempts under way", &self.running),
+            ("waiting_commands", "Commands before the reducer", &self.commands),
+            ("config_revision", "Configuration in force", &self.revision),
+            ("ready", "Whether new work is welcome", &self.ready),
+            ("listed_servers", "Backend servers listed", &self.servers),
+            ("listed_instances", "Instances listed", &self.instances),
+        ];
+        for (name, help, gauge) in gauges {
+            registry.register(name, help, gauge.clone());
+        }
+    }
+}
+
+fn outcome(code: Code) -> &'static str {
+    match code.outcome() {
+        sl_base::Outcome::Ran => "ran",
+        sl_base::Outcome::NotRun => "not-run",
+        sl_base::Outcome::Unknown => "unknown",
+    }
+}
+
+fn class(status: u16) -> &'static str {
+    match status / 100 {
+        1 => "1xx",
+        2 => "2xx",
+        3 => "3xx",
+        4 => "4xx",
+        _ => "5xx",
+    }
+}
+
+fn end_name(end: AttemptEnd) -> &'static str {
+    match end {
+        AttemptEnd::NotSent => "not-sent",
+        AttemptEnd::Complete { .. } => "complete",
+        AttemptEnd::LostBeforeAnswer => "lost-before-answer",
+        AttemptEnd::LostMidway { .. } => "lost-midway",
+        AttemptEnd::FirstByteTimeout => "first-byte-timeout",
+        AttemptEnd::IdleTimeout { .. } => "idle-timeout",
+        AttemptEnd::TotalTimeout { .. } => "total-timeout",
+        AttemptEnd::Crossed => "crossed",
+        AttemptEnd::Aborted { .. } => "aborted",
+    }
+}
+
+/// Counts that the links and the platform's client keep themselves.
+#[derive(Debug)]
+struct Traffic {
+    peers: sl_peer::Counters,
+    platform: sl_platform::Client,
+}
+
+impl Collector for Traffic {
+    fn encode(&self, mut encoder: DescriptorEncoder<'_>) -> Result<(), std::fmt::Error> {
+        let peers = self.peers.read();
+        let ways = [("sent", peers.bytes_sent), ("received", peers.bytes_received)];
+        family(&mut encoder, "peer_bytes", "Control bytes to and from instances", "way", ways)?;
+        let ways = [("sent", peers.frames_sent), ("received", peers.frames_received)];
+        family(&mut encoder, "peer_messages", "Control messages to and from instances", "way", ways)?;
+        let counted = sl_platform::Kind::ALL.map(|it| (it.name(), self.platform.counted(it)));
+        let calls = counted.map(|(kind, it)| (kind, it.calls));
+        family(&mut encoder, "platform_calls", "Calls to the platform", "kind", calls)?;
+        let lost = counted.map(|(kind, it)| (kind, it.lost));
+        family(&mut encoder, "platform_lost", "Platform calls without answer", "kind", lost)?;
+        let refused = counted.map(|(kind, it)| (kind, it.refused));
+        family(&mut encoder, "platform_refused", "Platform calls refused", "kind", refused)?;
+        let sent = counted.map(|(kind, it)| (kind, it.bytes_sent));
+        family(&mut encoder, "platform_sent_bytes", "Bytes to the platform", "kind", sent)?;
+        let received = counted.map(|(kind, it)| (kind, it.bytes_received));
+        family(&mut encoder, "platform_received_bytes", "Bytes from the platform", "kind", received)
+    }
+}
+
+fn family<const N: usize>(
+    encoder: &mut DescriptorEncoder<'_>,
+    name: &str,
+    help: &str,
+    label: &str,
+    counts: [(&'static str, u64); N],
+) -> Result<(), std::fmt::Error> {
+    let kind = ConstCounter::new(0u64);
+    let mut metric = encoder.encode_descriptor(name, help, None, kind.metric_type())?;
+    for (value, count) in counts {
+        let labels = [(label, value)];
+        ConstCounter::new(count).encode(metric.encode_family(&labels)?)?;
+    }
+    Ok(())
+}
+
+/// Upper bounds of the first byte's histogram, in seconds.
+const FIRST_BYTE_SECONDS: [f64; 14] = [
+    0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 15.0, 60.0,
+];
