--- a/sl-core/src/run.rs
+++ b/sl-core/src/run.rs
@@ -30,9 +30,12 @@
     #[error(transparent)]
     #[diagnostic(transparent)]
     Settings(#[from] Faults),
-    /// The daemon is not linked in yet.
-    #[error("the settings are good, but this build has no daemon yet")]
-    NoDaemon,
+    /// The daemon could not start.
+    #[error(transparent)]
+    Daemon(#[from] sl_node::Error),
+    /// The runtime could not be set up.
+    #[error("the runtime cannot be set up")]
+    Runtime(#[source] io::Error),
 }
 
 impl Error {
@@ -40,7 +43,7 @@
     pub fn exit(&self) -> Exit {
         match self {
             Error::Settings(_) => Exit::Faults,
-            Error::Read { .. } | Error::NoDaemon => Exit::Failed,
+            Error::Read { .. } | Error::Daemon(_) | Error::Runtime(_) => Exit::Failed,
         }
     }
 }
@@ -51,8 +54,13 @@
 ///
 /// [`Error`] where the settings are no good or the daemon fails.
 pub fn run(options: &Options) -> Result<(), Error> {
-    read(&options.settings)?;
-    Err(Error::NoDaemon)
+    let settings = read(&options.settings)?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .map_err(Error::Runtime)?;
+    runtime.block_on(async { sl_node::run(settings, sl_node::signals()?).await })?;
+    Ok(())
 }
 
 fn read(path: &PathBuf) -> Result<Settings, Error> {
--- a/sl-front/src/door.rs
+++ b/sl-front/src/door.rs
@@ -8,6 +8,7 @@
     http::{Method, Status},
     route::{Handler, Outcome},
 };
+use sl_back::{Target, TargetError};
 use sl_base::{
     Code, Millis,
     hash::{Fingerprint, KeyHash},
@@ -103,13 +104,13 @@
         let request = self.node.next_request();
         let connection = connection(req);
         let caller = self.callers.enter(request, connection);
-        let target = req.uri().to_string();
+        let target = checked.target;
         let arrival = Arrival {
             request,
             team: checked.team.id,
             policy: checked.route.policy,
             key: checked.key,
-            fingerprint: Fingerprint::of(checked.team.id, method, &target, &body),
+            fingerprint: Fingerprint::of(checked.team.id, method, target.as_str(), &body),
             bytes: body.len() as u64,
             hint: hint(req).unwrap_or(checked.route.policy.hint),
         };
@@ -141,15 +142,17 @@
         let config = self.node.config().ok_or(Code::NoConfiguration)?;
         let credential = credential(req).ok_or(Code::UnknownCredential)?;
         let (team, template) = config.team_of(&credential).ok_or(Code::UnknownCredential)?;
+        // A target that a client would fold into another path has no route: the one that
+        // was checked would not be the one that is called.
+        let target = req.uri().to_string().parse();
+        let target = target.map_err(|_: TargetError| Code::UnknownRoute)?;
         let path = req.uri().path();
-        if has_dot_segment(path.as_str()) {
-            return Err(Code::UnknownRoute);
-        }
         let route = Config::route(template, method, path.as_str())?;
         let key = key(req, team, route)?;
         Ok(Checked {
             team: team.clone(),
             route: route.clone(),
+            target,
             key,
         })
     }
@@ -266,6 +269,7 @@
 struct Checked {
     team: Team,
     route: template::Route,
+    target: Target,
     key: Option<KeyHash>,
 }
 
@@ -343,15 +347,6 @@
     req.headers().get_one("content-length")?.parse().ok()
 }
 
-/// Whether a path climbs: clients fold such segments away, so that the route that was
-/// checked would not be the one that is called.
-fn has_dot_segment(path: &str) -> bool {
-    path.split('/').any(|it| {
-        let plain = it.to_ascii_lowercase().replace("%2e", ".");
-        plain == "." || plain == ".."
-    })
-}
-
 /// Every method that Rocket knows.
 const METHODS: [Method; 9] = [
     Method::Get,
--- a/sl-front/src/node.rs
+++ b/sl-front/src/node.rs
@@ -3,6 +3,7 @@
 use std::{future::Future, sync::Arc};
 
 use bytes::Bytes;
+use sl_back::Target;
 use sl_base::{Code, Millis, RequestId};
 use sl_config::Config;
 use sl_step::event::Arrival;
@@ -62,7 +63,7 @@
     /// The method in capitals.
     pub method: String,
     /// The path and the query.
-    pub target: String,
+    pub target: Target,
     /// The headers, names as they came; the credential is left out.
     pub headers: Vec<(String, String)>,
     /// The whole body.
--- a/sl-front/tests/it/door.rs
+++ b/sl-front/tests/it/door.rs
@@ -159,7 +159,7 @@
     assert!(!answer.headers().contains_key("x-frame-options"));
     let request = answering.await.unwrap();
     assert_eq!(request.method, method.as_str());
-    assert_eq!(request.target, "/any//a%20b/.hidden?q=1&r=%2F");
+    assert_eq!(request.target.as_str(), "/any//a%20b/.hidden?q=1&r=%2F");
     assert_eq!(request.body, "the body");
     let names: Vec<String> = request
         .headers
--- a/sl-node/src/attempt.rs
+++ b/sl-node/src/attempt.rs
@@ -41,7 +41,11 @@
             let _ = self.aborted.await;
         };
         let end = match forward(&self.request, &self.arrival) {
-            Some(forward) => client.run(&self.dispatch, forward, &mut sink, aborted).await,
+            Some(forward) => {
+                client
+                    .run(&self.dispatch, forward, &mut sink, aborted)
+                    .await
+            }
             None => AttemptEnd::NotSent,
         };
         if let AttemptEnd::Complete { .. } = end {
@@ -105,7 +109,7 @@
     }
     Some(Forward {
         method: Method::from_bytes(request.method.as_bytes()).ok()?,
-        path_and_query: request.target.clone(),
+        target: request.target.clone(),
         headers,
         body: request.body.clone(),
         idempotent: arrival.policy.idempotent,
--- a/sl-node/src/metrics.rs
+++ b/sl-node/src/metrics.rs
@@ -132,7 +132,11 @@
         let gauges = [
             ("held_requests", "Requests inside", &self.held),
             ("running_attempts", "Attempts under way", &self.running),
-            ("waiting_commands", "Commands before the reducer", &self.commands),
+            (
+                "waiting_commands",
+                "Commands before the reducer",
+                &self.commands,
+            ),
             ("config_revision", "Configuration in force", &self.revision),
             ("ready", "Whether new work is welcome", &self.ready),
             ("listed_servers", "Backend servers listed", &self.servers),
@@ -186,21 +190,69 @@
 impl Collector for Traffic {
     fn encode(&self, mut encoder: DescriptorEncoder<'_>) -> Result<(), std::fmt::Error> {
         let peers = self.peers.read();
-        let ways = [("sent", peers.bytes_sent), ("received", peers.bytes_received)];
-        family(&mut encoder, "peer_bytes", "Control bytes to and from instances", "way", ways)?;
-        let ways = [("sent", peers.frames_sent), ("received", peers.frames_received)];
-        family(&mut encoder, "peer_messages", "Control messages to and from instances", "way", ways)?;
+        let ways = [
+            ("sent", peers.bytes_sent),
+            ("received", peers.bytes_received),
+        ];
+        family(
+            &mut encoder,
+            "peer_bytes",
+            "Control bytes to and from instances",
+            "way",
+            ways,
+        )?;
+        let ways = [
+            ("sent", peers.frames_sent),
+            ("received", peers.frames_received),
+        ];
+        family(
+            &mut encoder,
+            "peer_messages",
+            "Control messages to and from instances",
+            "way",
+            ways,
+        )?;
         let counted = sl_platform::Kind::ALL.map(|it| (it.name(), self.platform.counted(it)));
         let calls = counted.map(|(kind, it)| (kind, it.calls));
-        family(&mut encoder, "platform_calls", "Calls to the platform", "kind", calls)?;
+        family(
+            &mut encoder,
+            "platform_calls",
+            "Calls to the platform",
+            "kind",
+            calls,
+        )?;
         let lost = counted.map(|(kind, it)| (kind, it.lost));
-        family(&mut encoder, "platform_lost", "Platform calls without answer", "kind", lost)?;
+        family(
+            &mut encoder,
+            "platform_lost",
+            "Platform calls without answer",
+            "kind",
+            lost,
+        )?;
         let refused = counted.map(|(kind, it)| (kind, it.refused));
-        family(&mut encoder, "platform_refused", "Platform calls refused", "kind", refused)?;
+        family(
+            &mut encoder,
+            "platform_refused",
+            "Platform calls refused",
+            "kind",
+            refused,
+        )?;
         let sent = counted.map(|(kind, it)| (kind, it.bytes_sent));
-        family(&mut encoder, "platform_sent_bytes", "Bytes to the platform", "kind", sent)?;
+        family(
+            &mut encoder,
+            "platform_sent_bytes",
+            "Bytes to the platform",
+            "kind",
+            sent,
+        )?;
         let received = counted.map(|(kind, it)| (kind, it.bytes_received));
-        family(&mut encoder, "platform_received_bytes", "Bytes from the platform", "kind", received)
+        family(
+            &mut encoder,
+            "platform_received_bytes",
+            "Bytes from the platform",
+            "kind",
+            received,
+        )
     }
 }
 
--- a/sl-node/src/owner.rs
+++ b/sl-node/src/owner.rs
@@ -270,7 +270,9 @@
     fn observe_first_byte(&self, attempt: sl_base::AttemptId) {
         if let Some(held) = self.requests.by_attempt(attempt) {
             let micros = self.clock.now().micros_since(held.arrived);
-            self.metrics.first_byte.observe(micros as f64 / MICROS_PER_SECOND);
+            self.metrics
+                .first_byte
+                .observe(micros as f64 / MICROS_PER_SECOND);
         }
     }
 
--- a/sl-step/src/state.rs
+++ b/sl-step/src/state.rs
@@ -104,6 +104,12 @@
         &self.config
     }
 
+    /// Whether a request is still to get its final answer or its attempt's end; what is
+    /// kept for it outside may be dropped once it is not.
+    pub fn is_held(&self, request: RequestId) -> bool {
+        self.requests.get(request).is_some()
+    }
+
     fn take(&mut self, now: Timestamp, event: Event) {
         match event {
             Event::Tick => {}
