--- a/sl-front/src/answer.rs
+++ b/sl-front/src/answer.rs
@@ -41,7 +41,10 @@
     };
     let mut res = start(&head);
     match mode(&head, &options) {
-        Mode::Stream(cut) => stream(&mut res, &head, Vec::new(), parts, cut, watch, &options),
+        Mode::Stream(cut) => {
+            let body = Streamed::new(Vec::new(), parts, cut, options.connection, watch);
+            stream(&mut res, head.length, body);
+        }
         Mode::Gather => {
             let (pieces, whole) = gather(&mut parts, options.buffer_max).await;
             match whole {
@@ -54,15 +57,9 @@
                     return Err(refusal);
                 }
                 Whole::TooLarge => {
-                    stream(
-                        &mut res,
-                        &head,
-                        pieces,
-                        parts,
-                        Cut::Connection,
-                        watch,
-                        &options,
-                    );
+                    let cut = Cut::Connection;
+                    let body = Streamed::new(pieces, parts, cut, options.connection, watch);
+                    stream(&mut res, head.length, body);
                 }
             }
         }
@@ -165,20 +162,13 @@
     res.set_sized_body(body.len(), Cursor::new(body));
 }
 
-fn stream<N: Node + Unpin>(
-    res: &mut Response<'static>,
-    head: &Head,
-    ahead: Vec<Bytes>,
-    parts: mpsc::Receiver<Part>,
-    cut: Cut,
-    watch: Watch<N>,
-    options: &Options,
-) {
-    if let Some(length) = head.length {
+/// Passes a body on while it comes.
+fn stream<N: Node + Unpin>(res: &mut Response<'static>, length: Option<u64>, body: Streamed<N>) {
+    if let Some(length) = length {
         res.set_raw_header("Content-Length", length.to_string());
     }
     res.set_max_chunk_size(CHUNK_BYTES);
-    res.set_streamed_body(Streamed::new(ahead, parts, cut, options.connection, watch));
+    res.set_streamed_body(body);
 }
 
 /// Bytes that one write to the caller carries at most.
--- a/sl-peer/tests/it/bed.rs
+++ b/sl-peer/tests/it/bed.rs
@@ -20,9 +20,11 @@
     incarnation: Incarnation(1_790_000_000_000_000),
 };
 
+type Got = Vec<(Hello, Vec<Message>)>;
+
 #[derive(Clone, Default)]
 pub struct Peer {
-    pub got: Arc<Mutex<Vec<(Hello, Vec<Message>)>>>,
+    pub got: Arc<Mutex<Got>>,
     pub slow_millis: Arc<AtomicU64>,
 }
 
