sl-core: template, status, drain and report commands

Each command reads the head, and only accept changes what is in force. A lost answer to a draft's write is made good by reading the key; that to the head's by the change id. The tests run the commands against a table that loses calls and answers.

--- a/sl-config/src/accept.rs
+++ b/sl-config/src/accept.rs
@@ -156,7 +156,7 @@
     /// Somebody else changed a template first; nothing was accepted.
     Conflict(Conflict),
     /// The configuration would have faults; nothing was accepted.
-    Faulty(std::sync::Arc<AssembleError>),
+    Faulty(AssembleError),
     /// Others were faster each time; nothing was accepted.
     Busy,
     /// The head would be too large for the platform; nothing was accepted.
@@ -326,7 +326,7 @@
             return self.fetch(hash, planned);
         }
         if let Err(e) = self.library.assemble(&planned.head) {
-            return self.decided(Ended::Faulty(e.into()));
+            return self.decided(Ended::Faulty(e));
         }
         self.store(planned)
     }
--- a/sl-config/src/assemble.rs
+++ b/sl-config/src/assemble.rs
@@ -26,7 +26,7 @@
 }
 
 /// Why pages make up no configuration.
-#[derive(Debug, Error, Diagnostic)]
+#[derive(Clone, Debug, Error, Diagnostic)]
 pub enum AssembleError {
     /// Pages are still to be fetched.
     #[error("{} pages are missing", .0.len())]
--- a/sl-config/src/fault.rs
+++ b/sl-config/src/fault.rs
@@ -136,12 +136,21 @@
 
 /// Every fault of one text, in the order of the text.
 #[derive(Debug, Clone)]
-pub struct Faults {
+pub struct Faults(Box<Inner>);
+
+/// Apart, so that a result that may be faults stays small.
+#[derive(Debug, Clone)]
+struct Inner {
     source: NamedSource<String>,
     faults: Vec<Fault>,
 }
 
 impl Faults {
+    fn new(name: &str, text: String, faults: Vec<Fault>) -> Faults {
+        let source = NamedSource::new(name, text).with_language("ini");
+        Faults(Box::new(Inner { source, faults }))
+    }
+
     /// The result of reading `text`: `value`, or every fault that was found.
     pub(crate) fn settle<T>(
         name: &str,
@@ -153,40 +162,39 @@
             Some(value) if faults.is_empty() => Ok(value),
             _ => {
                 faults.sort_by_key(|it| it.span.offset());
-                let source = NamedSource::new(name, text.to_owned()).with_language("ini");
-                Err(Faults { source, faults })
+                Err(Faults::new(name, text.to_owned(), faults))
             }
         }
     }
 
     /// The same faults under another name of the text.
     pub fn named(self, name: &str) -> Faults {
-        let text = self.source.inner().clone();
-        let source = NamedSource::new(name, text).with_language("ini");
-        Faults { source, ..self }
+        let text = self.0.source.inner().clone();
+        Faults::new(name, text, self.0.faults)
     }
 
     /// The faults, in the order of the text.
     pub fn faults(&self) -> &[Fault] {
-        &self.faults
+        &self.0.faults
     }
 
     /// The name of the text that they were found in.
     pub fn source_name(&self) -> &str {
-        self.source.name()
+        self.0.source.name()
     }
 
     /// The line of `fault` in the text, counted from one.
     pub fn line(&self, fault: &Fault) -> usize {
-        let until = fault.span.offset().min(self.source.inner().len());
-        let before = &self.source.inner().as_bytes()[..until];
+        let text = self.0.source.inner();
+        let until = fault.span.offset().min(text.len());
+        let before = &text.as_bytes()[..until];
         1 + before.iter().filter(|&&it| it == b'\n').count()
     }
 }
 
 impl fmt::Display for Faults {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let count = self.faults.len();
+        let count = self.faults().len();
         let plural = if count == 1 { "" } else { "s" };
         write!(f, "{count} fault{plural} in {}", self.source_name())
     }
@@ -200,10 +208,12 @@
     }
 
     fn source_code(&self) -> Option<&dyn SourceCode> {
-        Some(&self.source)
+        Some(&self.0.source)
     }
 
     fn related<'a>(&'a self) -> Option<Box<dyn Iterator<Item = &'a dyn Diagnostic> + 'a>> {
-        Some(Box::new(self.faults.iter().map(|it| it as &dyn Diagnostic)))
+        Some(Box::new(
+            self.faults().iter().map(|it| it as &dyn Diagnostic),
+        ))
     }
 }
--- a/sl-core/src/check.rs
+++ b/sl-core/src/check.rs
@@ -5,7 +5,7 @@
 use miette::{Diagnostic, GraphicalReportHandler, GraphicalTheme};
 use serde::Serialize;
 use sl_config::{Faults, Settings, Template};
-use strum::{Display, EnumString};
+use strum::{Display, IntoStaticStr};
 use thiserror::Error;
 
 use crate::{
@@ -14,7 +14,7 @@
 };
 
 /// What a file should be.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, EnumString)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
 pub enum Kind {
     /// An instance's settings.
--- a/sl-core/src/cli.rs
+++ b/sl-core/src/cli.rs
@@ -1,15 +1,25 @@
-//! The command line.
+//! The command line: what it asks for, and doing it.
+
+mod args;
 
 use std::{
     io::{self, Write},
-    path::PathBuf,
     process::ExitCode,
 };
 
-use bpaf::{Args, OptionParser, ParseFailure, Parser, construct, long, positional};
-use strum::IntoEnumIterator;
+use bpaf::{Args, ParseFailure};
+
+pub use args::options;
 
-use crate::{Error, check, exit::Exit, output::Form, run};
+use crate::{
+    Error, check, drain,
+    exit::Exit,
+    operator::{self, Operator},
+    output::Form,
+    report, run, status,
+    store::{self, Platform},
+    template,
+};
 
 /// What the command line asks for.
 #[derive(Clone, Debug)]
@@ -18,6 +28,55 @@
     Run(run::Options),
     /// Check files.
     Check(check::Options),
+    /// Work with templates.
+    Template(Template),
+    /// Tell the fleet's status.
+    Status(Ask<()>),
+    /// Drain an instance.
+    Drain(Ask<drain::Options>),
+    /// Report on service-level burn.
+    Report(Ask<report::Options>),
+}
+
+/// Something to ask of an instance.
+#[derive(Clone, Debug)]
+pub struct Ask<O> {
+    /// Whom to ask, and as whom.
+    pub operator: operator::Options,
+    /// What to ask.
+    pub options: O,
+    /// The form of the output.
+    pub form: Form,
+}
+
+/// Work with templates.
+#[derive(Clone, Debug)]
+pub struct Template {
+    /// Where the platform is.
+    pub platform: store::Options,
+    /// What to do.
+    pub action: Action,
+    /// The form of the output.
+    pub form: Form,
+}
+
+/// What to do with templates.
+#[derive(Clone, Debug)]
+pub enum Action {
+    /// List the accepted ones.
+    List,
+    /// Show one's text.
+    Show(template::show::Options),
+    /// Write a draft.
+    Edit(template::edit::Options),
+    /// Show what a draft changes.
+    Diff(String),
+    /// Put drafts in force.
+    Accept(template::accept::Options, Option<operator::Options>),
+    /// Tell who accepted what.
+    History(Option<String>),
+    /// Remove a draft.
+    Discard(String),
 }
 
 /// Columns of the help text.
@@ -65,62 +124,68 @@
             outcome.write(options.form, out)?;
             Ok(outcome.exit())
         }
+        Command::Template(it) => wait_for(template(it, out)),
+        Command::Status(ask) => wait_for(async {
+            let operator = Operator::new(&ask.operator)?;
+            status::status(&operator).await?.write(ask.form, out)?;
+            Ok(Exit::Done)
+        }),
+        Command::Drain(ask) => wait_for(async {
+            let operator = Operator::new(&ask.operator)?;
+            let outcome = drain::drain(&operator, &ask.options).await?;
+            outcome.write(ask.form, out)?;
+            Ok(outcome.exit())
+        }),
+        Command::Report(ask) => wait_for(async {
+            let operator = Operator::new(&ask.operator)?;
+            let outcome = report::report(&operator, &ask.options).await?;
+            outcome.write(ask.form, out)?;
+            Ok(Exit::Done)
+        }),
     }
 }
 
-/// The parser of the whole command line.
-pub fn options() -> OptionParser<Command> {
-    let run = run_options()
-        .to_options()
-        .descr("Run an instance of the router.")
-        .footer("Example:\n  sesamelock run --settings /etc/sesamelock/settings.ini")
-        .command("run");
-    let check = check_options()
-        .to_options()
-        .descr("Check settings or templates and tell every fault at once.")
-        .footer(
-            "Examples:\n  sesamelock check settings settings.ini\n  \
-             sesamelock check template --json te-byw.ini",
-        )
-        .command("check");
-    construct!([run, check])
-        .to_options()
-        .version(env!("CARGO_PKG_VERSION"))
-        .descr("A router fleet for teams who share capacity fairly.")
-        .footer(exit_codes().as_str())
-}
-
-fn exit_codes() -> String {
-    let line = |it: Exit| format!("  {}  {}", it.number(), it.meaning());
-    let lines: Vec<String> = Exit::iter().map(line).collect();
-    format!("Exit codes:\n{}", lines.join("\n"))
-}
-
-fn run_options() -> impl Parser<Command> {
-    let settings = long("settings")
-        .short('s')
-        .help("The settings file, in INI")
-        .argument::<PathBuf>("FILE")
-        .complete_shell(bpaf::ShellComp::File {
-            mask: Some("*.ini"),
-        });
-    construct!(run::Options { settings }).map(Command::Run)
-}
-
-fn check_options() -> impl Parser<Command> {
-    let form = form();
-    let kind = positional::<check::Kind>("KIND").help("`settings` or `template`");
-    let files = positional::<PathBuf>("FILE")
-        .help("The files to check")
-        .complete_shell(bpaf::ShellComp::File {
-            mask: Some("*.ini"),
-        })
-        .some("name at least one file");
-    construct!(check::Options { form, kind, files }).map(Command::Check)
+fn wait_for(work: impl Future<Output = Result<Exit, Error>>) -> Result<Exit, Error> {
+    tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?
+        .block_on(work)
 }
 
-fn form() -> impl Parser<Form> {
-    long("json")
-        .help("Write JSON for programs")
-        .flag(Form::Json, Form::Text)
+async fn template(command: &Template, out: &mut impl Write) -> Result<Exit, Error> {
+    let store = Platform::new(&command.platform)?;
+    let form = command.form;
+    match &command.action {
+        Action::List => template::list::list(&store).await?.write(form, out)?,
+        Action::Show(options) => {
+            let outcome = template::show::show(&store, options).await?;
+            outcome.write(form, out)?;
+            if form == Form::Text {
+                eprintln!("revision {}", outcome.revision);
+            }
+        }
+        Action::Edit(options) => {
+            let outcome = template::edit::edit(&store, options).await?;
+            outcome.write(form, out)?;
+        }
+        Action::Diff(name) => {
+            let outcome = template::diff::diff(&store, name).await?;
+            outcome.write(form, out)?;
+        }
+        Action::Accept(options, operator) => {
+            let operator = operator.as_ref().map(Operator::new).transpose()?;
+            let outcome = template::accept::accept(&store, operator.as_ref(), options).await?;
+            outcome.write(form, out)?;
+            return Ok(outcome.exit());
+        }
+        Action::History(name) => {
+            let outcome = template::history::history(&store, name.as_deref()).await?;
+            outcome.write(form, out)?;
+        }
+        Action::Discard(name) => {
+            let outcome = template::discard::discard(&store, name).await?;
+            outcome.write(form, out)?;
+        }
+    }
+    Ok(Exit::Done)
 }
--- a/sl-core/src/error.rs
+++ b/sl-core/src/error.rs
@@ -3,7 +3,12 @@
 use miette::Diagnostic;
 use thiserror::Error;
 
-use crate::{check, exit::Exit, run};
+use crate::{
+    check,
+    exit::Exit,
+    operator, report, run,
+    template::{self, accept, edit},
+};
 
 /// Why a command failed.
 #[derive(Debug, Error, Diagnostic)]
@@ -16,17 +21,45 @@
     #[error(transparent)]
     #[diagnostic(transparent)]
     Run(#[from] run::Error),
-    /// The output could not be written.
-    #[error("the output cannot be written")]
-    Output(#[from] std::io::Error),
+    /// A template command failed.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Template(#[from] template::Error),
+    /// `template edit` failed.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Edit(#[from] edit::Error),
+    /// `template accept` failed.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Accept(#[from] accept::Error),
+    /// An instance did not do what it was asked.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Operator(#[from] operator::Error),
+    /// `report` failed.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Report(#[from] report::Error),
+    /// The HTTP client could not be set up.
+    #[error("the HTTP client cannot be set up")]
+    Http(#[from] reqwest::Error),
+    /// The output could not be written, or the runtime not be set up.
+    #[error("the command cannot be run or its output not be written")]
+    Io(#[from] std::io::Error),
 }
 
 impl Error {
     /// The exit code that it leads to.
     pub fn exit(&self) -> Exit {
         match self {
-            Error::Check(_) | Error::Output(_) => Exit::Failed,
+            Error::Check(_) | Error::Http(_) | Error::Io(_) => Exit::Failed,
             Error::Run(e) => e.exit(),
+            Error::Template(e) => e.exit(),
+            Error::Edit(e) => e.exit(),
+            Error::Accept(e) => e.exit(),
+            Error::Operator(e) => e.exit(),
+            Error::Report(e) => e.exit(),
         }
     }
 }
--- a/sl-core/src/lib.rs
+++ b/sl-core/src/lib.rs
@@ -4,9 +4,15 @@
 
 pub mod check;
 pub mod cli;
+pub mod drain;
 pub mod error;
 pub mod exit;
+pub mod operator;
+pub mod report;
 pub mod run;
+pub mod status;
+pub mod store;
+pub mod template;
 
 mod output;
 
--- a/sl-core/tests/it/main.rs
+++ b/sl-core/tests/it/main.rs
@@ -2,3 +2,5 @@
 
 mod check;
 mod cli;
+mod memory;
+mod template;
