--- a/sl-fair/src/fair.rs
+++ b/sl-fair/src/fair.rs
@@ -184,14 +184,23 @@
         }
     }
 
+    /// Whether a request may wait; nothing is stored.
+    ///
+    /// # Errors
+    ///
+    /// Where the team is unknown or has as much waiting as it may.
+    pub fn check(&self, item: &Item) -> Result<(), Error> {
+        let rule = self.rules.get(&item.team).ok_or(Error::UnknownTeam)?;
+        self.queues.admit(item, rule.limits)
+    }
+
     /// Lets a request wait.
     ///
     /// # Errors
     ///
-    /// Where the team is unknown or has as much waiting as it may; nothing is stored then.
+    /// Those of [`Self::check`]; nothing is stored then.
     pub fn enqueue(&mut self, now: Timestamp, item: Item) -> Result<(), Error> {
-        let rule = self.rules.get(&item.team).ok_or(Error::UnknownTeam)?;
-        self.queues.admit(&item, rule.limits)?;
+        self.check(&item)?;
         self.requeue(now, item);
         Ok(())
     }
--- a/sl-step/src/dispatch.rs
+++ b/sl-step/src/dispatch.rs
@@ -1,51 +1,103 @@
 //! Bringing waiting requests and free slots together.
 
-use sl_base::{PoolId, RequestId, ServerId, Timestamp};
+use sl_base::{Need, PoolId, RequestId, ServerId, Timestamp};
+use sl_slots::{Loan, Outcome};
 
-use crate::{Effect, State, effect::Dispatch};
+use crate::{Effect, Message, State, effect::Dispatch};
 
 impl State {
+    /// Dispatches what can be in every pool where something moved.
     pub(crate) fn dispatch(&mut self, now: Timestamp) {
-        let pools: Vec<PoolId> = self.waiting.keys().copied().collect();
-        for pool in pools {
-            while let Some(request) = self.waiting.get(&pool).and_then(|it| it.first().copied()) {
-                let Some(server) = self.least_loaded(pool) else {
-                    break;
-                };
-                if let Some(queue) = self.waiting.get_mut(&pool) {
-                    queue.remove(0);
-                }
-                self.send_to(now, request, server);
-            }
+        while let Some(pool) = self.moved.pop_first() {
+            self.slots.set_need(now, pool, self.fair.need(pool));
+            while self.dispatch_one(now, pool) {}
+            self.slots.set_need(now, pool, self.fair.need(pool));
         }
     }
 
-    fn least_loaded(&self, pool: PoolId) -> Option<ServerId> {
-        self.servers
-            .iter()
-            .filter(|(_, it)| it.pool == pool && !it.leaving && it.in_use < it.slots)
-            .min_by_key(|(id, it)| (it.in_use, **id))
-            .map(|(&id, _)| id)
+    fn dispatch_one(&mut self, now: Timestamp, pool: PoolId) -> bool {
+        let Some(next) = self.fair.peek(now, pool) else {
+            return false;
+        };
+        self.compare_needs(now, pool);
+        let avoid = self.requests.get(next).and_then(|it| it.avoid);
+        let Some(loan) = self.acquire(now, pool, avoid) else {
+            return false;
+        };
+        let picked = self.fair.pick(now, pool).map(|it| it.item.request);
+        let id = picked.unwrap_or(next);
+        if !self.passes_strikes(now, id) {
+            self.fair.settle(id, 0);
+            self.slots.release(now, loan.server, Outcome::Other);
+            return true;
+        }
+        self.send_to(now, id, loan);
+        true
+    }
+
+    /// Tells the slots who needs them most by the counters as they are now: a charge made
+    /// here changes the virtual time of teams that wait elsewhere too, and a comparison
+    /// with an older one would send slots around in circles.
+    fn compare_needs(&mut self, now: Timestamp, pool: PoolId) {
+        self.slots.set_need(now, pool, self.fair.need(pool));
+        let needs = self.fair.needs_elsewhere(pool);
+        let peers: Vec<_> = self.members.peers().map(|(id, _)| id).collect();
+        for peer in peers {
+            let need = needs.get(&peer).copied().unwrap_or(Need::NONE);
+            self.slots.set_need_elsewhere(now, pool, peer, need);
+        }
+    }
+
+    /// A slot on another server than the one that just failed, or on that one if there
+    /// is no other.
+    fn acquire(&mut self, now: Timestamp, pool: PoolId, avoid: Option<ServerId>) -> Option<Loan> {
+        let loan = self.slots.acquire(now, pool, avoid.as_slice());
+        if loan.is_some() || avoid.is_none() {
+            return loan;
+        }
+        self.slots.acquire(now, pool, &[])
     }
 
-    fn send_to(&mut self, now: Timestamp, id: RequestId, server: ServerId) {
-        let Some(target) = self.servers.get_mut(&server) else {
+    fn send_to(&mut self, now: Timestamp, id: RequestId, loan: Loan) {
+        let server = loan.server;
+        let address = self.addresses.get(&server).copied();
+        let Some((attempt, request)) = self.requests.start(now, id, server) else {
+            self.slots.release(now, server, Outcome::Other);
             return;
         };
-        let Some((attempt, request)) = self.requests.start(now, id, server) else {
+        let Some(address) = address else {
+            self.ended(now, attempt, crate::event::AttemptEnd::NotSent);
             return;
         };
-        target.in_use += 1;
         let policy = &request.arrival.policy;
         self.effects.push(Effect::Dispatch(Dispatch {
             request: id,
             attempt,
             server,
-            address: target.address,
-            dispatch_by: request.total_by,
+            address,
+            dispatch_by: loan.dispatch_by.min(request.total_by),
             first_byte_by: now.after(policy.first_byte_within).min(request.total_by),
             idle_within: policy.idle_within,
             total_by: request.total_by,
         }));
     }
+
+    /// Passes the slots' messages on.
+    pub(crate) fn settle_slots(&mut self, now: Timestamp) {
+        for (to, message) in self.slots.take_messages(now) {
+            self.say(to, Message::Slots(message));
+        }
+        // Messages of this instance to itself may have brought slots.
+        let woken: Vec<PoolId> = self
+            .fair
+            .pools()
+            .filter(|&pool| self.fair.need(pool).is_some())
+            .collect();
+        for pool in woken {
+            while self.dispatch_one(now, pool) {}
+        }
+        for (to, message) in self.slots.take_messages(now) {
+            self.say(to, Message::Slots(message));
+        }
+    }
 }
--- a/sl-step/src/effect.rs
+++ b/sl-step/src/effect.rs
@@ -23,6 +23,9 @@
         code: Code,
         /// When to come back, where that helps.
         retry_after: Option<Millis>,
+        /// The HTTP status of the request that ran under the same key, with
+        /// [`Code::KeyRan`].
+        ran_status: Option<u16>,
     },
     /// Break off an attempt; [`Event::Ended`](crate::Event::Ended) follows.
     Abort {
@@ -35,6 +38,8 @@
         to: InstanceId,
         /// Where its control port listens.
         address: SocketAddr,
+        /// When it leaves; comes back in [`Event::PeerAnswered`](crate::Event::PeerAnswered).
+        sent_at: Timestamp,
         /// What to say.
         messages: Vec<Message>,
     },
--- a/sl-step/src/event.rs
+++ b/sl-step/src/event.rs
@@ -67,6 +67,8 @@
     },
     /// The platform's list was read.
     Listed(Arc<Listing>),
+    /// The platform's list is still at the version that is known.
+    ListUnchanged,
     /// The platform's list could not be read.
     ListFailed,
     /// The platform's key-value service answered, or the call's deadline passed.
--- a/sl-step/src/list.rs
+++ b/sl-step/src/list.rs
@@ -1,35 +1,74 @@
 //! The platform's list of instances and backend servers.
 
-use sl_base::{PoolId, ServerId, Timestamp, listing::Listing};
+use std::sync::Arc;
 
-use crate::{Effect, State, state::Server};
+use sl_base::{Millis, PoolId, ServerId, Timestamp, listing::Listing};
+use sl_slots::Server;
+
+use crate::{Effect, Message, State, message::Running};
+
+/// Instances that read the list each period; the others hear of changes from them.
+const READERS: usize = 3;
+/// The key of the readers' role.
+const READER_ROLE: u64 = 1;
+/// Periods that pass between two reads by those who are not in line.
+const REST_PERIODS: u64 = 5;
 
 impl State {
     pub(crate) fn read_list(&mut self, now: Timestamp) {
-        if self.list_at.is_due(now) {
-            self.list_at = now.after(self.options.list_period);
-            self.effects.push(Effect::List {
-                seen: self.list_version,
-            });
+        if !self.list_at.is_due(now) {
+            return;
         }
+        let period = self.options.list_period;
+        let reads = self.listing.version == 0 || self.is_in_line(READER_ROLE, READERS);
+        let periods = if reads { 1 } else { REST_PERIODS };
+        self.list_at = now.after(Millis(period.0 * periods));
+        self.effects.push(Effect::List {
+            seen: self.listing.version,
+        });
     }
 
-    pub(crate) fn listed(&mut self, listing: &Listing) {
-        if listing.version < self.list_version {
+    pub(crate) fn listed(&mut self, now: Timestamp, listing: Arc<Listing>) {
+        if listing.version <= self.listing.version {
             return;
         }
-        self.list_version = listing.version;
-        let old = std::mem::take(&mut self.servers);
-        for it in &listing.servers {
-            let id = ServerId::of(&it.name);
-            let server = Server {
-                address: it.address,
+        self.members.on_listing(now, &listing);
+        self.addresses = listing
+            .servers
+            .iter()
+            .map(|it| (ServerId::of(&it.name), it.address))
+            .collect();
+        let servers: Vec<Server> = listing
+            .servers
+            .iter()
+            .map(|it| Server {
+                id: ServerId::of(&it.name),
                 pool: PoolId::of(&it.pool),
                 slots: it.slots,
-                in_use: old.get(&id).map_or(0, |it| it.in_use),
                 leaving: it.leaving,
-            };
-            self.servers.insert(id, server);
+            })
+            .collect();
+        self.listing = listing;
+        self.slots.set_servers(now, &servers);
+        self.moved.extend(self.fair.pools());
+        self.tell_running();
+    }
+
+    /// Tells everyone at once of something new, ahead of the next exchange.
+    pub(crate) fn tell_running(&mut self) {
+        let running = self.running();
+        let peers: Vec<_> = self.members.peers().collect();
+        for (peer, address) in peers {
+            self.say_at(peer, address, Message::Running(running));
+        }
+    }
+
+    /// Asks a peer that runs something newer for it.
+    pub(crate) fn compare(&mut self, now: Timestamp, from: sl_base::InstanceId, theirs: Running) {
+        let ours = self.running();
+        let newer = theirs.revision > ours.revision || theirs.listing > ours.listing;
+        if newer && self.spread.may_ask(now, theirs) {
+            self.say(from, Message::Wanted(ours));
         }
     }
 }
--- a/sl-step/src/request.rs
+++ b/sl-step/src/request.rs
@@ -11,6 +11,7 @@
 pub(crate) struct Requests {
     by_id: BTreeMap<RequestId, Request>,
     by_attempt: BTreeMap<AttemptId, RequestId>,
+    bytes: u64,
     next_attempt: u64,
 }
 
@@ -29,6 +30,10 @@
     pub(crate) avoid: Option<ServerId>,
     /// Whether the caller is still there.
     pub(crate) caller: Caller,
+    /// Whether a claim on its key was granted to it.
+    pub(crate) claimed: bool,
+    /// Whether an earlier attempt may have reached a backend server.
+    pub(crate) may_have_run: bool,
 }
 
 /// How far a request has come.
@@ -48,8 +53,6 @@
     pub(crate) attempt: AttemptId,
     pub(crate) server: ServerId,
     pub(crate) since: Timestamp,
-    /// Service charged so far, in the route's cost unit.
-    pub(crate) charged: u64,
     /// Whether the answer is on its way to the caller.
     pub(crate) answering: bool,
 }
@@ -59,8 +62,6 @@
 pub(crate) enum Caller {
     Waiting,
     Gone,
-    /// The final answer was given while the attempt is still being broken off.
-    Answered,
 }
 
 impl Requests {
@@ -72,7 +73,12 @@
         self.by_id.is_empty()
     }
 
-    pub(crate) fn insert(&mut self, now: Timestamp, arrival: Arrival, phase: Phase) {
+    /// Bytes of bodies that are held.
+    pub(crate) fn bytes(&self) -> u64 {
+        self.bytes
+    }
+
+    pub(crate) fn insert(&mut self, now: Timestamp, arrival: Arrival, phase: Phase) -> &Request {
         let policy = &arrival.policy;
         let request = Request {
             arrival,
@@ -82,8 +88,13 @@
             tries: 0,
             avoid: None,
             caller: Caller::Waiting,
+            claimed: false,
+            may_have_run: false,
         };
-        self.by_id.insert(arrival.request, request);
+        self.bytes += arrival.bytes;
+        let place = self.by_id.entry(arrival.request).or_insert(request);
+        *place = request;
+        place
     }
 
     pub(crate) fn get(&self, id: RequestId) -> Option<&Request> {
@@ -94,10 +105,6 @@
         self.by_id.get_mut(&id)
     }
 
-    pub(crate) fn by_attempt(&self, attempt: AttemptId) -> Option<&Request> {
-        self.by_id.get(self.by_attempt.get(&attempt)?)
-    }
-
     pub(crate) fn by_attempt_mut(&mut self, attempt: AttemptId) -> Option<&mut Request> {
         self.by_id.get_mut(self.by_attempt.get(&attempt)?)
     }
@@ -118,7 +125,6 @@
             attempt,
             server,
             since: now,
-            charged: request.arrival.hint,
             answering: false,
         });
         Some((attempt, request))
@@ -136,6 +142,7 @@
 
     pub(crate) fn remove(&mut self, id: RequestId) -> Option<Request> {
         let request = self.by_id.remove(&id)?;
+        self.bytes -= request.arrival.bytes;
         if let Phase::Running(running) = request.phase {
             self.by_attempt.remove(&running.attempt);
         }
--- a/sl-step/src/stop.rs
+++ b/sl-step/src/stop.rs
@@ -1,33 +1,78 @@
 //! A planned stop: no new work, everything under way seen through, then leave.
 
-use sl_base::{Code, RequestId, Timestamp};
+use sl_base::{Code, Millis, RequestId, Timestamp};
 
 use crate::{
     Effect, State,
+    attempt::honest,
     request::{Caller, Phase},
     state::Stop,
 };
 
+/// How long the last messages have to leave.
+const FAREWELL: Millis = Millis(200);
+
 impl State {
-    pub(crate) fn stop_by(&mut self, cut_by: Timestamp) {
-        if self.stop != Stop::Done {
-            self.stop = Stop::Draining { cut_by };
+    pub(crate) fn stop_by(&mut self, now: Timestamp, cut_by: Timestamp) {
+        match self.stop {
+            Stop::No => {
+                let refuse_at = now.after(self.options.unready_grace).min(cut_by);
+                self.stop = Stop::Unready { refuse_at, cut_by };
+                self.members.leave();
+                self.slots.drain(now);
+                self.tell_members(now);
+                self.note("planned stop", self.options.name.clone());
+            }
+            Stop::Unready {
+                refuse_at,
+                cut_by: before,
+            } => {
+                self.stop = Stop::Unready {
+                    refuse_at,
+                    cut_by: cut_by.min(before),
+                };
+            }
+            Stop::Leaving { .. } | Stop::Done => {}
         }
     }
 
-    pub(crate) fn see_stop_through(&mut self, now: Timestamp) {
-        let Stop::Draining { cut_by } = self.stop else {
-            return;
-        };
-        if cut_by.is_due(now) {
-            self.cut_all();
+    /// Whether the balancer had its time to notice that this instance takes no new work.
+    pub(crate) fn refuses_by_now(&self, now: Timestamp) -> bool {
+        matches!(self.stop, Stop::Unready { refuse_at, .. } if refuse_at.is_due(now))
+    }
+
+    pub(crate) fn stop_due(&self, now: Timestamp) -> Timestamp {
+        match self.stop {
+            Stop::No | Stop::Done => Timestamp::NEVER,
+            Stop::Unready { refuse_at, .. } if !refuse_at.is_due(now) => refuse_at,
+            Stop::Unready { cut_by, .. } => cut_by,
+            Stop::Leaving { exit_at } => exit_at,
         }
-        if self.requests.is_empty() || cut_by.is_due(now) {
-            self.stop = Stop::Done;
-            self.effects.push(Effect::Exit);
+    }
+
+    pub(crate) fn see_stop_through(&mut self, now: Timestamp) {
+        match self.stop {
+            Stop::Unready { cut_by, .. } if cut_by.is_due(now) => {
+                self.cut_all();
+                self.stop = Stop::Leaving { exit_at: now };
+            }
+            Stop::Unready { refuse_at, .. } if refuse_at.is_due(now) && self.is_done() => {
+                self.stop = Stop::Leaving {
+                    exit_at: now.after(FAREWELL),
+                };
+            }
+            Stop::Leaving { exit_at } if exit_at.is_due(now) => {
+                self.stop = Stop::Done;
+                self.effects.push(Effect::Exit);
+            }
+            _ => {}
         }
     }
 
+    fn is_done(&self) -> bool {
+        self.requests.is_empty() && self.claims.waiting() == 0
+    }
+
     fn cut_all(&mut self) {
         let open: Vec<(RequestId, Code)> = self
             .requests
@@ -35,7 +80,7 @@
             .filter(|it| it.caller == Caller::Waiting)
             .map(|it| match it.phase {
                 Phase::Running(_) => (it.arrival.request, Code::Stopped),
-                _ => (it.arrival.request, Code::Draining),
+                _ => (it.arrival.request, honest(Code::Draining, it)),
             })
             .collect();
         for (id, code) in open {
