--- a/sl-base/src/status.rs
+++ b/sl-base/src/status.rs
@@ -35,8 +35,64 @@
     pub stopping: bool,
     /// Whether the platform answered its last call.
     pub platform_answers: bool,
+    /// Whether it reaches neither peers nor the platform.
+    pub isolated: bool,
+    /// The version of the platform's list that it knows.
+    pub listing: u64,
+    /// Claims and outcomes that wait for a write.
+    pub claims_waiting: u64,
+    /// Keys whose claims it holds in memory.
+    pub claim_keys: u64,
+    /// Fingerprints of requests with strikes.
+    pub struck: u64,
     /// Its teams with work waiting or running.
     pub teams: Vec<TeamStatus>,
+    /// What it gave the teams of each pool.
+    pub services: Vec<ServiceStatus>,
+    /// The slots that it may use.
+    pub windows: Vec<WindowStatus>,
+    /// What it holds the other instances for.
+    pub members: Vec<MemberStatus>,
+}
+
+/// One team's service in one pool by one instance.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceStatus {
+    /// The team's name.
+    pub team: String,
+    /// The pool's name.
+    pub pool: String,
+    /// Requests that wait on the instance for the pool.
+    pub waiting: u32,
+    /// Service by this life of the instance, in the route's cost unit.
+    pub served: u64,
+    /// The team's virtual time across the fleet, as the instance sees it, in parts of
+    /// `sl_fair::Service`.
+    pub time: u64,
+}
+
+/// One backend server's slots in an instance's hands.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WindowStatus {
+    /// The server's name.
+    pub server: String,
+    /// Slots that the instance may use.
+    pub window: u32,
+    /// Slots that run its requests.
+    pub busy: u32,
+    /// The name of the instance that lends them.
+    pub home: String,
+}
+
+/// Another instance as seen from one.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberStatus {
+    /// The other's name, or its id where the list does not have it.
+    pub instance: String,
+    /// What it is held for.
+    pub status: String,
+    /// Whether it is on its way out.
+    pub leaving: bool,
 }
 
 /// One team's work on one instance.
--- a/sl-node/src/owner.rs
+++ b/sl-node/src/owner.rs
@@ -57,7 +57,7 @@
     pub(crate) async fn run(mut self, mut commands: mpsc::Receiver<Command>) {
         let mut next = self.step(Event::Tick);
         while next == Next::Go {
-            let due = self.clock.instant(self.state.due());
+            let due = self.clock.instant(self.state.due(self.clock.now()));
             next = tokio::select! {
                 command = commands.recv() => match command {
                     Some(command) => self.take(command),
@@ -137,9 +137,10 @@
 
     fn listed(&mut self, listing: Option<Listing>) -> Next {
         self.me.platform_answers = true;
-        if let Some(listing) = listing {
-            self.listing = Arc::new(listing);
-        }
+        let Some(listing) = listing else {
+            return self.step(Event::ListUnchanged);
+        };
+        self.listing = Arc::new(listing);
         let servers = self.listing.servers.len() as i64;
         let instances = self.listing.instances.len() as i64;
         self.metrics.servers.set(servers);
@@ -167,6 +168,7 @@
                 request,
                 code,
                 retry_after,
+                ran_status: _,
             } => {
                 if let Some(held) = self.requests.remove(request) {
                     held.fail(code, retry_after);
@@ -176,8 +178,9 @@
             Effect::Send {
                 to,
                 address,
+                sent_at,
                 messages,
-            } => self.send(now, to, address, messages),
+            } => self.send(sent_at, to, address, messages),
             Effect::Call {
                 id,
                 call,
@@ -297,11 +300,13 @@
             name: it.name.clone(),
             address: it.control,
         });
+        let mut instance = InstanceStatus {
+            teams: self.teams(),
+            ..self.me.clone()
+        };
+        self.state.describe(self.clock.now(), &mut instance);
         Seen {
-            instance: InstanceStatus {
-                teams: self.teams(),
-                ..self.me.clone()
-            },
+            instance,
             servers: servers.collect(),
             peers: peers.filter(|it| it.id != me).collect(),
         }
--- a/sl-node/src/run.rs
+++ b/sl-node/src/run.rs
@@ -107,7 +107,7 @@
     );
 
     let owner = Owner {
-        state: State::new(options::state(&settings, clock.incarnation())),
+        state: State::new(options::state(&settings, clock.incarnation()), clock.now()),
         clock,
         me: options::status(&settings, clock.incarnation()),
         list_within: settings.platform.call_within,
--- a/sl-peer/tests/it/bed.rs
+++ b/sl-peer/tests/it/bed.rs
@@ -11,7 +11,7 @@
 
 use sl_base::{Incarnation, InstanceId, Millis, Revision, status::InstanceStatus};
 use sl_peer::{Counters, Hello, Key, Links, Options, Receiver, Server, serve};
-use sl_step::Message;
+use sl_step::{Message, message::Running};
 use tokio::net::{TcpListener, TcpStream};
 
 pub const PEER: InstanceId = InstanceId(7);
@@ -66,7 +66,10 @@
 }
 
 pub fn running(revision: u64) -> Vec<Message> {
-    vec![Message::Running(Revision(revision))]
+    vec![Message::Running(Running {
+        revision: Revision(revision),
+        listing: 0,
+    })]
 }
 
 /// Passes connections on; those that stand when it is told so fall silent for good.
--- a/sl-step/src/lib.rs
+++ b/sl-step/src/lib.rs
@@ -14,7 +14,7 @@
 mod request;
 mod spread;
 pub mod state;
-pub mod status;
+mod status;
 mod stop;
 
 pub use effect::Effect;
@@ -22,4 +22,3 @@
 pub use message::Message;
 pub use options::Options;
 pub use state::State;
-pub use status::Status;
--- a/sl-step/src/state.rs
+++ b/sl-step/src/state.rs
@@ -7,7 +7,7 @@
 };
 
 use sl_base::{
-    InstanceId, PoolId, ServerId, Timestamp,
+    InstanceId, PoolId, RequestId, ServerId, Timestamp,
     call::{Call, CallId, Reply},
     listing::Listing,
 };
--- a/sl-step/tests/it/fleet.rs
+++ b/sl-step/tests/it/fleet.rs
@@ -377,12 +377,7 @@
         let life = self.instances[place].life;
         match effect {
             Effect::Dispatch(dispatch) => self.dispatch(place, life, dispatch),
-            Effect::Answer { request, code, .. } => {
-                if std::env::var("TRACE").is_ok() {
-                    eprintln!("{} answer {place} {request} {code}", self.now.as_micros());
-                }
-                self.answer((place, life, request), code)
-            }
+            Effect::Answer { request, code, .. } => self.answer((place, life, request), code),
             Effect::Abort { attempt } => {
                 if let Some(&(_, server)) = self.running.get(&(place, life, attempt)) {
                     let end = AttemptEnd::Aborted { units: 0 };
