--- a/sl-core/src/cli/args.rs
+++ b/sl-core/src/cli/args.rs
@@ -28,6 +28,9 @@
 /// The environment variable that holds the login name.
 const LOGIN_ENV: &str = "USER";
 
+/// The environment variables that name an editor, the first one first.
+const EDITOR_ENVS: [&str; 2] = ["VISUAL", "EDITOR"];
+
 /// How long a call to the platform may take where nothing else is said.
 const CALL_WITHIN: Millis = Millis(2_000);
 
@@ -169,16 +172,23 @@
     let replace = long("replace")
         .help("Overwrite somebody else's draft")
         .switch();
+    let editor = pure(editor());
     let name = name();
     construct!(edit::Options {
         source,
         by,
         replace,
+        editor,
         name
     })
     .map(Action::Edit)
 }
 
+fn editor() -> Option<String> {
+    let named = EDITOR_ENVS.iter().filter_map(|it| std::env::var(it).ok());
+    named.into_iter().find(|it| !it.trim().is_empty())
+}
+
 fn from_file() -> impl Parser<edit::Source> {
     let path = long("file")
         .help("Take the text from this file")
--- a/sl-core/src/template/edit.rs
+++ b/sl-core/src/template/edit.rs
@@ -1,7 +1,7 @@
 //! `sesamelock template edit`: writes a draft, always with the revision it is based on.
 
 use std::{
-    env, fs,
+    fs,
     io::{self, Write},
     path::{Path, PathBuf},
     process::{Command, ExitStatus},
@@ -31,6 +31,8 @@
     pub by: String,
     /// Whether somebody else's draft may be overwritten.
     pub replace: bool,
+    /// The command that opens a file for [`Source::Editor`].
+    pub editor: Option<String>,
 }
 
 /// Where the new text comes from.
@@ -201,7 +203,7 @@
         .tempfile()?;
     file.write_all(before.as_bytes())?;
     file.flush()?;
-    run_editor(file.path())?;
+    run_editor(options.editor.as_deref(), file.path())?;
     let text = fs::read_to_string(file.path())?;
     if text == before {
         return Ok((base, None));
@@ -215,10 +217,8 @@
     }
 }
 
-fn run_editor(path: &Path) -> Result<(), Error> {
-    let editor = env::var("VISUAL").or_else(|_| env::var("EDITOR"));
-    let editor = editor.map_err(|_| Error::NoEditor)?;
-    let mut words = editor.split_whitespace();
+fn run_editor(editor: Option<&str>, path: &Path) -> Result<(), Error> {
+    let mut words = editor.unwrap_or_default().split_whitespace();
     let program = words.next().ok_or(Error::NoEditor)?;
     let status = Command::new(program).args(words).arg(path).status()?;
     match status.success() {
--- a/sl-core/tests/it/main.rs
+++ b/sl-core/tests/it/main.rs
@@ -2,5 +2,6 @@
 
 mod check;
 mod cli;
+mod instance;
 mod memory;
 mod template;
--- a/sl-core/tests/it/template.rs
+++ b/sl-core/tests/it/template.rs
@@ -33,6 +33,7 @@
         source,
         by: by.to_owned(),
         replace: false,
+        editor: None,
     }
 }
 
@@ -204,6 +205,41 @@
     assert_eq!(before, text("t", 1));
 }
 
+/// An editor that puts `text` into the file that it is given.
+fn editor(dir: &tempfile::TempDir, text: &str) -> Option<String> {
+    Some(format!("cp {}", file(dir, text).display()))
+}
+
+#[tokio::test]
+async fn an_editor_opens_the_draft_and_else_the_accepted_text() {
+    let store = Memory::default();
+    let dir = tempfile::tempdir().unwrap();
+    let mut options = options("a", "gwen", edit::Source::Editor);
+    options.editor = editor(&dir, &text("t", 1));
+    let outcome = edit::edit(&store, &options).await.unwrap();
+    assert_eq!((outcome.base, outcome.written), (Revision(0), true));
+    accept(&store, &["a"]).await.unwrap();
+    let unchanged = edit::edit(&store, &options).await.unwrap();
+    assert_eq!((unchanged.base, unchanged.written), (Revision(1), false));
+    assert!(store.get("config/draft/a").is_none());
+}
+
+#[tokio::test]
+async fn a_faulty_text_is_kept_for_its_author() {
+    let store = Memory::default();
+    let dir = tempfile::tempdir().unwrap();
+    let mut options = options("a", "gwen", edit::Source::Editor);
+    options.editor = editor(&dir, "[route r]\n");
+    let error = edit::edit(&store, &options).await.unwrap_err();
+    assert_eq!(error.exit(), Exit::Faults);
+    let edit::Error::Kept { path, .. } = error else {
+        panic!("{error}");
+    };
+    assert_eq!(fs::read_to_string(&path).unwrap(), "[route r]\n");
+    fs::remove_file(path).unwrap();
+    assert!(store.get("config/draft/a").is_none());
+}
+
 #[rstest]
 #[case::faults("[route r]\n", 0, Exit::Faults)]
 #[case::future_base(&text("t", 1), 1, Exit::NotFound)]
