sl-config: bounds and periods that do not go together are faults; a head that went back is not built upon

The property test now accepts two edits at once, too. Where another change had the same end for one of them before, that edit needs no swap of its own.

--- a/sl-config/src/accept.rs
+++ b/sl-config/src/accept.rs
@@ -304,6 +304,13 @@
     }
 
     fn plan(&mut self, expect: Version, head: &Head) -> Next {
+        let seen = self.edits.iter().map(|it| it.base.revision).max();
+        if seen > Some(head.revision) {
+            return self.damaged(format!(
+                "the head is at revision {}, but the edit is based on a later one",
+                head.revision
+            ));
+        }
         self.plans += 1;
         if self.plans > PLANS_MAX {
             return self.decided(Ended::Busy);
--- a/sl-config/src/settings.rs
+++ b/sl-config/src/settings.rs
@@ -393,27 +393,39 @@
     let requests = 1..=REQUESTS_MAX;
     let waiting_kib = standard.waiting_bytes / KIB;
     let header_kib = u64::from(standard.header_bytes) / KIB;
-    Bounds {
-        waiting_requests: reader.number(
-            "waiting-requests",
-            requests.clone(),
-            standard.waiting_requests,
-        ),
+    let waiting = standard.waiting_requests;
+    let bounds = Bounds {
+        waiting_requests: reader.number("waiting-requests", requests.clone(), waiting),
         waiting_bytes: KIB * reader.number("waiting-kib", 1..=WAITING_KIB_MAX, waiting_kib),
         held_requests: reader.number("held-requests", requests, standard.held_requests),
         header_bytes: (KIB * reader.number("header-kib", 1..=HEADER_KIB_MAX, header_kib)) as u32,
+    };
+    if bounds.waiting_requests > bounds.held_requests {
+        let why = "an instance holds every request that waits: this is less than waiting-requests";
+        reader.clash("held-requests", why);
     }
+    bounds
 }
 
 fn read_periods(reader: &mut Reader<'_, '_>) -> Periods {
     let standard = Periods::default();
-    Periods {
+    let periods = Periods {
         exchange: reader.millis("exchange-period-ms", standard.exchange),
         slot_lease: reader.millis("slot-lease-ms", standard.slot_lease),
         list: reader.millis("list-period-ms", standard.list),
         isolated_after: reader.millis("isolated-after-ms", standard.isolated_after),
         stop_within: reader.millis("stop-within-ms", standard.stop_within),
+    };
+    if periods.slot_lease <= periods.exchange {
+        let why =
+            "a slot's lease is renewed with each exchange, so it lasts longer than one period";
+        reader.clash("slot-lease-ms", why);
+    }
+    if periods.isolated_after <= periods.exchange {
+        let why = "peers answer once in an exchange period, so this has to be longer";
+        reader.clash("isolated-after-ms", why);
     }
+    periods
 }
 
 fn read_log(reader: &mut Reader<'_, '_>) -> Log {
--- a/sl-config/tests/it/accept.rs
+++ b/sl-config/tests/it/accept.rs
@@ -24,6 +24,7 @@
     arrives: bool,
     removes: bool,
     clashes: bool,
+    edits_two: bool,
 }
 
 fn fault() -> impl Strategy<Value = Fault> {
@@ -42,6 +43,7 @@
         any::<bool>(),
         prop::bool::weighted(0.1),
         prop::bool::weighted(0.1),
+        prop::bool::weighted(0.3),
     );
     (which, odds).prop_map(|((operator, template, fault), odds)| Step {
         operator,
@@ -50,6 +52,7 @@
         arrives: odds.0,
         removes: odds.1,
         clashes: odds.2,
+        edits_two: odds.3,
     })
 }
 
@@ -66,14 +69,14 @@
 /// An operator between two edits, or in the middle of one.
 #[derive(Default)]
 struct Operator {
-    under_way: Option<(Stamp, Edit, Acceptance, Call)>,
+    under_way: Option<(Stamp, Vec<Edit>, Acceptance, Call)>,
 }
 
 #[derive(Default)]
 struct World {
     platform: Platform,
     edits: u64,
-    told: Vec<(Stamp, Edit, Ended)>,
+    told: Vec<(Stamp, Vec<Edit>, Ended)>,
     /// What an instance runs that is shown the head at random moments, also late.
     running: Revision,
     shown: Vec<Head>,
@@ -86,23 +89,30 @@
         value.map_or_else(Head::default, |it| Head::decode(it).unwrap())
     }
 
-    fn begin(&mut self, step: &Step) -> (Stamp, Edit, Acceptance, Call) {
+    fn begin(&mut self, step: &Step) -> (Stamp, Vec<Edit>, Acceptance, Call) {
         self.edits += 1;
-        let name = TEMPLATES[step.template];
+        let mut edits = vec![self.edit(step, step.template)];
+        if step.edits_two {
+            edits.push(self.edit(step, (step.template + 1) % TEMPLATES.len()));
+        }
+        let stamp = stamp(self.edits);
+        let acceptance = Acceptance::new(stamp.clone(), edits.clone());
+        let call = acceptance.first();
+        (stamp, edits, acceptance, call)
+    }
+
+    fn edit(&self, step: &Step, template: usize) -> Edit {
+        let name = TEMPLATES[template];
         let head = self.head();
         let after = Page::new(&text(name, self.edits, step.clashes)).unwrap();
-        let edit = Edit {
+        Edit {
             name: name.to_owned(),
             base: Base {
                 revision: head.revision,
                 page: head.page(name),
             },
             after: (!step.removes).then_some(after),
-        };
-        let stamp = stamp(self.edits);
-        let acceptance = Acceptance::new(stamp.clone(), vec![edit.clone()]);
-        let call = acceptance.first();
-        (stamp, edit, acceptance, call)
+        }
     }
 
     fn act(&mut self, operator: &mut Operator, step: &Step) {
@@ -110,11 +120,11 @@
             self.platform.arrive();
         }
         let begun = operator.under_way.take();
-        let (stamp, edit, mut acceptance, call) = begun.unwrap_or_else(|| self.begin(step));
+        let (stamp, edits, mut acceptance, call) = begun.unwrap_or_else(|| self.begin(step));
         let reply = self.platform.call(&call, step.fault);
         match acceptance.step(reply) {
-            Next::Call(call) => operator.under_way = Some((stamp, edit, acceptance, call)),
-            Next::Done(ended) => self.told.push((stamp, edit, *ended)),
+            Next::Call(call) => operator.under_way = Some((stamp, edits, acceptance, call)),
+            Next::Done(ended) => self.told.push((stamp, edits, *ended)),
         }
         self.show();
     }
@@ -180,6 +190,7 @@
                 arrives: true,
                 removes: false,
                 clashes: false,
+                edits_two: false,
             };
             world.act(operator, &step);
         }
@@ -215,17 +226,31 @@
     pages.map(|(name, it)| (name.clone(), it.hash)).collect()
 }
 
+fn hash_after(edit: &Edit) -> Option<sl_config::PageHash> {
+    edit.after.as_ref().map(Page::hash)
+}
+
 /// What an operator was told is what the platform's record says.
 fn check_told(world: &World, heads: &[Head]) {
+    let before = |head: &Head| match head.revision.0 {
+        1 => Head::default(),
+        revision => heads[revision as usize - 2].clone(),
+    };
     let made_by = |id: ChangeId| heads.iter().find(|it| it.last().unwrap().id == id);
-    for (stamp, edit, ended) in &world.told {
-        let after = edit.after.as_ref().map(Page::hash);
+    for (stamp, edits, ended) in &world.told {
         match ended {
             Ended::Accepted { revision } => {
                 let head = made_by(stamp.id).expect("an accepted change is in the record");
                 assert_eq!(head.revision, *revision);
-                let swap = &head.last().unwrap().swaps[0];
-                assert_eq!((swap.before, swap.after), (edit.base.page, after));
+                for edit in edits {
+                    let mut swaps = head.last().unwrap().swaps.iter();
+                    match swaps.find(|it| it.name == edit.name) {
+                        Some(swap) => assert_eq!(swap.before, edit.base.page),
+                        // Another change had the same end before.
+                        None => assert_eq!(before(head).page(&edit.name), hash_after(edit)),
+                    }
+                    assert_eq!(head.page(&edit.name), hash_after(edit));
+                }
             }
             Ended::Unknown => {}
             Ended::Conflict(conflict) => {
@@ -240,7 +265,10 @@
             Ended::Unchanged { revision } => {
                 assert!(made_by(stamp.id).is_none());
                 let seen = heads.iter().find(|it| it.revision == *revision);
-                assert_eq!(seen.and_then(|it| it.page(&edit.name)), after);
+                for edit in edits {
+                    let page = seen.and_then(|it| it.page(&edit.name));
+                    assert_eq!(page, hash_after(edit));
+                }
             }
             Ended::Damaged(what) => panic!("nothing is damaged, but: {what}"),
             Ended::TooLarge => panic!("nothing is large"),
@@ -340,6 +368,25 @@
     assert_eq!(next.page("a"), None);
 }
 
+#[test]
+fn a_head_that_went_back_is_not_built_upon() {
+    let seen = accepted(&accepted(&Head::default(), 1, "a"), 2, "b");
+    let edit = Edit {
+        name: "c".to_owned(),
+        base: Base {
+            revision: seen.revision,
+            page: None,
+        },
+        after: Some(Page::new(&text("c", 3, false)).unwrap()),
+    };
+    let mut acceptance = Acceptance::new(stamp(3), vec![edit]);
+    let next = acceptance.step(Platform::default().call(&acceptance.first(), Fault::None));
+    let Next::Done(ended) = next else {
+        panic!("{next:?}");
+    };
+    assert!(matches!(*ended, Ended::Damaged(_)), "{ended:?}");
+}
+
 #[test]
 fn a_page_that_was_changed_and_changed_back_is_a_conflict() {
     let base = accepted(&Head::default(), 1, "a");
--- a/sl-config/tests/it/settings.rs
+++ b/sl-config/tests/it/settings.rs
@@ -82,6 +82,21 @@
     "control-key-file = /a\ncontrol-key-env = B",
     "the control key comes from a file or the environment, not from both"
 )]
+#[case::fewer_held_than_waiting(
+    "held-requests = 8000",
+    "held-requests = 3999",
+    "an instance holds every request that waits: this is less than waiting-requests"
+)]
+#[case::lease_of_one_period(
+    "slot-lease-ms = 2000",
+    "slot-lease-ms = 1000",
+    "a slot's lease is renewed with each exchange, so it lasts longer than one period"
+)]
+#[case::isolated_at_once(
+    "isolated-after-ms = 3000",
+    "isolated-after-ms = 1000",
+    "peers answer once in an exchange period, so this has to be longer"
+)]
 #[case::missing_name("name = caerdydd-1", "", "[instance] needs `name`")]
 fn one_fault(#[case] from: &str, #[case] to: &str, #[case] wanted: &str) {
     assert!(GOOD.contains(from));
