--- /dev/null
+++ b/tests/it/main.rs
@@ -0,0 +1,7 @@
+//! The real binary in processes of its own, between stand-ins. What the backend servers'
+//! stand-ins recorded is the judge of what ran.
+
+mod bed;
+mod path;
+mod refusal;
+mod stop;
