--- a/sl-front/src/connection.rs
+++ b/sl-front/src/connection.rs
@@ -57,9 +57,15 @@
         }
     }
 
-    /// Takes out the requests whose callers closed their connections.
-    pub(crate) fn take_gone(&self, port: u16) -> Vec<RequestId> {
-        let before: Vec<RequestId> = self.lock().keys().copied().collect();
+    /// The request that came last.
+    pub(crate) fn last(&self) -> Option<RequestId> {
+        self.lock().keys().next_back().copied()
+    }
+
+    /// Takes out the requests up to `last` whose callers closed their connections. The
+    /// kernel is asked only where there are such requests: most end before they are old.
+    pub(crate) fn take_gone(&self, port: u16, last: RequestId) -> Vec<RequestId> {
+        let before: Vec<RequestId> = self.lock().range(..=last).map(|it| *it.0).collect();
         if before.is_empty() {
             return Vec::new();
         }
--- a/sl-front/src/door.rs
+++ b/sl-front/src/door.rs
@@ -18,7 +18,7 @@
 use tokio::{io::AsyncReadExt, sync::mpsc, time};
 
 use crate::{
-    CallerRequest, Gate, Job, Node, Refusal, answer,
+    CallerRequest, Gate, Job, Label, Node, Part, Refusal, answer,
     body::Watch,
     connection::{Callers, Connection},
     forward,
@@ -65,7 +65,7 @@
         &self,
         req: &Request<'_>,
         mut data: Data<'_>,
-    ) -> Result<Response<'static>, Refusal> {
+    ) -> Result<Response<'static>, Refused> {
         let peeked_whole = data.peek_complete();
         let method = method(req, &mut data).await.as_str();
         let mut body = data.open(u64::MAX.into());
@@ -87,23 +87,28 @@
                 if code != Code::BodyIncomplete {
                     self.discard(req, &mut body).await;
                 }
-                return Err(refusal(code));
+                return Err(Refused::new(code, checked.label()));
             }
         };
-        self.hand_over(req, method, checked, bytes, pass).await
+        let label = checked.label();
+        let handed = self.hand_over(req, method, checked, bytes, pass);
+        let (parts, watch, options) = handed.map_err(|code| Refused::new(code, label))?;
+        let answer = answer::respond(parts, watch, options).await;
+        answer.map_err(Refused::Counted)
     }
 
-    async fn hand_over(
+    fn hand_over(
         &self,
         req: &Request<'_>,
         method: &str,
         checked: Checked,
         body: Bytes,
         pass: Pass,
-    ) -> Result<Response<'static>, Refusal> {
+    ) -> Result<(mpsc::Receiver<Part>, Watch<N>, answer::Options), Code> {
         let request = self.node.next_request();
         let connection = connection(req);
         let caller = self.callers.enter(request, connection);
+        let label = checked.label();
         let target = checked.target;
         let arrival = Arrival {
             request,
@@ -116,6 +121,7 @@
         };
         let (tx, rx) = mpsc::channel(PARTS_AHEAD);
         let job = Job {
+            label,
             arrival,
             request: CallerRequest {
                 method: method.to_owned(),
@@ -132,7 +138,7 @@
             is_head: method == "HEAD",
             connection,
         };
-        answer::respond(rx, watch, options).await
+        Ok((rx, watch, options))
     }
 
     fn check(&self, req: &Request<'_>, method: &str) -> Result<Checked, Code> {
@@ -232,8 +238,9 @@
     async fn handle<'r>(&self, req: &'r Request<'_>, data: Data<'r>) -> Outcome<'r> {
         let mut res = match self.take(req, data).await {
             Ok(res) => res,
-            Err(refusal) => {
-                self.node.refused(refusal.code);
+            Err(Refused::Counted(refusal)) => refusal.response(),
+            Err(Refused::Here { refusal, label }) => {
+                self.node.refused(refusal.code, label.as_ref());
                 refusal.response()
             }
         };
@@ -261,11 +268,40 @@
             431 => Code::HeadersTooLarge,
             _ => Code::ConnectionLost,
         };
-        self.0.refused(code);
+        self.0.refused(code, None);
         Ok(Refusal::from(code).response())
     }
 }
 
+/// A request that gets an answer of ours.
+enum Refused {
+    /// The daemon gave it, and counted it.
+    Counted(Refusal),
+    /// The door gave it.
+    Here {
+        refusal: Refusal,
+        label: Option<Label>,
+    },
+}
+
+impl Refused {
+    fn new(code: Code, label: Label) -> Refused {
+        Refused::Here {
+            refusal: refusal(code),
+            label: Some(label),
+        }
+    }
+}
+
+impl From<Code> for Refused {
+    fn from(code: Code) -> Refused {
+        Refused::Here {
+            refusal: code.into(),
+            label: None,
+        }
+    }
+}
+
 struct Checked {
     team: Team,
     route: template::Route,
@@ -273,6 +309,15 @@
     key: Option<KeyHash>,
 }
 
+impl Checked {
+    fn label(&self) -> Label {
+        Label {
+            team: self.team.name.clone(),
+            route: self.route.name.clone(),
+        }
+    }
+}
+
 fn refusal(code: Code) -> Refusal {
     Refusal {
         code,
--- a/sl-front/src/lib.rs
+++ b/sl-front/src/lib.rs
@@ -16,7 +16,7 @@
 mod serve;
 
 pub use gate::Gate;
-pub use node::{CallerRequest, Head, Job, Node, Part};
+pub use node::{CallerRequest, Head, Job, Label, Node, Part};
 pub use operator::KeyHash;
 pub use refusal::{Refusal, headers};
 pub use serve::{Error, Options, Server, serve};
--- a/sl-front/src/node.rs
+++ b/sl-front/src/node.rs
@@ -30,8 +30,9 @@
     /// Says that a submitted request's caller went away before the answer's end.
     fn caller_gone(&self, request: RequestId);
 
-    /// Counts a request that the door refused by itself.
-    fn refused(&self, code: Code);
+    /// Counts a request that the door refused by itself; the label is there where team
+    /// and route were found.
+    fn refused(&self, code: Code, label: Option<&Label>);
 
     /// The metrics in OpenMetrics text.
     fn metrics(&self) -> String;
@@ -46,9 +47,20 @@
     fn drain(&self, within: Option<Millis>);
 }
 
+/// Whose request it is, and of which kind, by the names that reports carry.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Label {
+    /// The team's name.
+    pub team: String,
+    /// The route's name.
+    pub route: String,
+}
+
 /// A caller's request on its way in.
 #[derive(Debug)]
 pub struct Job {
+    /// The names that reports carry.
+    pub label: Label,
     /// What the reducer decides by.
     pub arrival: Arrival,
     /// What goes to the backend server.
--- a/sl-front/src/serve.rs
+++ b/sl-front/src/serve.rs
@@ -137,11 +137,15 @@
 /// request that has no answer yet.
 async fn sweep<N: Node>(node: N, callers: Callers, port: u16) {
     let mut ticks = time::interval(SWEEP_PERIOD.into());
+    let mut old = None;
     loop {
         ticks.tick().await;
-        for request in callers.take_gone(port) {
-            node.caller_gone(request);
+        if let Some(last) = old {
+            for request in callers.take_gone(port, last) {
+                node.caller_gone(request);
+            }
         }
+        old = callers.last();
     }
 }
 
--- a/sl-front/tests/it/fake.rs
+++ b/sl-front/tests/it/fake.rs
@@ -11,7 +11,7 @@
 
 use sl_base::{Code, Millis, PoolId, RequestId, Revision, TeamId};
 use sl_config::{Config, Cost, KeyRule, Policy, Route, Team, Template};
-use sl_front::{CallerRequest, Head, Job, Node, Options, Part, Server, serve};
+use sl_front::{CallerRequest, Head, Job, Label, Node, Options, Part, Server, serve};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
@@ -53,7 +53,7 @@
         self.gone.lock().unwrap().push(request);
     }
 
-    fn refused(&self, code: Code) {
+    fn refused(&self, code: Code, _: Option<&Label>) {
         self.refused.lock().unwrap().push(code);
     }
 
--- a/sl-node/src/handle.rs
+++ b/sl-node/src/handle.rs
@@ -7,8 +7,9 @@
 
 use sl_base::{Code, Millis, RequestId, status::InstanceStatus};
 use sl_config::Config;
-use sl_front::{Job, Node};
+use sl_front::{Job, Label, Node};
 use sl_peer::{Hello, Links, Receiver};
+use sl_report::Snapshot;
 use sl_step::{Event, Message};
 use tokio::sync::{
     mpsc::{self, error::TrySendError},
@@ -16,6 +17,7 @@
 };
 
 use crate::{
+    burn::Burn,
     command::{Command, Seen},
     metrics::Metrics,
     status,
@@ -33,6 +35,7 @@
     config: RwLock<Option<Arc<Config>>>,
     metrics: Metrics,
     links: Links,
+    burn: Burn,
     stop_within: Millis,
 }
 
@@ -41,6 +44,7 @@
         commands: mpsc::Sender<Command>,
         metrics: Metrics,
         links: Links,
+        burn: Burn,
         stop_within: Millis,
     ) -> Handle {
         Handle(Arc::new(Inner {
@@ -50,6 +54,7 @@
             config: RwLock::new(None),
             metrics,
             links,
+            burn,
             stop_within,
         }))
     }
@@ -122,11 +127,21 @@
         self.tell(Command::CallerGone(request));
     }
 
-    fn refused(&self, code: Code) {
+    fn refused(&self, code: Code, label: Option<&Label>) {
         self.0.metrics.answered(code);
+        if let Some(label) = label {
+            self.0.burn.failed(label, code);
+        }
     }
 
     fn metrics(&self) -> String {
+        if let Some(config) = self.config() {
+            let report = self
+                .0
+                .burn
+                .report(&config, &[self.0.burn.snapshot()], Vec::new());
+            self.0.metrics.burning(report.as_ref());
+        }
         self.0.metrics.encode()
     }
 
@@ -137,7 +152,12 @@
     }
 
     async fn report(&self) -> Option<String> {
-        None
+        let config = self.config().unwrap_or_default();
+        let seen = self.seen().await?;
+        let own = self.0.burn.snapshot();
+        let (snapshots, missing) = status::burns(seen, own, &self.0.links).await;
+        let report = self.0.burn.report(&config, &snapshots, missing)?;
+        serde_json::to_string(&report).ok()
     }
 
     fn drain(&self, within: Option<Millis>) {
@@ -160,4 +180,8 @@
     async fn status(&self) -> InstanceStatus {
         self.seen().await.unwrap_or_default().instance
     }
+
+    fn burn(&self) -> Snapshot {
+        self.0.burn.snapshot()
+    }
 }
--- a/sl-node/src/held.rs
+++ b/sl-node/src/held.rs
@@ -4,7 +4,7 @@
 use std::{collections::HashMap, sync::Arc};
 
 use sl_base::{AttemptId, Code, Millis, RequestId, ServerId, TeamId, Timestamp};
-use sl_front::{CallerRequest, Job, Part};
+use sl_front::{CallerRequest, Job, Label, Part};
 use sl_step::event::Arrival;
 use tokio::sync::{mpsc, oneshot};
 
@@ -18,8 +18,10 @@
 /// One request.
 #[derive(Clone, Debug)]
 pub(crate) struct Held {
+    pub(crate) label: Label,
     pub(crate) arrival: Arrival,
     pub(crate) arrived: Timestamp,
+    pub(crate) first_byte: Option<Timestamp>,
     pub(crate) request: Arc<CallerRequest>,
     pub(crate) answer: mpsc::Sender<Part>,
     pub(crate) is_running: bool,
@@ -45,8 +47,10 @@
 impl Requests {
     pub(crate) fn insert(&mut self, now: Timestamp, job: Job) {
         let held = Held {
+            label: job.label,
             arrival: job.arrival,
             arrived: now,
+            first_byte: None,
             request: Arc::new(job.request),
             answer: job.answer,
             is_running: false,
@@ -58,8 +62,8 @@
         self.held.get(&id)
     }
 
-    pub(crate) fn by_attempt(&self, attempt: AttemptId) -> Option<&Held> {
-        self.get(self.running.get(&attempt)?.request)
+    pub(crate) fn by_attempt(&mut self, attempt: AttemptId) -> Option<&mut Held> {
+        self.held.get_mut(&self.running.get(&attempt)?.request)
     }
 
     pub(crate) fn remove(&mut self, id: RequestId) -> Option<Held> {
--- a/sl-node/src/lib.rs
+++ b/sl-node/src/lib.rs
@@ -5,6 +5,7 @@
 //! so that the owner never waits; docs/design.md draws the picture.
 
 mod attempt;
+mod burn;
 mod clock;
 mod command;
 mod handle;
--- a/sl-node/src/metrics.rs
+++ b/sl-node/src/metrics.rs
@@ -15,6 +15,7 @@
     registry::Registry,
 };
 use sl_base::Code;
+use sl_report::{Report, metrics::BurnRates};
 use sl_step::event::AttemptEnd;
 
 /// All metrics of a daemon; clones are the same.
@@ -24,6 +25,7 @@
     answers: Family<Answer, Counter>,
     attempts: Family<Attempt, Counter>,
     notes: Family<Note, Counter>,
+    burn: BurnRates,
     /// Seconds from a request's arrival to the head of its answer.
     pub(crate) first_byte: Histogram,
     /// Requests that the reducer decides on.
@@ -64,6 +66,7 @@
     pub(crate) fn new(peers: sl_peer::Counters, platform: sl_platform::Client) -> Metrics {
         let mut registry = Registry::with_prefix("sesamelock");
         let metrics = Metrics {
+            burn: BurnRates::register(&mut registry),
             registry: Arc::default(),
             answers: Family::default(),
             attempts: Family::default(),
@@ -112,6 +115,13 @@
         self.notes.get_or_create(&Note { what }).inc();
     }
 
+    /// Takes over the burn rates of this instance's own record.
+    pub(crate) fn burning(&self, report: Option<&Report>) {
+        if let Some(report) = report {
+            self.burn.update(report);
+        }
+    }
+
     /// All metrics in OpenMetrics text.
     pub(crate) fn encode(&self) -> String {
         let mut text = String::new();
--- a/sl-node/src/owner.rs
+++ b/sl-node/src/owner.rs
@@ -5,7 +5,7 @@
 
 use sl_back::Client;
 use sl_base::{
-    InstanceId, Millis, RequestId, ServerId, Timestamp,
+    AttemptId, InstanceId, Millis, RequestId, ServerId, Timestamp,
     listing::Listing,
     status::{InstanceStatus, ServerStatus, TeamStatus},
 };
@@ -21,6 +21,7 @@
 
 use crate::{
     attempt::Attempt,
+    burn::Burn,
     clock::{Clock, Now},
     command::{Command, Peer, Seen},
     handle::Handle,
@@ -40,6 +41,7 @@
     pub(crate) platform: sl_platform::Client,
     pub(crate) back: Client<C>,
     pub(crate) metrics: Metrics,
+    pub(crate) burn: Burn,
     pub(crate) log: Logger,
     pub(crate) requests: Requests,
     pub(crate) listing: Arc<Listing>,
@@ -109,6 +111,7 @@
         match event {
             Event::Ended { attempt, end } => {
                 self.metrics.ended(end);
+                self.record_answered(attempt, end);
                 let request = self.requests.end(attempt);
                 let next = self.step(event);
                 if let Some(request) = request {
@@ -168,7 +171,9 @@
                 code,
                 retry_after,
             } => {
+                self.metrics.answered(code);
                 if let Some(held) = self.requests.remove(request) {
+                    self.burn.failed(&held.label, code);
                     held.fail(code, retry_after);
                 }
             }
@@ -267,12 +272,25 @@
         });
     }
 
-    fn observe_first_byte(&self, attempt: sl_base::AttemptId) {
+    fn observe_first_byte(&mut self, attempt: AttemptId) {
+        let now = self.clock.now();
         if let Some(held) = self.requests.by_attempt(attempt) {
-            let micros = self.clock.now().micros_since(held.arrived);
-            self.metrics
-                .first_byte
-                .observe(micros as f64 / MICROS_PER_SECOND);
+            held.first_byte = Some(now);
+            let micros = now.micros_since(held.arrived);
+            let seconds = micros as f64 / MICROS_PER_SECOND;
+            self.metrics.first_byte.observe(seconds);
+        }
+    }
+
+    fn record_answered(&mut self, attempt: AttemptId, end: AttemptEnd) {
+        let AttemptEnd::Complete { .. } = end else {
+            return;
+        };
+        if let Some(held) = self.requests.by_attempt(attempt)
+            && let Some(first_byte) = held.first_byte
+        {
+            let micros = first_byte.micros_since(held.arrived);
+            self.burn.answered(&held.label, micros);
         }
     }
 
--- a/sl-node/src/run.rs
+++ b/sl-node/src/run.rs
@@ -14,7 +14,8 @@
 };
 
 use crate::{
-    clock::Clock, handle::Handle, held::Requests, log, metrics::Metrics, options, owner::Owner,
+    burn::Burn, clock::Clock, handle::Handle, held::Requests, log, metrics::Metrics, options,
+    owner::Owner,
 };
 
 /// Why the daemon did not start.
@@ -87,10 +88,12 @@
     let metrics = Metrics::new(counters.clone(), platform.clone());
     let (commands, received) = mpsc::channel(COMMANDS_AHEAD);
     let stop_within = settings.periods.stop_within;
+    let burn = Burn::new(&settings.name, clock);
     let handle = Handle::new(
         commands.clone(),
         metrics.clone(),
         links.clone(),
+        burn.clone(),
         stop_within,
     );
 
@@ -117,6 +120,7 @@
         platform,
         back,
         metrics,
+        burn,
         log: log.clone(),
         requests: Requests::default(),
         listing: Arc::default(),
--- a/sl-node/src/status.rs
+++ b/sl-node/src/status.rs
@@ -3,6 +3,7 @@
 use futures::{StreamExt, stream};
 use sl_base::status::FleetStatus;
 use sl_peer::Links;
+use sl_report::Snapshot;
 
 use crate::command::Seen;
 
@@ -32,5 +33,29 @@
     fleet
 }
 
+/// Asks every listed peer for its part of the burn report, and names those that were silent.
+pub(crate) async fn burns(
+    seen: Seen,
+    own: Snapshot,
+    links: &Links,
+) -> (Vec<Snapshot>, Vec<String>) {
+    let mut snapshots = vec![own];
+    let mut missing = Vec::new();
+    let mut answers = stream::iter(seen.peers)
+        .map(|peer| async move {
+            let answer = links.burn(peer.id, peer.address).await;
+            (peer, answer)
+        })
+        .buffer_unordered(PEERS_AT_ONCE);
+    while let Some((peer, answer)) = answers.next().await {
+        match answer {
+            Ok(snapshot) => snapshots.push(snapshot),
+            Err(_) => missing.push(peer.name),
+        }
+    }
+    missing.sort();
+    (snapshots, missing)
+}
+
 /// Peers that are asked at the same time.
 const PEERS_AT_ONCE: usize = 16;
--- a/sl-peer/src/link.rs
+++ b/sl-peer/src/link.rs
@@ -8,6 +8,7 @@
 };
 
 use sl_base::{InstanceId, status::InstanceStatus};
+use sl_report::Snapshot;
 use sl_step::Message;
 use tarpc::client::{self, RpcError};
 use tokio::{net::TcpStream, sync, task::AbortHandle, time};
@@ -104,6 +105,18 @@
         .await
     }
 
+    /// Asks a peer for its part of the burn report.
+    ///
+    /// # Errors
+    ///
+    /// [`Silent`] where the peer did not answer on a new link either.
+    pub async fn burn(&self, to: InstanceId, address: SocketAddr) -> Result<Snapshot, Silent> {
+        self.call(to, address, |link, within_ms| async move {
+            link.burn(frame::context(within_ms)).await
+        })
+        .await
+    }
+
     /// Closes the links to peers that `keep` does not name.
     pub fn retain(&self, keep: impl Fn(InstanceId) -> bool) {
         self.slots().retain(|&id, _| keep(id));
--- a/sl-peer/src/serve.rs
+++ b/sl-peer/src/serve.rs
@@ -4,6 +4,7 @@
 
 use futures::StreamExt;
 use sl_base::status::InstanceStatus;
+use sl_report::Snapshot;
 use sl_step::Message;
 use tarpc::{
     context::Context,
@@ -25,6 +26,9 @@
 
     /// What the instance says of itself.
     fn status(&self) -> impl Future<Output = InstanceStatus> + Send;
+
+    /// The instance's part of the burn report.
+    fn burn(&self) -> Snapshot;
 }
 
 /// Why the control port could not be opened.
@@ -141,6 +145,10 @@
     async fn status(self, _: Context) -> InstanceStatus {
         self.receiver.status().await
     }
+
+    async fn burn(self, _: Context) -> Snapshot {
+        self.receiver.burn()
+    }
 }
 
 /// How long accepting pauses after a failure such as too many open files.
--- a/sl-peer/src/service.rs
+++ b/sl-peer/src/service.rs
@@ -1,6 +1,7 @@
 //! The calls between instances.
 
 use sl_base::status::InstanceStatus;
+use sl_report::Snapshot;
 use sl_step::Message;
 
 /// What one instance may ask of another.
@@ -10,4 +11,6 @@
     async fn deliver(messages: Vec<Message>);
     /// Asks what the instance says of itself.
     async fn status() -> InstanceStatus;
+    /// Asks for the instance's part of the burn report.
+    async fn burn() -> Snapshot;
 }
--- a/sl-peer/tests/it/bed.rs
+++ b/sl-peer/tests/it/bed.rs
@@ -9,8 +9,9 @@
     time::Duration,
 };
 
-use sl_base::{Incarnation, InstanceId, Millis, Revision, status::InstanceStatus};
+use sl_base::{Incarnation, InstanceId, Millis, Revision, Timestamp, status::InstanceStatus};
 use sl_peer::{Counters, Hello, Key, Links, Options, Receiver, Server, serve};
+use sl_report::Snapshot;
 use sl_step::Message;
 use tokio::net::{TcpListener, TcpStream};
 
@@ -41,6 +42,15 @@
             ..InstanceStatus::default()
         }
     }
+
+    fn burn(&self) -> Snapshot {
+        Snapshot {
+            instance: "peer".to_owned(),
+            from: Timestamp::default(),
+            at: Timestamp::default(),
+            series: Vec::new(),
+        }
+    }
 }
 
 pub fn options() -> Options {
--- a/sl-peer/tests/it/link.rs
+++ b/sl-peer/tests/it/link.rs
@@ -24,6 +24,8 @@
     assert_eq!(*peer.got.lock().unwrap(), [(ME, running(3))]);
     let status = links.status(PEER, server.address).await.unwrap();
     assert_eq!(status.name, "peer");
+    let burn = links.burn(PEER, server.address).await.unwrap();
+    assert_eq!(burn.instance, "peer");
 }
 
 #[rstest]
