sl-config: the sharing policy, its tolerance, and seeds for a newborn

A newborn whose platform is down must know whom to ask; the policies must be had in the real daemons to be measured side by side. A lease of 2 s left one lost renewal no room, so the usual one is 3 s.

--- a/sl-config/src/raw.rs
+++ b/sl-config/src/raw.rs
@@ -109,6 +109,35 @@
     }
 }
 
+/// An instance by its name and control address.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Seed {
+    /// The instance's name.
+    pub name: String,
+    /// Where its control port listens.
+    pub control: SocketAddr,
+}
+
+/// Instances, each as `NAME@ADDRESS`, parted by commas.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Seeds(pub(crate) Vec<Seed>);
+
+impl TryFrom<Raw<'_>> for Seeds {
+    type Error = Wanted;
+
+    fn try_from(Raw(text): Raw<'_>) -> Result<Seeds, Wanted> {
+        let seed = |it: &str| {
+            let (name, address) = it.trim().split_once('@')?;
+            let Name(name) = Name::try_from(Raw(name)).ok()?;
+            let control = address.parse().ok()?;
+            Some(Seed { name, control })
+        };
+        let seeds: Option<Vec<Seed>> = text.split(',').map(seed).collect();
+        let wanted = "an instance such as hobart-1@192.0.2.1:8101, or several with commas";
+        seeds.map(Seeds).ok_or_else(|| Wanted::a(wanted))
+    }
+}
+
 /// HTTP methods in capitals, parted by white space or commas; `any` for all of them.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Methods(pub(crate) Vec<String>);
--- a/sl-config/src/settings.rs
+++ b/sl-config/src/settings.rs
@@ -10,10 +10,12 @@
     fault::{Fault, Faults, Problem},
     ini::{self, Section},
     key::KeySource,
-    raw::{Base, Hashes, Name, Raw, Wanted},
+    raw::{Base, Hashes, Name, Raw, Seeds, Wanted},
     reader::Reader,
 };
 
+pub use crate::raw::Seed;
+
 /// An instance's checked settings.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Settings {
@@ -23,6 +25,9 @@
     pub data_centre: String,
     /// Seed of the reducer's generator; drawn at the start where it is not given.
     pub seed: Option<u64>,
+    /// Instances that are asked for configuration and list when the platform does not
+    /// answer a newborn.
+    pub seeds: Vec<Seed>,
     /// The addresses that it listens on.
     pub listen: Listen,
     /// The platform.
@@ -33,6 +38,8 @@
     pub bounds: Bounds,
     /// Periods and spans.
     pub periods: Periods,
+    /// How slots and shares are shared out.
+    pub sharing: Sharing,
     /// Logging.
     pub log: Log,
 }
@@ -99,6 +106,30 @@
     pub stop_within: Millis,
 }
 
+/// How slots and shares are shared out; the same on all instances.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Sharing {
+    /// How instances share the slots of backend servers.
+    pub policy: SharePolicy,
+    /// How far a team may be ahead of one that waits on another instance before a slot is
+    /// given up to it, in units at a share of one. More is kinder to utilisation, less to
+    /// the gap between teams.
+    pub tolerance_units: u64,
+}
+
+/// How instances share the slots of backend servers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Display, EnumString, VariantNames)]
+#[strum(serialize_all = "kebab-case")]
+pub enum SharePolicy {
+    /// A home lends slots as windows with a lease.
+    #[default]
+    Lent,
+    /// Each instance has an equal part of each server's slots.
+    FixedSplit,
+    /// Each instance uses all slots and knows only what it sent itself.
+    Uncoordinated,
+}
+
 /// Logging.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Log {
@@ -154,7 +185,7 @@
     fn default() -> Periods {
         Periods {
             exchange: Millis(1_000),
-            slot_lease: Millis(2_000),
+            slot_lease: Millis(3_000),
             list: Millis(2_000),
             isolated_after: Millis(3_000),
             stop_within: Millis(30_000),
@@ -196,8 +227,8 @@
 }
 
 /// The sections that settings may have.
-const SECTIONS: [&str; 7] = [
-    "instance", "listen", "platform", "keys", "bounds", "periods", "log",
+const SECTIONS: [&str; 8] = [
+    "instance", "listen", "platform", "keys", "bounds", "periods", "sharing", "log",
 ];
 
 /// Bytes in a kibibyte.
@@ -261,17 +292,20 @@
     let keys = parts.required("keys", read_keys);
     let bounds = parts.optional("bounds", read_bounds);
     let periods = parts.optional("periods", read_periods);
+    let sharing = parts.optional("sharing", read_sharing);
     let log = parts.optional("log", read_log);
     let instance = instance?;
     Some(Settings {
         name: instance.name,
         data_centre: instance.data_centre,
         seed: instance.seed,
+        seeds: instance.seeds,
         listen: listen?,
         platform: platform?,
         keys: keys?,
         bounds,
         periods,
+        sharing,
         log,
     })
 }
@@ -280,16 +314,19 @@
     name: String,
     data_centre: String,
     seed: Option<u64>,
+    seeds: Vec<Seed>,
 }
 
 fn read_instance(reader: &mut Reader<'_, '_>) -> Option<Instance> {
     let name = reader.required::<Name>("name");
     let data_centre = reader.required::<Name>("data-centre");
     let seed = reader.optional("seed");
+    let seeds = reader.optional::<Seeds>("seeds").unwrap_or_default();
     Some(Instance {
         name: name?.0,
         data_centre: data_centre?.0,
         seed,
+        seeds: seeds.0,
     })
 }
 
@@ -416,6 +453,21 @@
     }
 }
 
+/// The most that the tolerance takes, in units.
+const TOLERANCE_MAX: u64 = 1_000_000_000;
+
+fn read_sharing(reader: &mut Reader<'_, '_>) -> Sharing {
+    let standard = Sharing::default();
+    Sharing {
+        policy: reader.word("policy", standard.policy),
+        tolerance_units: reader.number(
+            "tolerance-units",
+            0..=TOLERANCE_MAX,
+            standard.tolerance_units,
+        ),
+    }
+}
+
 fn read_log(reader: &mut Reader<'_, '_>) -> Log {
     let standard = Log::default();
     Log {
--- a/sl-node/src/options.rs
+++ b/sl-node/src/options.rs
@@ -1,8 +1,13 @@
 //! From an instance's settings to what each part needs to know.
 
-use sl_base::{Incarnation, Millis, status::InstanceStatus};
-use sl_config::Settings;
+use sl_base::{Incarnation, Millis, listing::ListedInstance, status::InstanceStatus};
+use sl_config::{
+    Settings,
+    settings::{Seed, SharePolicy},
+};
+use sl_fair::Service;
 use sl_front::KeyHash;
+use sl_slots::Policy;
 
 /// What the front needs.
 ///
@@ -37,6 +42,12 @@
     let slots = sl_slots::Options {
         lease: periods.slot_lease,
         surrender_every: periods.exchange,
+        policy: match settings.sharing.policy {
+            SharePolicy::Lent => Policy::Lent,
+            SharePolicy::FixedSplit => Policy::FixedSplit,
+            SharePolicy::Uncoordinated => Policy::Uncoordinated,
+        },
+        tolerance: Service::of(settings.sharing.tolerance_units, 1).0,
         ..usual.slots
     };
     let members = sl_member::Options {
@@ -45,6 +56,7 @@
     };
     sl_step::Options {
         seed: settings.seed.unwrap_or(incarnation.0),
+        seeds: settings.seeds.iter().map(listed).collect(),
         requests_max: settings.bounds.held_requests as usize,
         bytes_max: settings.bounds.waiting_bytes,
         exchange_period: periods.exchange,
@@ -57,6 +69,15 @@
     }
 }
 
+fn listed(seed: &Seed) -> ListedInstance {
+    ListedInstance {
+        name: seed.name.clone(),
+        data_centre: String::new(),
+        control: seed.control,
+        leaving: false,
+    }
+}
+
 /// What the instance says of itself from the start.
 pub(crate) fn status(settings: &Settings, incarnation: Incarnation) -> InstanceStatus {
     InstanceStatus {
