--- a/sl-base/src/status.rs
+++ b/sl-base/src/status.rs
@@ -33,6 +33,9 @@
     pub ready: bool,
     /// Whether a planned stop is under way.
     pub stopping: bool,
+    /// Whether it reaches neither peers nor the platform.
+    #[serde(default)]
+    pub isolated: bool,
     /// Whether the platform answered its last call.
     pub platform_answers: bool,
     /// Its teams with work waiting or running.
@@ -50,6 +53,10 @@
     pub waiting_bytes: u64,
     /// Requests that run.
     pub running: u64,
+    /// Service that this life of the instance gave the team, over all pools, in their
+    /// cost units.
+    #[serde(default)]
+    pub served: u64,
 }
 
 /// One backend server.
@@ -61,8 +68,14 @@
     pub pool: String,
     /// How many requests it runs side by side.
     pub slots: u32,
+    /// Slots that the asked instance may use.
+    #[serde(default)]
+    pub window: u32,
     /// Requests that run on it from the asked instance.
     pub running: u32,
+    /// The instance that lends its slots.
+    #[serde(default)]
+    pub home: String,
     /// Whether it is on its way out.
     pub leaving: bool,
 }
--- a/sl-front/src/answer.rs
+++ b/sl-front/src/answer.rs
@@ -84,7 +84,7 @@
     loop {
         match parts.recv().await {
             Some(Part::Head(head)) => return Ok(head),
-            Some(Part::Failed { code, retry_after }) => return Err(Refusal { code, retry_after }),
+            Some(Part::Failed(refusal)) => return Err(refusal),
             Some(Part::Piece(_) | Part::End) => {}
             None => return Err(Code::Stopped.into()),
         }
@@ -142,8 +142,8 @@
             }
             Some(Part::Head(_)) => {}
             Some(Part::End) => return (pieces, Whole::Yes),
-            Some(Part::Failed { code, retry_after }) => {
-                return (pieces, Whole::No(Refusal { code, retry_after }));
+            Some(Part::Failed(refusal)) => {
+                return (pieces, Whole::No(refusal));
             }
             None => return (pieces, Whole::No(Code::Stopped.into())),
         }
--- a/sl-front/src/body.rs
+++ b/sl-front/src/body.rs
@@ -111,9 +111,7 @@
                 self.finish();
                 Ok(())
             }
-            Some(Part::Failed { code, retry_after }) => {
-                self.break_off(Refusal { code, retry_after })
-            }
+            Some(Part::Failed(refusal)) => self.break_off(refusal),
             None => self.break_off(Code::ConnectionLost.into()),
         })
     }
--- a/sl-front/src/door.rs
+++ b/sl-front/src/door.rs
@@ -320,6 +320,7 @@
 
 fn refusal(code: Code) -> Refusal {
     Refusal {
+        ran_status: None,
         code,
         retry_after: (code == Code::Overloaded).then_some(OVERLOADED_RETRY),
     }
@@ -353,7 +354,12 @@
 }
 
 fn credential(req: &Request<'_>) -> Option<String> {
-    let value = req.headers().get_one("authorization")?;
+    let mut values = req.headers().get("authorization");
+    let value = values.next()?;
+    // Of two credentials none is taken: who should have seen which cannot be known.
+    if values.next().is_some() {
+        return None;
+    }
     let (scheme, token) = value.split_once(' ')?;
     if !scheme.eq_ignore_ascii_case("bearer") {
         return None;
--- a/sl-front/src/node.rs
+++ b/sl-front/src/node.rs
@@ -9,6 +9,8 @@
 use sl_step::event::Arrival;
 use tokio::sync::mpsc;
 
+use crate::Refusal;
+
 /// The daemon behind the door.
 pub trait Node: Clone + Send + Sync + 'static {
     /// The configuration in force, or none before the first one came.
@@ -93,12 +95,7 @@
     /// The body was whole.
     End,
     /// The request's final answer is ours, or the body breaks off here.
-    Failed {
-        /// What happened.
-        code: Code,
-        /// When to come back, where that helps.
-        retry_after: Option<Millis>,
-    },
+    Failed(Refusal),
 }
 
 /// The head of a backend server's answer.
--- a/sl-front/src/refusal.rs
+++ b/sl-front/src/refusal.rs
@@ -29,6 +29,8 @@
     pub code: Code,
     /// When to come back, where that helps.
     pub retry_after: Option<Millis>,
+    /// The HTTP status of the request that ran under the same key.
+    pub ran_status: Option<u16>,
 }
 
 #[derive(Serialize)]
@@ -39,6 +41,8 @@
     message: &'a str,
     #[serde(skip_serializing_if = "Option::is_none")]
     retry_after_ms: Option<u64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    ran_status: Option<u16>,
 }
 
 impl From<Code> for Refusal {
@@ -46,6 +50,7 @@
         Refusal {
             code,
             retry_after: None,
+            ran_status: None,
         }
     }
 }
@@ -59,6 +64,7 @@
             outcome: self.code.outcome(),
             message: message(self.code.outcome()),
             retry_after_ms: self.retry_after.map(|it| it.0),
+            ran_status: self.ran_status,
         };
         serde_json::to_string(&body).unwrap_or_default()
     }
--- a/sl-front/tests/it/door.rs
+++ b/sl-front/tests/it/door.rs
@@ -3,7 +3,7 @@
 use reqwest::{Client, Method, StatusCode};
 use rstest::rstest;
 use sl_base::Code;
-use sl_front::Part;
+use sl_front::{Part, Refusal};
 use tokio::{io::AsyncWriteExt, net::TcpStream};
 
 use crate::fake::{Bed, TOKEN, eventually, failed, head, piece};
@@ -194,16 +194,18 @@
 async fn a_final_answer_of_ours_says_when_to_come_back() {
     let bed = Bed::start().await;
     let url = bed.url("/any");
-    let _answering = bed.answer_next(vec![Part::Failed {
+    let _answering = bed.answer_next(vec![Part::Failed(Refusal {
         code: Code::QueueFull,
         retry_after: Some(sl_base::Millis(1_200)),
-    }]);
+        ran_status: Some(201),
+    })]);
     let answer = Client::new().get(url).bearer_auth(TOKEN).send().await;
     let answer = answer.unwrap();
     assert_eq!(answer.status(), 429);
     assert_eq!(answer.headers()["retry-after"], "2");
     let body = answer.text().await.unwrap();
     assert!(body.contains("\"retry_after_ms\":1200"), "{body}");
+    assert!(body.contains("\"ran_status\":201"), "{body}");
 }
 
 #[tokio::test]
--- a/sl-front/tests/it/fake.rs
+++ b/sl-front/tests/it/fake.rs
@@ -150,10 +150,7 @@
 }
 
 pub fn failed(code: Code) -> Part {
-    Part::Failed {
-        code,
-        retry_after: None,
-    }
+    Part::Failed(code.into())
 }
 
 /// Waits until `done` holds.
--- a/sl-node/src/held.rs
+++ b/sl-node/src/held.rs
@@ -1,10 +1,13 @@
 //! The requests that the reducer decides on, with what it does not need to see: headers,
 //! body, and the way back to the caller.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+};
 
-use sl_base::{AttemptId, Code, Millis, RequestId, ServerId, TeamId, Timestamp};
-use sl_front::{CallerRequest, Job, Label, Part};
+use sl_base::{AttemptId, RequestId, Timestamp, status::TeamStatus};
+use sl_front::{CallerRequest, Job, Label, Part, Refusal};
 use sl_step::event::Arrival;
 use tokio::sync::{mpsc, oneshot};
 
@@ -31,19 +34,10 @@
 #[derive(Debug)]
 pub(crate) struct Running {
     pub(crate) request: RequestId,
-    pub(crate) server: ServerId,
     /// Dropping it breaks the attempt off.
     pub(crate) abort: Option<oneshot::Sender<()>>,
 }
 
-/// What waits and runs of one team.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct TeamLoad {
-    pub(crate) waiting: u64,
-    pub(crate) waiting_bytes: u64,
-    pub(crate) running: u64,
-}
-
 impl Requests {
     pub(crate) fn insert(&mut self, now: Timestamp, job: Job) {
         let held = Held {
@@ -75,12 +69,10 @@
         &mut self,
         attempt: AttemptId,
         request: RequestId,
-        server: ServerId,
     ) -> oneshot::Receiver<()> {
         let (abort, aborted) = oneshot::channel();
         let running = Running {
             request,
-            server,
             abort: Some(abort),
         };
         self.running.insert(attempt, running);
@@ -113,33 +105,26 @@
         self.running.len()
     }
 
-    pub(crate) fn by_team(&self) -> HashMap<TeamId, TeamLoad> {
-        let mut loads: HashMap<TeamId, TeamLoad> = HashMap::new();
+    /// What waits and runs, by the team's name.
+    pub(crate) fn by_team(&self) -> BTreeMap<String, TeamStatus> {
+        let mut teams: BTreeMap<String, TeamStatus> = BTreeMap::new();
         for held in self.held.values() {
-            let load = loads.entry(held.arrival.team).or_default();
+            let team = teams.entry(held.label.team.clone()).or_default();
             if held.is_running {
-                load.running += 1;
+                team.running += 1;
             } else {
-                load.waiting += 1;
-                load.waiting_bytes += held.arrival.bytes;
+                team.waiting += 1;
+                team.waiting_bytes += held.arrival.bytes;
             }
         }
-        loads
-    }
-
-    pub(crate) fn by_server(&self) -> HashMap<ServerId, u32> {
-        let mut counts = HashMap::new();
-        for running in self.running.values() {
-            *counts.entry(running.server).or_default() += 1;
-        }
-        counts
+        teams
     }
 }
 
 impl Held {
     /// Gives the caller its final answer, behind what is on its way already.
-    pub(crate) fn fail(self, code: Code, retry_after: Option<Millis>) {
-        let part = Part::Failed { code, retry_after };
+    pub(crate) fn fail(self, refusal: Refusal) {
+        let part = Part::Failed(refusal);
         if let Err(mpsc::error::TrySendError::Full(part)) = self.answer.try_send(part) {
             tokio::spawn(async move {
                 // The caller may go away meanwhile; then no one wants the answer.
--- a/sl-node/src/options.rs
+++ b/sl-node/src/options.rs
@@ -32,14 +32,25 @@
 
 /// What the reducer needs.
 pub(crate) fn state(settings: &Settings, incarnation: Incarnation) -> sl_step::Options {
+    let usual = sl_step::Options::of(&settings.name, incarnation, settings.listen.control);
+    let periods = settings.periods;
     sl_step::Options {
-        me: settings.id(),
-        incarnation,
-        seed: settings.seed.unwrap_or(incarnation.0),
+        seed: settings.seed.unwrap_or(usual.seed),
         requests_max: settings.bounds.held_requests as usize,
-        list_period: settings.periods.list,
+        bytes_max: settings.bounds.waiting_bytes,
+        exchange_period: periods.exchange,
+        list_period: periods.list,
         platform_answer: settings.platform.call_within,
         watch_wait: settings.platform.watch_within,
+        slots: sl_slots::Options {
+            lease: periods.slot_lease,
+            ..usual.slots
+        },
+        members: sl_member::Options {
+            isolated_after: periods.isolated_after,
+            ..usual.members
+        },
+        ..usual
     }
 }
 
--- a/sl-node/src/owner.rs
+++ b/sl-node/src/owner.rs
@@ -1,20 +1,21 @@
 //! The task that owns the reducer's state: it turns commands into events, and effects
 //! into tasks. It never waits for anything but the next command or deadline.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{collections::BTreeMap, sync::Arc};
 
 use sl_back::Client;
 use sl_base::{
-    AttemptId, InstanceId, Millis, RequestId, ServerId, Timestamp,
+    AttemptId, InstanceId, Millis, RequestId, Timestamp,
     listing::Listing,
     status::{InstanceStatus, ServerStatus, TeamStatus},
 };
-use sl_front::Job;
+use sl_front::{Job, Refusal};
 use sl_peer::Links;
 use sl_step::{
     Effect, Event, Message, State,
     effect::{Dispatch, Note},
     event::AttemptEnd,
+    status::Status,
 };
 use slog::{Logger, info};
 use tokio::{sync::mpsc, time};
@@ -44,7 +45,6 @@
     pub(crate) burn: Burn,
     pub(crate) log: Logger,
     pub(crate) requests: Requests,
-    pub(crate) listing: Arc<Listing>,
 }
 
 /// Whether the owner goes on.
@@ -59,7 +59,7 @@
     pub(crate) async fn run(mut self, mut commands: mpsc::Receiver<Command>) {
         let mut next = self.step(Event::Tick);
         while next == Next::Go {
-            let due = self.clock.instant(self.state.due());
+            let due = self.clock.instant(self.state.due(self.clock.now()));
             next = tokio::select! {
                 command = commands.recv() => match command {
                     Some(command) => self.take(command),
@@ -79,6 +79,9 @@
             self.metrics.held.set(self.requests.len() as i64);
             self.metrics.running.set(self.requests.attempts() as i64);
             self.metrics.commands.set(commands.len() as i64);
+            let listing = self.state.listing();
+            self.metrics.servers.set(listing.servers.len() as i64);
+            self.metrics.instances.set(listing.instances.len() as i64);
         }
     }
 
@@ -140,14 +143,10 @@
 
     fn listed(&mut self, listing: Option<Listing>) -> Next {
         self.me.platform_answers = true;
-        if let Some(listing) = listing {
-            self.listing = Arc::new(listing);
+        match listing {
+            Some(listing) => self.step(Event::Listed(Arc::new(listing))),
+            None => self.step(Event::ListUnchanged),
         }
-        let servers = self.listing.servers.len() as i64;
-        let instances = self.listing.instances.len() as i64;
-        self.metrics.servers.set(servers);
-        self.metrics.instances.set(instances);
-        self.step(Event::Listed(self.listing.clone()))
     }
 
     fn step(&mut self, event: Event) -> Next {
@@ -170,19 +169,25 @@
                 request,
                 code,
                 retry_after,
+                ran_status,
             } => {
                 self.metrics.answered(code);
                 if let Some(held) = self.requests.remove(request) {
                     self.burn.failed(&held.label, code);
-                    held.fail(code, retry_after);
+                    held.fail(Refusal {
+                        code,
+                        retry_after,
+                        ran_status,
+                    });
                 }
             }
             Effect::Abort { attempt } => self.requests.abort(attempt),
             Effect::Send {
                 to,
                 address,
+                sent_at,
                 messages,
-            } => self.send(now, to, address, messages),
+            } => self.send(sent_at, to, address, messages),
             Effect::Call {
                 id,
                 call,
@@ -229,9 +234,7 @@
             });
             return;
         };
-        let aborted = self
-            .requests
-            .begin(attempt, dispatch.request, dispatch.server);
+        let aborted = self.requests.begin(attempt, dispatch.request);
         let attempt = Attempt {
             dispatch,
             arrival: held.arrival,
@@ -301,54 +304,43 @@
     }
 
     fn seen(&self) -> Seen {
+        let status = self.state.status(self.clock.now());
         let me = InstanceId::of(&self.me.name);
-        let running = self.requests.by_server();
-        let servers = self.listing.servers.iter().map(|it| ServerStatus {
-            name: it.name.clone(),
-            pool: it.pool.clone(),
-            slots: it.slots,
-            running: running.get(&ServerId::of(&it.name)).copied().unwrap_or(0),
-            leaving: it.leaving,
-        });
-        let peers = self.listing.instances.iter().map(|it| Peer {
+        let peers = self.state.listing().instances.iter().map(|it| Peer {
             id: InstanceId::of(&it.name),
             name: it.name.clone(),
             address: it.control,
         });
         Seen {
             instance: InstanceStatus {
-                teams: self.teams(),
+                isolated: status.isolated,
+                teams: self.teams(&status),
                 ..self.me.clone()
             },
-            servers: servers.collect(),
+            servers: status.servers.into_iter().map(server_status).collect(),
             peers: peers.filter(|it| it.id != me).collect(),
         }
     }
 
-    fn teams(&self) -> Vec<TeamStatus> {
-        let names: HashMap<_, _> = self
-            .state
-            .config()
-            .templates()
-            .iter()
-            .flat_map(|it| &it.teams)
-            .map(|it| (it.id, it.name.as_str()))
-            .collect();
-        let mut teams: Vec<TeamStatus> = self
-            .requests
-            .by_team()
-            .into_iter()
-            .map(|(team, load)| TeamStatus {
-                name: names
-                    .get(&team)
-                    .map_or_else(|| team.to_string(), |it| (*it).to_owned()),
-                waiting: load.waiting,
-                waiting_bytes: load.waiting_bytes,
-                running: load.running,
-            })
-            .collect();
-        teams.sort_by(|a, b| a.name.cmp(&b.name));
-        teams
+    fn teams(&self, status: &Status) -> Vec<TeamStatus> {
+        let mut teams: BTreeMap<String, TeamStatus> = self.requests.by_team();
+        for it in &status.teams {
+            teams.entry(it.team.clone()).or_default().served += it.served;
+        }
+        let named = teams.into_iter();
+        named.map(|(name, it)| TeamStatus { name, ..it }).collect()
+    }
+}
+
+fn server_status(it: sl_step::status::ServerStatus) -> ServerStatus {
+    ServerStatus {
+        name: it.server,
+        pool: it.pool,
+        slots: it.slots,
+        window: it.window,
+        running: it.busy,
+        home: it.home,
+        leaving: it.leaving,
     }
 }
 
--- a/sl-node/src/run.rs
+++ b/sl-node/src/run.rs
@@ -1,7 +1,5 @@
 //! Puts the parts together, and takes them apart again.
 
-use std::sync::Arc;
-
 use futures::{Stream, StreamExt};
 use sl_base::Millis;
 use sl_config::{Settings, key::KeyError};
@@ -110,7 +108,7 @@
     );
 
     let owner = Owner {
-        state: State::new(options::state(&settings, clock.incarnation())),
+        state: State::new(options::state(&settings, clock.incarnation()), clock.now()),
         clock,
         me: options::status(&settings, clock.incarnation()),
         list_within: settings.platform.call_within,
@@ -123,7 +121,6 @@
         burn,
         log: log.clone(),
         requests: Requests::default(),
-        listing: Arc::default(),
     };
     let owner = tokio::spawn(owner.run(received));
     wait(owner, signals, &handle, &log).await;
--- a/tests/it/refusal.rs
+++ b/tests/it/refusal.rs
@@ -11,7 +11,13 @@
 }
 
 fn unknown_credential(fleet: &bench::Fleet) -> RequestBuilder {
-    booking(fleet, 0, "stranger").bearer_auth("nobody")
+    let url = format!("http://{}/bookings", fleet.instances[0].caller);
+    let call = reqwest::Client::new().post(url).bearer_auth("nobody");
+    call.header("Idempotency-Key", "stranger").body("{}")
+}
+
+fn two_credentials(fleet: &bench::Fleet) -> RequestBuilder {
+    booking(fleet, 0, "both").bearer_auth("nobody")
 }
 
 fn unknown_route(fleet: &bench::Fleet) -> RequestBuilder {
@@ -29,6 +35,7 @@
 #[rstest]
 #[case(body_over_the_limit, Code::BodyTooLarge)]
 #[case(unknown_credential, Code::UnknownCredential)]
+#[case(two_credentials, Code::UnknownCredential)]
 #[case(unknown_route, Code::UnknownRoute)]
 #[case(no_key, Code::KeyRequired)]
 #[case(wrong_method, Code::MethodNotAllowed)]
