--- a/sl-node/src/owner.rs
+++ b/sl-node/src/owner.rs
@@ -1,15 +1,15 @@
 //! The task that owns the reducer's state: it turns commands into events, and effects
 //! into tasks. It never waits for anything but the next command or deadline.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{collections::BTreeMap, sync::Arc};
 
 use sl_back::Client;
 use sl_base::{
-    AttemptId, InstanceId, Millis, RequestId, ServerId, Timestamp,
-    listing::Listing,
+    AttemptId, InstanceId, Millis, RequestId, Timestamp,
+    listing::{ListedServer, Listing},
     status::{InstanceStatus, ServerStatus, TeamStatus},
 };
-use sl_front::Job;
+use sl_front::{Job, Refusal};
 use sl_peer::Links;
 use sl_step::{
     Effect, Event, Message, State,
@@ -44,7 +44,6 @@
     pub(crate) burn: Burn,
     pub(crate) log: Logger,
     pub(crate) requests: Requests,
-    pub(crate) listing: Arc<Listing>,
 }
 
 /// Whether the owner goes on.
@@ -79,6 +78,9 @@
             self.metrics.held.set(self.requests.len() as i64);
             self.metrics.running.set(self.requests.attempts() as i64);
             self.metrics.commands.set(commands.len() as i64);
+            let listing = self.state.listing();
+            self.metrics.servers.set(listing.servers.len() as i64);
+            self.metrics.instances.set(listing.instances.len() as i64);
         }
     }
 
@@ -140,15 +142,10 @@
 
     fn listed(&mut self, listing: Option<Listing>) -> Next {
         self.me.platform_answers = true;
-        let Some(listing) = listing else {
-            return self.step(Event::ListUnchanged);
-        };
-        self.listing = Arc::new(listing);
-        let servers = self.listing.servers.len() as i64;
-        let instances = self.listing.instances.len() as i64;
-        self.metrics.servers.set(servers);
-        self.metrics.instances.set(instances);
-        self.step(Event::Listed(self.listing.clone()))
+        match listing {
+            Some(listing) => self.step(Event::Listed(Arc::new(listing))),
+            None => self.step(Event::ListUnchanged),
+        }
     }
 
     fn step(&mut self, event: Event) -> Next {
@@ -171,12 +168,16 @@
                 request,
                 code,
                 retry_after,
-                ran_status: _,
+                ran_status,
             } => {
                 self.metrics.answered(code);
                 if let Some(held) = self.requests.remove(request) {
                     self.burn.failed(&held.label, code);
-                    held.fail(code, retry_after);
+                    held.fail(Refusal {
+                        code,
+                        retry_after,
+                        ran_status,
+                    });
                 }
             }
             Effect::Abort { attempt } => self.requests.abort(attempt),
@@ -232,9 +233,7 @@
             });
             return;
         };
-        let aborted = self
-            .requests
-            .begin(attempt, dispatch.request, dispatch.server);
+        let aborted = self.requests.begin(attempt, dispatch.request);
         let attempt = Attempt {
             dispatch,
             arrival: held.arrival,
@@ -304,56 +303,47 @@
     }
 
     fn seen(&self) -> Seen {
+        let mut instance = self.me.clone();
+        self.state.describe(self.clock.now(), &mut instance);
+        instance.teams = self.teams(&instance);
         let me = InstanceId::of(&self.me.name);
-        let running = self.requests.by_server();
-        let servers = self.listing.servers.iter().map(|it| ServerStatus {
-            name: it.name.clone(),
-            pool: it.pool.clone(),
-            slots: it.slots,
-            running: running.get(&ServerId::of(&it.name)).copied().unwrap_or(0),
-            leaving: it.leaving,
-        });
-        let peers = self.listing.instances.iter().map(|it| Peer {
+        let listing = self.state.listing();
+        let peers = listing.instances.iter().map(|it| Peer {
             id: InstanceId::of(&it.name),
             name: it.name.clone(),
             address: it.control,
         });
-        let mut instance = InstanceStatus {
-            teams: self.teams(),
-            ..self.me.clone()
-        };
-        self.state.describe(self.clock.now(), &mut instance);
+        let servers = listing
+            .servers
+            .iter()
+            .map(|it| server_status(it, &instance));
         Seen {
-            instance,
             servers: servers.collect(),
             peers: peers.filter(|it| it.id != me).collect(),
+            instance,
         }
     }
 
-    fn teams(&self) -> Vec<TeamStatus> {
-        let names: HashMap<_, _> = self
-            .state
-            .config()
-            .templates()
-            .iter()
-            .flat_map(|it| &it.teams)
-            .map(|it| (it.id, it.name.as_str()))
-            .collect();
-        let mut teams: Vec<TeamStatus> = self
-            .requests
-            .by_team()
-            .into_iter()
-            .map(|(team, load)| TeamStatus {
-                name: names
-                    .get(&team)
-                    .map_or_else(|| team.to_string(), |it| (*it).to_owned()),
-                waiting: load.waiting,
-                waiting_bytes: load.waiting_bytes,
-                running: load.running,
-            })
-            .collect();
-        teams.sort_by(|a, b| a.name.cmp(&b.name));
-        teams
+    fn teams(&self, instance: &InstanceStatus) -> Vec<TeamStatus> {
+        let mut teams: BTreeMap<String, TeamStatus> = self.requests.by_team();
+        for it in &instance.services {
+            teams.entry(it.team.clone()).or_default().served += it.served;
+        }
+        let named = teams.into_iter();
+        named.map(|(name, it)| TeamStatus { name, ..it }).collect()
+    }
+}
+
+fn server_status(server: &ListedServer, instance: &InstanceStatus) -> ServerStatus {
+    let held = instance.windows.iter().find(|it| it.server == server.name);
+    ServerStatus {
+        name: server.name.clone(),
+        pool: server.pool.clone(),
+        slots: server.slots,
+        window: held.map_or(0, |it| it.window),
+        running: held.map_or(0, |it| it.busy),
+        home: held.map_or_else(String::new, |it| it.home.clone()),
+        leaving: server.leaving,
     }
 }
 
