--- a/sl-node/src/held.rs
+++ b/sl-node/src/held.rs
@@ -106,7 +106,7 @@
     }
 
     /// What waits and runs, by the team's name.
-    pub(crate) fn by_team(&self) -> BTreeMap<String, TeamStatus> {
+    pub(crate) fn by_team(&self) -> Vec<TeamStatus> {
         let mut teams: BTreeMap<String, TeamStatus> = BTreeMap::new();
         for held in self.held.values() {
             let team = teams.entry(held.label.team.clone()).or_default();
@@ -117,7 +117,8 @@
                 team.waiting_bytes += held.arrival.bytes;
             }
         }
-        teams
+        let named = teams.into_iter();
+        named.map(|(name, it)| TeamStatus { name, ..it }).collect()
     }
 }
 
--- a/sl-node/src/owner.rs
+++ b/sl-node/src/owner.rs
@@ -1,13 +1,13 @@
 //! The task that owns the reducer's state: it turns commands into events, and effects
 //! into tasks. It never waits for anything but the next command or deadline.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::sync::Arc;
 
 use sl_back::Client;
 use sl_base::{
     AttemptId, InstanceId, Millis, RequestId, Timestamp,
     listing::Listing,
-    status::{InstanceStatus, ServerStatus, TeamStatus},
+    status::{InstanceStatus, ServerStatus},
 };
 use sl_front::{Job, Refusal};
 use sl_peer::Links;
@@ -15,7 +15,6 @@
     Effect, Event, Message, State,
     effect::{Dispatch, Note},
     event::AttemptEnd,
-    status::Status,
 };
 use slog::{Logger, info};
 use tokio::{sync::mpsc, time};
@@ -304,44 +303,40 @@
     }
 
     fn seen(&self) -> Seen {
-        let status = self.state.status(self.clock.now());
         let me = InstanceId::of(&self.me.name);
-        let peers = self.state.listing().instances.iter().map(|it| Peer {
+        let mut instance = InstanceStatus {
+            teams: self.requests.by_team(),
+            ..self.me.clone()
+        };
+        self.state.describe(self.clock.now(), &mut instance);
+        let listing = self.state.listing();
+        let peers = listing.instances.iter().map(|it| Peer {
             id: InstanceId::of(&it.name),
             name: it.name.clone(),
             address: it.control,
         });
         Seen {
-            instance: InstanceStatus {
-                isolated: status.isolated,
-                teams: self.teams(&status),
-                ..self.me.clone()
-            },
-            servers: status.servers.into_iter().map(server_status).collect(),
+            servers: servers(listing, &instance),
             peers: peers.filter(|it| it.id != me).collect(),
+            instance,
         }
     }
-
-    fn teams(&self, status: &Status) -> Vec<TeamStatus> {
-        let mut teams: BTreeMap<String, TeamStatus> = self.requests.by_team();
-        for it in &status.teams {
-            teams.entry(it.team.clone()).or_default().served += it.served;
-        }
-        let named = teams.into_iter();
-        named.map(|(name, it)| TeamStatus { name, ..it }).collect()
-    }
 }
 
-fn server_status(it: sl_step::status::ServerStatus) -> ServerStatus {
-    ServerStatus {
-        name: it.server,
-        pool: it.pool,
+fn servers(listing: &Listing, instance: &InstanceStatus) -> Vec<ServerStatus> {
+    let busy = |name: &str| -> u32 {
+        let windows = instance.windows.iter();
+        let own = windows.filter(|it| it.server == name);
+        own.map(|it| it.busy).sum()
+    };
+    let servers = listing.servers.iter().map(|it| ServerStatus {
+        name: it.name.clone(),
+        pool: it.pool.clone(),
         slots: it.slots,
-        window: it.window,
-        running: it.busy,
-        home: it.home,
+        running: busy(&it.name),
         leaving: it.leaving,
-    }
+    });
+    servers.collect()
 }
 
 /// Commands that are taken before metrics are brought up to date.
