--- a/sl-node/src/run.rs
+++ b/sl-node/src/run.rs
@@ -1,7 +1,5 @@
 //! Puts the parts together, and takes them apart again.
 
-use std::sync::Arc;
-
 use futures::{Stream, StreamExt};
 use sl_base::Millis;
 use sl_config::{Settings, key::KeyError};
@@ -14,7 +12,8 @@
 };
 
 use crate::{
-    clock::Clock, handle::Handle, held::Requests, log, metrics::Metrics, options, owner::Owner,
+    burn::Burn, clock::Clock, handle::Handle, held::Requests, log, metrics::Metrics, options,
+    owner::Owner,
 };
 
 /// Why the daemon did not start.
@@ -87,10 +86,12 @@
     let metrics = Metrics::new(counters.clone(), platform.clone());
     let (commands, received) = mpsc::channel(COMMANDS_AHEAD);
     let stop_within = settings.periods.stop_within;
+    let burn = Burn::new(&settings.name, clock);
     let handle = Handle::new(
         commands.clone(),
         metrics.clone(),
         links.clone(),
+        burn.clone(),
         stop_within,
     );
 
@@ -117,9 +118,9 @@
         platform,
         back,
         metrics,
+        burn,
         log: log.clone(),
         requests: Requests::default(),
-        listing: Arc::default(),
     };
     let owner = tokio::spawn(owner.run(received));
     wait(owner, signals, &handle, &log).await;
