--- a/sl-base/src/status.rs
+++ b/sl-base/src/status.rs
@@ -106,10 +106,6 @@
     pub waiting_bytes: u64,
     /// Requests that run.
     pub running: u64,
-    /// Service that this life of the instance gave the team, over all pools, in their
-    /// cost units.
-    #[serde(default)]
-    pub served: u64,
 }
 
 /// One backend server.
@@ -121,14 +117,8 @@
     pub pool: String,
     /// How many requests it runs side by side.
     pub slots: u32,
-    /// Slots that the asked instance may use.
-    #[serde(default)]
-    pub window: u32,
     /// Requests that run on it from the asked instance.
     pub running: u32,
-    /// The instance that lends its slots.
-    #[serde(default)]
-    pub home: String,
     /// Whether it is on its way out.
     pub leaving: bool,
 }
--- a/sl-node/src/owner.rs
+++ b/sl-node/src/owner.rs
@@ -1,13 +1,13 @@
 //! The task that owns the reducer's state: it turns commands into events, and effects
 //! into tasks. It never waits for anything but the next command or deadline.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::sync::Arc;
 
 use sl_back::Client;
 use sl_base::{
     AttemptId, InstanceId, Millis, RequestId, Timestamp,
-    listing::{ListedServer, Listing},
-    status::{InstanceStatus, ServerStatus, TeamStatus},
+    listing::Listing,
+    status::{InstanceStatus, ServerStatus},
 };
 use sl_front::{Job, Refusal};
 use sl_peer::Links;
@@ -303,48 +303,40 @@
     }
 
     fn seen(&self) -> Seen {
-        let mut instance = self.me.clone();
-        self.state.describe(self.clock.now(), &mut instance);
-        instance.teams = self.teams(&instance);
         let me = InstanceId::of(&self.me.name);
+        let mut instance = InstanceStatus {
+            teams: self.requests.by_team(),
+            ..self.me.clone()
+        };
+        self.state.describe(self.clock.now(), &mut instance);
         let listing = self.state.listing();
         let peers = listing.instances.iter().map(|it| Peer {
             id: InstanceId::of(&it.name),
             name: it.name.clone(),
             address: it.control,
         });
-        let servers = listing
-            .servers
-            .iter()
-            .map(|it| server_status(it, &instance));
         Seen {
-            servers: servers.collect(),
+            servers: servers(listing, &instance),
             peers: peers.filter(|it| it.id != me).collect(),
             instance,
         }
     }
-
-    fn teams(&self, instance: &InstanceStatus) -> Vec<TeamStatus> {
-        let mut teams: BTreeMap<String, TeamStatus> = self.requests.by_team();
-        for it in &instance.services {
-            teams.entry(it.team.clone()).or_default().served += it.served;
-        }
-        let named = teams.into_iter();
-        named.map(|(name, it)| TeamStatus { name, ..it }).collect()
-    }
 }
 
-fn server_status(server: &ListedServer, instance: &InstanceStatus) -> ServerStatus {
-    let held = instance.windows.iter().find(|it| it.server == server.name);
-    ServerStatus {
-        name: server.name.clone(),
-        pool: server.pool.clone(),
-        slots: server.slots,
-        window: held.map_or(0, |it| it.window),
-        running: held.map_or(0, |it| it.busy),
-        home: held.map_or_else(String::new, |it| it.home.clone()),
-        leaving: server.leaving,
-    }
+fn servers(listing: &Listing, instance: &InstanceStatus) -> Vec<ServerStatus> {
+    let busy = |name: &str| -> u32 {
+        let windows = instance.windows.iter();
+        let own = windows.filter(|it| it.server == name);
+        own.map(|it| it.busy).sum()
+    };
+    let servers = listing.servers.iter().map(|it| ServerStatus {
+        name: it.name.clone(),
+        pool: it.pool.clone(),
+        slots: it.slots,
+        running: busy(&it.name),
+        leaving: it.leaving,
+    });
+    servers.collect()
 }
 
 /// Commands that are taken before metrics are brought up to date.
--- a/sl-step/src/state.rs
+++ b/sl-step/src/state.rs
@@ -144,8 +144,8 @@
         &self.config
     }
 
-    /// The platform's list as it is known here.
-    pub fn listing(&self) -> &Listing {
+    /// The platform's list as this instance knows it.
+    pub fn listing(&self) -> &Arc<Listing> {
         &self.listing
     }
 
