--- a/sl-front/src/node.rs
+++ b/sl-front/src/node.rs
@@ -9,6 +9,8 @@
 use sl_step::event::Arrival;
 use tokio::sync::mpsc;
 
+use crate::Refusal;
+
 /// The daemon behind the door.
 pub trait Node: Clone + Send + Sync + 'static {
     /// The configuration in force, or none before the first one came.
@@ -30,8 +32,9 @@
     /// Says that a submitted request's caller went away before the answer's end.
     fn caller_gone(&self, request: RequestId);
 
-    /// Counts a request that the door refused by itself.
-    fn refused(&self, code: Code);
+    /// Counts a request that the door refused by itself; the label is there where team
+    /// and route were found.
+    fn refused(&self, code: Code, label: Option<&Label>);
 
     /// The metrics in OpenMetrics text.
     fn metrics(&self) -> String;
@@ -46,9 +49,20 @@
     fn drain(&self, within: Option<Millis>);
 }
 
+/// Whose request it is, and of which kind, by the names that reports carry.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Label {
+    /// The team's name.
+    pub team: String,
+    /// The route's name.
+    pub route: String,
+}
+
 /// A caller's request on its way in.
 #[derive(Debug)]
 pub struct Job {
+    /// The names that reports carry.
+    pub label: Label,
     /// What the reducer decides by.
     pub arrival: Arrival,
     /// What goes to the backend server.
@@ -81,12 +95,7 @@
     /// The body was whole.
     End,
     /// The request's final answer is ours, or the body breaks off here.
-    Failed {
-        /// What happened.
-        code: Code,
-        /// When to come back, where that helps.
-        retry_after: Option<Millis>,
-    },
+    Failed(Refusal),
 }
 
 /// The head of a backend server's answer.
--- a/sl-node/src/owner.rs
+++ b/sl-node/src/owner.rs
@@ -1,15 +1,15 @@
 //! The task that owns the reducer's state: it turns commands into events, and effects
 //! into tasks. It never waits for anything but the next command or deadline.
 
-use std::{collections::HashMap, sync::Arc};
+use std::sync::Arc;
 
 use sl_back::Client;
 use sl_base::{
-    InstanceId, Millis, RequestId, ServerId, Timestamp,
+    AttemptId, InstanceId, Millis, RequestId, Timestamp,
     listing::Listing,
-    status::{InstanceStatus, ServerStatus, TeamStatus},
+    status::{InstanceStatus, ServerStatus},
 };
-use sl_front::Job;
+use sl_front::{Job, Refusal};
 use sl_peer::Links;
 use sl_step::{
     Effect, Event, Message, State,
@@ -21,6 +21,7 @@
 
 use crate::{
     attempt::Attempt,
+    burn::Burn,
     clock::{Clock, Now},
     command::{Command, Peer, Seen},
     handle::Handle,
@@ -40,9 +41,9 @@
     pub(crate) platform: sl_platform::Client,
     pub(crate) back: Client<C>,
     pub(crate) metrics: Metrics,
+    pub(crate) burn: Burn,
     pub(crate) log: Logger,
     pub(crate) requests: Requests,
-    pub(crate) listing: Arc<Listing>,
 }
 
 /// Whether the owner goes on.
@@ -77,6 +78,9 @@
             self.metrics.held.set(self.requests.len() as i64);
             self.metrics.running.set(self.requests.attempts() as i64);
             self.metrics.commands.set(commands.len() as i64);
+            let listing = self.state.listing();
+            self.metrics.servers.set(listing.servers.len() as i64);
+            self.metrics.instances.set(listing.instances.len() as i64);
         }
     }
 
@@ -109,6 +113,7 @@
         match event {
             Event::Ended { attempt, end } => {
                 self.metrics.ended(end);
+                self.record_answered(attempt, end);
                 let request = self.requests.end(attempt);
                 let next = self.step(event);
                 if let Some(request) = request {
@@ -137,15 +142,10 @@
 
     fn listed(&mut self, listing: Option<Listing>) -> Next {
         self.me.platform_answers = true;
-        let Some(listing) = listing else {
-            return self.step(Event::ListUnchanged);
-        };
-        self.listing = Arc::new(listing);
-        let servers = self.listing.servers.len() as i64;
-        let instances = self.listing.instances.len() as i64;
-        self.metrics.servers.set(servers);
-        self.metrics.instances.set(instances);
-        self.step(Event::Listed(self.listing.clone()))
+        match listing {
+            Some(listing) => self.step(Event::Listed(Arc::new(listing))),
+            None => self.step(Event::ListUnchanged),
+        }
     }
 
     fn step(&mut self, event: Event) -> Next {
@@ -168,10 +168,16 @@
                 request,
                 code,
                 retry_after,
-                ran_status: _,
+                ran_status,
             } => {
+                self.metrics.answered(code);
                 if let Some(held) = self.requests.remove(request) {
-                    held.fail(code, retry_after);
+                    self.burn.failed(&held.label, code);
+                    held.fail(Refusal {
+                        code,
+                        retry_after,
+                        ran_status,
+                    });
                 }
             }
             Effect::Abort { attempt } => self.requests.abort(attempt),
@@ -227,9 +233,7 @@
             });
             return;
         };
-        let aborted = self
-            .requests
-            .begin(attempt, dispatch.request, dispatch.server);
+        let aborted = self.requests.begin(attempt, dispatch.request);
         let attempt = Attempt {
             dispatch,
             arrival: held.arrival,
@@ -270,12 +274,25 @@
         });
     }
 
-    fn observe_first_byte(&self, attempt: sl_base::AttemptId) {
+    fn observe_first_byte(&mut self, attempt: AttemptId) {
+        let now = self.clock.now();
         if let Some(held) = self.requests.by_attempt(attempt) {
-            let micros = self.clock.now().micros_since(held.arrived);
-            self.metrics
-                .first_byte
-                .observe(micros as f64 / MICROS_PER_SECOND);
+            held.first_byte = Some(now);
+            let micros = now.micros_since(held.arrived);
+            let seconds = micros as f64 / MICROS_PER_SECOND;
+            self.metrics.first_byte.observe(seconds);
+        }
+    }
+
+    fn record_answered(&mut self, attempt: AttemptId, end: AttemptEnd) {
+        let AttemptEnd::Complete { .. } = end else {
+            return;
+        };
+        if let Some(held) = self.requests.by_attempt(attempt)
+            && let Some(first_byte) = held.first_byte
+        {
+            let micros = first_byte.micros_since(held.arrived);
+            self.burn.answered(&held.label, micros);
         }
     }
 
@@ -287,56 +304,39 @@
 
     fn seen(&self) -> Seen {
         let me = InstanceId::of(&self.me.name);
-        let running = self.requests.by_server();
-        let servers = self.listing.servers.iter().map(|it| ServerStatus {
-            name: it.name.clone(),
-            pool: it.pool.clone(),
-            slots: it.slots,
-            running: running.get(&ServerId::of(&it.name)).copied().unwrap_or(0),
-            leaving: it.leaving,
-        });
-        let peers = self.listing.instances.iter().map(|it| Peer {
-            id: InstanceId::of(&it.name),
-            name: it.name.clone(),
-            address: it.control,
-        });
         let mut instance = InstanceStatus {
-            teams: self.teams(),
+            teams: self.requests.by_team(),
             ..self.me.clone()
         };
         self.state.describe(self.clock.now(), &mut instance);
+        let listing = self.state.listing();
+        let peers = listing.instances.iter().map(|it| Peer {
+            id: InstanceId::of(&it.name),
+            name: it.name.clone(),
+            address: it.control,
+        });
         Seen {
-            instance,
-            servers: servers.collect(),
+            servers: servers(listing, &instance),
             peers: peers.filter(|it| it.id != me).collect(),
+            instance,
         }
     }
+}
 
-    fn teams(&self) -> Vec<TeamStatus> {
-        let names: HashMap<_, _> = self
-            .state
-            .config()
-            .templates()
-            .iter()
-            .flat_map(|it| &it.teams)
-            .map(|it| (it.id, it.name.as_str()))
-            .collect();
-        let mut teams: Vec<TeamStatus> = self
-            .requests
-            .by_team()
-            .into_iter()
-            .map(|(team, load)| TeamStatus {
-                name: names
-                    .get(&team)
-                    .map_or_else(|| team.to_string(), |it| (*it).to_owned()),
-                waiting: load.waiting,
-                waiting_bytes: load.waiting_bytes,
-                running: load.running,
-            })
-            .collect();
-        teams.sort_by(|a, b| a.name.cmp(&b.name));
-        teams
-    }
+fn servers(listing: &Listing, instance: &InstanceStatus) -> Vec<ServerStatus> {
+    let busy = |name: &str| -> u32 {
+        let windows = instance.windows.iter();
+        let own = windows.filter(|it| it.server == name);
+        own.map(|it| it.busy).sum()
+    };
+    let servers = listing.servers.iter().map(|it| ServerStatus {
+        name: it.name.clone(),
+        pool: it.pool.clone(),
+        slots: it.slots,
+        running: busy(&it.name),
+        leaving: it.leaving,
+    });
+    servers.collect()
 }
 
 /// Commands that are taken before metrics are brought up to date.
--- a/sl-step/src/state.rs
+++ b/sl-step/src/state.rs
@@ -144,6 +144,11 @@
         &self.config
     }
 
+    /// The platform's list as this instance knows it.
+    pub fn listing(&self) -> &Arc<Listing> {
+        &self.listing
+    }
+
     /// Whether a request is still to get its final answer or its attempt's end; what is
     /// kept for it outside may be dropped once it is not.
     pub fn is_held(&self, request: RequestId) -> bool {
