--- a/sl-config/tests/it/settings.rs
+++ b/sl-config/tests/it/settings.rs
@@ -88,7 +88,7 @@
     "an instance holds every request that waits: this is less than waiting-requests"
 )]
 #[case::lease_of_one_period(
-    "slot-lease-ms = 2000",
+    "slot-lease-ms = 3000",
     "slot-lease-ms = 1000",
     "a slot's lease is renewed with each exchange, so it lasts longer than one period"
 )]
@@ -97,6 +97,17 @@
     "isolated-after-ms = 1000",
     "peers answer once in an exchange period, so this has to be longer"
 )]
+#[case::seed_without_a_name(
+    "seeds = abertawe-1@127.0.0.1:8201",
+    "seeds = 127.0.0.1:8201",
+    "`127.0.0.1:8201, bangor-1@127.0.0.1:8301` is not an instance such as \
+     hobart-1@192.0.2.1:8101, or several with commas"
+)]
+#[case::unknown_policy(
+    "policy = lent",
+    "policy = borrowed",
+    "`borrowed` is not a word that `policy` knows"
+)]
 #[case::missing_name("name = caerdydd-1", "", "[instance] needs `name`")]
 fn one_fault(#[case] from: &str, #[case] to: &str, #[case] wanted: &str) {
     assert!(GOOD.contains(from));
