--- a/bench/src/bin/demo.rs
+++ b/bench/src/bin/demo.rs
@@ -2,7 +2,7 @@
 //! deployment. It accepts a template, edits it, sends a streamed chat and a booking,
 //! prints status and burn report, and stays up to be called by hand.
 
-use std::{path::PathBuf, time::Duration};
+use std::path::PathBuf;
 
 use bench::{Fleet, Options, Site, instance::OPERATOR_KEY, site::credential};
 use bpaf::{OptionParser, Parser, long};
@@ -11,9 +11,6 @@
 
 const TEAM: &str = "team-01";
 
-/// How long the edited template may take to be in force everywhere.
-const IN_FORCE_WITHIN: Duration = Duration::from_secs(10);
-
 fn options() -> OptionParser<bool> {
     long("once")
         .help("Exit after the round instead of staying up")
@@ -31,15 +28,15 @@
         site.instances.len(),
         site.servers.len()
     );
-    let mut fleet = Fleet::start(Options::new(binary()?, site))
+    let fleet = Fleet::start(Options::new(binary()?, site))
         .await
         .into_diagnostic()?;
     println!("All instances are ready; the template is accepted.");
-    edit(&mut fleet).await?;
+    edit(&fleet)?;
     chat(&fleet).await?;
     book(&fleet).await?;
-    print(&fleet, "Status", "/status").await?;
-    print(&fleet, "Burn report", "/report").await?;
+    operate(&fleet, &["status"])?;
+    operate(&fleet, &["report"])?;
     if once {
         return Ok(());
     }
@@ -62,24 +59,38 @@
     ))
 }
 
-async fn edit(fleet: &mut Fleet) -> Result<()> {
+/// Edits the template as an operator would: a draft from a file, then its acceptance,
+/// which waits until every instance runs it.
+fn edit(fleet: &Fleet) -> Result<()> {
     let text = fleet.site.text().replace("share = 8", "share = 6");
-    let start = tokio::time::Instant::now();
-    let revision = fleet.accept(&text).await.into_diagnostic()?;
-    println!("\nEdited the share of {TEAM} and accepted revision {revision}.");
-    let wanted = format!("sesamelock_config_revision {revision}");
-    for at in 0..fleet.instances.len() {
-        while !fleet.metrics(at).await.into_diagnostic()?.contains(&wanted) {
-            if start.elapsed() > IN_FORCE_WITHIN {
-                let name = &fleet.instances[at].name;
-                return Err(miette!("{name} does not run revision {revision}"));
-            }
-            tokio::time::sleep(Duration::from_millis(20)).await;
-        }
+    let file = tempfile::NamedTempFile::new().into_diagnostic()?;
+    std::fs::write(file.path(), text).into_diagnostic()?;
+    let path = file.path().display().to_string();
+    let (name, platform) = (fleet.site.template, fleet.platform.url());
+    let file = ["--file", &path, "--base", "1", "--as", "demo"];
+    let draft = ["template", "edit", name, "--platform", &platform];
+    operate(fleet, &[draft.as_slice(), file.as_slice()].concat())?;
+    let accept = ["template", "accept", name, "--platform", &platform];
+    operate(fleet, &[accept.as_slice(), &["--as", "demo"]].concat())
+}
+
+/// Runs a command of the operators' program and shows what it prints.
+fn operate(fleet: &Fleet, args: &[&str]) -> Result<()> {
+    println!("\n$ sesamelock {}", args.join(" "));
+    let status = std::process::Command::new(binary()?)
+        .args(args)
+        .env("SESAMELOCK_OPERATOR_KEY", OPERATOR_KEY)
+        .env("SESAMELOCK_INSTANCE", operator_url(fleet))
+        .status()
+        .into_diagnostic()?;
+    if status.success() {
+        return Ok(());
     }
-    let millis = start.elapsed().as_millis();
-    println!("It is in force on all instances after {millis} ms.");
-    Ok(())
+    Err(miette!("sesamelock {} ended with {status}", args[0]))
+}
+
+fn operator_url(fleet: &Fleet) -> String {
+    format!("http://{}", fleet.instances[0].operator)
 }
 
 async fn chat(fleet: &Fleet) -> Result<()> {
@@ -114,16 +125,6 @@
     Ok(())
 }
 
-async fn print(fleet: &Fleet, what: &str, path: &str) -> Result<()> {
-    let answer = fleet.operate(0, Method::GET, path).send().await;
-    let text = answer.into_diagnostic()?.text().await.into_diagnostic()?;
-    let pretty = serde_json::from_str::<serde_json::Value>(&text)
-        .and_then(|it| serde_json::to_string_pretty(&it))
-        .unwrap_or(text);
-    println!("\n{what}:\n{pretty}");
-    Ok(())
-}
-
 fn explain(fleet: &Fleet) {
     let token = credential(TEAM);
     let [first, second, ..] = fleet.instances.as_slice() else {
@@ -141,8 +142,8 @@
         second.caller
     );
     println!(
-        "curl http://{}/status -H 'Authorization: Bearer {OPERATOR_KEY}'",
-        first.operator
+        "SESAMELOCK_OPERATOR_KEY={OPERATOR_KEY} target/release/sesamelock status --instance {}",
+        operator_url(fleet)
     );
     println!("curl http://{}/metrics", first.metrics);
     println!("curl -i http://{}/ready", first.metrics);
