--- a/sl-platform/tests/it/calls.rs
+++ b/sl-platform/tests/it/calls.rs
@@ -113,3 +113,16 @@
     );
     assert_eq!(counted.bytes_sent, 20);
 }
+
+#[rstest]
+#[tokio::test]
+async fn a_key_that_a_url_would_change_is_not_sent(
+    #[values(
+        "", "/a", "a/", "a//b", "../list", "a/./b", "a?b", "a#b", "a%2Fb", "a b"
+    )]
+    key: &str,
+) {
+    let (platform, client) = platform().await;
+    assert_eq!(call(&client, get(key)).await, Reply::Refused);
+    assert_eq!(platform.counters().get, 0);
+}
--- a/sl-platform/tests/it/faults.rs
+++ b/sl-platform/tests/it/faults.rs
@@ -78,12 +78,14 @@
     assert_eq!(outcomes[0], outcomes[1]);
 }
 
-// Connections that fell silent swallow one call each at most: the deadline closes them,
-// and the next call makes a fresh one.
+// Several kept connections fall silent at once, and only one call is lost by it.
 #[tokio::test]
-async fn a_silent_connection_is_given_up_and_replaced() {
+async fn silent_connections_are_given_up_together() {
     let (platform, client) = platform().await;
     let version = create(&client, "k", "v").await;
+    let read = get("k");
+    let reads = (0..4).map(|_| client.call(&read, within(5_000)));
+    futures::future::join_all(reads).await;
     platform
         .fault(Fault {
             silent_old: true,
