--- /dev/null
+++ b/stand-ins/tests/it/main.rs
@@ -0,0 +1,6 @@
+//! The stand-ins themselves: their limits, their faults, and their admin calls.
+
+mod backends;
+mod process;
+mod relay;
+mod support;
