--- a/sl-back/src/client.rs
+++ b/sl-back/src/client.rs
@@ -207,11 +207,17 @@
     if is_crossed(response.headers(), dispatch) {
         return AttemptEnd::Crossed;
     }
-    match pass(&mut response, times, sink, meter).await {
-        Ok(end) => end,
-        Err(CallerGone) => AttemptEnd::Aborted {
-            units: meter.units(),
+    let passed = pass(&mut response, times, sink, meter).await;
+    let units = meter.units();
+    match passed {
+        Ok(()) => AttemptEnd::Complete {
+            status: response.status().as_u16(),
+            units,
         },
+        Err(Stop::CallerGone) => AttemptEnd::Aborted { units },
+        Err(Stop::Lost) => AttemptEnd::LostMidway { units },
+        Err(Stop::Idle) => AttemptEnd::IdleTimeout { units },
+        Err(Stop::Total) => AttemptEnd::TotalTimeout { units },
     }
 }
 
@@ -267,52 +273,59 @@
         .any(|it| it.as_bytes() != ours.as_bytes())
 }
 
+/// Why an answer that began was not passed on to its end.
+#[derive(Clone, Copy, Debug)]
+enum Stop {
+    CallerGone,
+    Lost,
+    Idle,
+    Total,
+}
+
+impl From<CallerGone> for Stop {
+    fn from(CallerGone: CallerGone) -> Stop {
+        Stop::CallerGone
+    }
+}
+
 async fn pass<S: AnswerSink>(
     response: &mut Response,
     times: Times,
     sink: &mut S,
     meter: &mut Meter,
-) -> Result<AttemptEnd, CallerGone> {
-    let status = response.status().as_u16();
-    within(times, sink.head(head(response))).await?;
+) -> Result<(), Stop> {
+    take(times, sink.head(head(response))).await?;
     let mut told = Instant::now();
-    loop {
-        let idle = Instant::now() + times.idle;
-        let chunk = tokio::select! {
-            chunk = response.chunk() => chunk,
-            () = tokio::time::sleep_until(idle.min(times.total)) => {
-                let units = meter.units();
-                return Ok(if idle < times.total {
-                    AttemptEnd::IdleTimeout { units }
-                } else {
-                    AttemptEnd::TotalTimeout { units }
-                });
-            }
-        };
-        let units = meter.units();
-        match chunk {
-            Ok(Some(chunk)) => {
-                meter.feed(&chunk);
-                within(times, sink.chunk(chunk)).await?;
-            }
-            Ok(None) => return Ok(AttemptEnd::Complete { status, units }),
-            Err(_) => return Ok(AttemptEnd::LostMidway { units }),
-        }
+    while let Some(chunk) = next(response, times).await? {
+        meter.feed(&chunk);
+        take(times, sink.chunk(chunk)).await?;
         if told.elapsed() >= PROGRESS_EVERY {
             told = Instant::now();
             sink.progress(meter.units());
         }
     }
+    Ok(())
 }
 
-// A caller that reads nothing until the request's last deadline counts as gone.
-async fn within(
+async fn next(response: &mut Response, times: Times) -> Result<Option<Bytes>, Stop> {
+    let idle = Instant::now() + times.idle;
+    match tokio::time::timeout_at(idle.min(times.total), response.chunk()).await {
+        Ok(chunk) => chunk.map_err(|_| Stop::Lost),
+        Err(_) if idle < times.total => Err(Stop::Idle),
+        Err(_) => Err(Stop::Total),
+    }
+}
+
+// The time for which a caller reads nothing is not the backend server's to answer for,
+// so that only the request's last deadline bounds it.
+async fn take(
     times: Times,
     taken: impl Future<Output = Result<(), CallerGone>>,
-) -> Result<(), CallerGone> {
-    tokio::time::timeout_at(times.total, taken)
-        .await
-        .unwrap_or(Err(CallerGone))
+) -> Result<(), Stop> {
+    match tokio::time::timeout_at(times.total, taken).await {
+        Ok(taken) => Ok(taken?),
+        Err(_) => Err(Stop::Total),
+    }
 }
 
 fn head(response: &Response) -> Head {
--- a/sl-back/tests/it/support.rs
+++ b/sl-back/tests/it/support.rs
@@ -11,7 +11,7 @@
 use sl_step::{effect::Dispatch, event::AttemptEnd};
 use stand_ins::{Backends, Kind, Spec};
 
-/// Takes everything, or goes away after so many pieces.
+/// Takes everything, or goes away or stops reading after so many pieces.
 #[derive(Debug, Default)]
 pub struct Sink {
     pub head: Option<Head>,
@@ -19,6 +19,7 @@
     pub chunks: usize,
     pub progress: Vec<u64>,
     pub gone_after: Option<usize>,
+    pub stuck_after: Option<usize>,
 }
 
 impl AnswerSink for Sink {
@@ -32,6 +33,9 @@
         if self.gone_after.is_some_and(|it| self.chunks > it) {
             return Err(CallerGone);
         }
+        if self.stuck_after.is_some_and(|it| self.chunks > it) {
+            pending::<()>().await;
+        }
         self.body.extend_from_slice(&chunk);
         Ok(())
     }
--- a/stand-ins/src/engine.rs
+++ b/stand-ins/src/engine.rs
@@ -36,7 +36,7 @@
 }
 
 /// Tokens are sent once in this time, not one by one.
-const TICK: Duration = Duration::from_millis(25);
+const TICK: Duration = Duration::from_millis(40);
 
 /// Bytes of a request that count as one input token.
 const BYTES_PER_TOKEN: u64 = 4;
