--- a/sl-back/tests/it/filter.rs
+++ b/sl-back/tests/it/filter.rs
@@ -47,8 +47,12 @@
     #[test]
     fn only_end_to_end_headers_pass(
         pairs in prop::collection::vec((name(), "[a-z]{0,6}"), 0..20),
-        named in prop::collection::vec("[a-zA-Z][a-z-]{0,8}", 0..4),
+        named in prop::collection::vec(any::<prop::sample::Index>(), 0..4),
     ) {
+        let named: Vec<String> = match pairs.is_empty() {
+            true => Vec::new(),
+            false => named.iter().map(|it| it.get(&pairs).0.to_uppercase()).collect(),
+        };
         let mut all = pairs.clone();
         all.push(("Connection".to_owned(), named.join(" ,")));
         all.push(("connection".to_owned(), "close".to_owned()));
--- a/sl-back/tests/it/run.rs
+++ b/sl-back/tests/it/run.rs
@@ -69,6 +69,23 @@
     assert!(sink.head.is_none(), "nothing was passed on");
 }
 
+// Without a body there is no gate, and only a failed connection proves it.
+#[tokio::test]
+async fn a_refused_request_without_a_body_was_not_sent() {
+    let backends = plain(0).await;
+    backends
+        .fault(Fault {
+            refuse: true,
+            ..Fault::default()
+        })
+        .await;
+    let mut forward = booking("");
+    forward.method = Method::DELETE;
+    let dispatch = dispatch(backends.listed()[0].address);
+    let end = go(&client(), &dispatch, forward, &mut Sink::default()).await;
+    assert_eq!(end, AttemptEnd::NotSent);
+}
+
 #[rstest]
 #[case::cut(Fault { cut: Chance::ALWAYS, ..Fault::default() })]
 #[case::stalled(Fault { stall: Chance::ALWAYS, ..Fault::default() })]
--- a/sl-back/tests/it/wire.rs
+++ b/sl-back/tests/it/wire.rs
@@ -166,7 +166,6 @@
     let client = client();
     let mut forward = booking("{}");
     forward.idempotent = true;
-    let mut lost = 0;
     for at in 0..ROUNDS {
         let before = seen.requests.load(Ordering::SeqCst);
         let end = go(
@@ -179,10 +178,7 @@
         let reads = seen.requests.load(Ordering::SeqCst) - before;
         match end {
             AttemptEnd::Complete { .. } => assert_eq!(reads, 1),
-            AttemptEnd::LostBeforeAnswer | AttemptEnd::NotSent => {
-                lost += 1;
-                assert_eq!(reads, 0);
-            }
+            AttemptEnd::LostBeforeAnswer | AttemptEnd::NotSent => assert_eq!(reads, 0),
             other => panic!("{other:?}"),
         }
         tokio::time::sleep(Duration::from_millis(at % 5)).await;
@@ -232,6 +228,7 @@
     };
     let mut dispatch = dispatch(address);
     dispatch.dispatch_by = Timestamp::from_micros(5_000_000);
+    dispatch.first_byte_by = Timestamp::from_micros(5_000_000);
     let client = Client::new(Options::default(), clock).unwrap();
     let end = client
         .run(&dispatch, booking("{}"), &mut Sink::default(), pending())
@@ -244,7 +241,7 @@
 #[derive(Clone, Copy, Debug)]
 enum First {
     Slot,
-    FirstByte,
+    Answer,
     Total,
     Abort,
     Connect,
@@ -254,14 +251,7 @@
 #[rstest]
 #[tokio::test]
 async fn whatever_ends_a_hanging_connection_nothing_was_sent(
-    #[values(
-        First::Slot,
-        First::FirstByte,
-        First::Total,
-        First::Abort,
-        First::Connect
-    )]
-    first: First,
+    #[values(First::Slot, First::Answer, First::Total, First::Abort, First::Connect)] first: First,
 ) {
     let (address, _full) = full_listener().await;
     let soon = now().after(Millis(200));
@@ -269,7 +259,7 @@
     let mut abort_after = Duration::from_secs(60);
     match first {
         First::Slot => dispatch.dispatch_by = soon,
-        First::FirstByte => dispatch.first_byte_by = soon,
+        First::Answer => dispatch.first_byte_by = soon,
         First::Total => dispatch.total_by = soon,
         First::Abort => abort_after = Duration::from_millis(200),
         First::Connect => {}
