--- a/sl-back/src/lib.rs
+++ b/sl-back/src/lib.rs
@@ -13,4 +13,7 @@
 pub use sink::{AnswerSink, CallerGone, Head};
 pub use target::{Target, TargetError};
 
-pub use reqwest::{Method, header::HeaderMap};
+pub use reqwest::{
+    Method,
+    header::{self, HeaderMap},
+};
