--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod accept;
 pub mod fleet;
 pub mod instance;
+pub mod measure;
 pub mod port;
 pub mod site;
 
