--- a/sl-slots/src/options.rs
+++ b/sl-slots/src/options.rs
@@ -55,7 +55,7 @@
             idle_keep: Millis(5_000),
             lost_after: Millis(5_000),
             avoid_for: Millis(500),
-            tolerance: 0,
+            tolerance: 500 * 1_024,
             surrender_every: Millis(1_000),
         }
     }
--- /dev/null
+++ b/sl-slots/tests/it/lending.rs
@@ -0,0 +1,188 @@
+//! What a home may lend and a holder may use, under faults.
+
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngSeed},
+};
+use rstest::rstest;
+use sl_base::Millis;
+use sl_slots::Options;
+
+use crate::fleet::{Faults, Fleet, Load, team, uneven};
+
+const SERVERS: [(u32, u64); 5] = [(1, 60), (3, 100), (4, 240), (2, 120), (8, 90)];
+const NODES: usize = 5;
+
+/// A few cases with a fixed seed; more by `SESAMELOCK_SEEDS`.
+fn config() -> Config {
+    let cases = std::env::var("SESAMELOCK_SEEDS")
+        .ok()
+        .and_then(|seeds| seeds.parse().ok());
+    Config {
+        cases: cases.unwrap_or(24),
+        rng_seed: RngSeed::Fixed(4),
+        failure_persistence: None,
+        ..Config::default()
+    }
+}
+
+fn links() -> impl Strategy<Value = Faults> {
+    (0..40_u32, 0..30_u32, 0..900_u64).prop_map(|(drop_percent, repeat_percent, delay_ms)| Faults {
+        drop_percent,
+        repeat_percent,
+        delay_ms,
+        ..Faults::default()
+    })
+}
+
+fn links_and_pauses() -> impl Strategy<Value = Faults> {
+    (links(), prop::collection::btree_set(0..NODES, 0..3))
+        .prop_map(|(faults, paused)| Faults { paused, ..faults })
+}
+
+fn fleet(seed: u64, options: Options) -> Fleet {
+    let mut fleet = Fleet::new(seed, NODES, &SERVERS, options);
+    fleet.set_loads(uneven(seed, NODES, 4));
+    fleet
+}
+
+/// Asserts that nobody sent a server more than its slots at once.
+fn check_in_use(fleet: &Fleet) -> Result<(), TestCaseError> {
+    for backend in &fleet.backends {
+        prop_assert!(backend.most <= backend.server.slots as usize);
+    }
+    Ok(())
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn no_more_than_the_slots_are_in_use_without_a_change_of_homes(
+        seed: u64,
+        phases in prop::collection::vec((links_and_pauses(), 100..6_000_u64), 1..6),
+    ) {
+        let options = Options { lost_after: Millis(120_000), ..Options::default() };
+        let mut fleet = fleet(seed, options);
+        for (faults, span) in phases {
+            fleet.faults = faults;
+            fleet.run(Millis(span));
+            check_in_use(&fleet)?;
+        }
+    }
+
+    #[test]
+    fn slots_are_in_use_again_soon_after_faults_end(
+        seed: u64,
+        phases in prop::collection::vec((links_and_pauses(), 0..NODES, 100..6_000_u64), 1..4),
+        reborn in prop::collection::vec(0..NODES, 0..3),
+    ) {
+        let options = Options::default();
+        let settled = Millis(options.lease.0 + options.lost_after.0 + 2 * options.renew_every.0);
+        let mut fleet = fleet(seed, options);
+        for (faults, cut_at, span) in phases {
+            fleet.faults = Faults { cut_at, ..faults };
+            fleet.run(Millis(span));
+        }
+        for n in reborn {
+            fleet.restart(n);
+        }
+        fleet.faults = Faults::default();
+        fleet.run(settled);
+        let busy = fleet.busy_micros;
+        fleet.run(Millis(5_000));
+        let percent = (fleet.busy_micros - busy) * 100 / (5_000_000 * fleet.slots_in_all());
+        prop_assert!(percent >= 97, "{percent} % in use");
+    }
+
+    #[test]
+    fn a_leaving_server_gets_nothing_new_after_the_lease_from_one_who_did_not_hear(
+        seed: u64,
+        links in links(),
+        deaf in 0..NODES,
+        server in 0..SERVERS.len(),
+        paused: bool,
+        silent_for in 0..4_000_u64,
+    ) {
+        let options = Options::default();
+        let lease = options.lease;
+        let mut fleet = fleet(seed, options);
+        fleet.run(Millis(4_500));
+        fleet.faults = links;
+        fleet.run(Millis(1_000));
+        let home = fleet.nodes[0].slots.home_of(fleet.backends[server].server.id);
+        prop_assume!(home != Some(fleet.nodes[deaf].id));
+        let told: Vec<usize> = (0..NODES).filter(|&n| n != deaf).collect();
+        let known_at = fleet.now;
+        fleet.set_leaving(server, &told);
+        if paused {
+            fleet.faults.paused.insert(deaf);
+        }
+        fleet.run(Millis(silent_for));
+        fleet.faults.paused.clear();
+        fleet.run(Millis(8_000));
+        prop_assert!(fleet.backends[server].last_dispatch <= known_at + lease.0 * 1_000);
+    }
+}
+
+fn lone(node: usize, depth: u32) -> Load {
+    Load {
+        team: team(0),
+        share: 1,
+        nodes: vec![node],
+        depth,
+    }
+}
+
+#[rstest]
+fn one_instance_with_all_the_work_gets_all_the_slots() {
+    let mut fleet = Fleet::new(1, NODES, &SERVERS, Options::default());
+    fleet.set_loads(vec![lone(2, 40)]);
+    fleet.run(Millis(4_000));
+    let busy = fleet.busy_micros;
+    fleet.run(Millis(2_000));
+    let percent = (fleet.busy_micros - busy) * 100 / (2_000_000 * fleet.slots_in_all());
+    assert!(percent >= 99, "{percent} % in use");
+}
+
+/// Idle slots that one instance kept go to another as soon as work waits there: two round
+/// trips and two gaps between renewals.
+#[rstest]
+fn kept_idle_slots_are_called_back() {
+    let options = Options::default();
+    let gap = options.urgent_gap;
+    let mut fleet = Fleet::new(1, NODES, &SERVERS, options);
+    fleet.max_cost = 20;
+    fleet.set_loads(vec![lone(2, 40)]);
+    fleet.run(Millis(5_000));
+    fleet.set_loads(vec![Load {
+        depth: 0,
+        ..lone(2, 0)
+    }]);
+    fleet.run(Millis(2_000));
+    assert_eq!(fleet.in_use(), 0);
+    fleet.max_cost = 2_000;
+    fleet.set_loads(vec![lone(3, 40)]);
+    fleet.run(Millis(4 * fleet.latency_ms + 2 * gap.0 + 5));
+    assert_eq!(fleet.in_use(), fleet.slots_in_all());
+}
+
+/// The next instance in the hash order takes over a server whose home is gone, and what
+/// others held of it goes on without a pause.
+#[rstest]
+#[case(1)]
+#[case(2)]
+#[case(3)]
+fn the_next_home_takes_over(#[case] seed: u64) {
+    let mut fleet = fleet(seed, Options::default());
+    fleet.run(Millis(6_000));
+    fleet.faults.paused.insert(0);
+    fleet.run(Millis(1_000));
+    fleet.set_live(&[1, 2, 3, 4]);
+    fleet.run(Millis(10_000));
+    let busy = fleet.busy_micros;
+    fleet.run(Millis(5_000));
+    let percent = (fleet.busy_micros - busy) * 100 / (5_000_000 * fleet.slots_in_all());
+    assert!(percent >= 97, "{percent} % in use");
+    check_in_use(&fleet).expect("within the slots");
+}
