--- a/sl-fair/src/fair.rs
+++ b/sl-fair/src/fair.rs
@@ -112,6 +112,18 @@
     heard: bool,
 }
 
+impl Peer {
+    fn hear(&mut self, report: &Report) {
+        self.heard = true;
+        self.asks |= report.ask;
+        if report.resend {
+            self.acked = 0;
+            self.sent.clear();
+            self.owed = true;
+        }
+    }
+}
+
 /// Reports to one peer whose confirmation may still come.
 const SENT_MAX: usize = 16;
 
@@ -502,26 +514,22 @@
         }
     }
 
-    /// Takes a peer's report.
+    /// Takes an instance's report; work that waits there counts if it is a member.
     pub fn on_report(&mut self, now: Timestamp, from: InstanceId, report: &Report) {
         let life = (from, report.life);
         if from == self.options.me || self.ledger.is_superseded(life) {
             return;
         }
         if self.ledger.open(now, life) {
-            let peer = self.peers.entry(from).or_default();
-            *peer = Peer::default();
+            self.peers
+                .entry(from)
+                .and_modify(|peer| *peer = Peer::default());
             for pool in self.pools.values_mut() {
                 pool.forget(from);
             }
         }
-        let peer = self.peers.entry(from).or_default();
-        peer.heard = true;
-        peer.asks |= report.ask;
-        if report.resend {
-            peer.acked = 0;
-            peer.sent.clear();
-            peer.owed = true;
+        if let Some(peer) = self.peers.get_mut(&from) {
+            peer.hear(report);
         }
         self.adopt(now, report.snapshot.as_ref());
         self.take_rows(now, life, report);
@@ -544,6 +552,7 @@
     }
 
     fn take_rows(&mut self, now: Timestamp, life: (InstanceId, Incarnation), report: &Report) {
+        let member = self.peers.contains_key(&life.0);
         for row in &report.pools {
             let state = self.pools.entry(row.pool).or_default();
             state.floor = state.floor.max(row.floor);
@@ -556,7 +565,7 @@
                 self.apply(now, change);
                 let state = self.pools.entry(row.pool).or_default();
                 state.update(entry.team, |account| {
-                    if entry.waiting > 0 {
+                    if entry.waiting > 0 && member {
                         account.elsewhere.insert(life.0, entry.waiting);
                     } else {
                         account.elsewhere.remove(&life.0);
--- a/sl-fair/src/ledger.rs
+++ b/sl-fair/src/ledger.rs
@@ -53,7 +53,8 @@
 }
 
 impl Ledger {
-    /// Takes one value of `life`; older versions than the known one change nothing.
+    /// Takes one value of `life`. An older version than the known one is none; the known
+    /// one again is a change from a value to itself.
     pub fn merge(
         &mut self,
         now: Timestamp,
@@ -68,7 +69,7 @@
         });
         let fresh = !row.entries.contains_key(&key);
         let cell = row.entries.entry(key).or_default();
-        if !fresh && version <= cell.version {
+        if !fresh && version < cell.version {
             return None;
         }
         if fresh && row.resumed {
