--- a/sl-base/src/lib.rs
+++ b/sl-base/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod id;
 pub mod listing;
 pub mod need;
+pub mod status;
 pub mod time;
 
 pub use code::{Code, Outcome};
