--- a/sl-fair/src/pool.rs
+++ b/sl-fair/src/pool.rs
@@ -49,6 +49,7 @@
     accounts: BTreeMap<TeamId, Account>,
     local: BTreeSet<(Service, TeamId)>,
     fleet: BTreeSet<(Service, TeamId)>,
+    waiting: u32,
     /// The virtual time up to which the pool has served.
     pub floor: Service,
     /// Picks so far.
@@ -70,7 +71,9 @@
     pub fn update(&mut self, team: TeamId, change: impl FnOnce(&mut Account)) {
         let account = self.accounts.entry(team).or_default();
         let before = (account.time(), team);
+        self.waiting -= account.waiting;
         change(account);
+        self.waiting += account.waiting;
         let after = (account.time(), team);
         if self.local.remove(&before) || account.waiting > 0 {
             reindex(&mut self.local, after, account.waiting > 0);
@@ -111,11 +114,7 @@
     /// What waits on this instance.
     pub fn need(&self) -> Need {
         Need {
-            waiting: self
-                .local
-                .iter()
-                .map(|(_, team)| self.accounts[team].waiting)
-                .fold(0, u32::saturating_add),
+            waiting: self.waiting,
             least: self.least_local().unwrap_or_default().0,
         }
     }
--- a/sl-slots/src/slots.rs
+++ b/sl-slots/src/slots.rs
@@ -533,7 +533,18 @@
 
     /// Whether no slot is in use.
     pub fn is_idle(&self) -> bool {
-        self.holder.held.values().all(|held| held.busy == 0)
+        self.in_use() == 0
+    }
+
+    /// Slots that are in use by this instance.
+    pub fn in_use(&self) -> u32 {
+        self.holder.held.values().map(|held| held.busy).sum()
+    }
+
+    /// A server that runs a request of this instance.
+    pub fn any_busy(&self) -> Option<ServerId> {
+        let busy = self.holder.held.iter().find(|(_, held)| held.busy > 0);
+        busy.map(|(&server, _)| server)
     }
 
     /// Slots of the server that are in use by this instance.
