--- a/sl-config/src/settings.rs
+++ b/sl-config/src/settings.rs
@@ -10,10 +10,12 @@
     fault::{Fault, Faults, Problem},
     ini::{self, Section},
     key::KeySource,
-    raw::{Base, Hashes, Name, Raw, Wanted},
+    raw::{Base, Hashes, Name, Raw, Seeds, Wanted},
     reader::Reader,
 };
 
+pub use crate::raw::Seed;
+
 /// An instance's checked settings.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Settings {
@@ -23,6 +25,9 @@
     pub data_centre: String,
     /// Seed of the reducer's generator; drawn at the start where it is not given.
     pub seed: Option<u64>,
+    /// Instances that are asked for configuration and list when the platform does not
+    /// answer a newborn.
+    pub seeds: Vec<Seed>,
     /// The addresses that it listens on.
     pub listen: Listen,
     /// The platform.
@@ -33,6 +38,8 @@
     pub bounds: Bounds,
     /// Periods and spans.
     pub periods: Periods,
+    /// How slots and shares are shared out.
+    pub sharing: Sharing,
     /// Logging.
     pub log: Log,
 }
@@ -99,6 +106,30 @@
     pub stop_within: Millis,
 }
 
+/// How slots and shares are shared out; the same on all instances.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Sharing {
+    /// How instances share the slots of backend servers.
+    pub policy: SharePolicy,
+    /// How far a team may be ahead of one that waits on another instance before a slot is
+    /// given up to it, in units at a share of one. More is kinder to utilisation, less to
+    /// the gap between teams.
+    pub tolerance_units: u64,
+}
+
+/// How instances share the slots of backend servers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Display, EnumString, VariantNames)]
+#[strum(serialize_all = "kebab-case")]
+pub enum SharePolicy {
+    /// A home lends slots as windows with a lease.
+    #[default]
+    Lent,
+    /// Each instance has an equal part of each server's slots.
+    FixedSplit,
+    /// Each instance uses all slots and knows only what it sent itself.
+    Uncoordinated,
+}
+
 /// Logging.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Log {
@@ -154,7 +185,7 @@
     fn default() -> Periods {
         Periods {
             exchange: Millis(1_000),
-            slot_lease: Millis(2_000),
+            slot_lease: Millis(3_000),
             list: Millis(2_000),
             isolated_after: Millis(3_000),
             stop_within: Millis(30_000),
@@ -196,8 +227,8 @@
 }
 
 /// The sections that settings may have.
-const SECTIONS: [&str; 7] = [
-    "instance", "listen", "platform", "keys", "bounds", "periods", "log",
+const SECTIONS: [&str; 8] = [
+    "instance", "listen", "platform", "keys", "bounds", "periods", "sharing", "log",
 ];
 
 /// Bytes in a kibibyte.
@@ -261,17 +292,20 @@
     let keys = parts.required("keys", read_keys);
     let bounds = parts.optional("bounds", read_bounds);
     let periods = parts.optional("periods", read_periods);
+    let sharing = parts.optional("sharing", read_sharing);
     let log = parts.optional("log", read_log);
     let instance = instance?;
     Some(Settings {
         name: instance.name,
         data_centre: instance.data_centre,
         seed: instance.seed,
+        seeds: instance.seeds,
         listen: listen?,
         platform: platform?,
         keys: keys?,
         bounds,
         periods,
+        sharing,
         log,
     })
 }
@@ -280,16 +314,19 @@
     name: String,
     data_centre: String,
     seed: Option<u64>,
+    seeds: Vec<Seed>,
 }
 
 fn read_instance(reader: &mut Reader<'_, '_>) -> Option<Instance> {
     let name = reader.required::<Name>("name");
     let data_centre = reader.required::<Name>("data-centre");
     let seed = reader.optional("seed");
+    let seeds = reader.optional::<Seeds>("seeds").unwrap_or_default();
     Some(Instance {
         name: name?.0,
         data_centre: data_centre?.0,
         seed,
+        seeds: seeds.0,
     })
 }
 
@@ -393,26 +430,53 @@
     let requests = 1..=REQUESTS_MAX;
     let waiting_kib = standard.waiting_bytes / KIB;
     let header_kib = u64::from(standard.header_bytes) / KIB;
-    Bounds {
-        waiting_requests: reader.number(
-            "waiting-requests",
-            requests.clone(),
-            standard.waiting_requests,
-        ),
+    let waiting = standard.waiting_requests;
+    let bounds = Bounds {
+        waiting_requests: reader.number("waiting-requests", requests.clone(), waiting),
         waiting_bytes: KIB * reader.number("waiting-kib", 1..=WAITING_KIB_MAX, waiting_kib),
         held_requests: reader.number("held-requests", requests, standard.held_requests),
         header_bytes: (KIB * reader.number("header-kib", 1..=HEADER_KIB_MAX, header_kib)) as u32,
+    };
+    if bounds.waiting_requests > bounds.held_requests {
+        let why = "an instance holds every request that waits: this is less than waiting-requests";
+        reader.clash("held-requests", why);
     }
+    bounds
 }
 
 fn read_periods(reader: &mut Reader<'_, '_>) -> Periods {
     let standard = Periods::default();
-    Periods {
+    let periods = Periods {
         exchange: reader.millis("exchange-period-ms", standard.exchange),
         slot_lease: reader.millis("slot-lease-ms", standard.slot_lease),
         list: reader.millis("list-period-ms", standard.list),
         isolated_after: reader.millis("isolated-after-ms", standard.isolated_after),
         stop_within: reader.millis("stop-within-ms", standard.stop_within),
+    };
+    if periods.slot_lease <= periods.exchange {
+        let why =
+            "a slot's lease is renewed with each exchange, so it lasts longer than one period";
+        reader.clash("slot-lease-ms", why);
+    }
+    if periods.isolated_after <= periods.exchange {
+        let why = "peers answer once in an exchange period, so this has to be longer";
+        reader.clash("isolated-after-ms", why);
+    }
+    periods
+}
+
+/// The most that the tolerance takes, in units.
+const TOLERANCE_MAX: u64 = 1_000_000_000;
+
+fn read_sharing(reader: &mut Reader<'_, '_>) -> Sharing {
+    let standard = Sharing::default();
+    Sharing {
+        policy: reader.word("policy", standard.policy),
+        tolerance_units: reader.number(
+            "tolerance-units",
+            0..=TOLERANCE_MAX,
+            standard.tolerance_units,
+        ),
     }
 }
 
--- a/sl-front/src/door.rs
+++ b/sl-front/src/door.rs
@@ -8,6 +8,7 @@
     http::{Method, Status},
     route::{Handler, Outcome},
 };
+use sl_back::{Target, TargetError};
 use sl_base::{
     Code, Millis,
     hash::{Fingerprint, KeyHash},
@@ -17,7 +18,7 @@
 use tokio::{io::AsyncReadExt, sync::mpsc, time};
 
 use crate::{
-    CallerRequest, Gate, Job, Node, Refusal, answer,
+    CallerRequest, Gate, Job, Label, Node, Part, Refusal, answer,
     body::Watch,
     connection::{Callers, Connection},
     forward,
@@ -64,7 +65,7 @@
         &self,
         req: &Request<'_>,
         mut data: Data<'_>,
-    ) -> Result<Response<'static>, Refusal> {
+    ) -> Result<Response<'static>, Refused> {
         let peeked_whole = data.peek_complete();
         let method = method(req, &mut data).await.as_str();
         let mut body = data.open(u64::MAX.into());
@@ -86,35 +87,41 @@
                 if code != Code::BodyIncomplete {
                     self.discard(req, &mut body).await;
                 }
-                return Err(refusal(code));
+                return Err(Refused::new(code, checked.label()));
             }
         };
-        self.hand_over(req, method, checked, bytes, pass).await
+        let label = checked.label();
+        let handed = self.hand_over(req, method, checked, bytes, pass);
+        let (parts, watch, options) = handed.map_err(|code| Refused::new(code, label))?;
+        let answer = answer::respond(parts, watch, options).await;
+        answer.map_err(Refused::Counted)
     }
 
-    async fn hand_over(
+    fn hand_over(
         &self,
         req: &Request<'_>,
         method: &str,
         checked: Checked,
         body: Bytes,
         pass: Pass,
-    ) -> Result<Response<'static>, Refusal> {
+    ) -> Result<(mpsc::Receiver<Part>, Watch<N>, answer::Options), Code> {
         let request = self.node.next_request();
         let connection = connection(req);
         let caller = self.callers.enter(request, connection);
-        let target = req.uri().to_string();
+        let label = checked.label();
+        let target = checked.target;
         let arrival = Arrival {
             request,
             team: checked.team.id,
             policy: checked.route.policy,
             key: checked.key,
-            fingerprint: Fingerprint::of(checked.team.id, method, &target, &body),
+            fingerprint: Fingerprint::of(checked.team.id, method, target.as_str(), &body),
             bytes: body.len() as u64,
             hint: hint(req).unwrap_or(checked.route.policy.hint),
         };
         let (tx, rx) = mpsc::channel(PARTS_AHEAD);
         let job = Job {
+            label,
             arrival,
             request: CallerRequest {
                 method: method.to_owned(),
@@ -131,7 +138,7 @@
             is_head: method == "HEAD",
             connection,
         };
-        answer::respond(rx, watch, options).await
+        Ok((rx, watch, options))
     }
 
     fn check(&self, req: &Request<'_>, method: &str) -> Result<Checked, Code> {
@@ -141,15 +148,17 @@
         let config = self.node.config().ok_or(Code::NoConfiguration)?;
         let credential = credential(req).ok_or(Code::UnknownCredential)?;
         let (team, template) = config.team_of(&credential).ok_or(Code::UnknownCredential)?;
+        // A target that a client would fold into another path has no route: the one that
+        // was checked would not be the one that is called.
+        let target = req.uri().to_string().parse();
+        let target = target.map_err(|_: TargetError| Code::UnknownRoute)?;
         let path = req.uri().path();
-        if has_dot_segment(path.as_str()) {
-            return Err(Code::UnknownRoute);
-        }
         let route = Config::route(template, method, path.as_str())?;
         let key = key(req, team, route)?;
         Ok(Checked {
             team: team.clone(),
             route: route.clone(),
+            target,
             key,
         })
     }
@@ -229,8 +238,9 @@
     async fn handle<'r>(&self, req: &'r Request<'_>, data: Data<'r>) -> Outcome<'r> {
         let mut res = match self.take(req, data).await {
             Ok(res) => res,
-            Err(refusal) => {
-                self.node.refused(refusal.code);
+            Err(Refused::Counted(refusal)) => refusal.response(),
+            Err(Refused::Here { refusal, label }) => {
+                self.node.refused(refusal.code, label.as_ref());
                 refusal.response()
             }
         };
@@ -258,19 +268,59 @@
             431 => Code::HeadersTooLarge,
             _ => Code::ConnectionLost,
         };
-        self.0.refused(code);
+        self.0.refused(code, None);
         Ok(Refusal::from(code).response())
     }
 }
 
+/// A request that gets an answer of ours.
+enum Refused {
+    /// The daemon gave it, and counted it.
+    Counted(Refusal),
+    /// The door gave it.
+    Here {
+        refusal: Refusal,
+        label: Option<Label>,
+    },
+}
+
+impl Refused {
+    fn new(code: Code, label: Label) -> Refused {
+        Refused::Here {
+            refusal: refusal(code),
+            label: Some(label),
+        }
+    }
+}
+
+impl From<Code> for Refused {
+    fn from(code: Code) -> Refused {
+        Refused::Here {
+            refusal: code.into(),
+            label: None,
+        }
+    }
+}
+
 struct Checked {
     team: Team,
     route: template::Route,
+    target: Target,
     key: Option<KeyHash>,
 }
 
+impl Checked {
+    fn label(&self) -> Label {
+        Label {
+            team: self.team.name.clone(),
+            route: self.route.name.clone(),
+        }
+    }
+}
+
 fn refusal(code: Code) -> Refusal {
     Refusal {
+        ran_status: None,
         code,
         retry_after: (code == Code::Overloaded).then_some(OVERLOADED_RETRY),
     }
@@ -304,7 +354,12 @@
 }
 
 fn credential(req: &Request<'_>) -> Option<String> {
-    let value = req.headers().get_one("authorization")?;
+    let mut values = req.headers().get("authorization");
+    let value = values.next()?;
+    // Of two credentials none is taken: who should have seen which cannot be known.
+    if values.next().is_some() {
+        return None;
+    }
     let (scheme, token) = value.split_once(' ')?;
     if !scheme.eq_ignore_ascii_case("bearer") {
         return None;
@@ -343,15 +398,6 @@
     req.headers().get_one("content-length")?.parse().ok()
 }
 
-/// Whether a path climbs: clients fold such segments away, so that the route that was
-/// checked would not be the one that is called.
-fn has_dot_segment(path: &str) -> bool {
-    path.split('/').any(|it| {
-        let plain = it.to_ascii_lowercase().replace("%2e", ".");
-        plain == "." || plain == ".."
-    })
-}
-
 /// Every method that Rocket knows.
 const METHODS: [Method; 9] = [
     Method::Get,
