--- a/sl-fair/tests/it/exchange.rs
+++ b/sl-fair/tests/it/exchange.rs
@@ -226,12 +226,17 @@
 #[rstest]
 fn peers_pass_on_what_a_lost_life_said() {
     let mut nodes: Vec<Fair> = (0..3).map(|n| fair(n, 3, &[1])).collect();
-    serve(&mut nodes[0], 1, 500);
+    for n in 0..3 {
+        serve(&mut nodes[n], n as u64, 100);
+    }
+    exchange(&mut nodes, at(0), &[(0, 1), (0, 2), (1, 2), (2, 1)]);
+    serve(&mut nodes[0], 3, 200);
     exchange(&mut nodes, at(1), &[(0, 1)]);
     let left = [instance(1), instance(2)];
     nodes[1].set_members(at(2), &left);
     nodes[2].set_members(at(2), &left);
     exchange(&mut nodes, at(3), &[(1, 2), (2, 1)]);
+    assert_eq!(nodes[1].time(POOL, team(0)), Service::of(500, 1));
     assert_eq!(nodes[2].time(POOL, team(0)), Service::of(500, 1));
 }
 
