--- a/sl-slots/tests/it/fleet.rs
+++ b/sl-slots/tests/it/fleet.rs
@@ -398,6 +398,7 @@
             let node = &mut self.nodes[n];
             let need = node.fair.need(POOL);
             node.slots.set_need(now, POOL, need);
+            node.slots.set_needs_elsewhere(now, POOL, &node.fair.needs_elsewhere(POOL));
             if !need.is_some() {
                 return;
             }
