--- a/sl-slots/tests/it/fleet.rs
+++ b/sl-slots/tests/it/fleet.rs
@@ -208,10 +208,18 @@
         self.nodes[n] = self.newborn(n);
     }
 
+    pub fn timestamp(&self) -> Timestamp {
+        Timestamp::from_micros(self.now)
+    }
+
+    pub fn live(&self, live: &[usize]) -> Vec<InstanceId> {
+        live.iter().map(|&n| self.nodes[n].id).collect()
+    }
+
     /// The live instances hear that no others are.
     pub fn set_live(&mut self, live: &[usize]) {
-        let now = Timestamp::from_micros(self.now);
-        let ids: Vec<InstanceId> = live.iter().map(|&n| self.nodes[n].id).collect();
+        let now = self.timestamp();
+        let ids = self.live(live);
         for &n in live {
             self.nodes[n].slots.set_members(now, &ids);
             self.nodes[n].fair.set_members(now, &ids);
@@ -398,7 +406,8 @@
             let node = &mut self.nodes[n];
             let need = node.fair.need(POOL);
             node.slots.set_need(now, POOL, need);
-            node.slots.set_needs_elsewhere(now, POOL, &node.fair.needs_elsewhere(POOL));
+            node.slots
+                .set_needs_elsewhere(now, POOL, &node.fair.needs_elsewhere(POOL));
             if !need.is_some() {
                 return;
             }
--- a/sl-slots/tests/it/lending.rs
+++ b/sl-slots/tests/it/lending.rs
@@ -8,7 +8,7 @@
 use sl_base::Millis;
 use sl_slots::Options;
 
-use crate::fleet::{Faults, Fleet, Load, team, uneven};
+use crate::fleet::{Faults, Fleet, Load, POOL, team, uneven};
 
 const SERVERS: [(u32, u64); 5] = [(1, 60), (3, 100), (4, 240), (2, 120), (8, 90)];
 const NODES: usize = 5;
@@ -211,3 +211,34 @@
     assert!(percent >= 97, "{percent} % in use");
     check_in_use(&fleet).expect("within the slots");
 }
+
+/// An instance that stops sees its queue through on lent slots and hands all of them back.
+#[rstest]
+fn a_stopping_instance_hands_its_slots_back() {
+    let mut fleet = Fleet::new(3, NODES, &SERVERS, Options::default());
+    fleet.max_cost = 200;
+    let on = |node| Load {
+        team: team(node),
+        ..lone(node, 12)
+    };
+    fleet.set_loads((0..NODES).map(on).collect());
+    fleet.run(Millis(6_000));
+    fleet.set_live(&[0, 1, 2, 3]);
+    let (now, staying) = (fleet.timestamp(), fleet.live(&[0, 1, 2, 3]));
+    fleet.nodes[4].slots.set_members(now, &staying);
+    fleet.nodes[4].slots.drain(now);
+    let mut loads: Vec<Load> = (0..4).map(on).collect();
+    loads.push(Load { depth: 0, ..on(4) });
+    fleet.set_loads(loads);
+    assert!(fleet.nodes[4].fair.need(POOL).is_some());
+    fleet.run(Millis(10_000));
+    assert!(!fleet.nodes[4].fair.need(POOL).is_some());
+    assert!(fleet.nodes[4].slots.is_idle());
+    for backend in &fleet.backends {
+        assert_eq!(fleet.nodes[4].slots.window(backend.server.id), 0);
+    }
+    let busy = fleet.busy_micros;
+    fleet.run(Millis(3_000));
+    let percent = (fleet.busy_micros - busy) * 100 / (3_000_000 * fleet.slots_in_all());
+    assert!(percent >= 97, "{percent} % in use");
+}
