sl-fair, sl-slots: a module per operation; lost homes are chosen, cuts may be anywhere

In the tests the instance that was lost happened to be home of no server, so a copy without the wait of a new home still passed; the tests now lose the home of the largest server. It is killed where the test also counts slots in use, as requests of a paused one run on and nobody can know.

--- a/sl-slots/src/lib.rs
+++ b/sl-slots/src/lib.rs
@@ -6,10 +6,15 @@
 //! [`Slots`] is the whole state of one instance, as holder and as home. docs/design.md
 //! argues for the parts and shows the other [`Policy`]s beside this one.
 
+mod acquire;
+mod exchange;
 mod holder;
 mod home;
 pub mod message;
+mod need;
 pub mod options;
+mod place;
+mod release;
 mod slots;
 mod speed;
 
--- a/sl-slots/tests/it/fleet.rs
+++ b/sl-slots/tests/it/fleet.rs
@@ -23,8 +23,8 @@
     pub repeat_percent: u32,
     /// The longest extra delay.
     pub delay_ms: u64,
-    /// Instances with an index below it hear nothing from the others, and the other way round.
-    pub cut_at: usize,
+    /// Instances that the others hear nothing of, and the other way round.
+    pub cut_off: BTreeSet<usize>,
     /// Instances whose process stands still.
     pub paused: BTreeSet<usize>,
 }
@@ -208,6 +208,12 @@
         self.nodes[n] = self.newborn(n);
     }
 
+    /// Ends a process for good, and its requests with it.
+    pub fn kill(&mut self, n: usize) {
+        self.restart(n);
+        self.faults.paused.insert(n);
+    }
+
     pub fn timestamp(&self) -> Timestamp {
         Timestamp::from_micros(self.now)
     }
@@ -285,7 +291,7 @@
 
     fn send(&mut self, from: usize, to: usize, envelope: Envelope) {
         self.messages += 1;
-        let cut = (from < self.faults.cut_at) != (to < self.faults.cut_at);
+        let cut = self.faults.cut_off.contains(&from) != self.faults.cut_off.contains(&to);
         let copies = if cut || self.rng.random_range(0..100) < self.faults.drop_percent {
             0
         } else if self.rng.random_range(0..100) < self.faults.repeat_percent {
@@ -476,6 +482,14 @@
         node.slots.set_needs_elsewhere(now, POOL, &needs);
     }
 
+    /// The instance that is home of the last server, by the view of all.
+    pub fn home_of_last(&self) -> usize {
+        let last = self.backends[self.backends.len() - 1].server.id;
+        let home = self.nodes[0].slots.home_of(last);
+        let is_home = |node: &Node| Some(node.id) == home;
+        self.nodes.iter().position(is_home).expect("a home")
+    }
+
     pub fn slots_in_all(&self) -> u64 {
         self.backends
             .iter()
--- a/sl-slots/tests/it/lending.rs
+++ b/sl-slots/tests/it/lending.rs
@@ -74,14 +74,16 @@
     #[test]
     fn slots_are_in_use_again_soon_after_faults_end(
         seed: u64,
-        phases in prop::collection::vec((links_and_pauses(), 0..NODES, 100..6_000_u64), 1..4),
+        phases in prop::collection::vec((links_and_pauses(), prop::collection::btree_set(0..NODES, 0..NODES), 100..6_000_u64),
+            1..4,
+        ),
         reborn in prop::collection::vec(0..NODES, 0..3),
     ) {
         let options = Options::default();
         let settled = Millis(options.lease.0 + options.lost_after.0 + 2 * options.renew_every.0);
         let mut fleet = fleet(seed, options);
-        for (faults, cut_at, span) in phases {
-            fleet.faults = Faults { cut_at, ..faults };
+        for (faults, cut_off, span) in phases {
+            fleet.faults = Faults { cut_off, ..faults };
             fleet.run(Millis(span));
         }
         for n in reborn {
@@ -102,6 +104,7 @@
         deaf in 0..NODES,
         server in 0..SERVERS.len(),
         paused: bool,
+        cut: bool,
         silent_for in 0..4_000_u64,
     ) {
         let options = Options::default();
@@ -112,12 +115,14 @@
         fleet.run(Millis(1_000));
         let home = fleet.nodes[0].slots.home_of(fleet.backends[server].server.id);
         prop_assume!(home != Some(fleet.nodes[deaf].id));
-        let told: Vec<usize> = (0..NODES).filter(|&n| n != deaf).collect();
-        let known_at = fleet.now;
-        fleet.set_leaving(server, &told);
+                let known_at = fleet.now;
+        fleet.set_leaving(server, &others(deaf));
         if paused {
             fleet.faults.paused.insert(deaf);
         }
+        if cut {
+            fleet.faults.cut_off.insert(deaf);
+        }
         fleet.run(Millis(silent_for));
         fleet.faults.paused.clear();
         fleet.run(Millis(8_000));
@@ -136,20 +141,25 @@
         ..Options::default()
     };
     let mut fleet = Fleet::new(seed, NODES, &SERVERS, options);
+    let lost = fleet.home_of_last();
     let mut loads = uneven(seed, NODES, 4);
     for load in &mut loads {
-        load.nodes.retain(|&n| n != 0);
+        load.nodes.retain(|&n| n != lost);
     }
     fleet.set_loads(loads);
     fleet.run(Millis(6_000));
-    fleet.faults.paused.insert(0);
+    fleet.faults.paused.insert(lost);
     fleet.faults.delay_ms = 500;
     fleet.run(Millis(1_000));
-    fleet.set_live(&[1, 2, 3, 4]);
+    fleet.set_live(&others(lost));
     fleet.run(Millis(6_000));
     check_in_use(&fleet).expect("within the slots");
 }
 
+fn others(lost: usize) -> Vec<usize> {
+    (0..NODES).filter(|&n| n != lost).collect()
+}
+
 fn lone(node: usize, depth: u32) -> Load {
     Load {
         team: team(0),
@@ -201,9 +211,10 @@
 fn the_next_home_takes_over(#[case] seed: u64) {
     let mut fleet = fleet(seed, Options::default());
     fleet.run(Millis(6_000));
-    fleet.faults.paused.insert(0);
+    let lost = fleet.home_of_last();
+    fleet.kill(lost);
     fleet.run(Millis(1_000));
-    fleet.set_live(&[1, 2, 3, 4]);
+    fleet.set_live(&others(lost));
     fleet.run(Millis(10_000));
     let busy = fleet.busy_micros;
     fleet.run(Millis(5_000));
--- a/sl-slots/tests/it/shares.rs
+++ b/sl-slots/tests/it/shares.rs
@@ -153,12 +153,12 @@
     let mut fleet = fleet(Policy::Lent, seed);
     let bound = bound(&fleet);
     let measured = measure(&mut fleet, 90, |fleet, second| match second {
-        10 => fleet.faults.cut_at = 2,
+        10 => fleet.faults.cut_off = [0, 1].into(),
         13 => {
             fleet.set_live(&[0, 1]);
             fleet.set_live(&[2, 3, 4, 5, 6, 7, 8]);
         }
-        30 => fleet.faults.cut_at = 0,
+        30 => fleet.faults.cut_off.clear(),
         32 => fleet.set_live(&[0, 1, 2, 3, 4, 5, 6, 7, 8]),
         _ => {}
     });
