--- a/sl-fair/src/ledger.rs
+++ b/sl-fair/src/ledger.rs
@@ -53,7 +53,8 @@
 }
 
 impl Ledger {
-    /// Takes one value of `life`; older versions than the known one change nothing.
+    /// Takes one value of `life`. An older version than the known one is none; the known
+    /// one again is a change from a value to itself.
     pub fn merge(
         &mut self,
         now: Timestamp,
@@ -68,7 +69,7 @@
         });
         let fresh = !row.entries.contains_key(&key);
         let cell = row.entries.entry(key).or_default();
-        if !fresh && version <= cell.version {
+        if !fresh && version < cell.version {
             return None;
         }
         if fresh && row.resumed {
@@ -153,14 +154,16 @@
         relayed
     }
 
-    /// Folds rows of lives that ended `keep` ago into the base, so that memory stays bounded.
-    pub fn fold(&mut self, now: Timestamp, keep: Millis) {
+    /// Folds rows of lives that ended `keep` ago into the base, so that memory stays bounded;
+    /// tells whether there were any.
+    pub fn fold(&mut self, now: Timestamp, keep: Millis) -> bool {
         let old: Vec<Life> = self
             .rows
             .iter()
             .filter(|(_, row)| row.ended.is_some_and(|at| at.after(keep).is_due(now)))
             .map(|(&life, _)| life)
             .collect();
+        let any = !old.is_empty();
         for life in old {
             let Some(row) = self.rows.remove(&life) else {
                 continue;
@@ -174,6 +177,7 @@
         while self.folded.len() > FOLDED_MAX {
             self.folded.pop_first();
         }
+        any
     }
 
     /// When [`Self::fold`] has something to do.
