tests: real processes under failure, judged by the stand-in's record

kill -9, SIGSTOP past the leases, the platform down, silent, slow or losing answers, backend servers that cross, lose or cut, a request that crashes servers, a leaving server, an instance cut off from everything, and one team's flood.

--- a/bench/src/accept.rs
+++ b/bench/src/accept.rs
@@ -2,15 +2,20 @@
 
 use std::time::Duration;
 
-use sl_base::{Revision, Timestamp};
+use sl_base::{
+    Revision, Timestamp,
+    call::{Call, Reply},
+};
 use sl_config::{
     accept::{Acceptance, Base, Edit, Ended, Next, Stamp},
-    head::{ChangeId, Head},
+    head::{ChangeId, Head, HeadError},
     page::Page,
 };
 use sl_platform::Client;
 use tokio::time::Instant;
 
+/// How often the head is read before the platform is given up.
+const TRIES: usize = 3;
 /// How long one call may take.
 const CALL_WITHIN: Duration = Duration::from_secs(2);
 
@@ -25,7 +30,7 @@
     text: &str,
     id: ChangeId,
 ) -> Result<Revision, Box<Ended>> {
-    let head = head(platform).await;
+    let head = head(platform).await?;
     let base = Base {
         revision: head.revision,
         page: head.page(name),
@@ -75,13 +80,23 @@
 }
 
 /// The head as it stands; an empty one before the first acceptance.
-pub async fn head(platform: &Client) -> Head {
-    let call = sl_base::call::Call::Get {
+///
+/// # Errors
+///
+/// Where the platform gave no answer, or what it holds is no head.
+pub async fn head(platform: &Client) -> Result<Head, Box<Ended>> {
+    let call = Call::Get {
         key: sl_config::head::KEY.to_owned(),
     };
-    let reply = platform.call(&call, Instant::now() + CALL_WITHIN).await;
-    match reply {
-        sl_base::call::Reply::Value { value, .. } => Head::decode(&value).unwrap_or_default(),
-        _ => Head::default(),
+    for _ in 0..TRIES {
+        match platform.call(&call, Instant::now() + CALL_WITHIN).await {
+            Reply::Value { value, .. } => {
+                let damaged = |e: HeadError| Box::new(Ended::Damaged(e.to_string()));
+                return Head::decode(&value).map_err(damaged);
+            }
+            Reply::Absent => return Ok(Head::default()),
+            _ => {}
+        }
     }
+    Err(Box::new(Ended::Unreachable))
 }
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -2,6 +2,7 @@
 //! stand-ins recorded is the judge of what ran.
 
 mod bed;
+mod failure;
 mod path;
 mod refusal;
 mod stop;
