sl-front: read a refused body on until its caller can see the answer

Under load a caller that was still writing 8 MiB saw a broken connection in place of the refusal (tests/it refusal case 1, once in a full run): a megabyte of discarding was too little.

--- a/sl-front/src/door.rs
+++ b/sl-front/src/door.rs
@@ -416,9 +416,9 @@
 /// Bytes that one read takes.
 const READ_BYTES: usize = 8 * 1024;
 /// Bytes of a refused body that are read on.
-const DISCARD_BYTES: usize = 1024 * 1024;
+const DISCARD_BYTES: usize = 64 * 1024 * 1024;
 /// How long a refused body is read on.
-const DISCARD_WITHIN: Millis = Millis(500);
+const DISCARD_WITHIN: Millis = Millis(5_000);
 /// Bytes of the longest idempotency key.
 const KEY_BYTES: usize = 200;
 /// When to come back to an instance that is full.
--- a/sl-front/tests/it/door.rs
+++ b/sl-front/tests/it/door.rs
@@ -82,6 +82,17 @@
     assert!(bed.jobs.try_recv().is_err());
 }
 
+#[tokio::test]
+async fn a_caller_that_sends_far_too_much_still_gets_its_answer() {
+    let bed = Bed::start().await;
+    let body = vec![b'x'; 16 * 1024 * 1024];
+    for _ in 0..8 {
+        let call = Client::new().post(bed.url("/any")).bearer_auth(TOKEN);
+        let answer = call.body(body.clone()).send().await.unwrap();
+        assert_eq!(answer.status(), StatusCode::PAYLOAD_TOO_LARGE);
+    }
+}
+
 #[rstest]
 #[case::within_rockets_peek("3\r\nabc\r\n")]
 #[case::after_rockets_peek("14\r\nabcdefghijklmnopqrst\r\n")]
