sl-slots, sl-step: use fresh grants at once, and see a lost watch within seconds

Cause: an instance that was granted a slot compared needs again by its own older view and passed the slot on; slots went around and stood idle on the way. Change: a slot that the home just granted is used without comparing again.

Change: a watch waits 2 s, so that it is missed within 3 s of the 4 s a change may take.

--- a/sl-config/src/settings.rs
+++ b/sl-config/src/settings.rs
@@ -107,7 +107,7 @@
 }
 
 /// How slots and shares are shared out; the same on all instances.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Sharing {
     /// How instances share the slots of backend servers.
     pub policy: SharePolicy,
@@ -167,7 +167,7 @@
     /// The call deadline of an instance that gives none.
     pub const CALL_WITHIN: Millis = Millis(1_000);
     /// The watch's wait of an instance that gives none.
-    pub const WATCH_WITHIN: Millis = Millis(20_000);
+    pub const WATCH_WITHIN: Millis = Millis(2_000);
 }
 
 impl Default for Bounds {
@@ -193,6 +193,15 @@
     }
 }
 
+impl Default for Sharing {
+    fn default() -> Sharing {
+        Sharing {
+            policy: SharePolicy::Lent,
+            tolerance_units: 500,
+        }
+    }
+}
+
 impl Default for Log {
     fn default() -> Log {
         Log {
--- a/sl-slots/src/acquire.rs
+++ b/sl-slots/src/acquire.rs
@@ -16,11 +16,17 @@
 
     fn acquire_lent(&mut self, now: Timestamp, pool: PoolId, avoid: &[ServerId]) -> Option<Loan> {
         while let Some(server) = self.best(now, pool, avoid) {
-            if self.surrender(now, pool, server) {
+            let is_fresh = self
+                .holder
+                .held
+                .get(&server)
+                .is_some_and(|held| held.fresh > 0);
+            if !is_fresh && self.surrender(now, pool, server) {
                 continue;
             }
             let held = self.holder.held.get_mut(&server)?;
             held.busy += 1;
+            held.fresh = held.fresh.saturating_sub(1);
             held.used_at = now;
             return Some(Loan {
                 server,
--- a/sl-slots/src/holder.rs
+++ b/sl-slots/src/holder.rs
@@ -16,6 +16,9 @@
     pub count: u32,
     /// Slots that run a request.
     pub busy: u32,
+    /// Idle slots that the home just granted: it compared the needs of all, so they are
+    /// used without comparing again.
+    pub fresh: u32,
     /// Until when a request may be sent.
     pub dispatch_by: Timestamp,
     /// When the last request ended, or the window rose.
@@ -143,7 +146,9 @@
         }
         if held.count > before {
             held.used_at = now;
+            held.fresh += held.count - before;
         }
+        held.fresh = held.fresh.min(held.idle());
         if held.lowered_at <= echo {
             held.lowered_at = Timestamp::default();
         }
@@ -158,6 +163,7 @@
             return;
         };
         held.count -= by.min(held.idle());
+        held.fresh = held.fresh.min(held.idle());
         held.lowered_at = now;
     }
 
--- a/sl-step/src/options.rs
+++ b/sl-step/src/options.rs
@@ -59,7 +59,7 @@
             exchange_period: Millis(1_000),
             list_period: Millis(2_000),
             platform_answer: Millis(1_000),
-            watch_wait: Millis(20_000),
+            watch_wait: Millis(2_000),
             unready_grace: Millis(1_000),
             slots: sl_slots::Options::default(),
             claims: sl_claim::Options::default(),
