sl-fair, sl-slots: three tests that failed to catch what they are for now do

Scratch copies survived that counted the lease from a grant's receipt, that let a new home lend at once, and that passed on nothing of a lost life.

--- a/sl-fair/tests/it/exchange.rs
+++ b/sl-fair/tests/it/exchange.rs
@@ -229,13 +229,16 @@
     for node in &mut nodes {
         serve(node, 1, 100);
     }
-    exchange(&mut nodes, at(0), &[(0, 1), (0, 2), (1, 2), (2, 1)]);
+    for millis in 0..3 {
+        let all = [(0, 1), (0, 2), (1, 2), (2, 1), (1, 0), (2, 0)];
+        exchange(&mut nodes, at(millis), &all);
+    }
     serve(&mut nodes[0], 3, 200);
-    exchange(&mut nodes, at(1), &[(0, 1)]);
+    exchange(&mut nodes, at(4), &[(0, 1)]);
     let left = [instance(1), instance(2)];
-    nodes[1].set_members(at(2), &left);
-    nodes[2].set_members(at(2), &left);
-    exchange(&mut nodes, at(3), &[(1, 2), (2, 1)]);
+    nodes[1].set_members(at(5), &left);
+    nodes[2].set_members(at(5), &left);
+    exchange(&mut nodes, at(6), &[(1, 2), (2, 1)]);
     assert_eq!(nodes[1].time(POOL, team(0)), Service::of(500, 1));
     assert_eq!(nodes[2].time(POOL, team(0)), Service::of(500, 1));
 }
--- a/sl-slots/tests/it/fleet.rs
+++ b/sl-slots/tests/it/fleet.rs
@@ -5,7 +5,9 @@
 
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use sl_base::{Incarnation, InstanceId, Millis, PoolId, RequestId, ServerId, TeamId, Timestamp};
+use sl_base::{
+    Incarnation, InstanceId, Millis, PoolId, RequestId, ServerId, TeamId, Timestamp, hash,
+};
 use sl_fair::{Fair, Item, Limits, Report, Rule};
 use sl_slots::{Message, Options, Outcome, Policy, Server, Slots};
 
@@ -482,12 +484,12 @@
         node.slots.set_needs_elsewhere(now, POOL, &needs);
     }
 
-    /// The instance that is home of the last server, by the view of all.
-    pub fn home_of_last(&self) -> usize {
+    /// The instances in line for the role of the last server's home, the home first.
+    pub fn line_of_last(&self) -> Vec<usize> {
         let last = self.backends[self.backends.len() - 1].server.id;
-        let home = self.nodes[0].slots.home_of(last);
-        let is_home = |node: &Node| Some(node.id) == home;
-        self.nodes.iter().position(is_home).expect("a home")
+        let line = hash::line(last.0, self.ids(), self.nodes.len());
+        let index = |id: &InstanceId| self.nodes.iter().position(|node| node.id == *id);
+        line.iter().filter_map(index).collect()
     }
 
     pub fn slots_in_all(&self) -> u64 {
--- a/sl-slots/tests/it/lending.rs
+++ b/sl-slots/tests/it/lending.rs
@@ -130,32 +130,49 @@
     }
 }
 
-/// A new home waits until what the lost one lent has run out or was reported.
+/// A new home waits until what the lost one lent has run out or was reported, also with
+/// work of its own, while the holder's renewal is still on its way.
 #[rstest]
-#[case(1)]
-#[case(2)]
-#[case(3)]
-fn a_new_home_lends_nothing_that_may_be_lent_already(#[case] seed: u64) {
-    let options = Options {
-        lost_after: Millis(120_000),
-        ..Options::default()
-    };
-    let mut fleet = Fleet::new(seed, NODES, &SERVERS, options);
-    let lost = fleet.home_of_last();
-    let mut loads = uneven(seed, NODES, 4);
-    for load in &mut loads {
-        load.nodes.retain(|&n| n != lost);
-    }
-    fleet.set_loads(loads);
+fn a_new_home_lends_nothing_that_may_be_lent_already() {
+    let mut fleet = Fleet::new(1, NODES, &SERVERS, Options::default());
+    let line = fleet.line_of_last();
+    let (lost, next, holder) = (line[0], line[1], line[2]);
+    fleet.set_loads(vec![lone(holder, 40)]);
     fleet.run(Millis(6_000));
-    fleet.faults.paused.insert(lost);
-    fleet.faults.delay_ms = 500;
-    fleet.run(Millis(1_000));
+    assert_eq!(fleet.in_use(), fleet.slots_in_all());
+    fleet.kill(lost);
+    fleet.latency_ms = 500;
     fleet.set_live(&others(lost));
+    fleet.set_loads(vec![lone(holder, 40), lone(next, 40)]);
     fleet.run(Millis(6_000));
     check_in_use(&fleet).expect("within the slots");
 }
 
+/// A grant that comes late gives no right beyond the renewal that it answers.
+#[rstest]
+fn a_late_grant_gives_no_longer_right() {
+    let options = Options::default();
+    let lease = options.lease;
+    let mut fleet = Fleet::new(1, NODES, &SERVERS, options);
+    fleet.max_cost = 20;
+    fleet.latency_ms = 600;
+    let line = fleet.line_of_last();
+    let holder = line[2];
+    fleet.set_loads(vec![lone(holder, 40)]);
+    fleet.run(Millis(9_000));
+    let last = SERVERS.len() - 1;
+    assert!(
+        fleet.now - fleet.backends[last].last_dispatch < 1_000_000,
+        "it was in use"
+    );
+    let known_at = fleet.now;
+    fleet.set_leaving(last, &others(holder));
+    fleet.faults.cut_off.insert(holder);
+    fleet.run(Millis(8_000));
+    assert!(fleet.backends[last].last_dispatch > known_at);
+    assert!(fleet.backends[last].last_dispatch <= known_at + lease.0 * 1_000);
+}
+
 fn others(lost: usize) -> Vec<usize> {
     (0..NODES).filter(|&n| n != lost).collect()
 }
@@ -211,7 +228,7 @@
 fn the_next_home_takes_over(#[case] seed: u64) {
     let mut fleet = fleet(seed, Options::default());
     fleet.run(Millis(6_000));
-    let lost = fleet.home_of_last();
+    let lost = fleet.line_of_last()[0];
     fleet.kill(lost);
     fleet.run(Millis(1_000));
     fleet.set_live(&others(lost));
