sl-claim: property tests over a key-value model, and four faults they found

A shard unused but with forwarded items asked for a tick at once without end; two claims given up in one step were each answered twice; an idle owner told repeats of expired keys that they ran; a full index refused a request that was decided already.

--- a/sl-claim/src/claims.rs
+++ b/sl-claim/src/claims.rs
@@ -301,7 +301,7 @@
 
     fn pump(&mut self, now: Timestamp, number: usize) {
         let is_owner = self.owner_of(number) == self.me;
-        let resolved = self.shards[number].resolve(&self.options);
+        let resolved = self.shards[number].resolve(now, &self.options, is_owner);
         for (item, resolved) in resolved {
             self.on_resolved(now, &item, resolved);
         }
@@ -327,8 +327,7 @@
                 message: Message::Claimed { token, verdict },
             }),
             Resolved::Full if is_mine => {
-                self.end_pending(token.request);
-                self.refuse(token.request, Code::ClaimUnavailable, None);
+                self.end_pending(token.request, Code::ClaimUnavailable, None);
             }
             Resolved::Full => {}
             Resolved::Recorded if is_mine => self.out.push(Output::Settled {
@@ -391,12 +390,10 @@
                 });
             }
             Verdict::Ran { status } => {
-                self.end_pending(request);
-                self.refuse(request, Code::KeyRan, Some(status));
+                self.end_pending(request, Code::KeyRan, Some(status));
             }
             Verdict::Unknown => {
-                self.end_pending(request);
-                self.refuse(request, Code::KeyUnknown, None);
+                self.end_pending(request, Code::KeyUnknown, None);
             }
         }
     }
@@ -416,8 +413,9 @@
     /// Forgets a claim that was not decided in time. Nothing was dispatched and nothing
     /// will be; if the claim may stand, its key is released.
     fn abandon(&mut self, now: Timestamp, request: RequestId, key: KeyHash) {
-        self.end_pending(request);
-        self.refuse(request, Code::ClaimUnavailable, None);
+        if !self.end_pending(request, Code::ClaimUnavailable, None) {
+            return;
+        }
         let token = self.token(request);
         let number = self.number_of(key);
         let shard = &mut self.shards[number];
@@ -450,10 +448,14 @@
         }
     }
 
-    fn end_pending(&mut self, request: RequestId) {
-        if let Some(pending) = self.pending.remove(&request) {
-            self.held.remove(&pending.key);
-        }
+    /// Refuses a claim that is not decided yet; false where it is.
+    fn end_pending(&mut self, request: RequestId, code: Code, status: Option<u16>) -> bool {
+        let Some(pending) = self.pending.remove(&request) else {
+            return false;
+        };
+        self.held.remove(&pending.key);
+        self.refuse(request, code, status);
+        true
     }
 
     fn refuse(&mut self, request: RequestId, code: Code, status: Option<u16>) {
--- a/sl-claim/src/shard.rs
+++ b/sl-claim/src/shard.rs
@@ -159,7 +159,7 @@
 
     /// Forgets what it knows of the chain, if it is not in use.
     pub fn drop_if_idle(&mut self, now: Timestamp) {
-        if self.idle_at.is_due(now) && self.flight.is_none() && self.items.is_empty() {
+        if self.is_idle() && self.idle_at.is_due(now) {
             self.view = None;
             self.idle_at = Timestamp::NEVER;
         }
@@ -173,23 +173,29 @@
             None if self.has_work() => self.call_due(now),
             None => Timestamp::NEVER,
         };
-        items
-            .unwrap_or(Timestamp::NEVER)
-            .min(call)
-            .min(if self.view.is_some() {
-                self.idle_at
-            } else {
-                Timestamp::NEVER
-            })
+        let idle = if self.is_idle() {
+            self.idle_at
+        } else {
+            Timestamp::NEVER
+        };
+        items.unwrap_or(Timestamp::NEVER).min(call).min(idle)
     }
 
     /// Takes out the items that what is known decides.
-    pub fn resolve(&mut self, options: &Options) -> Vec<(Item, Resolved)> {
+    pub fn resolve(
+        &mut self,
+        now: Timestamp,
+        options: &Options,
+        is_owner: bool,
+    ) -> Vec<(Item, Resolved)> {
         let Some(view) = self.view.as_mut().filter(|view| view.is_whole()) else {
             return Vec::new();
         };
         view.fold();
         let view = &*view;
+        if view.is_outdated(now, options, is_owner) {
+            return Vec::new();
+        }
         let decided: Vec<(u64, Resolved)> = self
             .items
             .iter()
@@ -244,6 +250,10 @@
         }
     }
 
+    fn is_idle(&self) -> bool {
+        self.view.is_some() && self.flight.is_none() && self.items.is_empty()
+    }
+
     fn has_work(&self) -> bool {
         self.items.values().any(|item| item.route == Route::Here)
     }
@@ -289,12 +299,13 @@
 
     fn append_or_load(&mut self, now: Timestamp, options: &Options, is_owner: bool) -> Step {
         let batch = self.batch(options);
-        let Some(view) = self.view.as_ref().filter(|_| !batch.is_empty()) else {
-            // What is left waits for a newer view, see `View::resolve`.
-            return Step::Load;
-        };
-        let segment = view.appended(now, batch, options, is_owner);
-        Step::Append(segment)
+        match &self.view {
+            Some(view) if !batch.is_empty() || view.is_outdated(now, options, is_owner) => {
+                Step::Append(view.appended(now, batch, options, is_owner))
+            }
+            // What is left waits for a newer view, see `View::resolve_claim`.
+            _ => Step::Load,
+        }
     }
 
     /// The records of the next write: at most one for each key.
@@ -520,6 +531,11 @@
         }
     }
 
+    /// Whether there are records to be forgotten before anything is decided.
+    fn is_outdated(&self, now: Timestamp, options: &Options, is_owner: bool) -> bool {
+        self.first_live(now, options, is_owner) > self.open.first_live
+    }
+
     /// The first archive that is too young to be forgotten. Only the owner forgets, so
     /// that one wall clock decides.
     fn first_live(&self, now: Timestamp, options: &Options, is_owner: bool) -> u64 {
