--- a/sl-claim/tests/it/world.rs
+++ b/sl-claim/tests/it/world.rs
@@ -388,6 +388,7 @@
         self.decisions
             .insert((node, incarnation, request), decision);
         match decision {
+            Decision::Granted if late > 0 => panic!("granted {late} us late"),
             Decision::Granted => self.granted(node, request, key),
             Decision::Refused { code, status, .. } => self.check_refusal(key, code, status),
         }
--- a/sl-member/src/members.rs
+++ b/sl-member/src/members.rs
@@ -363,6 +363,9 @@
         }
         if change.life >= self.life() {
             self.objections = change.life.objections.saturating_add(1);
+            self.spread(self.me.id);
+            self.hurry(self.me.id);
+            return;
         }
         self.spread(self.me.id);
     }
@@ -456,6 +459,7 @@
         if status == Status::Suspect {
             self.ping(id, address, Some(held));
         }
+        self.hurry(id);
     }
 
     fn probe(&mut self, now: Timestamp) {
@@ -562,11 +566,7 @@
         let until = now.after(self.options.indirect_wait);
         member.probe = Probe::Indirect { until };
         let (target, target_address) = (id, member.address);
-        let mut helpers: Vec<(InstanceId, SocketAddr)> =
-            self.peers().filter(|&(peer, _)| peer != id).collect();
-        helpers.shuffle(&mut self.rng);
-        helpers.truncate(self.options.indirect);
-        for (to, address) in helpers {
+        for (to, address) in self.some_peers(id) {
             let message = Message::ProbeFor {
                 target,
                 address: target_address,
@@ -580,6 +580,22 @@
         self.ping_with_held(id);
     }
 
+    /// A few peers at random, without `but`.
+    fn some_peers(&mut self, but: InstanceId) -> Vec<(InstanceId, SocketAddr)> {
+        let mut peers: Vec<(InstanceId, SocketAddr)> =
+            self.peers().filter(|&(peer, _)| peer != but).collect();
+        peers.shuffle(&mut self.rng);
+        peers.truncate(self.options.indirect);
+        peers
+    }
+
+    /// Tells a few peers of a change of `member` at once; the probes tell the rest.
+    fn hurry(&mut self, member: InstanceId) {
+        for (to, address) in self.some_peers(member) {
+            self.ping(to, address, None);
+        }
+    }
+
     fn probe_for(
         &mut self,
         now: Timestamp,
--- a/sl-member/src/options.rs
+++ b/sl-member/src/options.rs
@@ -12,7 +12,7 @@
     pub direct_wait: Millis,
     /// How long the others may take to reach it before it is suspected.
     pub indirect_wait: Millis,
-    /// How many others are asked to probe a silent member.
+    /// How many others are asked to probe a silent member, or told of a change at once.
     pub indirect: usize,
     /// How long a suspected member has to object before it is held dead.
     pub suspect_for: Millis,
