--- a/sl-claim/tests/it/claims.rs
+++ b/sl-claim/tests/it/claims.rs
@@ -271,3 +271,94 @@
     world.run(Millis(60_000));
     assert_eq!(world.calls, calls);
 }
+
+/// The write took effect, but its answer and those of all readings are lost until the
+/// claim is given up: the key is released as soon as the platform answers again.
+#[test]
+fn claim_given_up_in_doubt_is_released() {
+    let mut world = well(1);
+    world.faults.lost_after = 100;
+    world.settle_as = Some(Settled::Unknown);
+    let warm = world.claim(0, key(0)).unwrap();
+    world.run(Millis(2_100));
+    assert_eq!(refused(&world, 0, warm), Some(Code::ClaimUnavailable));
+    world.faults.lost_after = 0;
+    world.run(Millis(10_000));
+    world.claim(0, key(1)).unwrap();
+    world.run(Millis(10));
+    world.faults.lost_after = 100;
+    let doubtful = world.claim(0, key(1_000)).unwrap();
+    world.run(Millis(2_100));
+    assert_eq!(refused(&world, 0, doubtful), Some(Code::ClaimUnavailable));
+    world.faults.lost_after = 0;
+    world.run(Millis(15_000));
+    let again = world.claim(0, key(1_000)).unwrap();
+    world.run(Millis(1_000));
+    assert_eq!(decision(&world, 0, again), Some(Decision::Granted));
+}
+
+/// The same where the write takes effect only after the claim was given up.
+#[rstest]
+fn late_write_of_a_claim_given_up_does_not_stand(#[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64) {
+    let options = Options {
+        shards: 1,
+        ..Options::default()
+    };
+    let mut world = World::new(1, options, Faults::default(), seed);
+    world.settle_as = Some(Settled::Unknown);
+    world.claim(0, key(0)).unwrap();
+    world.run(Millis(5_000));
+    world.faults.late = 100;
+    let late = world.claim(0, key(1)).unwrap();
+    world.faults.late = 0;
+    world.outage_until = world.now.after(Millis(2_100));
+    world.run(Millis(20_000));
+    assert_eq!(refused(&world, 0, late), Some(Code::ClaimUnavailable));
+    let again = world.claim(0, key(1)).unwrap();
+    world.run(Millis(1_000));
+    assert_eq!(decision(&world, 0, again), Some(Decision::Granted));
+}
+
+#[test]
+fn release_by_another_instance_is_seen_by_a_repeat() {
+    let mut world = well(2);
+    world.runs_on = true;
+    for node in 0..2 {
+        world.nodes[node].claims.set_members([]);
+    }
+    let first = world.claim(0, key(1)).unwrap();
+    world.run(Millis(500));
+    let second = world.claim(1, key(1)).unwrap();
+    world.run(Millis(500));
+    assert_eq!(refused(&world, 1, second), Some(Code::KeyUnknown));
+    world.settle(0, first, Settled::NotRun);
+    world.run(Millis(500));
+    let third = world.claim(1, key(1)).unwrap();
+    world.run(Millis(500));
+    assert_eq!(decision(&world, 1, third), Some(Decision::Granted));
+}
+
+/// An owner whose clock is ahead does not forget a key before its life is over.
+#[test]
+fn clock_that_is_ahead_does_not_end_a_life_early() {
+    let skew = Millis(3_000);
+    let options = Options {
+        shards: 1,
+        key_life: Millis(30_000),
+        clock_skew: skew,
+        ..small()
+    };
+    let mut world = World::new(2, options, Faults::default(), 7);
+    world.settle_as = Some(Settled::Ran { status: 201 });
+    world.nodes[1].clock = skew.0;
+    for node in 0..2 {
+        world.nodes[node].claims.set_members([]);
+    }
+    for n in 0..20 {
+        world.claim(0, key(n)).unwrap();
+    }
+    world.run(Millis(28_000));
+    let repeat = world.claim(1, key(1)).unwrap();
+    world.run(Millis(1_500));
+    assert_eq!(refused(&world, 1, repeat), Some(Code::KeyRan));
+}
--- a/sl-claim/tests/it/world.rs
+++ b/sl-claim/tests/it/world.rs
@@ -32,7 +32,7 @@
     pub claims: Claims,
     pub incarnation: u64,
     paused_until: Timestamp,
-    clock: u64,
+    pub clock: u64,
     undecided: BTreeMap<RequestId, (KeyHash, Timestamp)>,
     inbox: Vec<Arrival>,
 }
@@ -75,12 +75,15 @@
     pub faults: Faults,
     pub outage_until: Timestamp,
     pub grants: BTreeMap<KeyHash, Vec<Grant>>,
+    pub granted_keys: BTreeMap<RequestId, KeyHash>,
     pub decisions: BTreeMap<(usize, u64, RequestId), Decision>,
     pub recorded: BTreeMap<(usize, u64, RequestId), bool>,
     pub calls: BTreeMap<&'static str, u64>,
     pub put_bytes: u64,
     /// What becomes of granted requests; by chance where there is none.
     pub settle_as: Option<Settled>,
+    /// Whether granted requests are left to the test to settle.
+    pub runs_on: bool,
     options: Options,
     transit: BTreeMap<(Timestamp, u64), Transit>,
     next: u64,
@@ -105,11 +108,13 @@
             faults,
             outage_until: START,
             grants: BTreeMap::new(),
+            granted_keys: BTreeMap::new(),
             decisions: BTreeMap::new(),
             recorded: BTreeMap::new(),
             calls: BTreeMap::new(),
             put_bytes: 0,
             settle_as: None,
+            runs_on: false,
             options,
             transit: BTreeMap::new(),
             next: 0,
@@ -191,6 +196,16 @@
         self.nodes.iter().map(|n| n.undecided.len()).sum()
     }
 
+    pub fn settle(&mut self, node: usize, request: RequestId, settled: Settled) {
+        let now = self.local(node);
+        self.nodes[node].claims.settle(now, request, settled);
+        let (grants, key) = (&mut self.grants, self.granted_keys[&request]);
+        if let Some(grant) = grants.get_mut(&key).and_then(|grants| grants.last_mut()) {
+            grant.settled = Some(settled);
+        }
+        self.collect(node);
+    }
+
     fn local(&self, node: usize) -> Timestamp {
         self.now.after(Millis(self.nodes[node].clock))
     }
@@ -260,7 +275,10 @@
             incarnation: Some(incarnation),
             arrival: Arrival::Reply(id, Reply::Lost),
         };
-        self.put(answer_by, lost);
+        // An adapter that never answers must not hold a shard up either.
+        if self.chance(50) {
+            self.put(answer_by, lost);
+        }
         if !is_lost {
             let call = Transit::Call {
                 node,
@@ -395,6 +413,7 @@
     }
 
     fn granted(&mut self, node: usize, request: RequestId, key: KeyHash) {
+        self.granted_keys.insert(request, key);
         let life = self.options.key_life;
         let grants = self.grants.entry(key).or_default();
         let holds = |grant: &Grant| {
@@ -402,6 +421,7 @@
         };
         assert!(!grants.iter().any(holds), "{key:?} is granted twice");
         let settled = match self.settle_as {
+            _ if self.runs_on => None,
             Some(settled) => Some(settled),
             None => match self.rng.random_range(0..8) {
                 0..4 => Some(Settled::Ran { status: 201 }),
