--- a/sl-member/src/members.rs
+++ b/sl-member/src/members.rs
@@ -72,6 +72,8 @@
     /// How many more rounds of probes through others this period allows. Without a bound,
     /// each lost message would lead to several new ones.
     rounds_left: u32,
+    /// How often this period still allows to pass changes on at once.
+    pushes_left: u32,
     /// A tick after this means that the process stood still, not that its peers did.
     stalled_at: Timestamp,
     isolated_at: Timestamp,
@@ -95,6 +97,7 @@
             asked: BTreeMap::new(),
             probe_at: now,
             rounds_left: options.indirect_rounds,
+            pushes_left: options.pushes,
             stalled_at: Timestamp::NEVER,
             isolated_at: now.after(options.isolated_after),
             out: Vec::new(),
@@ -206,6 +209,7 @@
         if self.probe_at.is_due(now) {
             self.probe_at = now.after(self.options.probe_every);
             self.rounds_left = self.options.indirect_rounds;
+            self.pushes_left = self.options.pushes;
             self.probe(now);
         }
     }
@@ -358,6 +362,7 @@
         }
         self.spread(change.member);
         self.changed(change.member);
+        self.hurry(change.member);
     }
 
     /// Says that this instance is alive after all, in news that beat the suspicion.
@@ -602,6 +607,10 @@
 
     /// Tells a few peers of a change of `member` at once; the probes tell the rest.
     fn hurry(&mut self, member: InstanceId) {
+        let Some(left) = self.pushes_left.checked_sub(1) else {
+            return;
+        };
+        self.pushes_left = left;
         for (to, address) in self.some_peers(member) {
             self.ping(to, address, None);
         }
--- a/sl-member/src/options.rs
+++ b/sl-member/src/options.rs
@@ -16,6 +16,8 @@
     pub indirect: usize,
     /// The most rounds of probes through others that begin in one probe period.
     pub indirect_rounds: u32,
+    /// How often in one probe period changes are passed on before the next probe.
+    pub pushes: u32,
     /// How long a suspected member has to object before it is held dead.
     pub suspect_for: Millis,
     /// How long a dead member that is no longer listed is remembered, so that late news
@@ -40,6 +42,7 @@
             indirect_wait: Millis(500),
             indirect: 3,
             indirect_rounds: 2,
+            pushes: 2,
             suspect_for: Millis(1_500),
             forget_after: Millis(60_000),
             isolated_after: Millis(4_000),
