--- a/sl-claim/tests/it/claims.rs
+++ b/sl-claim/tests/it/claims.rs
@@ -264,6 +264,10 @@
     world.run(Millis(10_000));
     let puts = world.calls["put"];
     let granted = world.grants.len();
+    println!(
+        "{granted} claims: {:?}, {} bytes put",
+        world.calls, world.put_bytes
+    );
     assert_eq!(granted, 2_000);
     // 16 shards, 20 writes a second each, 5 s, and two more for each seal.
     assert!(puts < 16 * 20 * 5 + 100, "{puts} writes");
@@ -349,7 +353,7 @@
         ..small()
     };
     let mut world = World::new(2, options, Faults::default(), 7);
-    world.settle_as = Some(Settled::Ran { status: 201 });
+    world.runs_on = true;
     world.nodes[1].clock = skew.0;
     for node in 0..2 {
         world.nodes[node].claims.set_members([]);
@@ -360,5 +364,5 @@
     world.run(Millis(28_000));
     let repeat = world.claim(1, key(1)).unwrap();
     world.run(Millis(1_500));
-    assert_eq!(refused(&world, 1, repeat), Some(Code::KeyRan));
+    assert_eq!(refused(&world, 1, repeat), Some(Code::KeyUnknown));
 }
