--- a/sl-claim/tests/it/claims.rs
+++ b/sl-claim/tests/it/claims.rs
@@ -366,3 +366,22 @@
     world.run(Millis(1_500));
     assert_eq!(refused(&world, 1, repeat), Some(Code::KeyUnknown));
 }
+
+/// The platform lost what it held: who remembers better grants nothing more.
+#[test]
+fn service_that_lost_its_data_grants_nothing_to_who_remembers() {
+    let options = Options {
+        shards: 1,
+        ..Options::default()
+    };
+    let mut world = World::new(1, options, Faults::default(), 7);
+    world.settle_as = Some(Settled::Ran { status: 201 });
+    world.claim(0, key(1)).unwrap();
+    world.run(Millis(5_000));
+    world.kv.clear();
+    let repeat = world.claim(0, key(1)).unwrap();
+    let new = world.claim(0, key(2)).unwrap();
+    world.run(Millis(2_100));
+    assert_eq!(refused(&world, 0, repeat), Some(Code::KeyRan));
+    assert_eq!(refused(&world, 0, new), Some(Code::ClaimUnavailable));
+}
--- a/sl-member/tests/it/members.rs
+++ b/sl-member/tests/it/members.rs
@@ -129,6 +129,30 @@
     assert_eq!(world.deaths, 0);
 }
 
+/// Long enough to be suspected and short enough to object.
+#[rstest]
+fn short_pause_makes_nobody_dead(#[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64) {
+    let mut world = settled(9, seed);
+    world.pause(0, Millis(1_800));
+    world.run(Millis(10_000));
+    assert_eq!(world.deaths, 0);
+    assert!(world.agrees());
+}
+
+/// The objection may wait behind the tick that comes first after a standstill.
+#[test]
+fn standstill_of_ones_own_turns_no_suspicion_into_a_death() {
+    let mut world = settled(2, 1);
+    world.kill(1);
+    while world.nodes[0].members.status(id(1)) != Some(Status::Suspect) {
+        world.run(Millis(50));
+    }
+    let later = world.now.after(Millis(10_000));
+    let members = &mut world.nodes[0].members;
+    members.tick(later);
+    assert_eq!(members.status(id(1)), Some(Status::Suspect));
+}
+
 #[test]
 fn pause_does_not_make_the_paused_one_hold_the_others_dead() {
     let mut world = settled(5, 1);
