--- a/sl-member/tests/it/members.rs
+++ b/sl-member/tests/it/members.rs
@@ -1,7 +1,7 @@
 use proptest::prelude::*;
 use rstest::rstest;
-use sl_base::Millis;
-use sl_member::Status;
+use sl_base::{Incarnation, Millis};
+use sl_member::{Change, Life, Message, Status};
 
 use crate::{
     config,
@@ -230,7 +230,64 @@
     let mut world = settled(3, 1);
     world.list(0, &listing(2, [0, 1, 2]));
     world.list(0, &listing(1, [0]));
-    assert_eq!(world.nodes[0].members.alive().len(), 3);
+    world.kill(2);
+    world.run(Millis(100_000));
+    // It would be forgotten by now if it were not listed.
+    assert_eq!(world.nodes[0].members.status(id(2)), Some(Status::Dead));
+}
+
+fn ping(incarnation: u64, changes: Vec<Change>) -> Message {
+    Message::Ping {
+        address: ([127, 0, 0, 1], 7_002).into(),
+        life: Life {
+            incarnation: Incarnation(incarnation),
+            objections: 0,
+        },
+        changes,
+    }
+}
+
+fn suspicion(member: usize) -> Change {
+    Change {
+        member: id(member),
+        address: ([127, 0, 0, 1], 7_000).into(),
+        life: Life {
+            incarnation: Incarnation(1),
+            objections: 0,
+        },
+        status: Status::Suspect,
+        leaving: false,
+    }
+}
+
+#[rstest]
+#[case::earlier_life(1, Status::Alive)]
+#[case::present_life(2, Status::Suspect)]
+fn message_of_an_earlier_life_is_ignored(#[case] incarnation: u64, #[case] held: Status) {
+    let mut world = settled(3, 1);
+    world.restart(2);
+    world.list(2, &listing(1, 0..3));
+    world.run(Millis(3_000));
+    let now = world.now;
+    let members = &mut world.nodes[0].members;
+    let late = ping(incarnation, vec![suspicion(1)]);
+    members.on_message(now, id(2), Incarnation(incarnation), late);
+    assert_eq!(members.status(id(1)), Some(held));
+}
+
+/// What docs/CAPACITY.md counts with.
+#[test]
+fn fullest_ping_stays_below_a_quarter_kilobyte() {
+    let size = |changes: usize| {
+        let message = ping(1_800_000_000_000_000, vec![suspicion(0); changes]);
+        postcard::to_stdvec(&message).map(|bytes| bytes.len())
+    };
+    println!(
+        "{:?} bytes without and {:?} with 8 changes",
+        size(0),
+        size(8)
+    );
+    assert!(size(8).is_ok_and(|bytes| bytes < 256));
 }
 
 /// Messages per instance do not grow with the fleet.
