--- a/sl-claim/src/lib.rs
+++ b/sl-claim/src/lib.rs
@@ -16,6 +16,7 @@
 mod shard;
 pub mod strikes;
 pub mod token;
+mod view;
 
 pub use claims::Claims;
 pub use message::{Message, Verdict};
