--- a/sl-member/src/members.rs
+++ b/sl-member/src/members.rs
@@ -69,6 +69,11 @@
     /// On whose behalf a member is probed, and until when.
     asked: BTreeMap<(InstanceId, InstanceId), Timestamp>,
     probe_at: Timestamp,
+    /// How many more rounds of probes through others this period allows. Without a bound,
+    /// each lost message would lead to several new ones.
+    rounds_left: u32,
+    /// How often this period still allows to pass changes on at once.
+    pushes_left: u32,
     /// A tick after this means that the process stood still, not that its peers did.
     stalled_at: Timestamp,
     isolated_at: Timestamp,
@@ -91,6 +96,8 @@
             news: BTreeMap::new(),
             asked: BTreeMap::new(),
             probe_at: now,
+            rounds_left: options.indirect_rounds,
+            pushes_left: options.pushes,
             stalled_at: Timestamp::NEVER,
             isolated_at: now.after(options.isolated_after),
             out: Vec::new(),
@@ -201,6 +208,8 @@
         self.expire(now);
         if self.probe_at.is_due(now) {
             self.probe_at = now.after(self.options.probe_every);
+            self.rounds_left = self.options.indirect_rounds;
+            self.pushes_left = self.options.pushes;
             self.probe(now);
         }
     }
@@ -353,6 +362,7 @@
         }
         self.spread(change.member);
         self.changed(change.member);
+        self.hurry(change.member);
     }
 
     /// Says that this instance is alive after all, in news that beat the suspicion.
@@ -363,6 +373,9 @@
         }
         if change.life >= self.life() {
             self.objections = change.life.objections.saturating_add(1);
+            self.spread(self.me.id);
+            self.hurry(self.me.id);
+            return;
         }
         self.spread(self.me.id);
     }
@@ -456,6 +469,7 @@
         if status == Status::Suspect {
             self.ping(id, address, Some(held));
         }
+        self.hurry(id);
     }
 
     fn probe(&mut self, now: Timestamp) {
@@ -559,14 +573,16 @@
         let Some(member) = self.members.get_mut(&id) else {
             return;
         };
+        if self.rounds_left == 0 {
+            let until = self.probe_at.max(now.after(self.options.direct_wait));
+            member.probe = Probe::Direct { until };
+            return;
+        }
+        self.rounds_left -= 1;
         let until = now.after(self.options.indirect_wait);
         member.probe = Probe::Indirect { until };
         let (target, target_address) = (id, member.address);
-        let mut helpers: Vec<(InstanceId, SocketAddr)> =
-            self.peers().filter(|&(peer, _)| peer != id).collect();
-        helpers.shuffle(&mut self.rng);
-        helpers.truncate(self.options.indirect);
-        for (to, address) in helpers {
+        for (to, address) in self.some_peers(id) {
             let message = Message::ProbeFor {
                 target,
                 address: target_address,
@@ -580,6 +596,26 @@
         self.ping_with_held(id);
     }
 
+    /// A few peers at random, without `but`.
+    fn some_peers(&mut self, but: InstanceId) -> Vec<(InstanceId, SocketAddr)> {
+        let mut peers: Vec<(InstanceId, SocketAddr)> =
+            self.peers().filter(|&(peer, _)| peer != but).collect();
+        peers.shuffle(&mut self.rng);
+        peers.truncate(self.options.indirect);
+        peers
+    }
+
+    /// Tells a few peers of a change of `member` at once; the probes tell the rest.
+    fn hurry(&mut self, member: InstanceId) {
+        let Some(left) = self.pushes_left.checked_sub(1) else {
+            return;
+        };
+        self.pushes_left = left;
+        for (to, address) in self.some_peers(member) {
+            self.ping(to, address, None);
+        }
+    }
+
     fn probe_for(
         &mut self,
         now: Timestamp,
