sl-slots: a new home lends as soon as all who may hold loans have said so

Cause: each home waited one lease (3 s) after a change of members, so that the first answer of a fleet that just started came after 3 s and each join held up an n-th of the servers. Change: a renewal names the view it was made under; a home that heard every member under its own view, and nobody who left lately, has nothing to wait for.

--- a/sl-slots/src/exchange.rs
+++ b/sl-slots/src/exchange.rs
@@ -23,7 +23,11 @@
     }
 
     fn on_renew(&mut self, now: Timestamp, from: InstanceId, renew: &Renew) {
-        if self.home.on_renew(now, from, renew, self.options.lease) {
+        let view = self.view();
+        if self
+            .home
+            .on_renew(now, from, renew, view, self.options.lease)
+        {
             self.owed.insert(from);
             self.balance_all(now);
         }
@@ -106,6 +110,7 @@
         let servers = self.by_home.get(&home).map_or(&[][..], Vec::as_slice);
         let windows = self.holder.windows(servers);
         let wants = self.wants(now, servers);
+        let view = self.view();
         let Some(link) = self.holder.links.get_mut(&home) else {
             return Renew::default();
         };
@@ -118,6 +123,7 @@
             born: self.born,
             sent_at,
             seen: link.seen,
+            view,
             windows,
             wants,
         }
--- a/sl-slots/src/holder.rs
+++ b/sl-slots/src/holder.rs
@@ -69,8 +69,8 @@
 impl Link {
     /// Takes the home's word that it knows what left at `echo`; a home that knows that
     /// nothing is held or wanted needs no more renewals.
-    pub fn confirm(&mut self, echo: Timestamp, every: Millis) {
-        if echo < self.sent_at {
+    pub fn confirm(&mut self, echo: Timestamp, every: Millis, keep_on: bool) {
+        if echo < self.sent_at || keep_on {
             return;
         }
         let hastened = self.renew_by < self.sent_at.after(every);
@@ -90,6 +90,9 @@
 pub(crate) struct Holder {
     pub held: BTreeMap<ServerId, Held>,
     pub links: BTreeMap<InstanceId, Link>,
+    /// Until when homes may still learn of a change of members: they are told even that
+    /// nothing is held, so that none waits for loans that do not exist.
+    pub settle_until: Timestamp,
 }
 
 impl Holder {
@@ -108,7 +111,8 @@
             return false;
         }
         link.seen = grant.number;
-        link.confirm(grant.echo, terms.renew_every);
+        let keep_on = !self.settle_until.is_due(now);
+        link.confirm(grant.echo, terms.renew_every, keep_on);
         let granted: BTreeMap<ServerId, u32> = grant
             .windows
             .iter()
--- a/sl-slots/src/home.rs
+++ b/sl-slots/src/home.rs
@@ -1,6 +1,6 @@
 //! What this instance lends as home of servers.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use sl_base::{InstanceId, Millis, Need, PoolId, ServerId, Timestamp};
 
@@ -57,6 +57,9 @@
     pub slots: u32,
     /// Until when loans of an earlier home may run, so that nothing new is lent.
     pub adopt_until: Timestamp,
+    /// Holders that may have loans of an earlier home and did not say yet; once all did,
+    /// nothing is left to wait for.
+    pub unheard: BTreeSet<InstanceId>,
     /// The loans by holder.
     pub loans: BTreeMap<InstanceId, Lent>,
 }
@@ -108,6 +111,7 @@
         now: Timestamp,
         from: InstanceId,
         renew: &Renew,
+        view: u32,
         lease: Millis,
     ) -> bool {
         let contact = self.contacts.entry(from).or_default();
@@ -122,6 +126,9 @@
             renew.windows.iter().map(|w| (w.server, *w)).collect();
         for (&server, homed) in &mut self.servers {
             homed.on_window(server, from, windows.get(&server), renew.seen);
+            if renew.view == view {
+                homed.heard(now, from);
+            }
         }
         true
     }
@@ -349,6 +356,12 @@
         }
     }
 
+    fn heard(&mut self, now: Timestamp, from: InstanceId) {
+        if self.unheard.remove(&from) && self.unheard.is_empty() {
+            self.adopt_until = self.adopt_until.min(now);
+        }
+    }
+
     fn lapse(&mut self, now: Timestamp, holder: InstanceId, lost_after: Millis) {
         let Some(lent) = self.loans.get_mut(&holder) else {
             return;
--- a/sl-slots/src/message.rs
+++ b/sl-slots/src/message.rs
@@ -22,6 +22,8 @@
     pub sent_at: Timestamp,
     /// The number of the last grant that the holder took from this home.
     pub seen: u64,
+    /// Stands for the members that the holder sees.
+    pub view: u32,
     /// The holder's windows; one that is absent is zero.
     pub windows: Vec<Window>,
     /// What waits on the holder for pools of the home's servers.
--- a/sl-slots/src/place.rs
+++ b/sl-slots/src/place.rs
@@ -19,6 +19,9 @@
         for elsewhere in self.elsewhere.values_mut() {
             elsewhere.retain(|instance, _| members.contains(instance));
         }
+        let until = now.after(self.options.lease);
+        let gone = self.members.iter().filter(|it| !members.contains(it));
+        self.gone.extend(gone.map(|&it| (it, until)));
         self.members = members;
         self.place(now);
     }
@@ -59,6 +62,7 @@
         }
         self.take_homes(now);
         self.drop_unlisted();
+        self.holder.settle_until = now.after(self.options.lease);
         self.hasten_all(now);
         self.settle(now);
     }
@@ -72,12 +76,14 @@
             .copied()
             .collect();
         self.home.servers.retain(|id, _| mine.contains(id));
+        let unheard = self.may_hold(now);
         for id in mine {
             let server = self.servers[&id].server;
             let homed = self.home.servers.entry(id).or_insert_with(|| Homed {
                 pool: server.pool,
                 slots: 0,
                 adopt_until: now.after(self.options.lease),
+                unheard: unheard.clone(),
                 loans: BTreeMap::new(),
             });
             homed.pool = server.pool;
@@ -86,6 +92,21 @@
         self.balance_all(now);
     }
 
+    /// Who may have a loan of an earlier home: all members, and those that left too lately
+    /// for their loans to have run out; these will not say, and are waited for.
+    fn may_hold(&mut self, now: Timestamp) -> BTreeSet<InstanceId> {
+        self.gone.retain(|_, until| !until.is_due(now));
+        let gone = self.gone.keys();
+        self.members.iter().chain(gone).copied().collect()
+    }
+
+    /// Stands for the members that this instance sees. A renewal tells of a server's
+    /// loans only where holder and home agree on who that home is.
+    pub(crate) fn view(&self) -> u32 {
+        let fold = |view, &it: &InstanceId| hash::weight(view, it.into());
+        self.members.iter().fold(0, fold) as u32
+    }
+
     fn drop_unlisted(&mut self) {
         let listed = &self.servers;
         self.holder.held.retain(|id, held| {
--- a/sl-slots/src/slots.rs
+++ b/sl-slots/src/slots.rs
@@ -52,6 +52,8 @@
     pub(crate) born: Timestamp,
     pub(crate) draining: bool,
     pub(crate) members: Vec<InstanceId>,
+    /// Members that left, and until when their loans may run.
+    pub(crate) gone: BTreeMap<InstanceId, Timestamp>,
     pub(crate) servers: BTreeMap<ServerId, Known>,
     pub(crate) by_home: BTreeMap<InstanceId, Vec<ServerId>>,
     pub(crate) by_pool: BTreeMap<PoolId, Vec<ServerId>>,
@@ -91,6 +93,7 @@
             born: now,
             draining: false,
             members: vec![me],
+            gone: BTreeMap::new(),
             servers: BTreeMap::new(),
             by_home: BTreeMap::new(),
             by_pool: BTreeMap::new(),
