--- a/sl-core/src/cli.rs
+++ b/sl-core/src/cli.rs
@@ -76,7 +76,7 @@
     /// Tell who accepted what.
     History(Option<String>),
     /// Remove a draft.
-    Discard(String),
+    Discard(template::discard::Options),
 }
 
 /// Columns of the help text.
@@ -182,8 +182,8 @@
             let outcome = template::history::history(&store, name.as_deref()).await?;
             outcome.write(form, out)?;
         }
-        Action::Discard(name) => {
-            let outcome = template::discard::discard(&store, name).await?;
+        Action::Discard(options) => {
+            let outcome = template::discard::discard(&store, options).await?;
             outcome.write(form, out)?;
         }
     }
--- a/sl-core/src/cli/args.rs
+++ b/sl-core/src/cli/args.rs
@@ -13,7 +13,7 @@
     operator,
     output::Form,
     report, run, store,
-    template::{accept, edit, show},
+    template::{accept, discard, edit, show},
 };
 
 /// The environment variable that holds the platform's address.
@@ -122,7 +122,7 @@
     );
     let accept = action("accept", "Put drafts in force, all or none.", accept());
     let history = action("history", "Tell who accepted what.", history());
-    let discard = action("discard", "Remove a draft.", name().map(Action::Discard));
+    let discard = action("discard", "Remove a draft.", discard());
     construct!([list, show, edit, diff, accept, history, discard])
         .to_options()
         .descr("Work with templates: edit drafts, accept them, see what is accepted.")
@@ -215,10 +215,33 @@
     let names = positional::<String>("NAME")
         .help("The templates whose drafts to accept together")
         .some("name at least one template");
-    let options = construct!(accept::Options { by, wait, names });
+    let of = of();
+    let options = construct!(of, by, wait, names).map(|(of, by, wait, names)| accept::Options {
+        of: of.unwrap_or_else(|| by.clone()),
+        by,
+        wait,
+        names,
+    });
     construct!(operator, options).map(|(operator, options)| Action::Accept(options, operator))
 }
 
+fn discard() -> impl Parser<Action> {
+    let of = of();
+    let by = by();
+    let name = name();
+    construct!(of, by, name).map(|(of, by, name)| {
+        let of = of.unwrap_or(by);
+        Action::Discard(discard::Options { name, of })
+    })
+}
+
+fn of() -> impl Parser<Option<String>> {
+    long("of")
+        .help("Who wrote the draft, where that is not you")
+        .argument::<String>("NAME")
+        .optional()
+}
+
 fn history() -> impl Parser<Action> {
     positional::<String>("NAME")
         .help("Only changes of this template")
--- a/sl-core/src/template.rs
+++ b/sl-core/src/template.rs
@@ -67,6 +67,17 @@
         /// Who wrote the draft.
         by: String,
     },
+    /// The draft is somebody else's.
+    #[error("the draft of `{name}` was written by {by}")]
+    #[diagnostic(help(
+        "look at it with `sesamelock template diff {name}`; if you mean it, add --of {by}"
+    ))]
+    NotYours {
+        /// The template's name.
+        name: String,
+        /// Who wrote the draft.
+        by: String,
+    },
     /// The draft was changed meanwhile.
     #[error("the draft of `{0}` was changed meanwhile")]
     Overtaken(String),
@@ -81,7 +92,8 @@
             Error::NoTemplate(_) | Error::NoDraft(_) => Exit::NotFound,
             Error::TooOld(_) | Error::TooNew(_) => Exit::NotFound,
             Error::Faults(_) | Error::Page(_) => Exit::Faults,
-            Error::DraftOfAnother { .. } | Error::Overtaken(_) => Exit::Conflict,
+            Error::DraftOfAnother { .. } | Error::NotYours { .. } => Exit::Conflict,
+            Error::Overtaken(_) => Exit::Conflict,
             Error::Damaged { .. } | Error::NoPage(_) => Exit::Failed,
         }
     }
--- a/sl-core/src/template/accept.rs
+++ b/sl-core/src/template/accept.rs
@@ -31,6 +31,8 @@
 pub struct Options {
     /// The templates whose drafts are accepted together.
     pub names: Vec<String>,
+    /// Who wrote the drafts: somebody else's is not accepted by mistake.
+    pub of: String,
     /// Who accepts.
     pub by: String,
     /// How long to wait for every instance to run the revision.
@@ -133,7 +135,7 @@
     operator: Option<&Operator>,
     options: &Options,
 ) -> Result<Outcome, Error> {
-    let drafts = drafts(store, &options.names).await?;
+    let drafts = drafts(store, options).await?;
     let mut edits = Vec::with_capacity(drafts.len());
     for (_, draft) in &drafts {
         edits.push(draft.edit().map_err(super::Error::Page)?);
@@ -160,11 +162,13 @@
     })
 }
 
-async fn drafts(store: &impl Store, names: &[String]) -> Result<Vec<(Version, Draft)>, Error> {
-    let mut drafts = Vec::with_capacity(names.len());
-    for name in names {
-        let draft = read::draft(store, name).await?;
-        drafts.push(draft.ok_or_else(|| super::Error::NoDraft(name.clone()))?);
+async fn drafts(
+    store: &impl Store,
+    options: &Options,
+) -> Result<Vec<(Version, Draft)>, super::Error> {
+    let mut drafts = Vec::with_capacity(options.names.len());
+    for name in &options.names {
+        drafts.push(read::draft_by(store, name, &options.of).await?);
     }
     Ok(drafts)
 }
--- a/sl-core/src/template/discard.rs
+++ b/sl-core/src/template/discard.rs
@@ -11,6 +11,15 @@
     store::{self, Store, Swapped},
 };
 
+/// What to discard.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The template's name.
+    pub name: String,
+    /// Who wrote the draft: somebody else's is not removed by mistake.
+    pub of: String,
+}
+
 /// The draft that was removed.
 #[derive(Clone, Debug, Serialize)]
 pub struct Outcome {
@@ -18,17 +27,17 @@
     pub discarded: Draft,
 }
 
-/// Removes the draft of the template `name`.
+/// Removes a draft.
 ///
 /// # Errors
 ///
-/// [`Error`] where there is no draft or the platform does not answer.
-pub async fn discard(store: &impl Store, name: &str) -> Result<Outcome, Error> {
-    let draft = read::draft(store, name).await?;
-    let (version, discarded) = draft.ok_or_else(|| Error::NoDraft(name.to_owned()))?;
+/// [`Error`] where there is no such draft or the platform does not answer.
+pub async fn discard(store: &impl Store, options: &Options) -> Result<Outcome, Error> {
+    let Options { name, of } = options;
+    let (version, discarded) = read::draft_by(store, name, of).await?;
     match store::swap(store, &Draft::key(name), version, None).await {
         Swapped::Done => Ok(Outcome { discarded }),
-        Swapped::Overtaken => Err(Error::Overtaken(name.to_owned())),
+        Swapped::Overtaken => Err(Error::Overtaken(name.clone())),
         Swapped::NotDone => Err(Error::Unreachable),
         Swapped::Unknown => Err(Error::Unknown),
     }
--- a/sl-core/src/template/read.rs
+++ b/sl-core/src/template/read.rs
@@ -47,6 +47,23 @@
     Ok(Some((version, draft)))
 }
 
+/// The draft of the template `name`, which `by` is believed to have written.
+pub(super) async fn draft_by(
+    store: &impl Store,
+    name: &str,
+    by: &str,
+) -> Result<(Version, Draft), Error> {
+    let found = draft(store, name).await?;
+    let (version, draft) = found.ok_or_else(|| Error::NoDraft(name.to_owned()))?;
+    if draft.written_by != by {
+        return Err(Error::NotYours {
+            name: draft.name,
+            by: draft.written_by,
+        });
+    }
+    Ok((version, draft))
+}
+
 fn damaged(key: &str, why: &impl ToString) -> Error {
     Error::Damaged {
         key: key.to_owned(),
--- a/sl-core/tests/it/instance.rs
+++ b/sl-core/tests/it/instance.rs
@@ -107,6 +107,7 @@
     edit::edit(store, &options).await.unwrap();
     let options = accept::Options {
         names: vec!["a".to_owned()],
+        of: "gwen".to_owned(),
         by: "gwen".to_owned(),
         wait,
     };
--- a/sl-core/tests/it/template.rs
+++ b/sl-core/tests/it/template.rs
@@ -51,14 +51,31 @@
 }
 
 async fn accept(store: &Memory, names: &[&str]) -> Result<accept::Outcome, accept::Error> {
+    accept_of(store, names, "gwen").await
+}
+
+async fn accept_of(
+    store: &Memory,
+    names: &[&str],
+    of: &str,
+) -> Result<accept::Outcome, accept::Error> {
     let options = accept::Options {
         names: names.iter().map(ToString::to_string).collect(),
+        of: of.to_owned(),
         by: "gwen".to_owned(),
         wait: Millis(0),
     };
     accept::accept(store, None, &options).await
 }
 
+async fn discarded(store: &Memory, name: &str) -> Result<discard::Outcome, template::Error> {
+    let options = discard::Options {
+        name: name.to_owned(),
+        of: "gwen".to_owned(),
+    };
+    discard::discard(store, &options).await
+}
+
 async fn shown(store: &Memory, name: &str, which: show::Which) -> Result<String, template::Error> {
     let name = name.to_owned();
     let outcome = show::show(store, &show::Options { name, which }).await?;
@@ -107,7 +124,7 @@
     draft(&store, "a", "gwen", &text("t", 5), 1).await.unwrap();
     accept(&store, &["a"]).await.unwrap();
     draft(&store, "a", "huw", &text("t", 7), 1).await.unwrap();
-    let error = accept(&store, &["a"]).await.unwrap_err();
+    let error = accept_of(&store, &["a"], "huw").await.unwrap_err();
     assert_eq!(error.exit(), Exit::Conflict);
     let accept::Error::Conflict { conflict, between } = &error else {
         panic!("{error}");
@@ -185,11 +202,31 @@
     assert_eq!(error.exit(), Exit::Conflict);
     let kept = shown(&store, "a", show::Which::Draft).await.unwrap();
     assert_eq!(kept, text("t", 1));
-    let outcome = discard::discard(&store, "a").await.unwrap();
+    let outcome = discarded(&store, "a").await.unwrap();
     assert_eq!(outcome.discarded.written_by, "gwen");
     draft(&store, "a", "huw", &text("t", 2), 0).await.unwrap();
 }
 
+#[tokio::test]
+async fn a_draft_that_another_overwrote_is_not_accepted_as_ones_own() {
+    let store = Memory::default();
+    draft(&store, "a", "gwen", &text("t", 1), 0).await.unwrap();
+    let dir = tempfile::tempdir().unwrap();
+    let path = file(&dir, &text("t", 2));
+    let base = Revision(0);
+    let mut options = options("a", "huw", edit::Source::File { path, base });
+    options.replace = true;
+    edit::edit(&store, &options).await.unwrap();
+    let error = accept(&store, &["a"]).await.unwrap_err();
+    assert_eq!(error.exit(), Exit::Conflict);
+    let error = discarded(&store, "a").await.unwrap_err();
+    assert_eq!(error.exit(), Exit::Conflict);
+    assert!(store.get("config/head").is_none());
+    accept_of(&store, &["a"], "huw").await.unwrap();
+    let now = shown(&store, "a", show::Which::Accepted).await.unwrap();
+    assert_eq!(now, text("t", 2));
+}
+
 #[tokio::test]
 async fn a_template_is_removed() {
     let store = Memory::default();
@@ -256,7 +293,7 @@
     let store = Memory::default();
     let accepted = accept(&store, &["a"]).await.unwrap_err();
     assert_eq!(accepted.exit(), Exit::NotFound);
-    let discarded = discard::discard(&store, "a").await.unwrap_err();
+    let discarded = discarded(&store, "a").await.unwrap_err();
     assert_eq!(discarded.exit(), Exit::NotFound);
     let shown = shown(&store, "a", show::Which::Accepted).await.unwrap_err();
     assert_eq!(shown.exit(), Exit::NotFound);
