tests: operators at their terminals, against the stand-in platform and real instances

Two operators race on one template while answers and calls get lost; accept names a paused instance; a malformed template leaves no draft; drain and an unreachable platform have their exit codes.

--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -2,6 +2,7 @@
 //! stand-ins recorded is the judge of what ran.
 
 mod bed;
+mod operators;
 mod path;
 mod refusal;
 mod stop;
