sl-node: an operator's question waits for a silent peer for a second at most

The callers of a silent peer wait for each other at its link. With one of three instances paused, status took 4.45 s, 4.50 s and 5.00 s after three changes, and longer than the command line's 5 s after further ones, so that accept named instances that ran the revision long since.

--- a/sl-node/src/status.rs
+++ b/sl-node/src/status.rs
@@ -1,8 +1,8 @@
 //! The fleet as one instance can tell it: its own part, and what its peers answer.
 
 use futures::{StreamExt, stream};
-use sl_base::status::FleetStatus;
-use sl_peer::Links;
+use sl_base::{Millis, status::FleetStatus};
+use sl_peer::{Links, Silent};
 use sl_report::Snapshot;
 
 use crate::command::Seen;
@@ -16,14 +16,14 @@
     };
     let mut answers = stream::iter(seen.peers)
         .map(|peer| async move {
-            let answer = links.status(peer.id, peer.address).await;
+            let answer = answered(links.status(peer.id, peer.address)).await;
             (peer, answer)
         })
         .buffer_unordered(PEERS_AT_ONCE);
     while let Some((peer, answer)) = answers.next().await {
         match answer {
-            Ok(instance) => fleet.instances.push(instance),
-            Err(_) => fleet.silent.push(peer.name),
+            Some(instance) => fleet.instances.push(instance),
+            None => fleet.silent.push(peer.name),
         }
     }
     fleet.instances.sort_by(|a, b| a.name.cmp(&b.name));
@@ -43,19 +43,30 @@
     let mut missing = Vec::new();
     let mut answers = stream::iter(seen.peers)
         .map(|peer| async move {
-            let answer = links.burn(peer.id, peer.address).await;
+            let answer = answered(links.burn(peer.id, peer.address)).await;
             (peer, answer)
         })
         .buffer_unordered(PEERS_AT_ONCE);
     while let Some((peer, answer)) = answers.next().await {
         match answer {
-            Ok(snapshot) => snapshots.push(snapshot),
-            Err(_) => missing.push(peer.name),
+            Some(snapshot) => snapshots.push(snapshot),
+            None => missing.push(peer.name),
         }
     }
     missing.sort();
     (snapshots, missing)
 }
 
+/// What a peer answers in time. The links make a silent peer's callers wait for each
+/// other, so that the links' own deadlines add up; an operator must not wait for that.
+async fn answered<T>(answer: impl Future<Output = Result<T, Silent>>) -> Option<T> {
+    tokio::time::timeout(PEER_WITHIN.into(), answer)
+        .await
+        .ok()?
+        .ok()
+}
+
+/// How long a peer may take to answer an operator's question.
+const PEER_WITHIN: Millis = Millis(1_000);
 /// Peers that are asked at the same time.
 const PEERS_AT_ONCE: usize = 16;
