--- a/tests/it/operators.rs
+++ b/tests/it/operators.rs
@@ -183,8 +183,16 @@
     let accept = ["template", "accept", "--json", "--instance", &instance];
     let accept = [&accept[..], &["--wait-ms", IN_FORCE_MS, name]].concat();
     let (exit, outcome) = run(&fleet, "gwen", &accept).await;
-    paused.signal(Signal::SIGCONT);
     assert_eq!(exit, NOT_EVERYWHERE, "{outcome}");
+    // A silent peer does not keep an operator waiting, however often it is asked for.
+    for _ in 0..3 {
+        let status = ["status", "--json", "--answer-within-ms", "3000"];
+        let status = [&status[..], &["--instance", &instance]].concat();
+        let (exit, status) = run(&fleet, "gwen", &status).await;
+        assert_eq!(exit, DONE);
+        assert_eq!(status["silent"], serde_json::json!([paused.name]));
+    }
+    paused.signal(Signal::SIGCONT);
     assert_eq!(outcome["behind"], serde_json::json!([paused.name]));
     check_in_force(&fleet, &outcome["revision"]).await;
 }
