--- a/sl-front/src/node.rs
+++ b/sl-front/src/node.rs
@@ -37,7 +37,7 @@
     fn refused(&self, code: Code, label: Option<&Label>);
 
     /// The metrics in OpenMetrics text.
-    fn metrics(&self) -> String;
+    fn metrics(&self) -> impl Future<Output = String> + Send;
 
     /// The status report as JSON, or none where the daemon is on its way out.
     fn status(&self) -> impl Future<Output = Option<String>> + Send;
--- a/sl-front/src/operator.rs
+++ b/sl-front/src/operator.rs
@@ -103,12 +103,12 @@
             .collect()
     }
 
-    fn take(&self, path: &str) -> Response<'static> {
+    async fn take(&self, path: &str) -> Response<'static> {
         match path {
             "/live" => plain(Status::Ok, "live\n"),
             "/ready" if self.0.is_ready() => plain(Status::Ok, "ready\n"),
             "/ready" => plain(Status::ServiceUnavailable, "not ready\n"),
-            "/metrics" => metrics(self.0.metrics()),
+            "/metrics" => metrics(self.0.metrics().await),
             _ => plain(Status::NotFound, "no such call\n"),
         }
     }
@@ -117,7 +117,7 @@
 #[rocket::async_trait]
 impl<N: Node> Handler for Watched<N> {
     async fn handle<'r>(&self, req: &'r Request<'_>, _data: Data<'r>) -> Outcome<'r> {
-        Outcome::Success(self.take(req.uri().path().as_str()))
+        Outcome::Success(self.take(req.uri().path().as_str()).await)
     }
 }
 
--- a/sl-front/tests/it/fake.rs
+++ b/sl-front/tests/it/fake.rs
@@ -57,7 +57,7 @@
         self.refused.lock().unwrap().push(code);
     }
 
-    fn metrics(&self) -> String {
+    async fn metrics(&self) -> String {
         "# EOF\n".to_owned()
     }
 
--- a/sl-node/src/handle.rs
+++ b/sl-node/src/handle.rs
@@ -134,7 +134,10 @@
         }
     }
 
-    fn metrics(&self) -> String {
+    async fn metrics(&self) -> String {
+        if let Some(seen) = self.seen().await {
+            self.0.metrics.seen(&seen);
+        }
         if let Some(config) = self.config() {
             let report = self
                 .0
--- a/sl-node/src/metrics.rs
+++ b/sl-node/src/metrics.rs
@@ -18,6 +18,8 @@
 use sl_report::{Report, metrics::BurnRates};
 use sl_step::event::AttemptEnd;
 
+use crate::command::Seen;
+
 /// All metrics of a daemon; clones are the same.
 #[derive(Clone, Debug)]
 pub(crate) struct Metrics {
@@ -25,6 +27,11 @@
     answers: Family<Answer, Counter>,
     attempts: Family<Attempt, Counter>,
     notes: Family<Note, Counter>,
+    waiting: Family<Pool, Gauge>,
+    slots: Family<Slots, Gauge>,
+    members: Family<Member, Gauge>,
+    isolated: Gauge,
+    claims_waiting: Gauge,
     burn: BurnRates,
     /// Seconds from a request's arrival to the head of its answer.
     pub(crate) first_byte: Histogram,
@@ -60,6 +67,22 @@
     what: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Pool {
+    pool: String,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Slots {
+    pool: String,
+    state: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Member {
+    status: String,
+}
+
 impl Metrics {
     /// Metrics at zero; `peers` and `platform` count for themselves and are read when
     /// metrics are collected.
@@ -71,6 +94,11 @@
             answers: Family::default(),
             attempts: Family::default(),
             notes: Family::default(),
+            waiting: Family::default(),
+            slots: Family::default(),
+            members: Family::default(),
+            isolated: Gauge::default(),
+            claims_waiting: Gauge::default(),
             first_byte: Histogram::new(FIRST_BYTE_SECONDS),
             held: Gauge::default(),
             running: Gauge::default(),
@@ -115,6 +143,41 @@
         self.notes.get_or_create(&Note { what }).inc();
     }
 
+    /// Takes over what the owner sees when metrics are collected. The platform's list
+    /// bounds the number of pools.
+    pub(crate) fn seen(&self, seen: &Seen) {
+        self.waiting.clear();
+        self.slots.clear();
+        self.members.clear();
+        let instance = &seen.instance;
+        self.isolated.set(i64::from(instance.isolated));
+        self.claims_waiting.set(instance.claims_waiting as i64);
+        for it in &instance.services {
+            let pool = it.pool.clone();
+            let waiting = self.waiting.get_or_create(&Pool { pool });
+            waiting.inc_by(i64::from(it.waiting));
+        }
+        for it in &seen.servers {
+            self.add_slots(&it.pool, "listed", it.slots);
+        }
+        for it in &instance.windows {
+            let server = seen.servers.iter().find(|other| other.name == it.server);
+            let pool = server.map_or("", |it| it.pool.as_str());
+            self.add_slots(pool, "lent", it.window);
+            self.add_slots(pool, "busy", it.busy);
+        }
+        for it in &instance.members {
+            let status = it.status.clone();
+            self.members.get_or_create(&Member { status }).inc();
+        }
+    }
+
+    fn add_slots(&self, pool: &str, state: &'static str, slots: u32) {
+        let pool = pool.to_owned();
+        let gauge = self.slots.get_or_create(&Slots { pool, state });
+        gauge.inc_by(i64::from(slots));
+    }
+
     /// Takes over the burn rates of this instance's own record.
     pub(crate) fn burning(&self, report: Option<&Report>) {
         if let Some(report) = report {
@@ -134,6 +197,13 @@
         registry.register("answers", "Final answers", self.answers.clone());
         registry.register("attempts", "Attempts that ended", self.attempts.clone());
         registry.register("changes", "Changes of state", self.notes.clone());
+        registry.register(
+            "waiting_requests",
+            "Requests that wait",
+            self.waiting.clone(),
+        );
+        registry.register("slots", "Slots of backend servers", self.slots.clone());
+        registry.register("members", "Other instances by status", self.members.clone());
         registry.register(
             "first_byte_seconds",
             "From a request's arrival to the head of its answer",
@@ -148,6 +218,16 @@
                 &self.commands,
             ),
             ("config_revision", "Configuration in force", &self.revision),
+            (
+                "isolated",
+                "Whether all others are out of reach",
+                &self.isolated,
+            ),
+            (
+                "waiting_claims",
+                "Claims before their write",
+                &self.claims_waiting,
+            ),
             ("ready", "Whether new work is welcome", &self.ready),
             ("listed_servers", "Backend servers listed", &self.servers),
             ("listed_instances", "Instances listed", &self.instances),
--- a/tests/it/path.rs
+++ b/tests/it/path.rs
@@ -101,5 +101,9 @@
         text.contains("sesamelock_peer_bytes_total{way=\"sent\"}"),
         "{text}"
     );
+    assert!(
+        text.contains("sesamelock_slots{pool=\"booking\",state=\"listed\"} 32"),
+        "{text}"
+    );
     assert!(text.ends_with("# EOF\n"));
 }
