--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -4,6 +4,7 @@
 mod bed;
 mod failure;
 mod operators;
+mod partition;
 mod path;
 mod refusal;
 mod stop;
