--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -3,6 +3,7 @@
 
 mod bed;
 mod failure;
+mod operators;
 mod partition;
 mod path;
 mod refusal;
