--- a/sl-node/src/owner.rs
+++ b/sl-node/src/owner.rs
@@ -203,7 +203,6 @@
             Effect::List { seen } => self.list(now, seen),
             Effect::Publish(config) => {
                 let revision = config.revision();
-                info!(self.log, "configuration in force"; "revision" => revision.0);
                 self.metrics.revision.set(revision.0 as i64);
                 self.me.revision = revision;
                 self.handle.publish(config);
