sl-step, sl-core: come back after about the wait; hash a secret

A full queue told every caller to come back in 1 s, however long the queue was: a flood came back at once. Now it tells the smoothed wait of the team's dispatched requests, 1 to 60 s.

--- a/sl-core/src/cli.rs
+++ b/sl-core/src/cli.rs
@@ -14,6 +14,7 @@
 use crate::{
     Error, check, drain,
     exit::Exit,
+    hash,
     operator::{self, Operator},
     output::Form,
     report, run, status,
@@ -28,6 +29,8 @@
     Run(run::Options),
     /// Check files.
     Check(check::Options),
+    /// Hash a secret.
+    Hash(Form),
     /// Work with templates.
     Template(Template),
     /// Tell the fleet's status.
@@ -124,6 +127,10 @@
             outcome.write(options.form, out)?;
             Ok(outcome.exit())
         }
+        Command::Hash(form) => {
+            hash::hash(io::stdin().lock())?.write(*form, out)?;
+            Ok(Exit::Done)
+        }
         Command::Template(it) => wait_for(template(it, out)),
         Command::Status(ask) => wait_for(async {
             let operator = Operator::new(&ask.operator)?;
--- a/sl-core/src/cli/args.rs
+++ b/sl-core/src/cli/args.rs
@@ -44,11 +44,12 @@
 pub fn options() -> OptionParser<Command> {
     let run = run();
     let check = check();
+    let hash = hash();
     let template = template();
     let status = status();
     let drain = drain();
     let report = report();
-    construct!([run, check, template, status, drain, report])
+    construct!([run, check, hash, template, status, drain, report])
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr("A router fleet for teams who share capacity fairly.")
@@ -65,6 +66,15 @@
     )
 }
 
+fn hash() -> impl Parser<Command> {
+    let form = form();
+    construct!(Command::Hash(form))
+        .to_options()
+        .descr("Hash a secret from standard input, as templates and settings name it.")
+        .footer("Example:\n sesamelock hash < credential.txt")
+        .command("hash")
+}
+
 fn run() -> impl Parser<Command> {
     let settings = long("settings")
         .short('s')
--- a/sl-core/src/error.rs
+++ b/sl-core/src/error.rs
@@ -6,7 +6,7 @@
 use crate::{
     check,
     exit::Exit,
-    operator, report, run,
+    hash, operator, report, run,
     template::{self, accept, edit},
 };
 
@@ -17,6 +17,10 @@
     #[error(transparent)]
     #[diagnostic(transparent)]
     Check(#[from] check::Error),
+    /// `hash` failed.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Hash(#[from] hash::Error),
     /// `run` failed.
     #[error(transparent)]
     #[diagnostic(transparent)]
@@ -53,7 +57,7 @@
     /// The exit code that it leads to.
     pub fn exit(&self) -> Exit {
         match self {
-            Error::Check(_) | Error::Http(_) | Error::Io(_) => Exit::Failed,
+            Error::Check(_) | Error::Hash(_) | Error::Http(_) | Error::Io(_) => Exit::Failed,
             Error::Run(e) => e.exit(),
             Error::Template(e) => e.exit(),
             Error::Edit(e) => e.exit(),
--- /dev/null
+++ b/sl-core/tests/it/hash.rs
@@ -0,0 +1,19 @@
+//! `hash` prints what a template names a credential by.
+
+use sl_core::{Form, hash};
+
+#[test]
+fn the_lines_end_is_no_part_of_the_secret() {
+    let outcome = hash::hash("a-credential-of-32-bytes-or-more\n".as_bytes()).unwrap();
+    let expected = blake3::hash(b"a-credential-of-32-bytes-or-more").to_hex();
+    assert_eq!(outcome.hash, expected.as_str());
+    let mut out = Vec::new();
+    outcome.write(Form::Text, &mut out).unwrap();
+    assert_eq!(out, format!("{expected}\n").into_bytes());
+}
+
+#[test]
+fn a_short_secret_is_refused() {
+    let error = hash::hash("hunter2\n".as_bytes()).unwrap_err();
+    assert!(matches!(error, hash::Error::Short(7)), "{error}");
+}
--- a/sl-core/tests/it/main.rs
+++ b/sl-core/tests/it/main.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod cli;
+mod hash;
 mod instance;
 mod memory;
 mod template;
--- a/sl-step/src/admit.rs
+++ b/sl-step/src/admit.rs
@@ -13,13 +13,13 @@
     state::Stop,
 };
 
-/// When a caller is told to come back where nothing better is known.
+/// When a caller is told to come back where the cause is no queue.
 const COME_BACK: Millis = Millis(1_000);
 
 impl State {
     pub(crate) fn arrived(&mut self, now: Timestamp, arrival: Arrival) {
         if let Some(code) = self.refusal(now, &arrival) {
-            self.refuse(arrival.request, code);
+            self.refuse(&arrival, code);
             return;
         }
         let Some(key) = arrival.key.filter(|_| !arrival.policy.idempotent) else {
@@ -198,7 +198,7 @@
         };
         self.drop_waiting(now, id);
         if request.caller == Caller::Waiting {
-            self.refuse(id, honest(code, &request));
+            self.refuse(&request.arrival, honest(code, &request));
         }
     }
 
@@ -219,22 +219,22 @@
         }
     }
 
-    pub(crate) fn refuse(&mut self, request: RequestId, code: Code) {
+    /// Gives a request its final answer, and says when to come back where that helps.
+    pub(crate) fn refuse(&mut self, arrival: &Arrival, code: Code) {
         let retry_after = match code {
-            Code::QueueFull
-            | Code::QueueBytesFull
-            | Code::QueueTimeout
-            | Code::NoServer
+            Code::QueueFull | Code::QueueBytesFull | Code::QueueTimeout | Code::Overloaded => {
+                Some(self.waits.come_back(arrival.team))
+            }
+            Code::NoServer
             | Code::ConnectFailed
             | Code::Draining
             | Code::Isolated
             | Code::NoConfiguration
-            | Code::ClaimUnavailable
-            | Code::Overloaded => Some(COME_BACK),
+            | Code::ClaimUnavailable => Some(COME_BACK),
             _ => None,
         };
         self.effects.push(Effect::Answer {
-            request,
+            request: arrival.request,
             code,
             retry_after,
             ran_status: None,
--- a/sl-step/src/attempt.rs
+++ b/sl-step/src/attempt.rs
@@ -59,7 +59,7 @@
         if let Next::Answer(code) = next
             && request.caller == Caller::Waiting
         {
-            self.refuse(id, code);
+            self.refuse(&request.arrival, code);
         }
     }
 
--- a/sl-step/src/dispatch.rs
+++ b/sl-step/src/dispatch.rs
@@ -24,8 +24,13 @@
         let Some(loan) = self.acquire(now, pool, avoid) else {
             return false;
         };
-        let picked = self.fair.pick(now, pool).map(|it| it.item.request);
-        let id = picked.unwrap_or(next);
+        let Some(picked) = self.fair.pick(now, pool) else {
+            self.slots.release(now, loan.server, Outcome::Other);
+            return false;
+        };
+        let id = picked.item.request;
+        self.waits
+            .learn(picked.item.team, now.micros_since(picked.item.since));
         if !self.passes_strikes(now, id) {
             self.fair.settle(id, 0);
             self.slots.release(now, loan.server, Outcome::Other);
--- a/sl-step/src/lib.rs
+++ b/sl-step/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod state;
 mod status;
 mod stop;
+mod wait;
 
 pub use effect::Effect;
 pub use event::Event;
--- a/sl-step/src/spread.rs
+++ b/sl-step/src/spread.rs
@@ -264,6 +264,7 @@
                 },
             )
         }));
+        self.waits.retain(|team| config.team(team).is_some());
         self.note("configuration in force", config.revision());
         self.config = Arc::clone(&config);
         self.effects.push(Effect::Publish(config));
--- a/sl-step/src/state.rs
+++ b/sl-step/src/state.rs
@@ -19,7 +19,7 @@
 
 use crate::{
     Effect, Event, Message, Options, effect::Note, message::Running, request::Requests,
-    spread::Spread,
+    spread::Spread, wait::Waits,
 };
 
 /// The whole state: each area's own, and what ties them together.
@@ -36,6 +36,7 @@
     pub(crate) slots: Slots,
     pub(crate) claims: Claims,
     pub(crate) strikes: Strikes,
+    pub(crate) waits: Waits,
     pub(crate) members: Members,
     /// Pools that may have both waiting work and a free slot.
     pub(crate) moved: BTreeSet<PoolId>,
@@ -89,6 +90,7 @@
             slots: Slots::new(now, me, options.slots.clone()),
             claims: Claims::new(options.claims, me, life),
             strikes: Strikes::new(options.strikes, me, life),
+            waits: Waits::default(),
             members: Members::new(options.members, this, options.seed, now),
             moved: BTreeSet::new(),
             list_at: now,
--- a/sl-step/src/stop.rs
+++ b/sl-step/src/stop.rs
@@ -1,10 +1,11 @@
 //! A planned stop: no new work, everything under way seen through, then leave.
 
-use sl_base::{Code, Millis, RequestId, Timestamp};
+use sl_base::{Code, Millis, Timestamp};
 
 use crate::{
     Effect, State,
     attempt::honest,
+    event::Arrival,
     request::{Caller, Phase},
     state::Stop,
 };
@@ -74,17 +75,17 @@
     }
 
     fn cut_all(&mut self) {
-        let open: Vec<(RequestId, Code)> = self
+        let open: Vec<(Arrival, Code)> = self
             .requests
             .iter()
             .filter(|it| it.caller == Caller::Waiting)
             .map(|it| match it.phase {
-                Phase::Running(_) => (it.arrival.request, Code::Stopped),
-                _ => (it.arrival.request, honest(Code::Draining, it)),
+                Phase::Running(_) => (it.arrival, Code::Stopped),
+                _ => (it.arrival, honest(Code::Draining, it)),
             })
             .collect();
-        for (id, code) in open {
-            self.refuse(id, code);
+        for (arrival, code) in open {
+            self.refuse(&arrival, code);
         }
     }
 }
--- a/sl-step/tests/it/fleet.rs
+++ b/sl-step/tests/it/fleet.rs
@@ -102,6 +102,7 @@
     pub served: BTreeMap<usize, u64>,
     pub codes: BTreeMap<Code, u64>,
     pub completed: u64,
+    pub come_back: Vec<Millis>,
     pub open: BTreeMap<Caller, Job>,
     pub messages: u64,
     listing: Arc<Listing>,
@@ -139,6 +140,7 @@
             served: BTreeMap::new(),
             codes: BTreeMap::new(),
             completed: 0,
+            come_back: Vec::new(),
             open: BTreeMap::new(),
             messages: 0,
             listing: Arc::default(),
@@ -377,7 +379,15 @@
         let life = self.instances[place].life;
         match effect {
             Effect::Dispatch(dispatch) => self.dispatch(place, life, dispatch),
-            Effect::Answer { request, code, .. } => self.answer((place, life, request), code),
+            Effect::Answer {
+                request,
+                code,
+                retry_after,
+                ..
+            } => {
+                self.come_back.extend(retry_after);
+                self.answer((place, life, request), code);
+            }
             Effect::Abort { attempt } => {
                 if let Some(&(_, server)) = self.running.get(&(place, life, attempt)) {
                     let end = AttemptEnd::Aborted { units: 0 };
--- a/sl-step/tests/it/promises.rs
+++ b/sl-step/tests/it/promises.rs
@@ -271,3 +271,29 @@
     fleet.run_for(Millis(4_000));
     assert_eq!(fleet.served.get(&1), Some(&4_000));
 }
+
+#[test]
+fn a_team_with_a_full_queue_hears_to_come_back_after_about_the_wait() {
+    let mut fleet = Fleet::new(13, 1, servers());
+    fleet.run_for(Millis(3_000));
+    let mut id = 0;
+    for _ in 0..60 {
+        while fleet.codes.get(&Code::QueueFull).is_none_or(|it| *it < 10) {
+            id += 1;
+            let job = Job {
+                id,
+                team: 3,
+                idempotent: true,
+                crashes: false,
+                cost: 200,
+            };
+            fleet.submit(0, job);
+        }
+        fleet.codes.clear();
+        fleet.run_for(Millis(3_000));
+    }
+    // 2,000 requests of 200 units at 4,000 units a second wait for 100 s, so the longest
+    // time that callers are told is told; at first it was the shortest.
+    assert_eq!(fleet.come_back.first(), Some(&Millis(1_000)));
+    assert_eq!(fleet.come_back.last(), Some(&Millis(60_000)));
+}
