--- a/bench/src/measure/load.rs
+++ b/bench/src/measure/load.rs
@@ -161,7 +161,7 @@
         let hint = (cost as f64 * self.rng.random_range(0.5..2.0)) as u64;
         let at = self.at[self.rng.random_range(0..self.at.len())];
         let body = serde_json::json!({
-            "max_tokens": COST_MAX, "actual_tokens": cost, "prompt_tokens": 1,
+            "stream": true, "max_tokens": COST_MAX, "actual_tokens": cost, "prompt_tokens": 1,
         });
         let sent = Instant::now();
         let url = format!("http://{}{}", self.doors.callers[at], self.doors.path);
