sl-step: a caller that leaves is counted by its code; no code that nothing gives

Codes 1019 and 3009 stood in the table and were never given, 3010 can't occur since a claim in doubt is fenced: the first two are now given to logs and metrics, the third is gone.

--- a/sl-base/src/code.rs
+++ b/sl-base/src/code.rs
@@ -112,8 +112,6 @@
     Stopped = 3008,
     /// The caller went away while the request ran.
     CallerGoneRunning = 3009,
-    /// The claim's write was neither confirmed nor refused.
-    ClaimUnknown = 3010,
 }
 
 impl Code {
@@ -153,8 +151,7 @@
             | Code::NoConfiguration
             | Code::ClaimUnavailable
             | Code::Overloaded
-            | Code::Stopped
-            | Code::ClaimUnknown => 503,
+            | Code::Stopped => 503,
         }
     }
 }
--- a/sl-report/src/record.rs
+++ b/sl-report/src/record.rs
@@ -79,8 +79,7 @@
             | Code::TotalTimeout
             | Code::ConnectionLost
             | Code::CrossedAnswer
-            | Code::Stopped
-            | Code::ClaimUnknown => Some(Sample::Unanswered),
+            | Code::Stopped => Some(Sample::Unanswered),
         }
     }
 }
--- a/sl-step/src/admit.rs
+++ b/sl-step/src/admit.rs
@@ -82,8 +82,10 @@
                 self.enqueue(now, id);
             }
             Decision::Granted => {
+                let arrival = request.arrival;
                 self.requests.remove(id);
                 self.claims.settle(now, id, Settled::NotRun);
+                self.refuse(&arrival, Code::CallerGone);
             }
             Decision::Refused {
                 code,
@@ -130,12 +132,15 @@
             return;
         };
         request.caller = Caller::Gone;
-        let idempotent = request.arrival.policy.idempotent;
+        let arrival = request.arrival;
         match request.phase {
             Phase::Claiming => {}
-            Phase::Waiting => self.drop_waiting(now, id),
+            Phase::Waiting => {
+                self.drop_waiting(now, id);
+                self.refuse(&arrival, Code::CallerGone);
+            }
             // A non-idempotent request runs on, so that its outcome becomes known.
-            Phase::Running(running) if idempotent => {
+            Phase::Running(running) if arrival.policy.idempotent => {
                 self.effects.push(Effect::Abort {
                     attempt: running.attempt,
                 });
--- a/sl-step/src/attempt.rs
+++ b/sl-step/src/attempt.rs
@@ -56,10 +56,11 @@
             self.claims.settle(now, id, settled_by(&request, end));
         }
         self.requests.remove(id);
-        if let Next::Answer(code) = next
-            && request.caller == Caller::Waiting
-        {
-            self.refuse(&request.arrival, code);
+        match (next, request.caller) {
+            (Next::Answer(code), Caller::Waiting) => self.refuse(&request.arrival, code),
+            (Next::Done, _) if matches!(end, AttemptEnd::Complete { .. }) => {}
+            (_, Caller::Gone) => self.refuse(&request.arrival, Code::CallerGoneRunning),
+            (Next::Done | Next::Retry, Caller::Waiting) => {}
         }
     }
 
--- a/sl-step/src/dispatch.rs
+++ b/sl-step/src/dispatch.rs
@@ -1,6 +1,6 @@
 //! Bringing waiting requests and free slots together.
 
-use sl_base::{Need, PoolId, RequestId, ServerId, Timestamp};
+use sl_base::{PoolId, RequestId, ServerId, Timestamp};
 use sl_slots::{Loan, Outcome};
 
 use crate::{Effect, Message, State, effect::Dispatch};
@@ -46,11 +46,7 @@
     fn compare_needs(&mut self, now: Timestamp, pool: PoolId) {
         self.slots.set_need(now, pool, self.fair.need(pool));
         let needs = self.fair.needs_elsewhere(pool);
-        let peers: Vec<_> = self.members.peers().map(|(id, _)| id).collect();
-        for peer in peers {
-            let need = needs.get(&peer).copied().unwrap_or(Need::NONE);
-            self.slots.set_need_elsewhere(now, pool, peer, need);
-        }
+        self.slots.set_needs_elsewhere(now, pool, &needs);
     }
 
     /// A slot on another server than the one that just failed, or on that one if there
--- a/sl-step/tests/it/promises.rs
+++ b/sl-step/tests/it/promises.rs
@@ -301,3 +301,44 @@
         fleet.come_back.last()
     );
 }
+
+/// A caller that leaves takes its waiting or idempotent request with it; a booking that
+/// runs is seen through, so that its key's outcome becomes known.
+#[rstest]
+#[case::waiting(true, 60, Some(Code::CallerGone))]
+#[case::running(true, 0, Some(Code::CallerGoneRunning))]
+#[case::running_booking(false, 0, None)]
+fn a_caller_that_leaves(#[case] idempotent: bool, #[case] before: u64, #[case] code: Option<Code>) {
+    let mut fleet = Fleet::new(17, 1, servers());
+    fleet.run_for(Millis(3_000));
+    for id in 0..before {
+        let job = Job {
+            id,
+            team: 0,
+            idempotent: true,
+            crashes: false,
+            cost: 4_000,
+        };
+        fleet.submit(0, job);
+    }
+    fleet.run_for(Millis(100));
+    let job = Job {
+        id: 100,
+        team: 0,
+        idempotent,
+        crashes: false,
+        cost: 400,
+    };
+    fleet.submit(0, job);
+    fleet.run_for(Millis(100));
+    let request = sl_base::RequestId(before);
+    fleet.tell(0, Event::CallerGone { request });
+    fleet.run_for(Millis(3_000));
+    assert_eq!(
+        fleet.codes.keys().copied().next(),
+        code,
+        "{:?}",
+        fleet.codes
+    );
+    assert_eq!(fleet.completed, u64::from(code.is_none()));
+}
