--- a/bench/src/measure/load.rs
+++ b/bench/src/measure/load.rs
@@ -140,8 +140,8 @@
 impl Seen {
     fn new() -> Seen {
         Seen {
-            first_byte: Histogram::new(3).expect("three digits are in hdrhistogram's range"),
-            between: Histogram::new(3).expect("three digits are in hdrhistogram's range"),
+            first_byte: histogram(),
+            between: histogram(),
             codes: Default::default(),
         }
     }
@@ -231,3 +231,9 @@
     code.and_then(|it| it.to_str().ok()?.parse().ok())
         .unwrap_or(0)
 }
+
+/// A histogram that records up to an hour in microseconds.
+fn histogram() -> Histogram<u64> {
+    const MICROS_MAX: u64 = 3_600_000_000;
+    Histogram::new_with_bounds(1, MICROS_MAX, 3).expect("the bounds are in hdrhistogram's range")
+}
