--- a/bench/src/bin/sl-slopes/main.rs
+++ b/bench/src/bin/sl-slopes/main.rs
@@ -1,10 +1,15 @@
-//! Slopes of processor time, memory and bytes on the wire of sl-fair and sl-slots, as
-//! JSON lines: one line a size, and one line a straight line through the sizes.
-//! docs/CAPACITY.md is worked out from them.
+//! Slopes of processor time, memory, messages and bytes of each area, as JSON lines: the
+//! measured sizes and the straight line through them. Names of areas as arguments select
+//! some. docs/CAPACITY.md is worked out from them.
 
+mod claim;
 mod fair;
 mod fit;
+mod member;
+mod report;
 mod slots;
+mod spread;
+mod step;
 
 use serde::Serialize;
 
@@ -42,22 +47,61 @@
     r_squared: f64,
 }
 
+/// The areas by the names that select them.
+const AREAS: [(&str, fn() -> Vec<Series>); 7] = [
+    ("sl-fair", fair::series),
+    ("sl-slots", slots::series),
+    ("sl-claim", claim::series),
+    ("sl-member", member::series),
+    ("spread", spread::series),
+    ("sl-report", report::series),
+    ("sl-step", step::series),
+];
+
 fn main() {
-    for series in fair::series().into_iter().chain(slots::series()) {
-        let fit = fit::fit(&series.points);
-        let line = Line {
-            area: series.area,
-            quantity: series.quantity,
-            by: series.by,
-            points: series.points,
-            at_zero: fit.at_zero,
-            slope: fit.slope,
-            slope_error: fit.slope_error,
-            r_squared: fit.r_squared,
-        };
-        match serde_json::to_string(&line) {
-            Ok(line) => println!("{line}"),
-            Err(e) => eprintln!("{e}"),
+    let wanted: Vec<String> = std::env::args().skip(1).collect();
+    let is_wanted = |area: &str| wanted.is_empty() || wanted.iter().any(|it| it == area);
+    for (area, series) in AREAS {
+        if is_wanted(area) {
+            series().into_iter().for_each(print);
         }
     }
 }
+
+/// Measures a quantity at each size.
+fn sweep(
+    area: &'static str,
+    quantity: &'static str,
+    by: &'static str,
+    sizes: &[u64],
+    measure: impl Fn(u64) -> f64,
+) -> Series {
+    let point = |&size| Point {
+        size,
+        value: measure(size),
+    };
+    Series {
+        area,
+        quantity,
+        by,
+        points: sizes.iter().map(point).collect(),
+    }
+}
+
+fn print(series: Series) {
+    let fit = fit::fit(&series.points);
+    let line = Line {
+        area: series.area,
+        quantity: series.quantity,
+        by: series.by,
+        points: series.points,
+        at_zero: fit.at_zero,
+        slope: fit.slope,
+        slope_error: fit.slope_error,
+        r_squared: fit.r_squared,
+    };
+    match serde_json::to_string(&line) {
+        Ok(line) => println!("{line}"),
+        Err(e) => eprintln!("{e}"),
+    }
+}
