--- a/bench/src/bin/sl-slopes/claim.rs
+++ b/bench/src/bin/sl-slopes/claim.rs
@@ -31,6 +31,7 @@
 /// All quantities.
 pub fn series() -> Vec<Series> {
     vec![
+        sweep(AREA, "resident bytes of an index", "keys", &KEYS, memory),
         sweep(AREA, "wire bytes of a segment", "records", &RECORDS, wire),
         sweep(
             AREA,
@@ -39,7 +40,6 @@
             &RECORDS,
             messages,
         ),
-        sweep(AREA, "resident bytes of an index", "keys", &KEYS, memory),
         sweep(
             AREA,
             "platform calls a second, 16 shards",
@@ -47,6 +47,13 @@
             &RATES,
             |rate| run(rate).calls,
         ),
+        sweep(
+            AREA,
+            "platform writes a second, 16 shards",
+            "claims a second",
+            &RATES,
+            |rate| run(rate).writes,
+        ),
         sweep(
             AREA,
             "platform bytes a second, 16 shards",
@@ -131,12 +138,14 @@
     last: u64,
     under_way: Vec<(u64, CallId, Reply)>,
     calls: u64,
+    writes: u64,
     bytes: u64,
 }
 
 impl Platform {
     fn take(&mut self, answer_at: u64, id: CallId, call: Call) {
         self.calls += 1;
+        self.writes += u64::from(!matches!(call, Call::Get { .. } | Call::Watch { .. }));
         let reply = self.carry_out(call);
         self.under_way.push((answer_at, id, reply));
     }
@@ -188,6 +197,7 @@
 
 struct Cost {
     calls: f64,
+    writes: f64,
     bytes: f64,
     nanos: f64,
 }
@@ -228,6 +238,7 @@
     }
     Cost {
         calls: platform.calls as f64 / seconds,
+        writes: platform.writes as f64 / seconds,
         bytes: platform.bytes as f64 / seconds,
         nanos: spent as f64 / granted.max(1) as f64,
     }
--- a/bench/src/bin/sl-slopes/main.rs
+++ b/bench/src/bin/sl-slopes/main.rs
@@ -11,6 +11,8 @@
 mod spread;
 mod step;
 
+use std::{io, process::Command};
+
 use serde::Serialize;
 
 /// One measured size.
@@ -47,25 +49,70 @@
     r_squared: f64,
 }
 
-/// The areas by the names that select them.
-const AREAS: [(&str, fn() -> Vec<Series>); 7] = [
-    ("sl-fair", fair::series),
-    ("sl-slots", slots::series),
-    ("sl-claim", claim::series),
-    ("sl-member", member::series),
-    ("spread", spread::series),
-    ("sl-report", report::series),
-    ("sl-step", step::series),
+/// An area and its quantities.
+struct Area {
+    name: &'static str,
+    series: fn() -> Vec<Series>,
+}
+
+const AREAS: [Area; 7] = [
+    Area {
+        name: "sl-fair",
+        series: fair::series,
+    },
+    Area {
+        name: "sl-slots",
+        series: slots::series,
+    },
+    Area {
+        name: "sl-claim",
+        series: claim::series,
+    },
+    Area {
+        name: "sl-member",
+        series: member::series,
+    },
+    Area {
+        name: "spread",
+        series: spread::series,
+    },
+    Area {
+        name: "sl-report",
+        series: report::series,
+    },
+    Area {
+        name: "sl-step",
+        series: step::series,
+    },
 ];
 
-fn main() {
+fn main() -> io::Result<()> {
     let wanted: Vec<String> = std::env::args().skip(1).collect();
-    let is_wanted = |area: &str| wanted.is_empty() || wanted.iter().any(|it| it == area);
-    for (area, series) in AREAS {
-        if is_wanted(area) {
-            series().into_iter().for_each(print);
+    if let [name] = wanted.as_slice() {
+        measure(name);
+        return Ok(());
+    }
+    for area in AREAS {
+        if wanted.is_empty() || wanted.iter().any(|it| it == area.name) {
+            measure_apart(area.name)?;
         }
     }
+    Ok(())
+}
+
+/// Measures an area in a process of its own: memory that another area freed would hide
+/// some of what this one takes.
+fn measure_apart(name: &str) -> io::Result<()> {
+    Command::new(std::env::current_exe()?)
+        .arg(name)
+        .status()
+        .map(drop)
+}
+
+fn measure(name: &str) {
+    let area = AREAS.iter().find(|it| it.name == name);
+    let series = area.map(|it| (it.series)()).unwrap_or_default();
+    series.into_iter().for_each(print);
 }
 
 /// Measures a quantity at each size.
--- a/bench/src/bin/sl-slopes/member.rs
+++ b/bench/src/bin/sl-slopes/member.rs
@@ -43,14 +43,14 @@
         ),
         sweep(
             AREA,
-            "messages sent about one failure in the fleet",
+            "messages sent more in 120 s, one listed member silent",
             by,
             &MEMBERS,
             |n| failure(n).0,
         ),
         sweep(
             AREA,
-            "wire bytes sent about one failure in the fleet",
+            "wire bytes sent more in 120 s, one listed member silent",
             by,
             &MEMBERS,
             |n| failure(n).1,
@@ -112,7 +112,7 @@
     (messages / seconds, bytes / seconds)
 }
 
-/// What one instance sends more where one member stays silent until it is held dead.
+/// What one instance sends more where one member stays silent while it is listed.
 fn failure(members: u64) -> (f64, f64) {
     let quiet = run(members, None);
     let with = run(members, Some(id(1)));
