--- a/bench/src/bin/sl-slopes/slots.rs
+++ b/bench/src/bin/sl-slopes/slots.rs
@@ -202,6 +202,7 @@
         born: at(0),
         sent_at: at(1),
         seen: at(1).as_micros(),
+        view: 0,
         windows: (0..servers)
             .map(|n| Window {
                 server: id(n),
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -3,6 +3,8 @@
 
 mod bed;
 mod failure;
+mod operators;
+mod partition;
 mod path;
 mod refusal;
 mod stop;
