sl-slots: look at held servers only, and keep each pool's homes ready

Change: usable servers are found among the held ones, homes are found when members or servers change.

--- a/bench/src/bin/latency.rs
+++ b/bench/src/bin/latency.rs
@@ -241,7 +241,7 @@
 }
 
 fn histogram() -> Result<Histogram<u64>> {
-    Histogram::new(3).into_diagnostic()
+    Histogram::new_with_bounds(1, MICROS_MAX, 3).into_diagnostic()
 }
 
 fn proc_file(fleet: &Fleet, name: &str) -> Result<String> {
@@ -264,6 +264,8 @@
     Ok((ticks(USER_TIME) + ticks(SYSTEM_TIME)) / TICKS_PER_SECOND)
 }
 
+/// Microseconds of the longest latency that is told apart.
+const MICROS_MAX: u64 = 3_600_000_000;
 /// Where user time stands after the name in a process's `stat`.
 const USER_TIME: usize = 11;
 /// Where system time stands after the name in a process's `stat`.
--- a/sl-slots/src/acquire.rs
+++ b/sl-slots/src/acquire.rs
@@ -2,7 +2,7 @@
 
 use sl_base::{PoolId, ServerId, Timestamp, hash};
 
-use crate::{Loan, Policy, Server, Slots, slots::Known};
+use crate::{Loan, Policy, Server, Slots, holder::Held, slots::Known};
 
 impl Slots {
     /// Takes a slot of the pool for one request, not on a server of `avoid`. Each loan is
@@ -44,16 +44,26 @@
         pool: PoolId,
         avoid: &[ServerId],
     ) -> Option<ServerId> {
-        self.candidates(now, pool, avoid)
-            .filter_map(|known| {
-                let held = self.holder.held.get(&known.server.id)?;
-                let rank = (known.speed.expected(), held.idle(), known.server.id);
-                held.is_usable(now).then_some(rank)
-            })
+        self.usable(now, pool, avoid)
+            .map(|(known, held)| (known.speed.expected(), held.idle(), known.server.id))
             .max()
             .map(|(.., server)| server)
     }
 
+    /// The servers of the pool on which this instance may use a slot now.
+    pub(crate) fn usable<'a>(
+        &'a self,
+        now: Timestamp,
+        pool: PoolId,
+        avoid: &'a [ServerId],
+    ) -> impl Iterator<Item = (&'a Known, &'a Held)> {
+        let held = self.holder.held.iter();
+        held.filter(move |(_, held)| held.is_usable(now))
+            .filter_map(|(id, held)| Some((self.servers.get(id)?, held)))
+            .filter(move |(known, _)| known.server.pool == pool && known.takes_work(now))
+            .filter(move |(known, _)| !avoid.contains(&known.server.id))
+    }
+
     fn candidates<'a>(
         &'a self,
         now: Timestamp,
@@ -65,7 +75,7 @@
             .into_iter()
             .flatten()
             .map(|id| &self.servers[id])
-            .filter(move |known| !known.server.leaving && known.avoid_until.is_due(now))
+            .filter(move |known| known.takes_work(now))
             .filter(move |known| !avoid.contains(&known.server.id))
     }
 
--- a/sl-slots/src/need.rs
+++ b/sl-slots/src/need.rs
@@ -14,7 +14,8 @@
     pub fn set_need(&mut self, now: Timestamp, pool: PoolId, need: Need) {
         self.needs.insert(pool, need);
         let urgent = need.is_some() && !self.has_usable(now, pool);
-        for home in self.homes_of(pool) {
+        let homes = self.homes.get(&pool).cloned().unwrap_or_default();
+        for home in homes {
             let link = self.holder.links.entry(home).or_default();
             let told = link.told.get(&pool).copied().unwrap_or(0);
             if urgent && (told == 0 || need.waiting >= told.saturating_mul(WANT_GROWTH)) {
@@ -62,16 +63,7 @@
     }
 
     pub(crate) fn has_usable(&self, now: Timestamp, pool: PoolId) -> bool {
-        self.best(now, pool, &[]).is_some()
-    }
-
-    pub(crate) fn homes_of(&self, pool: PoolId) -> BTreeSet<InstanceId> {
-        self.by_pool
-            .get(&pool)
-            .into_iter()
-            .flatten()
-            .filter_map(|id| self.servers[id].home)
-            .collect()
+        self.usable(now, pool, &[]).next().is_some()
     }
 
     /// What waits for pools of `servers`; work that an idle slot can take is no want.
--- a/sl-slots/src/place.rs
+++ b/sl-slots/src/place.rs
@@ -46,10 +46,15 @@
     fn place(&mut self, now: Timestamp) {
         self.by_home.clear();
         self.by_pool.clear();
+        self.homes.clear();
         for (&id, known) in &mut self.servers {
             let home = hash::owner(id.0, self.members.iter().copied());
             if let Some(home) = home {
                 self.by_home.entry(home).or_default().push(id);
+                self.homes
+                    .entry(known.server.pool)
+                    .or_default()
+                    .insert(home);
             }
             self.by_pool.entry(known.server.pool).or_default().push(id);
             if known.home != home && self.holder.held.contains_key(&id) {
--- a/sl-slots/src/slots.rs
+++ b/sl-slots/src/slots.rs
@@ -57,6 +57,8 @@
     pub(crate) servers: BTreeMap<ServerId, Known>,
     pub(crate) by_home: BTreeMap<InstanceId, Vec<ServerId>>,
     pub(crate) by_pool: BTreeMap<PoolId, Vec<ServerId>>,
+    /// The homes of each pool's servers.
+    pub(crate) homes: BTreeMap<PoolId, BTreeSet<InstanceId>>,
     pub(crate) holder: Holder,
     pub(crate) home: Home,
     pub(crate) needs: BTreeMap<PoolId, Need>,
@@ -74,6 +76,13 @@
     pub(crate) avoid_until: Timestamp,
 }
 
+impl Known {
+    /// Whether the server may be sent new work.
+    pub(crate) fn takes_work(&self, now: Timestamp) -> bool {
+        !self.server.leaving && self.avoid_until.is_due(now)
+    }
+}
+
 /// Work that waits on another instance.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Elsewhere {
@@ -97,6 +106,7 @@
             servers: BTreeMap::new(),
             by_home: BTreeMap::new(),
             by_pool: BTreeMap::new(),
+            homes: BTreeMap::new(),
             holder: Holder::default(),
             home: Home::default(),
             needs: BTreeMap::new(),
