sl-step: look-ups that peers make needless do not grow with the fleet

Cause: the platform's rates grow more slowly than the fleet, and each instance that is not in line read the list each 10 s and the head each 30 s: 98 reads a second at 740 (arithmetic). Change: spaced by the number of peers, 0.7 a second at any size.

--- a/sl-step/src/list.rs
+++ b/sl-step/src/list.rs
@@ -11,8 +11,10 @@
 const READERS: usize = 3;
 /// The key of the readers' role.
 const READER_ROLE: u64 = 1;
-/// Periods that pass between two reads by those who are not in line.
-const REST_PERIODS: u64 = 5;
+/// Periods that pass at least between two reads by those who are not in line. With more
+/// members than this, so many periods pass as there are members, so that all their reads
+/// together stay below one a period, however large the fleet.
+const REST_PERIODS_MIN: u64 = 5;
 
 impl State {
     pub(crate) fn read_list(&mut self, now: Timestamp) {
@@ -21,13 +23,19 @@
         }
         let period = self.options.list_period;
         let reads = self.listing.version == 0 || self.is_in_line(READER_ROLE, READERS);
-        let periods = if reads { 1 } else { REST_PERIODS };
+        let periods = if reads { 1 } else { self.rest_periods() };
         self.list_at = now.after(Millis(period.0 * periods));
         self.effects.push(Effect::List {
             seen: self.listing.version,
         });
     }
 
+    /// Periods between two reads of something that peers bring news of.
+    pub(crate) fn rest_periods(&self) -> u64 {
+        let members = self.members.peers().count() as u64;
+        members.max(REST_PERIODS_MIN)
+    }
+
     pub(crate) fn listed(&mut self, now: Timestamp, listing: Arc<Listing>) {
         if listing.version <= self.listing.version {
             return;
--- a/sl-step/src/spread.rs
+++ b/sl-step/src/spread.rs
@@ -17,8 +17,9 @@
 const WATCHERS: usize = 3;
 /// The key of the watchers' role.
 const WATCHER_ROLE: u64 = 2;
-/// How often an instance that is not in line looks at the head all the same.
-const LOOK_PERIOD: Millis = Millis(30_000);
+/// An instance that is not in line looks at the head all the same, once in this time for
+/// each [`State::rest_periods`].
+const LOOK_PERIOD: Millis = Millis(5_000);
 /// How long after a failed call the platform is called again.
 const RETRY_PERIOD: Millis = Millis(1_000);
 /// How long after an answered watch the next one begins.
@@ -144,7 +145,7 @@
         self.spread.look_at = match (answered, watches || !self.spread.has_config()) {
             (false, _) => now.after(RETRY_PERIOD),
             (true, true) => now.after(WATCH_GAP),
-            (true, false) => now.after(LOOK_PERIOD),
+            (true, false) => now.after(Millis(LOOK_PERIOD.0 * self.rest_periods())),
         };
         let Reply::Value { version, value } = reply else {
             return;
