--- a/sl-node/src/status.rs
+++ b/sl-node/src/status.rs
@@ -22,8 +22,9 @@
         .buffer_unordered(PEERS_AT_ONCE);
     while let Some((peer, answer)) = answers.next().await {
         match answer {
-            Some(instance) => fleet.instances.push(instance),
-            None => fleet.silent.push(peer.name),
+            // A peer that is leaving may answer when nothing is left that knows its state.
+            Some(instance) if instance.name == peer.name => fleet.instances.push(instance),
+            _ => fleet.silent.push(peer.name),
         }
     }
     fleet.instances.sort_by(|a, b| a.name.cmp(&b.name));
