sl-peer: a message of a later version is dropped alone

Operating promised that versions mix while a fleet is replaced; but one unknown variant failed the whole frame and closed the link. Each message is now bytes of its own and decoded alone.

--- a/sl-node/src/metrics.rs
+++ b/sl-node/src/metrics.rs
@@ -302,6 +302,13 @@
             "way",
             ways,
         )?;
+        family(
+            &mut encoder,
+            "peer_messages_unknown",
+            "Control messages of a kind that this version does not know",
+            "way",
+            [("received", peers.unknown)],
+        )?;
         let counted = sl_platform::Kind::ALL.map(|it| (it.name(), self.platform.counted(it)));
         let calls = counted.map(|(kind, it)| (kind, it.calls));
         family(
--- a/sl-peer/src/link.rs
+++ b/sl-peer/src/link.rs
@@ -14,7 +14,7 @@
 use tokio::{net::TcpStream, sync, task::AbortHandle, time};
 
 use crate::{
-    Counters, Hello, Key, Options, Refused, count::Counted, frame, handshake,
+    Counters, Hello, Key, Options, Refused, Sealed, count::Counted, frame, handshake,
     service::ControlClient,
 };
 
@@ -80,6 +80,21 @@
         to: InstanceId,
         address: SocketAddr,
         messages: Vec<Message>,
+    ) -> Result<(), Silent> {
+        let sealed = messages.iter().filter_map(Sealed::of).collect();
+        self.deliver_sealed(to, address, sealed).await
+    }
+
+    /// Hands over messages that are encoded already.
+    ///
+    /// # Errors
+    ///
+    /// [`Silent`] where the peer did not answer on a new link either.
+    pub async fn deliver_sealed(
+        &self,
+        to: InstanceId,
+        address: SocketAddr,
+        messages: Vec<Sealed>,
     ) -> Result<(), Silent> {
         let messages = &messages;
         self.call(to, address, |link, within_ms| async move {
--- a/sl-peer/src/serve.rs
+++ b/sl-peer/src/serve.rs
@@ -17,7 +17,9 @@
     time,
 };
 
-use crate::{Counters, Hello, Key, Options, count::Counted, frame, handshake, service::Control};
+use crate::{
+    Counters, Hello, Key, Options, Sealed, count::Counted, frame, handshake, service::Control,
+};
 
 /// The daemon behind the control port.
 pub trait Receiver: Clone + Send + Sync + 'static {
@@ -119,6 +121,7 @@
     let transport = frame::transport(stream.into_inner(), &door.counters);
     let answerer = Answerer {
         hello,
+        counters: door.counters,
         receiver: door.receiver,
     };
     let channel = BaseChannel::with_defaults(transport);
@@ -134,12 +137,18 @@
 #[derive(Clone)]
 struct Answerer<R> {
     hello: Hello,
+    counters: Counters,
     receiver: R,
 }
 
 impl<R: Receiver> Control for Answerer<R> {
-    async fn deliver(self, _: Context, messages: Vec<Message>) {
-        self.receiver.deliver(self.hello, messages).await;
+    async fn deliver(self, _: Context, messages: Vec<Sealed>) {
+        let known: Vec<Message> = messages
+            .iter()
+            .filter_map(|it| it.try_into().ok())
+            .collect();
+        self.counters.unknown(messages.len() - known.len());
+        self.receiver.deliver(self.hello, known).await;
     }
 
     async fn status(self, _: Context) -> InstanceStatus {
--- a/sl-peer/tests/it/main.rs
+++ b/sl-peer/tests/it/main.rs
@@ -4,3 +4,4 @@
 mod bed;
 mod cost;
 mod link;
+mod sealed;
