--- a/sl-node/src/metrics.rs
+++ b/sl-node/src/metrics.rs
@@ -279,13 +279,20 @@
 
 impl Collector for Traffic {
     fn encode(&self, mut encoder: DescriptorEncoder<'_>) -> Result<(), std::fmt::Error> {
+        self.encode_peers(&mut encoder)?;
+        self.encode_platform(&mut encoder)
+    }
+}
+
+impl Traffic {
+    fn encode_peers(&self, encoder: &mut DescriptorEncoder<'_>) -> Result<(), std::fmt::Error> {
         let peers = self.peers.read();
         let ways = [
             ("sent", peers.bytes_sent),
             ("received", peers.bytes_received),
         ];
         family(
-            &mut encoder,
+            encoder,
             "peer_bytes",
             "Control bytes to and from instances",
             "way",
@@ -296,23 +303,26 @@
             ("received", peers.frames_received),
         ];
         family(
-            &mut encoder,
+            encoder,
             "peer_messages",
             "Control messages to and from instances",
             "way",
             ways,
         )?;
         family(
-            &mut encoder,
+            encoder,
             "peer_messages_unknown",
             "Control messages of a kind that this version does not know",
             "way",
             [("received", peers.unknown)],
-        )?;
+        )
+    }
+
+    fn encode_platform(&self, encoder: &mut DescriptorEncoder<'_>) -> Result<(), std::fmt::Error> {
         let counted = sl_platform::Kind::ALL.map(|it| (it.name(), self.platform.counted(it)));
         let calls = counted.map(|(kind, it)| (kind, it.calls));
         family(
-            &mut encoder,
+            encoder,
             "platform_calls",
             "Calls to the platform",
             "kind",
@@ -320,7 +330,7 @@
         )?;
         let lost = counted.map(|(kind, it)| (kind, it.lost));
         family(
-            &mut encoder,
+            encoder,
             "platform_lost",
             "Platform calls without answer",
             "kind",
@@ -328,7 +338,7 @@
         )?;
         let refused = counted.map(|(kind, it)| (kind, it.refused));
         family(
-            &mut encoder,
+            encoder,
             "platform_refused",
             "Platform calls refused",
             "kind",
@@ -336,7 +346,7 @@
         )?;
         let sent = counted.map(|(kind, it)| (kind, it.bytes_sent));
         family(
-            &mut encoder,
+            encoder,
             "platform_sent_bytes",
             "Bytes to the platform",
             "kind",
@@ -344,7 +354,7 @@
         )?;
         let received = counted.map(|(kind, it)| (kind, it.bytes_received));
         family(
-            &mut encoder,
+            encoder,
             "platform_received_bytes",
             "Bytes from the platform",
             "kind",
