sl-step, tests: one test for each promise under its worst fault

Late dispatches, crossed, lost and broken answers join the random faults; a planned stop that leaves a request open is seen.

--- a/sl-step/tests/it/fleet.rs
+++ b/sl-step/tests/it/fleet.rs
@@ -50,6 +50,12 @@
     /// Calls in a thousand whose answer is lost after they took effect.
     pub lost_answer: u32,
     pub platform_down: bool,
+    /// Attempts in a thousand whose answer is another's, is lost, and breaks off midway.
+    pub crossed: u32,
+    pub lost: u32,
+    pub midway: u32,
+    /// Dispatches in a thousand that leave late, as those of a paused process do.
+    pub stalled: u32,
 }
 
 enum Delivery {
@@ -75,6 +81,8 @@
         end: AttemptEnd,
     },
     Tick(usize),
+    Dispatch(usize, Incarnation, Dispatch),
+    Answering(Caller, AttemptId, Timestamp),
 }
 
 pub struct Instance {
@@ -101,6 +109,8 @@
     pub rng: ChaCha8Rng,
     pub served: BTreeMap<usize, u64>,
     pub codes: BTreeMap<Code, u64>,
+    /// The same by team.
+    pub team_codes: BTreeMap<(usize, Code), u64>,
     pub completed: u64,
     pub open: BTreeMap<Caller, Job>,
     pub messages: u64,
@@ -109,11 +119,13 @@
     next_seq: u64,
     running: BTreeMap<(usize, Incarnation, AttemptId), (RequestId, usize)>,
     begun: BTreeSet<Caller>,
+    answering: BTreeSet<Caller>,
     runs: BTreeMap<u64, u32>,
 }
 
 const LATENCY: Millis = Millis(1);
 const CALL_TIME: Millis = Millis(3);
+const STALL_MAX: Millis = Millis(12_000);
 
 impl Fleet {
     pub fn new(seed: u64, instances: usize, servers: Vec<Server>) -> Fleet {
@@ -138,6 +150,7 @@
             rng: ChaCha8Rng::seed_from_u64(seed),
             served: BTreeMap::new(),
             codes: BTreeMap::new(),
+            team_codes: BTreeMap::new(),
             completed: 0,
             open: BTreeMap::new(),
             messages: 0,
@@ -146,6 +159,7 @@
             next_seq: 0,
             running: BTreeMap::new(),
             begun: BTreeSet::new(),
+            answering: BTreeSet::new(),
             runs: BTreeMap::new(),
         };
         fleet.relist();
@@ -295,6 +309,10 @@
     fn come(&mut self, delivery: Delivery) {
         match delivery {
             Delivery::Tick(place) => self.tick(place),
+            Delivery::Dispatch(place, life, it) => self.dispatch(place, life, it),
+            Delivery::Answering(caller, attempt, breaks_at) => {
+                self.answering(caller, attempt, breaks_at);
+            }
             Delivery::Event(place, life, event) => {
                 if self.instances[place].life == life {
                     self.deliver(place, event);
@@ -376,7 +394,11 @@
     fn carry_out(&mut self, place: usize, effect: Effect) {
         let life = self.instances[place].life;
         match effect {
-            Effect::Dispatch(dispatch) => self.dispatch(place, life, dispatch),
+            Effect::Dispatch(it) if self.chance(self.faults.stalled) => {
+                let late = Millis(self.rng.random_range(0..STALL_MAX.0));
+                self.push(self.now.after(late), Delivery::Dispatch(place, life, it));
+            }
+            Effect::Dispatch(it) => self.dispatch(place, life, it),
             Effect::Answer { request, code, .. } => self.answer((place, life, request), code),
             Effect::Abort { attempt } => {
                 if let Some(&(_, server)) = self.running.get(&(place, life, attempt)) {
@@ -418,7 +440,11 @@
             }
             Effect::Ready(ready) => self.instances[place].ready = ready,
             Effect::Note(_) => {}
-            Effect::Exit => self.instances[place].exited = true,
+            Effect::Exit => {
+                let cut = self.open.keys().filter(|it| it.0 == place && it.1 == life);
+                assert_eq!(cut.count(), 0, "requests cut by a planned stop");
+                self.instances[place].exited = true;
+            }
         }
     }
 
@@ -521,6 +547,9 @@
     }
 
     fn dispatch(&mut self, place: usize, life: Incarnation, it: Dispatch) {
+        if self.instances[place].life != life || self.instances[place].state.is_none() {
+            return;
+        }
         let caller = (place, life, it.request);
         let server = self
             .servers
@@ -544,9 +573,19 @@
             .open
             .get(&caller)
             .expect("a request is dispatched after its final answer");
+        assert!(
+            !self.answering.contains(&caller),
+            "a second answer behind the first: {job:?}"
+        );
         self.begin(server, caller, job);
         let target = &self.servers[server];
         let takes = Millis(job.cost * 1_000 / target.speed);
+        let at = self.now.after(takes);
+        if !job.crashes && self.chance(self.faults.midway) {
+            let half = self.now.after(Millis(takes.0 / 2));
+            self.push(half, Delivery::Answering(caller, it.attempt, at));
+            return;
+        }
         let end = AttemptEnd::Complete {
             status: 200,
             units: job.cost,
@@ -555,7 +594,26 @@
             self.crash(server);
             return;
         }
-        self.push_end(self.now.after(takes), caller, server, it.attempt, end);
+        let end = match self.rng.random_range(0..1_000) {
+            n if n < self.faults.crossed => AttemptEnd::Crossed,
+            n if n < self.faults.crossed + self.faults.lost => AttemptEnd::LostBeforeAnswer,
+            _ => end,
+        };
+        self.push_end(at, caller, server, it.attempt, end);
+    }
+
+    /// The answer begins to reach the caller, and is to break off at `breaks_at`.
+    fn answering(&mut self, caller: Caller, attempt: AttemptId, breaks_at: Timestamp) {
+        let (place, life, _) = caller;
+        let Some(&(_, server)) = self.running.get(&(place, life, attempt)) else {
+            return;
+        };
+        self.answering.insert(caller);
+        let end = AttemptEnd::LostMidway { units: 1 };
+        self.push_end(breaks_at, caller, server, attempt, end);
+        if self.instances[place].life == life {
+            self.deliver(place, Event::Answering { attempt });
+        }
     }
 
     fn begin(&mut self, server: usize, caller: Caller, job: Job) {
@@ -653,6 +711,9 @@
             self.now
         );
         *self.codes.entry(code).or_default() += 1;
+        if let Some(job) = job {
+            *self.team_codes.entry((job.team, code)).or_default() += 1;
+        }
     }
 
     pub fn chance(&mut self, in_a_thousand: u32) -> bool {
--- a/sl-step/tests/it/main.rs
+++ b/sl-step/tests/it/main.rs
@@ -2,5 +2,6 @@
 //! plain list, under random faults.
 
 mod fleet;
+mod focus;
 mod model;
 mod promises;
--- a/sl-step/tests/it/promises.rs
+++ b/sl-step/tests/it/promises.rs
@@ -89,7 +89,17 @@
         let mut fleet = Fleet::new(seed, INSTANCES, servers());
         let mut share = 1;
         fleet.run_for(Millis(3_000));
-        fleet.faults = Faults { loss: 50, repeat: 50, delay: 50, lost_answer: 100, platform_down: false };
+        fleet.faults = Faults {
+            loss: 50,
+            repeat: 50,
+            delay: 50,
+            lost_answer: 100,
+            platform_down: false,
+            crossed: 20,
+            lost: 20,
+            midway: 20,
+            stalled: 20,
+        };
         for round in 0..120 {
             for id in 0..3 {
                 let mut job = job(&mut fleet, round * 10 + id);
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -3,6 +3,8 @@
 
 mod bed;
 mod failure;
+mod links2;
+mod operators;
 mod path;
 mod refusal;
 mod stop;
