--- a/sl-core/src/run.rs
+++ b/sl-core/src/run.rs
@@ -55,7 +55,9 @@
 /// [`Error`] where the settings are no good or the daemon fails.
 pub fn run(options: &Options) -> Result<(), Error> {
     let settings = read(&options.settings)?;
+    let cores = std::thread::available_parallelism().map_or(1, usize::from);
     let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(cores.min(WORKERS_MAX))
         .enable_all()
         .build()
         .map_err(Error::Runtime)?;
@@ -63,6 +65,9 @@
     Ok(())
 }
 
+/// Threads of the runtime at most: each costs memory, and one instance is to stay small.
+const WORKERS_MAX: usize = 4;
+
 fn read(path: &PathBuf) -> Result<Settings, Error> {
     let text = fs::read_to_string(path).map_err(|source| Error::Read {
         path: path.clone(),
