--- a/tests/it/race.rs
+++ b/tests/it/race.rs
@@ -34,6 +34,18 @@
     }
 }
 
+/// Writes a draft of the site's text with another share, over any that is there.
+fn replace_draft(fleet: &Fleet, dir: &Path, share: u64, who: &str) {
+    let path = dir.join(who);
+    let text = fleet.site.text();
+    let text = text.replace("share = 8", &format!("share = {share}"));
+    std::fs::write(&path, text).unwrap();
+    let file = path.to_str().unwrap();
+    let edit = ["edit", "--replace", "--file", file, "--base", "1"];
+    let edit = [&edit[..], &["--as", who, "te-byw"]].concat();
+    assert_eq!(sesamelock(&fleet.platform.url(), &edit).exit, Some(0));
+}
+
 /// Edits on top of `base` and accepts, as one operator does without seeing the other.
 fn change(platform: &str, file: &Path, base: Revision, who: &str) -> Said {
     let base = base.to_string();
@@ -113,3 +125,16 @@
     }
     assert!(won > 0 && lost > 0, "{won} won, {lost} lost");
 }
+
+/// Who accepts a draft that another wrote over the own one must learn of it.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_operator_whose_draft_was_replaced_is_told_at_accept() {
+    let fleet = fleet(1).await;
+    let dir = tempfile::tempdir().unwrap();
+    replace_draft(&fleet, dir.path(), 20, "gwen");
+    replace_draft(&fleet, dir.path(), 30, "huw");
+    let accept = ["accept", "--json", "--as", "gwen", "te-byw"];
+    let said = sesamelock(&fleet.platform.url(), &accept);
+    let is_told = said.exit != Some(0) || said.text.contains("huw");
+    assert!(is_told, "{:?} {}", said.exit, said.text);
+}
