--- a/sl-step/tests/it/focus.rs
+++ b/sl-step/tests/it/focus.rs
@@ -188,3 +188,23 @@
     fleet.run_for(Millis(5_000));
     assert_eq!((fleet.completed, fleet.runs_of(1)), (1, 1));
 }
+
+/// Also a server's own home stops sending to it once it hears of nobody, and hands back
+/// what waits.
+#[rstest]
+fn who_is_cut_off_hands_back_what_waits(#[values(0, 1, 2, 3)] place: usize) {
+    let mut fleet = fleet(51);
+    for id in 0..800 {
+        fleet.submit(place, job(id, LARGE, true));
+    }
+    fleet.run_for(Millis(200));
+    fleet.instances[place].group = 1;
+    for server in &mut fleet.servers {
+        server.leaving_since = Some(fleet.now);
+    }
+    fleet.relist();
+    fleet.run_for(Millis(12_000));
+    let handed_back = fleet.codes.get(&Code::Isolated).copied().unwrap_or(0);
+    assert!(handed_back > 0, "{:?}", fleet.codes);
+    assert!(fleet.open.is_empty(), "{} wait on", fleet.open.len());
+}
