--- a/sl-step/tests/it/focus.rs
+++ b/sl-step/tests/it/focus.rs
@@ -2,6 +2,7 @@
 
 use rstest::rstest;
 use sl_base::{Code, Millis};
+use sl_step::Event;
 
 use crate::{
     fleet::{Faults, Fleet, Job, template},
@@ -208,3 +209,34 @@
     assert!(handed_back > 0, "{:?}", fleet.codes);
     assert!(fleet.open.is_empty(), "{} wait on", fleet.open.len());
 }
+
+/// The caller leaves while its key is claimed, while it waits, and while it runs; then it
+/// comes again through another instance.
+#[rstest]
+#[case::while_claimed(0, false, 1)]
+#[case::while_waiting(300, true, 1)]
+#[case::while_running(100, false, 0)]
+fn a_caller_that_left_hears_the_truth_when_it_comes_again(
+    #[case] after: u64,
+    #[case] busy: bool,
+    #[case] completed: u64,
+) {
+    let mut fleet = fleet(61);
+    if busy {
+        for id in 0..200 {
+            fleet.submit(0, job(id, SMALL, true));
+        }
+        fleet.run_for(Millis(50));
+    }
+    fleet.submit(0, job(1_000, SMALL, false));
+    let (&caller, _) = fleet.open.last_key_value().unwrap();
+    fleet.run_for(Millis(after));
+    fleet.open.remove(&caller);
+    fleet.tell(0, Event::CallerGone { request: caller.2 });
+    fleet.run_for(Millis(20_000));
+    let before = fleet.completed;
+    fleet.submit(1, job(1_000, SMALL, false));
+    fleet.run_for(Millis(5_000));
+    assert_eq!(fleet.completed - before, completed, "{:?}", fleet.codes);
+    assert_eq!(fleet.runs_of(1_000), 1);
+}
