--- a/sl-step/tests/it/focus.rs
+++ b/sl-step/tests/it/focus.rs
@@ -213,15 +213,18 @@
 /// The caller leaves while its key is claimed, while it waits, and while it runs; then it
 /// comes again through another instance.
 #[rstest]
-#[case::while_claimed(0, false, 1)]
-#[case::while_waiting(300, true, 1)]
-#[case::while_running(100, false, 0)]
+#[case::while_claimed(0, false, 0, 1)]
+#[case::while_waiting(300, true, 0, 1)]
+#[case::while_running(100, false, 0, 0)]
+#[case::before_the_answer_is_lost(100, false, 1_000, 0)]
 fn a_caller_that_left_hears_the_truth_when_it_comes_again(
     #[case] after: u64,
     #[case] busy: bool,
+    #[case] lost: u32,
     #[case] completed: u64,
 ) {
     let mut fleet = fleet(61);
+    fleet.faults.lost = lost;
     if busy {
         for id in 0..200 {
             fleet.submit(0, job(id, SMALL, true));
