--- a/tests/it/answers.rs
+++ b/tests/it/answers.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use reqwest::Method;
+use sl_base::Code;
 use stand_ins::{Chance, backends};
 
 use crate::bed::{TEAM, eventually, fleet, header};
@@ -56,3 +57,23 @@
     assert!(runs > 120, "the faults struck: {runs} runs");
     assert!(whole > 60, "{whole} whole, {refused} refused");
 }
+
+/// An answer that carries another attempt's id may be anybody's.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_crossed_answer_reaches_nobody() {
+    let fleet = fleet(1).await;
+    let fault = backends::Fault {
+        cross: Chance::ALWAYS,
+        ..Default::default()
+    };
+    fleet.backends.fault(fault).await;
+    let code = Code::CrossedAnswer.number().to_string();
+    for n in 0..10 {
+        let path = format!("/bookings/crossed-{n}");
+        let call = fleet.call(0, TEAM, Method::GET, &path);
+        let answer = call.send().await.unwrap();
+        assert_eq!(header(&answer, "x-sesamelock-code"), code);
+        assert_eq!(header(&answer, "x-sesamelock-outcome"), "unknown");
+        assert!(!answer.text().await.unwrap().contains(&path));
+    }
+}
--- a/tests/it/race.rs
+++ b/tests/it/race.rs
@@ -81,7 +81,7 @@
     told
 }
 
-/// Whoever was told `accepted` finds exactly the own text at the revision that was named,
+/// Both edit what they saw, so that only one can win. Whoever was told `accepted` finds the own text at the revision that was named,
 /// and whoever was told of a conflict finds it at none.
 #[tokio::test(flavor = "multi_thread")]
 async fn two_operators_at_once_are_each_told_the_truth() {
@@ -96,6 +96,8 @@
         fleet.platform.fault(fault).await;
         let told = race(&fleet, 10 + 2 * round, base).await;
         fleet.platform.fault(platform::Fault::default()).await;
+        let accepted = told.iter().filter(|it| it.said.exit == Some(0));
+        assert!(accepted.count() <= 1, "one change was overwritten unseen");
         for it in &told {
             let own = format!("share = {}\n", it.share);
             let Told { who, said, .. } = it;
