--- a/tests/it/race.rs
+++ b/tests/it/race.rs
@@ -81,8 +81,8 @@
     told
 }
 
-/// Both edit what they saw, so that only one can win. Whoever was told `accepted` finds the own text at the revision that was named,
-/// and whoever was told of a conflict finds it at none.
+/// Both edit what they saw, so that only one can win. Whoever was told `accepted` finds the
+/// own text at the revision that was named, and whoever was told of a conflict does not.
 #[tokio::test(flavor = "multi_thread")]
 async fn two_operators_at_once_are_each_told_the_truth() {
     let fleet = fleet(2).await;
