--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -3,6 +3,7 @@
 
 mod answers;
 mod bed;
+mod crash;
 mod failure;
 mod operators;
 mod partition;
