--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -5,6 +5,7 @@
 mod bed;
 mod crash;
 mod failure;
+mod newborn;
 mod operators;
 mod partition;
 mod path;
