--- a/sl-step/tests/it/fleet.rs
+++ b/sl-step/tests/it/fleet.rs
@@ -112,6 +112,7 @@
     /// The same by team.
     pub team_codes: BTreeMap<(usize, Code), u64>,
     pub completed: u64,
+    pub come_back: Vec<Millis>,
     pub open: BTreeMap<Caller, Job>,
     pub messages: u64,
     listing: Arc<Listing>,
@@ -152,6 +153,7 @@
             codes: BTreeMap::new(),
             team_codes: BTreeMap::new(),
             completed: 0,
+            come_back: Vec::new(),
             open: BTreeMap::new(),
             messages: 0,
             listing: Arc::default(),
@@ -399,7 +401,15 @@
                 self.push(self.now.after(late), Delivery::Dispatch(place, life, it));
             }
             Effect::Dispatch(it) => self.dispatch(place, life, it),
-            Effect::Answer { request, code, .. } => self.answer((place, life, request), code),
+            Effect::Answer {
+                request,
+                code,
+                retry_after,
+                ..
+            } => {
+                self.come_back.extend(retry_after);
+                self.answer((place, life, request), code);
+            }
             Effect::Abort { attempt } => {
                 if let Some(&(_, server)) = self.running.get(&(place, life, attempt)) {
                     let end = AttemptEnd::Aborted { units: 0 };
