sl-step: a stopping instance without others sees its queue through

With the list read on, what waited then got no slot until its deadline, because nobody was home of any server once all members were leaving. A stopping instance now reads the list each period, and where all are leaving they hold the roles. Two tests, each seen to fail without.

--- a/sl-step/src/exchange.rs
+++ b/sl-step/src/exchange.rs
@@ -102,8 +102,13 @@
     }
 
     pub(crate) fn tell_members(&mut self, now: Timestamp) {
-        let alive = self.members.alive();
         let peers: Vec<InstanceId> = self.members.peers().map(|(id, _)| id).collect();
+        let mut alive = self.members.alive();
+        if alive.is_empty() {
+            // All are leaving: what waits is still to be served by somebody's slots.
+            alive = peers.clone();
+            alive.push(self.me);
+        }
         self.slots.set_members(now, &alive);
         self.claims.set_members(alive);
         self.fair.set_members(now, &peers);
--- a/sl-step/src/list.rs
+++ b/sl-step/src/list.rs
@@ -5,7 +5,7 @@
 use sl_base::{Millis, PoolId, ServerId, Timestamp, listing::Listing};
 use sl_slots::Server;
 
-use crate::{Effect, Message, State, message::Running};
+use crate::{Effect, Message, State, message::Running, state::Stop};
 
 /// Instances that read the list each period; the others hear of changes from them.
 const READERS: usize = 3;
@@ -20,7 +20,10 @@
             return;
         }
         let period = self.options.list_period;
-        let reads = self.listing.version == 0 || self.is_in_line(READER_ROLE, READERS);
+        // Who stops holds no role, and must still notice that the platform answers.
+        let stops = self.stop != Stop::No;
+        let first = self.listing.version == 0;
+        let reads = first || stops || self.is_in_line(READER_ROLE, READERS);
         let periods = if reads { 1 } else { REST_PERIODS };
         self.list_at = now.after(Millis(period.0 * periods));
         self.effects.push(Effect::List {
--- a/sl-step/tests/it/focus.rs
+++ b/sl-step/tests/it/focus.rs
@@ -243,3 +243,38 @@
     assert_eq!(fleet.completed - before, completed, "{:?}", fleet.codes);
     assert_eq!(fleet.runs_of(1_000), 1);
 }
+
+/// Long after it gave up its roles, an instance without peers still hears the platform.
+#[test]
+fn a_planned_stop_of_the_only_instance_hands_nothing_back() {
+    let servers = vec![Server::new("s-0", 4, 400)];
+    let mut fleet = Fleet::new(71, 1, servers);
+    fleet.run_for(Millis(3_000));
+    for id in 0..400 {
+        fleet.submit(0, job(id, SMALL, true));
+    }
+    fleet.run_for(Millis(300));
+    let cut_by = fleet.now.after(Millis(120_000));
+    fleet.tell(0, Event::Stop { cut_by });
+    fleet.run_for(Millis(60_000));
+    assert_eq!(fleet.codes.len(), 0, "{:?}", fleet.codes);
+    assert_eq!(fleet.completed, 400);
+    assert!(fleet.instances[0].exited);
+}
+
+#[test]
+fn a_planned_stop_of_the_whole_fleet_sees_all_through() {
+    let mut fleet = fleet(81);
+    for id in 0..400 {
+        fleet.submit(id as usize % INSTANCES, job(id, SMALL, true));
+    }
+    fleet.run_for(Millis(300));
+    let cut_by = fleet.now.after(Millis(120_000));
+    for place in 0..INSTANCES {
+        fleet.tell(place, Event::Stop { cut_by });
+    }
+    fleet.run_for(Millis(60_000));
+    assert_eq!(fleet.codes.len(), 0, "{:?}", fleet.codes);
+    assert_eq!(fleet.completed, 400);
+    assert!(fleet.instances.iter().all(|it| it.exited));
+}
