--- a/sl-step/tests/it/focus.rs
+++ b/sl-step/tests/it/focus.rs
@@ -213,14 +213,15 @@
 /// The caller leaves while its key is claimed, while it waits, and while it runs; then it
 /// comes again through another instance.
 #[rstest]
-#[case::while_claimed(0, false, 0, 1)]
-#[case::while_waiting(300, true, 0, 1)]
-#[case::while_running(100, false, 0, 0)]
-#[case::before_the_answer_is_lost(100, false, 1_000, 0)]
+#[case::while_claimed(0, false, 0, Some(Code::CallerGone), 1)]
+#[case::while_waiting(300, true, 0, Some(Code::CallerGone), 1)]
+#[case::while_running(100, false, 0, None, 0)]
+#[case::before_the_answer_is_lost(100, false, 1_000, Some(Code::CallerGoneRunning), 0)]
 fn a_caller_that_left_hears_the_truth_when_it_comes_again(
     #[case] after: u64,
     #[case] busy: bool,
     #[case] lost: u32,
+    #[case] counted: Option<Code>,
     #[case] completed: u64,
 ) {
     let mut fleet = fleet(61);
@@ -234,9 +235,10 @@
     fleet.submit(0, job(1_000, SMALL, false));
     let (&caller, _) = fleet.open.last_key_value().unwrap();
     fleet.run_for(Millis(after));
-    fleet.open.remove(&caller);
     fleet.tell(0, Event::CallerGone { request: caller.2 });
     fleet.run_for(Millis(20_000));
+    let codes: Vec<Code> = fleet.codes.keys().copied().collect();
+    assert_eq!(codes, Vec::from_iter(counted));
     let before = fleet.completed;
     fleet.submit(1, job(1_000, SMALL, false));
     fleet.run_for(Millis(5_000));
