sl-fair: an instance that served nothing of a waiting team for long needs slots the most

Of equal needs, those who hold the slots keep them: one team with 20 requests on each of 4 instances left the 20 on one of them without a slot until their queue deadline of 60 s, and a team of share 1 against 1000 that waited only where it held no slot got no turn. Peers now see since when nothing of a waiting team was served on another instance, and give slots up to it after starve_wait, within the budget of surrenders.

--- a/bench/src/bin/sl-slopes/fair.rs
+++ b/bench/src/bin/sl-slopes/fair.rs
@@ -190,7 +190,7 @@
     for from in 1..=peers {
         fair.on_report(at(1), peer(from), &report(2, changed(teams), 4));
     }
-    nanos(50, |_| fair.needs_elsewhere(POOL))
+    nanos(50, |call| fair.needs_elsewhere(at(call), POOL))
 }
 
 fn wire(teams: u64, _: u64) -> f64 {
--- a/sl-fair/src/exchange.rs
+++ b/sl-fair/src/exchange.rs
@@ -7,6 +7,7 @@
 use crate::{
     Fair, Report, Service,
     ledger::Change,
+    pool::Elsewhere,
     report::{Entry, Lift, PoolRow, Snapshot},
 };
 
@@ -182,11 +183,17 @@
                 let Some(change) = self.ledger.merge(now, life, key, value) else {
                     continue;
                 };
+                let served = change.after > change.before;
                 self.apply(now, change);
                 let state = self.pools.entry(row.pool).or_default();
                 state.update(entry.team, |account| {
                     if entry.waiting > 0 && member {
-                        account.elsewhere.insert(life.0, entry.waiting);
+                        let known = account.elsewhere.get(&life.0).filter(|_| !served);
+                        let elsewhere = Elsewhere {
+                            waiting: entry.waiting,
+                            unserved_since: known.map_or(now, |it| it.unserved_since),
+                        };
+                        account.elsewhere.insert(life.0, elsewhere);
                     } else {
                         account.elsewhere.remove(&life.0);
                     }
--- a/sl-fair/src/fair.rs
+++ b/sl-fair/src/fair.rs
@@ -159,10 +159,10 @@
     }
 
     /// What waits on each other instance for the pool, by its reports.
-    pub fn needs_elsewhere(&self, pool: PoolId) -> BTreeMap<InstanceId, Need> {
+    pub fn needs_elsewhere(&self, now: Timestamp, pool: PoolId) -> BTreeMap<InstanceId, Need> {
         self.pools
             .get(&pool)
-            .map(Pool::needs_elsewhere)
+            .map(|it| it.needs_elsewhere(now.before(self.options.starve_wait)))
             .unwrap_or_default()
     }
 
--- a/sl-fair/src/pool.rs
+++ b/sl-fair/src/pool.rs
@@ -25,8 +25,8 @@
     pub own_version: u64,
     /// Requests that wait on this instance.
     pub waiting: u32,
-    /// Requests that wait on others; zeros are left out.
-    pub elsewhere: BTreeMap<InstanceId, u32>,
+    /// What waits on others; who has nothing waiting is left out.
+    pub elsewhere: BTreeMap<InstanceId, Elsewhere>,
     /// When the team was last served anywhere, as far as is known here.
     pub served_at: Timestamp,
 }
@@ -43,6 +43,15 @@
     }
 }
 
+/// Waiting requests of a team on another instance.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Elsewhere {
+    /// How many.
+    pub waiting: u32,
+    /// Since when nothing of the team was served there.
+    pub unserved_since: Timestamp,
+}
+
 /// All teams in one pool.
 #[derive(Debug, Default)]
 pub(crate) struct Pool {
@@ -119,16 +128,21 @@
         }
     }
 
-    /// What waits on each other instance.
-    pub fn needs_elsewhere(&self) -> BTreeMap<InstanceId, Need> {
+    /// What waits on each other instance. One that served nothing of a waiting team since
+    /// `starving` needs slots the most, whatever the team was served on others: of equal
+    /// needs, those who hold the slots would keep them for ever.
+    pub fn needs_elsewhere(&self, starving: Timestamp) -> BTreeMap<InstanceId, Need> {
         let mut needs = BTreeMap::new();
         for &(time, team) in &self.fleet {
-            for (&instance, &waiting) in &self.accounts[&team].elsewhere {
+            for (&instance, elsewhere) in &self.accounts[&team].elsewhere {
                 let need = needs.entry(instance).or_insert(Need {
                     waiting: 0,
                     least: time.0,
                 });
-                need.waiting = need.waiting.saturating_add(waiting);
+                need.waiting = need.waiting.saturating_add(elsewhere.waiting);
+                if elsewhere.unserved_since <= starving {
+                    need.least = 0;
+                }
             }
         }
         needs
--- a/sl-fair/tests/it/exchange.rs
+++ b/sl-fair/tests/it/exchange.rs
@@ -166,7 +166,7 @@
         }
         for to in 0..NODES {
             for from in (0..NODES).filter(|&from| from != to) {
-                let told = fleet.nodes[to].needs_elsewhere(POOL);
+                let told = fleet.nodes[to].needs_elsewhere(at(fleet.step), POOL);
                 let told = told.get(&instance(from)).map_or(0, |need| need.waiting);
                 prop_assert_eq!(told, fleet.nodes[from].need(POOL).waiting);
             }
@@ -297,13 +297,21 @@
     serve(&mut nodes[0], 1, 500);
     nodes[0].enqueue(at(0), item(2, 0, 1)).unwrap();
     exchange(&mut nodes, at(1), &[(0, 1), (1, 0)]);
-    assert!(nodes[1].needs_elsewhere(POOL).contains_key(&instance(0)));
+    assert!(
+        nodes[1]
+            .needs_elsewhere(at(4), POOL)
+            .contains_key(&instance(0))
+    );
     nodes[1].set_members(at(2), &[instance(1)]);
-    assert!(nodes[1].needs_elsewhere(POOL).is_empty());
+    assert!(nodes[1].needs_elsewhere(at(4), POOL).is_empty());
     let both: [InstanceId; 2] = [instance(0), instance(1)];
     nodes[1].set_members(at(3), &both);
     exchange(&mut nodes, at(4), &[(1, 0), (0, 1)]);
-    assert!(nodes[1].needs_elsewhere(POOL).contains_key(&instance(0)));
+    assert!(
+        nodes[1]
+            .needs_elsewhere(at(4), POOL)
+            .contains_key(&instance(0))
+    );
 }
 
 /// Sixteen teams on each of nine instances, all of them busy: bytes of a second's reports.
--- a/sl-slots/tests/it/fleet.rs
+++ b/sl-slots/tests/it/fleet.rs
@@ -415,7 +415,7 @@
             let need = node.fair.need(POOL);
             node.slots.set_need(now, POOL, need);
             node.slots
-                .set_needs_elsewhere(now, POOL, &node.fair.needs_elsewhere(POOL));
+                .set_needs_elsewhere(now, POOL, &node.fair.needs_elsewhere(now, POOL));
             if !need.is_some() {
                 return;
             }
@@ -480,7 +480,7 @@
     fn tell_needs(&mut self, n: usize) {
         let now = Timestamp::from_micros(self.now);
         let node = &mut self.nodes[n];
-        let needs = node.fair.needs_elsewhere(POOL);
+        let needs = node.fair.needs_elsewhere(now, POOL);
         node.slots.set_needs_elsewhere(now, POOL, &needs);
     }
 
--- a/sl-step/src/dispatch.rs
+++ b/sl-step/src/dispatch.rs
@@ -40,7 +40,7 @@
     /// with an older one would send slots around in circles.
     fn compare_needs(&mut self, now: Timestamp, pool: PoolId) {
         self.slots.set_need(now, pool, self.fair.need(pool));
-        let needs = self.fair.needs_elsewhere(pool);
+        let needs = self.fair.needs_elsewhere(now, pool);
         let peers: Vec<_> = self.members.peers().map(|(id, _)| id).collect();
         for peer in peers {
             let need = needs.get(&peer).copied().unwrap_or(Need::NONE);
