--- a/bench/src/measure/load.rs
+++ b/bench/src/measure/load.rs
@@ -44,7 +44,7 @@
 pub struct Seen {
     /// Milliseconds to the first byte.
     pub first_byte: Histogram<u64>,
-    /// Microseconds between two pieces of a stream.
+    /// Microseconds between two tokens, the mean of each stream.
     pub between: Histogram<u64>,
     /// Answers by result code, zero for a backend server's own.
     pub codes: std::collections::BTreeMap<u16, u64>,
@@ -140,8 +140,8 @@
 impl Seen {
     fn new() -> Seen {
         Seen {
-            first_byte: Histogram::new(3).expect("three digits are in hdrhistogram's range"),
-            between: Histogram::new(3).expect("three digits are in hdrhistogram's range"),
+            first_byte: histogram(),
+            between: histogram(),
             codes: Default::default(),
         }
     }
@@ -161,7 +161,7 @@
         let hint = (cost as f64 * self.rng.random_range(0.5..2.0)) as u64;
         let at = self.at[self.rng.random_range(0..self.at.len())];
         let body = serde_json::json!({
-            "max_tokens": COST_MAX, "actual_tokens": cost, "prompt_tokens": 1,
+            "stream": true, "max_tokens": COST_MAX, "actual_tokens": cost, "prompt_tokens": 1,
         });
         let sent = Instant::now();
         let url = format!("http://{}{}", self.doors.callers[at], self.doors.path);
@@ -186,22 +186,22 @@
 
     async fn read(&mut self, answer: Response) -> bool {
         let mut pieces = answer.bytes_stream();
-        let mut last = Instant::now();
-        let mut spans = Vec::new();
+        let mut first = None;
+        let mut tokens = 0;
         while let Some(piece) = pieces.next().await {
             let Ok(piece) = piece else {
                 return false;
             };
-            let tokens = piece.windows(TOKEN.len()).filter(|it| *it == TOKEN).count();
-            self.received
-                .tokens
-                .fetch_add(tokens as u64, Ordering::Relaxed);
-            spans.push(last.elapsed().as_micros() as u64);
-            last = Instant::now();
+            let more = piece.windows(TOKEN.len()).filter(|it| *it == TOKEN).count() as u64;
+            self.received.tokens.fetch_add(more, Ordering::Relaxed);
+            first.get_or_insert_with(Instant::now);
+            tokens += more;
         }
-        let mut seen = self.seen.lock().await;
-        for span in spans {
-            seen.between.saturating_record(span);
+        if let Some(first) = first
+            && tokens > 1
+        {
+            let micros = first.elapsed().as_micros() as u64 / (tokens - 1);
+            self.seen.lock().await.between.saturating_record(micros);
         }
         true
     }
@@ -231,3 +231,9 @@
     code.and_then(|it| it.to_str().ok()?.parse().ok())
         .unwrap_or(0)
 }
+
+/// A histogram that records up to an hour in microseconds.
+fn histogram() -> Histogram<u64> {
+    const MICROS_MAX: u64 = 3_600_000_000;
+    Histogram::new_with_bounds(1, MICROS_MAX, 3).expect("the bounds are in hdrhistogram's range")
+}
--- a/sl-step/src/admit.rs
+++ b/sl-step/src/admit.rs
@@ -13,13 +13,13 @@
     state::Stop,
 };
 
-/// When a caller is told to come back where nothing better is known.
+/// When a caller is told to come back where the cause is no queue.
 const COME_BACK: Millis = Millis(1_000);
 
 impl State {
     pub(crate) fn arrived(&mut self, now: Timestamp, arrival: Arrival) {
         if let Some(code) = self.refusal(now, &arrival) {
-            self.refuse(arrival.request, code);
+            self.refuse(&arrival, code);
             return;
         }
         let Some(key) = arrival.key.filter(|_| !arrival.policy.idempotent) else {
@@ -82,8 +82,10 @@
                 self.enqueue(now, id);
             }
             Decision::Granted => {
+                let arrival = request.arrival;
                 self.requests.remove(id);
                 self.claims.settle(now, id, Settled::NotRun);
+                self.refuse(&arrival, Code::CallerGone);
             }
             Decision::Refused {
                 code,
@@ -130,12 +132,15 @@
             return;
         };
         request.caller = Caller::Gone;
-        let idempotent = request.arrival.policy.idempotent;
+        let arrival = request.arrival;
         match request.phase {
             Phase::Claiming => {}
-            Phase::Waiting => self.drop_waiting(now, id),
+            Phase::Waiting => {
+                self.drop_waiting(now, id);
+                self.refuse(&arrival, Code::CallerGone);
+            }
             // A non-idempotent request runs on, so that its outcome becomes known.
-            Phase::Running(running) if idempotent => {
+            Phase::Running(running) if arrival.policy.idempotent => {
                 self.effects.push(Effect::Abort {
                     attempt: running.attempt,
                 });
@@ -198,7 +203,7 @@
         };
         self.drop_waiting(now, id);
         if request.caller == Caller::Waiting {
-            self.refuse(id, honest(code, &request));
+            self.refuse(&request.arrival, honest(code, &request));
         }
     }
 
@@ -219,22 +224,22 @@
         }
     }
 
-    pub(crate) fn refuse(&mut self, request: RequestId, code: Code) {
+    /// Gives a request its final answer, and says when to come back where that helps.
+    pub(crate) fn refuse(&mut self, arrival: &Arrival, code: Code) {
         let retry_after = match code {
-            Code::QueueFull
-            | Code::QueueBytesFull
-            | Code::QueueTimeout
-            | Code::NoServer
+            Code::QueueFull | Code::QueueBytesFull | Code::QueueTimeout | Code::Overloaded => {
+                Some(self.waits.come_back(arrival.team))
+            }
+            Code::NoServer
             | Code::ConnectFailed
             | Code::Draining
             | Code::Isolated
             | Code::NoConfiguration
-            | Code::ClaimUnavailable
-            | Code::Overloaded => Some(COME_BACK),
+            | Code::ClaimUnavailable => Some(COME_BACK),
             _ => None,
         };
         self.effects.push(Effect::Answer {
-            request,
+            request: arrival.request,
             code,
             retry_after,
             ran_status: None,
--- a/sl-step/src/dispatch.rs
+++ b/sl-step/src/dispatch.rs
@@ -1,6 +1,6 @@
 //! Bringing waiting requests and free slots together.
 
-use sl_base::{Need, PoolId, RequestId, ServerId, Timestamp};
+use sl_base::{PoolId, RequestId, ServerId, Timestamp};
 use sl_slots::{Loan, Outcome};
 
 use crate::{Effect, Message, State, effect::Dispatch};
@@ -24,8 +24,13 @@
         let Some(loan) = self.acquire(now, pool, avoid) else {
             return false;
         };
-        let picked = self.fair.pick(now, pool).map(|it| it.item.request);
-        let id = picked.unwrap_or(next);
+        let Some(picked) = self.fair.pick(now, pool) else {
+            self.slots.release(now, loan.server, Outcome::Other);
+            return false;
+        };
+        let id = picked.item.request;
+        self.waits
+            .learn(picked.item.team, now.micros_since(picked.item.since));
         if !self.passes_strikes(now, id) {
             self.fair.settle(id, 0);
             self.slots.release(now, loan.server, Outcome::Other);
@@ -41,11 +46,7 @@
     fn compare_needs(&mut self, now: Timestamp, pool: PoolId) {
         self.slots.set_need(now, pool, self.fair.need(pool));
         let needs = self.fair.needs_elsewhere(now, pool);
-        let peers: Vec<_> = self.members.peers().map(|(id, _)| id).collect();
-        for peer in peers {
-            let need = needs.get(&peer).copied().unwrap_or(Need::NONE);
-            self.slots.set_need_elsewhere(now, pool, peer, need);
-        }
+        self.slots.set_needs_elsewhere(now, pool, &needs);
     }
 
     /// A slot on another server than the one that just failed, or on that one if there
--- a/sl-step/tests/it/promises.rs
+++ b/sl-step/tests/it/promises.rs
@@ -281,3 +281,74 @@
     fleet.run_for(Millis(4_000));
     assert_eq!(fleet.served.get(&1), Some(&4_000));
 }
+
+#[test]
+fn a_team_with_a_full_queue_hears_to_come_back_after_about_the_wait() {
+    let mut fleet = Fleet::new(13, 1, servers());
+    fleet.run_for(Millis(3_000));
+    let mut id = 0;
+    for _ in 0..60 {
+        while fleet.codes.get(&Code::QueueFull).is_none_or(|it| *it < 10) {
+            id += 1;
+            let job = Job {
+                id,
+                team: 3,
+                idempotent: true,
+                crashes: false,
+                cost: 200,
+            };
+            fleet.submit(0, job);
+        }
+        fleet.codes.clear();
+        fleet.run_for(Millis(3_000));
+    }
+    // 2,000 requests of 200 units at 4,000 units a second would wait for 100 s, but give up
+    // at their queue deadline of 60 s: the smoothed wait comes near that, from 1 s at first.
+    assert_eq!(fleet.come_back.first(), Some(&Millis(1_000)));
+    assert!(
+        fleet.come_back.last() >= Some(&Millis(50_000)),
+        "{:?}",
+        fleet.come_back.last()
+    );
+}
+
+/// A caller that leaves takes its waiting or idempotent request with it; a booking that
+/// runs is seen through, so that its key's outcome becomes known.
+#[rstest]
+#[case::waiting(true, 60, Some(Code::CallerGone))]
+#[case::running(true, 0, Some(Code::CallerGoneRunning))]
+#[case::running_booking(false, 0, None)]
+fn a_caller_that_leaves(#[case] idempotent: bool, #[case] before: u64, #[case] code: Option<Code>) {
+    let mut fleet = Fleet::new(17, 1, servers());
+    fleet.run_for(Millis(3_000));
+    for id in 0..before {
+        let job = Job {
+            id,
+            team: 0,
+            idempotent: true,
+            crashes: false,
+            cost: 4_000,
+        };
+        fleet.submit(0, job);
+    }
+    fleet.run_for(Millis(100));
+    let job = Job {
+        id: 100,
+        team: 0,
+        idempotent,
+        crashes: false,
+        cost: 400,
+    };
+    fleet.submit(0, job);
+    fleet.run_for(Millis(100));
+    let request = sl_base::RequestId(before);
+    fleet.tell(0, Event::CallerGone { request });
+    fleet.run_for(Millis(3_000));
+    assert_eq!(
+        fleet.codes.keys().copied().next(),
+        code,
+        "{:?}",
+        fleet.codes
+    );
+    assert_eq!(fleet.completed, u64::from(code.is_none()));
+}
