sl-fair: an instance whose team starves counts as the neediest

A second way was tried and reverted: a holder without any slot asks one home for a turn, which takes a slot back from the holder that has most.

--- a/sl-step/src/dispatch.rs
+++ b/sl-step/src/dispatch.rs
@@ -45,7 +45,7 @@
     /// with an older one would send slots around in circles.
     fn compare_needs(&mut self, now: Timestamp, pool: PoolId) {
         self.slots.set_need(now, pool, self.fair.need(pool));
-        let needs = self.fair.needs_elsewhere(pool);
+        let needs = self.fair.needs_elsewhere(now, pool);
         self.slots.set_needs_elsewhere(now, pool, &needs);
     }
 
