sl-fair: a starving team's turn comes after 10 s

Requests wait 30 s by default for a slot, and a turn after 30 s came just when they had given up. The test that counts turns now sets its 30 s itself instead of leaning on the default; what it asserts is the same.

--- a/sl-fair/src/fair.rs
+++ b/sl-fair/src/fair.rs
@@ -45,7 +45,7 @@
             life,
             order_wait: Millis(5_000),
             order_every: 4,
-            starve_wait: Millis(30_000),
+            starve_wait: Millis(10_000),
             starve_every: 8,
             window: Service::of(10_000_000, 1),
             relay_within: Millis(10_000),
--- a/sl-fair/tests/it/fair.rs
+++ b/sl-fair/tests/it/fair.rs
@@ -1,10 +1,10 @@
 //! Queues, charges and picks on one instance.
 
 use rstest::rstest;
-use sl_base::{Code, RequestId, Timestamp};
-use sl_fair::{Error, Fair, Item, Service, service::PARTS_PER_UNIT};
+use sl_base::{Code, Incarnation, Millis, RequestId, Timestamp};
+use sl_fair::{Error, Fair, Item, Options, Service, service::PARTS_PER_UNIT};
 
-use crate::{POOL, at, fair, item, rules, team};
+use crate::{POOL, at, fair, instance, item, rules, team, with};
 
 fn picks(fair: &mut Fair, count: usize) -> Vec<u64> {
     let pick = |_| fair.pick(at(0), POOL).map(|picked| picked.item.request.0);
@@ -153,7 +153,11 @@
 /// Without the guard the small team would wait for a thousand times its request's cost.
 #[rstest]
 fn a_starving_team_gets_a_turn() {
-    let mut fair = fair(0, 1, &[1, 1_000]);
+    let options = Options {
+        starve_wait: Millis(30_000),
+        ..Options::of(instance(0), Incarnation(1))
+    };
+    let mut fair = with(options, 1, &[1, 1_000]);
     for n in 0..3 {
         fair.enqueue(at(0), item(n, 0, 10_000)).unwrap();
     }
--- a/sl-fair/tests/it/main.rs
+++ b/sl-fair/tests/it/main.rs
@@ -35,7 +35,11 @@
 }
 
 pub(crate) fn life(n: usize, count: usize, shares: &[u32], life: u64) -> Fair {
-    let mut fair = Fair::new(Options::of(instance(n), Incarnation(life)));
+    with(Options::of(instance(n), Incarnation(life)), count, shares)
+}
+
+pub(crate) fn with(options: Options, count: usize, shares: &[u32]) -> Fair {
+    let mut fair = Fair::new(options);
     let members: Vec<InstanceId> = (0..count).map(instance).collect();
     fair.set_members(at(0), &members);
     fair.set_rules(rules(shares));
