--- a/sl-fair/src/fair.rs
+++ b/sl-fair/src/fair.rs
@@ -45,7 +45,7 @@
             life,
             order_wait: Millis(5_000),
             order_every: 4,
-            starve_wait: Millis(30_000),
+            starve_wait: Millis(10_000),
             starve_every: 8,
             window: Service::of(10_000_000, 1),
             relay_within: Millis(10_000),
@@ -159,10 +159,10 @@
     }
 
     /// What waits on each other instance for the pool, by its reports.
-    pub fn needs_elsewhere(&self, pool: PoolId) -> BTreeMap<InstanceId, Need> {
+    pub fn needs_elsewhere(&self, now: Timestamp, pool: PoolId) -> BTreeMap<InstanceId, Need> {
         self.pools
             .get(&pool)
-            .map(Pool::needs_elsewhere)
+            .map(|it| it.needs_elsewhere(now.before(self.options.starve_wait)))
             .unwrap_or_default()
     }
 
