--- a/bench/src/accept.rs
+++ b/bench/src/accept.rs
@@ -31,10 +31,7 @@
     id: ChangeId,
 ) -> Result<Revision, Box<Ended>> {
     let head = head(platform).await?;
-    let base = Base {
-        revision: head.revision,
-        page: head.page(name),
-    };
+    let base = Base { revision: head.revision, page: head.page(name) };
     accept_on(platform, name, text, id, base).await
 }
 
@@ -53,16 +50,8 @@
     let Ok(page) = Page::new(text) else {
         return Err(Box::new(Ended::TooLarge));
     };
-    let edit = Edit {
-        name: name.to_owned(),
-        base,
-        after: Some(page),
-    };
-    let stamp = Stamp {
-        id,
-        accepted_by: "bench".to_owned(),
-        at: Timestamp::default(),
-    };
+    let edit = Edit { name: name.to_owned(), base, after: Some(page) };
+    let stamp = Stamp { id, accepted_by: "bench".to_owned(), at: Timestamp::default() };
     let mut acceptance = Acceptance::new(stamp, vec![edit]);
     let mut call = acceptance.first();
     loop {
@@ -85,9 +74,7 @@
 ///
 /// Where the platform gave no answer, or what it holds is no head.
 pub async fn head(platform: &Client) -> Result<Head, Box<Ended>> {
-    let call = Call::Get {
-        key: sl_config::head::KEY.to_owned(),
-    };
+    let call = Call::Get { key: sl_config::head::KEY.to_owned() };
     for _ in 0..TRIES {
         match platform.call(&call, Instant::now() + CALL_WITHIN).await {
             Reply::Value { value, .. } => {
--- a/bench/src/bin/demo.rs
+++ b/bench/src/bin/demo.rs
@@ -28,9 +28,7 @@
         site.instances.len(),
         site.servers.len()
     );
-    let fleet = Fleet::start(Options::new(binary()?, site))
-        .await
-        .into_diagnostic()?;
+    let fleet = Fleet::start(Options::new(binary()?, site)).await.into_diagnostic()?;
     println!("All instances are ready; the template is accepted.");
     edit(&fleet)?;
     chat(&fleet).await?;
@@ -46,9 +44,7 @@
 
 /// The daemon's binary, which stands beside this program.
 fn binary() -> Result<PathBuf> {
-    let path = std::env::current_exe()
-        .into_diagnostic()?
-        .with_file_name("sesamelock");
+    let path = std::env::current_exe().into_diagnostic()?.with_file_name("sesamelock");
     if path.exists() {
         return Ok(path);
     }
@@ -113,11 +109,7 @@
     for (at, what) in [(1, "A booking"), (2, "The same booking again")] {
         let call = fleet.call(at, TEAM, Method::POST, "/bookings");
         let call = call.header("Idempotency-Key", "standing-order-7");
-        let answer = call
-            .body(r#"{"crates":2}"#)
-            .send()
-            .await
-            .into_diagnostic()?;
+        let answer = call.body(r#"{"crates":2}"#).send().await.into_diagnostic()?;
         let name = &fleet.instances[at].name;
         println!("\n{what} through {name}: {}", answer.status());
         println!("  {}", answer.text().await.into_diagnostic()?);
@@ -147,8 +139,5 @@
     );
     println!("curl http://{}/metrics", first.metrics);
     println!("curl -i http://{}/ready", first.metrics);
-    println!(
-        "\nSettings of the first instance: {}",
-        first.settings().display()
-    );
+    println!("\nSettings of the first instance: {}", first.settings().display());
 }
--- a/bench/src/bin/latency.rs
+++ b/bench/src/bin/latency.rs
@@ -28,30 +28,15 @@
 }
 
 fn args() -> OptionParser<Args> {
-    let rate = long("rate")
-        .help("Requests a second for the latency")
-        .argument("N")
-        .fallback(500);
-    let seconds = long("seconds")
-        .help("How long each part runs")
-        .argument("N")
-        .fallback(10);
-    let callers = long("callers")
-        .help("Callers at once for the throughput")
-        .argument("N")
-        .fallback(64);
-    let waiting = long("waiting")
-        .help("Requests that wait for the memory")
-        .argument("N")
-        .fallback(1_000);
-    construct!(Args {
-        rate,
-        seconds,
-        callers,
-        waiting
-    })
-    .to_options()
-    .descr("Latency, throughput and memory of one instance on loopback")
+    let rate = long("rate").help("Requests a second for the latency").argument("N").fallback(500);
+    let seconds = long("seconds").help("How long each part runs").argument("N").fallback(10);
+    let callers =
+        long("callers").help("Callers at once for the throughput").argument("N").fallback(64);
+    let waiting =
+        long("waiting").help("Requests that wait for the memory").argument("N").fallback(1_000);
+    construct!(Args { rate, seconds, callers, waiting })
+        .to_options()
+        .descr("Latency, throughput and memory of one instance on loopback")
 }
 
 #[derive(Serialize)]
@@ -88,9 +73,7 @@
 #[tokio::main]
 async fn main() -> Result<()> {
     let args = args().run();
-    let fleet = Fleet::start(Options::new(binary()?, site()))
-        .await
-        .into_diagnostic()?;
+    let fleet = Fleet::start(Options::new(binary()?, site())).await.into_diagnostic()?;
     tokio::time::sleep(WARM_UP).await;
     print(&latency(&fleet, args).await?)?;
     print(&throughput(&fleet, args).await?)?;
@@ -125,9 +108,7 @@
         .replace("path = /v1/route-sheets", "path = /wait")
         .replace("cost = tokens\nhint = 400", "queue-within-ms = 120000");
     // The text with its teams stands for the routes, so that a team's bounds can be set.
-    site.routes = site
-        .text()
-        .replace("share = 8", "share = 8\nqueue-max = 100000");
+    site.routes = site.text().replace("share = 8", "share = 8\nqueue-max = 100000");
     site.teams.clear();
     site
 }
@@ -232,12 +213,7 @@
     }
     let waiting_kib = resident_kib(fleet)?;
     calls.abort_all();
-    Ok(Memory {
-        figure: "memory",
-        waiting: args.waiting,
-        idle_kib,
-        waiting_kib,
-    })
+    Ok(Memory { figure: "memory", waiting: args.waiting, idle_kib, waiting_kib })
 }
 
 fn histogram() -> Result<Histogram<u64>> {
--- a/bench/src/bin/measure.rs
+++ b/bench/src/bin/measure.rs
@@ -20,10 +20,7 @@
 }
 
 fn options() -> OptionParser<Asked> {
-    let site = long("site")
-        .help("te-byw or tasman")
-        .argument("SITE")
-        .fallback(SiteName::TeByw);
+    let site = long("site").help("te-byw or tasman").argument("SITE").fallback(SiteName::TeByw);
     let policies = long("policy")
         .help("lent, fixed-split or uncoordinated; may be given several times")
         .argument("POLICY")
@@ -33,14 +30,8 @@
         .help("none, kill, pause, cut, platform-down or server-down")
         .argument("FAULT")
         .fallback(Fault::None);
-    let seed = long("seed")
-        .help("Seed of the load")
-        .argument("N")
-        .fallback(1);
-    let seconds = long("seconds")
-        .help("Seconds that are measured")
-        .argument("N")
-        .fallback(30);
+    let seed = long("seed").help("Seed of the load").argument("N").fallback(1);
+    let seconds = long("seconds").help("Seconds that are measured").argument("N").fallback(30);
     let tolerance_units = long("tolerance-units")
         .help("Tolerance between teams, in units")
         .argument("N")
@@ -49,17 +40,9 @@
         .help("Milliseconds between two exchanges")
         .argument("N")
         .fallback(1_000);
-    construct!(Asked {
-        site,
-        policies,
-        fault,
-        seed,
-        seconds,
-        tolerance_units,
-        exchange_ms
-    })
-    .to_options()
-    .descr("Fairness gap, utilisation and control traffic of real daemons on loopback")
+    construct!(Asked { site, policies, fault, seed, seconds, tolerance_units, exchange_ms })
+        .to_options()
+        .descr("Fairness gap, utilisation and control traffic of real daemons on loopback")
 }
 
 #[tokio::main]
@@ -84,7 +67,5 @@
 
 /// The daemon's binary, which stands beside this program.
 fn binary() -> Result<PathBuf> {
-    Ok(std::env::current_exe()
-        .into_diagnostic()?
-        .with_file_name("sesamelock"))
+    Ok(std::env::current_exe().into_diagnostic()?.with_file_name("sesamelock"))
 }
--- a/bench/src/bin/sl-slopes/claim.rs
+++ b/bench/src/bin/sl-slopes/claim.rs
@@ -40,34 +40,18 @@
             &RECORDS,
             messages,
         ),
-        sweep(
-            AREA,
-            "platform calls a second, 16 shards",
-            "claims a second",
-            &RATES,
-            |rate| run(rate).calls,
-        ),
-        sweep(
-            AREA,
-            "platform writes a second, 16 shards",
-            "claims a second",
-            &RATES,
-            |rate| run(rate).writes,
-        ),
-        sweep(
-            AREA,
-            "platform bytes a second, 16 shards",
-            "claims a second",
-            &RATES,
-            |rate| run(rate).bytes,
-        ),
-        sweep(
-            AREA,
-            "ns of a claim and its outcome, in all",
-            "claims a second",
-            &RATES,
-            |rate| run(rate).nanos,
-        ),
+        sweep(AREA, "platform calls a second, 16 shards", "claims a second", &RATES, |rate| {
+            run(rate).calls
+        }),
+        sweep(AREA, "platform writes a second, 16 shards", "claims a second", &RATES, |rate| {
+            run(rate).writes
+        }),
+        sweep(AREA, "platform bytes a second, 16 shards", "claims a second", &RATES, |rate| {
+            run(rate).bytes
+        }),
+        sweep(AREA, "ns of a claim and its outcome, in all", "claims a second", &RATES, |rate| {
+            run(rate).nanos
+        }),
     ]
 }
 
@@ -80,19 +64,11 @@
 }
 
 fn token(n: u64) -> Token {
-    Token {
-        instance: InstanceId::of("instance-0"),
-        incarnation: LIFE,
-        request: RequestId(n),
-    }
+    Token { instance: InstanceId::of("instance-0"), incarnation: LIFE, request: RequestId(n) }
 }
 
 fn record(n: u64, what: What) -> Record {
-    Record {
-        key: key(n),
-        token: token(n),
-        what,
-    }
+    Record { key: key(n), token: token(n), what }
 }
 
 fn wire(records: u64) -> f64 {
@@ -156,9 +132,7 @@
             Call::Put { key, expect, value } => self.put(key, expect, value),
             Call::Delete { key, .. } => {
                 self.values.remove(&key);
-                Reply::Done {
-                    version: Version::ABSENT,
-                }
+                Reply::Done { version: Version::ABSENT }
             }
         }
     }
@@ -168,10 +142,7 @@
             return Reply::Absent;
         };
         self.bytes += value.len() as u64;
-        Reply::Value {
-            version: *version,
-            value: value.clone(),
-        }
+        Reply::Value { version: *version, value: value.clone() }
     }
 
     fn put(&mut self, key: String, expect: Version, value: Bytes) -> Reply {
@@ -187,9 +158,8 @@
     }
 
     fn answered(&mut self, now: u64) -> Vec<(CallId, Reply)> {
-        let (due, rest) = std::mem::take(&mut self.under_way)
-            .into_iter()
-            .partition(|it| it.0 <= now);
+        let (due, rest) =
+            std::mem::take(&mut self.under_way).into_iter().partition(|it| it.0 <= now);
         self.under_way = rest;
         due.into_iter().map(|(_, id, reply)| (id, reply)).collect()
     }
@@ -221,10 +191,7 @@
         for output in out {
             match output {
                 Output::Call { id, call, .. } => platform.take(millis + ANSWER_MS, id, call),
-                Output::Decided {
-                    request,
-                    decision: Decision::Granted,
-                } => {
+                Output::Decided { request, decision: Decision::Granted } => {
                     granted += 1;
                     running.push((millis + RUN_MS, request));
                 }
--- a/bench/src/bin/sl-slopes/fair.rs
+++ b/bench/src/bin/sl-slopes/fair.rs
@@ -25,10 +25,7 @@
         by_teams("resident bytes", memory),
         by_teams("ns of enqueue, pick and settle", cycle),
         by_teams("ns of a report, one team in ten changed", write_report),
-        by_teams(
-            "ns of taking a report, one team in ten changed",
-            take_report,
-        ),
+        by_teams("ns of taking a report, one team in ten changed", take_report),
         by_teams("ns of the needs elsewhere", needs),
         by_teams("wire bytes of a report, one team in ten changed", wire),
         by_peers("resident bytes, 6200 teams", memory),
@@ -37,10 +34,7 @@
 }
 
 fn by_teams(quantity: &'static str, measure: fn(u64, u64) -> f64) -> Series {
-    let point = |&size| Point {
-        size,
-        value: measure(size, PEERS[2]),
-    };
+    let point = |&size| Point { size, value: measure(size, PEERS[2]) };
     Series {
         area: "sl-fair",
         quantity,
@@ -50,16 +44,8 @@
 }
 
 fn by_peers(quantity: &'static str, measure: fn(u64, u64) -> f64) -> Series {
-    let point = |&size| Point {
-        size,
-        value: measure(TEAMS[3], size),
-    };
-    Series {
-        area: "sl-fair",
-        quantity,
-        by: "peers",
-        points: PEERS.iter().map(point).collect(),
-    }
+    let point = |&size| Point { size, value: measure(TEAMS[3], size) };
+    Series { area: "sl-fair", quantity, by: "peers", points: PEERS.iter().map(point).collect() }
 }
 
 fn team(n: u64) -> TeamId {
@@ -75,10 +61,7 @@
 }
 
 fn rule() -> Rule {
-    let limits = Limits {
-        requests: 100,
-        bytes: 1_000_000,
-    };
+    let limits = Limits { requests: 100, bytes: 1_000_000 };
     Rule { share: 3, limits }
 }
 
@@ -112,11 +95,8 @@
 }
 
 fn report(version: u64, teams: Vec<u64>, waiting: u32) -> Report {
-    let entry = |n| Entry {
-        team: team(n),
-        given: Service(1_000_000_000_000 + version * 1_000),
-        waiting,
-    };
+    let entry =
+        |n| Entry { team: team(n), given: Service(1_000_000_000_000 + version * 1_000), waiting };
     Report {
         life: Incarnation(1_700_000_000_000_000),
         version,
@@ -148,10 +128,7 @@
         let picked = fair.pick(at(call), POOL);
         if let Some(picked) = picked {
             fair.settle(picked.item.request, 290);
-            let again = Item {
-                request: RequestId(1_000_000 + call),
-                ..picked.item
-            };
+            let again = Item { request: RequestId(1_000_000 + call), ..picked.item };
             let _ = fair.enqueue(at(call), again);
         }
     })
@@ -174,9 +151,8 @@
 
 fn take_report(teams: u64, peers: u64) -> f64 {
     let mut fair = built(teams, peers);
-    let reports: Vec<Report> = (2..500)
-        .map(|version| report(version, changed(teams), (version % 3) as u32))
-        .collect();
+    let reports: Vec<Report> =
+        (2..500).map(|version| report(version, changed(teams), (version % 3) as u32)).collect();
     let mut next = reports.iter().cycle();
     nanos(50, |call| {
         if let Some(report) = next.next() {
--- a/bench/src/bin/sl-slopes/fit.rs
+++ b/bench/src/bin/sl-slopes/fit.rs
@@ -30,10 +30,8 @@
     let sxy: f64 = points.iter().map(|p| dx(p) * (p.value - mean_y)).sum();
     let slope = sxy / sxx;
     let at_zero = mean_y - slope * mean_x;
-    let rest: f64 = points
-        .iter()
-        .map(|p| (p.value - at_zero - slope * p.size as f64).powi(2))
-        .sum();
+    let rest: f64 =
+        points.iter().map(|p| (p.value - at_zero - slope * p.size as f64).powi(2)).sum();
     let all: f64 = points.iter().map(|p| (p.value - mean_y).powi(2)).sum();
     Fit {
         at_zero,
--- a/bench/src/bin/sl-slopes/main.rs
+++ b/bench/src/bin/sl-slopes/main.rs
@@ -56,34 +56,13 @@
 }
 
 const AREAS: [Area; 7] = [
-    Area {
-        name: "sl-fair",
-        series: fair::series,
-    },
-    Area {
-        name: "sl-slots",
-        series: slots::series,
-    },
-    Area {
-        name: "sl-claim",
-        series: claim::series,
-    },
-    Area {
-        name: "sl-member",
-        series: member::series,
-    },
-    Area {
-        name: "spread",
-        series: spread::series,
-    },
-    Area {
-        name: "sl-report",
-        series: report::series,
-    },
-    Area {
-        name: "sl-step",
-        series: step::series,
-    },
+    Area { name: "sl-fair", series: fair::series },
+    Area { name: "sl-slots", series: slots::series },
+    Area { name: "sl-claim", series: claim::series },
+    Area { name: "sl-member", series: member::series },
+    Area { name: "spread", series: spread::series },
+    Area { name: "sl-report", series: report::series },
+    Area { name: "sl-step", series: step::series },
 ];
 
 fn main() -> io::Result<()> {
@@ -103,10 +82,7 @@
 /// Measures an area in a process of its own: memory that another area freed would hide
 /// some of what this one takes.
 fn measure_apart(name: &str) -> io::Result<()> {
-    Command::new(std::env::current_exe()?)
-        .arg(name)
-        .status()
-        .map(drop)
+    Command::new(std::env::current_exe()?).arg(name).status().map(drop)
 }
 
 fn measure(name: &str) {
@@ -123,16 +99,8 @@
     sizes: &[u64],
     measure: impl Fn(u64) -> f64,
 ) -> Series {
-    let point = |&size| Point {
-        size,
-        value: measure(size),
-    };
-    Series {
-        area,
-        quantity,
-        by,
-        points: sizes.iter().map(point).collect(),
-    }
+    let point = |&size| Point { size, value: measure(size) };
+    Series { area, quantity, by, points: sizes.iter().map(point).collect() }
 }
 
 fn print(series: Series) {
--- a/bench/src/bin/sl-slopes/member.rs
+++ b/bench/src/bin/sl-slopes/member.rs
@@ -27,34 +27,14 @@
     let by = "members";
     vec![
         sweep(AREA, "resident bytes", by, &MEMBERS, memory),
-        sweep(
-            AREA,
-            "messages sent a second, nobody fails",
-            by,
-            &MEMBERS,
-            |n| quiet(n).0,
-        ),
-        sweep(
-            AREA,
-            "wire bytes sent a second, nobody fails",
-            by,
-            &MEMBERS,
-            |n| quiet(n).1,
-        ),
-        sweep(
-            AREA,
-            "messages sent more in 120 s, one listed member silent",
-            by,
-            &MEMBERS,
-            |n| failure(n).0,
-        ),
-        sweep(
-            AREA,
-            "wire bytes sent more in 120 s, one listed member silent",
-            by,
-            &MEMBERS,
-            |n| failure(n).1,
-        ),
+        sweep(AREA, "messages sent a second, nobody fails", by, &MEMBERS, |n| quiet(n).0),
+        sweep(AREA, "wire bytes sent a second, nobody fails", by, &MEMBERS, |n| quiet(n).1),
+        sweep(AREA, "messages sent more in 120 s, one listed member silent", by, &MEMBERS, |n| {
+            failure(n).0
+        }),
+        sweep(AREA, "wire bytes sent more in 120 s, one listed member silent", by, &MEMBERS, |n| {
+            failure(n).1
+        }),
         sweep(AREA, "ns of a probe and its answer", by, &MEMBERS, probe),
     ]
 }
@@ -78,19 +58,11 @@
         control: address(n),
         leaving: false,
     };
-    Listing {
-        version: 1,
-        instances: (0..members).map(instance).collect(),
-        servers: Vec::new(),
-    }
+    Listing { version: 1, instances: (0..members).map(instance).collect(), servers: Vec::new() }
 }
 
 fn built(members: u64) -> Members {
-    let me = Me {
-        id: id(0),
-        incarnation: LIFE,
-        address: address(0),
-    };
+    let me = Me { id: id(0), incarnation: LIFE, address: address(0) };
     let mut state = Members::new(Options::default(), me, 1, at(0));
     state.on_listing(at(0), &listing(members));
     state.take();
--- a/bench/src/bin/sl-slopes/report.rs
+++ b/bench/src/bin/sl-slopes/report.rs
@@ -30,9 +30,7 @@
 }
 
 fn latency(n: u64) -> Sample {
-    Sample::Answered {
-        first_byte_ms: 50 + n * 7_919 % 3_000,
-    }
+    Sample::Answered { first_byte_ms: 50 + n * 7_919 % 3_000 }
 }
 
 fn built(series: u64) -> Recorder {
--- a/bench/src/bin/sl-slopes/slots.rs
+++ b/bench/src/bin/sl-slopes/slots.rs
@@ -24,23 +24,14 @@
         by_servers("resident bytes", memory),
         by_servers("ns of acquire and release", cycle),
         by_servers("ns of a period of renewals, all messages", period),
-        by_servers(
-            "wire bytes of a renewal and its grant, a window on each",
-            wire,
-        ),
+        by_servers("wire bytes of a renewal and its grant, a window on each", wire),
         by_peers("ns of acquire and release, 92 servers", cycle),
-        by_peers(
-            "ns of a period of renewals, all messages, 92 servers",
-            period,
-        ),
+        by_peers("ns of a period of renewals, all messages, 92 servers", period),
     ]
 }
 
 fn by_servers(quantity: &'static str, measure: fn(u64, u64) -> f64) -> Series {
-    let point = |&size| Point {
-        size,
-        value: measure(size, PEERS[2]),
-    };
+    let point = |&size| Point { size, value: measure(size, PEERS[2]) };
     Series {
         area: "sl-slots",
         quantity,
@@ -50,16 +41,8 @@
 }
 
 fn by_peers(quantity: &'static str, measure: fn(u64, u64) -> f64) -> Series {
-    let point = |&size| Point {
-        size,
-        value: measure(SERVERS[2], size),
-    };
-    Series {
-        area: "sl-slots",
-        quantity,
-        by: "peers",
-        points: PEERS.iter().map(point).collect(),
-    }
+    let point = |&size| Point { size, value: measure(SERVERS[2], size) };
+    Series { area: "sl-slots", quantity, by: "peers", points: PEERS.iter().map(point).collect() }
 }
 
 fn at(millis: u64) -> Timestamp {
@@ -75,9 +58,8 @@
 
 impl Group {
     fn new(servers: u64, peers: u64) -> Group {
-        let ids: Vec<InstanceId> = (0..=peers)
-            .map(|n| InstanceId::of(&format!("instance-{n}")))
-            .collect();
+        let ids: Vec<InstanceId> =
+            (0..=peers).map(|n| InstanceId::of(&format!("instance-{n}"))).collect();
         let listed: Vec<Server> = (0..servers)
             .map(|n| Server {
                 id: ServerId::of(&format!("server-{n}")),
@@ -178,10 +160,7 @@
     };
     let mut server = busy;
     nanos(5_000, |_| {
-        let outcome = Outcome::Ran {
-            units: 100,
-            micros: 1_000_000,
-        };
+        let outcome = Outcome::Ran { units: 100, micros: 1_000_000 };
         node.release(now, server, outcome);
         if let Some(loan) = node.acquire(now, POOL, &[]) {
             server = loan.server;
@@ -203,30 +182,13 @@
         sent_at: at(1),
         seen: at(1).as_micros(),
         view: 0,
-        windows: (0..servers)
-            .map(|n| Window {
-                server: id(n),
-                count: 2,
-                busy: 2,
-            })
-            .collect(),
-        wants: vec![Want {
-            pool: POOL,
-            need: Need {
-                waiting: 20,
-                least: 1_000_000_000_000,
-            },
-        }],
+        windows: (0..servers).map(|n| Window { server: id(n), count: 2, busy: 2 }).collect(),
+        wants: vec![Want { pool: POOL, need: Need { waiting: 20, least: 1_000_000_000_000 } }],
     });
     let grant = Message::Grant(Grant {
         number: at(2).as_micros(),
         echo: at(1),
-        windows: (0..servers)
-            .map(|n| Granted {
-                server: id(n),
-                count: 2,
-            })
-            .collect(),
+        windows: (0..servers).map(|n| Granted { server: id(n), count: 2 }).collect(),
     });
     let bytes = |message| postcard::to_stdvec(&message).map_or(0, |bytes| bytes.len());
     (bytes(renew) + bytes(grant)) as f64
--- a/bench/src/bin/sl-slopes/spread.rs
+++ b/bench/src/bin/sl-slopes/spread.rs
@@ -33,13 +33,9 @@
             &TEMPLATES,
             memory,
         ),
-        sweep(
-            AREA,
-            "bytes of a head, 50 changes",
-            "templates",
-            &TEMPLATES,
-            |n| bytes_of(&head(n, HISTORY_MAX as u64)),
-        ),
+        sweep(AREA, "bytes of a head, 50 changes", "templates", &TEMPLATES, |n| {
+            bytes_of(&head(n, HISTORY_MAX as u64))
+        }),
         sweep(
             AREA,
             "bytes of a head between instances, 50 changes",
@@ -47,23 +43,11 @@
             &TEMPLATES,
             |n| wire_bytes_of(&head(n, HISTORY_MAX as u64)),
         ),
-        sweep(
-            AREA,
-            "bytes of a head, 100 templates",
-            "changes it remembers",
-            &CHANGES,
-            |n| bytes_of(&head(TEMPLATES_FIXED, n)),
-        ),
-        sweep(AREA, "bytes of a page", "teams", &TEAMS, |n| {
-            text(0, n).len() as f64
+        sweep(AREA, "bytes of a head, 100 templates", "changes it remembers", &CHANGES, |n| {
+            bytes_of(&head(TEMPLATES_FIXED, n))
         }),
-        sweep(
-            AREA,
-            "ns of reading one changed page",
-            "teams",
-            &TEAMS,
-            parse,
-        ),
+        sweep(AREA, "bytes of a page", "teams", &TEAMS, |n| text(0, n).len() as f64),
+        sweep(AREA, "ns of reading one changed page", "teams", &TEAMS, parse),
         sweep(
             AREA,
             "ns of assembling, one page changed, 10 teams each",
@@ -71,13 +55,7 @@
             &TEMPLATES,
             assemble,
         ),
-        sweep(
-            AREA,
-            "ns of decoding a head, 50 changes",
-            "templates",
-            &TEMPLATES,
-            decode,
-        ),
+        sweep(AREA, "ns of decoding a head, 50 changes", "templates", &TEMPLATES, decode),
     ]
 }
 
@@ -94,20 +72,15 @@
         let team = format!("team-{template}-{team}");
         let hash = blake3::hash(team.as_bytes()).to_hex();
         // Writing into a string cannot fail.
-        let _ = write!(
-            text,
-            "\n[team {team}]\nshare = 3\ncredential = {hash}\nqueue-max = 100000\n"
-        );
+        let _ =
+            write!(text, "\n[team {team}]\nshare = 3\ncredential = {hash}\nqueue-max = 100000\n");
     }
     text
 }
 
 /// A head over `pages`, as after `changes` changes.
 pub(crate) fn head_of(pages: &BTreeMap<String, Page>, changes: u64) -> Head {
-    let accepted = |page: &Page| Accepted {
-        hash: page.hash(),
-        since: Revision(1),
-    };
+    let accepted = |page: &Page| Accepted { hash: page.hash(), since: Revision(1) };
     let swap = |(name, page): (&String, &Page)| Swap {
         name: name.clone(),
         before: Some(page.hash()),
@@ -122,10 +95,7 @@
     };
     Head {
         revision: Revision(changes),
-        pages: pages
-            .iter()
-            .map(|(name, page)| (name.clone(), accepted(page)))
-            .collect(),
+        pages: pages.iter().map(|(name, page)| (name.clone(), accepted(page))).collect(),
         history: (1..=changes).map(change).collect(),
     }
 }
@@ -183,9 +153,7 @@
 }
 
 fn decode(templates: u64) -> f64 {
-    let bytes = head(templates, HISTORY_MAX as u64)
-        .encode()
-        .unwrap_or_default();
+    let bytes = head(templates, HISTORY_MAX as u64).encode().unwrap_or_default();
     nanos(50, |_| Head::decode(&bytes).is_ok())
 }
 
--- a/bench/src/bin/sl-slopes/step.rs
+++ b/bench/src/bin/sl-slopes/step.rs
@@ -41,9 +41,7 @@
     let cycle = "ns of arrival, dispatch and end";
     vec![
         sweep(AREA, "resident bytes", "waiting requests", &WAITING, memory),
-        sweep(AREA, cycle, "teams; 100 servers, 9 peers", &TEAMS, |n| {
-            measure_cycle(n, 100, 9)
-        }),
+        sweep(AREA, cycle, "teams; 100 servers, 9 peers", &TEAMS, |n| measure_cycle(n, 100, 9)),
         sweep(AREA, cycle, "servers; 1000 teams, 9 peers", &SERVERS, |n| {
             measure_cycle(1_000, n, 9)
         }),
@@ -124,9 +122,7 @@
     fn new(teams: u64, servers: u64, peers: u64) -> Group {
         let mut group = Group {
             nodes: (0..=peers).map(node).collect(),
-            places: (0..=peers)
-                .map(|n| (InstanceId::of(&name(n)), n as usize))
-                .collect(),
+            places: (0..=peers).map(|n| (InstanceId::of(&name(n)), n as usize)).collect(),
             micros: 0,
             backlogged: (teams / BACKLOGGED_ONE_IN).max(1),
             next: 0,
@@ -145,19 +141,9 @@
         for n in 0..self.nodes.len() {
             self.say(n, Event::Listed(Arc::clone(&listing)));
             let from = InstanceId::of(&name((n as u64 + 1) % (peers + 1)));
-            for message in [
-                Message::Head(Arc::clone(&head)),
-                Message::Pages(texts.clone()),
-            ] {
+            for message in [Message::Head(Arc::clone(&head)), Message::Pages(texts.clone())] {
                 let incarnation = LIFE;
-                self.say(
-                    n,
-                    Event::Message {
-                        from,
-                        incarnation,
-                        message,
-                    },
-                );
+                self.say(n, Event::Message { from, incarnation, message });
             }
         }
     }
@@ -190,26 +176,14 @@
         match effect {
             Effect::Dispatch(it) => self.running.push_back((it.attempt, it.request)),
             Effect::List { .. } => wire.push_back((n, Event::ListUnchanged)),
-            Effect::Send {
-                to,
-                messages,
-                sent_at,
-                ..
-            } => {
+            Effect::Send { to, messages, sent_at, .. } => {
                 let from = InstanceId::of(&name(n as u64));
                 let Some(&place) = self.places.get(&to) else {
                     return;
                 };
                 for message in messages {
                     let incarnation = LIFE;
-                    wire.push_back((
-                        place,
-                        Event::Message {
-                            from,
-                            incarnation,
-                            message,
-                        },
-                    ));
+                    wire.push_back((place, Event::Message { from, incarnation, message }));
                 }
                 wire.push_back((n, Event::PeerAnswered { peer: to, sent_at }));
             }
@@ -247,10 +221,7 @@
         let Some((attempt, request)) = self.running.pop_front() else {
             return;
         };
-        let end = AttemptEnd::Complete {
-            status: 200,
-            units: UNITS,
-        };
+        let end = AttemptEnd::Complete { status: 200, units: UNITS };
         self.only_here(Event::Ended { attempt, end });
         let arrival = self.arrival(request.0 % self.backlogged);
         self.only_here(arrival);
--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -188,9 +188,7 @@
     /// A call by `team` through the instance `at`.
     pub fn call(&self, at: usize, team: &str, method: Method, path: &str) -> RequestBuilder {
         let url = format!("http://{}{path}", self.instances[at].caller);
-        self.http
-            .request(method, url)
-            .bearer_auth(site::credential(team))
+        self.http.request(method, url).bearer_auth(site::credential(team))
     }
 
     /// An operator's call to the instance `at`.
--- a/bench/src/measure/gap.rs
+++ b/bench/src/measure/gap.rs
@@ -7,9 +7,8 @@
 pub fn at(start: &Sample, now: &Sample, shares: &[u32]) -> f64 {
     let received = start.iter().zip(now).zip(shares);
     let normalised = received.map(|((from, to), share)| (to - from) as f64 / f64::from(*share));
-    let (least, most) = normalised.fold((f64::MAX, f64::MIN), |(least, most), it| {
-        (least.min(it), most.max(it))
-    });
+    let (least, most) =
+        normalised.fold((f64::MAX, f64::MIN), |(least, most), it| (least.min(it), most.max(it)));
     most - least
 }
 
--- a/bench/src/measure/load.rs
+++ b/bench/src/measure/load.rs
@@ -113,20 +113,12 @@
                 callers.spawn(caller.go_on());
             }
         }
-        Ok(Load {
-            received,
-            seen,
-            stop,
-            callers,
-        })
+        Ok(Load { received, seen, stop, callers })
     }
 
     /// Tokens that each team received so far.
     pub fn tokens(&self) -> Vec<u64> {
-        self.received
-            .iter()
-            .map(|it| it.tokens.load(Ordering::Relaxed))
-            .collect()
+        self.received.iter().map(|it| it.tokens.load(Ordering::Relaxed)).collect()
     }
 
     /// Ends the load without waiting for answers.
@@ -139,11 +131,7 @@
 
 impl Seen {
     fn new() -> Seen {
-        Seen {
-            first_byte: histogram(),
-            between: histogram(),
-            codes: Default::default(),
-        }
+        Seen { first_byte: histogram(), between: histogram(), codes: Default::default() }
     }
 }
 
@@ -177,8 +165,7 @@
             let mut seen = self.seen.lock().await;
             *seen.codes.entry(code).or_default() += 1;
             if code == 0 {
-                seen.first_byte
-                    .saturating_record(first_byte.as_millis() as u64);
+                seen.first_byte.saturating_record(first_byte.as_millis() as u64);
             }
         }
         code == 0 && self.read(answer).await
@@ -209,15 +196,9 @@
 
 /// A large team uses most instances, a small one a few.
 fn instances_of(rng: &mut ChaCha8Rng, count: usize, share: u32) -> Vec<usize> {
-    let wanted = if share > 1 {
-        count.div_ceil(2)
-    } else {
-        rng.random_range(1..=3)
-    };
+    let wanted = if share > 1 { count.div_ceil(2) } else { rng.random_range(1..=3) };
     let first = rng.random_range(0..count);
-    (0..wanted.min(count))
-        .map(|it| (first + it * 2) % count)
-        .collect()
+    (0..wanted.min(count)).map(|it| (first + it * 2) % count).collect()
 }
 
 fn cost(rng: &mut ChaCha8Rng) -> u64 {
@@ -228,8 +209,7 @@
 
 fn code_of(answer: &Response) -> u16 {
     let code = answer.headers().get("x-sesamelock-code");
-    code.and_then(|it| it.to_str().ok()?.parse().ok())
-        .unwrap_or(0)
+    code.and_then(|it| it.to_str().ok()?.parse().ok()).unwrap_or(0)
 }
 
 /// A histogram that records up to an hour in microseconds.
--- a/bench/src/measure/run.rs
+++ b/bench/src/measure/run.rs
@@ -174,10 +174,7 @@
     fleet.accept(&text).await?;
     let struck = &fleet.instances[STRUCK];
     let relay = Relay::start(SocketAddr::from(([127, 0, 0, 1], 0)), struck.control).await?;
-    fleet.platform.list_instance(ListedInstance {
-        control: relay.address(),
-        ..struck.listed()
-    });
+    fleet.platform.list_instance(ListedInstance { control: relay.address(), ..struck.listed() });
     for instance in &mut fleet.instances {
         instance.start()?;
     }
@@ -220,13 +217,7 @@
     }
     let after = read(fleet).await;
     let tokens = load.tokens().iter().sum::<u64>() - from.iter().sum::<u64>();
-    Measured {
-        before,
-        after,
-        gaps,
-        busy,
-        tokens,
-    }
+    Measured { before, after, gaps, busy, tokens }
 }
 
 fn figures(options: &Options, site: &Site, pool: &str, it: &Measured, seen: &Seen) -> Figures {
@@ -246,12 +237,7 @@
         gap_bound_units: gap::bound(COST_MAX, rate, slots, &shares, period),
         gap_max_units: it.gaps.iter().copied().fold(0.0, f64::max),
         gap_end_units: it.gaps.last().copied().unwrap_or(0.0),
-        gap_over_time_units: it
-            .gaps
-            .iter()
-            .step_by(SAMPLES_A_GAP)
-            .map(|it| it.round())
-            .collect(),
+        gap_over_time_units: it.gaps.iter().step_by(SAMPLES_A_GAP).map(|it| it.round()).collect(),
         utilisation_percent: mean(&it.busy) * PERCENT,
         utilisation_least_second_percent: least_second(&it.busy) * PERCENT,
         tokens_per_second: it.tokens as f64 / span,
@@ -303,18 +289,12 @@
         Fault::Kill => fleet.instances[STRUCK].kill(),
         Fault::Pause => fleet.instances[STRUCK].signal(nix::sys::signal::Signal::SIGSTOP),
         Fault::PlatformDown => {
-            let down = stand_ins::platform::Fault {
-                down: true,
-                ..Default::default()
-            };
+            let down = stand_ins::platform::Fault { down: true, ..Default::default() };
             fleet.platform.fault(down).await;
         }
         Fault::ServerDown => {
             let name = fleet.site.servers[0].name.clone();
-            let refuse = stand_ins::backends::Fault {
-                refuse: true,
-                ..Default::default()
-            };
+            let refuse = stand_ins::backends::Fault { refuse: true, ..Default::default() };
             fleet.backends.fault_at(&name, refuse).await;
         }
     }
@@ -344,35 +324,19 @@
         traffic.push(Traffic::of(&page));
     }
     let ids: Vec<Option<u32>> = fleet.instances.iter().map(|it| it.id()).collect();
-    let usage = ids
-        .iter()
-        .map(|id| id.map(usage).unwrap_or_default())
-        .collect();
-    Reading {
-        at: Instant::now(),
-        traffic,
-        usage,
-        ids,
-    }
+    let usage = ids.iter().map(|id| id.map(usage).unwrap_or_default()).collect();
+    Reading { at: Instant::now(), traffic, usage, ids }
 }
 
 /// The rate of a counter, of the instances that lived throughout.
 fn between(before: &Reading, after: &Reading, span: f64, pick: fn(&Traffic) -> f64) -> PerInstance {
-    let pairs = before
-        .traffic
-        .iter()
-        .zip(&after.traffic)
-        .zip(before.ids.iter().zip(&after.ids));
+    let pairs = before.traffic.iter().zip(&after.traffic).zip(before.ids.iter().zip(&after.ids));
     let lived = pairs.filter(|(_, (a, b))| a == b);
     PerInstance::of(lived.map(|((a, b), _)| (pick(b) - pick(a)) / span))
 }
 
 fn cpu(before: &Reading, after: &Reading, span: f64) -> PerInstance {
-    let pairs = before
-        .usage
-        .iter()
-        .zip(&after.usage)
-        .zip(before.ids.iter().zip(&after.ids));
+    let pairs = before.usage.iter().zip(&after.usage).zip(before.ids.iter().zip(&after.ids));
     let lived = pairs.filter(|(_, (a, b))| a == b);
     let percent = |(a, b): (&Usage, &Usage)| (b.cpu_seconds - a.cpu_seconds) / span * PERCENT;
     PerInstance::of(lived.map(|(it, _)| percent(it)))
@@ -380,11 +344,7 @@
 
 fn running(fleet: &Fleet, pool: &str) -> u32 {
     let servers = fleet.backends.servers();
-    servers
-        .iter()
-        .filter(|it| it.listed.pool == pool)
-        .map(|it| it.running)
-        .sum()
+    servers.iter().filter(|it| it.listed.pool == pool).map(|it| it.running).sum()
 }
 
 /// Slots of a pool, and the tokens a second that they give.
@@ -393,9 +353,7 @@
     servers.fold((0, 0), |(slots, rate), it| {
         let own = u64::from(it.slots);
         let speed = match it.kind {
-            Kind::Engine {
-                tokens_per_second, ..
-            } => u64::from(tokens_per_second),
+            Kind::Engine { tokens_per_second, .. } => u64::from(tokens_per_second),
             Kind::Plain { .. } => 0,
         };
         (slots + own, rate + own * speed)
@@ -408,18 +366,13 @@
 
 fn least_second(busy: &[f64]) -> f64 {
     const SAMPLES_A_SECOND: usize = 20;
-    busy.chunks_exact(SAMPLES_A_SECOND)
-        .map(mean)
-        .fold(1.0, f64::min)
+    busy.chunks_exact(SAMPLES_A_SECOND).map(mean).fold(1.0, f64::min)
 }
 
 impl PerInstance {
     fn of(values: impl Iterator<Item = f64>) -> PerInstance {
         let values: Vec<f64> = values.collect();
-        PerInstance {
-            mean: mean(&values),
-            max: values.iter().copied().fold(0.0, f64::max),
-        }
+        PerInstance { mean: mean(&values), max: values.iter().copied().fold(0.0, f64::max) }
     }
 }
 
--- a/bench/src/measure/scrape.rs
+++ b/bench/src/measure/scrape.rs
@@ -19,12 +19,8 @@
     /// The traffic in a metrics page.
     pub fn of(page: &str) -> Traffic {
         let sum = |name: &str, label: &str| -> f64 {
-            let lines = page
-                .lines()
-                .filter(|it| it.starts_with(name) && it.contains(label));
-            lines
-                .filter_map(|it| it.rsplit(' ').next()?.parse::<f64>().ok())
-                .sum()
+            let lines = page.lines().filter(|it| it.starts_with(name) && it.contains(label));
+            lines.filter_map(|it| it.rsplit(' ').next()?.parse::<f64>().ok()).sum()
         };
         Traffic {
             peer_sent: sum("sesamelock_peer_bytes", "sent"),
--- a/bench/src/site.rs
+++ b/bench/src/site.rs
@@ -32,9 +32,7 @@
             prompt_tokens_per_second: [1_000, 2_000, 4_000, 8_000][n % 4],
             report_lag_ms: 500,
         };
-        let plain = |n: usize| Kind::Plain {
-            service_ms: [20, 40][n % 2],
-        };
+        let plain = |n: usize| Kind::Plain { service_ms: [20, 40][n % 2] };
         let mut servers = fleet_of("drafting", 12, 4, &centres, engine);
         servers.extend(fleet_of("booking", 4, 8, &centres, plain));
         Site {
@@ -54,9 +52,7 @@
             prompt_tokens_per_second: [1_000, 3_000, 6_000][n % 3],
             report_lag_ms: 500,
         };
-        let plain = |n: usize| Kind::Plain {
-            service_ms: [15, 30, 60][n % 3],
-        };
+        let plain = |n: usize| Kind::Plain { service_ms: [15, 30, 60][n % 3] };
         let mut servers = fleet_of("logbook", 9, 4, &centres, engine);
         servers.extend(fleet_of("check-in", 3, 8, &centres, plain));
         Site {
@@ -79,9 +75,7 @@
         let mut text = self.routes.clone();
         for (team, share) in &self.teams {
             let hash = blake3::hash(credential(team).as_bytes()).to_hex();
-            text.push_str(&format!(
-                "\n[team {team}]\nshare = {share}\ncredential = {hash}\n"
-            ));
+            text.push_str(&format!("\n[team {team}]\nshare = {share}\ncredential = {hash}\n"));
         }
         text
     }
@@ -91,10 +85,7 @@
     (0..count)
         .map(|n| {
             let centre = centres[n % centres.len()];
-            (
-                format!("{centre}-{}", n / centres.len() + 1),
-                centre.to_owned(),
-            )
+            (format!("{centre}-{}", n / centres.len() + 1), centre.to_owned())
         })
         .collect()
 }
--- a/sl-back/src/client.rs
+++ b/sl-back/src/client.rs
@@ -33,11 +33,7 @@
 
 impl Default for Options {
     fn default() -> Options {
-        Options {
-            connect_within: Millis(1_000),
-            pool_idle: Millis(2_000),
-            pool_max: 32,
-        }
+        Options { connect_within: Millis(1_000), pool_idle: Millis(2_000), pool_max: 32 }
     }
 }
 
@@ -116,18 +112,12 @@
         match end {
             Some(end) => end,
             None if gate.close() => AttemptEnd::NotSent,
-            None => AttemptEnd::Aborted {
-                units: meter.units(),
-            },
+            None => AttemptEnd::Aborted { units: meter.units() },
         }
     }
 
     fn request(&self, dispatch: &Dispatch, forward: Forward) -> (reqwest::RequestBuilder, Gate) {
-        let client = if forward.idempotent {
-            &self.kept
-        } else {
-            &self.fresh
-        };
+        let client = if forward.idempotent { &self.kept } else { &self.fresh };
         let clock = self.clock.clone();
         let dispatch_by = dispatch.dispatch_by;
         let (gate, body) = Gate::new(forward.body, move || !dispatch_by.is_due(clock()));
@@ -135,10 +125,8 @@
         filter::clean_request(&mut headers);
         headers.insert(filter::ATTEMPT, HeaderValue::from(dispatch.attempt.0));
         let url = format!("http://{}{}", dispatch.address, forward.target);
-        let request = client
-            .request(forward.method, url)
-            .headers(headers)
-            .body(reqwest::Body::wrap(body));
+        let request =
+            client.request(forward.method, url).headers(headers).body(reqwest::Body::wrap(body));
         (request, gate)
     }
 }
@@ -194,12 +182,7 @@
     sink: &mut S,
     meter: &mut Meter,
 ) -> AttemptEnd {
-    let Attempt {
-        request,
-        gate,
-        dispatch,
-        times,
-    } = attempt;
+    let Attempt { request, gate, dispatch, times } = attempt;
     let mut response = match begin(request, gate, times, meter).await {
         Ok(response) => response,
         Err(end) => return end,
@@ -210,10 +193,7 @@
     let passed = pass(&mut response, times, sink, meter).await;
     let units = meter.units();
     match passed {
-        Ok(()) => AttemptEnd::Complete {
-            status: response.status().as_u16(),
-            units,
-        },
+        Ok(()) => AttemptEnd::Complete { status: response.status().as_u16(), units },
         Err(Stop::CallerGone) => AttemptEnd::Aborted { units },
         Err(Stop::Lost) => AttemptEnd::LostMidway { units },
         Err(Stop::Idle) => AttemptEnd::IdleTimeout { units },
@@ -267,10 +247,7 @@
 
 fn is_crossed(headers: &HeaderMap, dispatch: &Dispatch) -> bool {
     let ours = dispatch.attempt.to_string();
-    headers
-        .get_all(filter::ATTEMPT)
-        .iter()
-        .any(|it| it.as_bytes() != ours.as_bytes())
+    headers.get_all(filter::ATTEMPT).iter().any(|it| it.as_bytes() != ours.as_bytes())
 }
 
 /// Why an answer that began was not passed on to its end.
@@ -330,13 +307,7 @@
 
 fn head(response: &Response) -> Head {
     let mut headers = response.headers().clone();
-    let length = headers
-        .get(CONTENT_LENGTH)
-        .and_then(|it| it.to_str().ok()?.parse().ok());
+    let length = headers.get(CONTENT_LENGTH).and_then(|it| it.to_str().ok()?.parse().ok());
     filter::clean_answer(&mut headers);
-    Head {
-        status: response.status().as_u16(),
-        headers,
-        length,
-    }
+    Head { status: response.status().as_u16(), headers, length }
 }
--- a/sl-back/src/filter.rs
+++ b/sl-back/src/filter.rs
@@ -46,11 +46,8 @@
     for name in named_by_connection(headers) {
         headers.remove(name);
     }
-    let private: Vec<HeaderName> = headers
-        .keys()
-        .filter(|name| is_private(name.as_str()))
-        .cloned()
-        .collect();
+    let private: Vec<HeaderName> =
+        headers.keys().filter(|name| is_private(name.as_str())).cloned().collect();
     for name in private {
         headers.remove(name);
     }
--- a/sl-back/src/gate.rs
+++ b/sl-back/src/gate.rs
@@ -54,9 +54,7 @@
     }
 
     fn turn(&self, to: u8) -> bool {
-        self.0
-            .compare_exchange(WAITING, to, Ordering::AcqRel, Ordering::Acquire)
-            .is_ok()
+        self.0.compare_exchange(WAITING, to, Ordering::AcqRel, Ordering::Acquire).is_ok()
     }
 }
 
--- a/sl-back/tests/it/cost.rs
+++ b/sl-back/tests/it/cost.rs
@@ -21,10 +21,7 @@
 #[case::no_space("data:a\n\n", 1)]
 #[case::done("data: a\n\ndata: [DONE]\n\n", 1)]
 #[case::unfinished("data: a\n\ndata: b", 1)]
-#[case::usage(
-    "data: a\n\ndata: {\"usage\":{\"prompt_tokens\":17,\"completion_tokens\":5}}\n\n",
-    8
-)]
+#[case::usage("data: a\n\ndata: {\"usage\":{\"prompt_tokens\":17,\"completion_tokens\":5}}\n\n", 8)]
 #[case::null_usage("data: {\"usage\":null}\n\n", 1)]
 #[case::json("{\"usage\":{\"prompt_tokens\":16,\"completion_tokens\":5}}", 7)]
 #[case::quoted("data: {\"t\":\"\\\"usage\\\":{}\"}\n\n", 1)]
--- a/sl-back/tests/it/filter.rs
+++ b/sl-back/tests/it/filter.rs
@@ -15,13 +15,7 @@
 
 #[test]
 fn a_request_is_framed_anew() {
-    let pairs = [
-        "Host",
-        "Content-Length",
-        "Expect",
-        "Content-Type",
-        "Authorization",
-    ];
+    let pairs = ["Host", "Content-Length", "Expect", "Content-Type", "Authorization"];
     let pairs = pairs.map(|it| (it.to_owned(), "x".to_owned()));
     let mut request = headers(&pairs);
     clean_request(&mut request);
--- a/sl-back/tests/it/run.rs
+++ b/sl-back/tests/it/run.rs
@@ -21,17 +21,9 @@
     assert_eq!(text.matches("data: ").count(), 202);
     assert!(text.ends_with("data: [DONE]\n\n"));
     assert!(sink.progress.is_sorted());
-    assert!(
-        (1..=3).contains(&sink.progress.len()),
-        "{:?}",
-        sink.progress
-    );
+    assert!((1..=3).contains(&sink.progress.len()), "{:?}", sink.progress);
     let headers = sink.head.unwrap().headers;
-    assert!(
-        headers
-            .keys()
-            .all(|it| !sl_back::filter::is_private(it.as_str()))
-    );
+    assert!(headers.keys().all(|it| !sl_back::filter::is_private(it.as_str())));
 }
 
 #[tokio::test]
@@ -73,12 +65,7 @@
 #[tokio::test]
 async fn a_refused_request_without_a_body_was_not_sent() {
     let backends = plain(0).await;
-    backends
-        .fault(Fault {
-            refuse: true,
-            ..Fault::default()
-        })
-        .await;
+    backends.fault(Fault { refuse: true, ..Fault::default() }).await;
     let mut forward = booking("");
     forward.method = Method::DELETE;
     let dispatch = dispatch(backends.listed()[0].address);
@@ -91,11 +78,7 @@
 #[case::stalled(Fault { stall: Chance::ALWAYS, ..Fault::default() })]
 #[tokio::test]
 async fn midway(#[case] fault: Fault, #[values(true, false)] streamed: bool) {
-    let backends = if streamed {
-        engine(2_000).await
-    } else {
-        plain(0).await
-    };
+    let backends = if streamed { engine(2_000).await } else { plain(0).await };
     backends.fault(fault).await;
     let mut sink = Sink::default();
     let mut dispatch = dispatch(backends.listed()[0].address);
@@ -116,10 +99,7 @@
     let mut dispatch = dispatch(backends.listed()[0].address);
     dispatch.total_by = now().after(Millis(300));
     let end = go(&client(), &dispatch, chat(10_000), &mut Sink::default()).await;
-    assert!(
-        matches!(end, AttemptEnd::TotalTimeout { units: 1.. }),
-        "{end:?}"
-    );
+    assert!(matches!(end, AttemptEnd::TotalTimeout { units: 1.. }), "{end:?}");
 }
 
 #[tokio::test]
@@ -128,9 +108,7 @@
     let dispatch = dispatch(backends.listed()[0].address);
     let abort = tokio::time::sleep(Duration::from_millis(200));
     let mut sink = Sink::default();
-    let end = client()
-        .run(&dispatch, chat(10_000), &mut sink, abort)
-        .await;
+    let end = client().run(&dispatch, chat(10_000), &mut sink, abort).await;
     assert!(matches!(end, AttemptEnd::Aborted { units: 1.. }), "{end:?}");
     until("the slot is free", || backends.servers()[0].running == 0).await;
 }
@@ -138,10 +116,7 @@
 #[tokio::test]
 async fn a_caller_that_goes_away_ends_the_attempt() {
     let backends = engine(1_000).await;
-    let mut sink = Sink {
-        gone_after: Some(2),
-        ..Sink::default()
-    };
+    let mut sink = Sink { gone_after: Some(2), ..Sink::default() };
     let dispatch = dispatch(backends.listed()[0].address);
     let end = go(&client(), &dispatch, chat(10_000), &mut sink).await;
     assert!(matches!(end, AttemptEnd::Aborted { units: 1.. }), "{end:?}");
@@ -173,14 +148,8 @@
         };
         let dispatch = dispatch(backends.listed()[0].address);
         let end = go(&client, &dispatch, forward, &mut Sink::default()).await;
-        assert!(
-            matches!(end, AttemptEnd::Complete { status: 200, .. }),
-            "{method}"
-        );
+        assert!(matches!(end, AttemptEnd::Complete { status: 200, .. }), "{method}");
         let last = backends.runs().pop().unwrap();
-        assert_eq!(
-            (last.method.as_str(), last.path.as_str()),
-            (method, "/status/a%20b")
-        );
+        assert_eq!((last.method.as_str(), last.path.as_str()), (method, "/status/a%20b"));
     }
 }
--- a/sl-back/tests/it/support.rs
+++ b/sl-back/tests/it/support.rs
@@ -103,11 +103,8 @@
 }
 
 pub async fn engine(tokens_per_second: u32) -> Backends {
-    let kind = Kind::Engine {
-        tokens_per_second,
-        prompt_tokens_per_second: 100_000,
-        report_lag_ms: 0,
-    };
+    let kind =
+        Kind::Engine { tokens_per_second, prompt_tokens_per_second: 100_000, report_lag_ms: 0 };
     start(kind).await
 }
 
--- a/sl-back/tests/it/wire.rs
+++ b/sl-back/tests/it/wire.rs
@@ -117,26 +117,12 @@
     let client = client();
     let mut forward = booking("{}");
     forward.idempotent = true;
-    let first = go(
-        &client,
-        &dispatch(address),
-        forward.clone(),
-        &mut Sink::default(),
-    )
-    .await;
+    let first = go(&client, &dispatch(address), forward.clone(), &mut Sink::default()).await;
     assert!(matches!(first, AttemptEnd::Complete { status: 200, .. }));
     let second = go(&client, &dispatch(address), forward, &mut Sink::default()).await;
     assert_eq!(second, AttemptEnd::LostBeforeAnswer);
-    assert_eq!(
-        seen.requests.load(Ordering::SeqCst),
-        2,
-        "each was read once"
-    );
-    assert_eq!(
-        seen.connections.load(Ordering::SeqCst),
-        1,
-        "the second reused it"
-    );
+    assert_eq!(seen.requests.load(Ordering::SeqCst), 2, "each was read once");
+    assert_eq!(seen.connections.load(Ordering::SeqCst), 1, "the second reused it");
 }
 
 #[tokio::test]
@@ -144,13 +130,7 @@
     let (address, seen) = server(Then::AnswerThenCloseOnNext).await;
     let client = client();
     for sent in 1..=3 {
-        let end = go(
-            &client,
-            &dispatch(address),
-            booking("{}"),
-            &mut Sink::default(),
-        )
-        .await;
+        let end = go(&client, &dispatch(address), booking("{}"), &mut Sink::default()).await;
         assert!(matches!(end, AttemptEnd::Complete { status: 200, .. }));
         assert_eq!(seen.connections.load(Ordering::SeqCst), sent);
     }
@@ -168,13 +148,7 @@
     forward.idempotent = true;
     for at in 0..ROUNDS {
         let before = seen.requests.load(Ordering::SeqCst);
-        let end = go(
-            &client,
-            &dispatch(address),
-            forward.clone(),
-            &mut Sink::default(),
-        )
-        .await;
+        let end = go(&client, &dispatch(address), forward.clone(), &mut Sink::default()).await;
         let reads = seen.requests.load(Ordering::SeqCst) - before;
         match end {
             AttemptEnd::Complete { .. } => assert_eq!(reads, 1),
@@ -278,9 +252,7 @@
     dispatch.dispatch_by = Timestamp::from_micros(5_000_000);
     dispatch.first_byte_by = Timestamp::from_micros(5_000_000);
     let client = Client::new(Options::default(), clock).unwrap();
-    let end = client
-        .run(&dispatch, booking("{}"), &mut Sink::default(), pending())
-        .await;
+    let end = client.run(&dispatch, booking("{}"), &mut Sink::default(), pending()).await;
     assert_eq!(end, AttemptEnd::NotSent);
     assert!(server.await.unwrap().is_empty());
 }
@@ -314,9 +286,7 @@
     }
     let abort = tokio::time::sleep(abort_after);
     let mut sink = Sink::default();
-    let end = client()
-        .run(&dispatch, booking("{}"), &mut sink, abort)
-        .await;
+    let end = client().run(&dispatch, booking("{}"), &mut sink, abort).await;
     assert_eq!(end, AttemptEnd::NotSent);
 }
 
@@ -344,10 +314,7 @@
 async fn a_caller_that_reads_nothing_holds_the_server_back() {
     let written = Arc::new(AtomicUsize::new(0));
     let address = flood(written.clone()).await;
-    let mut sink = Sink {
-        stuck_after: Some(1),
-        ..Sink::default()
-    };
+    let mut sink = Sink { stuck_after: Some(1), ..Sink::default() };
     let mut dispatch = dispatch(address);
     dispatch.total_by = now().after(Millis(1_500));
     let end = go(&client(), &dispatch, booking("{}"), &mut sink).await;
--- a/sl-base/src/hash.rs
+++ b/sl-base/src/hash.rs
@@ -19,9 +19,7 @@
 where
     M: Copy + Into<u64> + Hash + Ord,
 {
-    members
-        .into_iter()
-        .max_by_key(|&m| (weight(key, m.into()), m))
+    members.into_iter().max_by_key(|&m| (weight(key, m.into()), m))
 }
 
 /// The `count` members first in line for the role of `key`, the holder first.
--- a/sl-base/src/need.rs
+++ b/sl-base/src/need.rs
@@ -13,10 +13,7 @@
 
 impl Need {
     /// Nothing waits.
-    pub const NONE: Need = Need {
-        waiting: 0,
-        least: 0,
-    };
+    pub const NONE: Need = Need { waiting: 0, least: 0 };
 
     /// Whether anything waits.
     pub const fn is_some(self) -> bool {
--- a/sl-base/src/time.rs
+++ b/sl-base/src/time.rs
@@ -32,18 +32,12 @@
 
     /// The deadline that lies `span` after this point; it saturates at [`Self::NEVER`].
     pub const fn after(self, span: Millis) -> Timestamp {
-        Timestamp(
-            self.0
-                .saturating_add(span.0.saturating_mul(MICROS_PER_MILLI)),
-        )
+        Timestamp(self.0.saturating_add(span.0.saturating_mul(MICROS_PER_MILLI)))
     }
 
     /// The point that lies `span` before this one, or the epoch where that is earlier.
     pub const fn before(self, span: Millis) -> Timestamp {
-        Timestamp(
-            self.0
-                .saturating_sub(span.0.saturating_mul(MICROS_PER_MILLI)),
-        )
+        Timestamp(self.0.saturating_sub(span.0.saturating_mul(MICROS_PER_MILLI)))
     }
 
     /// Whether this deadline has come at `now`.
--- a/sl-base/tests/it/code.rs
+++ b/sl-base/tests/it/code.rs
@@ -18,11 +18,7 @@
     let cells: Vec<&str> = line.split('|').map(str::trim).collect();
     let number = cells.get(1)?.parse().ok()?;
     let status = cells.get(4)?.parse().ok()?;
-    let row = Row {
-        name: cells[2].to_owned(),
-        outcome: cells[3].to_owned(),
-        status,
-    };
+    let row = Row { name: cells[2].to_owned(), outcome: cells[3].to_owned(), status };
     Some((number, row))
 }
 
@@ -30,9 +26,8 @@
 fn the_page_and_the_enum_are_equal() {
     let mut table = table();
     for code in Code::iter() {
-        let row = table
-            .remove(&code.number())
-            .unwrap_or_else(|| panic!("{code} is not on the page"));
+        let row =
+            table.remove(&code.number()).unwrap_or_else(|| panic!("{code} is not on the page"));
         assert_eq!(row.name, code.to_string());
         assert_eq!(row.outcome, code.outcome().to_string(), "{code}");
         assert_eq!(row.status, code.status(), "{code}");
--- a/sl-base/tests/it/hash.rs
+++ b/sl-base/tests/it/hash.rs
@@ -43,17 +43,12 @@
 
 #[test]
 fn roles_spread_evenly() {
-    let members: Vec<InstanceId> = (0..9)
-        .map(|it| InstanceId::of(&format!("i-{it}")))
-        .collect();
+    let members: Vec<InstanceId> = (0..9).map(|it| InstanceId::of(&format!("i-{it}"))).collect();
     let mut held = vec![0; members.len()];
     for key in 0..9_000 {
         let holder = owner(key, members.iter().copied());
         let place = members.iter().position(|&it| Some(it) == holder).unwrap();
         held[place] += 1;
     }
-    assert!(
-        held.iter().all(|&it| (800..1_200).contains(&it)),
-        "{held:?}"
-    );
+    assert!(held.iter().all(|&it| (800..1_200).contains(&it)), "{held:?}");
 }
--- a/sl-claim/src/claims.rs
+++ b/sl-claim/src/claims.rs
@@ -83,11 +83,7 @@
         }
         self.pending.insert(request, Pending { key, give_up_by });
         self.held.insert(key, request);
-        let record = Record {
-            key,
-            token: self.token(request),
-            what: What::Claim,
-        };
+        let record = Record { key, token: self.token(request), what: What::Claim };
         self.add_own(now, record, give_up_by, FORWARD_CLAIM_TRIES);
     }
 
@@ -124,15 +120,7 @@
         match message {
             Message::Claim { key, token } if token.instance == from => {
                 let drop_at = now.after(self.options.forward_wait);
-                self.add_forwarded(
-                    now,
-                    Record {
-                        key,
-                        token,
-                        what: What::Claim,
-                    },
-                    drop_at,
-                );
+                self.add_forwarded(now, Record { key, token, what: What::Claim }, drop_at);
             }
             Message::Settle { key, token, fate } if token.instance == from => {
                 let drop_at = now.after(self.options.settle_for);
@@ -190,11 +178,7 @@
     }
 
     fn token(&self, request: RequestId) -> Token {
-        Token {
-            instance: self.me,
-            incarnation: self.incarnation,
-            request,
-        }
+        Token { instance: self.me, incarnation: self.incarnation, request }
     }
 
     fn is_mine(&self, token: Token) -> bool {
@@ -215,17 +199,10 @@
 
     fn add_outcome(&mut self, now: Timestamp, key: KeyHash, token: Token, fate: Fate) {
         if self.is_crowded() {
-            self.out.push(Output::Settled {
-                request: token.request,
-                recorded: false,
-            });
+            self.out.push(Output::Settled { request: token.request, recorded: false });
             return;
         }
-        let record = Record {
-            key,
-            token,
-            what: What::Outcome(fate),
-        };
+        let record = Record { key, token, what: What::Outcome(fate) };
         let drop_at = now.after(self.options.settle_for);
         self.add_own(now, record, drop_at, self.options.settle_tries);
     }
@@ -235,18 +212,9 @@
         let route = if self.owner_of(number) == self.me {
             Route::Here
         } else {
-            Route::Owner {
-                ask_at: now,
-                tries_left: tries,
-            }
+            Route::Owner { ask_at: now, tries_left: tries }
         };
-        self.shards[number].push(Item {
-            record,
-            route,
-            drop_at,
-            since: now,
-            exposed: false,
-        });
+        self.shards[number].push(Item { record, route, drop_at, since: now, exposed: false });
         self.ask_owner(now, number);
         self.pump(now, number);
     }
@@ -286,10 +254,7 @@
             };
             match item.route {
                 Route::Owner { tries_left, .. } if tries_left > 0 && to != self.me => {
-                    item.route = Route::Owner {
-                        ask_at: again_at,
-                        tries_left: tries_left - 1,
-                    };
+                    item.route = Route::Owner { ask_at: again_at, tries_left: tries_left - 1 };
                     item.exposed = true;
                     let message = forwarded(&item.record);
                     self.out.push(Output::Send { to, message });
@@ -309,11 +274,7 @@
         let shard = &mut self.shards[number];
         if let Some((call, answer_by)) = shard.next_call(now, id, &self.options, is_owner) {
             self.next_call += 1;
-            self.out.push(Output::Call {
-                id,
-                call,
-                answer_by,
-            });
+            self.out.push(Output::Call { id, call, answer_by });
         }
     }
 
@@ -330,14 +291,12 @@
                 self.end_pending(token.request, Code::ClaimUnavailable, None);
             }
             Resolved::Full => {}
-            Resolved::Recorded if is_mine => self.out.push(Output::Settled {
-                request: token.request,
-                recorded: true,
-            }),
-            Resolved::Recorded => self.out.push(Output::Send {
-                to: token.instance,
-                message: Message::Settled { token },
-            }),
+            Resolved::Recorded if is_mine => {
+                self.out.push(Output::Settled { request: token.request, recorded: true })
+            }
+            Resolved::Recorded => self
+                .out
+                .push(Output::Send { to: token.instance, message: Message::Settled { token } }),
         }
     }
 
@@ -347,9 +306,7 @@
         };
         let number = self.number_of(pending.key);
         let shard = &mut self.shards[number];
-        let item = shard
-            .find(token, true)
-            .and_then(|number| shard.remove(number));
+        let item = shard.find(token, true).and_then(|number| shard.remove(number));
         self.decide(now, token, verdict);
         // A write of this instance's own may still make the refused claim stand.
         let may_stand = item.is_some_and(|item| item.exposed && item.route == Route::Here);
@@ -364,10 +321,7 @@
                 continue;
             };
             shard.remove(number);
-            self.out.push(Output::Settled {
-                request: token.request,
-                recorded: true,
-            });
+            self.out.push(Output::Settled { request: token.request, recorded: true });
         }
     }
 
@@ -384,10 +338,7 @@
             Verdict::Granted => {
                 self.pending.remove(&request);
                 self.granted.insert(request, pending.key);
-                self.out.push(Output::Decided {
-                    request,
-                    decision: Decision::Granted,
-                });
+                self.out.push(Output::Decided { request, decision: Decision::Granted });
             }
             Verdict::Ran { status } => {
                 self.end_pending(request, Code::KeyRan, Some(status));
@@ -419,9 +370,7 @@
         let token = self.token(request);
         let number = self.number_of(key);
         let shard = &mut self.shards[number];
-        let item = shard
-            .find(token, true)
-            .and_then(|number| shard.remove(number));
+        let item = shard.find(token, true).and_then(|number| shard.remove(number));
         if item.is_none_or(|item| item.exposed) {
             self.add_outcome(now, key, token, Fate::NotRun);
         }
@@ -440,10 +389,7 @@
             };
             let token = item.record.token;
             if self.is_mine(token) && item.record.what != What::Claim {
-                self.out.push(Output::Settled {
-                    request: token.request,
-                    recorded: false,
-                });
+                self.out.push(Output::Settled { request: token.request, recorded: false });
             }
         }
     }
@@ -463,11 +409,7 @@
         let retry_after = (code == Code::ClaimUnavailable).then_some(wait);
         self.out.push(Output::Decided {
             request,
-            decision: Decision::Refused {
-                code,
-                status,
-                retry_after,
-            },
+            decision: Decision::Refused { code, status, retry_after },
         });
     }
 }
--- a/sl-claim/src/index.rs
+++ b/sl-claim/src/index.rs
@@ -79,21 +79,13 @@
     fn apply_claim(&mut self, seq: u64, record: &Record) {
         let free = self.entries.get(&record.key).is_none_or(Entry::is_released);
         if free {
-            let entry = Entry {
-                token: record.token,
-                fate: None,
-                seq,
-            };
+            let entry = Entry { token: record.token, fate: None, seq };
             self.entries.insert(record.key, entry);
         }
     }
 
     fn apply_outcome(&mut self, seq: u64, record: &Record, fate: Fate) {
-        let settled = Entry {
-            token: record.token,
-            fate: Some(fate),
-            seq,
-        };
+        let settled = Entry { token: record.token, fate: Some(fate), seq };
         let entry = self.entries.entry(record.key).or_insert(settled);
         let is_own = entry.token == record.token && entry.fate.is_none();
         // A release that comes before its claim keeps that claim from ever being made.
--- a/sl-claim/src/shard.rs
+++ b/sl-claim/src/shard.rs
@@ -135,11 +135,7 @@
             None if self.has_work() => self.call_due(now),
             None => Timestamp::NEVER,
         };
-        let idle = if self.is_idle() {
-            self.idle_at
-        } else {
-            Timestamp::NEVER
-        };
+        let idle = if self.is_idle() { self.idle_at } else { Timestamp::NEVER };
         items.unwrap_or(Timestamp::NEVER).min(call).min(idle)
     }
 
@@ -184,17 +180,8 @@
         let step = self.next_step(now, options, is_owner)?;
         let call = self.call(&step)?;
         let answer_by = now.after(options.call_timeout);
-        self.flight = Some(Flight {
-            id,
-            step,
-            answer_by,
-            asked_at: now,
-        });
-        self.idle_at = if is_owner {
-            Timestamp::NEVER
-        } else {
-            now.after(options.idle_for)
-        };
+        self.flight = Some(Flight { id, step, answer_by, asked_at: now });
+        self.idle_at = if is_owner { Timestamp::NEVER } else { now.after(options.idle_for) };
         Some((call, answer_by))
     }
 
@@ -303,22 +290,15 @@
 
     fn call(&self, step: &Step) -> Option<Call> {
         let shard = self.number;
-        let version = self
-            .view
-            .as_ref()
-            .map_or(Version::ABSENT, |view| view.version);
+        let version = self.view.as_ref().map_or(Version::ABSENT, |view| view.version);
         Some(match step {
-            Step::Load => Call::Get {
-                key: open_key(shard),
-            },
-            Step::Fetch { seq } | Step::Weigh { seq } => Call::Get {
-                key: archive_key(shard, *seq),
-            },
-            Step::Append(segment) | Step::Roll(segment) => Call::Put {
-                key: open_key(shard),
-                expect: version,
-                value: segment.encode(),
-            },
+            Step::Load => Call::Get { key: open_key(shard) },
+            Step::Fetch { seq } | Step::Weigh { seq } => {
+                Call::Get { key: archive_key(shard, *seq) }
+            }
+            Step::Append(segment) | Step::Roll(segment) => {
+                Call::Put { key: open_key(shard), expect: version, value: segment.encode() }
+            }
             Step::Store => {
                 let open = &self.view.as_ref()?.open;
                 Call::Put {
--- a/sl-claim/src/strikes.rs
+++ b/sl-claim/src/strikes.rs
@@ -139,10 +139,7 @@
     pub fn new(options: Options, me: InstanceId, incarnation: Incarnation) -> Strikes {
         Strikes {
             options,
-            me: Origin {
-                instance: me,
-                incarnation,
-            },
+            me: Origin { instance: me, incarnation },
             entries: BTreeMap::new(),
             fresh: BTreeMap::new(),
             round: None,
@@ -218,22 +215,15 @@
     /// round through the rest, so that a report that was lost is made good.
     pub fn reports(&mut self, now: Timestamp) -> Vec<Report> {
         self.forget(now);
-        let mut picked: Vec<(Id, Origin)> = self
-            .fresh
-            .keys()
-            .take(self.options.max_reports)
-            .copied()
-            .collect();
+        let mut picked: Vec<(Id, Origin)> =
+            self.fresh.keys().take(self.options.max_reports).copied().collect();
         for which in &picked {
             self.count_down(*which);
         }
         if picked.is_empty() {
             picked.extend(self.next_in_round());
         }
-        picked
-            .into_iter()
-            .filter_map(|which| self.report(which))
-            .collect()
+        picked.into_iter().filter_map(|which| self.report(which)).collect()
     }
 
     /// Takes a peer's report in, about itself or another instance.
@@ -385,12 +375,7 @@
 
     fn report(&self, (id, by): (Id, Origin)) -> Option<Report> {
         let counters = *self.entries.get(&id)?.counters.get(&by)?;
-        Some(Report {
-            team: id.0,
-            fingerprint: id.1,
-            by,
-            counters,
-        })
+        Some(Report { team: id.0, fingerprint: id.1, by, counters })
     }
 }
 
--- a/sl-claim/src/view.rs
+++ b/sl-claim/src/view.rs
@@ -176,11 +176,7 @@
     /// that one wall clock decides.
     fn first_live(&self, now: Timestamp, options: &Options, is_owner: bool) -> u64 {
         let expired = |archive: &Archive| {
-            archive
-                .newest
-                .after(options.key_life)
-                .after(options.clock_skew)
-                .is_due(now)
+            archive.newest.after(options.key_life).after(options.clock_skew).is_due(now)
         };
         let mut first = self.open.first_live;
         while is_owner && self.archives.get(&first).is_some_and(expired) {
@@ -226,10 +222,7 @@
         for record in &segment.records {
             self.index.apply(seq, record);
         }
-        let archive = Archive {
-            newest: segment.newest,
-            version: Some(version),
-        };
+        let archive = Archive { newest: segment.newest, version: Some(version) };
         self.archives.insert(seq, archive);
         self.next_archive = seq + 1;
     }
@@ -243,10 +236,7 @@
     }
 
     fn stored(&mut self, version: Option<Version>) {
-        let archive = Archive {
-            newest: self.open.newest,
-            version,
-        };
+        let archive = Archive { newest: self.open.newest, version };
         self.archives.insert(self.open.seq, archive);
         self.archived = true;
     }
--- a/sl-claim/tests/it/claims.rs
+++ b/sl-claim/tests/it/claims.rs
@@ -25,11 +25,7 @@
 
 #[derive(Clone, Debug)]
 enum Op {
-    Claim {
-        node: usize,
-        key: u32,
-        copies: usize,
-    },
+    Claim { node: usize, key: u32, copies: usize },
     Kill(usize),
     Pause(usize, u64),
     Outage(u64),
@@ -67,11 +63,7 @@
 
 fn apply(world: &mut World, op: &Op) {
     match *op {
-        Op::Claim {
-            node,
-            key: n,
-            copies,
-        } => {
+        Op::Claim { node, key: n, copies } => {
             for copy in 0..copies {
                 world.claim((node + copy) % NODES, key(n));
             }
@@ -264,10 +256,7 @@
     world.run(Millis(10_000));
     let puts = world.calls["put"];
     let granted = world.grants.len();
-    println!(
-        "{granted} claims: {:?}, {} bytes put",
-        world.calls, world.put_bytes
-    );
+    println!("{granted} claims: {:?}, {} bytes put", world.calls, world.put_bytes);
     assert_eq!(granted, 2_000);
     // 16 shards, 20 writes a second each, 5 s, and two more for each seal.
     assert!(puts < 16 * 20 * 5 + 100, "{puts} writes");
@@ -304,10 +293,7 @@
 /// The same where the write takes effect only after the claim was given up.
 #[rstest]
 fn late_write_of_a_claim_given_up_does_not_stand(#[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64) {
-    let options = Options {
-        shards: 1,
-        ..Options::default()
-    };
+    let options = Options { shards: 1, ..Options::default() };
     let mut world = World::new(1, options, Faults::default(), seed);
     world.settle_as = Some(Settled::Unknown);
     world.claim(0, key(0)).unwrap();
@@ -346,12 +332,7 @@
 #[test]
 fn clock_that_is_ahead_does_not_end_a_life_early() {
     let skew = Millis(3_000);
-    let options = Options {
-        shards: 1,
-        key_life: Millis(30_000),
-        clock_skew: skew,
-        ..small()
-    };
+    let options = Options { shards: 1, key_life: Millis(30_000), clock_skew: skew, ..small() };
     let mut world = World::new(2, options, Faults::default(), 7);
     world.runs_on = true;
     world.nodes[1].clock = skew.0;
@@ -370,10 +351,7 @@
 /// The platform lost what it held: who remembers better grants nothing more.
 #[test]
 fn service_that_lost_its_data_grants_nothing_to_who_remembers() {
-    let options = Options {
-        shards: 1,
-        ..Options::default()
-    };
+    let options = Options { shards: 1, ..Options::default() };
     let mut world = World::new(1, options, Faults::default(), 7);
     world.settle_as = Some(Settled::Ran { status: 201 });
     world.claim(0, key(1)).unwrap();
--- a/sl-claim/tests/it/index.rs
+++ b/sl-claim/tests/it/index.rs
@@ -9,19 +9,11 @@
 use crate::world::key;
 
 fn token(request: u64) -> Token {
-    Token {
-        instance: InstanceId(1),
-        incarnation: Incarnation(1),
-        request: RequestId(request),
-    }
+    Token { instance: InstanceId(1), incarnation: Incarnation(1), request: RequestId(request) }
 }
 
 fn record(request: u64, what: What) -> Record {
-    Record {
-        key: key(1),
-        token: token(request),
-        what,
-    }
+    Record { key: key(1), token: token(request), what }
 }
 
 const CLAIM: What = What::Claim;
@@ -63,11 +55,8 @@
 
 #[test]
 fn segment_survives_encoding_and_rejects_what_is_none() {
-    let segment = Segment {
-        seq: 3,
-        records: vec![record(1, CLAIM), record(1, RAN)],
-        ..Segment::default()
-    };
+    let segment =
+        Segment { seq: 3, records: vec![record(1, CLAIM), record(1, RAN)], ..Segment::default() };
     assert_eq!(Segment::decode(&segment.encode()), Ok(segment));
     assert!(Segment::decode(b"\xff").is_err());
 }
@@ -80,20 +69,10 @@
         incarnation: Incarnation(1_800_000_000_000_000),
         request: RequestId(10_000_000),
     };
-    let records = [CLAIM, RAN].map(|what| Record {
-        key: key(1),
-        token,
-        what,
-    });
-    let segment = Segment {
-        records: records.to_vec(),
-        ..Segment::default()
-    };
+    let records = [CLAIM, RAN].map(|what| Record { key: key(1), token, what });
+    let segment = Segment { records: records.to_vec(), ..Segment::default() };
     let bytes = segment.encode().len() - Segment::default().encode().len();
     assert!(bytes < 80, "{bytes} bytes");
     println!("a claim and its outcome take {bytes} bytes in the service");
-    println!(
-        "a key takes {} bytes in the index",
-        16 + size_of::<sl_claim::index::Entry>()
-    );
+    println!("a key takes {} bytes in the index", 16 + size_of::<sl_claim::index::Entry>());
 }
--- a/sl-claim/tests/it/strikes.rs
+++ b/sl-claim/tests/it/strikes.rs
@@ -127,10 +127,7 @@
 
 #[test]
 fn many_teams_share_the_table_evenly() {
-    let options = Options {
-        max_entries: 40,
-        ..Options::default()
-    };
+    let options = Options { max_entries: 40, ..Options::default() };
     let mut one = Strikes::new(options, InstanceId(1), Incarnation(1));
     one.strike(START, TEAM, print(TEAM, 1), ServerId(1));
     for n in 0..200 {
--- a/sl-claim/tests/it/world.rs
+++ b/sl-claim/tests/it/world.rs
@@ -237,11 +237,7 @@
         for output in self.nodes[node].claims.take() {
             let incarnation = self.nodes[node].incarnation;
             match output {
-                Output::Call {
-                    id,
-                    call,
-                    answer_by,
-                } => self.send_call(node, id, call, answer_by),
+                Output::Call { id, call, answer_by } => self.send_call(node, id, call, answer_by),
                 Output::Send { to, message } => self.send(node, to, message),
                 Output::Decided { request, decision } => self.decided(node, request, decision),
                 Output::Settled { request, recorded } => {
@@ -280,14 +276,7 @@
             self.put(answer_by, lost);
         }
         if !is_lost {
-            let call = Transit::Call {
-                node,
-                incarnation,
-                id,
-                call,
-                answer_by,
-                answers,
-            };
+            let call = Transit::Call { node, incarnation, id, call, answer_by, answers };
             self.put(self.now.after(Millis(delay)), call);
         }
     }
@@ -298,11 +287,8 @@
             if self.chance(self.faults.dropped) {
                 continue;
             }
-            let delay = if self.chance(self.faults.delayed) {
-                self.rng.random_range(1..5_000)
-            } else {
-                1
-            };
+            let delay =
+                if self.chance(self.faults.delayed) { self.rng.random_range(1..5_000) } else { 1 };
             let arrive = Transit::Arrive {
                 node: to.0 as usize - 1,
                 incarnation: None,
@@ -314,14 +300,7 @@
 
     fn carry(&mut self, transit: Transit) {
         match transit {
-            Transit::Call {
-                node,
-                incarnation,
-                id,
-                call,
-                answer_by,
-                answers,
-            } => {
+            Transit::Call { node, incarnation, id, call, answer_by, answers } => {
                 let reply = self.execute(call);
                 if answers && self.now < answer_by && reply != Reply::Lost {
                     let arrive = Transit::Arrive {
@@ -332,11 +311,7 @@
                     self.put(self.now.after(Millis(1)), arrive);
                 }
             }
-            Transit::Arrive {
-                node,
-                incarnation,
-                arrival,
-            } => {
+            Transit::Arrive { node, incarnation, arrival } => {
                 let n = &mut self.nodes[node];
                 if incarnation.is_none_or(|incarnation| incarnation == n.incarnation) {
                     n.inbox.push(arrival);
@@ -364,10 +339,7 @@
         *self.calls.entry(name).or_default() += 1;
         match call {
             Call::Get { key } => match self.kv.get(&key) {
-                Some((version, value)) => Reply::Value {
-                    version: *version,
-                    value: value.clone(),
-                },
+                Some((version, value)) => Reply::Value { version: *version, value: value.clone() },
                 None => Reply::Absent,
             },
             Call::Put { key, expect, value } => {
@@ -387,9 +359,7 @@
                     return Reply::Conflict { version };
                 }
                 self.kv.remove(&key);
-                Reply::Done {
-                    version: Version::ABSENT,
-                }
+                Reply::Done { version: Version::ABSENT }
             }
             Call::Watch { .. } => Reply::Unchanged,
         }
@@ -403,8 +373,7 @@
         let late = now.micros_since(give_up_by);
         let woke = self.nodes[node].paused_until == self.now;
         assert!(late == 0 || woke, "decided {late} us late");
-        self.decisions
-            .insert((node, incarnation, request), decision);
+        self.decisions.insert((node, incarnation, request), decision);
         match decision {
             Decision::Granted if late > 0 => panic!("granted {late} us late"),
             Decision::Granted => self.granted(node, request, key),
@@ -430,10 +399,7 @@
                 _ => None,
             },
         };
-        grants.push(Grant {
-            at: self.now,
-            settled,
-        });
+        grants.push(Grant { at: self.now, settled });
         if let Some(settled) = settled {
             let span = Millis(self.rng.random_range(1..3_000));
             let arrive = Transit::Arrive {
--- a/sl-config/src/accept.rs
+++ b/sl-config/src/accept.rs
@@ -80,19 +80,14 @@
         match after {
             Some(hash) => {
                 let since = revision;
-                next.pages
-                    .insert(edit.name.clone(), Accepted { hash, since });
+                next.pages.insert(edit.name.clone(), Accepted { hash, since });
             }
             None => {
                 next.pages.remove(&edit.name);
             }
         }
         let name = edit.name.clone();
-        swaps.push(Swap {
-            name,
-            before,
-            after,
-        });
+        swaps.push(Swap { name, before, after });
     }
     if swaps.is_empty() {
         return Ok(None);
@@ -114,17 +109,9 @@
 fn check_base(head: &Head, edit: &Edit) -> Result<(), Box<Conflict>> {
     let now = head.page(&edit.name);
     let theirs = head.changes_since(&edit.name, edit.base.revision);
-    let accepted_later = head
-        .pages
-        .get(&edit.name)
-        .is_some_and(|it| it.since > edit.base.revision);
+    let accepted_later = head.pages.get(&edit.name).is_some_and(|it| it.since > edit.base.revision);
     if now == edit.base.page && theirs.is_empty() && !accepted_later {
         return Ok(());
     }
-    Err(Box::new(Conflict {
-        name: edit.name.clone(),
-        base: edit.base,
-        now,
-        theirs,
-    }))
+    Err(Box::new(Conflict { name: edit.name.clone(), base: edit.base, now, theirs }))
 }
--- a/sl-config/src/accept/acceptance.rs
+++ b/sl-config/src/accept/acceptance.rs
@@ -132,10 +132,8 @@
 
     fn on_failure(&mut self, phase: Phase, reply: &Reply) -> Next {
         if let (Phase::WriteHead(planned), Reply::Lost) = (&phase, reply) {
-            self.undecided = Some(Undecided {
-                expect: planned.expect,
-                revision: planned.head.revision,
-            });
+            self.undecided =
+                Some(Undecided { expect: planned.expect, revision: planned.head.revision });
         }
         self.failures += 1;
         if self.failures >= FAILURES_MAX {
@@ -199,13 +197,8 @@
             return self.decided(Ended::Busy);
         }
         match plan(head, &self.edits, &self.stamp) {
-            Ok(Some(next)) => self.gather(Planned {
-                expect,
-                head: Box::new(next),
-            }),
-            Ok(None) => self.decided(Ended::Unchanged {
-                revision: head.revision,
-            }),
+            Ok(Some(next)) => self.gather(Planned { expect, head: Box::new(next) }),
+            Ok(None) => self.decided(Ended::Unchanged { revision: head.revision }),
             Err(conflict) => self.decided(Ended::Conflict(*conflict)),
         }
     }
@@ -258,9 +251,7 @@
 
     fn on_head_written(&mut self, planned: &Planned, reply: &Reply) -> Next {
         match reply {
-            Reply::Done { .. } => done(Ended::Accepted {
-                revision: planned.head.revision,
-            }),
+            Reply::Done { .. } => done(Ended::Accepted { revision: planned.head.revision }),
             _ => self.read_head(),
         }
     }
@@ -281,11 +272,7 @@
         };
         let value = page.bytes();
         self.phase = Phase::WritePage(hash, planned);
-        Next::Call(Call::Put {
-            key: hash.key(),
-            expect: Version::ABSENT,
-            value,
-        })
+        Next::Call(Call::Put { key: hash.key(), expect: Version::ABSENT, value })
     }
 
     fn write_head(&mut self, planned: Planned) -> Next {
@@ -295,11 +282,7 @@
         };
         let expect = planned.expect;
         self.phase = Phase::WriteHead(planned);
-        Next::Call(Call::Put {
-            key: head::KEY.to_owned(),
-            expect,
-            value,
-        })
+        Next::Call(Call::Put { key: head::KEY.to_owned(), expect, value })
     }
 
     fn damaged(&self, what: String) -> Next {
@@ -316,9 +299,7 @@
 }
 
 fn read_head() -> Call {
-    Call::Get {
-        key: head::KEY.to_owned(),
-    }
+    Call::Get { key: head::KEY.to_owned() }
 }
 
 fn done(ended: Ended) -> Next {
--- a/sl-config/src/assemble.rs
+++ b/sl-config/src/assemble.rs
@@ -97,8 +97,7 @@
     pub fn retain(&mut self, head: &Head) {
         let kept: BTreeSet<PageHash> = head.pages.values().map(|it| it.hash).collect();
         self.pages.retain(|hash, _| kept.contains(hash));
-        self.templates
-            .retain(|(hash, name), _| head.page(name) == Some(*hash));
+        self.templates.retain(|(hash, name), _| head.page(name) == Some(*hash));
     }
 
     /// The configuration that `head` names.
@@ -167,9 +166,5 @@
             second: template.name.clone(),
         };
     }
-    Clash::Id {
-        id: first.id,
-        first: first.name.clone(),
-        second: second.name.clone(),
-    }
+    Clash::Id { id: first.id, first: first.name.clone(), second: second.name.clone() }
 }
--- a/sl-config/src/config.rs
+++ b/sl-config/src/config.rs
@@ -35,12 +35,7 @@
                 }
             }
         }
-        Config {
-            revision,
-            templates,
-            by_credential,
-            by_team,
-        }
+        Config { revision, templates, by_credential, by_team }
     }
 
     /// The accepted revision.
@@ -56,9 +51,7 @@
     /// The team that a credential names; the credential comes as the BLAKE3 hash in hex,
     /// so that the lookup's timing tells nothing of the credential itself.
     pub fn team_of(&self, credential_hash: &str) -> Option<(&Team, &Template)> {
-        self.by_credential
-            .get(credential_hash)
-            .map(|&place| self.at(place))
+        self.by_credential.get(credential_hash).map(|&place| self.at(place))
     }
 
     /// A team by its id.
--- a/sl-config/src/draft.rs
+++ b/sl-config/src/draft.rs
@@ -63,10 +63,7 @@
         let after = self.text.as_deref().map(Page::new).transpose()?;
         Ok(Edit {
             name: self.name.clone(),
-            base: Base {
-                revision: self.base,
-                page: self.base_page,
-            },
+            base: Base { revision: self.base, page: self.base_page },
             after,
         })
     }
--- a/sl-config/src/fault.rs
+++ b/sl-config/src/fault.rs
@@ -79,11 +79,7 @@
 
 impl Fault {
     pub(crate) fn new(problem: Problem, span: SourceSpan) -> Fault {
-        Fault {
-            problem,
-            span,
-            help: None,
-        }
+        Fault { problem, span, help: None }
     }
 
     pub(crate) fn with_help(mut self, help: impl Into<String>) -> Fault {
@@ -212,8 +208,6 @@
     }
 
     fn related<'a>(&'a self) -> Option<Box<dyn Iterator<Item = &'a dyn Diagnostic> + 'a>> {
-        Some(Box::new(
-            self.faults().iter().map(|it| it as &dyn Diagnostic),
-        ))
+        Some(Box::new(self.faults().iter().map(|it| it as &dyn Diagnostic)))
     }
 }
--- a/sl-config/src/ini.rs
+++ b/sl-config/src/ini.rs
@@ -57,10 +57,7 @@
                 faults.push(Fault::new(Problem::NoValue, piece(text, key).span));
             }
             Item::Property(key, Some(value)) => {
-                let entry = Entry {
-                    key: piece(text, key),
-                    value: piece(text, value),
-                };
+                let entry = Entry { key: piece(text, key), value: piece(text, value) };
                 match found.last_mut() {
                     Some(section) => section.entries.push(entry),
                     None => faults.push(Fault::new(Problem::Homeless, entry.key.span)),
@@ -78,10 +75,7 @@
 }
 
 fn section<'a>(text: &str, head: &'a str) -> Section<'a> {
-    Section {
-        head: piece(text, head),
-        entries: Vec::new(),
-    }
+    Section { head: piece(text, head), entries: Vec::new() }
 }
 
 /// The place of `part`, which is a slice of `text`.
--- a/sl-config/src/key.rs
+++ b/sl-config/src/key.rs
@@ -101,15 +101,10 @@
         V: FnOnce(&str) -> Result<String, E>,
     {
         let text = match self {
-            KeySource::File(path) => file(path.clone()).map_err(|source| KeyError::File {
-                path: path.clone(),
-                source,
-            })?,
+            KeySource::File(path) => file(path.clone())
+                .map_err(|source| KeyError::File { path: path.clone(), source })?,
             KeySource::Env(name) => env(name).map_err(|_| KeyError::Env(name.clone()))?,
         };
-        Secret::try_from(text).map_err(|source| KeyError::TooShort {
-            from: self.clone(),
-            source,
-        })
+        Secret::try_from(text).map_err(|source| KeyError::TooShort { from: self.clone(), source })
     }
 }
--- a/sl-config/src/page.rs
+++ b/sl-config/src/page.rs
@@ -93,10 +93,7 @@
         if text.len() > TEXT_BYTES_MAX {
             return Err(PageError::TooLarge(text.len()));
         }
-        Ok(Page {
-            hash: PageHash::of(text),
-            text: text.into(),
-        })
+        Ok(Page { hash: PageHash::of(text), text: text.into() })
     }
 
     /// The page that was fetched under `hash`, once its digest is checked.
@@ -108,10 +105,7 @@
         let text = str::from_utf8(bytes).map_err(|_| PageError::NotText(hash))?;
         let page = Page::new(text)?;
         if page.hash != hash {
-            return Err(PageError::Digest {
-                wanted: hash,
-                found: page.hash,
-            });
+            return Err(PageError::Digest { wanted: hash, found: page.hash });
         }
         Ok(page)
     }
--- a/sl-config/src/parse.rs
+++ b/sl-config/src/parse.rs
@@ -51,11 +51,8 @@
         let mut faults = Vec::new();
         check_name(name, &mut faults);
         let sections = ini::sections(text, &mut faults);
-        let mut template = Template {
-            name: name.to_owned(),
-            routes: Vec::new(),
-            teams: Vec::new(),
-        };
+        let mut template =
+            Template { name: name.to_owned(), routes: Vec::new(), teams: Vec::new() };
         for section in &sections {
             read_section(section, &mut template, &mut faults);
         }
@@ -166,11 +163,7 @@
     let share = reader.number("share", 1..=limits::SHARE_MAX, limits::SHARE);
     let credentials = reader.required::<Hashes>("credential");
     let queue_max = reader.number("queue-max", 1..=limits::QUEUE_MAX_MAX, limits::QUEUE_MAX);
-    let queue_kib = reader.number(
-        "queue-max-kib",
-        1..=limits::QUEUE_KIB_MAX,
-        limits::QUEUE_KIB,
-    );
+    let queue_kib = reader.number("queue-max-kib", 1..=limits::QUEUE_KIB_MAX, limits::QUEUE_KIB);
     Some(Team {
         id: TeamId::of(&name),
         name,
@@ -194,10 +187,7 @@
         name,
         path: path?.0,
         methods: methods.0,
-        policy: Policy {
-            pool: PoolId::of(&pool),
-            ..policy
-        },
+        policy: Policy { pool: PoolId::of(&pool), ..policy },
         pool,
         body_max: body_kib * KIB,
         objective,
@@ -325,10 +315,7 @@
             if entry.key.text != "credential" {
                 continue;
             }
-            for hash in Hashes::try_from(Raw(entry.value.text))
-                .unwrap_or_default()
-                .0
-            {
+            for hash in Hashes::try_from(Raw(entry.value.text)).unwrap_or_default().0 {
                 if !seen.insert(hash) {
                     let why = "this credential stands above already".to_owned();
                     faults.push(Fault::new(Problem::Clash(why), entry.value.span));
--- a/sl-config/src/raw.rs
+++ b/sl-config/src/raw.rs
@@ -28,8 +28,7 @@
     type Error = Wanted;
 
     fn try_from(Raw(text): Raw<'_>) -> Result<SocketAddr, Wanted> {
-        text.parse()
-            .map_err(|_| Wanted::a("an IP address with a port, such as 127.0.0.1:8080"))
+        text.parse().map_err(|_| Wanted::a("an IP address with a port, such as 127.0.0.1:8080"))
     }
 }
 
@@ -65,9 +64,7 @@
         if starts_well && text.len() <= NAME_BYTES_MAX && text.chars().all(is_plain) {
             return Ok(Name(text.to_owned()));
         }
-        Err(Wanted::a(
-            "a name of up to 64 letters, digits, `-`, `_` and `.`",
-        ))
+        Err(Wanted::a("a name of up to 64 letters, digits, `-`, `_` and `.`"))
     }
 }
 
@@ -79,9 +76,7 @@
     type Error = Wanted;
 
     fn try_from(Raw(text): Raw<'_>) -> Result<Base, Wanted> {
-        let host = text
-            .strip_prefix("http://")
-            .or_else(|| text.strip_prefix("https://"));
+        let host = text.strip_prefix("http://").or_else(|| text.strip_prefix("https://"));
         let is_plain = |it: &str| !it.is_empty() && !it.contains(char::is_whitespace);
         match host {
             Some(host) if is_plain(host) => Ok(Base(text.trim_end_matches('/').to_owned())),
@@ -149,18 +144,13 @@
         if text == "any" {
             return Ok(Methods::default());
         }
-        let methods: Vec<String> = text
-            .split([',', ' '])
-            .filter(|it| !it.is_empty())
-            .map(str::to_owned)
-            .collect();
+        let methods: Vec<String> =
+            text.split([',', ' ']).filter(|it| !it.is_empty()).map(str::to_owned).collect();
         let is_method = |it: &String| it.bytes().all(|it| it.is_ascii_uppercase());
         if !methods.is_empty() && methods.iter().all(is_method) {
             return Ok(Methods(methods));
         }
-        Err(Wanted::a(
-            "`any`, or methods in capitals, such as GET, POST",
-        ))
+        Err(Wanted::a("`any`, or methods in capitals, such as GET, POST"))
     }
 }
 
@@ -177,9 +167,7 @@
         if fixed.starts_with('/') && fixed.bytes().all(is_path_byte) {
             return Ok(PathPattern(text.to_owned()));
         }
-        Err(Wanted::a(
-            "a path that starts with `/` and has `*` only at its end",
-        ))
+        Err(Wanted::a("a path that starts with `/` and has `*` only at its end"))
     }
 }
 
--- a/sl-config/src/reader.rs
+++ b/sl-config/src/reader.rs
@@ -24,11 +24,7 @@
 
 impl<'a, 'f> Reader<'a, 'f> {
     pub(crate) fn new(section: &'a Section<'a>, faults: &'f mut Vec<Fault>) -> Reader<'a, 'f> {
-        Reader {
-            section,
-            faults,
-            asked: Vec::new(),
-        }
+        Reader { section, faults, asked: Vec::new() }
     }
 
     /// The value of `key`, where the key stands and its value is good.
@@ -138,10 +134,8 @@
 
     /// Notes that `key` is missing.
     pub(crate) fn missing(&mut self, key: &str) {
-        let problem = Problem::MissingKey {
-            section: self.section.head.text.to_owned(),
-            key: key.to_owned(),
-        };
+        let problem =
+            Problem::MissingKey { section: self.section.head.text.to_owned(), key: key.to_owned() };
         let fault = Fault::new(problem, self.section.head.span);
         self.faults.push(fault);
     }
@@ -160,17 +154,13 @@
                     key: key.to_owned(),
                 };
                 let fault = Fault::new(problem, entry.key.span);
-                self.faults
-                    .push(fault.suggesting(key, self.asked.iter().copied()));
+                self.faults.push(fault.suggesting(key, self.asked.iter().copied()));
             }
         }
     }
 
     fn malformed(&mut self, entry: Entry<'_>, wanted: String) {
-        let problem = Problem::Malformed {
-            value: entry.value.text.to_owned(),
-            wanted,
-        };
+        let problem = Problem::Malformed { value: entry.value.text.to_owned(), wanted };
         self.faults.push(Fault::new(problem, entry.value.span));
     }
 
--- a/sl-config/src/settings.rs
+++ b/sl-config/src/settings.rs
@@ -194,19 +194,13 @@
 
 impl Default for Sharing {
     fn default() -> Sharing {
-        Sharing {
-            policy: SharePolicy::Lent,
-            tolerance_units: 500,
-        }
+        Sharing { policy: SharePolicy::Lent, tolerance_units: 500 }
     }
 }
 
 impl Default for Log {
     fn default() -> Log {
-        Log {
-            format: LogFormat::Json,
-            level: LogLevel::Info,
-        }
+        Log { format: LogFormat::Json, level: LogLevel::Info }
     }
 }
 
--- a/sl-config/src/settings/read.rs
+++ b/sl-config/src/settings/read.rs
@@ -12,9 +12,8 @@
 };
 
 /// The sections that settings may have.
-const SECTIONS: [&str; 8] = [
-    "instance", "listen", "platform", "keys", "bounds", "periods", "sharing", "log",
-];
+const SECTIONS: [&str; 8] =
+    ["instance", "listen", "platform", "keys", "bounds", "periods", "sharing", "log"];
 
 fn check_sections(sections: &[Section<'_>], faults: &mut Vec<Fault>) {
     for (at, section) in sections.iter().enumerate() {
@@ -71,10 +70,7 @@
 pub(super) fn settings(text: &str, faults: &mut Vec<Fault>) -> Option<Settings> {
     let sections = ini::sections(text, faults);
     check_sections(&sections, faults);
-    let mut parts = Parts {
-        sections: &sections,
-        faults,
-    };
+    let mut parts = Parts { sections: &sections, faults };
     read(&mut parts)
 }
 
@@ -115,12 +111,7 @@
     let data_centre = reader.required::<Name>("data-centre");
     let seed = reader.optional("seed");
     let seeds = reader.optional::<Seeds>("seeds").unwrap_or_default();
-    Some(Instance {
-        name: name?.0,
-        data_centre: data_centre?.0,
-        seed,
-        seeds: seeds.0,
-    })
+    Some(Instance { name: name?.0, data_centre: data_centre?.0, seed, seeds: seeds.0 })
 }
 
 fn read_listen(reader: &mut Reader<'_, '_>) -> Option<Listen> {
@@ -137,23 +128,14 @@
             reader.clash(keys[at], why);
         }
     }
-    Some(Listen {
-        caller: caller?,
-        control: control?,
-        operator: operator?,
-        metrics: metrics?,
-    })
+    Some(Listen { caller: caller?, control: control?, operator: operator?, metrics: metrics? })
 }
 
 fn read_platform(reader: &mut Reader<'_, '_>) -> Option<Platform> {
     let address = reader.required::<Base>("address");
     let call_within = reader.millis("call-within-ms", Platform::CALL_WITHIN);
     let watch_within = reader.millis("watch-within-ms", Platform::WATCH_WITHIN);
-    Some(Platform {
-        address: address?.0,
-        call_within,
-        watch_within,
-    })
+    Some(Platform { address: address?.0, call_within, watch_within })
 }
 
 struct FilePath(PathBuf);
@@ -203,10 +185,7 @@
         (None, Some(EnvName(name))) => KeySource::Env(name),
         (None, None) => return None,
     };
-    Some(Keys {
-        control,
-        operators: operators?.0,
-    })
+    Some(Keys { control, operators: operators?.0 })
 }
 
 /// The most that a bound on a number of requests takes.
--- a/sl-config/tests/it/accept.rs
+++ b/sl-config/tests/it/accept.rs
@@ -107,10 +107,7 @@
         let after = Page::new(&text(name, self.edits, step.clashes)).unwrap();
         Edit {
             name: name.to_owned(),
-            base: Base {
-                revision: head.revision,
-                page: head.page(name),
-            },
+            base: Base { revision: head.revision, page: head.page(name) },
             after: (!step.removes).then_some(after),
         }
     }
@@ -254,10 +251,7 @@
             }
             Ended::Unknown => {}
             Ended::Conflict(conflict) => {
-                assert!(
-                    made_by(stamp.id).is_none(),
-                    "told of a conflict, but accepted"
-                );
+                assert!(made_by(stamp.id).is_none(), "told of a conflict, but accepted");
                 let others = |it: &Change| made_by(it.id).is_some() && it.id != stamp.id;
                 assert!(!conflict.theirs.is_empty());
                 assert!(conflict.theirs.iter().all(others));
@@ -327,10 +321,7 @@
 fn accepted(head: &Head, number: u64, name: &str) -> Head {
     let edit = Edit {
         name: name.to_owned(),
-        base: Base {
-            revision: head.revision,
-            page: head.page(name),
-        },
+        base: Base { revision: head.revision, page: head.page(name) },
         after: Some(Page::new(&text(name, number, false)).unwrap()),
     };
     plan(head, &[edit], &stamp(number)).unwrap().unwrap()
@@ -357,10 +348,7 @@
     let head = accepted(&base, 2, "b");
     let edit = Edit {
         name: "a".to_owned(),
-        base: Base {
-            revision: base.revision,
-            page: base.page("a"),
-        },
+        base: Base { revision: base.revision, page: base.page("a") },
         after: None,
     };
     let next = plan(&head, &[edit], &stamp(3)).unwrap().unwrap();
@@ -373,10 +361,7 @@
     let seen = accepted(&accepted(&Head::default(), 1, "a"), 2, "b");
     let edit = Edit {
         name: "c".to_owned(),
-        base: Base {
-            revision: seen.revision,
-            page: None,
-        },
+        base: Base { revision: seen.revision, page: None },
         after: Some(Page::new(&text("c", 3, false)).unwrap()),
     };
     let mut acceptance = Acceptance::new(stamp(3), vec![edit]);
@@ -393,10 +378,7 @@
     let head = accepted(&accepted(&base, 2, "a"), 1, "a");
     let edit = Edit {
         name: "a".to_owned(),
-        base: Base {
-            revision: base.revision,
-            page: base.page("a"),
-        },
+        base: Base { revision: base.revision, page: base.page("a") },
         after: None,
     };
     let conflict = plan(&head, &[edit], &stamp(9)).unwrap_err();
--- a/sl-config/tests/it/assemble.rs
+++ b/sl-config/tests/it/assemble.rs
@@ -15,16 +15,10 @@
 }
 
 fn head_of(library: &mut Library, texts: &[(&str, String)]) -> Head {
-    let mut head = Head {
-        revision: Revision(7),
-        ..Head::default()
-    };
+    let mut head = Head { revision: Revision(7), ..Head::default() };
     for (name, text) in texts {
         let page = Page::new(text).unwrap();
-        let accepted = Accepted {
-            hash: page.hash(),
-            since: Revision(7),
-        };
+        let accepted = Accepted { hash: page.hash(), since: Revision(7) };
         head.pages.insert((*name).to_owned(), accepted);
         library.insert(page);
     }
@@ -36,10 +30,7 @@
     let hash = PageHash::of("a");
     let found = PageHash::of("b");
     let wanted = hash;
-    assert_eq!(
-        Page::open(hash, b"b"),
-        Err(PageError::Digest { wanted, found })
-    );
+    assert_eq!(Page::open(hash, b"b"), Err(PageError::Digest { wanted, found }));
     assert_eq!(Page::open(hash, &[0xff]), Err(PageError::NotText(hash)));
     assert_eq!(Page::open(hash, b"a").unwrap().text(), "a");
     assert_eq!(hash.to_string().parse(), Ok(hash));
@@ -84,10 +75,6 @@
     second.teams[0].id = first.teams[0].id;
     let found = clashes(&[first.into(), second.into()]);
     let id = TeamId::of("t");
-    let wanted = Clash::Id {
-        id,
-        first: "t".into(),
-        second: "u".into(),
-    };
+    let wanted = Clash::Id { id, first: "t".into(), second: "u".into() };
     assert_eq!(found, [wanted]);
 }
--- a/sl-config/tests/it/examples.rs
+++ b/sl-config/tests/it/examples.rs
@@ -17,10 +17,7 @@
     assert_eq!(shown.periods, settings::Periods::default());
     assert_eq!(shown.log, settings::Log::default());
     assert_eq!(shown.platform.call_within, settings::Platform::CALL_WITHIN);
-    assert_eq!(
-        shown.platform.watch_within,
-        settings::Platform::WATCH_WITHIN
-    );
+    assert_eq!(shown.platform.watch_within, settings::Platform::WATCH_WITHIN);
     assert_eq!(shown.keys.operators, [hash("example-operator-key")]);
 }
 
@@ -30,14 +27,8 @@
     assert_eq!(shown.routes.len(), 4);
     assert_eq!(shown.routes[0].policy.cost, Cost::Tokens);
     assert!(!shown.routes[2].policy.idempotent);
-    assert_eq!(
-        shown.teams[0].credentials,
-        [hash("example-office-credential")]
-    );
-    assert_eq!(
-        shown.teams[1].credentials,
-        [hash("example-drivers-credential")]
-    );
+    assert_eq!(shown.teams[0].credentials, [hash("example-office-credential")]);
+    assert_eq!(shown.teams[1].credentials, [hash("example-drivers-credential")]);
 }
 
 #[rstest]
@@ -46,8 +37,5 @@
 fn examples_keep_secrets_out(#[case] text: &str) {
     let line = |it: &&str| it.contains("key =") && !it.trim_start().starts_with(';');
     let given: Vec<&str> = text.lines().filter(line).collect();
-    assert!(
-        given.iter().all(|it| it.starts_with("key = required")),
-        "{given:?}"
-    );
+    assert!(given.iter().all(|it| it.starts_with("key = required")), "{given:?}");
 }
--- a/sl-config/tests/it/platform.rs
+++ b/sl-config/tests/it/platform.rs
@@ -65,10 +65,7 @@
     fn run(&mut self, call: &Call) -> Reply {
         match call {
             Call::Get { key } | Call::Watch { key, .. } => match self.values.get(key) {
-                Some((version, value)) => Reply::Value {
-                    version: *version,
-                    value: value.clone(),
-                },
+                Some((version, value)) => Reply::Value { version: *version, value: value.clone() },
                 None => Reply::Absent,
             },
             Call::Put { key, expect, value } => self.put(key, *expect, value),
--- a/sl-config/tests/it/settings.rs
+++ b/sl-config/tests/it/settings.rs
@@ -21,11 +21,7 @@
         .replace("format = json", "format = yaml");
     let found = faults(&text);
     let line = |part: &str| 1 + text.lines().position(|it| it.starts_with(part)).unwrap();
-    let wanted = [
-        line("caller ="),
-        line("exchange-periode-ms"),
-        line("format ="),
-    ];
+    let wanted = [line("caller ="), line("exchange-periode-ms"), line("format =")];
     assert_eq!(lines(&found), wanted);
     let helps: Vec<_> = found.faults().iter().map(|it| it.help.as_deref()).collect();
     assert_eq!(helps[1], Some("did you mean `exchange-period-ms`?"));
@@ -42,11 +38,7 @@
     "`held-requests` stands here a second time"
 )]
 #[case::no_value("seed = 1", "\nname", "this line has no `=` and no value")]
-#[case::zero(
-    "waiting-kib = 65536",
-    "waiting-kib = 0",
-    "`0` is not between 1 and 16777216"
-)]
+#[case::zero("waiting-kib = 65536", "waiting-kib = 0", "`0` is not between 1 and 16777216")]
 #[case::past_a_day(
     "list-period-ms = 2000",
     "list-period-ms = 86400001",
@@ -118,11 +110,7 @@
 
 #[test]
 fn every_missing_section_is_named() {
-    let says: Vec<String> = faults("")
-        .faults()
-        .iter()
-        .map(ToString::to_string)
-        .collect();
+    let says: Vec<String> = faults("").faults().iter().map(ToString::to_string).collect();
     let wanted = ["instance", "listen", "platform", "keys"]
         .map(|it| format!("the section [{it}] is missing"));
     assert_eq!(says, wanted);
--- a/sl-config/tests/it/template.rs
+++ b/sl-config/tests/it/template.rs
@@ -34,10 +34,7 @@
     assert_eq!(route.body_max, 1 << 20);
     assert_eq!(route.objective, None);
     let team = &template.teams[0];
-    assert_eq!(
-        (team.id, team.share, team.queue_max),
-        (TeamId::of("t"), 1, 256)
-    );
+    assert_eq!((team.id, team.share, team.queue_max), (TeamId::of("t"), 1, 256));
 }
 
 #[test]
@@ -49,10 +46,7 @@
     let found = faults(&text);
     let lines: Vec<usize> = found.faults().iter().map(|it| found.line(it)).collect();
     assert_eq!(lines, [2, 4, 6, 7, 8]);
-    assert_eq!(
-        found.faults()[4].help.as_deref(),
-        Some("did you mean `team`?")
-    );
+    assert_eq!(found.faults()[4].help.as_deref(), Some("did you mean `team`?"));
 }
 
 #[rstest]
@@ -86,14 +80,8 @@
 #[rstest]
 #[case::same_team(&format!("[team t]\ncredential = {}", HASH.replace('a', "b")), "`[team t]` stands here a second time")]
 #[case::same_credential(&format!("[team u]\ncredential = {}", HASH.to_uppercase()), "this credential stands above already")]
-#[case::hidden(
-    "[route b]\npath = /a/b\npool = p",
-    "every call of it goes to [route a] above"
-)]
-#[case::no_name(
-    "[team]\n",
-    "`` is not a name of up to 64 letters, digits, `-`, `_` and `.`"
-)]
+#[case::hidden("[route b]\npath = /a/b\npool = p", "every call of it goes to [route a] above")]
+#[case::no_name("[team]\n", "`` is not a name of up to 64 letters, digits, `-`, `_` and `.`")]
 fn two_sections_that_clash(#[case] more: &str, #[case] wanted: &str) {
     let found = says(&format!("{}{more}\n", good()));
     assert!(found.iter().any(|it| it == wanted), "{found:?}");
--- a/sl-core/src/check.rs
+++ b/sl-core/src/check.rs
@@ -62,15 +62,10 @@
 ///
 /// [`Error::Read`] at the first file that cannot be read.
 pub fn check(options: &Options) -> Result<Outcome, Error> {
-    let mut outcome = Outcome {
-        faults: Vec::new(),
-        good: Vec::new(),
-    };
+    let mut outcome = Outcome { faults: Vec::new(), good: Vec::new() };
     for path in &options.files {
-        let text = fs::read_to_string(path).map_err(|source| Error::Read {
-            path: path.clone(),
-            source,
-        })?;
+        let text = fs::read_to_string(path)
+            .map_err(|source| Error::Read { path: path.clone(), source })?;
         let name = path.display().to_string();
         let found = match options.kind {
             Kind::Settings => Settings::parse(&name, &text).err(),
@@ -120,9 +115,7 @@
 pub(crate) fn write_faults(faults: &Faults, out: &mut impl io::Write) -> io::Result<()> {
     let handler = GraphicalReportHandler::new_themed(GraphicalTheme::unicode_nocolor());
     let mut text = String::new();
-    handler
-        .render_report(&mut text, faults)
-        .map_err(io::Error::other)?;
+    handler.render_report(&mut text, faults).map_err(io::Error::other)?;
     out.write_all(text.as_bytes())
 }
 
--- a/sl-core/src/cli.rs
+++ b/sl-core/src/cli.rs
@@ -153,10 +153,7 @@
 }
 
 fn wait_for(work: impl Future<Output = Result<Exit, Error>>) -> Result<Exit, Error> {
-    tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()?
-        .block_on(work)
+    tokio::runtime::Builder::new_current_thread().enable_all().build()?.block_on(work)
 }
 
 async fn template(command: &Template, out: &mut impl Write) -> Result<Exit, Error> {
--- a/sl-core/src/cli/args.rs
+++ b/sl-core/src/cli/args.rs
@@ -125,11 +125,7 @@
         "Write a draft with an editor, from a file, or to remove a template.",
         edit(),
     );
-    let diff = action(
-        "diff",
-        "Show what a draft changes.",
-        name().map(Action::Diff),
-    );
+    let diff = action("diff", "Show what a draft changes.", name().map(Action::Diff));
     let accept = action("accept", "Put drafts in force, all or none.", accept());
     let history = action("history", "Tell who accepted what.", history());
     let discard = action("discard", "Remove a draft.", discard());
@@ -152,15 +148,11 @@
 ) -> impl Parser<Command> {
     let platform = platform();
     let form = form();
-    construct!(Template {
-        platform,
-        form,
-        action
-    })
-    .map(Command::Template)
-    .to_options()
-    .descr(descr)
-    .command(name)
+    construct!(Template { platform, form, action })
+        .map(Command::Template)
+        .to_options()
+        .descr(descr)
+        .command(name)
 }
 
 fn show() -> impl Parser<Action> {
@@ -179,19 +171,10 @@
     let removal = removal();
     let source = construct!([file, removal]).fallback(edit::Source::Editor);
     let by = by();
-    let replace = long("replace")
-        .help("Overwrite somebody else's draft")
-        .switch();
+    let replace = long("replace").help("Overwrite somebody else's draft").switch();
     let editor = pure(editor());
     let name = name();
-    construct!(edit::Options {
-        source,
-        by,
-        replace,
-        editor,
-        name
-    })
-    .map(Action::Edit)
+    construct!(edit::Options { source, by, replace, editor, name }).map(Action::Edit)
 }
 
 fn editor() -> Option<String> {
@@ -216,11 +199,7 @@
 
 fn accept() -> impl Parser<Action> {
     let by = by();
-    let wait = millis(
-        "wait-ms",
-        "How long to wait for every instance",
-        ACCEPT_WAIT,
-    );
+    let wait = millis("wait-ms", "How long to wait for every instance", ACCEPT_WAIT);
     let operator = operator(instance()).optional();
     let names = positional::<String>("NAME")
         .help("The templates whose drafts to accept together")
@@ -290,10 +269,8 @@
 }
 
 fn report() -> impl Parser<Command> {
-    let svg = long("svg")
-        .help("Write a plot to this file, too")
-        .argument::<PathBuf>("FILE")
-        .optional();
+    let svg =
+        long("svg").help("Write a plot to this file, too").argument::<PathBuf>("FILE").optional();
     let options = construct!(report::Options { svg });
     ask(instance(), options)
         .map(Command::Report)
@@ -311,11 +288,7 @@
     // The address may be a positional item, and those come last.
     let rest = construct!(form, options);
     let operator = operator(address);
-    construct!(rest, operator).map(|((form, options), operator)| Ask {
-        operator,
-        options,
-        form,
-    })
+    construct!(rest, operator).map(|((form, options), operator)| Ask { operator, options, form })
 }
 
 fn operator(address: impl Parser<String> + 'static) -> impl Parser<operator::Options> {
@@ -324,16 +297,8 @@
         .argument::<PathBuf>("FILE")
         .complete_shell(ShellComp::File { mask: None })
         .optional();
-    let answer_within = millis(
-        "answer-within-ms",
-        "How long an answer may take",
-        ANSWER_WITHIN,
-    );
-    construct!(operator::Options {
-        key_file,
-        answer_within,
-        address
-    })
+    let answer_within = millis("answer-within-ms", "How long an answer may take", ANSWER_WITHIN);
+    construct!(operator::Options { key_file, answer_within, address })
 }
 
 fn instance() -> impl Parser<String> {
@@ -348,15 +313,8 @@
         .env(PLATFORM_ENV)
         .help("The address of the platform's key-value service")
         .argument::<String>("URL");
-    let call_within = millis(
-        "call-within-ms",
-        "How long a call to it may take",
-        CALL_WITHIN,
-    );
-    construct!(store::Options {
-        address,
-        call_within
-    })
+    let call_within = millis("call-within-ms", "How long a call to it may take", CALL_WITHIN);
+    construct!(store::Options { address, call_within })
 }
 
 fn by() -> impl Parser<String> {
@@ -383,22 +341,13 @@
 }
 
 fn form() -> impl Parser<Form> {
-    long("json")
-        .help("Write JSON for programs")
-        .flag(Form::Json, Form::Text)
+    long("json").help("Write JSON for programs").flag(Form::Json, Form::Text)
 }
 
 fn millis(name: &'static str, help: &'static str, default: Millis) -> impl Parser<Millis> {
-    long(name)
-        .help(help)
-        .argument::<u64>("MS")
-        .map(Millis)
-        .fallback(default)
-        .display_fallback()
+    long(name).help(help).argument::<u64>("MS").map(Millis).fallback(default).display_fallback()
 }
 
 fn ini_files() -> ShellComp {
-    ShellComp::File {
-        mask: Some("*.ini"),
-    }
+    ShellComp::File { mask: Some("*.ini") }
 }
--- a/sl-core/src/operator.rs
+++ b/sl-core/src/operator.rs
@@ -102,9 +102,7 @@
             None => KeySource::Env(KEY_ENV.to_owned()),
         };
         let file = |path: PathBuf| -> io::Result<String> { std::fs::read_to_string(path) };
-        let key = source
-            .read(file, |name| std::env::var(name))
-            .map_err(Error::Key)?;
+        let key = source.read(file, |name| std::env::var(name)).map_err(Error::Key)?;
         let http = reqwest::Client::builder()
             .no_proxy()
             .redirect(reqwest::redirect::Policy::none())
@@ -123,10 +121,8 @@
 
     pub(crate) async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, Error> {
         let body = self.send(self.request(Method::GET, path)).await?;
-        serde_json::from_str(&body).map_err(|source| Error::Malformed {
-            address: self.base.clone(),
-            source,
-        })
+        serde_json::from_str(&body)
+            .map_err(|source| Error::Malformed { address: self.base.clone(), source })
     }
 
     pub(crate) async fn post(&self, path: &str) -> Result<(), Error> {
@@ -136,25 +132,17 @@
 
     fn request(&self, method: Method, path: &str) -> RequestBuilder {
         let url = format!("{}{path}", self.base);
-        self.http
-            .request(method, url)
-            .bearer_auth(self.key.expose())
+        self.http.request(method, url).bearer_auth(self.key.expose())
     }
 
     async fn send(&self, request: RequestBuilder) -> Result<String, Error> {
         let address = self.base.clone();
-        let unreachable = |source| Error::Unreachable {
-            address: self.base.clone(),
-            source,
-        };
+        let unreachable = |source| Error::Unreachable { address: self.base.clone(), source };
         let response = request.send().await.map_err(unreachable)?;
         match response.status() {
             it if it.is_success() => response.text().await.map_err(unreachable),
             StatusCode::UNAUTHORIZED | StatusCode::FORBIDDEN => Err(Error::Refused(address)),
-            status => Err(Error::Status {
-                address,
-                status: status.as_u16(),
-            }),
+            status => Err(Error::Status { address, status: status.as_u16() }),
         }
     }
 }
--- a/sl-core/src/report.rs
+++ b/sl-core/src/report.rs
@@ -65,10 +65,7 @@
     let report: Report = operator.get("/report").await?;
     if let Some(path) = &options.svg {
         let svg = render::svg(&report)?;
-        fs::write(path, svg).map_err(|source| Error::Write {
-            path: path.clone(),
-            source,
-        })?;
+        fs::write(path, svg).map_err(|source| Error::Write { path: path.clone(), source })?;
     }
     Ok(Outcome { report })
 }
--- a/sl-core/src/run.rs
+++ b/sl-core/src/run.rs
@@ -69,9 +69,7 @@
 const WORKERS_MAX: usize = 4;
 
 fn read(path: &PathBuf) -> Result<Settings, Error> {
-    let text = fs::read_to_string(path).map_err(|source| Error::Read {
-        path: path.clone(),
-        source,
-    })?;
+    let text =
+        fs::read_to_string(path).map_err(|source| Error::Read { path: path.clone(), source })?;
     Ok(Settings::parse(&path.display().to_string(), &text)?)
 }
--- a/sl-core/src/status/table.rs
+++ b/sl-core/src/status/table.rs
@@ -104,11 +104,7 @@
         sum.waiting_bytes += team.waiting_bytes;
         sum.running += team.running;
     }
-    writeln!(
-        out,
-        "{:<20} {:>8} {:>14} {:>8}",
-        "team", "waiting", "waiting bytes", "running"
-    )?;
+    writeln!(out, "{:<20} {:>8} {:>14} {:>8}", "team", "waiting", "waiting bytes", "running")?;
     for (name, sum) in sums {
         writeln!(
             out,
--- a/sl-core/src/store.rs
+++ b/sl-core/src/store.rs
@@ -42,10 +42,7 @@
     /// Where the HTTP library cannot be set up.
     pub fn new(options: &Options) -> Result<Platform, reqwest::Error> {
         let client = sl_platform::Client::new(sl_platform::Options::new(&*options.address))?;
-        Ok(Platform {
-            client,
-            within: options.call_within,
-        })
+        Ok(Platform { client, within: options.call_within })
     }
 }
 
--- a/sl-core/src/template/accept.rs
+++ b/sl-core/src/template/accept.rs
@@ -153,13 +153,7 @@
         Some(operator) => Some(wait(operator, revision, options.wait).await?),
         None => None,
     };
-    Ok(Outcome {
-        revision,
-        changed,
-        change,
-        behind,
-        drafts_left,
-    })
+    Ok(Outcome { revision, changed, change, behind, drafts_left })
 }
 
 async fn drafts(
@@ -210,10 +204,7 @@
         (Ok(before), Ok(now)) => diff::unified(&before, &now, "base", "accepted"),
         _ => "(its pages cannot be read)".to_owned(),
     };
-    Error::Conflict {
-        conflict: conflict.into(),
-        between,
-    }
+    Error::Conflict { conflict: conflict.into(), between }
 }
 
 /// Removes accepted drafts; the names of those that could not be.
--- a/sl-core/src/template/diff.rs
+++ b/sl-core/src/template/diff.rs
@@ -46,19 +46,9 @@
     Ok(Outcome {
         name: name.to_owned(),
         base: draft.base,
-        draft: unified(
-            &base,
-            &text,
-            &at(name, draft.base),
-            &format!("{name} draft"),
-        ),
+        draft: unified(&base, &text, &at(name, draft.base), &format!("{name} draft")),
         theirs: head.changes_since(name, draft.base),
-        between: unified(
-            &base,
-            &accepted,
-            &at(name, draft.base),
-            &at(name, head.revision),
-        ),
+        between: unified(&base, &accepted, &at(name, draft.base), &at(name, head.revision)),
     })
 }
 
@@ -94,11 +84,7 @@
         }
         writeln!(out, "\naccepted since, so that the draft cannot be:")?;
         for change in &self.theirs {
-            writeln!(
-                out,
-                "  revision {} by {}",
-                change.revision, change.accepted_by
-            )?;
+            writeln!(out, "  revision {} by {}", change.revision, change.accepted_by)?;
         }
         out.write_all(self.between.as_bytes())
     }
--- a/sl-core/src/template/discard.rs
+++ b/sl-core/src/template/discard.rs
@@ -50,9 +50,7 @@
     ///
     /// Those of `out`.
     pub fn write(&self, form: Form, out: &mut impl io::Write) -> io::Result<()> {
-        let Draft {
-            name, written_by, ..
-        } = &self.discarded;
+        let Draft { name, written_by, .. } = &self.discarded;
         match form {
             Form::Json => output::json(out, self),
             Form::Text => writeln!(out, "discarded the draft of `{name}` by {written_by}"),
--- a/sl-core/src/template/edit.rs
+++ b/sl-core/src/template/edit.rs
@@ -135,10 +135,8 @@
     if !parse::is_template_name(&options.name) {
         return Err(Error::Name(options.name.clone()));
     }
-    let ground = Ground {
-        head: read::head(store).await?,
-        draft: read::draft(store, &options.name).await?,
-    };
+    let ground =
+        Ground { head: read::head(store).await?, draft: read::draft(store, &options.name).await? };
     check_draft(&ground, options)?;
     let (base, text) = match &options.source {
         Source::Editor => match edited(store, &ground, options).await? {
@@ -154,11 +152,7 @@
 }
 
 fn outcome(options: &Options, base: Revision, written: bool) -> Outcome {
-    Outcome {
-        name: options.name.clone(),
-        base,
-        written,
-    }
+    Outcome { name: options.name.clone(), base, written }
 }
 
 fn check_draft(ground: &Ground, options: &Options) -> Result<(), Error> {
@@ -175,10 +169,8 @@
 }
 
 fn from_file(options: &Options, path: &Path) -> Result<String, Error> {
-    let text = fs::read_to_string(path).map_err(|source| Error::Read {
-        path: path.to_owned(),
-        source,
-    })?;
+    let text =
+        fs::read_to_string(path).map_err(|source| Error::Read { path: path.to_owned(), source })?;
     let read = Template::parse(&options.name, &text);
     read.map_err(|it| super::Error::Faults(it.named(&path.display().to_string())))?;
     Ok(text)
@@ -197,10 +189,8 @@
             (ground.head.revision, read::text(store, page).await?)
         }
     };
-    let mut file = tempfile::Builder::new()
-        .prefix(&format!("{}-", options.name))
-        .suffix(".ini")
-        .tempfile()?;
+    let mut file =
+        tempfile::Builder::new().prefix(&format!("{}-", options.name)).suffix(".ini").tempfile()?;
     file.write_all(before.as_bytes())?;
     file.flush()?;
     run_editor(options.editor.as_deref(), file.path())?;
@@ -262,10 +252,9 @@
     let key = Draft::key(&draft.name);
     // An edit of the draft makes sure that its text fits a page.
     draft.edit()?;
-    let value = draft.encode().map_err(|e| super::Error::Damaged {
-        key: key.clone(),
-        why: e.to_string(),
-    })?;
+    let value = draft
+        .encode()
+        .map_err(|e| super::Error::Damaged { key: key.clone(), why: e.to_string() })?;
     let expect = ground.draft.as_ref().map_or(Version::ABSENT, |it| it.0);
     match store::swap(store, &key, expect, Some(&value)).await {
         Swapped::Done => Ok(()),
--- a/sl-core/src/template/history.rs
+++ b/sl-core/src/template/history.rs
@@ -30,10 +30,7 @@
     let head = read::head(store).await?;
     let touches = |it: &&Change| name.is_none_or(|name| it.swaps.iter().any(|it| it.name == name));
     let changes = head.history.iter().rev().filter(touches);
-    Ok(Outcome {
-        revision: head.revision,
-        changes: changes.cloned().collect(),
-    })
+    Ok(Outcome { revision: head.revision, changes: changes.cloned().collect() })
 }
 
 impl Outcome {
--- a/sl-core/src/template/list.rs
+++ b/sl-core/src/template/list.rs
@@ -51,10 +51,7 @@
             draft_by: draft.map(|(_, it)| it.written_by),
         });
     }
-    Ok(Outcome {
-        revision: head.revision,
-        templates,
-    })
+    Ok(Outcome { revision: head.revision, templates })
 }
 
 impl Outcome {
--- a/sl-core/src/template/read.rs
+++ b/sl-core/src/template/read.rs
@@ -56,17 +56,11 @@
     let found = draft(store, name).await?;
     let (version, draft) = found.ok_or_else(|| Error::NoDraft(name.to_owned()))?;
     if draft.written_by != by {
-        return Err(Error::NotYours {
-            name: draft.name,
-            by: draft.written_by,
-        });
+        return Err(Error::NotYours { name: draft.name, by: draft.written_by });
     }
     Ok((version, draft))
 }
 
 fn damaged(key: &str, why: &impl ToString) -> Error {
-    Error::Damaged {
-        key: key.to_owned(),
-        why: why.to_string(),
-    }
+    Error::Damaged { key: key.to_owned(), why: why.to_string() }
 }
--- a/sl-core/src/template/show.rs
+++ b/sl-core/src/template/show.rs
@@ -52,11 +52,7 @@
     if options.which == Which::Draft {
         let draft = read::draft(store, &name).await?;
         let (_, draft) = draft.ok_or_else(|| Error::NoDraft(name.clone()))?;
-        return Ok(Outcome {
-            name,
-            revision: draft.base,
-            text: draft.text,
-        });
+        return Ok(Outcome { name, revision: draft.base, text: draft.text });
     }
     let head = read::head(store).await?;
     let revision = match options.which {
@@ -72,11 +68,7 @@
     let hash = head.page_at(&name, revision);
     let hash = hash.ok_or_else(|| Error::NoTemplate(name.clone()))?;
     let page = read::page(store, hash).await?;
-    Ok(Outcome {
-        name,
-        revision,
-        text: Some(page.text().to_owned()),
-    })
+    Ok(Outcome { name, revision, text: Some(page.text().to_owned()) })
 }
 
 impl Outcome {
--- a/sl-core/tests/it/check.rs
+++ b/sl-core/tests/it/check.rs
@@ -12,11 +12,7 @@
 fn checked(dir: &tempfile::TempDir, text: &str, form: Form) -> (Exit, String) {
     let path: PathBuf = dir.path().join("settings.ini");
     fs::write(&path, text).unwrap();
-    let options = Options {
-        kind: Kind::Settings,
-        files: vec![path],
-        form,
-    };
+    let options = Options { kind: Kind::Settings, files: vec![path], form };
     let outcome = check(&options).unwrap();
     let mut out = Vec::new();
     outcome.write(form, &mut out).unwrap();
--- a/sl-core/tests/it/instance.rs
+++ b/sl-core/tests/it/instance.rs
@@ -96,10 +96,7 @@
     fs::write(&path, text).unwrap();
     let options = edit::Options {
         name: "a".to_owned(),
-        source: edit::Source::File {
-            path,
-            base: Revision(0),
-        },
+        source: edit::Source::File { path, base: Revision(0) },
         by: "gwen".to_owned(),
         replace: false,
         editor: None,
@@ -181,9 +178,7 @@
     fleet.instances[0].isolated = true;
     fleet.instances[1].stopping = true;
     let mut out = Vec::new();
-    status::Outcome { fleet }
-        .write(Form::Text, &mut out)
-        .unwrap();
+    status::Outcome { fleet }.write(Form::Text, &mut out).unwrap();
     let out = String::from_utf8(out).unwrap();
     for state in ["isolated", "stopping", "ready", "no answer"] {
         assert!(out.contains(state), "{state} is not in\n{out}");
--- a/sl-core/tests/it/template.rs
+++ b/sl-core/tests/it/template.rs
@@ -28,13 +28,7 @@
 }
 
 fn options(name: &str, by: &str, source: edit::Source) -> edit::Options {
-    edit::Options {
-        name: name.to_owned(),
-        source,
-        by: by.to_owned(),
-        replace: false,
-        editor: None,
-    }
+    edit::Options { name: name.to_owned(), source, by: by.to_owned(), replace: false, editor: None }
 }
 
 async fn draft(
@@ -69,10 +63,7 @@
 }
 
 async fn discarded(store: &Memory, name: &str) -> Result<discard::Outcome, template::Error> {
-    let options = discard::Options {
-        name: name.to_owned(),
-        of: "gwen".to_owned(),
-    };
+    let options = discard::Options { name: name.to_owned(), of: "gwen".to_owned() };
     discard::discard(store, &options).await
 }
 
@@ -180,10 +171,7 @@
     let error = accept(&store, &["a", "b"]).await.unwrap_err();
     assert_eq!(error.exit(), Exit::Faults);
     let report = format!("{:?}", miette::Report::new(error));
-    assert!(
-        report.contains("the team `t` stands in `a` and in `b`"),
-        "{report}"
-    );
+    assert!(report.contains("the team `t` stands in `a` and in `b`"), "{report}");
     assert!(store.get("config/head").is_none());
 
     draft(&store, "b", "gwen", &text("u", 1), 0).await.unwrap();
@@ -196,9 +184,7 @@
 async fn a_draft_of_another_is_not_overwritten_unasked() {
     let store = Memory::default();
     draft(&store, "a", "gwen", &text("t", 1), 0).await.unwrap();
-    let error = draft(&store, "a", "huw", &text("t", 2), 0)
-        .await
-        .unwrap_err();
+    let error = draft(&store, "a", "huw", &text("t", 2), 0).await.unwrap_err();
     assert_eq!(error.exit(), Exit::Conflict);
     let kept = shown(&store, "a", show::Which::Draft).await.unwrap();
     assert_eq!(kept, text("t", 1));
--- a/sl-fair/src/charge.rs
+++ b/sl-fair/src/charge.rs
@@ -16,12 +16,7 @@
 impl Fair {
     pub(crate) fn charge(&mut self, now: Timestamp, item: &Item) {
         let share = self.rules.get(&item.team).map_or(1, |rule| rule.share);
-        let charge = Charge {
-            pool: item.pool,
-            team: item.team,
-            share,
-            units: 0,
-        };
+        let charge = Charge { pool: item.pool, team: item.team, share, units: 0 };
         self.charges.insert(item.request, charge);
         self.correct(item.request, item.hint);
         let pool = self.pools.entry(item.pool).or_default();
--- a/sl-fair/src/exchange.rs
+++ b/sl-fair/src/exchange.rs
@@ -91,18 +91,10 @@
             let entries: Vec<Entry> = state
                 .accounts()
                 .filter(|(_, account)| account.own_version > acked)
-                .map(|(team, account)| Entry {
-                    team,
-                    given: account.own,
-                    waiting: account.waiting,
-                })
+                .map(|(team, account)| Entry { team, given: account.own, waiting: account.waiting })
                 .collect();
             if !entries.is_empty() {
-                rows.push(PoolRow {
-                    pool,
-                    floor: state.floor,
-                    entries,
-                });
+                rows.push(PoolRow { pool, floor: state.floor, entries });
             }
         }
         rows
@@ -114,11 +106,7 @@
             let changed = state.accounts().filter(|(_, account)| {
                 account.lift > Service::ZERO && (acked == 0 || account.lift_version > acked)
             });
-            lifts.extend(changed.map(|(team, account)| Lift {
-                pool,
-                team,
-                lift: account.lift,
-            }));
+            lifts.extend(changed.map(|(team, account)| Lift { pool, team, lift: account.lift }));
         }
         lifts
     }
@@ -142,9 +130,7 @@
             return;
         }
         if self.ledger.open(now, life) {
-            self.peers
-                .entry(from)
-                .and_modify(|peer| *peer = Peer::default());
+            self.peers.entry(from).and_modify(|peer| *peer = Peer::default());
             for pool in self.pools.values_mut() {
                 pool.forget(from);
             }
@@ -217,11 +203,7 @@
                     self.apply(now, change);
                 }
             }
-            self.ledger.close(
-                now,
-                (row.of, row.life),
-                &self.peers.keys().copied().collect(),
-            );
+            self.ledger.close(now, (row.of, row.life), &self.peers.keys().copied().collect());
         }
     }
 
--- a/sl-fair/src/fair.rs
+++ b/sl-fair/src/fair.rs
@@ -54,10 +54,7 @@
     }
 
     pub(crate) fn aging(&self) -> Aging {
-        Aging {
-            wait: self.order_wait,
-            every: self.order_every,
-        }
+        Aging { wait: self.order_wait, every: self.order_every }
     }
 }
 
@@ -108,17 +105,10 @@
     /// Names the other live instances: a row of one that left no longer changes, and its
     /// waiting work no longer counts.
     pub fn set_members(&mut self, now: Timestamp, members: &[InstanceId]) {
-        let others: BTreeSet<InstanceId> = members
-            .iter()
-            .copied()
-            .filter(|&member| member != self.options.me)
-            .collect();
-        let gone: Vec<InstanceId> = self
-            .peers
-            .keys()
-            .copied()
-            .filter(|peer| !others.contains(peer))
-            .collect();
+        let others: BTreeSet<InstanceId> =
+            members.iter().copied().filter(|&member| member != self.options.me).collect();
+        let gone: Vec<InstanceId> =
+            self.peers.keys().copied().filter(|peer| !others.contains(peer)).collect();
         for peer in gone {
             self.peers.remove(&peer);
             self.on_end(now, peer);
@@ -173,15 +163,12 @@
 
     /// The team's fleet-wide virtual time.
     pub fn time(&self, pool: PoolId, team: TeamId) -> Service {
-        self.account(pool, team)
-            .map(Account::time)
-            .unwrap_or_default()
+        self.account(pool, team).map(Account::time).unwrap_or_default()
     }
 
     /// Service that this life gave the team, in the route's cost unit.
     pub fn own_units(&self, pool: PoolId, team: TeamId) -> u64 {
-        self.account(pool, team)
-            .map_or(0, |account| account.own_units)
+        self.account(pool, team).map_or(0, |account| account.own_units)
     }
 
     /// Requests of the team that wait here for the pool.
@@ -205,9 +192,7 @@
 
     /// When [`Self::expired`] or [`Self::tick`] has something to do.
     pub fn due(&self) -> Timestamp {
-        self.queues
-            .due()
-            .min(self.ledger.due(self.options.fold_after))
+        self.queues.due().min(self.ledger.due(self.options.fold_after))
     }
 
     /// Folds rows of lives that ended long ago.
--- a/sl-fair/src/ledger.rs
+++ b/sl-fair/src/ledger.rs
@@ -63,10 +63,7 @@
         (version, given): (u64, Service),
     ) -> Option<Change> {
         let resumed = self.folded.contains(&life);
-        let row = self.rows.entry(life).or_insert(Row {
-            resumed,
-            ..Row::default()
-        });
+        let row = self.rows.entry(life).or_insert(Row { resumed, ..Row::default() });
         let fresh = !row.entries.contains_key(&key);
         let cell = row.entries.entry(key).or_default();
         if !fresh && version < cell.version {
@@ -79,12 +76,7 @@
         cell.version = version;
         cell.given = given;
         cell.taken_at = now;
-        Some(Change {
-            pool: key.0,
-            team: key.1,
-            before,
-            after: cell.given.minus(cell.skip),
-        })
+        Some(Change { pool: key.0, team: key.1, before, after: cell.given.minus(cell.skip) })
     }
 
     /// Whether a life of `instance` after `life` is known.
@@ -99,15 +91,10 @@
     pub fn open(&mut self, now: Timestamp, (instance, life): Life) -> bool {
         let new = !self.rows.contains_key(&(instance, life));
         let resumed = self.folded.contains(&(instance, life));
-        let row = self.rows.entry((instance, life)).or_insert(Row {
-            resumed,
-            ..Row::default()
-        });
+        let row = self.rows.entry((instance, life)).or_insert(Row { resumed, ..Row::default() });
         row.ended = None;
         if new {
-            let earlier = self
-                .rows
-                .range_mut((instance, Incarnation(0))..(instance, life));
+            let earlier = self.rows.range_mut((instance, Incarnation(0))..(instance, life));
             for (_, row) in earlier {
                 row.ended.get_or_insert(now);
             }
@@ -220,12 +207,7 @@
         }
         for &Lift { pool, team, lift } in &snapshot.base {
             let before = self.base.insert((pool, team), lift).unwrap_or_default();
-            changes.push(Change {
-                pool,
-                team,
-                before,
-                after: lift,
-            });
+            changes.push(Change { pool, team, before, after: lift });
         }
         changes
     }
@@ -253,7 +235,6 @@
     }
 
     fn rows_of(&mut self, instance: InstanceId) -> impl Iterator<Item = (&Life, &mut Row)> {
-        self.rows
-            .range_mut((instance, Incarnation(0))..=(instance, Incarnation(u64::MAX)))
+        self.rows.range_mut((instance, Incarnation(0))..=(instance, Incarnation(u64::MAX)))
     }
 }
--- a/sl-fair/src/pool.rs
+++ b/sl-fair/src/pool.rs
@@ -122,10 +122,7 @@
 
     /// What waits on this instance.
     pub fn need(&self) -> Need {
-        Need {
-            waiting: self.waiting,
-            least: self.least_local().unwrap_or_default().0,
-        }
+        Need { waiting: self.waiting, least: self.least_local().unwrap_or_default().0 }
     }
 
     /// What waits on each other instance. One that served nothing of a waiting team since
@@ -135,10 +132,7 @@
         let mut needs = BTreeMap::new();
         for &(time, team) in &self.fleet {
             for (&instance, elsewhere) in &self.accounts[&team].elsewhere {
-                let need = needs.entry(instance).or_insert(Need {
-                    waiting: 0,
-                    least: time.0,
-                });
+                let need = needs.entry(instance).or_insert(Need { waiting: 0, least: time.0 });
                 need.waiting = need.waiting.saturating_add(elsewhere.waiting);
                 if elsewhere.unserved_since <= starving {
                     need.least = 0;
--- a/sl-fair/src/queue.rs
+++ b/sl-fair/src/queue.rs
@@ -72,14 +72,10 @@
 impl Queues {
     /// Whether `item` fits within `limits`.
     pub fn admit(&self, item: &Item, limits: Limits) -> Result<(), Error> {
-        let (requests, bytes) = self
-            .usage
-            .get(&item.team)
-            .map_or((0, 0), |usage| (usage.requests, usage.bytes));
+        let (requests, bytes) =
+            self.usage.get(&item.team).map_or((0, 0), |usage| (usage.requests, usage.bytes));
         if requests >= limits.requests {
-            return Err(Error::QueueFull {
-                max: limits.requests,
-            });
+            return Err(Error::QueueFull { max: limits.requests });
         }
         if bytes.saturating_add(item.bytes) > limits.bytes {
             return Err(Error::QueueBytesFull { max: limits.bytes });
@@ -164,9 +160,7 @@
 
     /// How many requests of the team wait for the pool.
     pub fn waiting(&self, pool: PoolId, team: TeamId) -> u32 {
-        self.lines
-            .get(&(pool, team))
-            .map_or(0, |line| line.by_age.len() as u32)
+        self.lines.get(&(pool, team)).map_or(0, |line| line.by_age.len() as u32)
     }
 
     /// Takes out one request whose time to wait is over.
--- a/sl-fair/tests/it/exchange.rs
+++ b/sl-fair/tests/it/exchange.rs
@@ -16,9 +16,7 @@
 
 /// Some cases with a fixed seed; more by `SESAMELOCK_SEEDS`.
 fn config() -> Config {
-    let cases = std::env::var("SESAMELOCK_SEEDS")
-        .ok()
-        .and_then(|seeds| seeds.parse().ok());
+    let cases = std::env::var("SESAMELOCK_SEEDS").ok().and_then(|seeds| seeds.parse().ok());
     Config {
         cases: cases.unwrap_or(64),
         rng_seed: RngSeed::Fixed(4),
@@ -109,12 +107,7 @@
     fn report(&mut self, from: usize, to: usize) {
         let at = at(self.step);
         if let Some(report) = self.nodes[from].report(at, instance(to)) {
-            self.wire.push(Sent {
-                from,
-                to,
-                at,
-                report,
-            });
+            self.wire.push(Sent { from, to, at, report });
         }
     }
 
@@ -145,9 +138,7 @@
     }
 
     fn times(&self, node: usize) -> Vec<Service> {
-        (0..TEAMS)
-            .map(|n| self.nodes[node].time(POOL, team(n)))
-            .collect()
+        (0..TEAMS).map(|n| self.nodes[node].time(POOL, team(n))).collect()
     }
 }
 
@@ -297,21 +288,13 @@
     serve(&mut nodes[0], 1, 500);
     nodes[0].enqueue(at(0), item(2, 0, 1)).unwrap();
     exchange(&mut nodes, at(1), &[(0, 1), (1, 0)]);
-    assert!(
-        nodes[1]
-            .needs_elsewhere(at(4), POOL)
-            .contains_key(&instance(0))
-    );
+    assert!(nodes[1].needs_elsewhere(at(4), POOL).contains_key(&instance(0)));
     nodes[1].set_members(at(2), &[instance(1)]);
     assert!(nodes[1].needs_elsewhere(at(4), POOL).is_empty());
     let both: [InstanceId; 2] = [instance(0), instance(1)];
     nodes[1].set_members(at(3), &both);
     exchange(&mut nodes, at(4), &[(1, 0), (0, 1)]);
-    assert!(
-        nodes[1]
-            .needs_elsewhere(at(4), POOL)
-            .contains_key(&instance(0))
-    );
+    assert!(nodes[1].needs_elsewhere(at(4), POOL).contains_key(&instance(0)));
 }
 
 /// Sixteen teams on each of nine instances, all of them busy: bytes of a second's reports.
@@ -324,10 +307,8 @@
         let now = at(second * 1_000);
         for n in 0..16 {
             let request = second * 100 + n;
-            node.enqueue(now, item(request, n as usize, 50_000))
-                .unwrap();
-            node.enqueue(now, item(request + 50, n as usize, 50_000))
-                .unwrap();
+            node.enqueue(now, item(request, n as usize, 50_000)).unwrap();
+            node.enqueue(now, item(request + 50, n as usize, 50_000)).unwrap();
             node.pick(now, POOL).unwrap();
         }
         sent = 0;
--- a/sl-fair/tests/it/fair.rs
+++ b/sl-fair/tests/it/fair.rs
@@ -17,20 +17,14 @@
     for n in 0..40 {
         fair.enqueue(at(0), item(n, (n % 2) as usize, 30)).unwrap();
     }
-    let of_second = picks(&mut fair, 20)
-        .into_iter()
-        .filter(|n| n % 2 == 1)
-        .count();
+    let of_second = picks(&mut fair, 20).into_iter().filter(|n| n % 2 == 1).count();
     assert_eq!(of_second, 15);
 }
 
 #[rstest]
 fn limits_are_kept_and_say_which() {
     let mut fair = fair(0, 1, &[1]);
-    let big = Item {
-        bytes: 10_001,
-        ..item(0, 0, 1)
-    };
+    let big = Item { bytes: 10_001, ..item(0, 0, 1) };
     let refused = fair.enqueue(at(0), big).unwrap_err();
     assert_eq!(refused, Error::QueueBytesFull { max: 10_000 });
     for n in 0..50 {
@@ -46,38 +40,22 @@
 #[rstest]
 fn lower_orders_go_first_and_old_requests_get_a_turn() {
     let mut fair = fair(0, 1, &[1]);
-    let ordered = |n, order, since| Item {
-        order,
-        since: at(since),
-        ..item(n, 0, 1)
-    };
+    let ordered = |n, order, since| Item { order, since: at(since), ..item(n, 0, 1) };
     fair.enqueue(at(0), ordered(1, 2, 0)).unwrap();
     for n in 2..20 {
         fair.enqueue(at(4_000), ordered(n, 1, 4_000)).unwrap();
     }
     assert_eq!(fair.pick(at(4_000), POOL).unwrap().item.request.0, 2);
-    let late: Vec<u64> = (0..4)
-        .map(|_| fair.pick(at(5_000), POOL).unwrap().item.request.0)
-        .collect();
+    let late: Vec<u64> =
+        (0..4).map(|_| fair.pick(at(5_000), POOL).unwrap().item.request.0).collect();
     assert!(late.contains(&1), "{late:?}");
-    assert_eq!(
-        late.iter().filter(|&&n| n != 1).count(),
-        3,
-        "the order stands for the rest"
-    );
+    assert_eq!(late.iter().filter(|&&n| n != 1).count(), 3, "the order stands for the rest");
 }
 
 #[rstest]
 fn expired_and_removed_requests_are_gone() {
     let mut fair = fair(0, 1, &[1]);
-    fair.enqueue(
-        at(0),
-        Item {
-            expires: at(10),
-            ..item(1, 0, 1)
-        },
-    )
-    .unwrap();
+    fair.enqueue(at(0), Item { expires: at(10), ..item(1, 0, 1) }).unwrap();
     fair.enqueue(at(0), item(2, 0, 1)).unwrap();
     assert_eq!(fair.due(), at(10));
     assert!(fair.expired(at(9)).is_empty());
@@ -153,10 +131,8 @@
 /// Without the guard the small team would wait for a thousand times its request's cost.
 #[rstest]
 fn a_starving_team_gets_a_turn() {
-    let options = Options {
-        starve_wait: Millis(30_000),
-        ..Options::of(instance(0), Incarnation(1))
-    };
+    let options =
+        Options { starve_wait: Millis(30_000), ..Options::of(instance(0), Incarnation(1)) };
     let mut fair = with(options, 1, &[1, 1_000]);
     for n in 0..3 {
         fair.enqueue(at(0), item(n, 0, 10_000)).unwrap();
@@ -164,22 +140,8 @@
     let mut starved = 0;
     for n in 100..2_000 {
         let now = at(n * 100);
-        fair.enqueue(
-            now,
-            Item {
-                since: now,
-                ..item(n, 1, 100)
-            },
-        )
-        .unwrap();
-        fair.enqueue(
-            now,
-            Item {
-                since: now,
-                ..item(n + 5_000, 1, 100)
-            },
-        )
-        .unwrap();
+        fair.enqueue(now, Item { since: now, ..item(n, 1, 100) }).unwrap();
+        fair.enqueue(now, Item { since: now, ..item(n + 5_000, 1, 100) }).unwrap();
         let picked = fair.pick(now, POOL).unwrap();
         starved += usize::from(picked.starved);
         let other = fair.pick(now, POOL).unwrap();
@@ -192,21 +154,12 @@
 fn peek_names_what_pick_takes() {
     let mut fair = fair(0, 1, &[1, 2, 5]);
     for n in 0..60 {
-        fair.enqueue(
-            at(0),
-            Item {
-                order: (n % 4) as u8,
-                ..item(n, (n % 3) as usize, 7 + n)
-            },
-        )
-        .unwrap();
+        fair.enqueue(at(0), Item { order: (n % 4) as u8, ..item(n, (n % 3) as usize, 7 + n) })
+            .unwrap();
     }
     for n in 0..60 {
         let now = at(n * 1_000);
         let peeked = fair.peek(now, POOL);
-        assert_eq!(
-            peeked,
-            fair.pick(now, POOL).map(|picked| picked.item.request)
-        );
+        assert_eq!(peeked, fair.pick(now, POOL).map(|picked| picked.item.request));
     }
 }
--- a/sl-fair/tests/it/main.rs
+++ b/sl-fair/tests/it/main.rs
@@ -21,10 +21,7 @@
 }
 
 pub(crate) fn rules(shares: &[u32]) -> Vec<(TeamId, Rule)> {
-    let limits = Limits {
-        requests: 50,
-        bytes: 10_000,
-    };
+    let limits = Limits { requests: 50, bytes: 10_000 };
     let rule = |(n, &share)| (team(n), Rule { share, limits });
     shares.iter().enumerate().map(rule).collect()
 }
--- a/sl-front/src/answer.rs
+++ b/sl-front/src/answer.rs
@@ -113,12 +113,8 @@
 }
 
 /// Content types whose readers want each piece at once.
-const STREAMED_TYPES: [&str; 4] = [
-    "application/x-ndjson",
-    "application/ndjson",
-    "application/jsonl",
-    "application/json-seq",
-];
+const STREAMED_TYPES: [&str; 4] =
+    ["application/x-ndjson", "application/ndjson", "application/jsonl", "application/json-seq"];
 
 fn has_type(head: &Head, types: &[&str]) -> bool {
     head.headers
--- a/sl-front/src/body.rs
+++ b/sl-front/src/body.rs
@@ -32,13 +32,7 @@
 
 impl<N: Node> Watch<N> {
     pub(crate) fn new(node: N, request: RequestId, pass: Pass, caller: Caller) -> Watch<N> {
-        Watch {
-            node,
-            request,
-            ended: false,
-            _pass: pass,
-            _caller: caller,
-        }
+        Watch { node, request, ended: false, _pass: pass, _caller: caller }
     }
 
     /// The daemon said its last word; there is nobody left to tell.
--- a/sl-front/src/connection.rs
+++ b/sl-front/src/connection.rs
@@ -51,10 +51,7 @@
 impl Callers {
     pub(crate) fn enter(&self, request: RequestId, connection: Connection) -> Caller {
         self.lock().insert(request, connection);
-        Caller {
-            callers: self.clone(),
-            request,
-        }
+        Caller { callers: self.clone(), request }
     }
 
     /// The request that came last.
@@ -116,12 +113,6 @@
 }
 
 fn address(storage: SockaddrStorage) -> Option<SocketAddr> {
-    let v4 = storage
-        .as_sockaddr_in()
-        .map(|it| SocketAddr::V4((*it).into()));
-    v4.or_else(|| {
-        storage
-            .as_sockaddr_in6()
-            .map(|it| SocketAddr::V6((*it).into()))
-    })
+    let v4 = storage.as_sockaddr_in().map(|it| SocketAddr::V4((*it).into()));
+    v4.or_else(|| storage.as_sockaddr_in6().map(|it| SocketAddr::V6((*it).into())))
 }
--- a/sl-front/src/door.rs
+++ b/sl-front/src/door.rs
@@ -45,20 +45,12 @@
 
 impl<N: Node + Unpin> Door<N> {
     pub(crate) fn new(node: N, gate: Gate, callers: Callers, limits: Limits) -> Door<N> {
-        Door {
-            node,
-            gate,
-            callers,
-            limits,
-        }
+        Door { node, gate, callers, limits }
     }
 
     /// One route a method, each for any path.
     pub(crate) fn routes(self) -> Vec<Route> {
-        METHODS
-            .into_iter()
-            .map(|method| Route::new(method, "/<_..>", self.clone()))
-            .collect()
+        METHODS.into_iter().map(|method| Route::new(method, "/<_..>", self.clone())).collect()
     }
 
     async fn take(
@@ -155,12 +147,7 @@
         let path = req.uri().path();
         let route = Config::route(template, method, path.as_str())?;
         let key = key(req, team, route)?;
-        Ok(Checked {
-            team: team.clone(),
-            route: route.clone(),
-            target,
-            key,
-        })
+        Ok(Checked { team: team.clone(), route: route.clone(), target, key })
     }
 
     /// Reads the body whole, or says why not.
@@ -195,10 +182,7 @@
             if bytes.len() == bytes.capacity() {
                 bytes.reserve(READ_BYTES);
             }
-            let n = body
-                .read_buf(&mut bytes)
-                .await
-                .map_err(|_| Code::BodyIncomplete)?;
+            let n = body.read_buf(&mut bytes).await.map_err(|_| Code::BodyIncomplete)?;
             if n == 0 {
                 break;
             }
@@ -283,27 +267,18 @@
     /// The daemon gave it, and counted it.
     Counted(Refusal),
     /// The door gave it.
-    Here {
-        refusal: Refusal,
-        label: Option<Label>,
-    },
+    Here { refusal: Refusal, label: Option<Label> },
 }
 
 impl Refused {
     fn new(code: Code, label: Label) -> Refused {
-        Refused::Here {
-            refusal: refusal(code),
-            label: Some(label),
-        }
+        Refused::Here { refusal: refusal(code), label: Some(label) }
     }
 }
 
 impl From<Code> for Refused {
     fn from(code: Code) -> Refused {
-        Refused::Here {
-            refusal: code.into(),
-            label: None,
-        }
+        Refused::Here { refusal: code.into(), label: None }
     }
 }
 
@@ -316,10 +291,7 @@
 
 impl Checked {
     fn label(&self) -> Label {
-        Label {
-            team: self.team.name.clone(),
-            route: self.route.name.clone(),
-        }
+        Label { team: self.team.name.clone(), route: self.route.name.clone() }
     }
 }
 
@@ -352,10 +324,7 @@
 }
 
 fn connection(req: &Request<'_>) -> Connection {
-    Connection {
-        port: req.rocket().config().port,
-        remote: req.remote(),
-    }
+    Connection { port: req.rocket().config().port, remote: req.remote() }
 }
 
 fn credential(req: &Request<'_>) -> Option<String> {
@@ -392,11 +361,7 @@
 }
 
 fn hint(req: &Request<'_>) -> Option<u64> {
-    req.headers()
-        .get_one(headers::COST_HINT)?
-        .parse()
-        .ok()
-        .filter(|&it| it > 0)
+    req.headers().get_one(headers::COST_HINT)?.parse().ok().filter(|&it| it > 0)
 }
 
 fn announced(req: &Request<'_>) -> Option<u64> {
--- a/sl-front/src/forward.rs
+++ b/sl-front/src/forward.rs
@@ -25,10 +25,7 @@
 
 /// The size of all headers as they stood on the wire, in bytes.
 pub(crate) fn size(req: &Request<'_>) -> usize {
-    req.headers()
-        .iter()
-        .map(|it| it.name.len() + it.value.len() + SEPARATORS)
-        .sum()
+    req.headers().iter().map(|it| it.name.len() + it.value.len() + SEPARATORS).sum()
 }
 
 /// Bytes around a header: a colon, a space and the line's end.
--- a/sl-front/src/gate.rs
+++ b/sl-front/src/gate.rs
@@ -46,10 +46,8 @@
     }
 
     pub(crate) fn enter(&self) -> Option<Pass> {
-        take(&self.0.requests, 1, self.0.requests_max).then(|| Pass {
-            gate: self.clone(),
-            bytes: 0,
-        })
+        take(&self.0.requests, 1, self.0.requests_max)
+            .then(|| Pass { gate: self.clone(), bytes: 0 })
     }
 }
 
--- a/sl-front/src/operator.rs
+++ b/sl-front/src/operator.rs
@@ -29,10 +29,7 @@
 
 impl<N: Node> Operator<N> {
     pub(crate) fn new(node: N, key_hashes: &[KeyHash]) -> Operator<N> {
-        Operator {
-            node,
-            key_hashes: key_hashes.into(),
-        }
+        Operator { node, key_hashes: key_hashes.into() }
     }
 
     pub(crate) fn routes(self) -> Vec<Route> {
--- a/sl-front/src/refusal.rs
+++ b/sl-front/src/refusal.rs
@@ -47,11 +47,7 @@
 
 impl From<Code> for Refusal {
     fn from(code: Code) -> Refusal {
-        Refusal {
-            code,
-            retry_after: None,
-            ran_status: None,
-        }
+        Refusal { code, retry_after: None, ran_status: None }
     }
 }
 
--- a/sl-front/src/serve.rs
+++ b/sl-front/src/serve.rs
@@ -90,9 +90,7 @@
     };
     let door = Door::new(node.clone(), gate.clone(), callers.clone(), limits);
     let stray = Catcher::new(None, Stray(node.clone()));
-    let caller = build(options.caller)
-        .mount("/", door.routes())
-        .register("/", vec![stray]);
+    let caller = build(options.caller).mount("/", door.routes()).register("/", vec![stray]);
     let operator = Operator::new(node.clone(), &options.operator_key_hashes);
     let operator = build(options.operator).mount("/", operator.routes());
     let metrics = build(options.metrics).mount("/", Watched(node.clone()).routes());
@@ -171,10 +169,7 @@
 }
 
 async fn start(rocket: Rocket<Build>, address: SocketAddr) -> Result<(SocketAddr, Running), Error> {
-    let failed = |e: rocket::Error| Error::Start {
-        address,
-        reason: e.kind().to_string(),
-    };
+    let failed = |e: rocket::Error| Error::Start { address, reason: e.kind().to_string() };
     let (tx, rx) = oneshot::channel();
     let tx = Mutex::new(Some(tx));
     let rocket = rocket.attach(AdHoc::on_liftoff("listening", move |rocket| {
--- a/sl-front/tests/it/door.rs
+++ b/sl-front/tests/it/door.rs
@@ -41,27 +41,12 @@
     if let Some(key) = key {
         text.push_str(&format!("Idempotency-Key: {key}\r\n"));
     }
-    text.push_str(&format!(
-        "Content-Length: {size}\r\n\r\n{}",
-        "x".repeat(size)
-    ));
+    text.push_str(&format!("Content-Length: {size}\r\n\r\n{}", "x".repeat(size)));
     let answer = bed.raw(&text).await.to_lowercase();
-    assert!(
-        answer.starts_with(&format!("http/1.1 {} ", code.status())),
-        "{answer}"
-    );
-    assert!(
-        answer.contains(&format!("x-sesamelock-code: {}\r\n", code.number())),
-        "{answer}"
-    );
-    assert!(
-        answer.contains("x-sesamelock-outcome: not-run\r\n"),
-        "{answer}"
-    );
-    assert!(
-        answer.contains(&format!("\"code\":{}", code.number())),
-        "{answer}"
-    );
+    assert!(answer.starts_with(&format!("http/1.1 {} ", code.status())), "{answer}");
+    assert!(answer.contains(&format!("x-sesamelock-code: {}\r\n", code.number())), "{answer}");
+    assert!(answer.contains("x-sesamelock-outcome: not-run\r\n"), "{answer}");
+    assert!(answer.contains(&format!("\"code\":{}", code.number())), "{answer}");
     assert_eq!(*bed.fake.refused.lock().unwrap(), [code]);
     assert!(bed.jobs.try_recv().is_err());
 }
@@ -75,10 +60,7 @@
          Transfer-Encoding: chunked\r\n\r\n{chunk}1\r\nx\r\n0\r\n\r\n"
     );
     let answer = bed.raw(&text).await;
-    assert!(
-        answer.contains(&Code::BodyTooLarge.number().to_string()),
-        "{answer}"
-    );
+    assert!(answer.contains(&Code::BodyTooLarge.number().to_string()), "{answer}");
     assert!(bed.jobs.try_recv().is_err());
 }
 
@@ -107,10 +89,7 @@
     stream.write_all(text.as_bytes()).await.unwrap();
     drop(stream);
     let refused = bed.fake.refused.clone();
-    eventually("the refusal", || {
-        *refused.lock().unwrap() == [Code::BodyIncomplete]
-    })
-    .await;
+    eventually("the refusal", || *refused.lock().unwrap() == [Code::BodyIncomplete]).await;
     assert!(bed.jobs.try_recv().is_err());
 }
 
@@ -122,10 +101,7 @@
          Content-Length: 100\r\n\r\nabcdefghijklmnopqrstuvwxyz"
     );
     let answer = bed.raw(&text).await;
-    assert!(
-        answer.contains(&Code::BodyIncomplete.number().to_string()),
-        "{answer}"
-    );
+    assert!(answer.contains(&Code::BodyIncomplete.number().to_string()), "{answer}");
     assert!(bed.jobs.try_recv().is_err());
 }
 
@@ -172,11 +148,7 @@
     assert_eq!(request.method, method.as_str());
     assert_eq!(request.target.as_str(), "/any//a%20b/.hidden?q=1&r=%2F");
     assert_eq!(request.body, "the body");
-    let names: Vec<String> = request
-        .headers
-        .iter()
-        .map(|it| it.0.to_lowercase())
-        .collect();
+    let names: Vec<String> = request.headers.iter().map(|it| it.0.to_lowercase()).collect();
     assert!(names.contains(&"x-mine".to_owned()));
     assert!(!names.contains(&"authorization".to_owned()));
 }
@@ -230,10 +202,7 @@
     eventually("four requests inside", || gate.requests() == 4).await;
     let answer = client.get(bed.url("/any")).bearer_auth(TOKEN).send().await;
     let code = Code::Overloaded.number().to_string();
-    assert_eq!(
-        answer.unwrap().headers()["x-sesamelock-code"],
-        code.as_str()
-    );
+    assert_eq!(answer.unwrap().headers()["x-sesamelock-code"], code.as_str());
     for it in held {
         it.abort();
     }
@@ -247,10 +216,8 @@
     assert!(call.await.is_err());
     let job = bed.jobs.recv().await.unwrap();
     let gone = bed.fake.gone.clone();
-    eventually("the caller's leaving", || {
-        gone.lock().unwrap().contains(&job.arrival.request)
-    })
-    .await;
+    eventually("the caller's leaving", || gone.lock().unwrap().contains(&job.arrival.request))
+        .await;
     let _ = job.answer.send(failed(Code::CallerGone)).await;
     let gate = bed.server.gate().clone();
     eventually("room at the gate", || gate.requests() == 0).await;
--- a/sl-front/tests/it/fake.rs
+++ b/sl-front/tests/it/fake.rs
@@ -205,16 +205,10 @@
         body_max: 1_000,
         objective: None,
     };
-    let once = Policy {
-        idempotent: false,
-        ..policy
-    };
+    let once = Policy { idempotent: false, ..policy };
     let template = Template {
         name: "test".to_owned(),
-        routes: vec![
-            route("book", "/book", &["POST"], once),
-            route("any", "/any*", &[], policy),
-        ],
+        routes: vec![route("book", "/book", &["POST"], once), route("any", "/any*", &[], policy)],
         teams: vec![Team {
             name: "drivers".to_owned(),
             id: TeamId::of("drivers"),
--- a/sl-front/tests/it/operator.rs
+++ b/sl-front/tests/it/operator.rs
@@ -57,11 +57,7 @@
 
 #[tokio::test]
 async fn closing_lets_a_slow_answer_end() {
-    let Bed {
-        fake,
-        mut jobs,
-        server,
-    } = Bed::start().await;
+    let Bed { fake, mut jobs, server } = Bed::start().await;
     let url = format!("http://{}/any", server.caller);
     let call = tokio::spawn(Client::new().get(url).bearer_auth(TOKEN).send());
     let job = jobs.recv().await.unwrap();
--- a/sl-front/tests/it/stream.rs
+++ b/sl-front/tests/it/stream.rs
@@ -41,12 +41,7 @@
 #[tokio::test]
 async fn a_long_answer_arrives_whole(#[case] length: Option<u64>) {
     let text = long();
-    let parts = vec![
-        head(200, "text/plain", length),
-        piece(&text),
-        piece(&text),
-        Part::End,
-    ];
+    let parts = vec![head(200, "text/plain", length), piece(&text), piece(&text), Part::End];
     let answer = call(Bed::start().await, parts).await;
     assert_eq!(answer.text().await.unwrap(), text.repeat(2));
 }
@@ -74,11 +69,7 @@
     #[case] length: Option<u64>,
     #[case] text: &str,
 ) {
-    let parts = vec![
-        head(200, content_type, length),
-        piece(text),
-        failed(Code::ConnectionLost),
-    ];
+    let parts = vec![head(200, content_type, length), piece(text), failed(Code::ConnectionLost)];
     let bed = Bed::start().await;
     let url = bed.url("/any");
     let _answering = bed.answer_next(parts);
@@ -129,8 +120,6 @@
     job.answer.send(piece("data: 1\n\n")).await.unwrap();
     drop(call.await.unwrap().unwrap());
     let gone = bed.fake.gone.clone();
-    eventually("the caller's leaving", || {
-        gone.lock().unwrap().contains(&job.arrival.request)
-    })
-    .await;
+    eventually("the caller's leaving", || gone.lock().unwrap().contains(&job.arrival.request))
+        .await;
 }
--- a/sl-member/src/members.rs
+++ b/sl-member/src/members.rs
@@ -179,11 +179,7 @@
             return;
         }
         match message {
-            Message::Ping {
-                address,
-                life,
-                changes,
-            } => {
+            Message::Ping { address, life, changes } => {
                 self.on_ping(now, from, address, life);
                 for change in &changes {
                     self.apply(now, change);
@@ -201,9 +197,8 @@
         if self.stalled_at.is_due(now) {
             self.forgive(now);
         }
-        self.stalled_at = now.after(Millis(
-            self.options.probe_every.0.saturating_mul(STALL_PERIODS),
-        ));
+        self.stalled_at =
+            now.after(Millis(self.options.probe_every.0.saturating_mul(STALL_PERIODS)));
         self.asked.retain(|_, until| !until.is_due(now));
         self.expire(now);
         if self.probe_at.is_due(now) {
@@ -236,10 +231,8 @@
     /// included, without those that leave.
     pub fn alive(&self) -> Vec<InstanceId> {
         let others = self.members.iter().filter(|(_, m)| !m.is_dead());
-        let mut alive: Vec<InstanceId> = others
-            .filter(|(_, m)| !m.leaving)
-            .map(|(&id, _)| id)
-            .collect();
+        let mut alive: Vec<InstanceId> =
+            others.filter(|(_, m)| !m.leaving).map(|(&id, _)| id).collect();
         if !self.leaving {
             alive.push(self.me.id);
         }
@@ -280,10 +273,7 @@
     }
 
     fn life(&self) -> Life {
-        Life {
-            incarnation: self.me.incarnation,
-            objections: self.objections,
-        }
+        Life { incarnation: self.me.incarnation, objections: self.objections }
     }
 
     fn touch(&mut self, at: Timestamp) {
@@ -297,10 +287,8 @@
             return;
         }
         let is_new = !self.members.contains_key(&id);
-        let member = self
-            .members
-            .entry(id)
-            .or_insert_with(|| Member::new(address, Life::default()));
+        let member =
+            self.members.entry(id).or_insert_with(|| Member::new(address, Life::default()));
         member.listed = true;
         let is_changed = leaving && !member.leaving;
         member.leaving |= leaving;
@@ -491,11 +479,7 @@
     /// The next in a shuffled round, so that everyone has its turn within a round.
     fn next_in_round(&mut self, dead: bool) -> Option<InstanceId> {
         let is_wanted = |m: &Member| m.is_dead() == dead && (!dead || m.listed);
-        let mut round = std::mem::take(if dead {
-            &mut self.dead_round
-        } else {
-            &mut self.round
-        });
+        let mut round = std::mem::take(if dead { &mut self.dead_round } else { &mut self.round });
         let mut next = pop_wanted(&mut round, &self.members, is_wanted);
         if next.is_none() {
             let wanted = self.members.iter().filter(|(_, m)| is_wanted(m));
@@ -503,11 +487,7 @@
             round.shuffle(&mut self.rng);
             next = round.pop();
         }
-        *(if dead {
-            &mut self.dead_round
-        } else {
-            &mut self.round
-        }) = round;
+        *(if dead { &mut self.dead_round } else { &mut self.round }) = round;
         next
     }
 
@@ -522,16 +502,8 @@
     fn ping(&mut self, to: InstanceId, address: SocketAddr, held: Option<Change>) {
         let mut changes: Vec<Change> = held.into_iter().collect();
         changes.extend(self.next_news(to));
-        let message = Message::Ping {
-            address: self.me.address,
-            life: self.life(),
-            changes,
-        };
-        self.out.push(Output::Send {
-            to,
-            address,
-            message,
-        });
+        let message = Message::Ping { address: self.me.address, life: self.life(), changes };
+        self.out.push(Output::Send { to, address, message });
     }
 
     /// The changes that were passed on least go first.
@@ -583,15 +555,8 @@
         member.probe = Probe::Indirect { until };
         let (target, target_address) = (id, member.address);
         for (to, address) in self.some_peers(id) {
-            let message = Message::ProbeFor {
-                target,
-                address: target_address,
-            };
-            self.out.push(Output::Send {
-                to,
-                address,
-                message,
-            });
+            let message = Message::ProbeFor { target, address: target_address };
+            self.out.push(Output::Send { to, address, message });
         }
         self.ping_with_held(id);
     }
--- a/sl-member/tests/it/members.rs
+++ b/sl-member/tests/it/members.rs
@@ -163,11 +163,7 @@
     world.run(Millis(200));
     assert_eq!(world.nodes[0].members.alive().len(), 5);
     assert!(!world.nodes[0].members.isolated(world.now));
-    assert_eq!(
-        world.deaths - before,
-        4,
-        "the others held it dead meanwhile"
-    );
+    assert_eq!(world.deaths - before, 4, "the others held it dead meanwhile");
 }
 
 #[rstest]
@@ -239,10 +235,7 @@
 fn ping(incarnation: u64, changes: Vec<Change>) -> Message {
     Message::Ping {
         address: ([127, 0, 0, 1], 7_002).into(),
-        life: Life {
-            incarnation: Incarnation(incarnation),
-            objections: 0,
-        },
+        life: Life { incarnation: Incarnation(incarnation), objections: 0 },
         changes,
     }
 }
@@ -251,10 +244,7 @@
     Change {
         member: id(member),
         address: ([127, 0, 0, 1], 7_000).into(),
-        life: Life {
-            incarnation: Incarnation(1),
-            objections: 0,
-        },
+        life: Life { incarnation: Incarnation(1), objections: 0 },
         status: Status::Suspect,
         leaving: false,
     }
@@ -282,11 +272,7 @@
         let message = ping(1_800_000_000_000_000, vec![suspicion(0); changes]);
         postcard::to_stdvec(&message).map(|bytes| bytes.len())
     };
-    println!(
-        "{:?} bytes without and {:?} with 8 changes",
-        size(0),
-        size(8)
-    );
+    println!("{:?} bytes without and {:?} with 8 changes", size(0), size(8));
     assert!(size(8).is_ok_and(|bytes| bytes < 256));
 }
 
--- a/sl-member/tests/it/world.rs
+++ b/sl-member/tests/it/world.rs
@@ -77,11 +77,7 @@
         control: control(node),
         leaving: false,
     });
-    Listing {
-        version,
-        instances: instances.collect(),
-        servers: Vec::new(),
-    }
+    Listing { version, instances: instances.collect(), servers: Vec::new() }
 }
 
 impl World {
@@ -106,11 +102,7 @@
     }
 
     fn born(&mut self, node: usize, incarnation: u64) -> Node {
-        let me = Me {
-            id: id(node),
-            incarnation: Incarnation(incarnation),
-            address: control(node),
-        };
+        let me = Me { id: id(node), incarnation: Incarnation(incarnation), address: control(node) };
         self.next += 1;
         Node {
             members: Members::new(self.options, me, self.next, self.now),
@@ -195,10 +187,8 @@
 
     /// Whether each running instance sees just the running ones.
     pub fn agrees(&self) -> bool {
-        let mut up: Vec<InstanceId> = (0..self.nodes.len())
-            .filter(|&node| self.nodes[node].up)
-            .map(id)
-            .collect();
+        let mut up: Vec<InstanceId> =
+            (0..self.nodes.len()).filter(|&node| self.nodes[node].up).map(id).collect();
         up.sort_unstable();
         let running = self.nodes.iter().filter(|n| n.up);
         running.into_iter().all(|n| n.members.alive() == up)
@@ -232,9 +222,7 @@
     fn collect(&mut self, node: usize) {
         for output in self.nodes[node].members.take() {
             match output {
-                Output::Send {
-                    address, message, ..
-                } => {
+                Output::Send { address, message, .. } => {
                     self.send(node, usize::from(address.port() - 7_000), message);
                 }
                 Output::Changed { status, .. } => {
@@ -256,17 +244,9 @@
         let is_lost = self.rng.random_range(0..100) < self.faults.dropped;
         let is_repeated = self.rng.random_range(0..100) < self.faults.repeated;
         let is_late = self.rng.random_range(0..100) < self.faults.delayed;
-        let delay = if is_late {
-            self.rng.random_range(1..3_000)
-        } else {
-            1
-        };
+        let delay = if is_late { self.rng.random_range(1..3_000) } else { 1 };
         let arrival = Arrival::Message(from, incarnation, message);
-        let silent = Transit {
-            to: from,
-            arrival: Arrival::Silent(id(to)),
-            confirm: None,
-        };
+        let silent = Transit { to: from, arrival: Arrival::Silent(id(to)), confirm: None };
         let silence = self.put(self.now.after(ANSWER_WAIT), silent);
         let confirm = Some((self.now, silence));
         let at = self.now.after(Millis(delay));
@@ -275,23 +255,12 @@
                 continue;
             }
             let (arrival, at) = (arrival.clone(), at.after(Millis(copy * 700)));
-            self.put(
-                at,
-                Transit {
-                    to,
-                    arrival,
-                    confirm,
-                },
-            );
+            self.put(at, Transit { to, arrival, confirm });
         }
     }
 
     fn carry(&mut self, transit: Transit) {
-        let Transit {
-            to,
-            arrival,
-            confirm,
-        } = transit;
+        let Transit { to, arrival, confirm } = transit;
         if !self.nodes[to].up {
             return;
         }
--- a/sl-node/src/attempt.rs
+++ b/sl-node/src/attempt.rs
@@ -41,11 +41,7 @@
             let _ = self.aborted.await;
         };
         let end = match forward(&self.request, &self.arrival) {
-            Some(forward) => {
-                client
-                    .run(&self.dispatch, forward, &mut sink, aborted)
-                    .await
-            }
+            Some(forward) => client.run(&self.dispatch, forward, &mut sink, aborted).await,
             None => AttemptEnd::NotSent,
         };
         if let AttemptEnd::Complete { .. } = end {
@@ -79,9 +75,7 @@
 
 impl AnswerSink for Sink {
     async fn head(&mut self, head: sl_back::Head) -> Result<(), CallerGone> {
-        let event = Event::Answering {
-            attempt: self.attempt,
-        };
+        let event = Event::Answering { attempt: self.attempt };
         let _ = self.commands.send(Command::Event(event)).await;
         self.pass(Part::Head(passed(head))).await
     }
@@ -91,10 +85,7 @@
     }
 
     fn progress(&mut self, units: u64) {
-        let event = Event::Progress {
-            attempt: self.attempt,
-            units,
-        };
+        let event = Event::Progress { attempt: self.attempt, units };
         // The next one makes up for one that is dropped here.
         let _ = self.commands.try_send(Command::Event(event));
     }
@@ -126,9 +117,5 @@
             Some((name.to_string(), value.to_owned()))
         })
         .collect();
-    Head {
-        status: head.status,
-        headers,
-        length: head.length,
-    }
+    Head { status: head.status, headers, length: head.length }
 }
--- a/sl-node/src/burn.rs
+++ b/sl-node/src/burn.rs
@@ -24,10 +24,7 @@
             from: clock.now(),
             series_max: SERIES_MAX,
         });
-        Burn {
-            recorder: Arc::new(Mutex::new(recorder)),
-            clock,
-        }
+        Burn { recorder: Arc::new(Mutex::new(recorder)), clock }
     }
 
     /// A backend server's answer reached its end.
--- a/sl-node/src/clock.rs
+++ b/sl-node/src/clock.rs
@@ -16,13 +16,8 @@
 impl Clock {
     /// A clock that starts now.
     pub fn start() -> Clock {
-        let wall = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .unwrap_or_default();
-        Clock {
-            start: Instant::now(),
-            wall: Timestamp::from_micros(micros(wall)),
-        }
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { start: Instant::now(), wall: Timestamp::from_micros(micros(wall)) }
     }
 
     /// The time.
--- a/sl-node/src/handle.rs
+++ b/sl-node/src/handle.rs
@@ -60,11 +60,7 @@
     }
 
     pub(crate) fn publish(&self, config: Arc<Config>) {
-        let mut place = self
-            .0
-            .config
-            .write()
-            .unwrap_or_else(PoisonError::into_inner);
+        let mut place = self.0.config.write().unwrap_or_else(PoisonError::into_inner);
         *place = Some(config);
     }
 
@@ -114,13 +110,10 @@
     }
 
     fn submit(&self, job: Job) -> Result<(), Code> {
-        self.0
-            .commands
-            .try_send(Command::Arrive(job))
-            .map_err(|e| match e {
-                TrySendError::Full(_) => Code::Overloaded,
-                TrySendError::Closed(_) => Code::Draining,
-            })
+        self.0.commands.try_send(Command::Arrive(job)).map_err(|e| match e {
+            TrySendError::Full(_) => Code::Overloaded,
+            TrySendError::Closed(_) => Code::Draining,
+        })
     }
 
     fn caller_gone(&self, request: RequestId) {
@@ -139,10 +132,7 @@
             self.0.metrics.seen(&seen);
         }
         if let Some(config) = self.config() {
-            let report = self
-                .0
-                .burn
-                .report(&config, &[self.0.burn.snapshot()], Vec::new());
+            let report = self.0.burn.report(&config, &[self.0.burn.snapshot()], Vec::new());
             self.0.metrics.burning(report.as_ref());
         }
         self.0.metrics.encode()
@@ -171,11 +161,7 @@
 impl Receiver for Handle {
     async fn deliver(&self, from: Hello, messages: Vec<Message>) {
         for message in messages {
-            let event = Event::Message {
-                from: from.from,
-                incarnation: from.incarnation,
-                message,
-            };
+            let event = Event::Message { from: from.from, incarnation: from.incarnation, message };
             let _ = self.0.commands.send(Command::Event(event)).await;
         }
     }
--- a/sl-node/src/held.rs
+++ b/sl-node/src/held.rs
@@ -71,10 +71,7 @@
         request: RequestId,
     ) -> oneshot::Receiver<()> {
         let (abort, aborted) = oneshot::channel();
-        let running = Running {
-            request,
-            abort: Some(abort),
-        };
+        let running = Running { request, abort: Some(abort) };
         self.running.insert(attempt, running);
         if let Some(held) = self.held.get_mut(&request) {
             held.is_running = true;
--- a/sl-node/src/log.rs
+++ b/sl-node/src/log.rs
@@ -23,10 +23,7 @@
 where
     D: Drain<Ok = (), Err = slog::Never> + Send + 'static,
 {
-    let drain = slog_async::Async::new(drain)
-        .chan_size(LINES_AHEAD)
-        .build()
-        .fuse();
+    let drain = slog_async::Async::new(drain).chan_size(LINES_AHEAD).build().fuse();
     LevelFilter::new(drain, least(level)).fuse()
 }
 
--- a/sl-node/src/metrics.rs
+++ b/sl-node/src/metrics.rs
@@ -110,18 +110,12 @@
         };
         metrics.register(&mut registry);
         registry.register_collector(Box::new(Traffic { peers, platform }));
-        Metrics {
-            registry: Arc::new(registry),
-            ..metrics
-        }
+        Metrics { registry: Arc::new(registry), ..metrics }
     }
 
     /// Counts a final answer of ours.
     pub(crate) fn answered(&self, code: Code) {
-        let answer = Answer {
-            outcome: outcome(code),
-            code: code.into(),
-        };
+        let answer = Answer { outcome: outcome(code), code: code.into() };
         self.answers.get_or_create(&answer).inc();
     }
 
@@ -130,10 +124,7 @@
         let name = end_name(end);
         self.attempts.get_or_create(&Attempt { end: name }).inc();
         if let AttemptEnd::Complete { status, .. } = end {
-            let answer = Answer {
-                outcome: "ran",
-                code: class(status),
-            };
+            let answer = Answer { outcome: "ran", code: class(status) };
             self.answers.get_or_create(&answer).inc();
         }
     }
@@ -197,11 +188,7 @@
         registry.register("answers", "Final answers", self.answers.clone());
         registry.register("attempts", "Attempts that ended", self.attempts.clone());
         registry.register("changes", "Changes of state", self.notes.clone());
-        registry.register(
-            "waiting_requests",
-            "Requests that wait",
-            self.waiting.clone(),
-        );
+        registry.register("waiting_requests", "Requests that wait", self.waiting.clone());
         registry.register("slots", "Slots of backend servers", self.slots.clone());
         registry.register("members", "Other instances by status", self.members.clone());
         registry.register(
@@ -212,22 +199,10 @@
         let gauges = [
             ("held_requests", "Requests inside", &self.held),
             ("running_attempts", "Attempts under way", &self.running),
-            (
-                "waiting_commands",
-                "Commands before the reducer",
-                &self.commands,
-            ),
+            ("waiting_commands", "Commands before the reducer", &self.commands),
             ("config_revision", "Configuration in force", &self.revision),
-            (
-                "isolated",
-                "Whether all others are out of reach",
-                &self.isolated,
-            ),
-            (
-                "waiting_claims",
-                "Claims before their write",
-                &self.claims_waiting,
-            ),
+            ("isolated", "Whether all others are out of reach", &self.isolated),
+            ("waiting_claims", "Claims before their write", &self.claims_waiting),
             ("ready", "Whether new work is welcome", &self.ready),
             ("listed_servers", "Backend servers listed", &self.servers),
             ("listed_instances", "Instances listed", &self.instances),
@@ -287,28 +262,10 @@
 impl Traffic {
     fn encode_peers(&self, encoder: &mut DescriptorEncoder<'_>) -> Result<(), std::fmt::Error> {
         let peers = self.peers.read();
-        let ways = [
-            ("sent", peers.bytes_sent),
-            ("received", peers.bytes_received),
-        ];
-        family(
-            encoder,
-            "peer_bytes",
-            "Control bytes to and from instances",
-            "way",
-            ways,
-        )?;
-        let ways = [
-            ("sent", peers.frames_sent),
-            ("received", peers.frames_received),
-        ];
-        family(
-            encoder,
-            "peer_messages",
-            "Control messages to and from instances",
-            "way",
-            ways,
-        )?;
+        let ways = [("sent", peers.bytes_sent), ("received", peers.bytes_received)];
+        family(encoder, "peer_bytes", "Control bytes to and from instances", "way", ways)?;
+        let ways = [("sent", peers.frames_sent), ("received", peers.frames_received)];
+        family(encoder, "peer_messages", "Control messages to and from instances", "way", ways)?;
         family(
             encoder,
             "peer_messages_unknown",
@@ -321,45 +278,15 @@
     fn encode_platform(&self, encoder: &mut DescriptorEncoder<'_>) -> Result<(), std::fmt::Error> {
         let counted = sl_platform::Kind::ALL.map(|it| (it.name(), self.platform.counted(it)));
         let calls = counted.map(|(kind, it)| (kind, it.calls));
-        family(
-            encoder,
-            "platform_calls",
-            "Calls to the platform",
-            "kind",
-            calls,
-        )?;
+        family(encoder, "platform_calls", "Calls to the platform", "kind", calls)?;
         let lost = counted.map(|(kind, it)| (kind, it.lost));
-        family(
-            encoder,
-            "platform_lost",
-            "Platform calls without answer",
-            "kind",
-            lost,
-        )?;
+        family(encoder, "platform_lost", "Platform calls without answer", "kind", lost)?;
         let refused = counted.map(|(kind, it)| (kind, it.refused));
-        family(
-            encoder,
-            "platform_refused",
-            "Platform calls refused",
-            "kind",
-            refused,
-        )?;
+        family(encoder, "platform_refused", "Platform calls refused", "kind", refused)?;
         let sent = counted.map(|(kind, it)| (kind, it.bytes_sent));
-        family(
-            encoder,
-            "platform_sent_bytes",
-            "Bytes to the platform",
-            "kind",
-            sent,
-        )?;
+        family(encoder, "platform_sent_bytes", "Bytes to the platform", "kind", sent)?;
         let received = counted.map(|(kind, it)| (kind, it.bytes_received));
-        family(
-            encoder,
-            "platform_received_bytes",
-            "Bytes from the platform",
-            "kind",
-            received,
-        )
+        family(encoder, "platform_received_bytes", "Bytes from the platform", "kind", received)
     }
 }
 
@@ -380,6 +307,5 @@
 }
 
 /// Upper bounds of the first byte's histogram, in seconds.
-const FIRST_BYTE_SECONDS: [f64; 14] = [
-    0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 15.0, 60.0,
-];
+const FIRST_BYTE_SECONDS: [f64; 14] =
+    [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 15.0, 60.0];
--- a/sl-node/src/options.rs
+++ b/sl-node/src/options.rs
@@ -50,10 +50,7 @@
         tolerance: Service::of(settings.sharing.tolerance_units, 1).0,
         ..usual.slots
     };
-    let members = sl_member::Options {
-        isolated_after: periods.isolated_after,
-        ..usual.members
-    };
+    let members = sl_member::Options { isolated_after: periods.isolated_after, ..usual.members };
     sl_step::Options {
         seed: settings.seed.unwrap_or(incarnation.0),
         seeds: settings.seeds.iter().map(listed).collect(),
--- a/sl-node/src/owner.rs
+++ b/sl-node/src/owner.rs
@@ -164,34 +164,18 @@
     fn carry_out(&mut self, now: Timestamp, effect: Effect) {
         match effect {
             Effect::Dispatch(dispatch) => self.dispatch(dispatch),
-            Effect::Answer {
-                request,
-                code,
-                retry_after,
-                ran_status,
-            } => {
+            Effect::Answer { request, code, retry_after, ran_status } => {
                 self.metrics.answered(code);
                 if let Some(held) = self.requests.remove(request) {
                     self.burn.failed(&held.label, code);
-                    held.fail(Refusal {
-                        code,
-                        retry_after,
-                        ran_status,
-                    });
+                    held.fail(Refusal { code, retry_after, ran_status });
                 }
             }
             Effect::Abort { attempt } => self.requests.abort(attempt),
-            Effect::Send {
-                to,
-                address,
-                sent_at,
-                messages,
-            } => self.send(sent_at, to, address, messages),
-            Effect::Call {
-                id,
-                call,
-                answer_by,
-            } => {
+            Effect::Send { to, address, sent_at, messages } => {
+                self.send(sent_at, to, address, messages)
+            }
+            Effect::Call { id, call, answer_by } => {
                 let (platform, commands) = (self.platform.clone(), self.commands.clone());
                 let answer_by = self.clock.instant(answer_by);
                 tokio::spawn(async move {
@@ -303,10 +287,7 @@
 
     fn seen(&self) -> Seen {
         let me = InstanceId::of(&self.me.name);
-        let mut instance = InstanceStatus {
-            teams: self.requests.by_team(),
-            ..self.me.clone()
-        };
+        let mut instance = InstanceStatus { teams: self.requests.by_team(), ..self.me.clone() };
         self.state.describe(self.clock.now(), &mut instance);
         let listing = self.state.listing();
         let peers = listing.instances.iter().map(|it| Peer {
--- a/sl-node/src/run.rs
+++ b/sl-node/src/run.rs
@@ -47,16 +47,13 @@
 pub fn signals() -> Result<impl Stream<Item = ()>, Error> {
     let term = signal(SignalKind::terminate()).map_err(Error::Signals)?;
     let int = signal(SignalKind::interrupt()).map_err(Error::Signals)?;
-    Ok(futures::stream::unfold(
-        (term, int),
-        |(mut term, mut int)| async move {
-            tokio::select! {
-                _ = term.recv() => {}
-                _ = int.recv() => {}
-            }
-            Some(((), (term, int)))
-        },
-    ))
+    Ok(futures::stream::unfold((term, int), |(mut term, mut int)| async move {
+        tokio::select! {
+            _ = term.recv() => {}
+            _ = int.recv() => {}
+        }
+        Some(((), (term, int)))
+    }))
 }
 
 /// Runs the daemon until a planned stop is seen through. The first of `signals` begins
@@ -68,14 +65,8 @@
 pub async fn run(settings: Settings, signals: impl Stream<Item = ()>) -> Result<(), Error> {
     let log = log::logger(settings.log, &settings.name);
     let clock = Clock::start();
-    let hello = Hello {
-        from: settings.id(),
-        incarnation: clock.incarnation(),
-    };
-    let secret = settings
-        .keys
-        .control
-        .read(std::fs::read_to_string, |name| std::env::var(name))?;
+    let hello = Hello { from: settings.id(), incarnation: clock.incarnation() };
+    let secret = settings.keys.control.read(std::fs::read_to_string, |name| std::env::var(name))?;
     let key = Key::derive(secret.expose().as_bytes());
     let counters = sl_peer::Counters::default();
     let links_options = sl_peer::Options::default();
@@ -87,13 +78,8 @@
     let (commands, received) = mpsc::channel(COMMANDS_AHEAD);
     let stop_within = settings.periods.stop_within;
     let burn = Burn::new(&settings.name, clock);
-    let handle = Handle::new(
-        commands.clone(),
-        metrics.clone(),
-        links.clone(),
-        burn.clone(),
-        stop_within,
-    );
+    let handle =
+        Handle::new(commands.clone(), metrics.clone(), links.clone(), burn.clone(), stop_within);
 
     let control = settings.listen.control;
     let control = sl_peer::serve(control, key, links_options, counters, handle.clone()).await?;
--- a/sl-node/src/status.rs
+++ b/sl-node/src/status.rs
@@ -61,10 +61,7 @@
 /// What a peer answers in time. The links make a silent peer's callers wait for each
 /// other, so that the links' own deadlines add up; an operator must not wait for that.
 async fn answered<T>(answer: impl Future<Output = Result<T, Silent>>) -> Option<T> {
-    tokio::time::timeout(PEER_WITHIN.into(), answer)
-        .await
-        .ok()?
-        .ok()
+    tokio::time::timeout(PEER_WITHIN.into(), answer).await.ok()?.ok()
 }
 
 /// How long a peer may take to answer an operator's question.
--- a/sl-peer/src/frame.rs
+++ b/sl-peer/src/frame.rs
@@ -69,19 +69,12 @@
     fn deserialize(self: Pin<&mut Self>, src: &BytesMut) -> Result<ClientMessage<T>, io::Error> {
         self.0.frame_received();
         Ok(match decode(src)? {
-            Frame::Call {
-                id,
-                within_ms,
-                body,
-            } => ClientMessage::Request(Request {
-                context: context(within_ms),
-                id,
-                message: body,
-            }),
-            Frame::Cancel { id } => ClientMessage::Cancel {
-                trace_context: Default::default(),
-                request_id: id,
-            },
+            Frame::Call { id, within_ms, body } => {
+                ClientMessage::Request(Request { context: context(within_ms), id, message: body })
+            }
+            Frame::Cancel { id } => {
+                ClientMessage::Cancel { trace_context: Default::default(), request_id: id }
+            }
         })
     }
 }
@@ -112,9 +105,7 @@
 }
 
 fn encode<T: Serialize>(item: &T) -> io::Result<Bytes> {
-    postcard::to_allocvec(item)
-        .map(Bytes::from)
-        .map_err(io::Error::other)
+    postcard::to_allocvec(item).map(Bytes::from).map_err(io::Error::other)
 }
 
 fn decode<T: for<'de> Deserialize<'de>>(src: &[u8]) -> io::Result<T> {
--- a/sl-peer/src/handshake.rs
+++ b/sl-peer/src/handshake.rs
@@ -82,10 +82,7 @@
     stream.flush().await?;
     let identity: [u8; IDENTITY_BYTES] = read(stream).await?;
     let proof: Proof = read(stream).await?;
-    check(
-        &proof,
-        &prove(key, Side::Calling, &theirs, &ours, &identity),
-    )?;
+    check(&proof, &prove(key, Side::Calling, &theirs, &ours, &identity))?;
     Ok(hello(&identity))
 }
 
@@ -112,11 +109,7 @@
 }
 
 fn check(proof: &Proof, expected: &Proof) -> Result<(), Refused> {
-    if proof.ct_eq(expected).into() {
-        Ok(())
-    } else {
-        Err(Refused::WrongKey)
-    }
+    if proof.ct_eq(expected).into() { Ok(()) } else { Err(Refused::WrongKey) }
 }
 
 fn nonce() -> io::Result<Nonce> {
--- a/sl-peer/src/link.rs
+++ b/sl-peer/src/link.rs
@@ -60,13 +60,7 @@
 impl Links {
     /// No link yet; the first call to a peer makes one.
     pub fn new(hello: Hello, key: Key, options: Options, counters: Counters) -> Links {
-        Links(Arc::new(Inner {
-            hello,
-            key,
-            options,
-            counters,
-            links: Mutex::default(),
-        }))
+        Links(Arc::new(Inner { hello, key, options, counters, links: Mutex::default() }))
     }
 
     /// Hands `messages` to a peer. Where a standing link is silent the messages are sent
--- a/sl-peer/src/serve.rs
+++ b/sl-peer/src/serve.rs
@@ -75,12 +75,7 @@
     let failed = |source| Error::Listen { address, source };
     let listener = TcpListener::bind(address).await.map_err(failed)?;
     let address = listener.local_addr().map_err(failed)?;
-    let door = Door {
-        key,
-        options,
-        counters,
-        receiver,
-    };
+    let door = Door { key, options, counters, receiver };
     let task = tokio::spawn(accept(listener, door));
     Ok(Server { address, task })
 }
@@ -119,11 +114,7 @@
         return;
     };
     let transport = frame::transport(stream.into_inner(), &door.counters);
-    let answerer = Answerer {
-        hello,
-        counters: door.counters,
-        receiver: door.receiver,
-    };
+    let answerer = Answerer { hello, counters: door.counters, receiver: door.receiver };
     let channel = BaseChannel::with_defaults(transport);
     let mut calls = pin!(channel.execute(answerer.serve()));
     let idle = door.options.idle_within.into();
@@ -143,10 +134,7 @@
 
 impl<R: Receiver> Control for Answerer<R> {
     async fn deliver(self, _: Context, messages: Vec<Sealed>) {
-        let known: Vec<Message> = messages
-            .iter()
-            .filter_map(|it| it.try_into().ok())
-            .collect();
+        let known: Vec<Message> = messages.iter().filter_map(|it| it.try_into().ok()).collect();
         self.counters.unknown(messages.len() - known.len());
         self.receiver.deliver(self.hello, known).await;
     }
--- a/sl-peer/tests/it/bed.rs
+++ b/sl-peer/tests/it/bed.rs
@@ -16,10 +16,8 @@
 use tokio::net::{TcpListener, TcpStream};
 
 pub const PEER: InstanceId = InstanceId(7);
-pub const ME: Hello = Hello {
-    from: InstanceId(u32::MAX),
-    incarnation: Incarnation(1_790_000_000_000_000),
-};
+pub const ME: Hello =
+    Hello { from: InstanceId(u32::MAX), incarnation: Incarnation(1_790_000_000_000_000) };
 
 type Got = Vec<(Hello, Vec<Message>)>;
 
@@ -37,10 +35,7 @@
     }
 
     async fn status(&self) -> InstanceStatus {
-        InstanceStatus {
-            name: "peer".to_owned(),
-            ..InstanceStatus::default()
-        }
+        InstanceStatus { name: "peer".to_owned(), ..InstanceStatus::default() }
     }
 
     fn burn(&self) -> Snapshot {
@@ -76,10 +71,7 @@
 }
 
 pub fn running(revision: u64) -> Vec<Message> {
-    vec![Message::Running(Running {
-        revision: Revision(revision),
-        listing: 0,
-    })]
+    vec![Message::Running(Running { revision: Revision(revision), listing: 0 })]
 }
 
 /// Passes connections on; those that stand when it is told so fall silent for good.
--- a/sl-peer/tests/it/cost.rs
+++ b/sl-peer/tests/it/cost.rs
@@ -13,25 +13,16 @@
     let there = Counters::default();
     let (_, server) = listen("secret", &there).await;
     let links = links("secret", &here);
-    links
-        .deliver(PEER, server.address, running(300))
-        .await
-        .unwrap();
+    links.deliver(PEER, server.address, running(300)).await.unwrap();
     let first = here.read();
     assert!(first.bytes_sent + first.bytes_received <= CONNECT_BYTES + CALL_BYTES);
     for _ in 0..1_000 {
-        links
-            .deliver(PEER, server.address, running(300))
-            .await
-            .unwrap();
+        links.deliver(PEER, server.address, running(300)).await.unwrap();
     }
     let last = here.read();
     let sent = last.bytes_sent - first.bytes_sent;
     let received = last.bytes_received - first.bytes_received;
-    println!(
-        "a call: {} bytes sent, {} received (thousandths)",
-        sent, received
-    );
+    println!("a call: {} bytes sent, {} received (thousandths)", sent, received);
     assert!((sent + received) / 1_000 <= CALL_BYTES);
     assert_eq!(last.frames_sent, 1_001);
     assert_eq!(last.frames_received, 1_001);
