--- a/sl-peer/tests/it/link.rs
+++ b/sl-peer/tests/it/link.rs
@@ -17,10 +17,7 @@
     let counters = Counters::default();
     let (peer, server) = listen("secret", &counters).await;
     let links = links("secret", &counters);
-    links
-        .deliver(PEER, server.address, running(3))
-        .await
-        .unwrap();
+    links.deliver(PEER, server.address, running(3)).await.unwrap();
     assert_eq!(*peer.got.lock().unwrap(), [(ME, running(3))]);
     let status = links.status(PEER, server.address).await.unwrap();
     assert_eq!(status.name, "peer");
@@ -85,15 +82,9 @@
     let (peer, server) = listen("secret", &counters).await;
     let relay = Relay::start(server.address).await;
     let links = links("secret", &counters);
-    links
-        .deliver(PEER, relay.address, running(1))
-        .await
-        .unwrap();
+    links.deliver(PEER, relay.address, running(1)).await.unwrap();
     relay.silence_standing();
-    links
-        .deliver(PEER, relay.address, running(2))
-        .await
-        .unwrap();
+    links.deliver(PEER, relay.address, running(2)).await.unwrap();
     assert_eq!(relay.accepted.load(Ordering::Relaxed), 2);
     let last = peer.got.lock().unwrap().last().cloned();
     assert_eq!(last, Some((ME, running(2))));
@@ -105,10 +96,7 @@
     let (_, server) = listen("secret", &counters).await;
     let relay = Relay::start(server.address).await;
     let links = links("secret", &counters);
-    links
-        .deliver(PEER, relay.address, running(1))
-        .await
-        .unwrap();
+    links.deliver(PEER, relay.address, running(1)).await.unwrap();
     relay.silence_all();
     let start = Instant::now();
     let answer = links.deliver(PEER, relay.address, running(2)).await;
@@ -134,16 +122,10 @@
     let counters = Counters::default();
     let (_, first) = listen("secret", &counters).await;
     let links = links("secret", &counters);
-    links
-        .deliver(PEER, first.address, running(1))
-        .await
-        .unwrap();
+    links.deliver(PEER, first.address, running(1)).await.unwrap();
     drop(first);
     let (peer, second) = listen("secret", &counters).await;
-    links
-        .deliver(PEER, second.address, running(2))
-        .await
-        .unwrap();
+    links.deliver(PEER, second.address, running(2)).await.unwrap();
     assert_eq!(*peer.got.lock().unwrap(), [(ME, running(2))]);
 }
 
@@ -157,10 +139,7 @@
         if expected == 2 {
             tokio::time::sleep(Duration::from_millis(900)).await;
         }
-        links
-            .deliver(PEER, relay.address, running(1))
-            .await
-            .unwrap();
+        links.deliver(PEER, relay.address, running(1)).await.unwrap();
         assert_eq!(relay.accepted.load(Ordering::Relaxed), expected);
     }
 }
--- a/sl-peer/tests/it/sealed.rs
+++ b/sl-peer/tests/it/sealed.rs
@@ -15,10 +15,7 @@
     let links = links("secret", &Counters::default());
     let known = Sealed::of(&running(7)[0]).unwrap();
     let messages = vec![later(), known, later()];
-    links
-        .deliver_sealed(PEER, server.address, messages)
-        .await
-        .unwrap();
+    links.deliver_sealed(PEER, server.address, messages).await.unwrap();
     assert_eq!(peer.got.lock().unwrap()[0].1, running(7));
     assert_eq!(there.read().unknown, 2);
 }
--- a/sl-platform/src/client.rs
+++ b/sl-platform/src/client.rs
@@ -100,10 +100,7 @@
     ///
     /// Where the HTTP library cannot be set up.
     pub fn new(options: Options) -> Result<Client, reqwest::Error> {
-        let pool = Pool {
-            http: connect(&options)?,
-            generation: 0,
-        };
+        let pool = Pool { http: connect(&options)?, generation: 0 };
         Ok(Client(Arc::new(Shared {
             options,
             pool: RwLock::new(pool),
@@ -118,11 +115,8 @@
         let kind = kind(call);
         let counters = &self.0.counters;
         counters.call(kind, sent_bytes(call));
-        let reply = if is_plain(key(call)) {
-            self.exchange(call, answer_by).await
-        } else {
-            Reply::Refused
-        };
+        let reply =
+            if is_plain(key(call)) { self.exchange(call, answer_by).await } else { Reply::Refused };
         match &reply {
             Reply::Lost => counters.lost(kind),
             Reply::Refused => counters.refused(kind),
@@ -293,10 +287,7 @@
         let write = matches!(kind, Kind::Put | Kind::Delete);
         match (self.status, self.version) {
             (StatusCode::OK, Some(version)) if write => Reply::Done { version },
-            (StatusCode::OK, Some(version)) => Reply::Value {
-                version,
-                value: self.body,
-            },
+            (StatusCode::OK, Some(version)) => Reply::Value { version, value: self.body },
             (StatusCode::NOT_FOUND, _) if !write => Reply::Absent,
             (StatusCode::NOT_MODIFIED, _) if kind == Kind::Watch => Reply::Unchanged,
             (StatusCode::PRECONDITION_FAILED, Some(version)) => Reply::Conflict { version },
@@ -321,13 +312,7 @@
 }
 
 fn version(headers: &HeaderMap) -> Option<Version> {
-    headers
-        .get(VERSION)?
-        .to_str()
-        .ok()?
-        .parse()
-        .ok()
-        .map(Version)
+    headers.get(VERSION)?.to_str().ok()?.parse().ok().map(Version)
 }
 
 fn kind(call: &Call) -> Kind {
--- a/sl-platform/src/counters.rs
+++ b/sl-platform/src/counters.rs
@@ -68,9 +68,7 @@
     }
 
     pub(crate) fn received(&self, kind: Kind, bytes: usize) {
-        self.0[kind as usize]
-            .bytes_received
-            .fetch_add(bytes as u64, Ordering::Relaxed);
+        self.0[kind as usize].bytes_received.fetch_add(bytes as u64, Ordering::Relaxed);
     }
 
     pub(crate) fn lost(&self, kind: Kind) {
@@ -78,9 +76,7 @@
     }
 
     pub(crate) fn refused(&self, kind: Kind) {
-        self.0[kind as usize]
-            .refused
-            .fetch_add(1, Ordering::Relaxed);
+        self.0[kind as usize].refused.fetch_add(1, Ordering::Relaxed);
     }
 
     pub(crate) fn read(&self, kind: Kind) -> Counted {
--- a/sl-platform/tests/it/faults.rs
+++ b/sl-platform/tests/it/faults.rs
@@ -9,16 +9,8 @@
 #[tokio::test]
 async fn a_write_whose_answer_is_lost_took_effect() {
     let (platform, client) = platform().await;
-    platform
-        .fault(Fault {
-            lose_answer: Chance::next(1),
-            ..Fault::default()
-        })
-        .await;
-    assert_eq!(
-        call(&client, put("k", Version::ABSENT, "mine")).await,
-        Reply::Lost
-    );
+    platform.fault(Fault { lose_answer: Chance::next(1), ..Fault::default() }).await;
+    assert_eq!(call(&client, put("k", Version::ABSENT, "mine")).await, Reply::Lost);
     let read = call(&client, get("k")).await;
     assert!(matches!(read, Reply::Value { .. }), "{read:?}");
     assert_eq!(platform.counters().put, 1, "it was not sent again");
@@ -28,16 +20,8 @@
 #[tokio::test]
 async fn a_write_that_is_lost_before_it_took_effect_looks_the_same() {
     let (platform, client) = platform().await;
-    platform
-        .fault(Fault {
-            lose_call: Chance::next(1),
-            ..Fault::default()
-        })
-        .await;
-    assert_eq!(
-        call(&client, put("k", Version::ABSENT, "mine")).await,
-        Reply::Lost
-    );
+    platform.fault(Fault { lose_call: Chance::next(1), ..Fault::default() }).await;
+    assert_eq!(call(&client, put("k", Version::ABSENT, "mine")).await, Reply::Lost);
     assert_eq!(call(&client, get("k")).await, Reply::Absent);
     assert_eq!(platform.counters().put, 1, "it was not sent again");
 }
@@ -46,12 +30,7 @@
 async fn a_removal_whose_answer_is_lost_took_effect() {
     let (platform, client) = platform().await;
     let version = create(&client, "k", "v").await;
-    platform
-        .fault(Fault {
-            lose_answer: Chance::next(1),
-            ..Fault::default()
-        })
-        .await;
+    platform.fault(Fault { lose_answer: Chance::next(1), ..Fault::default() }).await;
     assert_eq!(call(&client, delete("k", version)).await, Reply::Lost);
     assert_eq!(call(&client, get("k")).await, Reply::Absent);
 }
@@ -61,12 +40,7 @@
     let mut outcomes = Vec::new();
     for _ in 0..2 {
         let (platform, client) = platform().await;
-        platform
-            .fault(Fault {
-                lose_answer: Chance::probability(0.5),
-                ..Fault::default()
-            })
-            .await;
+        platform.fault(Fault { lose_answer: Chance::probability(0.5), ..Fault::default() }).await;
         let mut lost = Vec::new();
         for at in 0..20 {
             let reply = call(&client, put(&format!("k{at}"), Version::ABSENT, "v")).await;
@@ -86,19 +60,11 @@
     let read = get("k");
     let reads = (0..4).map(|_| client.call(&read, within(5_000)));
     futures::future::join_all(reads).await;
-    platform
-        .fault(Fault {
-            silent_old: true,
-            ..Fault::default()
-        })
-        .await;
+    platform.fault(Fault { silent_old: true, ..Fault::default() }).await;
     let begun = Instant::now();
     assert_eq!(client.call(&get("k"), within(300)).await, Reply::Lost);
     assert!(begun.elapsed().as_millis() >= 300);
-    assert_eq!(
-        client.call(&get("k"), within(2_000)).await,
-        value(version, "v")
-    );
+    assert_eq!(client.call(&get("k"), within(2_000)).await, value(version, "v"));
 }
 
 #[rstest]
@@ -125,12 +91,7 @@
 #[tokio::test]
 async fn a_slow_platform_still_answers() {
     let (platform, client) = platform().await;
-    platform
-        .fault(Fault {
-            slow_ms: 200,
-            ..Fault::default()
-        })
-        .await;
+    platform.fault(Fault { slow_ms: 200, ..Fault::default() }).await;
     let begun = Instant::now();
     create(&client, "k", "v").await;
     assert!(begun.elapsed().as_millis() >= 200);
@@ -139,11 +100,7 @@
 #[tokio::test]
 async fn nothing_listens() {
     let client = Client::new(Options::new("http://127.0.0.1:1/")).unwrap();
-    let write = Call::Put {
-        key: "k".into(),
-        expect: Version::ABSENT,
-        value: "v".into(),
-    };
+    let write = Call::Put { key: "k".into(), expect: Version::ABSENT, value: "v".into() };
     assert_eq!(client.call(&write, within(1_000)).await, Reply::Refused);
     let list = client.list(0, within(1_000)).await;
     assert!(matches!(list, Err(ListError::Connection(_))), "{list:?}");
--- a/sl-platform/tests/it/list.rs
+++ b/sl-platform/tests/it/list.rs
@@ -38,11 +38,7 @@
     assert_eq!(again, None);
     platform.set_leaving("s", true);
     platform.remove_instance("a");
-    let later = client
-        .list(listing.version, within(1_000))
-        .await
-        .unwrap()
-        .unwrap();
+    let later = client.list(listing.version, within(1_000)).await.unwrap().unwrap();
     assert!(later.instances.is_empty() && later.servers[0].leaving);
     assert!(later.version > listing.version);
 }
@@ -50,11 +46,7 @@
 #[tokio::test]
 async fn the_list_lags() {
     let list_lag = Duration::from_millis(400);
-    let (platform, client) = platform_with(Options {
-        list_lag,
-        ..Options::default()
-    })
-    .await;
+    let (platform, client) = platform_with(Options { list_lag, ..Options::default() }).await;
     let begun = Instant::now();
     platform.list_instance(instance("a"));
     let limit = within(5_000);
--- a/sl-platform/tests/it/support.rs
+++ b/sl-platform/tests/it/support.rs
@@ -25,11 +25,7 @@
 }
 
 pub fn put(key: &str, expect: Version, value: &'static str) -> Call {
-    Call::Put {
-        key: key.into(),
-        expect,
-        value: Bytes::from_static(value.as_bytes()),
-    }
+    Call::Put { key: key.into(), expect, value: Bytes::from_static(value.as_bytes()) }
 }
 
 pub fn get(key: &str) -> Call {
@@ -37,17 +33,11 @@
 }
 
 pub fn delete(key: &str, expect: Version) -> Call {
-    Call::Delete {
-        key: key.into(),
-        expect,
-    }
+    Call::Delete { key: key.into(), expect }
 }
 
 pub fn watch(key: &str, seen: Version) -> Call {
-    Call::Watch {
-        key: key.into(),
-        seen,
-    }
+    Call::Watch { key: key.into(), seen }
 }
 
 pub async fn create(client: &Client, key: &str, value: &'static str) -> Version {
@@ -58,8 +48,5 @@
 }
 
 pub fn value(version: Version, value: &'static str) -> Reply {
-    Reply::Value {
-        version,
-        value: Bytes::from_static(value.as_bytes()),
-    }
+    Reply::Value { version, value: Bytes::from_static(value.as_bytes()) }
 }
--- a/sl-report/src/burn.rs
+++ b/sl-report/src/burn.rs
@@ -111,11 +111,7 @@
             }
         });
         let covered = snapshots.iter().map(Coverage::of).collect();
-        Ok(Report {
-            rows: rows.collect(),
-            covered,
-            missing,
-        })
+        Ok(Report { rows: rows.collect(), covered, missing })
     }
 }
 
@@ -172,13 +168,7 @@
 }
 
 fn objective_of(config: &Config, team: &str, route: &str) -> Option<Objective> {
-    let template = config
-        .templates()
-        .iter()
-        .find(|it| it.teams.iter().any(|it| it.name == team))?;
-    template
-        .routes
-        .iter()
-        .find(|it| it.name == route)?
-        .objective
+    let template =
+        config.templates().iter().find(|it| it.teams.iter().any(|it| it.name == team))?;
+    template.routes.iter().find(|it| it.name == route)?.objective
 }
--- a/sl-report/src/metrics.rs
+++ b/sl-report/src/metrics.rs
@@ -52,19 +52,12 @@
     pub fn update(&self, report: &Report) {
         self.rates.clear();
         for row in &report.rows {
-            let windows = [
-                (WindowLabel::Short, &row.short),
-                (WindowLabel::Long, &row.long),
-            ];
+            let windows = [(WindowLabel::Short, &row.short), (WindowLabel::Long, &row.long)];
             for (window, burn) in windows {
                 let Some(rate) = worst(burn) else {
                     continue;
                 };
-                let labels = Labels {
-                    team: row.team.clone(),
-                    route: row.route.clone(),
-                    window,
-                };
+                let labels = Labels { team: row.team.clone(), route: row.route.clone(), window };
                 self.rates.get_or_create(&labels).set(rate);
             }
         }
--- a/sl-report/src/record.rs
+++ b/sl-report/src/record.rs
@@ -10,15 +10,9 @@
 };
 
 /// The short window: alerts react to it.
-pub(crate) const SHORT: Shape = Shape {
-    step: Millis(60_000),
-    steps: 5,
-};
+pub(crate) const SHORT: Shape = Shape { step: Millis(60_000), steps: 5 };
 /// The long window: alerts hold only if it burns too.
-pub(crate) const LONG: Shape = Shape {
-    step: Millis(300_000),
-    steps: 12,
-};
+pub(crate) const LONG: Shape = Shape { step: Millis(300_000), steps: 12 };
 /// The team and route under which everything past the bound of series is counted.
 pub const OTHER: &str = "(other)";
 
@@ -100,10 +94,7 @@
 impl Recorder {
     /// A recorder that holds nothing yet.
     pub fn new(options: Options) -> Recorder {
-        Recorder {
-            options,
-            series: BTreeMap::new(),
-        }
+        Recorder { options, series: BTreeMap::new() }
     }
 
     /// Counts one request.
@@ -113,9 +104,7 @@
             let tally = window.current(now);
             match sample {
                 Sample::Answered { first_byte_ms } => {
-                    tally
-                        .answered
-                        .saturating_record(first_byte_ms.clamp(1, LATENCY_MAX_MS));
+                    tally.answered.saturating_record(first_byte_ms.clamp(1, LATENCY_MAX_MS));
                 }
                 Sample::Unanswered => tally.unanswered += 1,
             }
@@ -124,15 +113,12 @@
 
     /// What both windows hold at `now`.
     pub fn snapshot(&mut self, now: Timestamp) -> Snapshot {
-        let series = self
-            .series
-            .iter_mut()
-            .map(|((team, route), windows)| Series {
-                team: team.clone(),
-                route: route.clone(),
-                short: Tallied::of(&windows.short.sum(now)),
-                long: Tallied::of(&windows.long.sum(now)),
-            });
+        let series = self.series.iter_mut().map(|((team, route), windows)| Series {
+            team: team.clone(),
+            route: route.clone(),
+            short: Tallied::of(&windows.short.sum(now)),
+            long: Tallied::of(&windows.long.sum(now)),
+        });
         Snapshot {
             instance: self.options.instance.clone(),
             from: self.options.from,
@@ -165,9 +151,6 @@
 
 impl Windows {
     fn new() -> Windows {
-        Windows {
-            short: Window::new(SHORT),
-            long: Window::new(LONG),
-        }
+        Windows { short: Window::new(SHORT), long: Window::new(LONG) }
     }
 }
--- a/sl-report/src/render.rs
+++ b/sl-report/src/render.rs
@@ -109,11 +109,7 @@
 }
 
 fn fastest(report: &Report) -> Vec<&Row> {
-    let mut rows: Vec<&Row> = report
-        .rows
-        .iter()
-        .filter(|it| it.objective.is_some())
-        .collect();
+    let mut rows: Vec<&Row> = report.rows.iter().filter(|it| it.objective.is_some()).collect();
     let key = |row: &Row| worst(&row.long).unwrap_or(0.0);
     rows.sort_by(|a, b| key(b).total_cmp(&key(a)));
     rows.truncate(ROWS_MAX);
@@ -124,15 +120,9 @@
     let height = MARGINS + ROW_HEIGHT * rows.len() as u32;
     let root = SVGBackend::with_string(out, (WIDTH, height)).into_drawing_area();
     root.fill(&WHITE)?;
-    let rates = rows
-        .iter()
-        .flat_map(|it| [worst(&it.short), worst(&it.long)])
-        .flatten();
+    let rates = rows.iter().flat_map(|it| [worst(&it.short), worst(&it.long)]).flatten();
     let top = rates.fold(2.0 * FULL_RATE, f64::max);
-    let labels: Vec<String> = rows
-        .iter()
-        .map(|it| format!("{} / {}", it.team, it.route))
-        .collect();
+    let labels: Vec<String> = rows.iter().map(|it| format!("{} / {}", it.team, it.route)).collect();
     let count = rows.len() as f64;
     let mut chart = ChartBuilder::on(&root)
         .caption("Service-level burn: 5 min over 1 h", ("sans-serif", 18))
@@ -149,10 +139,7 @@
         .draw()?;
     chart.draw_series(bars(rows, 0.1, |it| worst(&it.long), BLUE))?;
     chart.draw_series(bars(rows, 0.5, |it| worst(&it.short), RED))?;
-    chart.draw_series(LineSeries::new(
-        [(FULL_RATE, 0.0), (FULL_RATE, count.max(1.0))],
-        BLACK,
-    ))?;
+    chart.draw_series(LineSeries::new([(FULL_RATE, 0.0), (FULL_RATE, count.max(1.0))], BLACK))?;
     root.present()?;
     Ok(())
 }
--- a/sl-report/src/snapshot.rs
+++ b/sl-report/src/snapshot.rs
@@ -65,19 +65,12 @@
         V2Serializer::new()
             .serialize(&tally.answered, &mut answered)
             .expect("a histogram of constant bounds fits a buffer in memory");
-        Tallied {
-            answered,
-            unanswered: tally.unanswered,
-        }
+        Tallied { answered, unanswered: tally.unanswered }
     }
 
     pub(crate) fn tally(&self) -> Option<Tally> {
-        let answered: Histogram<u32> = Deserializer::new()
-            .deserialize(&mut self.answered.as_slice())
-            .ok()?;
-        Some(Tally {
-            answered,
-            unanswered: self.unanswered,
-        })
+        let answered: Histogram<u32> =
+            Deserializer::new().deserialize(&mut self.answered.as_slice()).ok()?;
+        Some(Tally { answered, unanswered: self.unanswered })
     }
 }
--- a/sl-report/src/window.rs
+++ b/sl-report/src/window.rs
@@ -50,10 +50,7 @@
     pub(crate) fn new() -> Tally {
         let answered = Histogram::new_with_bounds(1, LATENCY_MAX_MS, DIGITS);
         let answered = answered.expect("the constant bounds are in hdrhistogram's range");
-        Tally {
-            answered,
-            unanswered: 0,
-        }
+        Tally { answered, unanswered: 0 }
     }
 
     pub(crate) fn add(&mut self, other: &Tally) {
@@ -65,20 +62,14 @@
 
 impl Window {
     pub(crate) fn new(shape: Shape) -> Window {
-        Window {
-            shape,
-            steps: VecDeque::new(),
-        }
+        Window { shape, steps: VecDeque::new() }
     }
 
     pub(crate) fn current(&mut self, now: Timestamp) -> &mut Tally {
         self.forget(now);
         if self.steps.back().is_none_or(|it| it.until.is_due(now)) {
             let until = now.after(self.shape.step);
-            self.steps.push_back(Step {
-                until,
-                tally: Tally::new(),
-            });
+            self.steps.push_back(Step { until, tally: Tally::new() });
         }
         let last = self.steps.len() - 1;
         &mut self.steps[last].tally
@@ -99,11 +90,7 @@
 
     pub(crate) fn forget(&mut self, now: Timestamp) {
         let horizon = now.before(self.shape.span());
-        while self
-            .steps
-            .front()
-            .is_some_and(|it| it.until.is_due(horizon))
-        {
+        while self.steps.front().is_some_and(|it| it.until.is_due(horizon)) {
             self.steps.pop_front();
         }
     }
--- a/sl-report/tests/it/burn.rs
+++ b/sl-report/tests/it/burn.rs
@@ -12,22 +12,10 @@
     let mut a = recorder("a", START);
     let mut b = recorder("b", START);
     for _ in 0..70 {
-        a.record(
-            START,
-            "office",
-            "chat",
-            Sample::Answered { first_byte_ms: 100 },
-        );
+        a.record(START, "office", "chat", Sample::Answered { first_byte_ms: 100 });
     }
     for _ in 0..20 {
-        b.record(
-            START,
-            "office",
-            "chat",
-            Sample::Answered {
-                first_byte_ms: 5_000,
-            },
-        );
+        b.record(START, "office", "chat", Sample::Answered { first_byte_ms: 5_000 });
     }
     for _ in 0..10 {
         b.record(START, "office", "chat", Sample::Unanswered);
@@ -67,28 +55,17 @@
     assert!((report.covered[1].short_percent - 20.0).abs() < 1e-6);
     assert_eq!(report.missing, ["lost"]);
     let table = sl_report::render::table(&report);
-    assert!(
-        table.contains("gap: reborn has recorded 20 % of 5 min"),
-        "{table}"
-    );
+    assert!(table.contains("gap: reborn has recorded 20 % of 5 min"), "{table}");
     assert!(table.contains("missing: lost"), "{table}");
 }
 
 #[test]
 fn a_snapshot_survives_its_journey() {
     let mut a = recorder("a", START);
-    a.record(
-        START,
-        "office",
-        "chat",
-        Sample::Answered { first_byte_ms: 7 },
-    );
+    a.record(START, "office", "chat", Sample::Answered { first_byte_ms: 7 });
     let snapshot = a.snapshot(START);
     let json = serde_json::to_string(&snapshot).unwrap();
-    assert_eq!(
-        serde_json::from_str::<sl_report::Snapshot>(&json).unwrap(),
-        snapshot
-    );
+    assert_eq!(serde_json::from_str::<sl_report::Snapshot>(&json).unwrap(), snapshot);
     let broken = json.replace("\"answered\":\"1c", "\"answered\":\"00");
     let broken = serde_json::from_str(&broken).unwrap();
     let error = Report::merge(&config(), &[broken], Vec::new()).unwrap_err();
--- a/sl-report/tests/it/main.rs
+++ b/sl-report/tests/it/main.rs
@@ -13,11 +13,7 @@
 const START: Timestamp = Timestamp::from_micros(1_000_000_000_000);
 
 fn recorder(instance: &str, from: Timestamp) -> Recorder {
-    Recorder::new(Options {
-        instance: instance.to_owned(),
-        from,
-        series_max: 8,
-    })
+    Recorder::new(Options { instance: instance.to_owned(), from, series_max: 8 })
 }
 
 /// One team `office` with a route `chat`: 90 % within 1 s, 99 % answered.
@@ -35,11 +31,8 @@
         total_within: Millis(1),
         retries: 0,
     };
-    let objective = Objective {
-        first_byte_within: Millis(1_000),
-        latency_ppm: 900_000,
-        answered_ppm: 990_000,
-    };
+    let objective =
+        Objective { first_byte_within: Millis(1_000), latency_ppm: 900_000, answered_ppm: 990_000 };
     let route = Route {
         name: "chat".to_owned(),
         path: "/chat".to_owned(),
@@ -57,10 +50,6 @@
         queue_max: 1,
         queue_bytes_max: 1,
     };
-    let template = Template {
-        name: "all".to_owned(),
-        routes: vec![route],
-        teams: vec![team],
-    };
+    let template = Template { name: "all".to_owned(), routes: vec![route], teams: vec![team] };
     Config::new(Revision(1), vec![Arc::new(template)])
 }
--- a/sl-report/tests/it/render.rs
+++ b/sl-report/tests/it/render.rs
@@ -20,13 +20,7 @@
     a.record(START, "stray", "chat", Sample::Unanswered);
     let report = Report::merge(&config(), &[a.snapshot(START)], Vec::new()).unwrap();
     let table = render::table(&report);
-    let row = |team| {
-        table
-            .lines()
-            .find(|it| it.starts_with(team))
-            .unwrap()
-            .to_owned()
-    };
+    let row = |team| table.lines().find(|it| it.starts_with(team)).unwrap().to_owned();
     assert!(row("office").ends_with("BURNING"), "{table}");
     assert!(row("stray").ends_with('-'), "{table}");
 }
--- a/sl-slots/src/acquire.rs
+++ b/sl-slots/src/acquire.rs
@@ -16,11 +16,7 @@
 
     fn acquire_lent(&mut self, now: Timestamp, pool: PoolId, avoid: &[ServerId]) -> Option<Loan> {
         while let Some(server) = self.best(now, pool, avoid) {
-            let is_fresh = self
-                .holder
-                .held
-                .get(&server)
-                .is_some_and(|held| held.fresh > 0);
+            let is_fresh = self.holder.held.get(&server).is_some_and(|held| held.fresh > 0);
             if !is_fresh && self.surrender(now, pool, server) {
                 continue;
             }
@@ -28,10 +24,7 @@
             held.busy += 1;
             held.fresh = held.fresh.saturating_sub(1);
             held.used_at = now;
-            return Some(Loan {
-                server,
-                dispatch_by: held.dispatch_by,
-            });
+            return Some(Loan { server, dispatch_by: held.dispatch_by });
         }
         None
     }
@@ -118,10 +111,7 @@
             .max()
             .map(|(_, server)| server)?;
         self.holder.held.entry(server).or_default().busy += 1;
-        Some(Loan {
-            server,
-            dispatch_by: now.after(self.options.lease),
-        })
+        Some(Loan { server, dispatch_by: now.after(self.options.lease) })
     }
 
     fn room_alone(&self, server: &Server) -> u32 {
@@ -134,11 +124,7 @@
     }
 
     fn fixed_part(&self, server: &Server) -> u32 {
-        let line = hash::line(
-            server.id.0,
-            self.members.iter().copied(),
-            self.members.len(),
-        );
+        let line = hash::line(server.id.0, self.members.iter().copied(), self.members.len());
         let Some(rank) = line.iter().position(|&member| member == self.me) else {
             return 0;
         };
--- a/sl-slots/src/exchange.rs
+++ b/sl-slots/src/exchange.rs
@@ -24,10 +24,7 @@
 
     fn on_renew(&mut self, now: Timestamp, from: InstanceId, renew: &Renew) {
         let view = self.view();
-        if self
-            .home
-            .on_renew(now, from, renew, view, self.options.lease)
-        {
+        if self.home.on_renew(now, from, renew, view, self.options.lease) {
             self.owed.insert(from);
             self.balance_all(now);
         }
@@ -40,10 +37,7 @@
         let Some(servers) = self.by_home.get(&from) else {
             return;
         };
-        if self
-            .holder
-            .on_grant(now, from, grant, servers, &self.options)
-        {
+        if self.holder.on_grant(now, from, grant, servers, &self.options) {
             self.hasten(now, from, self.options.urgent_gap);
         }
     }
@@ -55,11 +49,7 @@
             let own = self.needs.get(&pool).copied();
             let elsewhere = self.elsewhere.get(&pool);
             let least = |holder| {
-                let need = if holder == me {
-                    own
-                } else {
-                    elsewhere?.get(&holder).map(|e| e.need)
-                };
+                let need = if holder == me { own } else { elsewhere?.get(&holder).map(|e| e.need) };
                 need.filter(|need| need.is_some()).map(|need| need.least)
             };
             let speed = |server| servers.get(&server).map_or(0, |k| k.speed.expected());
@@ -119,14 +109,7 @@
         link.sent_empty = windows.is_empty() && wants.is_empty();
         link.told = wants.iter().map(|w| (w.pool, w.need.waiting)).collect();
         link.renew_by = sent_at.after(self.options.renew_every);
-        Renew {
-            born: self.born,
-            sent_at,
-            seen: link.seen,
-            view,
-            windows,
-            wants,
-        }
+        Renew { born: self.born, sent_at, seen: link.seen, view, windows, wants }
     }
 
     fn write_grants(&mut self, now: Timestamp) -> bool {
--- a/sl-slots/src/holder.rs
+++ b/sl-slots/src/holder.rs
@@ -113,11 +113,8 @@
         link.seen = grant.number;
         let keep_on = !self.settle_until.is_due(now);
         link.confirm(grant.echo, terms.renew_every, keep_on);
-        let granted: BTreeMap<ServerId, u32> = grant
-            .windows
-            .iter()
-            .map(|window| (window.server, window.count))
-            .collect();
+        let granted: BTreeMap<ServerId, u32> =
+            grant.windows.iter().map(|window| (window.server, window.count)).collect();
         let mut lowered = false;
         for server in servers {
             let count = granted.get(server).copied();
@@ -140,11 +137,7 @@
         let held = self.held.entry(server).or_default();
         let before = held.count;
         let count = granted.unwrap_or(0);
-        held.count = if held.lowered_at > echo {
-            count.min(before)
-        } else {
-            count
-        };
+        held.count = if held.lowered_at > echo { count.min(before) } else { count };
         if granted.is_some() {
             held.dispatch_by = held.dispatch_by.max(echo.after(lease));
         }
--- a/sl-slots/src/home.rs
+++ b/sl-slots/src/home.rs
@@ -161,10 +161,7 @@
             for (holder, lent) in &homed.loans {
                 let at = match lent.lapsed {
                     Some(at) => at.after(lost_after),
-                    None => self
-                        .contacts
-                        .get(holder)
-                        .map_or(now, |contact| contact.lapses_at),
+                    None => self.contacts.get(holder).map_or(now, |contact| contact.lapses_at),
                 };
                 due = due.min(at);
             }
@@ -185,17 +182,10 @@
                 lent.told = contact.number;
             }
             if lent.target > 0 {
-                windows.push(Granted {
-                    server,
-                    count: lent.target,
-                });
+                windows.push(Granted { server, count: lent.target });
             }
         }
-        Some(Grant {
-            number: contact.number,
-            echo: contact.sent_at,
-            windows,
-        })
+        Some(Grant { number: contact.number, echo: contact.sent_at, windows })
     }
 
     /// Holders that are still to be told of a changed window.
@@ -300,10 +290,7 @@
         let mut short = short.saturating_sub(underway);
         for homed in self.servers.values_mut().filter(|h| h.pool == pool) {
             for (holder, lent) in &mut homed.loans {
-                let wants = self
-                    .contacts
-                    .get(holder)
-                    .and_then(|contact| contact.wants.get(&pool));
+                let wants = self.contacts.get(holder).and_then(|contact| contact.wants.get(&pool));
                 if wants.is_some_and(|need| need.is_some()) {
                     continue;
                 }
@@ -331,11 +318,7 @@
         seen: u64,
     ) {
         let room = self.room_of(from);
-        let window = window.copied().unwrap_or(Window {
-            server,
-            count: 0,
-            busy: 0,
-        });
+        let window = window.copied().unwrap_or(Window { server, count: 0, busy: 0 });
         if let Some(lent) = self.loans.get_mut(&from) {
             lent.on_window(window, seen, room);
             if lent.most == 0 && !lent.untold {
@@ -382,8 +365,5 @@
 }
 
 fn least_served(needy: &mut [Needy]) -> Option<(InstanceId, &mut u32)> {
-    needy
-        .iter_mut()
-        .find(|needy| needy.short > 0)
-        .map(|needy| (needy.holder, &mut needy.short))
+    needy.iter_mut().find(|needy| needy.short > 0).map(|needy| (needy.holder, &mut needy.short))
 }
--- a/sl-slots/src/need.rs
+++ b/sl-slots/src/need.rs
@@ -68,10 +68,8 @@
 
     /// What waits for pools of `servers`; work that an idle slot can take is no want.
     pub(crate) fn wants(&self, now: Timestamp, servers: &[ServerId]) -> Vec<Want> {
-        let pools: BTreeSet<PoolId> = servers
-            .iter()
-            .map(|id| self.servers[id].server.pool)
-            .collect();
+        let pools: BTreeSet<PoolId> =
+            servers.iter().map(|id| self.servers[id].server.pool).collect();
         pools
             .into_iter()
             .filter_map(|pool| {
--- a/sl-slots/src/place.rs
+++ b/sl-slots/src/place.rs
@@ -51,17 +51,11 @@
             let home = hash::owner(id.0, self.members.iter().copied());
             if let Some(home) = home {
                 self.by_home.entry(home).or_default().push(id);
-                self.homes
-                    .entry(known.server.pool)
-                    .or_default()
-                    .insert(home);
+                self.homes.entry(known.server.pool).or_default().insert(home);
             }
             self.by_pool.entry(known.server.pool).or_default().push(id);
             if known.home != home && self.holder.held.contains_key(&id) {
-                self.holder
-                    .links
-                    .entry(home.unwrap_or(self.me))
-                    .or_default();
+                self.holder.links.entry(home.unwrap_or(self.me)).or_default();
             }
             known.home = home;
         }
@@ -73,13 +67,8 @@
     }
 
     fn take_homes(&mut self, now: Timestamp) {
-        let mine: BTreeSet<ServerId> = self
-            .by_home
-            .get(&self.me)
-            .into_iter()
-            .flatten()
-            .copied()
-            .collect();
+        let mine: BTreeSet<ServerId> =
+            self.by_home.get(&self.me).into_iter().flatten().copied().collect();
         self.home.servers.retain(|id, _| mine.contains(id));
         let unheard = self.may_hold(now);
         for id in mine {
--- a/sl-slots/src/slots.rs
+++ b/sl-slots/src/slots.rs
@@ -130,12 +130,7 @@
             return Timestamp::NEVER;
         }
         let renew = self.holder.links.values().map(|link| link.renew_by).min();
-        let idle = self
-            .holder
-            .held
-            .iter()
-            .map(|(id, held)| self.idle_until(*id, held))
-            .min();
+        let idle = self.holder.held.iter().map(|(id, held)| self.idle_until(*id, held)).min();
         self.home
             .due(now, self.options.lost_after)
             .min(renew.unwrap_or(Timestamp::NEVER))
@@ -175,10 +170,6 @@
 
     /// Whether the pool has a server that takes new work.
     pub fn has_server(&self, pool: PoolId) -> bool {
-        self.by_pool
-            .get(&pool)
-            .into_iter()
-            .flatten()
-            .any(|id| !self.servers[id].server.leaving)
+        self.by_pool.get(&pool).into_iter().flatten().any(|id| !self.servers[id].server.leaving)
     }
 }
--- a/sl-slots/src/speed.rs
+++ b/sl-slots/src/speed.rs
@@ -24,10 +24,6 @@
 
     /// The speed to expect; a server that was never tried counts as fast, so that it is.
     pub fn expected(self) -> u64 {
-        if self.units_per_second == 0 {
-            u64::MAX
-        } else {
-            self.units_per_second
-        }
+        if self.units_per_second == 0 { u64::MAX } else { self.units_per_second }
     }
 }
--- a/sl-slots/tests/it/fleet.rs
+++ b/sl-slots/tests/it/fleet.rs
@@ -146,9 +146,7 @@
     }
 
     fn ids(&self) -> Vec<InstanceId> {
-        (0..self.lives.len())
-            .map(|n| InstanceId::of(&format!("instance-{n}")))
-            .collect()
+        (0..self.lives.len()).map(|n| InstanceId::of(&format!("instance-{n}"))).collect()
     }
 
     fn newborn(&mut self, n: usize) -> Node {
@@ -172,22 +170,8 @@
     }
 
     fn rules(&self) -> Vec<(TeamId, Rule)> {
-        let limits = Limits {
-            requests: 1_000,
-            bytes: 1_000_000,
-        };
-        self.loads
-            .iter()
-            .map(|load| {
-                (
-                    load.team,
-                    Rule {
-                        share: load.share,
-                        limits,
-                    },
-                )
-            })
-            .collect()
+        let limits = Limits { requests: 1_000, bytes: 1_000_000 };
+        self.loads.iter().map(|load| (load.team, Rule { share: load.share, limits })).collect()
     }
 
     pub fn set_loads(&mut self, loads: Vec<Load>) {
@@ -268,8 +252,7 @@
                 break;
             };
             if self.faults.paused.contains(&to) {
-                self.wire
-                    .insert((self.now + STEP_MICROS, key.1), (from, to, envelope));
+                self.wire.insert((self.now + STEP_MICROS, key.1), (from, to, envelope));
                 continue;
             }
             self.receive(from, to, envelope);
@@ -305,8 +288,7 @@
             let extra = self.rng.random_range(0..=self.faults.delay_ms);
             let at = self.now + (self.latency_ms + extra) * 1_000;
             self.next += 1;
-            self.wire
-                .insert((at, self.next), (from, to, envelope.clone()));
+            self.wire.insert((at, self.next), (from, to, envelope.clone()));
         }
     }
 
@@ -344,12 +326,8 @@
         let node = &mut self.nodes[run.node];
         node.stirred = true;
         node.fair.settle(run.request, run.units);
-        let outcome = Outcome::Ran {
-            units: run.units,
-            micros: run.ends - run.started,
-        };
-        node.slots
-            .release(Timestamp::from_micros(self.now), server, outcome);
+        let outcome = Outcome::Ran { units: run.units, micros: run.ends - run.started };
+        node.slots.release(Timestamp::from_micros(self.now), server, outcome);
     }
 
     fn turn(&mut self, n: usize) {
@@ -414,8 +392,7 @@
             let node = &mut self.nodes[n];
             let need = node.fair.need(POOL);
             node.slots.set_need(now, POOL, need);
-            node.slots
-                .set_needs_elsewhere(now, POOL, &node.fair.needs_elsewhere(now, POOL));
+            node.slots.set_needs_elsewhere(now, POOL, &node.fair.needs_elsewhere(now, POOL));
             if !need.is_some() {
                 return;
             }
@@ -432,11 +409,7 @@
         let units = self.costs.remove(&(n, item.request)).expect("cost");
         let life = self.lives[n];
         let now = self.now;
-        let backend = self
-            .backends
-            .iter_mut()
-            .find(|b| b.server.id == server)
-            .expect("server");
+        let backend = self.backends.iter_mut().find(|b| b.server.id == server).expect("server");
         backend.last_dispatch = now;
         let mut run = Running {
             node: n,
@@ -453,9 +426,7 @@
             run.ends = 0;
             backend.queue.push(run);
         }
-        backend.most = backend
-            .most
-            .max(backend.running.len() + backend.queue.len());
+        backend.most = backend.most.max(backend.running.len() + backend.queue.len());
     }
 
     fn report(&mut self, n: usize) {
@@ -493,18 +464,12 @@
     }
 
     pub fn slots_in_all(&self) -> u64 {
-        self.backends
-            .iter()
-            .map(|b| u64::from(b.server.slots))
-            .sum()
+        self.backends.iter().map(|b| u64::from(b.server.slots)).sum()
     }
 
     /// Units a second of all servers.
     pub fn rate(&self) -> u64 {
-        self.backends
-            .iter()
-            .map(|b| u64::from(b.server.slots) * b.speed)
-            .sum()
+        self.backends.iter().map(|b| u64::from(b.server.slots) * b.speed).sum()
     }
 
     /// Work that ran or runs, in units by share, including what is done of running requests.
@@ -543,11 +508,7 @@
     (0..16)
         .map(|t| {
             let large = t < 3;
-            let spread = if large {
-                nodes
-            } else {
-                1 + (rng.next_u32() as usize) % 3
-            };
+            let spread = if large { nodes } else { 1 + (rng.next_u32() as usize) % 3 };
             let first = rng.random_range(0..nodes);
             Load {
                 team: team(t),
--- a/sl-slots/tests/it/lending.rs
+++ b/sl-slots/tests/it/lending.rs
@@ -15,9 +15,7 @@
 
 /// A few cases with a fixed seed; more by `SESAMELOCK_SEEDS`.
 fn config() -> Config {
-    let cases = std::env::var("SESAMELOCK_SEEDS")
-        .ok()
-        .and_then(|seeds| seeds.parse().ok());
+    let cases = std::env::var("SESAMELOCK_SEEDS").ok().and_then(|seeds| seeds.parse().ok());
     Config {
         cases: cases.unwrap_or(24),
         rng_seed: RngSeed::Fixed(4),
@@ -161,10 +159,7 @@
     fleet.set_loads(vec![lone(holder, 40)]);
     fleet.run(Millis(9_000));
     let last = SERVERS.len() - 1;
-    assert!(
-        fleet.now - fleet.backends[last].last_dispatch < 1_000_000,
-        "it was in use"
-    );
+    assert!(fleet.now - fleet.backends[last].last_dispatch < 1_000_000, "it was in use");
     let known_at = fleet.now;
     fleet.set_leaving(last, &others(holder));
     fleet.faults.cut_off.insert(holder);
@@ -178,12 +173,7 @@
 }
 
 fn lone(node: usize, depth: u32) -> Load {
-    Load {
-        team: team(0),
-        share: 1,
-        nodes: vec![node],
-        depth,
-    }
+    Load { team: team(0), share: 1, nodes: vec![node], depth }
 }
 
 #[rstest]
@@ -207,10 +197,7 @@
     fleet.max_cost = 20;
     fleet.set_loads(vec![lone(2, 40)]);
     fleet.run(Millis(5_000));
-    fleet.set_loads(vec![Load {
-        depth: 0,
-        ..lone(2, 0)
-    }]);
+    fleet.set_loads(vec![Load { depth: 0, ..lone(2, 0) }]);
     fleet.run(Millis(2_000));
     assert_eq!(fleet.in_use(), 0);
     fleet.max_cost = 2_000;
@@ -245,10 +232,7 @@
 fn a_stopping_instance_hands_its_slots_back() {
     let mut fleet = Fleet::new(3, NODES, &SERVERS, Options::default());
     fleet.max_cost = 200;
-    let on = |node| Load {
-        team: team(node),
-        ..lone(node, 12)
-    };
+    let on = |node| Load { team: team(node), ..lone(node, 12) };
     fleet.set_loads((0..NODES).map(on).collect());
     fleet.run(Millis(6_000));
     fleet.set_live(&[0, 1, 2, 3]);
--- a/sl-slots/tests/it/shares.rs
+++ b/sl-slots/tests/it/shares.rs
@@ -55,11 +55,7 @@
     fleet.run(WARM_UP);
     let since = fleet.received();
     let busy = fleet.busy_micros;
-    let mut measured = Measured {
-        gap: 0,
-        last_gap: 0,
-        utilisation: 0.0,
-    };
+    let mut measured = Measured { gap: 0, last_gap: 0, utilisation: 0.0 };
     for second in 0..seconds {
         change(fleet, second);
         fleet.run(Millis(1_000));
@@ -72,10 +68,7 @@
 }
 
 fn fleet(policy: Policy, seed: u64) -> Fleet {
-    let options = Options {
-        policy,
-        ..Options::default()
-    };
+    let options = Options { policy, ..Options::default() };
     let mut fleet = Fleet::new(seed, NODES, &SERVERS, options);
     fleet.set_loads(uneven(seed, NODES, 8));
     fleet
@@ -105,12 +98,7 @@
 fn work_on_few_instances_uses_all_servers() {
     let on_two = |policy| {
         let mut fleet = fleet(policy, 5);
-        let loads = (0..4).map(|n| Load {
-            team: team(n),
-            share: 1,
-            nodes: vec![n % 2],
-            depth: 30,
-        });
+        let loads = (0..4).map(|n| Load { team: team(n), share: 1, nodes: vec![n % 2], depth: 30 });
         fleet.set_loads(loads.collect());
         measure(&mut fleet, 20, |_, _| {})
     };
@@ -166,11 +154,7 @@
         "cut seed {seed}: worst {} last {} of {bound} util {:.4}",
         measured.gap, measured.last_gap, measured.utilisation
     );
-    assert!(
-        measured.last_gap <= bound,
-        "{} of {bound}",
-        measured.last_gap
-    );
+    assert!(measured.last_gap <= bound, "{} of {bound}", measured.last_gap);
 }
 
 /// A share of one against a thousand: the small team's requests still run.
@@ -178,18 +162,8 @@
 fn a_small_share_is_served() {
     let mut fleet = fleet(Policy::Lent, 1);
     fleet.set_loads(vec![
-        Load {
-            team: team(0),
-            share: 1_000,
-            nodes: (0..NODES).collect(),
-            depth: 20,
-        },
-        Load {
-            team: team(1),
-            share: 1,
-            nodes: vec![4],
-            depth: 20,
-        },
+        Load { team: team(0), share: 1_000, nodes: (0..NODES).collect(), depth: 20 },
+        Load { team: team(1), share: 1, nodes: vec![4], depth: 20 },
     ]);
     let mut served = Vec::new();
     for _ in 0..4 {
--- a/sl-step/src/admit.rs
+++ b/sl-step/src/admit.rs
@@ -50,10 +50,7 @@
         if self.members.isolated(now) {
             return Some(Code::Isolated);
         }
-        if self
-            .strikes
-            .is_barred(now, arrival.team, arrival.fingerprint)
-        {
+        if self.strikes.is_barred(now, arrival.team, arrival.fingerprint) {
             return Some(Code::CrashesServers);
         }
         if self.requests.len() >= self.options.requests_max
@@ -87,11 +84,7 @@
                 self.claims.settle(now, id, Settled::NotRun);
                 self.refuse(&arrival, Code::CallerGone);
             }
-            Decision::Refused {
-                code,
-                status,
-                retry_after,
-            } => {
+            Decision::Refused { code, status, retry_after } => {
                 self.requests.remove(id);
                 self.effects.push(Effect::Answer {
                     request: id,
@@ -141,9 +134,7 @@
             }
             // A non-idempotent request runs on, so that its outcome becomes known.
             Phase::Running(running) if arrival.policy.idempotent => {
-                self.effects.push(Effect::Abort {
-                    attempt: running.attempt,
-                });
+                self.effects.push(Effect::Abort { attempt: running.attempt });
             }
             Phase::Running(_) => {}
         }
@@ -215,11 +206,7 @@
             self.note_need(now, item.pool);
         }
         if request.claimed {
-            let settled = if request.may_have_run {
-                Settled::Unknown
-            } else {
-                Settled::NotRun
-            };
+            let settled = if request.may_have_run { Settled::Unknown } else { Settled::NotRun };
             self.claims.settle(now, id, settled);
         }
     }
--- a/sl-step/src/attempt.rs
+++ b/sl-step/src/attempt.rs
@@ -41,8 +41,7 @@
             return;
         };
         let id = request.arrival.request;
-        self.slots
-            .release(now, running.server, outcome_of(now, &running, end));
+        self.slots.release(now, running.server, outcome_of(now, &running, end));
         self.moved.insert(request.arrival.policy.pool);
         self.judge_by_end(now, &request, &running, end);
         let next = next(now, &request, running.answering, end);
@@ -50,8 +49,7 @@
             self.retry(now, id, end);
             return;
         }
-        self.fair
-            .settle(id, units_of(end).unwrap_or(request.arrival.hint));
+        self.fair.settle(id, units_of(end).unwrap_or(request.arrival.hint));
         if request.claimed {
             self.claims.settle(now, id, settled_by(&request, end));
         }
@@ -102,10 +100,9 @@
 
 fn outcome_of(now: Timestamp, running: &Running, end: AttemptEnd) -> Outcome {
     match end {
-        AttemptEnd::Complete { units, .. } => Outcome::Ran {
-            units,
-            micros: now.micros_since(running.since),
-        },
+        AttemptEnd::Complete { units, .. } => {
+            Outcome::Ran { units, micros: now.micros_since(running.since) }
+        }
         AttemptEnd::NotSent => Outcome::Refused,
         _ => Outcome::Other,
     }
@@ -152,18 +149,10 @@
         AttemptEnd::NotSent => request.tries < UNSENT_TRIES_MAX,
         _ => policy.idempotent && request.tries <= policy.retries,
     };
-    if again {
-        Next::Retry
-    } else {
-        Next::Answer(code)
-    }
+    if again { Next::Retry } else { Next::Answer(code) }
 }
 
 /// The code for a request that waits for another try: not run only if none may have run.
 pub(crate) fn honest(code: Code, request: &Request) -> Code {
-    if request.may_have_run {
-        Code::ConnectionLost
-    } else {
-        code
-    }
+    if request.may_have_run { Code::ConnectionLost } else { code }
 }
--- a/sl-step/src/dispatch.rs
+++ b/sl-step/src/dispatch.rs
@@ -29,8 +29,7 @@
             return false;
         };
         let id = picked.item.request;
-        self.waits
-            .learn(picked.item.team, now.micros_since(picked.item.since));
+        self.waits.learn(picked.item.team, now.micros_since(picked.item.since));
         if !self.passes_strikes(now, id) {
             self.fair.settle(id, 0);
             self.slots.release(now, loan.server, Outcome::Other);
@@ -89,11 +88,8 @@
             self.say(to, Message::Slots(message));
         }
         // Messages of this instance to itself may have brought slots.
-        let woken: Vec<PoolId> = self
-            .fair
-            .pools()
-            .filter(|&pool| self.fair.need(pool).is_some())
-            .collect();
+        let woken: Vec<PoolId> =
+            self.fair.pools().filter(|&pool| self.fair.need(pool).is_some()).collect();
         for pool in woken {
             while self.dispatch_one(now, pool) {}
         }
--- a/sl-step/src/exchange.rs
+++ b/sl-step/src/exchange.rs
@@ -14,11 +14,7 @@
             return;
         }
         let instances = self.options.seeds.clone();
-        let seeds = Listing {
-            version: 0,
-            instances,
-            servers: Vec::new(),
-        };
+        let seeds = Listing { version: 0, instances, servers: Vec::new() };
         self.members.on_listing(now, &seeds);
     }
 
@@ -81,11 +77,7 @@
         let mut changed = false;
         for output in self.members.take() {
             match output {
-                Output::Send {
-                    to,
-                    address,
-                    message,
-                } => {
+                Output::Send { to, address, message } => {
                     self.say_at(to, address, Message::Members(message));
                 }
                 Output::Changed { member, status } => {
@@ -135,16 +127,8 @@
     pub(crate) fn settle_claims(&mut self, now: Timestamp) {
         for output in self.claims.take() {
             match output {
-                sl_claim::Output::Call {
-                    id,
-                    call,
-                    answer_by,
-                } => {
-                    self.effects.push(Effect::Call {
-                        id,
-                        call,
-                        answer_by,
-                    });
+                sl_claim::Output::Call { id, call, answer_by } => {
+                    self.effects.push(Effect::Call { id, call, answer_by });
                 }
                 sl_claim::Output::Send { to, message } => {
                     self.say(to, Message::Claims(message));
--- a/sl-step/src/list.rs
+++ b/sl-step/src/list.rs
@@ -28,9 +28,7 @@
         let reads = first || stops || self.is_in_line(READER_ROLE, READERS);
         let periods = if reads { 1 } else { self.rest_periods() };
         self.list_at = now.after(Millis(period.0 * periods));
-        self.effects.push(Effect::List {
-            seen: self.listing.version,
-        });
+        self.effects.push(Effect::List { seen: self.listing.version });
     }
 
     /// Periods between two reads of something that peers bring news of.
@@ -44,11 +42,8 @@
             return;
         }
         self.members.on_listing(now, &listing);
-        self.addresses = listing
-            .servers
-            .iter()
-            .map(|it| (ServerId::of(&it.name), it.address))
-            .collect();
+        self.addresses =
+            listing.servers.iter().map(|it| (ServerId::of(&it.name), it.address)).collect();
         let servers: Vec<Server> = listing
             .servers
             .iter()
--- a/sl-step/src/request.rs
+++ b/sl-step/src/request.rs
@@ -121,12 +121,7 @@
         self.next_attempt += 1;
         self.by_attempt.insert(attempt, id);
         request.tries = request.tries.saturating_add(1);
-        request.phase = Phase::Running(Running {
-            attempt,
-            server,
-            since: now,
-            answering: false,
-        });
+        request.phase = Phase::Running(Running { attempt, server, since: now, answering: false });
         Some((attempt, request))
     }
 
--- a/sl-step/src/spread.rs
+++ b/sl-step/src/spread.rs
@@ -67,10 +67,7 @@
     }
 
     pub(crate) fn due(&self) -> Timestamp {
-        let again = self
-            .candidate
-            .as_ref()
-            .map_or(Timestamp::NEVER, |it| it.ask_again_at);
+        let again = self.candidate.as_ref().map_or(Timestamp::NEVER, |it| it.ask_again_at);
         self.look_at.min(again)
     }
 
@@ -88,9 +85,7 @@
     }
 
     fn revision(&self) -> sl_base::Revision {
-        self.head
-            .as_ref()
-            .map_or(sl_base::Revision(0), |it| it.revision)
+        self.head.as_ref().map_or(sl_base::Revision(0), |it| it.revision)
     }
 }
 
@@ -100,11 +95,7 @@
         if self.spread.look_at.is_due(now) {
             self.look_at_head(now);
         }
-        let again = self
-            .spread
-            .candidate
-            .as_mut()
-            .filter(|it| it.ask_again_at.is_due(now));
+        let again = self.spread.candidate.as_mut().filter(|it| it.ask_again_at.is_due(now));
         if let Some(candidate) = again {
             candidate.from = None;
             self.ask_for_pages(now);
@@ -116,13 +107,7 @@
         let watches = self.is_in_line(WATCHER_ROLE, WATCHERS);
         let (call, answer_by) = if watches && self.spread.seen != Version::ABSENT {
             let wait = Millis(self.options.watch_wait.0 + self.options.platform_answer.0);
-            (
-                Call::Watch {
-                    key,
-                    seen: self.spread.seen,
-                },
-                now.after(wait),
-            )
+            (Call::Watch { key, seen: self.spread.seen }, now.after(wait))
         } else {
             (Call::Get { key }, now.after(self.options.platform_answer))
         };
@@ -177,11 +162,7 @@
         if !head.supersedes(known) {
             return;
         }
-        self.spread.candidate = Some(Candidate {
-            head,
-            from,
-            ask_again_at: Timestamp::NEVER,
-        });
+        self.spread.candidate = Some(Candidate { head, from, ask_again_at: Timestamp::NEVER });
         self.try_candidate();
         if self.spread.candidate.is_some() {
             self.ask_for_pages(now);
@@ -201,11 +182,7 @@
         }
         let answer_by = now.after(self.options.platform_answer);
         for hash in missing {
-            let asked = self
-                .spread
-                .calls
-                .values()
-                .any(|it| *it == Asked::Page(hash));
+            let asked = self.spread.calls.values().any(|it| *it == Asked::Page(hash));
             if !asked {
                 let id = self.call(Call::Get { key: hash.key() }, answer_by);
                 self.spread.calls.insert(id, Asked::Page(hash));
@@ -220,12 +197,7 @@
             }
         }
         self.try_candidate();
-        if self
-            .spread
-            .candidate
-            .as_ref()
-            .is_some_and(|it| it.from.is_some())
-        {
+        if self.spread.candidate.as_ref().is_some_and(|it| it.from.is_some()) {
             self.ask_for_pages(now);
         }
     }
@@ -253,17 +225,8 @@
     fn put_in_force(&mut self, config: Arc<sl_config::Config>) {
         let teams = config.templates().iter().flat_map(|it| &it.teams);
         self.fair.set_rules(teams.map(|it| {
-            let limits = Limits {
-                requests: it.queue_max,
-                bytes: it.queue_bytes_max,
-            };
-            (
-                it.id,
-                Rule {
-                    share: it.share,
-                    limits,
-                },
-            )
+            let limits = Limits { requests: it.queue_max, bytes: it.queue_bytes_max };
+            (it.id, Rule { share: it.share, limits })
         }));
         self.waits.retain(|team| config.team(team).is_some());
         self.note("configuration in force", config.revision());
@@ -275,12 +238,7 @@
 
     /// Hands a peer what it lacks.
     pub(crate) fn hand_out(&mut self, to: InstanceId, theirs: Running) {
-        if let Some(head) = self
-            .spread
-            .head
-            .clone()
-            .filter(|it| it.supersedes(theirs.revision))
-        {
+        if let Some(head) = self.spread.head.clone().filter(|it| it.supersedes(theirs.revision)) {
             self.say(to, Message::Head(head));
         }
         if self.listing.version > theirs.listing {
@@ -291,10 +249,7 @@
     pub(crate) fn hand_out_pages(&mut self, to: InstanceId, wanted: &[PageHash]) {
         let mut texts = Vec::new();
         let mut bytes = 0;
-        for page in wanted
-            .iter()
-            .filter_map(|&hash| self.spread.library.page(hash))
-        {
+        for page in wanted.iter().filter_map(|&hash| self.spread.library.page(hash)) {
             bytes += page.text().len();
             if !texts.is_empty() && bytes > PAGES_BYTES_MAX {
                 break;
--- a/sl-step/src/state.rs
+++ b/sl-step/src/state.rs
@@ -70,15 +70,9 @@
     pub fn new(options: Options, now: Timestamp) -> State {
         let me = options.me();
         let life = options.incarnation;
-        let this = sl_member::Me {
-            id: me,
-            incarnation: life,
-            address: options.control,
-        };
-        let fair = sl_fair::Options {
-            window: options.fair_window,
-            ..sl_fair::Options::of(me, life)
-        };
+        let this = sl_member::Me { id: me, incarnation: life, address: options.control };
+        let fair =
+            sl_fair::Options { window: options.fair_window, ..sl_fair::Options::of(me, life) };
         let mut state = State {
             me,
             config: Arc::default(),
@@ -134,11 +128,7 @@
             self.stop_due(now),
         ];
         let later = |at: &Timestamp| !at.is_due(now) || *at != self.members.isolated_at();
-        areas
-            .into_iter()
-            .filter(later)
-            .min()
-            .unwrap_or(Timestamp::NEVER)
+        areas.into_iter().filter(later).min().unwrap_or(Timestamp::NEVER)
     }
 
     /// The configuration in force here.
@@ -165,11 +155,7 @@
             Event::Answering { attempt } => self.answering(attempt),
             Event::Progress { attempt, units } => self.progress(attempt, units),
             Event::Ended { attempt, end } => self.ended(now, attempt, end),
-            Event::Message {
-                from,
-                incarnation,
-                message,
-            } => {
+            Event::Message { from, incarnation, message } => {
                 self.hear(now, from, incarnation, message);
             }
             Event::PeerAnswered { peer, sent_at } => {
@@ -224,26 +210,16 @@
     pub(crate) fn call(&mut self, call: Call, answer_by: Timestamp) -> CallId {
         self.next_call += 1;
         let id = CallId(self.next_call);
-        self.effects.push(Effect::Call {
-            id,
-            call,
-            answer_by,
-        });
+        self.effects.push(Effect::Call { id, call, answer_by });
         id
     }
 
     pub(crate) fn running(&self) -> Running {
-        Running {
-            revision: self.config.revision(),
-            listing: self.listing.version,
-        }
+        Running { revision: self.config.revision(), listing: self.listing.version }
     }
 
     pub(crate) fn note(&mut self, what: &'static str, whom: impl ToString) {
-        self.effects.push(Effect::Note(Note {
-            what,
-            whom: whom.to_string(),
-        }));
+        self.effects.push(Effect::Note(Note { what, whom: whom.to_string() }));
     }
 
     fn tell_ready(&mut self, now: Timestamp) {
@@ -263,21 +239,13 @@
     }
 
     pub(crate) fn say_at(&mut self, to: InstanceId, address: SocketAddr, message: Message) {
-        let envelope = self
-            .outbox
-            .entry(to)
-            .or_insert_with(|| (address, Vec::new()));
+        let envelope = self.outbox.entry(to).or_insert_with(|| (address, Vec::new()));
         envelope.1.push(message);
     }
 
     fn flush(&mut self, now: Timestamp) {
         for (to, (address, messages)) in std::mem::take(&mut self.outbox) {
-            self.effects.push(Effect::Send {
-                to,
-                address,
-                sent_at: now,
-                messages,
-            });
+            self.effects.push(Effect::Send { to, address, sent_at: now, messages });
         }
     }
 }
--- a/sl-step/src/status.rs
+++ b/sl-step/src/status.rs
@@ -23,27 +23,15 @@
     }
 
     fn member_statuses(&self) -> Vec<MemberStatus> {
-        let listed = self
-            .listing
-            .instances
-            .iter()
-            .map(|it| InstanceId::of(&it.name));
-        let mut ids: Vec<_> = self
-            .members
-            .peers()
-            .map(|(id, _)| id)
-            .chain(listed)
-            .collect();
+        let listed = self.listing.instances.iter().map(|it| InstanceId::of(&it.name));
+        let mut ids: Vec<_> = self.members.peers().map(|(id, _)| id).chain(listed).collect();
         ids.sort_unstable();
         ids.dedup();
         let others = ids.into_iter().filter(|&id| id != self.me);
         others
             .map(|id| MemberStatus {
                 instance: self.instance_name(id),
-                status: self
-                    .members
-                    .status(id)
-                    .map_or("unknown".to_owned(), |it| it.to_string()),
+                status: self.members.status(id).map_or("unknown".to_owned(), |it| it.to_string()),
                 leaving: self.members.is_leaving(id),
             })
             .collect()
@@ -73,18 +61,13 @@
             .collect();
         let pools = self.fair.pools();
         let all = pools.flat_map(|pool| teams.iter().map(move |&(id, name)| (pool, id, name)));
-        all.filter_map(|(pool, id, name)| self.service(pool, id, name))
-            .collect()
+        all.filter_map(|(pool, id, name)| self.service(pool, id, name)).collect()
     }
 
     fn service(&self, pool: PoolId, id: TeamId, name: &str) -> Option<ServiceStatus> {
         let waiting = self.fair.waiting(pool, id);
         let served = self.fair.own_units(pool, id);
-        let named = self
-            .listing
-            .servers
-            .iter()
-            .find(|it| PoolId::of(&it.pool) == pool);
+        let named = self.listing.servers.iter().find(|it| PoolId::of(&it.pool) == pool);
         let status = ServiceStatus {
             team: name.to_owned(),
             pool: named.map_or_else(|| pool.to_string(), |it| it.pool.clone()),
--- a/sl-step/src/stop.rs
+++ b/sl-step/src/stop.rs
@@ -24,14 +24,8 @@
                 self.tell_members(now);
                 self.note("planned stop", self.options.name.clone());
             }
-            Stop::Unready {
-                refuse_at,
-                cut_by: before,
-            } => {
-                self.stop = Stop::Unready {
-                    refuse_at,
-                    cut_by: cut_by.min(before),
-                };
+            Stop::Unready { refuse_at, cut_by: before } => {
+                self.stop = Stop::Unready { refuse_at, cut_by: cut_by.min(before) };
             }
             Stop::Leaving { .. } | Stop::Done => {}
         }
@@ -58,9 +52,7 @@
                 self.stop = Stop::Leaving { exit_at: now };
             }
             Stop::Unready { refuse_at, .. } if refuse_at.is_due(now) && self.is_done() => {
-                self.stop = Stop::Leaving {
-                    exit_at: now.after(FAREWELL),
-                };
+                self.stop = Stop::Leaving { exit_at: now.after(FAREWELL) };
             }
             Stop::Leaving { exit_at } if exit_at.is_due(now) => {
                 self.stop = Stop::Done;
--- a/sl-step/tests/it/fleet.rs
+++ b/sl-step/tests/it/fleet.rs
@@ -60,26 +60,9 @@
 
 enum Delivery {
     Event(usize, Incarnation, Event),
-    Message {
-        from: usize,
-        life: Incarnation,
-        to: usize,
-        message: Message,
-    },
-    Call {
-        from: usize,
-        life: Incarnation,
-        id: CallId,
-        call: Call,
-        answer_by: Timestamp,
-    },
-    End {
-        from: usize,
-        life: Incarnation,
-        server: usize,
-        attempt: AttemptId,
-        end: AttemptEnd,
-    },
+    Message { from: usize, life: Incarnation, to: usize, message: Message },
+    Call { from: usize, life: Incarnation, id: CallId, call: Call, answer_by: Timestamp },
+    End { from: usize, life: Incarnation, server: usize, attempt: AttemptId, end: AttemptEnd },
     Tick(usize),
     Dispatch(usize, Incarnation, Dispatch),
     Answering(Caller, AttemptId, Timestamp),
@@ -187,75 +170,46 @@
     pub fn kill(&mut self, place: usize) {
         let life = self.instances[place].life;
         self.instances[place].state = None;
-        self.open
-            .retain(|(at, lived, _), _| (*at, *lived) != (place, life));
+        self.open.retain(|(at, lived, _), _| (*at, *lived) != (place, life));
     }
 
     /// Accepts `text` as the template `all`, as an operator's command would.
     pub fn accept(&mut self, text: &str) -> Revision {
         let page = Page::new(text).unwrap();
         let version = self.kv.version(head::KEY);
-        let head = match self.kv.carry_out(&Call::Get {
-            key: head::KEY.to_owned(),
-        }) {
+        let head = match self.kv.carry_out(&Call::Get { key: head::KEY.to_owned() }) {
             Reply::Value { value, .. } => Head::decode(&value).unwrap(),
             _ => Head::default(),
         };
-        let base = Base {
-            revision: head.revision,
-            page: head.page("all"),
-        };
-        let edit = Edit {
-            name: "all".to_owned(),
-            base,
-            after: Some(page.clone()),
-        };
+        let base = Base { revision: head.revision, page: head.page("all") };
+        let edit = Edit { name: "all".to_owned(), base, after: Some(page.clone()) };
         let id = ChangeId([head.revision.0 as u8; 16]);
-        let stamp = Stamp {
-            id,
-            accepted_by: "test".to_owned(),
-            at: self.now,
-        };
+        let stamp = Stamp { id, accepted_by: "test".to_owned(), at: self.now };
         let next = accept::plan(&head, &[edit], &stamp).unwrap().unwrap();
         let key = page.hash().key();
-        self.kv.carry_out(&Call::Put {
-            key,
-            expect: Default::default(),
-            value: page.bytes(),
-        });
-        let put = Call::Put {
-            key: head::KEY.to_owned(),
-            expect: version,
-            value: next.encode().unwrap(),
-        };
+        self.kv.carry_out(&Call::Put { key, expect: Default::default(), value: page.bytes() });
+        let put =
+            Call::Put { key: head::KEY.to_owned(), expect: version, value: next.encode().unwrap() };
         assert!(matches!(self.kv.carry_out(&put), Reply::Done { .. }));
         next.revision
     }
 
     /// Puts what instances and servers there are into the platform's list.
     pub fn relist(&mut self) {
-        let instances = self
-            .instances
-            .iter()
-            .enumerate()
-            .map(|(place, it)| ListedInstance {
-                name: it.name.clone(),
-                data_centre: "one".to_owned(),
-                control: address(place),
-                leaving: false,
-            });
-        let servers = self
-            .servers
-            .iter()
-            .enumerate()
-            .map(|(place, it)| ListedServer {
-                name: it.name.clone(),
-                pool: POOL.to_owned(),
-                data_centre: "one".to_owned(),
-                address: address(1_000 + place),
-                slots: it.slots,
-                leaving: it.leaving_since.is_some(),
-            });
+        let instances = self.instances.iter().enumerate().map(|(place, it)| ListedInstance {
+            name: it.name.clone(),
+            data_centre: "one".to_owned(),
+            control: address(place),
+            leaving: false,
+        });
+        let servers = self.servers.iter().enumerate().map(|(place, it)| ListedServer {
+            name: it.name.clone(),
+            pool: POOL.to_owned(),
+            data_centre: "one".to_owned(),
+            address: address(1_000 + place),
+            slots: it.slots,
+            leaving: it.leaving_since.is_some(),
+        });
         self.listing = Arc::new(Listing {
             version: self.listing.version + 1,
             instances: instances.collect(),
@@ -272,11 +226,7 @@
         instance.next_request += 1;
         let caller = (place, instance.life, request);
         let team = TeamId::of(TEAMS[job.team]);
-        let body = if job.crashes {
-            "crash".to_owned()
-        } else {
-            job.id.to_string()
-        };
+        let body = if job.crashes { "crash".to_owned() } else { job.id.to_string() };
         let key = (!job.idempotent).then(|| KeyHash::of(team, &job.id.to_string()));
         let arrival = Arrival {
             request,
@@ -320,38 +270,14 @@
                     self.deliver(place, event);
                 }
             }
-            Delivery::Message {
-                from,
-                life,
-                to,
-                message,
-            } => {
+            Delivery::Message { from, life, to, message } => {
                 let from = InstanceId::of(&self.instances[from].name);
-                self.deliver(
-                    to,
-                    Event::Message {
-                        from,
-                        incarnation: life,
-                        message,
-                    },
-                );
+                self.deliver(to, Event::Message { from, incarnation: life, message });
             }
-            Delivery::Call {
-                from,
-                life,
-                id,
-                call,
-                answer_by,
-            } => {
+            Delivery::Call { from, life, id, call, answer_by } => {
                 self.call(from, life, id, call, answer_by);
             }
-            Delivery::End {
-                from,
-                life,
-                server,
-                attempt,
-                end,
-            } => {
+            Delivery::End { from, life, server, attempt, end } => {
                 self.end(from, life, server, attempt, end);
             }
         }
@@ -401,12 +327,7 @@
                 self.push(self.now.after(late), Delivery::Dispatch(place, life, it));
             }
             Effect::Dispatch(it) => self.dispatch(place, life, it),
-            Effect::Answer {
-                request,
-                code,
-                retry_after,
-                ..
-            } => {
+            Effect::Answer { request, code, retry_after, .. } => {
                 self.come_back.extend(retry_after);
                 self.answer((place, life, request), code);
             }
@@ -416,36 +337,15 @@
                     self.end(place, life, server, attempt, end);
                 }
             }
-            Effect::Send {
-                to,
-                sent_at,
-                messages,
-                ..
-            } => self.send(place, to, sent_at, messages),
-            Effect::Call {
-                id,
-                call,
-                answer_by,
-            } => {
+            Effect::Send { to, sent_at, messages, .. } => self.send(place, to, sent_at, messages),
+            Effect::Call { id, call, answer_by } => {
                 let at = self.now.after(CALL_TIME);
-                self.push(
-                    at,
-                    Delivery::Call {
-                        from: place,
-                        life,
-                        id,
-                        call,
-                        answer_by,
-                    },
-                );
+                self.push(at, Delivery::Call { from: place, life, id, call, answer_by });
             }
             Effect::List { seen } => self.list(place, life, seen),
             Effect::Publish(config) => {
                 let instance = &mut self.instances[place];
-                assert!(
-                    config.revision() > instance.revision,
-                    "a configuration went back"
-                );
+                assert!(config.revision() > instance.revision, "a configuration went back");
                 instance.revision = config.revision();
             }
             Effect::Ready(ready) => self.instances[place].ready = ready,
@@ -460,11 +360,7 @@
 
     fn send(&mut self, from: usize, to: InstanceId, sent_at: Timestamp, messages: Vec<Message>) {
         let life = self.instances[from].life;
-        let to_place = self
-            .instances
-            .iter()
-            .position(|it| InstanceId::of(&it.name) == to)
-            .unwrap();
+        let to_place = self.instances.iter().position(|it| InstanceId::of(&it.name) == to).unwrap();
         self.messages += 1;
         let target = &self.instances[to_place];
         let reachable = target.state.is_some()
@@ -476,36 +372,18 @@
             self.push(at, Delivery::Event(from, life, silent));
             return;
         }
-        let times = if self.chance(self.faults.repeat) {
-            2
-        } else {
-            1
-        };
+        let times = if self.chance(self.faults.repeat) { 2 } else { 1 };
         for _ in 0..times {
-            let late = if self.chance(self.faults.delay) {
-                self.rng.random_range(0..3_000)
-            } else {
-                0
-            };
+            let late =
+                if self.chance(self.faults.delay) { self.rng.random_range(0..3_000) } else { 0 };
             let at = self.now.after(Millis(LATENCY.0 + late));
             for message in &messages {
                 let message = message.clone();
-                self.push(
-                    at,
-                    Delivery::Message {
-                        from,
-                        life,
-                        to: to_place,
-                        message,
-                    },
-                );
+                self.push(at, Delivery::Message { from, life, to: to_place, message });
             }
         }
         let answered = Event::PeerAnswered { peer: to, sent_at };
-        self.push(
-            self.now.after(Millis(2)),
-            Delivery::Event(from, life, answered),
-        );
+        self.push(self.now.after(Millis(2)), Delivery::Event(from, life, answered));
     }
 
     fn call(&mut self, from: usize, life: Incarnation, id: CallId, call: Call, by: Timestamp) {
@@ -516,16 +394,7 @@
             && by > self.now.after(Millis(1_000))
         {
             let at = self.now.after(Millis(100));
-            self.push(
-                at,
-                Delivery::Call {
-                    from,
-                    life,
-                    id,
-                    call,
-                    answer_by: by,
-                },
-            );
+            self.push(at, Delivery::Call { from, life, id, call, answer_by: by });
             return;
         }
         let reply = if cut {
@@ -537,10 +406,7 @@
             self.kv.carry_out(&call)
         };
         let at = if reply == Reply::Lost { by } else { self.now };
-        self.push(
-            at,
-            Delivery::Event(from, life, Event::Replied { id, reply }),
-        );
+        self.push(at, Delivery::Event(from, life, Event::Replied { id, reply }));
     }
 
     fn list(&mut self, place: usize, life: Incarnation, seen: u64) {
@@ -550,10 +416,7 @@
             (_, true) => Event::ListUnchanged,
             _ => Event::Listed(Arc::clone(&self.listing)),
         };
-        self.push(
-            self.now.after(CALL_TIME),
-            Delivery::Event(place, life, event),
-        );
+        self.push(self.now.after(CALL_TIME), Delivery::Event(place, life, event));
     }
 
     fn dispatch(&mut self, place: usize, life: Incarnation, it: Dispatch) {
@@ -561,32 +424,15 @@
             return;
         }
         let caller = (place, life, it.request);
-        let server = self
-            .servers
-            .iter()
-            .position(|s| s.id() == it.server)
-            .unwrap();
+        let server = self.servers.iter().position(|s| s.id() == it.server).unwrap();
         let late = it.dispatch_by.is_due(self.now);
-        self.running
-            .insert((place, life, it.attempt), (it.request, server));
+        self.running.insert((place, life, it.attempt), (it.request, server));
         if late || !self.servers[server].down_until.is_due(self.now) {
-            self.push_end(
-                self.now.after(LATENCY),
-                caller,
-                server,
-                it.attempt,
-                AttemptEnd::NotSent,
-            );
+            self.push_end(self.now.after(LATENCY), caller, server, it.attempt, AttemptEnd::NotSent);
             return;
         }
-        let job = *self
-            .open
-            .get(&caller)
-            .expect("a request is dispatched after its final answer");
-        assert!(
-            !self.answering.contains(&caller),
-            "a second answer behind the first: {job:?}"
-        );
+        let job = *self.open.get(&caller).expect("a request is dispatched after its final answer");
+        assert!(!self.answering.contains(&caller), "a second answer behind the first: {job:?}");
         self.begin(server, caller, job);
         let target = &self.servers[server];
         let takes = Millis(job.cost * 1_000 / target.speed);
@@ -596,10 +442,7 @@
             self.push(half, Delivery::Answering(caller, it.attempt, at));
             return;
         }
-        let end = AttemptEnd::Complete {
-            status: 200,
-            units: job.cost,
-        };
+        let end = AttemptEnd::Complete { status: 200, units: job.cost };
         if job.crashes {
             self.crash(server);
             return;
@@ -632,11 +475,7 @@
         target.busy_max = target.busy_max.max(target.busy);
         if let Some(since) = target.leaving_since {
             let limit = since.after(LEAVING_WITHIN);
-            assert!(
-                self.now <= limit,
-                "a leaving server gets work at {:?}",
-                self.now
-            );
+            assert!(self.now <= limit, "a leaving server gets work at {:?}", self.now);
         }
         self.begun.insert(caller);
         let runs = self.runs.entry(job.id).or_default();
@@ -654,13 +493,7 @@
             .map(|(&(place, life, attempt), &(request, _))| ((place, life, request), attempt))
             .collect();
         for (caller, attempt) in lost {
-            self.push_end(
-                self.now,
-                caller,
-                server,
-                attempt,
-                AttemptEnd::LostBeforeAnswer,
-            );
+            self.push_end(self.now, caller, server, attempt, AttemptEnd::LostBeforeAnswer);
         }
     }
 
@@ -673,16 +506,7 @@
         end: AttemptEnd,
     ) {
         let (from, life, _) = by;
-        self.push(
-            at,
-            Delivery::End {
-                from,
-                life,
-                server,
-                attempt,
-                end,
-            },
-        );
+        self.push(at, Delivery::End { from, life, server, attempt, end });
     }
 
     fn end(
@@ -732,8 +556,7 @@
 
     fn push(&mut self, at: Timestamp, delivery: Delivery) {
         self.next_seq += 1;
-        self.queue
-            .insert((at.max(self.now), self.next_seq), delivery);
+        self.queue.insert((at.max(self.now), self.next_seq), delivery);
     }
 
     pub fn runs_of(&self, job: u64) -> u32 {
--- a/sl-step/tests/it/focus.rs
+++ b/sl-step/tests/it/focus.rs
@@ -19,24 +19,15 @@
 const SLOTS: u64 = 10;
 
 fn fleet(seed: u64) -> Fleet {
-    let servers = vec![
-        Server::new("s-0", 4, 400),
-        Server::new("s-1", 4, 200),
-        Server::new("s-2", 2, 800),
-    ];
+    let servers =
+        vec![Server::new("s-0", 4, 400), Server::new("s-1", 4, 200), Server::new("s-2", 2, 800)];
     let mut fleet = Fleet::new(seed, INSTANCES, servers);
     fleet.run_for(Millis(3_000));
     fleet
 }
 
 fn job(id: u64, team: usize, idempotent: bool) -> Job {
-    Job {
-        id,
-        team,
-        idempotent,
-        crashes: false,
-        cost: COST,
-    }
+    Job { id, team, idempotent, crashes: false, cost: COST }
 }
 
 /// Keeps `depth` requests of `team` open at each of `places`.
--- a/sl-step/tests/it/model.rs
+++ b/sl-step/tests/it/model.rs
@@ -19,10 +19,7 @@
     pub fn carry_out(&mut self, call: &Call) -> Reply {
         match call {
             Call::Get { key } | Call::Watch { key, .. } => match self.values.get(key) {
-                Some((version, value)) => Reply::Value {
-                    version: *version,
-                    value: value.clone(),
-                },
+                Some((version, value)) => Reply::Value { version: *version, value: value.clone() },
                 None => Reply::Absent,
             },
             Call::Put { key, expect, value } => {
@@ -41,9 +38,7 @@
                     return Reply::Conflict { version };
                 }
                 self.values.remove(key);
-                Reply::Done {
-                    version: Version::ABSENT,
-                }
+                Reply::Done { version: Version::ABSENT }
             }
         }
     }
--- a/sl-step/tests/it/promises.rs
+++ b/sl-step/tests/it/promises.rs
@@ -15,9 +15,7 @@
 
 /// Seeds that a run tries; the environment may ask for more.
 fn config() -> ProptestConfig {
-    let cases = std::env::var("SESAMELOCK_SEEDS")
-        .ok()
-        .and_then(|it| it.parse().ok());
+    let cases = std::env::var("SESAMELOCK_SEEDS").ok().and_then(|it| it.parse().ok());
     ProptestConfig {
         cases: cases.unwrap_or(24),
         rng_seed: RngSeed::Fixed(0x5e5a_3e10),
@@ -27,11 +25,7 @@
 }
 
 fn servers() -> Vec<Server> {
-    vec![
-        Server::new("s-0", 4, 400),
-        Server::new("s-1", 4, 200),
-        Server::new("s-2", 2, 800),
-    ]
+    vec![Server::new("s-0", 4, 400), Server::new("s-1", 4, 200), Server::new("s-2", 2, 800)]
 }
 
 fn job(fleet: &mut Fleet, id: u64) -> Job {
@@ -168,13 +162,7 @@
         }
         fleet.run_for(Millis(250));
     }
-    assert!(
-        fleet.servers[0]
-            .leaving_since
-            .unwrap()
-            .after(LEAVING_WITHIN)
-            < fleet.now
-    );
+    assert!(fleet.servers[0].leaving_since.unwrap().after(LEAVING_WITHIN) < fleet.now);
 }
 
 #[test]
@@ -182,32 +170,16 @@
     let mut fleet = Fleet::new(3, INSTANCES, servers());
     fleet.run_for(Millis(3_000));
     for round in 0..20 {
-        let crasher = Job {
-            id: 1,
-            team: 3,
-            idempotent: true,
-            crashes: true,
-            cost: 50,
-        };
+        let crasher = Job { id: 1, team: 3, idempotent: true, crashes: true, cost: 50 };
         fleet.submit(round % INSTANCES, crasher);
         fleet.run_for(Millis(500));
     }
     assert!(fleet.runs_of(1) <= 5, "{} runs", fleet.runs_of(1));
-    assert!(
-        fleet.codes[&Code::CrashesServers] >= 15,
-        "{:?}",
-        fleet.codes
-    );
+    assert!(fleet.codes[&Code::CrashesServers] >= 15, "{:?}", fleet.codes);
     fleet.run_for(Millis(3_000));
     let before = fleet.completed;
     for id in 10..30 {
-        let job = Job {
-            id,
-            team: 3,
-            idempotent: true,
-            crashes: false,
-            cost: 50,
-        };
+        let job = Job { id, team: 3, idempotent: true, crashes: false, cost: 50 };
         fleet.submit(id as usize % INSTANCES, job);
     }
     fleet.run_for(Millis(10_000));
@@ -237,13 +209,7 @@
     fleet.instances[0].group = 1;
     fleet.run_for(Millis(6_000));
     assert!(!fleet.instances[0].ready);
-    let lonely = Job {
-        id: 1,
-        team: 0,
-        idempotent: true,
-        crashes: false,
-        cost: 10,
-    };
+    let lonely = Job { id: 1, team: 0, idempotent: true, crashes: false, cost: 10 };
     fleet.submit(0, lonely);
     assert_eq!(fleet.codes.get(&Code::Isolated), Some(&1));
     fleet.instances[0].group = 0;
@@ -256,25 +222,13 @@
     let mut fleet = Fleet::new(11, INSTANCES, servers());
     fleet.run_for(Millis(3_000));
     for id in 0..9_000 {
-        let job = Job {
-            id,
-            team: 3,
-            idempotent: true,
-            crashes: false,
-            cost: 100,
-        };
+        let job = Job { id, team: 3, idempotent: true, crashes: false, cost: 100 };
         fleet.submit(id as usize % INSTANCES, job);
     }
     assert!(fleet.codes[&Code::QueueFull] >= 900, "{:?}", fleet.codes);
     fleet.run_for(Millis(2_000));
     for id in 10_000..10_040 {
-        let job = Job {
-            id,
-            team: 1,
-            idempotent: true,
-            crashes: false,
-            cost: 100,
-        };
+        let job = Job { id, team: 1, idempotent: true, crashes: false, cost: 100 };
         fleet.submit(id as usize % INSTANCES, job);
     }
     // 40 requests of 100 units at half of 4,000 units a second take 2 s.
@@ -290,13 +244,7 @@
     for _ in 0..60 {
         while fleet.codes.get(&Code::QueueFull).is_none_or(|it| *it < 10) {
             id += 1;
-            let job = Job {
-                id,
-                team: 3,
-                idempotent: true,
-                crashes: false,
-                cost: 200,
-            };
+            let job = Job { id, team: 3, idempotent: true, crashes: false, cost: 200 };
             fleet.submit(0, job);
         }
         fleet.codes.clear();
@@ -305,11 +253,7 @@
     // 2,000 requests of 200 units at 4,000 units a second would wait for 100 s, but give up
     // at their queue deadline of 60 s: the smoothed wait comes near that, from 1 s at first.
     assert_eq!(fleet.come_back.first(), Some(&Millis(1_000)));
-    assert!(
-        fleet.come_back.last() >= Some(&Millis(50_000)),
-        "{:?}",
-        fleet.come_back.last()
-    );
+    assert!(fleet.come_back.last() >= Some(&Millis(50_000)), "{:?}", fleet.come_back.last());
 }
 
 /// A caller that leaves takes its waiting or idempotent request with it; a booking that
@@ -322,33 +266,16 @@
     let mut fleet = Fleet::new(17, 1, servers());
     fleet.run_for(Millis(3_000));
     for id in 0..before {
-        let job = Job {
-            id,
-            team: 0,
-            idempotent: true,
-            crashes: false,
-            cost: 4_000,
-        };
+        let job = Job { id, team: 0, idempotent: true, crashes: false, cost: 4_000 };
         fleet.submit(0, job);
     }
     fleet.run_for(Millis(100));
-    let job = Job {
-        id: 100,
-        team: 0,
-        idempotent,
-        crashes: false,
-        cost: 400,
-    };
+    let job = Job { id: 100, team: 0, idempotent, crashes: false, cost: 400 };
     fleet.submit(0, job);
     fleet.run_for(Millis(100));
     let request = sl_base::RequestId(before);
     fleet.tell(0, Event::CallerGone { request });
     fleet.run_for(Millis(3_000));
-    assert_eq!(
-        fleet.codes.keys().copied().next(),
-        code,
-        "{:?}",
-        fleet.codes
-    );
+    assert_eq!(fleet.codes.keys().copied().next(), code, "{:?}", fleet.codes);
     assert_eq!(fleet.completed, u64::from(code.is_none()));
 }
--- a/stand-ins/src/backends.rs
+++ b/stand-ins/src/backends.rs
@@ -193,16 +193,10 @@
     ///
     /// Where a port cannot be had.
     pub async fn start(specs: Vec<Spec>, seed: u64) -> io::Result<Backends> {
-        let units = specs
-            .into_iter()
-            .zip(seed..)
-            .map(|(spec, seed)| Unit::new(spec, seed))
-            .collect();
-        let core = Core(Arc::new(Shared {
-            links: Links::default(),
-            units,
-            runs: Mutex::default(),
-        }));
+        let units =
+            specs.into_iter().zip(seed..).map(|(spec, seed)| Unit::new(spec, seed)).collect();
+        let core =
+            Core(Arc::new(Shared { links: Links::default(), units, runs: Mutex::default() }));
         let serving = serve::serve(any_port(), core.clone()).await?;
         for (at, unit) in core.0.units.iter().enumerate() {
             let links = core.0.links.clone();
@@ -373,11 +367,7 @@
             it.load.running += 1;
             it.running_max = it.running_max.max(it.load.running);
         });
-        Slot {
-            core,
-            at,
-            _permit: permit,
-        }
+        Slot { core, at, _permit: permit }
     }
 }
 
@@ -425,14 +415,7 @@
             return serve::empty(Status::ServiceUnavailable);
         }
         let crashes = contains(&call.body, CRASH_MARK.as_bytes());
-        let job = Job {
-            call,
-            link,
-            core: self.clone(),
-            at,
-            run: usize::MAX,
-            strikes,
-        };
+        let job = Job { call, link, core: self.clone(), at, run: usize::MAX, strikes };
         if crashes {
             let mut job = job;
             let _slot = job.begin().await;
@@ -566,10 +549,7 @@
         let State { fault, dice, .. } = &mut *state;
         Strikes {
             cross: fault.cross.strikes(dice),
-            late: fault
-                .late
-                .strikes(dice)
-                .then_some(Duration::from_millis(fault.late_ms)),
+            late: fault.late.strikes(dice).then_some(Duration::from_millis(fault.late_ms)),
             hang: fault.hang.strikes(dice),
             drop_call: fault.drop_call.strikes(dice),
             lose_answer: fault.lose_answer.strikes(dice),
@@ -590,11 +570,7 @@
             state.reported = state.next_report;
             state.next_report = (now, state.load);
         }
-        if lag.is_zero() {
-            state.load
-        } else {
-            state.reported.1
-        }
+        if lag.is_zero() { state.load } else { state.reported.1 }
     }
 
     fn change(&self, act: impl FnOnce(&mut State)) {
--- a/stand-ins/src/chance.rs
+++ b/stand-ins/src/chance.rs
@@ -16,25 +16,16 @@
 
 impl Chance {
     /// Strikes every time.
-    pub const ALWAYS: Chance = Chance {
-        next: 0,
-        probability: 1.0,
-    };
+    pub const ALWAYS: Chance = Chance { next: 0, probability: 1.0 };
 
     /// Strikes the next `count` times only.
     pub const fn next(count: u32) -> Chance {
-        Chance {
-            next: count,
-            probability: 0.0,
-        }
+        Chance { next: count, probability: 0.0 }
     }
 
     /// Strikes with a probability from 0 to 1.
     pub const fn probability(probability: f64) -> Chance {
-        Chance {
-            next: 0,
-            probability,
-        }
+        Chance { next: 0, probability }
     }
 
     pub(crate) fn strikes(&mut self, dice: &mut Dice) -> bool {
--- a/stand-ins/src/engine.rs
+++ b/stand-ins/src/engine.rs
@@ -26,12 +26,7 @@
 
 impl Default for Ask {
     fn default() -> Ask {
-        Ask {
-            max_tokens: 64,
-            actual_tokens: None,
-            prompt_tokens: None,
-            stream: true,
-        }
+        Ask { max_tokens: 64, actual_tokens: None, prompt_tokens: None, stream: true }
     }
 }
 
@@ -45,9 +40,7 @@
     let Ok(ask) = serde_json::from_slice::<Ask>(&job.call.body) else {
         return job.mark(serve::text(Status::BadRequest, "the body is no request"));
     };
-    let prompt = ask
-        .prompt_tokens
-        .unwrap_or(job.call.body.len() as u64 / BYTES_PER_TOKEN);
+    let prompt = ask.prompt_tokens.unwrap_or(job.call.body.len() as u64 / BYTES_PER_TOKEN);
     let tokens = ask.actual_tokens.unwrap_or(u64::MAX).min(ask.max_tokens);
     let slot = job.begin().await;
     let speed = Speed::of(&job);
@@ -79,18 +72,11 @@
 impl Speed {
     fn of(job: &Job) -> Speed {
         match job.unit().spec.kind {
-            Kind::Engine {
-                tokens_per_second,
-                prompt_tokens_per_second,
-                ..
-            } => Speed {
+            Kind::Engine { tokens_per_second, prompt_tokens_per_second, .. } => Speed {
                 tokens: f64::from(tokens_per_second.max(1)),
                 prompt: f64::from(prompt_tokens_per_second.max(1)),
             },
-            Kind::Plain { .. } => Speed {
-                tokens: 1.0,
-                prompt: 1.0,
-            },
+            Kind::Plain { .. } => Speed { tokens: 1.0, prompt: 1.0 },
         }
     }
 
@@ -135,15 +121,8 @@
     tokens: u64,
     prompt: u64,
 ) -> impl futures::Stream<Item = Bytes> + Send + 'static {
-    let streaming = Streaming {
-        job,
-        slot: Some(slot),
-        speed,
-        start: Instant::now(),
-        tokens,
-        prompt,
-        sent: 0,
-    };
+    let streaming =
+        Streaming { job, slot: Some(slot), speed, start: Instant::now(), tokens, prompt, sent: 0 };
     futures::stream::unfold(streaming, |mut it| async move {
         let batch = it.next().await?;
         Some((batch, it))
--- a/stand-ins/src/main.rs
+++ b/stand-ins/src/main.rs
@@ -8,14 +8,8 @@
 #[derive(Clone, Debug)]
 enum Command {
     Platform(platform::Options),
-    Backends {
-        specs: PathBuf,
-        seed: u64,
-    },
-    Relay {
-        listen: SocketAddr,
-        target: SocketAddr,
-    },
+    Backends { specs: PathBuf, seed: u64 },
+    Relay { listen: SocketAddr, target: SocketAddr },
 }
 
 fn command() -> OptionParser<Command> {
@@ -28,10 +22,7 @@
         .to_options()
         .descr("Backend servers, many in one process")
         .command("backends");
-    let relay = relay_options()
-        .to_options()
-        .descr("A TCP relay")
-        .command("relay");
+    let relay = relay_options().to_options().descr("A TCP relay").command("relay");
     construct!([platform, backends, relay])
         .to_options()
         .descr("Stand-ins for what lies outside the system; never shipped")
@@ -54,20 +45,12 @@
         .argument("N")
         .fallback(usual.reads_per_second);
     let seed = seed();
-    construct!(platform::Options {
-        listen,
-        list_lag,
-        writes_per_second,
-        reads_per_second,
-        seed,
-    })
+    construct!(platform::Options { listen, list_lag, writes_per_second, reads_per_second, seed })
 }
 
 fn backend_options() -> impl Parser<Command> {
-    let specs = short('f')
-        .long("specs")
-        .help("A JSON file with a list of servers")
-        .argument("FILE");
+    let specs =
+        short('f').long("specs").help("A JSON file with a list of servers").argument("FILE");
     let seed = seed();
     construct!(Command::Backends { specs, seed })
 }
@@ -86,10 +69,7 @@
 }
 
 fn seed() -> impl Parser<u64> {
-    long("seed")
-        .help("Seed of the faults that are left to chance")
-        .argument("N")
-        .fallback(0)
+    long("seed").help("Seed of the faults that are left to chance").argument("N").fallback(0)
 }
 
 #[tokio::main]
--- a/stand-ins/src/platform.rs
+++ b/stand-ins/src/platform.rs
@@ -161,11 +161,7 @@
         let links = core.0.links.clone();
         let relay = Relay::with_links(options.listen, serving.address, links, 0).await?;
         let _ = core.0.relay.set(relay.clone());
-        Ok(Platform {
-            core,
-            relay,
-            serving,
-        })
+        Ok(Platform { core, relay, serving })
     }
 
     /// Where it takes calls.
@@ -200,8 +196,7 @@
 
     /// Takes an instance off the list.
     pub fn remove_instance(&self, name: &str) {
-        self.core
-            .edit(|it| it.instances.retain(|it| it.name != name));
+        self.core.edit(|it| it.instances.retain(|it| it.name != name));
     }
 
     /// Lists a backend server, or changes its entry.
@@ -240,10 +235,7 @@
     }
 
     fn counters(&self) -> Counters {
-        Counters {
-            keys: self.0.store.len() as u64,
-            ..self.lock().counters
-        }
+        Counters { keys: self.0.store.len() as u64, ..self.lock().counters }
     }
 
     async fn fault(&self, fault: Fault) {
@@ -491,11 +483,7 @@
 
 impl Bucket {
     fn new(per_second: u32) -> Bucket {
-        Bucket {
-            per_second: per_second.into(),
-            level: per_second.into(),
-            at: Instant::now(),
-        }
+        Bucket { per_second: per_second.into(), level: per_second.into(), at: Instant::now() }
     }
 
     fn take(&mut self) -> bool {
--- a/stand-ins/src/relay.rs
+++ b/stand-ins/src/relay.rs
@@ -110,11 +110,7 @@
             alive,
         });
         tokio::spawn(accept(shared.clone(), listener, address));
-        Ok(Relay {
-            address,
-            shared,
-            _alive: alive_rx,
-        })
+        Ok(Relay { address, shared, _alive: alive_rx })
     }
 
     /// Where it listens.
@@ -169,18 +165,12 @@
     /// How many connections stand.
     pub fn connections(&self) -> usize {
         let links = self.shared.links.lock();
-        links
-            .values()
-            .filter(|link| link.owner == self.shared.owner)
-            .count()
+        links.values().filter(|link| link.owner == self.shared.owner).count()
     }
 
     fn each(&self, act: impl Fn(&Link)) {
         let links = self.shared.links.lock();
-        links
-            .values()
-            .filter(|link| link.owner == self.shared.owner)
-            .for_each(act);
+        links.values().filter(|link| link.owner == self.shared.owner).for_each(act);
     }
 }
 
@@ -306,10 +296,7 @@
     } else {
         Flow::Open
     });
-    let link = Link {
-        flow: flow.clone(),
-        owner: shared.owner,
-    };
+    let link = Link { flow: flow.clone(), owner: shared.owner };
     shared.links.lock().insert(seen_as, link);
     if shared.cuts.load(Ordering::Acquire) != cuts {
         shared.links.lock().remove(&seen_as);
--- a/stand-ins/src/relay_admin.rs
+++ b/stand-ins/src/relay_admin.rs
@@ -65,9 +65,7 @@
     /// Where no port can be had.
     pub async fn serve_admin(&self) -> io::Result<RelayAdmin> {
         let listen = SocketAddr::from(([127, 0, 0, 1], 0));
-        serve::serve(listen, Admin(self.clone()))
-            .await
-            .map(RelayAdmin)
+        serve::serve(listen, Admin(self.clone())).await.map(RelayAdmin)
     }
 }
 
--- a/stand-ins/src/serve.rs
+++ b/stand-ins/src/serve.rs
@@ -30,10 +30,7 @@
 
 impl Incoming {
     pub(crate) fn header(&self, name: &str) -> Option<&str> {
-        let found = self
-            .headers
-            .iter()
-            .find(|(it, _)| it.eq_ignore_ascii_case(name))?;
+        let found = self.headers.iter().find(|(it, _)| it.eq_ignore_ascii_case(name))?;
         Some(&found.1)
     }
 
@@ -116,16 +113,14 @@
         .into_iter()
         .map(|method| Route::new(method, "/<path..>", Whole(service.clone())))
         .collect();
-    let rocket = rocket::custom(config)
-        .mount("/", routes)
-        .attach(AdHoc::on_liftoff("address", move |rocket| {
+    let rocket = rocket::custom(config).mount("/", routes).attach(AdHoc::on_liftoff(
+        "address",
+        move |rocket| {
             let config = rocket.config();
-            let _ = tx.send((
-                SocketAddr::new(config.address, config.port),
-                rocket.shutdown(),
-            ));
+            let _ = tx.send((SocketAddr::new(config.address, config.port), rocket.shutdown()));
             Box::pin(async {})
-        }));
+        },
+    ));
     let running = tokio::spawn(rocket.launch());
     match rx.await {
         Ok((address, shutdown)) => Ok(Serving { address, shutdown }),
@@ -163,10 +158,7 @@
 
 pub(crate) fn text(status: Status, text: impl Into<String>) -> Answer {
     let text = text.into();
-    Response::build()
-        .status(status)
-        .sized_body(text.len(), io::Cursor::new(text))
-        .finalize()
+    Response::build().status(status).sized_body(text.len(), io::Cursor::new(text)).finalize()
 }
 
 pub(crate) fn empty(status: Status) -> Answer {
@@ -174,10 +166,7 @@
 }
 
 pub(crate) fn bytes(status: Status, bytes: Bytes) -> Answer {
-    Response::build()
-        .status(status)
-        .sized_body(bytes.len(), io::Cursor::new(bytes))
-        .finalize()
+    Response::build().status(status).sized_body(bytes.len(), io::Cursor::new(bytes)).finalize()
 }
 
 pub(crate) fn json<T: Serialize>(value: &T) -> Answer {
--- a/stand-ins/src/store.rs
+++ b/stand-ins/src/store.rs
@@ -49,10 +49,7 @@
 
 impl Store {
     pub(crate) fn new() -> Store {
-        Store(Arc::new(Shared {
-            tables: Mutex::default(),
-            changed: watch::Sender::new(0),
-        }))
+        Store(Arc::new(Shared { tables: Mutex::default(), changed: watch::Sender::new(0) }))
     }
 
     pub(crate) fn get(&self, key: &str) -> Option<Entry> {
@@ -73,10 +70,7 @@
             if entry.as_ref().map_or(0, |it| it.version) != seen {
                 return Some(entry);
             }
-            tokio::time::timeout_at(until, changed.changed())
-                .await
-                .ok()?
-                .ok()?;
+            tokio::time::timeout_at(until, changed.changed()).await.ok()?.ok()?;
         }
     }
 
@@ -91,11 +85,7 @@
         }
         tables.last_version += 1;
         let version = tables.last_version;
-        let entry = Entry {
-            version,
-            value,
-            lease,
-        };
+        let entry = Entry { version, value, lease };
         tables.entries.insert(key.to_owned(), entry);
         self.tell();
         Written::Done(version)
--- a/stand-ins/tests/it/backends.rs
+++ b/stand-ins/tests/it/backends.rs
@@ -23,10 +23,7 @@
         assert!(answer.contains(r#""completion_tokens":200"#));
         assert!(answer.ends_with("data: [DONE]\n\n"));
     }
-    assert!(
-        begun.elapsed() >= Duration::from_millis(3 * 190),
-        "three rounds of two"
-    );
+    assert!(begun.elapsed() >= Duration::from_millis(3 * 190), "three rounds of two");
     let server = &backends.servers()[0];
     assert_eq!((server.running_max, server.waiting_max), (2, 4));
     assert_eq!((server.running, server.waiting), (0, 0));
@@ -48,10 +45,7 @@
     .await;
     assert!(begun.elapsed() >= Duration::from_millis(250));
     drop(stream);
-    until("the slot is free", async || {
-        backends.servers()[0].running == 0
-    })
-    .await;
+    until("the slot is free", async || backends.servers()[0].running == 0).await;
 }
 
 #[tokio::test]
@@ -66,10 +60,7 @@
     until("both run", async || backends.runs().len() == 2).await;
     let crash = http().post(url(0)).body(format!("a {CRASH_MARK} b"));
     assert!(crash.send().await.is_err());
-    assert!(
-        neighbour.await.unwrap().is_err(),
-        "it dies with its neighbour"
-    );
+    assert!(neighbour.await.unwrap().is_err(), "it dies with its neighbour");
     let refused = http().post(url(0)).body("{}").send().await;
     assert!(refused.unwrap_err().is_connect());
     until("it takes connections again", async || {
@@ -103,31 +94,18 @@
     assert_eq!(runs[0].key.as_deref(), Some("k"));
     assert_eq!(runs[0].tag.as_deref(), Some("t"));
     assert!(runs[0].finished);
-    let fault = Fault {
-        cross: Chance::next(1),
-        ..Fault::default()
-    };
+    let fault = Fault { cross: Chance::next(1), ..Fault::default() };
     let set = http().post(format!("{admin}/fault/one")).json(&fault);
     assert!(set.send().await.unwrap().status().is_success());
     let crossed = booking().send().await.unwrap();
     assert_eq!(crossed.headers()["x-sesamelock-attempt"], "42");
-    let unknown = http()
-        .post(format!("{admin}/fault"))
-        .body(r#"{"unheard":1}"#);
+    let unknown = http().post(format!("{admin}/fault")).body(r#"{"unheard":1}"#);
     assert_eq!(unknown.send().await.unwrap().status(), 422);
     let servers = http().get(format!("{admin}/servers")).send().await.unwrap();
     let servers: Vec<Server> = servers.json().await.unwrap();
     assert_eq!(servers[0].running_max, 1);
     // Admin paths are nothing special on the port that takes requests.
     let data = format!("http://{}/admin/runs", backends.listed()[0].address);
-    assert!(
-        http()
-            .delete(data)
-            .send()
-            .await
-            .unwrap()
-            .status()
-            .is_success()
-    );
+    assert!(http().delete(data).send().await.unwrap().status().is_success());
     assert_eq!(backends.runs().len(), 3);
 }
--- a/stand-ins/tests/it/platform.rs
+++ b/stand-ins/tests/it/platform.rs
@@ -14,11 +14,7 @@
     let grant = http().post(url(&format!("/lease?ttl-ms={SPAN_MS}")));
     let lease = grant.send().await.unwrap().text().await.unwrap();
     let put = |key: &str| {
-        http()
-            .put(url(key))
-            .header("If-None-Match", "*")
-            .header("X-Lease", lease.clone())
-            .body("v")
+        http().put(url(key)).header("If-None-Match", "*").header("X-Lease", lease.clone()).body("v")
     };
     assert_eq!(put("/kv/k").send().await.unwrap().status(), 200);
     let renew = || http().post(url(&format!("/lease/{lease}"))).send();
@@ -29,10 +25,7 @@
     }
     let read = || http().get(url("/kv/k")).send();
     assert_eq!(read().await.unwrap().status(), 200, "it outlived one span");
-    until("the key is gone", async || {
-        read().await.unwrap().status() == 404
-    })
-    .await;
+    until("the key is gone", async || read().await.unwrap().status() == 404).await;
     assert_eq!(renew().await.unwrap().status(), 404);
     assert_eq!(put("/kv/k").send().await.unwrap().status(), 410);
 }
--- a/stand-ins/tests/it/process.rs
+++ b/stand-ins/tests/it/process.rs
@@ -34,10 +34,7 @@
 async fn every_kind_starts_and_says_where() {
     let (_platform, platform) = start(&["platform", "--list-lag-ms", "0"]);
     let listed = r#"{"name":"s","pool":"p","data_centre":"d","address":"127.0.0.1:1","slots":1,"leaving":false}"#;
-    let servers = format!(
-        "http://{}/admin/servers",
-        platform["admin"].as_str().unwrap()
-    );
+    let servers = format!("http://{}/admin/servers", platform["admin"].as_str().unwrap());
     let set = http().post(servers).body(listed).send().await.unwrap();
     assert!(set.status().is_success());
 
--- a/stand-ins/tests/it/relay.rs
+++ b/stand-ins/tests/it/relay.rs
@@ -93,10 +93,7 @@
 async fn delays_one_way_over_an_admin_call() {
     let relay = relay().await;
     let admin = relay.serve_admin().await.unwrap();
-    let fault = RelayFault {
-        up_ms: 150,
-        ..RelayFault::default()
-    };
+    let fault = RelayFault { up_ms: 150, ..RelayFault::default() };
     let url = format!("http://{}/admin/fault", admin.address());
     let set = http().post(url).json(&fault).send().await.unwrap();
     assert!(set.status().is_success());
--- a/stand-ins/tests/it/support.rs
+++ b/stand-ins/tests/it/support.rs
@@ -3,14 +3,9 @@
 use stand_ins::{Backends, Kind, Spec};
 
 pub async fn engine(slots: u32, tokens_per_second: u32, report_lag_ms: u64) -> Backends {
-    let kind = Kind::Engine {
-        tokens_per_second,
-        prompt_tokens_per_second: 1_000_000,
-        report_lag_ms,
-    };
-    Backends::start(vec![spec("one", slots, kind)], 1)
-        .await
-        .unwrap()
+    let kind =
+        Kind::Engine { tokens_per_second, prompt_tokens_per_second: 1_000_000, report_lag_ms };
+    Backends::start(vec![spec("one", slots, kind)], 1).await.unwrap()
 }
 
 pub fn spec(name: &str, slots: u32, kind: Kind) -> Spec {
@@ -36,9 +31,7 @@
 pub fn chat(address: SocketAddr, tokens: u64) -> reqwest::RequestBuilder {
     http()
         .post(format!("http://{address}/v1/chat/completions"))
-        .body(format!(
-            r#"{{"max_tokens":1000000,"actual_tokens":{tokens}}}"#
-        ))
+        .body(format!(r#"{{"max_tokens":1000000,"actual_tokens":{tokens}}}"#))
 }
 
 /// Waits for what must come about, and fails where it does not within ten seconds.
--- a/tests/it/answers.rs
+++ b/tests/it/answers.rs
@@ -13,17 +13,13 @@
 async fn late_and_crossed_answers_reach_nobody_else() {
     let mut fleet = fleet(2).await;
     let text = fleet.site.text();
-    let text = text.replace(
-        "path = /bookings/*\n",
-        "path = /bookings/*\nfirst-byte-within-ms = 200\n",
-    );
+    let text =
+        text.replace("path = /bookings/*\n", "path = /bookings/*\nfirst-byte-within-ms = 200\n");
     let revision = fleet.accept(&text).await.unwrap();
     let wanted = format!("sesamelock_config_revision {revision}\n");
     for at in 0..2 {
-        eventually("the revision", async || {
-            fleet.metrics(at).await.unwrap().contains(&wanted)
-        })
-        .await;
+        eventually("the revision", async || fleet.metrics(at).await.unwrap().contains(&wanted))
+            .await;
     }
     let fault = backends::Fault {
         cross: Chance::probability(0.3),
@@ -62,10 +58,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_crossed_answer_reaches_nobody() {
     let fleet = fleet(1).await;
-    let fault = backends::Fault {
-        cross: Chance::ALWAYS,
-        ..Default::default()
-    };
+    let fault = backends::Fault { cross: Chance::ALWAYS, ..Default::default() };
     fleet.backends.fault(fault).await;
     let code = Code::CrossedAnswer.number().to_string();
     for n in 0..10 {
--- a/tests/it/bed.rs
+++ b/tests/it/bed.rs
@@ -42,9 +42,7 @@
 /// Runs of a key, as the backend servers recorded them.
 pub fn runs_of(fleet: &Fleet, key: &str) -> usize {
     let runs = fleet.backends.runs();
-    runs.iter()
-        .filter(|it| it.key.as_deref() == Some(key))
-        .count()
+    runs.iter().filter(|it| it.key.as_deref() == Some(key)).count()
 }
 
 /// Waits until `done` holds, for ten seconds at most.
--- a/tests/it/crash.rs
+++ b/tests/it/crash.rs
@@ -28,10 +28,8 @@
 async fn an_instance_refuses_what_crashed_servers_elsewhere() {
     let fleet = fleet(3).await;
     let refused = Code::CrashesServers.number().to_string();
-    eventually("the final answer where it was sent", async || {
-        crash(&fleet, 0).await == refused
-    })
-    .await;
+    eventually("the final answer where it was sent", async || crash(&fleet, 0).await == refused)
+        .await;
     tokio::time::sleep(SHARED_WITHIN).await;
     let before = crashes(&fleet);
     for at in 1..3 {
--- a/tests/it/failure.rs
+++ b/tests/it/failure.rs
@@ -18,11 +18,7 @@
 
 /// Sends a booking; a caller whose connection breaks is told nothing.
 async fn book(call: reqwest::RequestBuilder, key: String) -> Told {
-    let mut told = Told {
-        key,
-        outcome: String::new(),
-        code: String::new(),
-    };
+    let mut told = Told { key, outcome: String::new(), code: String::new() };
     if let Ok(answer) = call.timeout(Duration::from_secs(20)).send().await {
         told.outcome = header(&answer, "x-sesamelock-outcome").to_owned();
         told.code = header(&answer, "x-sesamelock-code").to_owned();
@@ -107,10 +103,8 @@
     told.extend(all(book_all(&fleet, 2, &keys, 1)).await);
     told.extend(all(first).await);
     judge(&fleet, &told);
-    eventually("the paused instance's return", async || {
-        fleet.is_ready(&fleet.instances[0]).await
-    })
-    .await;
+    eventually("the paused instance's return", async || fleet.is_ready(&fleet.instances[0]).await)
+        .await;
 }
 
 #[rstest]
@@ -178,10 +172,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_that_is_cut_midway_does_not_look_whole() {
     let fleet = fleet(1).await;
-    let fault = backends::Fault {
-        cut: Chance::ALWAYS,
-        ..Default::default()
-    };
+    let fault = backends::Fault { cut: Chance::ALWAYS, ..Default::default() };
     fleet.backends.fault(fault).await;
     let text = chat(&fleet, 0, 40).send().await.unwrap().text().await;
     let text = text.unwrap();
@@ -246,10 +237,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_newborn_instance_learns_from_its_peers_while_old_platform_links_are_silent() {
     let mut fleet = fleet(3).await;
-    let fault = platform::Fault {
-        silent_old: true,
-        ..Default::default()
-    };
+    let fault = platform::Fault { silent_old: true, ..Default::default() };
     fleet.platform.fault(fault).await;
     fleet.instances[2].kill();
     fleet.instances[2].start().unwrap();
@@ -259,10 +247,8 @@
     let wanted = format!("sesamelock_config_revision {revision}\n");
     let start = std::time::Instant::now();
     for at in 0..3 {
-        eventually("the revision", async || {
-            fleet.metrics(at).await.unwrap().contains(&wanted)
-        })
-        .await;
+        eventually("the revision", async || fleet.metrics(at).await.unwrap().contains(&wanted))
+            .await;
     }
     assert!(start.elapsed().as_secs() < 4, "{:?}", start.elapsed());
 }
@@ -272,15 +258,9 @@
     let mut fleet = fleet(3).await;
     fleet.instances[1].kill();
     fleet.instances[2].kill();
-    let fault = platform::Fault {
-        silent: true,
-        ..Default::default()
-    };
+    let fault = platform::Fault { silent: true, ..Default::default() };
     fleet.platform.fault(fault).await;
-    eventually("unreadiness", async || {
-        !fleet.is_ready(&fleet.instances[0]).await
-    })
-    .await;
+    eventually("unreadiness", async || !fleet.is_ready(&fleet.instances[0]).await).await;
     let before = fleet.backends.runs().len();
     let refused = chat(&fleet, 0, 4).send().await.unwrap();
     assert_eq!(header(&refused, "x-sesamelock-code"), "1015");
@@ -290,10 +270,8 @@
     let start = std::time::Instant::now();
     fleet.ready(Duration::from_secs(10)).await.unwrap();
     assert!(start.elapsed().as_secs() < 5, "{:?}", start.elapsed());
-    eventually("work again", async || {
-        chat(&fleet, 0, 4).send().await.unwrap().status() == 200
-    })
-    .await;
+    eventually("work again", async || chat(&fleet, 0, 4).send().await.unwrap().status() == 200)
+        .await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/tests/it/newborn.rs
+++ b/tests/it/newborn.rs
@@ -15,10 +15,7 @@
     let settings = fleet.instances[2].settings();
     let text = fs::read_to_string(settings).unwrap();
     fs::write(settings, text.replace("[instance]\n", &seeds)).unwrap();
-    let fault = platform::Fault {
-        down: true,
-        ..Default::default()
-    };
+    let fault = platform::Fault { down: true, ..Default::default() };
     fleet.platform.fault(fault).await;
     fleet.instances[2].start().unwrap();
     let ready = fleet.ready(Duration::from_secs(10)).await;
--- a/tests/it/operators.rs
+++ b/tests/it/operators.rs
@@ -102,10 +102,8 @@
             ..Fault::default()
         })
         .await;
-    let (gwen, huw) = tokio::join!(
-        operate(&fleet, "gwen", dir.path()),
-        operate(&fleet, "huw", dir.path())
-    );
+    let (gwen, huw) =
+        tokio::join!(operate(&fleet, "gwen", dir.path()), operate(&fleet, "huw", dir.path()));
     fleet.platform.fault(Fault::default()).await;
     let (_, told) = run(&fleet, "gwen", &["template", "history", "--json"]).await;
     let changes = told["changes"].as_array().unwrap();
@@ -146,10 +144,7 @@
         }
     }
     let unknown = told.iter().filter(|it| it.0 == UNKNOWN).count();
-    assert!(
-        known <= own.len() && own.len() <= known + unknown,
-        "{told:?}"
-    );
+    assert!(known <= own.len() && own.len() <= known + unknown, "{told:?}");
 }
 
 /// Every instance comes to run the last revision.
@@ -226,10 +221,7 @@
     assert_eq!((exit, outcome), (DONE, "gone".into()));
     let ended = fleet.instances[1].ended(Duration::from_secs(20)).await;
     assert!(ended.unwrap().success());
-    let down = Fault {
-        down: true,
-        ..Fault::default()
-    };
+    let down = Fault { down: true, ..Fault::default() };
     fleet.platform.fault(down).await;
     let (exit, _) = run(&fleet, "gwen", &["template", "list"]).await;
     assert_eq!(exit, UNREACHABLE);
--- a/tests/it/partition.rs
+++ b/tests/it/partition.rs
@@ -23,10 +23,9 @@
     for instance in &mut fleet.instances {
         let any = "127.0.0.1:0".parse().unwrap();
         let relay = Relay::start(any, instance.control).await.unwrap();
-        fleet.platform.list_instance(ListedInstance {
-            control: relay.address(),
-            ..instance.listed()
-        });
+        fleet
+            .platform
+            .list_instance(ListedInstance { control: relay.address(), ..instance.listed() });
         relays.push(relay);
         instance.start().unwrap();
     }
@@ -52,10 +51,7 @@
     }
 
     async fn until_alive(&self) {
-        eventually("both alive", async || {
-            self.seen().await == ["alive", "alive"]
-        })
-        .await;
+        eventually("both alive", async || self.seen().await == ["alive", "alive"]).await;
     }
 }
 
--- a/tests/it/path.rs
+++ b/tests/it/path.rs
@@ -71,11 +71,7 @@
 async fn status_names_every_instance_and_server() {
     let fleet = fleet(3).await;
     eventually("a whole status", async || {
-        let call = fleet
-            .operate(0, Method::GET, "/status")
-            .send()
-            .await
-            .unwrap();
+        let call = fleet.operate(0, Method::GET, "/status").send().await.unwrap();
         let text = call.text().await.unwrap();
         let names = fleet.instances.iter().map(|it| &it.name);
         names.into_iter().all(|it| text.contains(it.as_str())) && text.contains("booking-4")
@@ -93,17 +89,8 @@
     })
     .await;
     let text = fleet.metrics(0).await.unwrap();
-    assert!(
-        text.contains("sesamelock_platform_calls_total{kind=\"list\"}"),
-        "{text}"
-    );
-    assert!(
-        text.contains("sesamelock_peer_bytes_total{way=\"sent\"}"),
-        "{text}"
-    );
-    assert!(
-        text.contains("sesamelock_slots{pool=\"booking\",state=\"listed\"} 32"),
-        "{text}"
-    );
+    assert!(text.contains("sesamelock_platform_calls_total{kind=\"list\"}"), "{text}");
+    assert!(text.contains("sesamelock_peer_bytes_total{way=\"sent\"}"), "{text}");
+    assert!(text.contains("sesamelock_slots{pool=\"booking\",state=\"listed\"} 32"), "{text}");
     assert!(text.ends_with("# EOF\n"));
 }
--- a/tests/it/race.rs
+++ b/tests/it/race.rs
@@ -28,10 +28,7 @@
     let mut command = Command::new(env!("CARGO_BIN_EXE_sesamelock"));
     let command = command.env("SESAMELOCK_PLATFORM", platform);
     let output = command.arg("template").args(args).output().unwrap();
-    Said {
-        exit: output.status.code(),
-        text: String::from_utf8(output.stdout).unwrap(),
-    }
+    Said { exit: output.status.code(), text: String::from_utf8(output.stdout).unwrap() }
 }
 
 /// Writes a draft of the site's text with another share, over any that is there.
@@ -67,11 +64,7 @@
         let text = text.replace("share = 8", &format!("share = {share}"));
         std::fs::write(&path, text).unwrap();
         let url = fleet.platform.url();
-        let run = move || Told {
-            who,
-            share,
-            said: change(&url, &path, base, who),
-        };
+        let run = move || Told { who, share, said: change(&url, &path, base, who) };
         tasks.push(tokio::task::spawn_blocking(run));
     }
     let mut told = Vec::new();
@@ -87,10 +80,7 @@
 async fn two_operators_at_once_are_each_told_the_truth() {
     let fleet = fleet(2).await;
     let url = fleet.platform.url();
-    let fault = platform::Fault {
-        lose_answer: Chance::probability(0.15),
-        ..Default::default()
-    };
+    let fault = platform::Fault { lose_answer: Chance::probability(0.15), ..Default::default() };
     let (mut base, mut won, mut lost) = (Revision(1), 0, 0);
     for round in 0..ROUNDS {
         fleet.platform.fault(fault).await;
--- a/tests/it/refusal.rs
+++ b/tests/it/refusal.rs
@@ -55,10 +55,8 @@
 async fn without_a_configuration_nothing_is_served() {
     let mut fleet = bench::Fleet::prepare(crate::bed::options(1)).await.unwrap();
     fleet.instances[0].start().unwrap();
-    crate::bed::eventually("the door", async || {
-        booking(&fleet, 0, "early").send().await.is_ok()
-    })
-    .await;
+    crate::bed::eventually("the door", async || booking(&fleet, 0, "early").send().await.is_ok())
+        .await;
     let answer = booking(&fleet, 0, "early").send().await.unwrap();
     let number = Code::NoConfiguration.number().to_string();
     assert_eq!(header(&answer, "x-sesamelock-code"), number);
--- a/tests/it/stop.rs
+++ b/tests/it/stop.rs
@@ -13,11 +13,8 @@
     let mut fleet = fleet(1).await;
     let mut calls = Vec::new();
     for n in 0..40 {
-        let call = if n % 2 == 0 {
-            chat(&fleet, 0, 60)
-        } else {
-            booking(&fleet, 0, &format!("load-{n}"))
-        };
+        let call =
+            if n % 2 == 0 { chat(&fleet, 0, 60) } else { booking(&fleet, 0, &format!("load-{n}")) };
         calls.push(tokio::spawn(async move {
             let answer = call.send().await?;
             let code = header(&answer, "x-sesamelock-code").to_owned();
@@ -41,10 +38,7 @@
     let mut answer = chat(&fleet, 0, 100_000).send().await.unwrap();
     assert!(answer.chunk().await.unwrap().is_some());
     fleet.instances[0].signal(Signal::SIGTERM);
-    eventually("unreadiness", async || {
-        !fleet.is_ready(&fleet.instances[0]).await
-    })
-    .await;
+    eventually("unreadiness", async || !fleet.is_ready(&fleet.instances[0]).await).await;
     fleet.instances[0].signal(Signal::SIGTERM);
     let text = answer.text().await.unwrap();
     assert!(text.contains("event: error"), "{text}");
