--- a/sl-slots/src/home.rs
+++ b/sl-slots/src/home.rs
@@ -133,15 +133,16 @@
         true
     }
 
-    /// Marks loans that ran out, and gives up on those that ran out `lost_after` ago.
-    pub fn expire(&mut self, now: Timestamp, lost_after: Millis) {
+    /// Marks loans that ran out, and gives up on those that ran out as long ago as
+    /// `lost_after` says of their holder.
+    pub fn expire(&mut self, now: Timestamp, lost_after: impl Fn(InstanceId) -> Millis) {
         for (holder, contact) in &mut self.contacts {
             if !contact.lapses_at.is_due(now) {
                 continue;
             }
             contact.wants.clear();
             for homed in self.servers.values_mut() {
-                homed.lapse(now, *holder, lost_after);
+                homed.lapse(now, *holder, lost_after(*holder));
             }
         }
         let servers = &self.servers;
@@ -152,7 +153,7 @@
     }
 
     /// When [`Self::expire`] has something to do, or a new home may lend.
-    pub fn due(&self, now: Timestamp, lost_after: Millis) -> Timestamp {
+    pub fn due(&self, now: Timestamp, lost_after: impl Fn(InstanceId) -> Millis) -> Timestamp {
         let mut due = Timestamp::NEVER;
         for homed in self.servers.values() {
             if !homed.adopt_until.is_due(now) {
@@ -160,7 +161,7 @@
             }
             for (holder, lent) in &homed.loans {
                 let at = match lent.lapsed {
-                    Some(at) => at.after(lost_after),
+                    Some(at) => at.after(lost_after(*holder)),
                     None => self.contacts.get(holder).map_or(now, |contact| contact.lapses_at),
                 };
                 due = due.min(at);
--- a/sl-slots/src/slots.rs
+++ b/sl-slots/src/slots.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use sl_base::{InstanceId, Need, PoolId, ServerId, Timestamp};
+use sl_base::{InstanceId, Millis, Need, PoolId, ServerId, Timestamp};
 
 use crate::{Message, Options, Policy, holder::Holder, home::Home, speed::Speed};
 
@@ -118,7 +118,8 @@
 
     /// Lets time pass: renewals, leases that ran out, slots with nothing to do.
     pub fn tick(&mut self, now: Timestamp) {
-        self.home.expire(now, self.options.lost_after);
+        let lost_after = lost_after(&self.members, &self.options);
+        self.home.expire(now, lost_after);
         self.return_idle(now);
         self.balance_all(now);
         self.settle(now);
@@ -132,7 +133,7 @@
         let renew = self.holder.links.values().map(|link| link.renew_by).min();
         let idle = self.holder.held.iter().map(|(id, held)| self.idle_until(*id, held)).min();
         self.home
-            .due(now, self.options.lost_after)
+            .due(now, lost_after(&self.members, &self.options))
             .min(renew.unwrap_or(Timestamp::NEVER))
             .min(idle.unwrap_or(Timestamp::NEVER))
     }
@@ -173,3 +174,10 @@
         self.by_pool.get(&pool).into_iter().flatten().any(|id| !self.servers[id].server.leaving)
     }
 }
+
+/// How long a holder's slots count as busy after its lease. One that is no member any
+/// more was found dead by several others, and a dead process uses no slot; one that is
+/// only cut off at most makes a server queue its last requests.
+fn lost_after(members: &[InstanceId], options: &Options) -> impl Fn(InstanceId) -> Millis {
+    move |holder| if members.contains(&holder) { options.lost_after } else { Millis(0) }
+}
--- a/sl-slots/tests/it/lending.rs
+++ b/sl-slots/tests/it/lending.rs
@@ -168,6 +168,23 @@
     assert!(fleet.backends[last].last_dispatch <= known_at + lease.0 * 1_000);
 }
 
+/// Once a holder is held dead, its slots are lent again as soon as its lease has run out.
+#[test]
+fn slots_of_a_dead_holder_are_in_use_again_after_its_lease() {
+    let options = Options::default();
+    let lease = options.lease;
+    let mut fleet = Fleet::new(1, NODES, &SERVERS, options);
+    let (dead, other) = (0, 1);
+    fleet.set_loads(vec![lone(dead, 40), lone(other, 40)]);
+    fleet.run(Millis(6_000));
+    fleet.kill(dead);
+    fleet.set_loads(vec![lone(other, 80)]);
+    fleet.run(Millis(2_000));
+    fleet.set_live(&others(dead));
+    fleet.run(Millis(lease.0 - 2_000 + 1_500));
+    assert_eq!(fleet.in_use(), fleet.slots_in_all());
+}
+
 fn others(lost: usize) -> Vec<usize> {
     (0..NODES).filter(|&n| n != lost).collect()
 }
