--- a/bench/src/measure/run.rs
+++ b/bench/src/measure/run.rs
@@ -102,6 +102,8 @@
     gap_over_time_units: Vec<f64>,
     utilisation_percent: f64,
     utilisation_least_second_percent: f64,
+    utilisation_after_fault_percent: f64,
+    recovered_within_seconds: Option<f64>,
     tokens_per_second: f64,
     peer_sent_bytes_per_second: PerInstance,
     peer_frames_per_second: PerInstance,
@@ -240,6 +242,8 @@
         gap_over_time_units: it.gaps.iter().step_by(SAMPLES_A_GAP).map(|it| it.round()).collect(),
         utilisation_percent: mean(&it.busy) * PERCENT,
         utilisation_least_second_percent: least_second(&it.busy) * PERCENT,
+        utilisation_after_fault_percent: mean(after_fault(&it.busy)) * PERCENT,
+        recovered_within_seconds: recovered(after_fault(&it.busy)),
         tokens_per_second: it.tokens as f64 / span,
         peer_sent_bytes_per_second: traffic(|it| it.peer_sent),
         peer_frames_per_second: traffic(|it| it.peer_frames),
@@ -364,8 +368,20 @@
     values.iter().sum::<f64>() / values.len().max(1) as f64
 }
 
+/// The samples since the fault's end.
+fn after_fault(busy: &[f64]) -> &[f64] {
+    let end = (busy.len() as f64 * FAULT_TO) as usize;
+    &busy[end.min(busy.len())..]
+}
+
+/// Seconds until the first second in which the servers were as busy as they should be.
+fn recovered(busy: &[f64]) -> Option<f64> {
+    let mut seconds = busy.windows(SAMPLES_A_SECOND);
+    let first = seconds.position(|it| mean(it) >= UTILISATION_AIM)?;
+    Some((first + SAMPLES_A_SECOND) as f64 / SAMPLES_A_SECOND as f64)
+}
+
 fn least_second(busy: &[f64]) -> f64 {
-    const SAMPLES_A_SECOND: usize = 20;
     busy.chunks_exact(SAMPLES_A_SECOND).map(mean).fold(1.0, f64::min)
 }
 
@@ -387,5 +403,8 @@
 }
 
 const PERCENT: f64 = 100.0;
+const SAMPLES_A_SECOND: usize = 20;
+/// The share of slots that should be busy while work waits.
+const UTILISATION_AIM: f64 = 0.97;
 const MIB: f64 = 1_048_576.0;
 const MILLIS_PER_SECOND: f64 = 1_000.0;
--- a/sl-step/src/attempt.rs
+++ b/sl-step/src/attempt.rs
@@ -76,7 +76,9 @@
             AttemptEnd::LostBeforeAnswer | AttemptEnd::LostMidway { .. } => {
                 self.strikes.strike(now, team, fingerprint, running.server);
                 if self.strikes.is_barred(now, team, fingerprint) {
-                    self.note("requests barred: they crash servers", team);
+                    let known = self.config.team(team).map(|it| it.name.clone());
+                    let name = known.unwrap_or_else(|| team.to_string());
+                    self.note("requests barred: they crash servers", name);
                     self.refuse_barred(now);
                 }
             }
