--- a/stand-ins/src/serve.rs
+++ b/stand-ins/src/serve.rs
@@ -121,11 +121,18 @@
             Box::pin(async {})
         },
     ));
-    let running = tokio::spawn(rocket.launch());
+    // An error that nobody looked at panics when it is dropped, also one of the shutdown.
+    let running = tokio::spawn(async move {
+        rocket.launch().await.map(drop).map_err(|e| {
+            let text = e.to_string();
+            let _ = e.kind();
+            text
+        })
+    });
     match rx.await {
         Ok((address, shutdown)) => Ok(Serving { address, shutdown }),
         Err(_) => match running.await {
-            Ok(Err(err)) => Err(io::Error::other(err.to_string())),
+            Ok(Err(text)) => Err(io::Error::other(text)),
             _ => Err(io::Error::other("the stand-in ended at its start")),
         },
     }
