--- a/sl-step/src/admit.rs
+++ b/sl-step/src/admit.rs
@@ -10,7 +10,6 @@
     attempt::honest,
     event::Arrival,
     request::{Caller, Phase, Request},
-    state::Stop,
 };
 
 /// When a caller is told to come back where the cause is no queue.
@@ -34,14 +33,14 @@
 
     /// Why a request is not even queued, if so. Checked before a claim is written, so that
     /// a flood costs the platform nothing.
-    fn refusal(&mut self, now: Timestamp, arrival: &Arrival) -> Option<Code> {
+    fn refusal(&self, now: Timestamp, arrival: &Arrival) -> Option<Code> {
         let policy = &arrival.policy;
         let lacks_key =
             !policy.idempotent && policy.key == KeyRule::Required && arrival.key.is_none();
         if lacks_key {
             return Some(Code::KeyRequired);
         }
-        if !matches!(self.stop, Stop::No | Stop::Unready { .. }) || self.refuses_by_now(now) {
+        if !self.takes_new_work(now) {
             return Some(Code::Draining);
         }
         if !self.spread.has_config() {
--- a/sl-step/src/state.rs
+++ b/sl-step/src/state.rs
@@ -116,19 +116,20 @@
 
     /// When the next [`Event::Tick`] is due.
     pub fn due(&self, now: Timestamp) -> Timestamp {
+        // Once isolated, nothing more becomes due by it.
+        let isolated_at = Some(self.members.isolated_at()).filter(|it| !it.is_due(now));
         let areas = [
             self.fair.due(),
             self.slots.due(now),
             self.claims.due(now),
             self.members.due(),
-            self.members.isolated_at(),
+            isolated_at.unwrap_or(Timestamp::NEVER),
             self.spread.due(),
             self.list_at,
             self.exchange_at,
             self.stop_due(now),
         ];
-        let later = |at: &Timestamp| !at.is_due(now) || *at != self.members.isolated_at();
-        areas.into_iter().filter(later).min().unwrap_or(Timestamp::NEVER)
+        areas.into_iter().min().unwrap_or(Timestamp::NEVER)
     }
 
     /// The configuration in force here.
--- a/sl-step/src/stop.rs
+++ b/sl-step/src/stop.rs
@@ -31,9 +31,13 @@
         }
     }
 
-    /// Whether the balancer had its time to notice that this instance takes no new work.
-    pub(crate) fn refuses_by_now(&self, now: Timestamp) -> bool {
-        matches!(self.stop, Stop::Unready { refuse_at, .. } if refuse_at.is_due(now))
+    /// Whether new work is taken: until the balancer had its time to notice a stop.
+    pub(crate) fn takes_new_work(&self, now: Timestamp) -> bool {
+        match self.stop {
+            Stop::No => true,
+            Stop::Unready { refuse_at, .. } => !refuse_at.is_due(now),
+            Stop::Leaving { .. } | Stop::Done => false,
+        }
     }
 
     pub(crate) fn stop_due(&self, now: Timestamp) -> Timestamp {
