sl-core: the daemon's command does not hold standard output

Found by a process of an interrupted measurement that logged "stopped" at 23:26 and was still there half an hour later. Cause (stack of both threads): the command held the lock of standard output for the daemon's whole life, and a worker that wrote a line through Rocket's logger waited for it for ever; the runtime then waited for the worker. Change: no lock is held; each write takes its own. Ruled out: the planned stop itself, which had been seen through. The hang depends on a line that Rocket prints at times, and no test of its own provokes it yet.

--- a/sl-core/src/cli.rs
+++ b/sl-core/src/cli.rs
@@ -104,7 +104,9 @@
 }
 
 fn act(command: &Command) -> Exit {
-    let mut out = io::stdout().lock();
+    // Not locked for the whole command: the daemon's threads may write, too, and would wait
+    // for ever, so that the process never ended.
+    let mut out = io::stdout();
     let exit = dispatch(command, &mut out).unwrap_or_else(|e| {
         let exit = e.exit();
         eprintln!("{:?}", miette::Report::new(e));
