--- a/sl-step/src/dispatch.rs
+++ b/sl-step/src/dispatch.rs
@@ -84,15 +84,17 @@
 
     /// Passes the slots' messages on.
     pub(crate) fn settle_slots(&mut self, now: Timestamp) {
-        for (to, message) in self.slots.take_messages(now) {
-            self.say(to, Message::Slots(message));
-        }
+        self.say_slots(now);
         // Messages of this instance to itself may have brought slots.
         let woken: Vec<PoolId> =
             self.fair.pools().filter(|&pool| self.fair.need(pool).is_some()).collect();
         for pool in woken {
             while self.dispatch_one(now, pool) {}
         }
+        self.say_slots(now);
+    }
+
+    fn say_slots(&mut self, now: Timestamp) {
         for (to, message) in self.slots.take_messages(now) {
             self.say(to, Message::Slots(message));
         }
