sl-route, sl-edge: untried and idle engines take work; removals are confirmed by a steady fellow

Ruled out: processor time (10 % in the middle), the store, connections. Each listing event also rebuilt the lists of servers by service, which grows with servers squared at a start. Change: the guess is half of the mean of measured engines of the service, else the even part, which weighs little and bounds nothing; one request at a time tries an engine that nobody has tried; an idle engine takes what it can answer before the caller leaves; the lists are rebuilt once a listing is over.

--- a/sl-edge/src/membership.rs
+++ b/sl-edge/src/membership.rs
@@ -45,6 +45,8 @@
     pub(crate) life: Incarnation,
     /// Whether it follows the store and reaches it.
     pub(crate) follows: bool,
+    /// Whether it did so all the time, as far as an outage still counts.
+    pub(crate) is_steady: bool,
     /// The part of a core that it has.
     pub(crate) cores: f32,
     /// Stands for the data centre that it is in.
--- a/sl-edge/src/peers.rs
+++ b/sl-edge/src/peers.rs
@@ -199,6 +199,7 @@
             seen: Seen {
                 life: self.life,
                 follows: self.store.is_following() && self.store.is_reached(),
+                is_steady: self.store.is_steady(),
                 cores: self.cores,
                 data_centre: self.data_centre,
                 addresses: self.addresses,
@@ -240,6 +241,9 @@
             self.ahead.set(Some(message.from));
             self.behind.notify_one();
         }
+        if message.seen.is_steady {
+            self.store.confirm(message.revision);
+        }
         self.core.step(Event::Heard { from: message.from.0, notes: message.notes });
     }
 }
--- a/sl-edge/src/peers/datagram.rs
+++ b/sl-edge/src/peers/datagram.rs
@@ -17,7 +17,7 @@
 pub(super) const DATAGRAM_BYTES: usize = 1_300;
 
 /// Bytes of a message besides its notes.
-const HEADER_BYTES: usize = 56;
+const HEADER_BYTES: usize = 57;
 
 /// What an instance tells.
 #[derive(Clone, Debug, Serialize, Deserialize)]
--- a/sl-edge/src/store.rs
+++ b/sl-edge/src/store.rs
@@ -10,6 +10,7 @@
 use sl_http::Conn;
 use sl_mirror::{Change, Item, Mirror};
 use sl_peer::Told;
+use sl_route::Event;
 use slog::{info, warn};
 use tokio::time::{Instant, sleep};
 
@@ -34,6 +35,8 @@
     regained_at: Cell<Option<Timestamp>>,
     /// Whether this instance is one of those that follow the store for all.
     following: Cell<bool>,
+    /// Whether removals were told by a fellow that had just regained the store.
+    told_in_doubt: Cell<bool>,
     fellows: Rc<Fellows>,
     me: InstanceId,
     born: Timestamp,
@@ -116,6 +119,7 @@
             core,
             address,
             mirror: RefCell::default(),
+            told_in_doubt: Cell::new(false),
             lost_at: Cell::new(None),
             regained_at: Cell::new(None),
             on_change: Box::new(on_change),
@@ -146,6 +150,11 @@
         self.lost_at.get().is_none()
     }
 
+    /// Whether this instance follows the store and saw no outage of it that still counts.
+    pub(crate) fn is_steady(&self) -> bool {
+        self.is_following() && self.is_reached() && self.origin() == Origin::Live
+    }
+
     /// Takes over what a fellow instance knows.
     pub(crate) fn take(&self, told: Told) {
         let changes = self.mirror.borrow_mut().take(told.contents);
@@ -154,9 +163,21 @@
             // The fellow reaches the store, whatever this instance saw of it.
             None => Origin::Live,
         };
+        self.told_in_doubt.set(told.settled_in.is_some());
         self.tell(changes, origin);
     }
 
+    /// Hears that a steady fellow knows everything up to `revision`. That ends the doubt
+    /// that another fellow's outage left here; this instance's own outage stays one.
+    pub(crate) fn confirm(&self, revision: u64) {
+        let in_doubt = self.told_in_doubt.get() && !self.is_following();
+        if in_doubt && revision >= self.revision() {
+            self.told_in_doubt.set(false);
+            info!(self.core.log, "removals confirmed by a fellow"; "revision" => revision);
+            self.core.step(Event::Confirmed);
+        }
+    }
+
     /// Whether this instance is to follow the store itself: a few do, and the others hear
     /// from them. Whoever hears of none that reaches the store does so too.
     fn should_follow(&self) -> bool {
--- a/sl-route/src/directory.rs
+++ b/sl-route/src/directory.rs
@@ -79,6 +79,13 @@
         }
     }
 
+    /// Counts all entries that are missing as gone at `now`.
+    pub fn confirm(&mut self, now: Timestamp) {
+        for listed in self.records.values_mut() {
+            listed.gone_at = listed.gone_at.map(|it| it.min(now));
+        }
+    }
+
     /// Drops the entries that have been missing for too long, and gives their ids.
     pub fn expire(&mut self, now: Timestamp) -> Vec<Arc<str>> {
         let is_gone = |it: &Listed| it.gone_at.is_some_and(|at| at.is_due(now));
--- a/sl-route/src/engine.rs
+++ b/sl-route/src/engine.rs
@@ -49,11 +49,23 @@
     shift: i64,
 }
 
+/// A guess at the reading speed of an engine that has read nothing yet.
+#[derive(Clone, Copy, Debug)]
+pub struct Guess {
+    /// Tokens that it reads in a millisecond.
+    pub tokens_per_ms: f64,
+    /// Tokens of experience that the guess counts for.
+    pub weight: f64,
+    /// How many times faster the engine may turn out at once.
+    pub faster_max: f64,
+}
+
 /// Reading speed, learnt from the time between first tokens.
 #[derive(Clone, Copy, Debug)]
 struct Speed {
     tokens: f64,
     millis: f64,
+    faster_max: f64,
     is_assumed: bool,
 }
 
@@ -95,9 +107,6 @@
 /// Requests whose prompts are shorter than this, in tokens, say little about the speed.
 const TELLING_TOKENS: u32 = 800;
 
-/// Tokens of experience that the assumed speed stands for.
-const ASSUMED_TOKENS: f64 = 20_000.0;
-
 /// What is left of older experience after each observation.
 const SPEED_DECAY: f64 = 0.97;
 
@@ -108,9 +117,10 @@
 const MICROS: f64 = 1_000.0;
 
 impl Speed {
-    fn assumed(tokens_per_ms: f64) -> Speed {
-        let millis = ASSUMED_TOKENS / tokens_per_ms.max(1.0);
-        Speed { tokens: ASSUMED_TOKENS, millis, is_assumed: true }
+    fn assumed(guess: Guess) -> Speed {
+        let millis = guess.weight / guess.tokens_per_ms.max(1.0);
+        let Guess { weight, faster_max, .. } = guess;
+        Speed { tokens: weight, millis, faster_max, is_assumed: true }
     }
 
     fn tokens_per_ms(self) -> f64 {
@@ -118,6 +128,9 @@
     }
 
     fn observe(&mut self, tokens: u32, millis: f64) {
+        let fastest = f64::from(tokens) / (self.tokens_per_ms() * self.faster_max);
+        let millis = millis.max(fastest);
+        self.faster_max = FASTER_MAX;
         self.is_assumed = false;
         self.tokens = self.tokens * SPEED_DECAY + f64::from(tokens);
         self.millis = self.millis * SPEED_DECAY + millis;
@@ -139,11 +152,11 @@
 impl Engine {
     /// An idle engine of which nothing is known but its memory and slots, and a guess at
     /// its speed.
-    pub fn new(now: Timestamp, limits: EngineLimits, tokens_per_ms: f64) -> Engine {
+    pub fn new(now: Timestamp, limits: EngineLimits, guess: Guess) -> Engine {
         let cached = f64::from(limits.memory_tokens) * CACHE_SHARE;
         Engine {
             cache: Cache::new(cached as u64),
-            speed: Speed::assumed(tokens_per_ms),
+            speed: Speed::assumed(guess),
             read_by: now,
             queue: VecDeque::new(),
             shift: 0,
@@ -158,9 +171,9 @@
     }
 
     /// Takes another guess at its speed, where nothing is known of it yet.
-    pub fn assume(&mut self, tokens_per_ms: f64) {
+    pub fn assume(&mut self, guess: Guess) {
         if self.speed.is_assumed {
-            self.speed = Speed::assumed(tokens_per_ms);
+            self.speed = Speed::assumed(guess);
         }
     }
 
@@ -184,6 +197,21 @@
         self.running.len()
     }
 
+    /// Whether nothing was sent to it that has not ended.
+    pub fn is_idle(&self) -> bool {
+        self.queue.is_empty() && self.running.is_empty()
+    }
+
+    /// Whether nothing has shown how fast it reads, and nothing that waits there will soon.
+    pub fn is_untried(&self) -> bool {
+        self.speed.is_assumed && self.queue.is_empty()
+    }
+
+    /// Whether its speed follows from what it read.
+    pub fn is_measured(&self) -> bool {
+        !self.speed.is_assumed
+    }
+
     /// Whether one more request would find a slot.
     pub fn has_slot(&self) -> bool {
         self.queue.len() + self.running.len() < self.slots
@@ -253,9 +281,7 @@
         self.move_by(late * CORRECTION);
         if reading.tokens >= TELLING_TOKENS {
             let from = self.last_begun.max(reading.sent_at);
-            let millis = now.millis_since(from);
-            let fastest = f64::from(reading.tokens) / (self.tokens_per_ms() * FASTER_MAX);
-            self.speed.observe(reading.tokens, millis.max(fastest));
+            self.speed.observe(reading.tokens, now.millis_since(from));
         }
         self.last_begun = now;
         self.running.push(origin);
@@ -308,7 +334,7 @@
 
 /// An engine is not believed to read this many times faster than before at once: several
 /// prompts may have been read together.
-const FASTER_MAX: f64 = 3.0;
+pub const FASTER_MAX: f64 = 3.0;
 
 fn moved(at: Timestamp, micros: f64) -> Timestamp {
     Timestamp::from_micros(at.as_micros().saturating_add_signed(micros as i64))
--- a/sl-route/src/event.rs
+++ b/sl-route/src/event.rs
@@ -48,6 +48,9 @@
         /// When it is gone, unless it is back before.
         gone_at: Timestamp,
     },
+    /// Somebody who followed the platform's service all the time knows no less: entries that
+    /// are missing did not lapse, they were removed.
+    Confirmed,
     /// A peer told what happened there.
     Heard {
         /// The peer.
--- a/sl-route/src/place.rs
+++ b/sl-route/src/place.rs
@@ -105,10 +105,22 @@
 /// A plain answer is not expected faster than this, in milliseconds.
 const ANSWER_MIN_MS: f64 = 5.0;
 
+/// An engine that nobody has tried may be this many times faster than it is guessed to be:
+/// the configuration may speak of a much smaller fleet.
+const GUESS_DOUBT: f64 = 50.0;
+
 /// A server seen as a place for one request.
 struct Candidate {
     choice: Choice,
     score: f64,
+    /// Whether an answer that seems late is no reason against it.
+    is_free: bool,
+}
+
+impl Candidate {
+    fn is_in_time(&self, wanted: Wanted<'_>) -> bool {
+        self.is_free || self.choice.expected_ms <= wanted.allowed_ms
+    }
 }
 
 /// Chooses among `servers`, which are all of one service.
@@ -135,7 +147,7 @@
     let mut candidates: Vec<Candidate> =
         servers.into_iter().filter_map(|it| candidate(now, it, wanted, donor)).collect();
     candidates.sort_by(|a, b| a.score.total_cmp(&b.score));
-    let in_time = candidates.iter().find(|it| it.choice.expected_ms <= wanted.allowed_ms);
+    let in_time = candidates.iter().find(|it| it.is_in_time(wanted));
     match in_time {
         Some(found) => Ok(Choice { candidates: looked_at, ..found.choice.clone() }),
         None if candidates.is_empty() => Err(NoChoice::Full),
@@ -204,7 +216,14 @@
         + LATE_END_MS * (late - LATE_END_FROM).max(0.0);
     let server = server.key;
     let choice = Choice { server, expected_ms, backlog_ms, to_read, fetch, candidates: 0 };
-    Some(Candidate { choice, score })
+    Some(Candidate { choice, score, is_free: is_free(engine, expected_ms, wanted) })
+}
+
+/// Whether nobody gains by a refusal: nothing shows how fast the engine is, or it has
+/// nothing to do and the answer still comes before its caller has left.
+fn is_free(engine: &Engine, expected_ms: f64, wanted: Wanted<'_>) -> bool {
+    let may_be_in_time = expected_ms <= wanted.allowed_ms * GUESS_DOUBT;
+    engine.is_untried() && may_be_in_time || engine.is_idle() && expected_ms <= wanted.left_ms
 }
 
 /// How much of what is read anew in the engine will have to be read again later, because
@@ -246,5 +265,5 @@
     };
     let rested_ms = now.millis_since(plain.sent_at());
     let turn = TURN_MS * (rested_ms / RESTED_MS).min(1.0);
-    Candidate { choice, score: answer_ms * crowding - turn }
+    Candidate { choice, score: answer_ms * crowding - turn, is_free: false }
 }
--- a/sl-route/src/server.rs
+++ b/sl-route/src/server.rs
@@ -62,6 +62,16 @@
 /// How much one answer weighs in the mean of a server's answers.
 const ANSWER_WEIGHT: f64 = 0.1;
 
+impl Work {
+    /// The model engine that it is, if it is one.
+    pub fn engine(&self) -> Option<&Engine> {
+        match self {
+            Work::Engine(engine) => Some(engine),
+            Work::Plain(_) => None,
+        }
+    }
+}
+
 impl Plain {
     /// Requests that it runs.
     pub fn running(&self) -> usize {
--- a/sl-route/src/state.rs
+++ b/sl-route/src/state.rs
@@ -53,6 +53,8 @@
     peers: HashMap<u32, Timestamp>,
     next_attempt: u64,
     prune_at: Timestamp,
+    /// Whether the lists of servers by service are up to date.
+    is_indexed: bool,
     outbox: Vec<Note>,
     effects: Vec<Effect>,
     rng: ChaCha8Rng,
@@ -97,6 +99,7 @@
             peers: HashMap::new(),
             next_attempt: 0,
             prune_at: now,
+            is_indexed: true,
             outbox: Vec::new(),
             effects: Vec::new(),
             rng: ChaCha8Rng::seed_from_u64(options.seed),
@@ -106,6 +109,9 @@
 
     /// Takes one event and gives what is to be done.
     pub fn step(&mut self, now: Timestamp, event: Event) -> Vec<Effect> {
+        if !matches!(event, Event::Listed(_) | Event::Unlisted { .. } | Event::Lapsed { .. }) {
+            self.index();
+        }
         match event {
             Event::Tick => {}
             Event::Arrived(arrival) => self.arrived(now, *arrival),
@@ -116,6 +122,7 @@
             Event::Listed(record) => self.listed(now, record),
             Event::Unlisted { id } => self.unlisted(now, &id),
             Event::Lapsed { id, gone_at } => self.directory.lapse(&id, gone_at),
+            Event::Confirmed => self.confirm_listing(now),
             Event::Heard { from, notes } => self.heard(now, from, notes),
             Event::CacheListed { server, parts } => self.cache_listed(now, server, &parts),
             Event::CacheUnlisted { server } => self.cache_unlisted(now, server),
@@ -370,6 +377,7 @@
             server.prune(now, |it| it != me && !peers.contains_key(&it));
         }
         self.expire_listing(now);
+        self.assume_speeds();
         self.list_caches(now);
     }
 
--- a/sl-route/src/state/listing.rs
+++ b/sl-route/src/state/listing.rs
@@ -9,15 +9,21 @@
 
 use super::State;
 use crate::{
-    Decision, Document, Effect, Record,
-    engine::Engine,
+    Decision, Document, Effect, Record, ServerKey,
+    engine::{Engine, FASTER_MAX, Guess},
     health::Health,
     server::{Plain, Server, Work},
 };
 
-/// The reading speed that is assumed of an engine where the configuration says nothing of
-/// what all produce, in tokens per millisecond.
-const TOKENS_PER_MS: f64 = 30.0;
+/// The guess at an engine where nothing is known. What it really is shows at once.
+const ANY_ENGINE: Guess = Guess { tokens_per_ms: 30.0, weight: 2_000.0, faster_max: f64::INFINITY };
+
+/// The guess at an engine whose like are measured.
+const LIKE_OTHERS: Guess = Guess { tokens_per_ms: 30.0, weight: 20_000.0, faster_max: FASTER_MAX };
+
+/// The part of the others' speed that is expected of an engine that has not been tried:
+/// most of those have just started, and read slowly at first.
+const YOUNG_PART: f64 = 0.5;
 
 /// An engine that has just become known is asked what it keeps this much later: peers may
 /// know it, and tell at less cost.
@@ -51,7 +57,7 @@
             self.servers.remove(&before);
         }
         self.model(now, record);
-        self.index();
+        self.is_indexed = false;
         self.effects.push(Effect::Log(Decision::ServerChanged { server: id, now: state }));
     }
 
@@ -63,11 +69,16 @@
         if let Some(key) = key {
             self.servers.remove(&key);
         }
-        self.index();
+        self.is_indexed = false;
         let decision = Decision::ServerChanged { server: id.clone(), now: "gone" };
         self.effects.push(Effect::Log(decision));
     }
 
+    pub(super) fn confirm_listing(&mut self, now: Timestamp) {
+        self.directory.confirm(now);
+        self.expire_listing(now);
+    }
+
     pub(super) fn expire_listing(&mut self, now: Timestamp) {
         let gone = self.directory.expire(now);
         if gone.is_empty() {
@@ -78,7 +89,7 @@
         }
         let listed: HashSet<_> = self.directory.records().map(Record::key).collect();
         self.servers.retain(|key, _| listed.contains(key));
-        self.index();
+        self.is_indexed = false;
     }
 
     fn model(&mut self, now: Timestamp, record: Record) {
@@ -91,29 +102,38 @@
             return;
         };
         let work = match service.engine {
-            Some(limits) => {
-                let speed = self.assumed_speed(record.service);
-                Work::Engine(Box::new(Engine::new(now, limits, speed)))
-            }
+            Some(limits) => Work::Engine(Box::new(Engine::new(now, limits, ANY_ENGINE))),
             None => Work::Plain(Plain::default()),
         };
         self.servers.insert(
             key,
             Server { key, record, health: Health::new(now), work, list_at: now.after(LIST_AFTER) },
         );
-        self.index();
+        self.is_indexed = false;
     }
 
-    /// A guess at a server's reading speed: an even part of what all are said to produce.
-    fn assumed_speed(&self, service: PoolId) -> f64 {
-        let like = self.directory.records().filter(|it| it.service == service).count();
-        match self.document.limits.tokens_per_s {
-            Some(tokens_per_s) => tokens_per_s / MILLIS / like.max(1) as f64,
-            None => TOKENS_PER_MS,
+    /// A guess at an engine's reading speed: the mean of those like it that are measured,
+    /// else an even part of what all are said to produce.
+    fn guess(&self, servers: &[ServerKey]) -> Guess {
+        let engines = servers.iter().filter_map(|it| self.servers.get(it)?.work.engine());
+        let speeds: Vec<f64> =
+            engines.filter(|it| it.is_measured()).map(Engine::tokens_per_ms).collect();
+        if !speeds.is_empty() {
+            let mean = speeds.iter().sum::<f64>() / speeds.len() as f64;
+            return Guess { tokens_per_ms: mean * YOUNG_PART, ..LIKE_OTHERS };
         }
+        self.document.limits.tokens_per_s.map_or(ANY_ENGINE, |tokens_per_s| {
+            let tokens_per_ms = tokens_per_s / MILLIS / servers.len().max(1) as f64;
+            Guess { tokens_per_ms, ..ANY_ENGINE }
+        })
     }
 
-    fn index(&mut self) {
+    /// Brings the lists of servers by service up to date. A listing of all servers comes as
+    /// one event for each, so that this waits for the first event of another kind.
+    pub(super) fn index(&mut self) {
+        if std::mem::replace(&mut self.is_indexed, true) {
+            return;
+        }
         self.pools.clear();
         for (key, server) in &self.servers {
             self.pools.entry(server.record.service).or_default().push(*key);
@@ -121,11 +141,17 @@
         for keys in self.pools.values_mut() {
             keys.sort_unstable();
         }
-        let speeds: HashMap<PoolId, f64> =
-            self.pools.keys().map(|&it| (it, self.assumed_speed(it))).collect();
+        self.assume_speeds();
+    }
+
+    /// Takes another guess at the speeds of the engines that have read nothing yet.
+    pub(super) fn assume_speeds(&mut self) {
+        let guesses: HashMap<PoolId, Guess> =
+            self.pools.iter().map(|(&id, servers)| (id, self.guess(servers))).collect();
         for server in self.servers.values_mut() {
-            if let Work::Engine(engine) = &mut server.work {
-                engine.assume(speeds[&server.record.service]);
+            let guess = guesses.get(&server.record.service);
+            if let (Work::Engine(engine), Some(&guess)) = (&mut server.work, guess) {
+                engine.assume(guess);
             }
         }
     }
--- a/sl-route/tests/it/engine.rs
+++ b/sl-route/tests/it/engine.rs
@@ -1,10 +1,13 @@
 //! The model of an engine learns from first tokens.
 
-use sl_route::{engine::Engine, note::Origin};
+use sl_route::{
+    engine::{Engine, FASTER_MAX, Guess},
+    note::Origin,
+};
 
 use crate::bed::{ENGINE, START, at};
 
-const GUESS: f64 = 30.0;
+const GUESS: Guess = Guess { tokens_per_ms: 30.0, weight: 20_000.0, faster_max: FASTER_MAX };
 
 fn origin(attempt: u64) -> Origin {
     Origin { instance: 1, attempt }
--- a/sl-route/tests/it/place.rs
+++ b/sl-route/tests/it/place.rs
@@ -1,5 +1,6 @@
 //! Where work goes.
 
+use rstest::rstest;
 use sl_base::{Millis, RequestId};
 use sl_route::{Arrival, AttemptEnd, Effect, Event, Fault, Refusal, Repeat, Standing};
 
@@ -58,6 +59,41 @@
     assert_eq!((sent_on, refused), (9, 390));
 }
 
+/// The pattern of a fleet that has grown while the configuration still says what a smaller
+/// one produces: an even part of that is no reason to refuse.
+#[test]
+fn an_engine_that_nobody_has_tried_is_tried_however_slow_it_is_guessed_to_be() {
+    let engines: Vec<String> = (0..1_000).map(|it| format!("e{it}")).collect();
+    let engines: Vec<(&str, &str)> = engines.iter().map(|it| (it.as_str(), "model")).collect();
+    let mut state = state(1, &engines);
+    // What each reads in 10 ms is guessed to take 87 s.
+    for number in 1..=20 {
+        let now = 1_000 * number;
+        let effects = arrive(&mut state, at(now), model(now, number, "a"));
+        assert!(sent(&effects).is_some(), "{number}: {effects:?}");
+        state.step(at(now + 300), Event::Begun { request: RequestId(number) });
+    }
+    let now = 30_000;
+    let burst = (100..130).map(|it| arrive(&mut state, at(now), model(now, it, "b")));
+    assert_eq!(burst.filter(|it| sent(it).is_some()).count(), 30);
+}
+
+/// The pattern of a team over its share while engines rest: nobody gains by a refusal.
+#[test]
+fn an_idle_engine_takes_what_it_can_still_answer() {
+    let mut state = state(1, &[("e1", "model")]);
+    let mut slow = model(0, 1, "a");
+    slow.prompt = Some(prompt("a", 100_000, "own", 500));
+    assert!(sent(&arrive(&mut state, at(0), slow.clone())).is_some());
+    answer(&mut state, at(2_500), 1);
+    for (number, shared, is_sent) in [(2, "b", true), (3, "c", false)] {
+        let mut arrival = model(3_000, number, shared);
+        arrival.prompt = Some(prompt(shared, 100_000, "own", 500));
+        let effects = arrive(&mut state, at(3_000), arrival);
+        assert_eq!(sent(&effects).is_some(), is_sent, "{effects:?}");
+    }
+}
+
 #[test]
 fn refused_callers_come_back_spread_over_time() {
     let mut state = state(1, &[("e1", "model")]);
@@ -145,11 +181,22 @@
 }
 
 #[test]
-fn an_entry_that_came_back_is_not_gone() {
+fn an_entry_that_is_confirmed_as_removed_is_gone_at_once() {
+    let mut state = state(1, &[("a", "app")]);
+    state.step(at(0), Event::Lapsed { id: "a".into(), gone_at: at(2_000) });
+    state.step(at(500), Event::Confirmed);
+    let after = arrive(&mut state, at(501), arrival(at(501), 1, Repeat::Idempotent, None));
+    assert!(sent(&after).is_none());
+}
+
+#[rstest]
+#[case::in_time(Event::Tick)]
+#[case::before_it_would_be_confirmed(Event::Confirmed)]
+fn an_entry_that_came_back_is_not_gone(#[case] then: Event) {
     let mut state = state(1, &[("a", "app")]);
     state.step(at(0), Event::Lapsed { id: "a".into(), gone_at: at(2_000) });
     state.step(at(1_000), Event::Listed(record("a", "app")));
-    state.step(at(3_000), Event::Tick);
+    state.step(at(3_000), then);
     let after = arrive(&mut state, at(3_001), arrival(at(3_001), 1, Repeat::Idempotent, None));
     assert!(sent(&after).is_some());
 }
