--- /dev/null
+++ b/bench/src/bin/loads.rs
@@ -0,0 +1,112 @@
+//! `sl-loads`: plays named loads through the real decisions, by seed and policy, and prints
+//! a line of JSON for each play.
+
+use std::{path::PathBuf, process::ExitCode};
+
+use bench::load::{Load, Options, Policy, Tally, play};
+use bpaf::{OptionParser, Parser, construct, long};
+use miette::{IntoDiagnostic, Result, miette};
+use plotters::prelude::*;
+use serde::Serialize;
+use sl_base::Millis;
+use strum::IntoEnumIterator;
+
+#[derive(Clone, Debug)]
+struct Asked {
+    loads: Vec<Load>,
+    policies: Vec<Policy>,
+    seed: u64,
+    seeds: u64,
+    instances: usize,
+    engines: usize,
+    seconds: u64,
+    plot: Option<PathBuf>,
+}
+
+#[derive(Serialize)]
+struct Row<'a> {
+    load: String,
+    policy: String,
+    seed: u64,
+    instances: usize,
+    engines: usize,
+    #[serde(flatten)]
+    tally: &'a Tally,
+}
+
+fn options() -> OptionParser<Asked> {
+    let loads = long("load").help("A load; all where none is named").argument("LOAD").many();
+    let policies = long("policy").help("How instances hear of each other").argument("POLICY");
+    let policies = policies.many();
+    let seed = long("seed").help("The first seed").argument("N").fallback(1);
+    let seeds = long("seeds").help("How many seeds").argument("N").fallback(1);
+    let instances = long("instances").help("Instances").argument("N").fallback(9);
+    let engines = long("engines").help("Engines").argument("N").fallback(12);
+    let seconds = long("seconds").help("How long callers come").argument("S").fallback(40);
+    let plot = long("plot").help("Draw the credit of each load as SVG").argument("FILE");
+    let plot = plot.optional();
+    construct!(Asked { loads, policies, seed, seeds, instances, engines, seconds, plot })
+        .to_options()
+        .descr("The load model: real decisions, modelled engines and callers, no real time")
+}
+
+fn main() -> Result<ExitCode> {
+    let mut asked = options().run();
+    if asked.loads.is_empty() {
+        asked.loads = Load::iter().collect();
+    }
+    if asked.policies.is_empty() {
+        asked.policies = vec![Policy::Notes];
+    }
+    let mut bars = Vec::new();
+    for &policy in &asked.policies {
+        for &load in &asked.loads {
+            let credit = of_seeds(&asked, load, policy)?;
+            bars.push((format!("{load} {policy}"), credit));
+        }
+    }
+    if let Some(path) = &asked.plot {
+        draw(path, &bars).map_err(|e| miette!("{} cannot be drawn: {e}", path.display()))?;
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Plays all seeds of a load, and gives the mean credit.
+fn of_seeds(asked: &Asked, load: Load, policy: Policy) -> Result<f64> {
+    let &Asked { seed, seeds, instances, engines, seconds, .. } = asked;
+    let within = Millis(seconds * 1_000);
+    let mut credit = 0.0;
+    for seed in seed..seed + seeds {
+        let tally = play(Options { seed, load, policy, instances, engines, within });
+        credit += tally.credit / seeds as f64;
+        let (load, policy) = (load.to_string(), policy.to_string());
+        let row = Row { load, policy, seed, instances, engines, tally: &tally };
+        println!("{}", serde_json::to_string(&row).into_diagnostic()?);
+    }
+    Ok(credit)
+}
+
+/// Pixels of the drawing: its width, the height of a bar, and the room for names.
+const WIDTH: u32 = 900;
+const BAR_HEIGHT: u32 = 22;
+const NAMES_WIDTH: i32 = 260;
+
+fn draw(
+    path: &PathBuf,
+    bars: &[(String, f64)],
+) -> std::result::Result<(), Box<dyn std::error::Error>> {
+    let height = BAR_HEIGHT * (bars.len() as u32 + 1);
+    let area = SVGBackend::new(path, (WIDTH, height)).into_drawing_area();
+    area.fill(&WHITE)?;
+    let room = f64::from(WIDTH as i32 - NAMES_WIDTH - 60);
+    for (at, (name, credit)) in bars.iter().enumerate() {
+        let top = (at as u32 * BAR_HEIGHT) as i32 + 4;
+        let right = NAMES_WIDTH + (credit * room) as i32;
+        let bar = [(NAMES_WIDTH, top), (right, top + BAR_HEIGHT as i32 - 6)];
+        area.draw(&Rectangle::new(bar, BLUE.mix(0.5).filled()))?;
+        area.draw(&Text::new(name.clone(), (4, top), ("sans-serif", 14)))?;
+        area.draw(&Text::new(format!("{credit:.3}"), (right + 4, top), ("sans-serif", 14)))?;
+    }
+    area.present()?;
+    Ok(())
+}
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod fleet;
 pub mod instance;
+pub mod load;
 pub mod soak;
 
 pub use fleet::{Fleet, eventually};
--- /dev/null
+++ b/bench/tests/it/main.rs
@@ -0,0 +1,3 @@
+//! The load model.
+
+mod loads;
