sl-route: what another engine keeps is not read again under overload; transfers wait for each other

Change: reading what another engine keeps counts four times against the time that is allowed, unless the engine is idle. What a cache would lose counts 10 instead of 5. A fetch waits for the transfers before it.

--- a/sl-route/src/engine.rs
+++ b/sl-route/src/engine.rs
@@ -26,6 +26,8 @@
     running: Vec<Origin>,
     slots: usize,
     fetch_ms_per_token: Option<f64>,
+    /// When the transfers from and to it will have ended; they go one after the other.
+    transfers_end: Timestamp,
     event_tokens: f64,
     load: Load,
     /// Milliseconds between two events of a stream while nothing is read.
@@ -164,6 +166,7 @@
             running: Vec::new(),
             slots: limits.slots as usize,
             fetch_ms_per_token: limits.fetch_ms_per_token,
+            transfers_end: now,
             event_tokens: limits.event_tokens,
             load: Load { millis: 0.0, at: now },
             event_ms: EVENT_MILLIS,
@@ -236,6 +239,16 @@
         Some(FETCH_MILLIS + f64::from(tokens) * self.fetch_ms_per_token?)
     }
 
+    /// Milliseconds until the transfers from and to it have ended.
+    pub fn transfers_ms(&self, now: Timestamp) -> f64 {
+        self.transfers_end.micros_since(now) as f64 / MICROS
+    }
+
+    /// Notes that one more transfer goes from or to it, and ends in `millis`.
+    pub fn transfers(&mut self, now: Timestamp, millis: f64) {
+        self.transfers_end = self.transfers_end.max(moved(now, millis * MICROS));
+    }
+
     /// Milliseconds that reading `tokens` takes.
     pub fn reading_ms(&self, tokens: u32) -> f64 {
         f64::from(tokens) / self.tokens_per_ms() + REQUEST_MILLIS
--- a/sl-route/src/note.rs
+++ b/sl-route/src/note.rs
@@ -30,6 +30,8 @@
         charge: Option<(TeamId, u32)>,
         /// The prompt's parts.
         parts: Vec<Part>,
+        /// The engine that it fetches from, and in how many milliseconds that ends.
+        fetch: Option<(ServerKey, u32)>,
     },
     /// An answer began.
     Begun {
--- a/sl-route/src/place.rs
+++ b/sl-route/src/place.rs
@@ -43,12 +43,14 @@
 }
 
 /// Parts of a prompt that an engine fetches from another one.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Fetch {
     /// The engine that keeps them.
     pub from: ServerKey,
     /// Their length in tokens.
     pub tokens: u32,
+    /// Milliseconds until they are there, behind the transfers that are under way.
+    pub takes_ms: f64,
 }
 
 /// Why there is no choice.
@@ -68,8 +70,12 @@
 /// Reading a shared part again costs those who wait behind it too, so it counts once more.
 const REREAD_WEIGHT: f64 = 1.0;
 
+/// Under overload a request is better refused than read at the cost of many others: what
+/// would be read again counts this often against the time that is allowed.
+const AGAIN_WEIGHT: f64 = 4.0;
+
 /// The part of an engine's cache that others would use again.
-const PRESSURE_WEIGHT: f64 = 5.0;
+const PRESSURE_WEIGHT: f64 = 10.0;
 
 /// A part that was not used for this long, in milliseconds, is hardly used again.
 const REUSED_WITHIN_MS: f64 = 15_000.0;
@@ -115,13 +121,16 @@
 struct Candidate {
     choice: Choice,
     score: f64,
+    /// Milliseconds in which it would read what another engine keeps.
+    again_ms: f64,
     /// Whether an answer that seems late is no reason against it.
     is_free: bool,
 }
 
 impl Candidate {
     fn is_in_time(&self, wanted: Wanted<'_>) -> bool {
-        self.is_free || self.choice.expected_ms <= wanted.allowed_ms
+        let counted_ms = self.choice.expected_ms + AGAIN_WEIGHT * self.again_ms;
+        self.is_free || counted_ms <= wanted.allowed_ms
     }
 }
 
@@ -145,7 +154,7 @@
         servers.iter().copied().filter(|it| !it.health.is_avoided(now)).collect();
     let servers = if trusted.is_empty() { servers } else { trusted };
     let looked_at = servers.len();
-    let donor = donor(&servers, wanted.prompt);
+    let donor = donor(now, &servers, wanted.prompt);
     let mut candidates: Vec<Candidate> =
         servers.into_iter().filter_map(|it| candidate(now, it, wanted, donor)).collect();
     candidates.sort_by(|a, b| a.score.total_cmp(&b.score));
@@ -160,21 +169,34 @@
     }
 }
 
-/// The engine that keeps the most of the prompt, and how much that is.
-fn donor(servers: &[&Server], prompt: Option<&Prompt>) -> Option<Fetch> {
+/// The engine that keeps the most of a prompt.
+#[derive(Clone, Copy, Debug)]
+struct Donor {
+    server: ServerKey,
+    /// How much it keeps.
+    tokens: u32,
+    /// Milliseconds until it has sent what others fetch.
+    transfers_ms: f64,
+}
+
+fn donor(now: Timestamp, servers: &[&Server], prompt: Option<&Prompt>) -> Option<Donor> {
     let prompt = prompt?;
-    let kept = servers.iter().filter_map(|it| match &it.work {
-        Work::Engine(engine) => Some(Fetch { from: it.key, tokens: engine.cache.kept(prompt) }),
-        Work::Plain(_) => None,
+    let donors = servers.iter().filter_map(|it| {
+        let engine = it.work.engine()?;
+        let (tokens, transfers_ms) = (engine.cache.kept(prompt), engine.transfers_ms(now));
+        Some(Donor { server: it.key, tokens, transfers_ms })
     });
-    kept.max_by_key(|it| it.tokens)
+    let by_use = |a: &Donor, b: &Donor| {
+        a.tokens.cmp(&b.tokens).then(b.transfers_ms.total_cmp(&a.transfers_ms))
+    };
+    donors.max_by(by_use)
 }
 
 fn candidate(
     now: Timestamp,
     server: &Server,
     wanted: Wanted<'_>,
-    donor: Option<Fetch>,
+    donor: Option<Donor>,
 ) -> Option<Candidate> {
     let mut candidate = match &server.work {
         Work::Engine(engine) => engine_candidate(now, server, engine, wanted, donor)?,
@@ -194,16 +216,16 @@
     server: &Server,
     engine: &Engine,
     wanted: Wanted<'_>,
-    donor: Option<Fetch>,
+    donor: Option<Donor>,
 ) -> Option<Candidate> {
     if !engine.has_slot() {
         return None;
     }
     let prompt = wanted.prompt;
     let lacks = prompt.map_or(0, |it| engine.to_read(it));
-    let fetch = fetch(engine, prompt, lacks, donor);
+    let fetch = fetch(now, engine, prompt, lacks, donor);
     let to_read = lacks - fetch.map_or(0, |it| it.tokens);
-    let fetching_ms = fetch.and_then(|it| engine.fetching_ms(it.tokens)).unwrap_or(0.0);
+    let fetching_ms = fetch.map_or(0.0, |it| it.takes_ms);
     let own = prompt.and_then(|it| it.parts.last()).map_or(0, |it| it.tokens);
     let lacks_shared = f64::from(lacks.saturating_sub(own)) / engine.tokens_per_ms();
     let expected_ms = engine.first_token_ms(now, to_read) + fetching_ms;
@@ -220,7 +242,8 @@
     let server = server.key;
     let choice =
         Choice { server, expected_ms, backlog_ms, to_read, fetch, candidates: 0, heard_ms: 0.0 };
-    Some(Candidate { choice, score, is_free: is_free(engine, expected_ms, wanted) })
+    let is_free = is_free(engine, expected_ms, wanted);
+    Some(Candidate { choice, score, again_ms: again_ms(engine, prompt, lacks, donor), is_free })
 }
 
 /// Whether nobody gains by a refusal: nothing shows how fast the engine is, or it has
@@ -230,6 +253,13 @@
     engine.is_untried() && may_be_in_time || engine.is_idle() && expected_ms <= wanted.left_ms
 }
 
+/// Milliseconds in which the engine would read what `donor` keeps and it does not.
+fn again_ms(engine: &Engine, prompt: Option<&Prompt>, lacks: u32, donor: Option<Donor>) -> f64 {
+    let keeps = prompt.map_or(0, |it| it.tokens_in.saturating_sub(lacks));
+    let again = donor.map_or(0, |it| it.tokens.saturating_sub(keeps));
+    f64::from(again) / engine.tokens_per_ms()
+}
+
 /// How much of what is read anew in the engine will have to be read again later, because
 /// it pushes out parts that were used not long ago: from 0 to 1.
 fn pressure(now: Timestamp, engine: &Engine) -> f64 {
@@ -240,17 +270,20 @@
 /// What the engine would better fetch from `donor` than read, of the `lacks` tokens that it
 /// lacks.
 fn fetch(
+    now: Timestamp,
     engine: &Engine,
     prompt: Option<&Prompt>,
     lacks: u32,
-    donor: Option<Fetch>,
+    donor: Option<Donor>,
 ) -> Option<Fetch> {
     let (prompt, donor) = (prompt?, donor?);
     let keeps = prompt.tokens_in.saturating_sub(lacks);
     let tokens = donor.tokens.min(prompt.tokens_in).saturating_sub(keeps);
-    let fetching_ms = engine.fetching_ms(tokens)?;
-    let is_cheaper = fetching_ms < engine.reading_ms(tokens);
-    (tokens >= FETCH_TOKENS_MIN && is_cheaper).then_some(Fetch { from: donor.from, tokens })
+    let waits_ms = donor.transfers_ms.max(engine.transfers_ms(now));
+    let takes_ms = waits_ms + engine.fetching_ms(tokens)?;
+    let is_cheaper = takes_ms < engine.reading_ms(tokens);
+    let fetch = Fetch { from: donor.server, tokens, takes_ms };
+    (tokens >= FETCH_TOKENS_MIN && is_cheaper).then_some(fetch)
 }
 
 fn plain_candidate(now: Timestamp, server: &Server, plain: &Plain) -> Candidate {
@@ -270,5 +303,5 @@
     };
     let rested_ms = now.millis_since(plain.sent_at());
     let turn = TURN_MS * (rested_ms / RESTED_MS).min(1.0);
-    Candidate { choice, score: answer_ms * crowding - turn, is_free: false }
+    Candidate { choice, score: answer_ms * crowding - turn, again_ms: 0.0, is_free: false }
 }
--- a/sl-route/src/state.rs
+++ b/sl-route/src/state.rs
@@ -335,7 +335,8 @@
     fn take_note(&mut self, now: Timestamp, from: u32, note: Note) {
         let origin = |attempt| Origin { instance: from, attempt };
         match note {
-            Note::Sent { server, attempt, tokens, charge, parts } => {
+            Note::Sent { server, attempt, tokens, charge, parts, fetch } => {
+                self.transfers(now, server, fetch);
                 if let Some((team, tokens)) = charge {
                     self.shares.given(now, team, tokens);
                 }
--- a/sl-route/src/state/attempt.rs
+++ b/sl-route/src/state/attempt.rs
@@ -4,12 +4,12 @@
 
 use super::State;
 use crate::{
-    AttemptEnd, Decision, Effect, Failure, Fault, Refusal, Repeat,
+    AttemptEnd, Decision, Effect, Failure, Fault, Refusal, Repeat, ServerKey,
     effect::{Next, Target},
     note::{Note, Origin},
     place::Choice,
     request::{Current, Held},
-    server::Work,
+    server::{Server, Work},
 };
 
 /// An attempt is not made with less time than this left.
@@ -39,6 +39,11 @@
             return;
         };
         server.sent(now, origin, choice.to_read);
+        let fetch = choice.fetch.map(|it| (it.from, it.takes_ms.round() as u32));
+        self.transfers(now, choice.server, fetch);
+        let Some(server) = self.servers.get_mut(&choice.server) else {
+            return;
+        };
         server.keep(now, &parts);
         held.attempts += 1;
         held.tried.push(choice.server);
@@ -78,12 +83,30 @@
             tokens: choice.to_read,
             charge,
             parts,
+            fetch,
         });
         self.requests.insert(request, held);
         self.effects.push(Effect::Log(decision));
         self.effects.push(Effect::Send { request, target });
     }
 
+    /// Notes that `to` fetches from another engine, and in how many milliseconds that ends.
+    pub(super) fn transfers(
+        &mut self,
+        now: Timestamp,
+        to: ServerKey,
+        fetch: Option<(ServerKey, u32)>,
+    ) {
+        let Some((from, millis)) = fetch else {
+            return;
+        };
+        for key in [from, to] {
+            if let Some(Server { work: Work::Engine(engine), .. }) = self.servers.get_mut(&key) {
+                engine.transfers(now, f64::from(millis));
+            }
+        }
+    }
+
     pub(super) fn begun(&mut self, now: Timestamp, request: RequestId) {
         let Some(current) = self.requests.get_mut(&request).and_then(|it| it.current.as_mut())
         else {
--- a/sl-route/tests/it/engine.rs
+++ b/sl-route/tests/it/engine.rs
@@ -44,6 +44,16 @@
     }
 }
 
+#[test]
+fn transfers_go_one_after_the_other() {
+    let mut engine = engine();
+    assert_eq!(engine.transfers_ms(START), 0.0);
+    engine.transfers(START, 300.0);
+    engine.transfers(at(100), 50.0);
+    assert_eq!(engine.transfers_ms(at(100)), 200.0);
+    assert_eq!(engine.transfers_ms(at(400)), 0.0);
+}
+
 #[test]
 fn an_engine_that_stands_still_looks_later_and_later() {
     let mut engine = engine();
--- a/sl-route/tests/it/place.rs
+++ b/sl-route/tests/it/place.rs
@@ -2,7 +2,7 @@
 
 use rstest::rstest;
 use sl_base::{Millis, RequestId};
-use sl_route::{Arrival, AttemptEnd, Effect, Event, Fault, Refusal, Repeat, Standing};
+use sl_route::{Arrival, AttemptEnd, Decision, Effect, Event, Fault, Refusal, Repeat, Standing};
 
 use crate::bed::{answer, arrival, arrive, at, fail, orders, prompt, record, sent, state, team};
 
@@ -181,6 +181,54 @@
     assert_ne!(sent(&effects).map(|it| it.server), Some(first));
 }
 
+/// The pattern of an overload in which the requests of busy engines would spread over all
+/// others, whose caches would lose what they keep.
+#[test]
+fn a_busy_engines_part_is_not_read_again_by_another_busy_one() {
+    let mut state = state(1, &ENGINES);
+    let keeper = sent(&arrive(&mut state, at(0), model(0, 1, "a"))).unwrap().server;
+    // Each engine shows how fast it reads, and then has something to read.
+    for number in [2, 3] {
+        arrive(&mut state, at(0), model(0, number, &format!("p{number}")));
+    }
+    for number in [1, 2, 3] {
+        answer(&mut state, at(240), number);
+    }
+    for number in [4, 5, 6] {
+        arrive(&mut state, at(700), model(700, number, &format!("p{number}")));
+    }
+    let mut number = 100;
+    let sent_on = std::iter::from_fn(|| {
+        number += 1;
+        let effects = arrive(&mut state, at(700), model(700, number, "a"));
+        sent(&effects).map(|it| it.server)
+    });
+    let elsewhere = sent_on.take(60).filter(|it| *it != keeper).count();
+    assert_eq!(elsewhere, 0);
+    let other = arrive(&mut state, at(700), model(700, 200, "new"));
+    assert!(sent(&other).is_some(), "what nobody keeps is read");
+}
+
+/// The pattern of a hot part that many engines fetch from the one that keeps it.
+#[test]
+fn a_fetch_waits_for_those_before_it() {
+    let mut state = state(1, &ENGINES);
+    arrive(&mut state, at(0), model(0, 1, "a"));
+    answer(&mut state, at(600), 1);
+    let mut fetches = Vec::new();
+    for number in 2..80 {
+        let effects = arrive(&mut state, at(700), model(700, number, "a"));
+        fetches.extend(effects.iter().filter_map(|it| match it {
+            Effect::Log(Decision::Sent {
+                to_fetch: 1.., to_read, expected_ms, backlog_ms, ..
+            }) => Some(expected_ms - backlog_ms - f64::from(*to_read) / 40.0),
+            _ => None,
+        }));
+    }
+    assert_eq!(fetches.len(), 2, "each of the others fetches once: {fetches:?}");
+    assert!(fetches[1] > fetches[0] + 15.0, "{fetches:?}");
+}
+
 #[test]
 fn a_leaving_server_gets_nothing_and_its_return_counts_as_another() {
     let mut state = state(1, &[("a", "app")]);
