sl-route, sl-edge: a refusal counts what others would lose; the core's telling stands apart

Found by reading the diff: once reading again counts against the time allowed, a refusal gave the least expected time as its reason, which could be below what was allowed, and told the caller to come back after 100 ms.

--- a/sl-edge/src/core.rs
+++ b/sl-edge/src/core.rs
@@ -1,5 +1,7 @@
 //! The reducer's state, and who waits for its effects.
 
+mod told;
+
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
@@ -13,19 +15,13 @@
 
 use sl_base::{Millis, RequestId, Timestamp};
 use sl_route::{
-    Document, Effect, Event, Failure, Refusal, Route, ServerKey, State,
-    effect::{Decision, Target},
+    Document, Effect, Event, Failure, Refusal, Route, ServerKey, State, effect::Target,
 };
-use slog::{Logger, o};
+use slog::Logger;
 use tokio::sync::{Notify, mpsc, watch};
 
 use crate::{
-    clock::Clock,
-    detail::{Detail, Kept},
-    handle::Burn,
-    log::{self, Line},
-    metrics::{Metrics, named},
-    overload::Overload,
+    clock::Clock, detail::Detail, handle::Burn, log::Line, metrics::Metrics, overload::Overload,
 };
 
 /// What is to be done with one request.
@@ -50,8 +46,11 @@
     phase: watch::Sender<Phase>,
     overload: Cell<Overload>,
     detail: RefCell<Detail<Line>>,
+    /// When gauges are set the next time.
     measure_at: Cell<Timestamp>,
+    /// When the configuration came into force.
     document_at: Cell<Timestamp>,
+    /// When the store was last heard, by itself or by a fellow.
     store_heard_at: Cell<Timestamp>,
     has_document: Cell<bool>,
     connections_part: Cell<f64>,
@@ -60,9 +59,6 @@
     lists: mpsc::UnboundedSender<(ServerKey, SocketAddr)>,
 }
 
-/// Milliseconds in a second.
-const MILLIS: f64 = 1_000.0;
-
 /// How far a planned stop has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Phase {
@@ -244,6 +240,11 @@
         self.tell_ready();
     }
 
+    /// Notes that what the store holds was heard, from itself or by a fellow.
+    pub(crate) fn store_heard(&self) {
+        self.store_heard_at.set(self.now());
+    }
+
     fn tell_ready(&self) {
         let ready = self.has_document.get() && !self.sheds();
         if self.ready.swap(ready, Ordering::Relaxed) != ready {
@@ -268,62 +269,6 @@
         }
     }
 
-    fn note(&self, decision: Decision) {
-        self.metrics.decided(&decision);
-        match decision.request() {
-            Some(request) => self.note_of(request, Line::Decided(decision)),
-            None => log::decision(&self.log, &decision),
-        }
-    }
-
-    /// Writes down what happened to a request, unless there is too much to write.
-    pub(crate) fn note_of(&self, request: RequestId, line: Line) {
-        let line = self.detail.borrow_mut().take(self.now(), request, line);
-        if let Some(line) = line {
-            log::line(&self.log, &line);
-        }
-    }
-
-    /// Writes down a request's end, with what was kept of it.
-    pub(crate) fn note_end(&self, request: Option<RequestId>, end: &log::End<'_>) {
-        let now = self.now();
-        let kept = self.detail.borrow_mut().ended(now, request, end.is_telling);
-        let Some(kept) = kept else {
-            return;
-        };
-        for Kept { at, line } in kept {
-            let log = self.log.new(o!("ago_ms" => now.millis_since(at).round()));
-            log::line(&log, &line);
-        }
-        log::end(&self.log, end);
-    }
-
-    /// Sets the gauges of what grows old by itself.
-    fn measure(&self, now: Timestamp) {
-        let seconds = |at: Timestamp| now.millis_since(at) / MILLIS;
-        self.metrics.document_age.set(seconds(self.document_at.get()));
-        self.metrics.store_age.set(seconds(self.store_heard_at.get()));
-        let (heard_at, left) = self.with(|it| (it.silent_since(), it.retries_left(now)));
-        self.metrics.peer_age.set(heard_at.map_or(0.0, seconds));
-        for (service, left) in left {
-            self.metrics.retries_left.get_or_create(&named(service)).set(left);
-        }
-    }
-
-    /// Notes that what the store holds was heard, from itself or by a fellow.
-    pub(crate) fn store_heard(&self) {
-        self.store_heard_at.set(self.now());
-    }
-
-    /// Tells how much was not written down, where it is anything.
-    fn note_left_out(&self) {
-        let lines = self.detail.borrow_mut().take_left_out();
-        if lines > 0 {
-            self.metrics.lines_left_out.inc_by(lines);
-            slog::info!(self.log, "lines left out"; "lines" => lines);
-        }
-    }
-
     fn order(&self, request: RequestId, order: Order) {
         if let Some(tx) = self.waiting.borrow().get(&request) {
             // Whoever waited may have left by now; its place tells the reducer.
--- /dev/null
+++ b/sl-edge/src/core/told.rs
@@ -0,0 +1,68 @@
+//! What the core tells of its work: lines of the log, and gauges.
+
+use sl_base::{RequestId, Timestamp};
+use sl_route::effect::Decision;
+use slog::o;
+
+use super::Core;
+use crate::{
+    detail::Kept,
+    log::{self, Line},
+    metrics::named,
+};
+
+/// Milliseconds in a second.
+const MILLIS: f64 = 1_000.0;
+
+impl Core {
+    pub(super) fn note(&self, decision: Decision) {
+        self.metrics.decided(&decision);
+        match decision.request() {
+            Some(request) => self.note_of(request, Line::Decided(decision)),
+            None => log::decision(&self.log, &decision),
+        }
+    }
+
+    /// Writes down what happened to a request, unless there is too much to write.
+    pub(crate) fn note_of(&self, request: RequestId, line: Line) {
+        let line = self.detail.borrow_mut().take(self.now(), request, line);
+        if let Some(line) = line {
+            log::line(&self.log, &line);
+        }
+    }
+
+    /// Writes down a request's end, with what was kept of it.
+    pub(crate) fn note_end(&self, request: Option<RequestId>, end: &log::End<'_>) {
+        let now = self.now();
+        let kept = self.detail.borrow_mut().ended(now, request, end.is_telling);
+        let Some(kept) = kept else {
+            return;
+        };
+        for Kept { at, line } in kept {
+            let log = self.log.new(o!("ago_ms" => now.millis_since(at).round()));
+            log::line(&log, &line);
+        }
+        log::end(&self.log, end);
+    }
+
+    /// Sets the gauges of what grows old by itself.
+    pub(super) fn measure(&self, now: Timestamp) {
+        let seconds = |at: Timestamp| now.millis_since(at) / MILLIS;
+        self.metrics.document_age.set(seconds(self.document_at.get()));
+        self.metrics.store_age.set(seconds(self.store_heard_at.get()));
+        let (heard_at, left) = self.with(|it| (it.silent_since(), it.retries_left(now)));
+        self.metrics.peer_age.set(heard_at.map_or(0.0, seconds));
+        for (service, left) in left {
+            self.metrics.retries_left.get_or_create(&named(service)).set(left);
+        }
+    }
+
+    /// Tells how much was not written down, where it is anything.
+    pub(super) fn note_left_out(&self) {
+        let lines = self.detail.borrow_mut().take_left_out();
+        if lines > 0 {
+            self.metrics.lines_left_out.inc_by(lines);
+            slog::info!(self.log, "lines left out"; "lines" => lines);
+        }
+    }
+}
--- a/sl-edge/src/log.rs
+++ b/sl-edge/src/log.rs
@@ -116,9 +116,9 @@
         Decision::Begun { request, server, took_ms, expected_ms } => info!(log, "begun";
             "request" => request.0, "server" => %server, "took_ms" => took_ms.round(),
             "expected_ms" => expected_ms.round()),
-        Decision::Refused { request, why, expected_ms, allowed_ms, team_share } => {
+        Decision::Refused { request, why, counted_ms, allowed_ms, team_share } => {
             info!(log, "refused";
-                "request" => request.0, "why" => %why, "expected_ms" => expected_ms.round(),
+                "request" => request.0, "why" => %why, "counted_ms" => counted_ms.round(),
                 "allowed_ms" => allowed_ms.round(), "team_share" => rounded(*team_share));
         }
         Decision::AttemptFailed { request, server, fault, then } => warn!(log, "attempt failed";
--- a/sl-route/src/effect.rs
+++ b/sl-route/src/effect.rs
@@ -139,8 +139,9 @@
         request: RequestId,
         /// Why.
         why: Refusal,
-        /// The least time to a first byte that any server promised, in milliseconds.
-        expected_ms: f64,
+        /// The least time to a first byte that any server promised, in milliseconds, with
+        /// what others would lose by it.
+        counted_ms: f64,
         /// The time that it might have taken, in milliseconds.
         allowed_ms: f64,
         /// What its team has of its share; 1 is all of it.
--- a/sl-route/src/place.rs
+++ b/sl-route/src/place.rs
@@ -60,8 +60,8 @@
     NoServer,
     /// The earliest first byte would come too late.
     TooLate {
-        /// Expected milliseconds to it.
-        expected_ms: f64,
+        /// Milliseconds to it, with what others would lose by it.
+        counted_ms: f64,
     },
     /// All places of all servers are taken.
     Full,
@@ -128,9 +128,13 @@
 }
 
 impl Candidate {
+    /// Milliseconds to the first byte, with what others lose by it.
+    fn counted_ms(&self) -> f64 {
+        self.choice.expected_ms + AGAIN_WEIGHT * self.again_ms
+    }
+
     fn is_in_time(&self, wanted: Wanted<'_>) -> bool {
-        let counted_ms = self.choice.expected_ms + AGAIN_WEIGHT * self.again_ms;
-        self.is_free || counted_ms <= wanted.allowed_ms
+        self.is_free || self.counted_ms() <= wanted.allowed_ms
     }
 }
 
@@ -163,8 +167,8 @@
         Some(found) => Ok(Choice { candidates: looked_at, ..found.choice.clone() }),
         None if candidates.is_empty() => Err(NoChoice::Full),
         None => {
-            let earliest = candidates.iter().map(|it| it.choice.expected_ms);
-            Err(NoChoice::TooLate { expected_ms: earliest.fold(f64::INFINITY, f64::min) })
+            let earliest = candidates.iter().map(Candidate::counted_ms);
+            Err(NoChoice::TooLate { counted_ms: earliest.fold(f64::INFINITY, f64::min) })
         }
     }
 }
--- a/sl-route/src/state.rs
+++ b/sl-route/src/state.rs
@@ -258,11 +258,11 @@
             Ok(choice) => self.send(now, held, choice),
             Err(no_choice) => {
                 let why = self.refusal(now, &held, no_choice);
-                let expected_ms = match no_choice {
-                    NoChoice::TooLate { expected_ms } => expected_ms,
+                let counted_ms = match no_choice {
+                    NoChoice::TooLate { counted_ms } => counted_ms,
                     NoChoice::NoServer | NoChoice::Full => f64::INFINITY,
                 };
-                self.refuse(now, &held, why, expected_ms, allowed_ms);
+                self.refuse(now, &held, why, counted_ms, allowed_ms);
             }
         }
     }
@@ -300,15 +300,15 @@
         now: Timestamp,
         held: &Held,
         why: Refusal,
-        expected_ms: f64,
+        counted_ms: f64,
         allowed_ms: f64,
     ) {
         let request = held.arrival.request;
         let team_share = self.team_share(now, &held.arrival);
-        let over = (expected_ms - allowed_ms).clamp(RETRY_AFTER_MS.start, RETRY_AFTER_MS.end);
+        let over = (counted_ms - allowed_ms).clamp(RETRY_AFTER_MS.start, RETRY_AFTER_MS.end);
         let spread = self.rng.random_range(1.0..2.0);
         let retry_after = Millis((over * spread) as u64);
-        let decision = Decision::Refused { request, why, expected_ms, allowed_ms, team_share };
+        let decision = Decision::Refused { request, why, counted_ms, allowed_ms, team_share };
         self.effects.push(Effect::Log(decision));
         self.effects.push(Effect::Refuse { request, why, retry_after });
     }
