sl-route, sl-edge, bench: what a donor keeps beyond an engine is worked out once

Found by reading the whole change: `place` worked out twice what a donor keeps beyond an engine, once for the fetch and once for what is read again, and only the fetch held it to the prompt's length; now Donor::beyond does it for both, held to that length. Only a prompt whose parts are longer than itself can tell the difference. A request named its team twice, a metric looked its name up twice, and the load model carried a counter and an assertion that nothing used.

--- a/bench/src/load/engine.rs
+++ b/bench/src/load/engine.rs
@@ -27,7 +27,6 @@
     /// Rises with each loss, so that what was planned before it does not happen.
     pub(super) life: u64,
     pub(super) is_lost: bool,
-    pub(super) read: u64,
     pub(super) read_again: u64,
     pub(super) busy_ms: f64,
 }
@@ -69,7 +68,6 @@
             clock: 0,
             life: 0,
             is_lost: false,
-            read: 0,
             read_again: 0,
             busy_ms: 0.0,
         }
@@ -122,7 +120,7 @@
         let fresh =
             Engine { life: self.life + 1, is_lost: true, ..Engine::new(self.tokens_per_ms) };
         let old = std::mem::replace(self, fresh);
-        (self.read, self.read_again, self.busy_ms) = (old.read, old.read_again, old.busy_ms);
+        (self.read_again, self.busy_ms) = (old.read_again, old.busy_ms);
         old.reading.into_iter().chain(old.waiting).collect()
     }
 
@@ -139,7 +137,6 @@
         let again = shared.iter().filter(|it| !self.kept.contains_key(&it.key));
         let again = again.filter(|it| seen.0.contains(&it.key));
         self.read_again += again.map(|it| u64::from(it.tokens)).sum::<u64>();
-        self.read += u64::from(lacks);
         for part in &prompt.parts {
             let kept = Kept { tokens: part.tokens, used: self.clock };
             if self.kept.insert(part.key, kept).is_none() {
--- a/bench/src/load/play.rs
+++ b/bench/src/load/play.rs
@@ -18,7 +18,7 @@
     engine::{EVENT_TOKENS, Engine, Job, MEMORY_TOKENS, SLOTS, Seen},
     policy::Policy,
     tally::{End, Tally},
-    traffic::{self, Asked, KINDS, Load, TEAMS},
+    traffic::{self, Asked, KINDS, Load},
 };
 
 /// What is played.
@@ -481,7 +481,6 @@
         let read_again = self.engines.iter().map(|it| it.read_again).sum();
         let busy: f64 = self.engines.iter().map(|it| it.busy_ms).sum();
         let all = self.options.within.0 as f64 * self.options.engines as f64;
-        debug_assert!(self.tally.teams.len() == TEAMS);
         self.tally.finish(read_again, busy / all)
     }
 }
--- a/sl-edge/src/caller/request.rs
+++ b/sl-edge/src/caller/request.rs
@@ -177,8 +177,8 @@
             (Err(_), None) => None,
         };
         if let Some(sample) = sample {
-            let team = self.team.as_ref().map_or("", |it| &it.name);
-            front.core.burn.record(front.core.now(), team, &self.route.name, sample);
+            let now = front.core.now();
+            front.core.burn.record(now, self.team_name(), &self.route.name, sample);
         }
     }
 
@@ -186,8 +186,7 @@
     pub(super) fn note(&self, front: &Front, place: Option<&Place>, outcome: &str, status: u16) {
         let took = front.core.now().micros_since(self.arrived);
         let seconds = took as f64 / MICROS_PER_SECOND;
-        let team = self.team.as_ref().map_or("", |it| &it.name);
-        front.core.metrics.request_ended(&self.route.name, team, outcome, seconds);
+        front.core.metrics.request_ended(&self.route.name, self.team_name(), outcome, seconds);
         self.record(front, outcome);
         let end = End {
             id: &lossy(&self.marks.attempt),
@@ -199,6 +198,11 @@
         front.core.note_end(place.map(|it| it.request), &end);
     }
 
+    /// The team's name; empty where there is none.
+    fn team_name(&self) -> &str {
+        self.team.as_ref().map_or("", |it| &it.name)
+    }
+
     fn is_late(&self) -> bool {
         let due = self.arrived.after(self.route.objective);
         self.first_byte_at.get().is_none_or(|it| due.is_due(it))
--- a/sl-edge/src/metrics.rs
+++ b/sl-edge/src/metrics.rs
@@ -173,11 +173,12 @@
 
     fn ended_of(&self, name: &str, outcome: &str) -> EndedOf {
         let mut names = self.names.lock().unwrap_or_else(PoisonError::into_inner);
-        let is_known = names.contains(name) || names.len() < NAMES_MAX;
-        if is_known && !names.contains(name) {
+        let is_new = !names.contains(name);
+        let has_room = names.len() < NAMES_MAX;
+        if is_new && has_room {
             names.insert(name.to_owned());
         }
-        let name = if is_known { name } else { OTHER };
+        let name = if is_new && !has_room { OTHER } else { name };
         EndedOf { name: name.to_owned(), outcome: outcome.to_owned() }
     }
 
--- a/sl-route/src/place.rs
+++ b/sl-route/src/place.rs
@@ -183,11 +183,20 @@
     transfers_ms: f64,
 }
 
+impl Donor {
+    /// The same, with what it keeps beyond an engine that lacks `lacks` tokens of `prompt`.
+    fn beyond(self, prompt: Option<&Prompt>, lacks: u32) -> Donor {
+        let keeps = prompt.map_or(0, |it| it.tokens_in.saturating_sub(lacks));
+        Donor { tokens: self.tokens.saturating_sub(keeps), ..self }
+    }
+}
+
 fn donor(now: Timestamp, servers: &[&Server], prompt: Option<&Prompt>) -> Option<Donor> {
     let prompt = prompt?;
     let donors = servers.iter().filter_map(|it| {
         let engine = it.work.engine()?;
-        let (tokens, transfers_ms) = (engine.cache.kept(prompt), engine.transfers_ms(now));
+        let tokens = engine.cache.kept(prompt).min(prompt.tokens_in);
+        let transfers_ms = engine.transfers_ms(now);
         Some(Donor { server: it.key, tokens, transfers_ms })
     });
     let by_use = |a: &Donor, b: &Donor| {
@@ -227,7 +236,8 @@
     }
     let prompt = wanted.prompt;
     let lacks = prompt.map_or(0, |it| engine.to_read(it));
-    let fetch = fetch(now, engine, prompt, lacks, donor);
+    let donor = donor.map(|it| it.beyond(prompt, lacks));
+    let fetch = fetch(now, engine, donor);
     let to_read = lacks - fetch.map_or(0, |it| it.tokens);
     let fetching_ms = fetch.map_or(0.0, |it| it.takes_ms);
     let own = prompt.and_then(|it| it.parts.last()).map_or(0, |it| it.tokens);
@@ -247,7 +257,9 @@
     let choice =
         Choice { server, expected_ms, backlog_ms, to_read, fetch, candidates: 0, heard_ms: 0.0 };
     let is_free = is_free(engine, expected_ms, wanted);
-    Some(Candidate { choice, score, again_ms: again_ms(engine, prompt, lacks, donor), is_free })
+    let again = donor.map_or(0, |it| it.tokens);
+    let again_ms = f64::from(again) / engine.tokens_per_ms();
+    Some(Candidate { choice, score, again_ms, is_free })
 }
 
 /// Whether nobody gains by a refusal: nothing shows how fast the engine is, or it has
@@ -257,13 +269,6 @@
     engine.is_untried() && may_be_in_time || engine.is_idle() && expected_ms <= wanted.left_ms
 }
 
-/// Milliseconds in which the engine would read what `donor` keeps and it does not.
-fn again_ms(engine: &Engine, prompt: Option<&Prompt>, lacks: u32, donor: Option<Donor>) -> f64 {
-    let keeps = prompt.map_or(0, |it| it.tokens_in.saturating_sub(lacks));
-    let again = donor.map_or(0, |it| it.tokens.saturating_sub(keeps));
-    f64::from(again) / engine.tokens_per_ms()
-}
-
 /// How much of what is read anew in the engine will have to be read again later, because
 /// it pushes out parts that were used not long ago: from 0 to 1.
 fn pressure(now: Timestamp, engine: &Engine) -> f64 {
@@ -271,23 +276,13 @@
     age_ms.map_or(0.0, |it| PRESSURE_WEIGHT * (-it / REUSED_WITHIN_MS).exp())
 }
 
-/// What the engine would better fetch from `donor` than read, of the `lacks` tokens that it
-/// lacks.
-fn fetch(
-    now: Timestamp,
-    engine: &Engine,
-    prompt: Option<&Prompt>,
-    lacks: u32,
-    donor: Option<Donor>,
-) -> Option<Fetch> {
-    let (prompt, donor) = (prompt?, donor?);
-    let keeps = prompt.tokens_in.saturating_sub(lacks);
-    let tokens = donor.tokens.min(prompt.tokens_in).saturating_sub(keeps);
-    let waits_ms = donor.transfers_ms.max(engine.transfers_ms(now));
+/// What `donor` keeps beyond the engine, where the engine would better fetch than read it.
+fn fetch(now: Timestamp, engine: &Engine, donor: Option<Donor>) -> Option<Fetch> {
+    let Donor { server: from, tokens, transfers_ms } = donor?;
+    let waits_ms = transfers_ms.max(engine.transfers_ms(now));
     let takes_ms = waits_ms + engine.fetching_ms(tokens)?;
     let is_cheaper = takes_ms < engine.reading_ms(tokens);
-    let fetch = Fetch { from: donor.server, tokens, takes_ms };
-    (tokens >= FETCH_TOKENS_MIN && is_cheaper).then_some(fetch)
+    (tokens >= FETCH_TOKENS_MIN && is_cheaper).then_some(Fetch { from, tokens, takes_ms })
 }
 
 fn plain_candidate(now: Timestamp, server: &Server, plain: &Plain) -> Candidate {
