sl-route, sl-edge: each team's tokens by instance and second, expected time of refusals

Change: the line `team activity` once a second for the eight teams with the most tokens at the instance (requested, granted, refused, shed, lost, usage, fair share), `expected_ms` in `request refused`, the metric team_tokens. The reducer learns of shed requests by `Event::RequestShed`. No decision changes.

--- a/sl-edge/src/caller/request.rs
+++ b/sl-edge/src/caller/request.rs
@@ -88,6 +88,10 @@
     /// The response to a request that is shed because this instance is overloaded.
     pub(super) fn reject_for_overload(&self, ingress: &Ingress) -> LocalResponse {
         let code = Code::InstanceFull;
+        if let (Some(team), Some(prompt)) = (&self.team, &self.metadata.prompt) {
+            let (team, tokens) = (team.clone(), prompt.charge());
+            ingress.core.step(Event::RequestShed { team, tokens });
+        }
         self.record_end(ingress, None, code.into(), code.status());
         LocalResponse { code, retry_after: Some(RETRY_ELSEWHERE_AFTER) }
     }
--- a/sl-edge/src/log.rs
+++ b/sl-edge/src/log.rs
@@ -8,7 +8,7 @@
 
 use sl_base::RequestId;
 use sl_config::settings::{Log, LogFormat, LogLevel};
-use sl_route::{Decision, Route, Team};
+use sl_route::{Decision, Route, Team, activity::TokenOutcome};
 use slog::{Drain, Level, LevelFilter, Logger, debug, info, o, warn};
 
 use crate::log_buffer::{LogBuffer, LogWriter};
@@ -125,11 +125,23 @@
                 "request" => request.0, "server" => %server, "took_ms" => took_ms.round(),
                 "expected_ms" => expected_ms.round());
         }
-        Decision::RequestRefused { request, reason, cost_ms, allowed_ms, share_usage } => {
-            info!(log, "request refused";
-                "request" => request.0, "why" => %reason, "counted_ms" => cost_ms.round(),
-                "allowed_ms" => allowed_ms.round(), "team_share" => rounded(*share_usage));
-        }
+        Decision::RequestRefused {
+            request,
+            reason,
+            cost_ms,
+            expected_ms,
+            allowed_ms,
+            share_usage,
+        } => info!(log, "request refused";
+            "request" => request.0, "why" => %reason, "counted_ms" => cost_ms.round(),
+            "expected_ms" => expected_ms.round(), "allowed_ms" => allowed_ms.round(),
+            "team_share" => rounded(*share_usage)),
+        Decision::TeamActivity { tokens, share_usage, fair_share } => info!(log, "team activity";
+            "team" => &tokens.team.name, "requested" => tokens.requested,
+            "granted" => tokens.of(TokenOutcome::Granted),
+            "refused" => tokens.of(TokenOutcome::Refused),
+            "shed" => tokens.of(TokenOutcome::Shed), "lost" => tokens.of(TokenOutcome::Lost),
+            "team_share" => rounded(*share_usage), "fair_share" => fair_share.map(f64::round)),
         Decision::AttemptFailed { request, server, fault, next } => warn!(log, "attempt failed";
             "request" => request.0, "server" => %server, "fault" => %fault, "then" => %next),
         Decision::RequestFailed { request, reason } => {
--- a/sl-edge/src/metrics.rs
+++ b/sl-edge/src/metrics.rs
@@ -17,7 +17,11 @@
     },
     registry::Registry,
 };
-use sl_route::Decision;
+use sl_route::{
+    Decision,
+    activity::{TeamTokens, TokenOutcome},
+};
+use strum::IntoEnumIterator;
 
 /// The label of a metric with one label, `name`.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -60,6 +64,8 @@
     pub requests: Family<RouteOutcomeLabels, Counter>,
     /// Requests by team and outcome.
     pub team_requests: Family<NameOutcomeLabels, Counter>,
+    /// Tokens of requests by team, requested and by outcome.
+    pub team_tokens: Family<NameOutcomeLabels, Counter>,
     /// Attempts by server and outcome.
     pub server_attempts: Family<NameOutcomeLabels, Counter>,
     /// Retries left in this instance's budget, by service.
@@ -119,6 +125,7 @@
             store_revision: Gauge::default(),
             requests: Family::default(),
             team_requests: Family::default(),
+            team_tokens: Family::default(),
             server_attempts: Family::default(),
             retries_left: Family::default(),
             document_age: Gauge::default(),
@@ -203,10 +210,22 @@
                 self.record_attempt(server, "begun");
                 self.first_byte_delay.observe((took_ms - expected_ms).max(0.0));
             }
+            Decision::TeamActivity { tokens, .. } => self.record_team_tokens(tokens),
             _ => {}
         }
     }
 
+    fn record_team_tokens(&self, tokens: &TeamTokens) {
+        let count = |outcome: &str, tokens_count: u64| {
+            let labels = self.name_outcome_labels(&tokens.team.name, outcome);
+            self.team_tokens.get_or_create(&labels).inc_by(tokens_count);
+        };
+        count("requested", tokens.requested);
+        for outcome in TokenOutcome::iter() {
+            count(outcome.into(), tokens.of(outcome));
+        }
+    }
+
     fn register(&self) {
         let mut registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
         let it = registry.sub_registry_with_prefix("sesamelock");
@@ -216,6 +235,7 @@
         it.register("store_revision", "Platform's revision seen", self.store_revision.clone());
         it.register("requests", "Requests by route and outcome", self.requests.clone());
         it.register("team_requests", "Requests by team and outcome", self.team_requests.clone());
+        it.register("team_tokens", "Tokens by team and outcome", self.team_tokens.clone());
         it.register(
             "server_attempts",
             "Attempts by server and outcome",
--- a/sl-route/src/effect.rs
+++ b/sl-route/src/effect.rs
@@ -5,7 +5,7 @@
 use sl_base::{Millis, RequestId, Timestamp};
 use strum::{Display, IntoStaticStr};
 
-use crate::{Fault, ServerKey};
+use crate::{Fault, ServerKey, activity::TeamTokens};
 
 /// An action that the caller of [`State::step`](crate::State::step) has to perform.
 #[derive(Clone, Debug, PartialEq)]
@@ -147,11 +147,23 @@
         /// The lowest cost of any server: milliseconds to the first byte plus the weighted cost
         /// to other requests.
         cost_ms: f64,
+        /// The lowest expected time to the first byte of any server, in milliseconds.
+        expected_ms: f64,
         /// The longest acceptable time to the first byte, in milliseconds.
         allowed_ms: f64,
         /// The part of its share that the team has used; 1 is the whole share.
         share_usage: f64,
     },
+    /// What a team asked for at this instance in the last second, and what it got.
+    TeamActivity {
+        /// The counts at this instance.
+        tokens: TeamTokens,
+        /// The team's usage in the fleet relative to its fair share, as known here.
+        share_usage: f64,
+        /// The fair share of the window in tokens, as known here; absent while all demand is
+        /// satisfied.
+        fair_share: Option<f64>,
+    },
     /// An attempt failed; `next` tells whether the request is retried or how it ends.
     AttemptFailed {
         /// The request to which the attempt belongs.
@@ -219,7 +231,8 @@
             | Decision::RequestRefused { request, .. }
             | Decision::AttemptFailed { request, .. }
             | Decision::RequestFailed { request, .. } => Some(*request),
-            Decision::ServerAvoided { .. }
+            Decision::TeamActivity { .. }
+            | Decision::ServerAvoided { .. }
             | Decision::ServerChanged { .. }
             | Decision::CacheKnown { .. }
             | Decision::RequestBarred { .. }
--- a/sl-route/src/event.rs
+++ b/sl-route/src/event.rs
@@ -18,6 +18,13 @@
     Tick,
     /// A caller's request was received.
     RequestArrived(Box<Arrival>),
+    /// A caller's request was rejected because tasks of this instance run late.
+    RequestShed {
+        /// The team of the request.
+        team: Arc<Team>,
+        /// The tokens that the request counts against its team's share.
+        tokens: u32,
+    },
     /// A caller disconnected, and its current attempt was cancelled.
     CallerDisconnected {
         /// The request of the disconnected caller.
--- a/sl-route/src/lib.rs
+++ b/sl-route/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`State::step`] takes each event and returns the resulting effects as data. Nothing here
 //! does I/O or reads a clock. docs/design.md gives the reasons for the design.
 
+pub mod activity;
 pub mod budget;
 pub mod cache;
 pub mod directory;
--- a/sl-route/src/place.rs
+++ b/sl-route/src/place.rs
@@ -60,15 +60,26 @@
     /// No server of the service is ready and untried.
     NoServer,
     /// No server is expected to send the first byte in time.
-    TooLate {
-        /// The lowest cost of any server: milliseconds to the first byte plus the weighted
-        /// cost to other requests.
-        cost_ms: f64,
-    },
+    TooLate(LowestEstimates),
     /// No engine has a free slot.
     NoSlot,
 }
 
+/// The lowest estimates of any server for a request, infinite without a server.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LowestEstimates {
+    /// Milliseconds to the first byte plus the weighted cost to other requests.
+    pub cost_ms: f64,
+    /// Milliseconds to the first byte.
+    pub expected_ms: f64,
+}
+
+impl LowestEstimates {
+    /// The estimates without a server.
+    pub const NONE: LowestEstimates =
+        LowestEstimates { cost_ms: f64::INFINITY, expected_ms: f64::INFINITY };
+}
+
 /// Weight of the prefill time of uncached shared parts. That prefill also delays the requests
 /// queued behind it, so its time counts once more.
 const SHARED_PREFILL_WEIGHT: f64 = 1.0;
@@ -175,13 +186,17 @@
     match in_time {
         Some(found) => Ok(Placement { candidates: considered, ..found.placement.clone() }),
         None if candidates.is_empty() => Err(PlacementError::NoSlot),
-        None => {
-            let costs_ms = candidates.iter().map(Candidate::cost_ms);
-            Err(PlacementError::TooLate { cost_ms: costs_ms.fold(f64::INFINITY, f64::min) })
-        }
+        None => Err(PlacementError::TooLate(lowest_estimates(&candidates))),
     }
 }
 
+fn lowest_estimates(candidates: &[Candidate]) -> LowestEstimates {
+    candidates.iter().fold(LowestEstimates::NONE, |lowest, it| LowestEstimates {
+        cost_ms: lowest.cost_ms.min(it.cost_ms()),
+        expected_ms: lowest.expected_ms.min(it.placement.expected_ms),
+    })
+}
+
 /// The engine that caches the longest prefix of a prompt.
 #[derive(Clone, Copy, Debug)]
 struct Donor {
--- a/sl-route/src/share.rs
+++ b/sl-route/src/share.rs
@@ -92,6 +92,12 @@
         granted as f64 / self.fair_share
     }
 
+    /// The fair share in tokens of the window, as last computed; `None` while all demand is
+    /// satisfied.
+    pub fn fair_share(&self) -> Option<f64> {
+        self.fair_share.is_finite().then_some(self.fair_share)
+    }
+
     /// Whether the team requests no more than its fair share while other teams request more.
     pub fn is_under_share(&mut self, now: Timestamp, team: TeamId) -> bool {
         self.share_usage(now, team);
--- a/sl-route/src/state.rs
+++ b/sl-route/src/state.rs
@@ -12,11 +12,12 @@
 
 use crate::{
     Arrival, Decision, Directory, Document, Effect, Event, Failure, Notes, Refusal, ServerKey,
-    ServerState,
+    ServerState, Team,
+    activity::{Activity, TokenOutcome},
     budget::Budget,
     event::InstanceLimits,
     note::{AttemptKey, Note},
-    place::{self, PlacementError, Requirements},
+    place::{self, LowestEstimates, PlacementError, Requirements},
     request::InFlightRequest,
     server::Server,
     share::Shares,
@@ -54,6 +55,7 @@
     budget: Budget,
     crashes: CrashTracker,
     shares: Shares,
+    activity: Activity,
     /// When the last message of each peer was received.
     peers: HashMap<u32, Timestamp>,
     /// The number of the latest attempt.
@@ -106,6 +108,7 @@
             budget: Budget::new(options.limits.budget),
             crashes: CrashTracker::default(),
             shares: Shares::new(now, options.share_window),
+            activity: Activity::new(now),
             peers: HashMap::new(),
             last_attempt: 0,
             prune_at: now,
@@ -126,8 +129,9 @@
             self.rebuild_pools();
         }
         match event {
-            Event::Tick => {}
+            Event::Tick => self.report_activity(now),
             Event::RequestArrived(arrival) => self.on_arrival(now, *arrival),
+            Event::RequestShed { team, tokens } => self.on_request_shed(&team, tokens),
             Event::CallerDisconnected { request } => self.on_caller_disconnected(now, request),
             Event::ResponseStarted { request } => self.on_response_started(now, request),
             Event::AttemptEnded { request, end } => self.on_attempt_ended(now, request, end),
@@ -221,6 +225,9 @@
         let request = arrival.request;
         self.budget.record_request(now, arrival.service);
         if let Some((team, tokens)) = State::charge(&arrival) {
+            if let Some(team) = &arrival.team {
+                self.activity.record_requested(team, tokens);
+            }
             self.shares.record_requested(now, team, tokens);
             self.queue_note(Note::TokensRequested { team, tokens });
         }
@@ -230,7 +237,7 @@
         }
         let in_flight = InFlightRequest::new(arrival);
         if self.requests.len() >= self.options.limits.max_in_flight {
-            self.refuse(now, &in_flight, Refusal::InstanceFull, f64::INFINITY, 0.0);
+            self.refuse(now, &in_flight, Refusal::InstanceFull, LowestEstimates::NONE, 0.0);
             return;
         }
         let allowed_ms = self.allowed_ms(now, &in_flight);
@@ -273,11 +280,11 @@
             Ok(placement) => self.send(now, in_flight, placement),
             Err(error) => {
                 let reason = self.refusal_reason(now, &in_flight, error);
-                let cost_ms = match error {
-                    PlacementError::TooLate { cost_ms } => cost_ms,
-                    PlacementError::NoServer | PlacementError::NoSlot => f64::INFINITY,
+                let lowest = match error {
+                    PlacementError::TooLate(lowest) => lowest,
+                    PlacementError::NoServer | PlacementError::NoSlot => LowestEstimates::NONE,
                 };
-                self.refuse(now, &in_flight, reason, cost_ms, allowed_ms);
+                self.refuse(now, &in_flight, reason, lowest, allowed_ms);
             }
         }
     }
@@ -320,16 +327,24 @@
         now: Timestamp,
         in_flight: &InFlightRequest,
         reason: Refusal,
-        cost_ms: f64,
+        lowest: LowestEstimates,
         allowed_ms: f64,
     ) {
         let request = in_flight.arrival.request;
+        let LowestEstimates { cost_ms, expected_ms } = lowest;
+        self.record_outcome(&in_flight.arrival, TokenOutcome::Refused);
         let share_usage = self.share_usage(now, &in_flight.arrival);
         let excess_ms = (cost_ms - allowed_ms).clamp(RETRY_AFTER_MS.start, RETRY_AFTER_MS.end);
         let jitter = self.rng.random_range(1.0..2.0);
         let retry_after = Millis((excess_ms * jitter) as u64);
-        let decision =
-            Decision::RequestRefused { request, reason, cost_ms, allowed_ms, share_usage };
+        let decision = Decision::RequestRefused {
+            request,
+            reason,
+            cost_ms,
+            expected_ms,
+            allowed_ms,
+            share_usage,
+        };
         self.effects.push(Effect::Log(decision));
         self.effects.push(Effect::Refuse { request, reason, retry_after });
     }
@@ -419,6 +434,27 @@
         self.request_cache_lists(now);
     }
 
+    fn on_request_shed(&mut self, team: &Arc<Team>, tokens: u32) {
+        self.activity.record_requested(team, tokens);
+        self.activity.record_outcome(team, tokens, TokenOutcome::Shed);
+    }
+
+    fn record_outcome(&mut self, arrival: &Arrival, outcome: TokenOutcome) {
+        if let (Some(team), Some(prompt)) = (&arrival.team, &arrival.prompt) {
+            self.activity.record_outcome(team, prompt.charge(), outcome);
+        }
+    }
+
+    /// Logs what each team asked for and got here, once a second.
+    fn report_activity(&mut self, now: Timestamp) {
+        for tokens in self.activity.take_report(now) {
+            let share_usage = self.shares.share_usage(now, tokens.team.id);
+            let fair_share = self.shares.fair_share();
+            let decision = Decision::TeamActivity { tokens, share_usage, fair_share };
+            self.effects.push(Effect::Log(decision));
+        }
+    }
+
     fn charge(arrival: &Arrival) -> Option<(TeamId, u32)> {
         let (team, prompt) = (arrival.team.as_ref()?, arrival.prompt.as_ref()?);
         Some((team.id, prompt.charge()))
--- a/sl-route/src/state/attempt.rs
+++ b/sl-route/src/state/attempt.rs
@@ -5,9 +5,10 @@
 use super::State;
 use crate::{
     AttemptEnd, Decision, Effect, Failure, Fault, Refusal, RetryPolicy, ServerKey,
+    activity::TokenOutcome,
     effect::{NextStep, Target},
     note::{AttemptKey, Note},
-    place::Placement,
+    place::{LowestEstimates, Placement},
     request::{CurrentAttempt, InFlightRequest},
     server::{Server, ServerKind},
 };
@@ -83,6 +84,7 @@
         };
         if let Some((team, tokens)) = charge {
             self.shares.record_granted(now, team, tokens);
+            self.record_outcome(&in_flight.arrival, TokenOutcome::Granted);
         }
         self.queue_note(Note::AttemptSent {
             server: placement.server,
@@ -179,6 +181,7 @@
         let refunded = if has_response_started { None } else { in_flight.charged.take() };
         if let Some((team, tokens)) = refunded {
             self.shares.record_refund(now, team, tokens);
+            self.record_outcome(&in_flight.arrival, TokenOutcome::Lost);
         }
         if let Some(server) = self.servers.get_mut(&server) {
             server.record_end(now, key);
@@ -258,7 +261,7 @@
                 self.effects.push(Effect::ForwardServerError { request })
             }
             NextStep::Refuse => {
-                self.refuse(now, in_flight, Refusal::TurnedAway, f64::INFINITY, 0.0)
+                self.refuse(now, in_flight, Refusal::TurnedAway, LowestEstimates::NONE, 0.0)
             }
             NextStep::Fail | NextStep::Retry => self.fail_request(request, failure_reason(fault)),
         }
--- a/sl-route/tests/it/main.rs
+++ b/sl-route/tests/it/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the decision modules, individually and through the reducer.
 
+mod activity;
 mod budget;
 mod cache;
 mod engine;
