sl-edge, sl-route: failing tests of the places that reject without a look at shares

`LoadShedder::should_reject` takes the team's standing and does not use it yet; no decision changes.

--- a/sl-edge/src/core.rs
+++ b/sl-edge/src/core.rs
@@ -16,6 +16,7 @@
 use sl_base::{Millis, RequestId, Timestamp};
 use sl_route::{
     Document, Effect, Event, Failure, Refusal, Route, ServerKey, State, effect::Target,
+    share::Standing,
 };
 use slog::Logger;
 use tokio::sync::{Notify, mpsc, watch};
@@ -199,7 +200,7 @@
     /// another instance. Each call counts as one request.
     pub(crate) fn should_reject(&self) -> bool {
         let mut load_shedder = self.load_shedder.get();
-        let rejected = load_shedder.should_reject();
+        let rejected = load_shedder.should_reject(Standing::WithinShare);
         self.load_shedder.set(load_shedder);
         rejected
     }
--- a/sl-edge/src/overload.rs
+++ b/sl-edge/src/overload.rs
@@ -6,6 +6,7 @@
 //! also rejects a growing fraction of requests, which their callers retry at other instances.
 
 use sl_base::{Millis, Timestamp};
+use sl_route::share::Standing;
 
 /// Decides when to shed connections and requests, from how late the periodic ticks run.
 #[derive(Clone, Copy, Debug)]
@@ -90,7 +91,7 @@
 
     /// Whether to reject the request that has just arrived; its caller's retry reaches another
     /// instance, which has capacity for it. Each call counts as one request.
-    pub fn should_reject(&mut self) -> bool {
+    pub fn should_reject(&mut self, _standing: Standing) -> bool {
         self.reject_carry += self.reject_fraction;
         if self.reject_carry < 1.0 {
             return false;
--- a/sl-edge/tests/it/overload.rs
+++ b/sl-edge/tests/it/overload.rs
@@ -1,5 +1,6 @@
 use sl_base::{Millis, Timestamp};
 use sl_edge::overload::LoadShedder;
+use sl_route::share::Standing;
 
 fn at(millis: u64) -> Timestamp {
     Timestamp::from_micros(1_000_000).after(Millis(millis))
@@ -47,8 +48,9 @@
 #[test]
 fn the_rejected_fraction_grows_while_an_instance_is_late_and_shrinks_after() {
     let mut shedder = LoadShedder::new(at(0));
-    let rejected_of_ten =
-        |shedder: &mut LoadShedder| (0..10).filter(|_| shedder.should_reject()).count();
+    let rejected_of_ten = |shedder: &mut LoadShedder| {
+        (0..10).filter(|_| shedder.should_reject(Standing::WithinShare)).count()
+    };
     assert_eq!(rejected_of_ten(&mut shedder), 0);
     for tick in 0..30 {
         shedder.record_tick(at(tick * 100), 50.0);
@@ -59,3 +61,42 @@
     }
     assert_eq!(rejected_of_ten(&mut shedder), 0);
 }
+
+/// Guards against an instance whose one heavy caller costs a team within its share its requests:
+/// on a day like the incident inc1 an instance rejected 84% of such a team's tokens.
+#[test]
+fn a_late_instance_rejects_requests_of_teams_over_their_share_first() {
+    let mut shedder = LoadShedder::new(at(0));
+    for tick in 0..30 {
+        shedder.record_tick(at(tick * 100), 50.0);
+    }
+    // Of 14 requests, one is of the team within its share, as the tokens were in that second.
+    let mut accepted = 0;
+    for request in 0..140 {
+        let is_within = request % 14 == 13;
+        let standing = if is_within { Standing::WithinShare } else { Standing::OverShare };
+        accepted += u32::from(!shedder.should_reject(standing) && is_within);
+    }
+    assert!(accepted >= 5, "the team got {accepted} of 10, less than half");
+}
+
+/// Guards against an instance that goes on rejecting requests for seconds after its overload
+/// has ended, which costs a team whose callers all reach that instance most of its requests.
+#[test]
+fn an_instance_on_time_for_a_second_rejects_no_more_requests() {
+    let mut shedder = LoadShedder::new(at(0));
+    for tick in 0..30 {
+        shedder.record_tick(at(tick * 100), 200.0);
+    }
+    // The mean lateness takes a moment to fall; the second counts from then on.
+    let mut tick = 30;
+    while shedder.late_ms() > 10.0 {
+        shedder.record_tick(at(tick * 100), 0.0);
+        tick += 1;
+    }
+    for tick in tick..tick + 10 {
+        shedder.record_tick(at(tick * 100), 0.0);
+    }
+    let rejected = (0..10).filter(|_| shedder.should_reject(Standing::WithinShare)).count();
+    assert_eq!(rejected, 0);
+}
--- a/sl-route/src/share.rs
+++ b/sl-route/src/share.rs
@@ -21,6 +21,15 @@
     granted: [u64; WINDOW_SLICES],
 }
 
+/// Where a team stands relative to its fair share of what is scarce.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// The team has used no more than its share.
+    WithinShare,
+    /// The team has used more than its share, so its requests are rejected first.
+    OverShare,
+}
+
 /// Slices of the window. Counts expire one slice at a time.
 const WINDOW_SLICES: usize = 8;
 
--- a/sl-route/tests/it/main.rs
+++ b/sl-route/tests/it/main.rs
@@ -4,6 +4,7 @@
 mod budget;
 mod cache;
 mod engine;
+mod fairness;
 mod health;
 mod place;
 mod retry;
