sl-edge, sl-route: a late instance rejects requests of teams over their share first

What callers saw: a team within its share, all of whose callers reach one small instance, is rejected with 503 (code 1024) like the team that overloads the instance.

Cause: `LoadShedder::should_reject` took the same fraction of all requests. Class: a decision that rejects without the state that the fleet shares capacity by.

Change: rejections become due as before, and requests of teams over their share make up for them; those of other teams are rejected only once 16 are due. A team stands by its share of the fleet's tokens while these do not meet all demand, else by its share of the requests at this instance, which `State` counts in a second `Shares`.

--- a/sl-edge/src/caller/request.rs
+++ b/sl-edge/src/caller/request.rs
@@ -6,7 +6,7 @@
 use sl_base::{Code, Millis, ServiceId, Timestamp};
 use sl_http::{Conn, RequestHead};
 use sl_report::Sample;
-use sl_route::{Arrival, Document, Event, Route, Team};
+use sl_route::{Arrival, Document, Event, Prompt, Route, Team};
 use slog::warn;
 
 use super::{Disposition, Ingress, exchange::Exchange};
@@ -88,9 +88,9 @@
     /// The response to a request that is shed because this instance is overloaded.
     pub(super) fn reject_for_overload(&self, ingress: &Ingress) -> LocalResponse {
         let code = Code::InstanceFull;
-        if let (Some(team), Some(prompt)) = (&self.team, &self.metadata.prompt) {
-            let (team, tokens) = (team.clone(), prompt.charge());
-            ingress.core.step(Event::RequestShed { team, tokens });
+        if let Some(team) = &self.team {
+            let tokens = self.metadata.prompt.as_ref().map_or(0, Prompt::charge);
+            ingress.core.step(Event::RequestShed { team: team.clone(), tokens });
         }
         self.record_end(ingress, None, code.into(), code.status());
         LocalResponse { code, retry_after: Some(RETRY_ELSEWHERE_AFTER) }
--- a/sl-edge/src/overload.rs
+++ b/sl-edge/src/overload.rs
@@ -3,7 +3,8 @@
 //! The balancer assigns all connections of a caller to one instance, whatever its size. An
 //! instance whose tasks run late reports itself unready for a while, so that new connections
 //! go to other instances, and closes its existing connections after their current request. It
-//! also rejects a growing fraction of requests, which their callers retry at other instances.
+//! also rejects a growing fraction of requests, first those of teams over their share. A caller's
+//! retry comes back to the same instance until the balancer has noticed that it is not ready.
 
 use sl_base::{Millis, Timestamp};
 use sl_route::share::Standing;
@@ -19,8 +20,8 @@
     next_shed_duration: Millis,
     /// Fraction of the requests that is rejected, from 0 to [`REJECT_FRACTION_MAX`].
     reject_fraction: f64,
-    /// Accumulated fraction since the last rejection; at 1 the next request is rejected.
-    reject_carry: f64,
+    /// Requests that should have been rejected by now and were not.
+    due_rejections: f64,
 }
 
 /// Mean lateness from which connections are shed, in milliseconds: callers notice it.
@@ -46,6 +47,12 @@
 /// Upper bound of the rejected fraction, so that some requests are always accepted.
 const REJECT_FRACTION_MAX: f64 = 0.9;
 
+/// Rejections that may be due before requests of teams within their share are rejected, too.
+const WITHIN_SHARE_RESERVE: f64 = 16.0;
+
+/// Bound on the rejections that are due, so that they end soon after the lateness.
+const DUE_REJECTIONS_MAX: f64 = WITHIN_SHARE_RESERVE + 2.0;
+
 /// Length of the first shedding period; each further one is twice as long as the one before.
 const SHED_DURATION_MIN: Millis = Millis(4_000);
 
@@ -60,7 +67,7 @@
             shed_until: now,
             next_shed_duration: SHED_DURATION_MIN,
             reject_fraction: 0.0,
-            reject_carry: 0.0,
+            due_rejections: 0.0,
         }
     }
 
@@ -70,6 +77,9 @@
         let step =
             if self.late_ms > REJECT_LATENESS_MS { REJECT_STEP_UP } else { -REJECT_STEP_DOWN };
         self.reject_fraction = (self.reject_fraction + step).clamp(0.0, REJECT_FRACTION_MAX);
+        if self.reject_fraction == 0.0 {
+            self.due_rejections = 0.0;
+        }
         if self.late_ms < SHED_LATENESS_MS || self.is_shedding(now) {
             return false;
         }
@@ -89,14 +99,20 @@
         self.late_ms > LAGGING_LATENESS_MS
     }
 
-    /// Whether to reject the request that has just arrived; its caller's retry reaches another
-    /// instance, which has capacity for it. Each call counts as one request.
-    pub fn should_reject(&mut self, _standing: Standing) -> bool {
-        self.reject_carry += self.reject_fraction;
-        if self.reject_carry < 1.0 {
+    /// Whether to reject the request that has just arrived, given where its team stands. Each
+    /// call counts as one request. Requests of teams within their share are rejected only where
+    /// those of the others are too few to make up the fraction.
+    pub fn should_reject(&mut self, standing: Standing) -> bool {
+        let due = self.due_rejections + self.reject_fraction;
+        self.due_rejections = due.min(DUE_REJECTIONS_MAX);
+        let reserve = match standing {
+            Standing::OverShare => 0.0,
+            Standing::WithinShare => WITHIN_SHARE_RESERVE,
+        };
+        if self.due_rejections < reserve + 1.0 {
             return false;
         }
-        self.reject_carry -= 1.0;
+        self.due_rejections -= 1.0;
         true
     }
 
--- a/sl-route/src/event.rs
+++ b/sl-route/src/event.rs
@@ -22,7 +22,7 @@
     RequestShed {
         /// The team of the request.
         team: Arc<Team>,
-        /// The tokens that the request counts against its team's share.
+        /// The tokens that the request counts against its team's share; 0 without a prompt.
         tokens: u32,
     },
     /// A caller disconnected, and its current attempt was cancelled.
--- a/sl-route/src/state.rs
+++ b/sl-route/src/state.rs
@@ -20,7 +20,7 @@
     place::{self, LowestEstimates, PlacementError, Requirements},
     request::InFlightRequest,
     server::Server,
-    share::Shares,
+    share::{Shares, Standing},
     strikes::CrashTracker,
 };
 
@@ -55,6 +55,8 @@
     budget: Budget,
     crashes: CrashTracker,
     shares: Shares,
+    /// Requests of each team at this instance, asked for and admitted.
+    local_requests: Shares,
     activity: Activity,
     /// When the last message of each peer was received.
     peers: HashMap<u32, Timestamp>,
@@ -108,6 +110,7 @@
             budget: Budget::new(options.limits.budget),
             crashes: CrashTracker::default(),
             shares: Shares::new(now, options.share_window),
+            local_requests: Shares::new(now, options.share_window),
             activity: Activity::new(now),
             peers: HashMap::new(),
             last_attempt: 0,
@@ -131,7 +134,7 @@
         match event {
             Event::Tick => self.report_activity(now),
             Event::RequestArrived(arrival) => self.on_arrival(now, *arrival),
-            Event::RequestShed { team, tokens } => self.on_request_shed(&team, tokens),
+            Event::RequestShed { team, tokens } => self.on_request_shed(now, &team, tokens),
             Event::CallerDisconnected { request } => self.on_caller_disconnected(now, request),
             Event::ResponseStarted { request } => self.on_response_started(now, request),
             Event::AttemptEnded { request, end } => self.on_attempt_ended(now, request, end),
@@ -205,6 +208,17 @@
         services.map(|(&id, it)| (it.name.clone(), self.budget.available(now, id))).collect()
     }
 
+    /// Where a team stands: relative to its share of the engines' tokens while these do not meet
+    /// all demand, else to its share of the requests that this instance admits.
+    pub fn standing(&mut self, now: Timestamp, team: TeamId) -> Standing {
+        let fleet_usage = self.shares.share_usage(now, team);
+        let usage = match self.shares.fair_share() {
+            Some(_) => fleet_usage,
+            None => self.local_requests.share_usage(now, team),
+        };
+        if usage > 1.0 { Standing::OverShare } else { Standing::WithinShare }
+    }
+
     /// Draws one of a route's services at random, in proportion to the weights.
     pub fn draw_service(&mut self, services: &[(ServiceId, u32)]) -> Option<ServiceId> {
         let total_weight: u32 = services.iter().map(|it| it.1).sum();
@@ -224,6 +238,10 @@
     fn on_arrival(&mut self, now: Timestamp, arrival: Arrival) {
         let request = arrival.request;
         self.budget.record_request(now, arrival.service);
+        if let Some(team) = &arrival.team {
+            self.local_requests.record_requested(now, team.id, 1);
+            self.local_requests.record_granted(now, team.id, 1);
+        }
         if let Some((team, tokens)) = State::charge(&arrival) {
             if let Some(team) = &arrival.team {
                 self.activity.record_requested(team, tokens);
@@ -434,7 +452,10 @@
         self.request_cache_lists(now);
     }
 
-    fn on_request_shed(&mut self, team: &Arc<Team>, tokens: u32) {
+    /// Counts a request that this instance rejected. Its tokens are no demand on the engines, as
+    /// the caller sends it again.
+    fn on_request_shed(&mut self, now: Timestamp, team: &Arc<Team>, tokens: u32) {
+        self.local_requests.record_requested(now, team.id, 1);
         self.activity.record_requested(team, tokens);
         self.activity.record_outcome(team, tokens, TokenOutcome::Shed);
     }
--- a/sl-route/tests/it/fairness.rs
+++ b/sl-route/tests/it/fairness.rs
@@ -2,7 +2,9 @@
 
 use rstest::rstest;
 use sl_base::{TeamId, Timestamp};
-use sl_route::{Event, Notes, Prompt, PromptPart, RetryPolicy, ServerKey, State, note::Note};
+use sl_route::{
+    Event, Notes, Prompt, PromptPart, RetryPolicy, ServerKey, State, note::Note, share::Standing,
+};
 
 use crate::testbed::{arrival, arrive, at, prompt, record, sent_target, state, team};
 
@@ -76,3 +78,34 @@
 fn note(state: &mut State, now: Timestamp, note: Note) {
     state.step(now, Event::NotesReceived { from: PEER, notes: Notes { notes: vec![note] } });
 }
+
+/// Guards against an instance that is short of processor time while the engines have capacity,
+/// and rejects requests of the teams that send it few as often as those of the one that
+/// overloads it.
+#[test]
+fn with_engines_to_spare_a_team_stands_by_its_share_of_the_requests_of_the_instance() {
+    let mut state = state(0, &[("a", "app")]);
+    for number in 0..60 {
+        let mut arrival = arrival(at(number), number, RetryPolicy::Idempotent, None);
+        arrival.team = Some(team(if number % 10 == 0 { "light" } else { "heavy" }));
+        let is_shed = number % 3 == 0;
+        if is_shed {
+            let team = arrival.team.unwrap();
+            state.step(at(number), Event::RequestShed { team, tokens: 0 });
+        } else {
+            arrive(&mut state, at(number), arrival);
+        }
+    }
+    let mut standing = |name| state.standing(at(200), TeamId::of(name));
+    assert_eq!(standing("light"), Standing::WithinShare);
+    assert_eq!(standing("heavy"), Standing::OverShare);
+}
+
+/// Guards against a standing by requests while the engines are what is scarce.
+#[test]
+fn with_busy_engines_a_team_stands_by_its_share_of_the_tokens_of_the_fleet() {
+    let mut state = overloaded_fleet();
+    let mut standing = |name| state.standing(at(1_500), TeamId::of(name));
+    assert_eq!(standing("modest"), Standing::WithinShare);
+    assert_eq!(standing("greedy"), Standing::OverShare);
+}
