sl-edge: rejections of a late instance end within a second of its lateness

What callers saw: rejections with 503 (code 1024) by an instance that was no longer late.

Cause: the rejected fraction rose by 0.08 a tick and fell by 0.02, so it took 4.5 s to fall from 0.9 to nothing.

Change: one step for both directions.

--- a/sl-edge/src/overload.rs
+++ b/sl-edge/src/overload.rs
@@ -37,12 +37,9 @@
 /// Weight of one tick in the moving average.
 const TICK_SMOOTHING: f64 = 0.25;
 
-/// Change of the rejected fraction with each tick while the mean lateness is above
-/// [`REJECT_LATENESS_MS`].
-const REJECT_STEP_UP: f64 = 0.08;
-
-/// Change of the rejected fraction with each tick otherwise.
-const REJECT_STEP_DOWN: f64 = 0.02;
+/// Change of the rejected fraction with each tick: up while the mean lateness is above
+/// [`REJECT_LATENESS_MS`], else down.
+const REJECT_STEP: f64 = 0.08;
 
 /// Upper bound of the rejected fraction, so that some requests are always accepted.
 const REJECT_FRACTION_MAX: f64 = 0.9;
@@ -74,8 +71,7 @@
     /// Records a tick that ran `late_ms` milliseconds late; true if a shedding period starts.
     pub fn record_tick(&mut self, now: Timestamp, late_ms: f64) -> bool {
         self.late_ms += (late_ms - self.late_ms) * TICK_SMOOTHING;
-        let step =
-            if self.late_ms > REJECT_LATENESS_MS { REJECT_STEP_UP } else { -REJECT_STEP_DOWN };
+        let step = if self.late_ms > REJECT_LATENESS_MS { REJECT_STEP } else { -REJECT_STEP };
         self.reject_fraction = (self.reject_fraction + step).clamp(0.0, REJECT_FRACTION_MAX);
         if self.reject_fraction == 0.0 {
             self.due_rejections = 0.0;
