sl-route: a team's admission limits follow the part of its share that it has used

What callers saw: requests of a team far below its share refused with 503 (code 1008), though an engine would have begun them in a tenth of the time allowed, while a team over its share was served.

Cause: two rules at placement looked past the share. Prefill that another engine has cached counted four times against the limit of every team, so long prompts of a team below its share were refused again at each retry. And the limit fell to 0.7 of the target as soon as a team asked for more than its share, however little it had got, while a team at twice its share still had 0.7 / 4 of it, enough for all requests whose parts are cached. Class: a rule for efficiency that takes precedence over the guarantee.

The test repeated_prefill_is_no_reason_to_refuse_a_team_within_its_share failed.

Change: `AdmissionLimits`. Up to half of its share a team has 0.95 of the target and no charge for repeated prefill; from there to the whole both move to what they were (0.7 and 4), and from there the limit falls to nothing at twice the share, where only idle engines take the team's requests.

--- /dev/null
+++ b/sl-route/src/admission.rs
@@ -0,0 +1,79 @@
+//! How late and how costly a model request may be to be admitted, given where its team stands.
+//!
+//! Under overload teams over their fair share are refused first (docs/design.md). A refusal for
+//! the sake of other requests is for teams that have got enough: a team is not refused for the
+//! prefill that its request repeats until it has got half of its share.
+
+/// Limits on the server that a request is sent to.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct AdmissionLimits {
+    /// Longest expected time to the first byte with the weighted cost to other requests, in
+    /// milliseconds.
+    pub allowed_ms: f64,
+    /// Weight of prefill that duplicates what another engine has cached, when a request is
+    /// checked against `allowed_ms`.
+    pub duplicate_prefill_weight: f64,
+}
+
+/// Fraction of a route's target latency that the expected time to the first byte may take while
+/// all demand is satisfied.
+const TARGET_FRACTION: f64 = 0.85;
+
+/// The same for a team within its fair share while demand exceeds capacity.
+const TARGET_FRACTION_WITHIN_SHARE: f64 = 0.95;
+
+/// The same for a team whose share is used up.
+const TARGET_FRACTION_OVER_SHARE: f64 = 0.7;
+
+/// Weight of duplicate prefill. Under overload, refusing one request is cheaper than repeating
+/// prefill at the expense of many others.
+const DUPLICATE_PREFILL_WEIGHT: f64 = 4.0;
+
+/// Part of its share that a team gets without regard to the cost to other requests.
+const UNCONDITIONAL_SHARE: f64 = 0.5;
+
+/// Ratio of usage to fair share from which requests are sent to idle engines only.
+const USAGE_MAX: f64 = 2.0;
+
+impl AdmissionLimits {
+    /// The limits of a request with a target latency of `target_ms`, whose deadline is
+    /// `remaining_ms` away. `usage` is the ratio of its team's usage to the fair share, `None`
+    /// while all demand is satisfied.
+    pub fn new(target_ms: f64, remaining_ms: f64, usage: Option<f64>) -> AdmissionLimits {
+        let fraction = usage.map_or(TARGET_FRACTION, target_fraction);
+        AdmissionLimits {
+            allowed_ms: (target_ms * fraction).min(remaining_ms),
+            duplicate_prefill_weight: usage
+                .map_or(DUPLICATE_PREFILL_WEIGHT, duplicate_prefill_weight),
+        }
+    }
+
+    /// The limits of a request that may take until its deadline, `remaining_ms` away.
+    pub fn until_deadline(remaining_ms: f64) -> AdmissionLimits {
+        AdmissionLimits {
+            allowed_ms: remaining_ms,
+            duplicate_prefill_weight: DUPLICATE_PREFILL_WEIGHT,
+        }
+    }
+}
+
+/// Falls from the unconditional part of the share to the whole, and from there to nothing at
+/// [`USAGE_MAX`].
+fn target_fraction(usage: f64) -> f64 {
+    if usage < 1.0 {
+        let range = TARGET_FRACTION_WITHIN_SHARE - TARGET_FRACTION_OVER_SHARE;
+        return TARGET_FRACTION_WITHIN_SHARE - range * conditional_part(usage);
+    }
+    let excess = ((usage - 1.0) / (USAGE_MAX - 1.0)).min(1.0);
+    TARGET_FRACTION_OVER_SHARE / usage.powi(2) * (1.0 - excess.powi(2))
+}
+
+fn duplicate_prefill_weight(usage: f64) -> f64 {
+    DUPLICATE_PREFILL_WEIGHT * conditional_part(usage)
+}
+
+/// How much a team with `usage` has used of the part of its share that depends on the cost to
+/// other requests, from 0 to 1.
+fn conditional_part(usage: f64) -> f64 {
+    ((usage - UNCONDITIONAL_SHARE) / (1.0 - UNCONDITIONAL_SHARE)).clamp(0.0, 1.0)
+}
--- a/sl-route/src/lib.rs
+++ b/sl-route/src/lib.rs
@@ -4,6 +4,7 @@
 //! does I/O or reads a clock. docs/design.md gives the reasons for the design.
 
 pub mod activity;
+pub mod admission;
 pub mod budget;
 pub mod cache;
 pub mod directory;
--- a/sl-route/src/place.rs
+++ b/sl-route/src/place.rs
@@ -5,6 +5,7 @@
 
 use crate::{
     Prompt, ServerKey, ServerState,
+    admission::AdmissionLimits,
     engine::Engine,
     server::{PlainServer, Server, ServerKind},
 };
@@ -16,8 +17,8 @@
     pub prompt: Option<&'a Prompt>,
     /// Servers that already had an attempt of this request and are excluded.
     pub tried: &'a [ServerKey],
-    /// Limit on the expected time to the first byte, in milliseconds.
-    pub allowed_ms: f64,
+    /// Limits on the expected time to the first byte and on the cost to other requests.
+    pub limits: AdmissionLimits,
     /// Milliseconds until the request's deadline.
     pub remaining_ms: f64,
     /// The data centre of this instance; servers elsewhere are charged the extra network time.
@@ -84,11 +85,6 @@
 /// queued behind it, so its time counts once more.
 const SHARED_PREFILL_WEIGHT: f64 = 1.0;
 
-/// Weight of prefill that duplicates what another engine has cached, when a request is checked
-/// against its time limit. Under overload, refusing one request is cheaper than repeating
-/// prefill at the expense of many others.
-const DUPLICATE_PREFILL_WEIGHT: f64 = 4.0;
-
 /// Weight of the prefill that evictions cause later: the factor on a request's prefill time
 /// when it would evict a part that was used just now.
 const EVICTION_WEIGHT: f64 = 10.0;
@@ -148,12 +144,12 @@
 
 impl Candidate {
     /// Milliseconds to the first byte plus the weighted cost to other requests.
-    fn cost_ms(&self) -> f64 {
-        self.placement.expected_ms + DUPLICATE_PREFILL_WEIGHT * self.duplicate_prefill_ms
+    fn cost_ms(&self, limits: AdmissionLimits) -> f64 {
+        self.placement.expected_ms + limits.duplicate_prefill_weight * self.duplicate_prefill_ms
     }
 
     fn is_in_time(&self, required: Requirements<'_>) -> bool {
-        self.is_exempt || self.cost_ms() <= required.allowed_ms
+        self.is_exempt || self.cost_ms(required.limits) <= required.limits.allowed_ms
     }
 }
 
@@ -186,13 +182,13 @@
     match in_time {
         Some(found) => Ok(Placement { candidates: considered, ..found.placement.clone() }),
         None if candidates.is_empty() => Err(PlacementError::NoSlot),
-        None => Err(PlacementError::TooLate(lowest_estimates(&candidates))),
+        None => Err(PlacementError::TooLate(lowest_estimates(&candidates, required.limits))),
     }
 }
 
-fn lowest_estimates(candidates: &[Candidate]) -> LowestEstimates {
+fn lowest_estimates(candidates: &[Candidate], limits: AdmissionLimits) -> LowestEstimates {
     candidates.iter().fold(LowestEstimates::NONE, |lowest, it| LowestEstimates {
-        cost_ms: lowest.cost_ms.min(it.cost_ms()),
+        cost_ms: lowest.cost_ms.min(it.cost_ms(limits)),
         expected_ms: lowest.expected_ms.min(it.placement.expected_ms),
     })
 }
@@ -303,7 +299,7 @@
 /// `UNMEASURED_SPEEDUP_MAX` times faster than estimated, or it is idle and is expected to
 /// start its response before the request's deadline.
 fn is_exempt(engine: &Engine, expected_ms: f64, required: Requirements<'_>) -> bool {
-    let may_be_in_time = expected_ms <= required.allowed_ms * UNMEASURED_SPEEDUP_MAX;
+    let may_be_in_time = expected_ms <= required.limits.allowed_ms * UNMEASURED_SPEEDUP_MAX;
     engine.needs_speed_sample() && may_be_in_time
         || engine.is_idle() && expected_ms <= required.remaining_ms
 }
--- a/sl-route/src/share.rs
+++ b/sl-route/src/share.rs
@@ -107,11 +107,10 @@
         self.fair_share.is_finite().then_some(self.fair_share)
     }
 
-    /// Whether the team requests no more than its fair share while other teams request more.
-    pub fn is_under_share(&mut self, now: Timestamp, team: TeamId) -> bool {
-        self.share_usage(now, team);
-        let requested = self.teams.get(&team).map_or(0, |it| it.requested.iter().sum::<u64>());
-        self.fair_share.is_finite() && requested as f64 <= self.fair_share
+    /// The ratio of [`Shares::share_usage`], or `None` while all demand is satisfied.
+    pub fn contended_usage(&mut self, now: Timestamp, team: TeamId) -> Option<f64> {
+        let usage = self.share_usage(now, team);
+        self.fair_share().map(|_| usage)
     }
 
     /// The max-min fair share, by water-filling: the limit at which the granted tokens suffice
--- a/sl-route/src/state.rs
+++ b/sl-route/src/state.rs
@@ -14,6 +14,7 @@
     Arrival, Decision, Directory, Document, Effect, Event, Failure, Notes, Refusal, ServerKey,
     ServerState, Team,
     activity::{Activity, TokenOutcome},
+    admission::AdmissionLimits,
     budget::Budget,
     event::InstanceLimits,
     note::{AttemptKey, Note},
@@ -81,20 +82,6 @@
 /// Notes that may wait to be sent; further notes are dropped.
 const OUTBOX_CAPACITY: usize = 4_096;
 
-/// Fraction of a route's target latency that the expected time to the first byte may take.
-const TARGET_FRACTION: f64 = 0.85;
-
-/// The same for a team within its fair share while other teams request more than theirs.
-const TARGET_FRACTION_UNDER_SHARE: f64 = 0.95;
-
-/// The same for a team that requests more than its fair share; reduced further once the
-/// team's usage exceeds the share.
-const TARGET_FRACTION_OVER_SHARE: f64 = 0.7;
-
-/// `TARGET_FRACTION_OVER_SHARE` is divided by the ratio of usage to fair share, raised to this
-/// power.
-const OVER_SHARE_EXPONENT: i32 = 2;
-
 /// Bounds on the `Retry-After` time before jitter, in milliseconds.
 const RETRY_AFTER_MS: std::ops::Range<f64> = 100.0..2_000.0;
 
@@ -211,9 +198,8 @@
     /// Where a team stands: relative to its share of the engines' tokens while these do not meet
     /// all demand, else to its share of the requests that this instance admits.
     pub fn standing(&mut self, now: Timestamp, team: TeamId) -> Standing {
-        let fleet_usage = self.shares.share_usage(now, team);
-        let usage = match self.shares.fair_share() {
-            Some(_) => fleet_usage,
+        let usage = match self.shares.contended_usage(now, team) {
+            Some(usage) => usage,
             None => self.local_requests.share_usage(now, team),
         };
         if usage > 1.0 { Standing::OverShare } else { Standing::WithinShare }
@@ -258,34 +244,20 @@
             self.refuse(now, &in_flight, Refusal::InstanceFull, LowestEstimates::NONE, 0.0);
             return;
         }
-        let allowed_ms = self.allowed_ms(now, &in_flight);
-        self.send_or_refuse(now, in_flight, allowed_ms);
+        let limits = self.admission_limits(now, &in_flight);
+        self.send_or_refuse(now, in_flight, limits);
     }
 
-    /// Limit on the expected time to the first byte of a new request, in milliseconds.
-    fn allowed_ms(&mut self, now: Timestamp, in_flight: &InFlightRequest) -> f64 {
+    /// The limits that apply to a new request, from where its team stands.
+    fn admission_limits(&mut self, now: Timestamp, in_flight: &InFlightRequest) -> AdmissionLimits {
         let arrival = &in_flight.arrival;
         let remaining_ms = arrival.deadline().remaining(now).0 as f64;
         if arrival.prompt.is_none() {
-            return remaining_ms;
+            return AdmissionLimits::until_deadline(remaining_ms);
         }
         let target_ms = arrival.route.target_latency.0 as f64;
-        let fraction =
-            arrival.team.as_ref().map_or(TARGET_FRACTION, |it| self.target_fraction(now, it.id));
-        (target_ms * fraction).min(remaining_ms)
-    }
-
-    /// Fraction of the target latency that the expected time to the first byte may take. Teams that
-    /// request more than their fair share are refused earlier, which leaves capacity to others.
-    fn target_fraction(&mut self, now: Timestamp, team: TeamId) -> f64 {
-        let usage = self.shares.share_usage(now, team);
-        if usage == 0.0 {
-            return TARGET_FRACTION;
-        }
-        if self.shares.is_under_share(now, team) {
-            return TARGET_FRACTION_UNDER_SHARE;
-        }
-        TARGET_FRACTION_OVER_SHARE / usage.max(1.0).powi(OVER_SHARE_EXPONENT)
+        let usage = arrival.team.as_ref().and_then(|it| self.shares.contended_usage(now, it.id));
+        AdmissionLimits::new(target_ms, remaining_ms, usage)
     }
 
     /// Ratio of the team's usage to its fair share; 1 means that the share is used up.
@@ -293,8 +265,13 @@
         arrival.team.as_ref().map_or(0.0, |it| self.shares.share_usage(now, it.id))
     }
 
-    fn send_or_refuse(&mut self, now: Timestamp, in_flight: InFlightRequest, allowed_ms: f64) {
-        match self.choose_server(now, &in_flight, allowed_ms) {
+    fn send_or_refuse(
+        &mut self,
+        now: Timestamp,
+        in_flight: InFlightRequest,
+        limits: AdmissionLimits,
+    ) {
+        match self.choose_server(now, &in_flight, limits) {
             Ok(placement) => self.send(now, in_flight, placement),
             Err(error) => {
                 let reason = self.refusal_reason(now, &in_flight, error);
@@ -302,7 +279,7 @@
                     PlacementError::TooLate(lowest) => lowest,
                     PlacementError::NoServer | PlacementError::NoSlot => LowestEstimates::NONE,
                 };
-                self.refuse(now, &in_flight, reason, lowest, allowed_ms);
+                self.refuse(now, &in_flight, reason, lowest, limits.allowed_ms);
             }
         }
     }
@@ -311,14 +288,14 @@
         &self,
         now: Timestamp,
         in_flight: &InFlightRequest,
-        allowed_ms: f64,
+        limits: AdmissionLimits,
     ) -> Result<place::Placement, PlacementError> {
         let keys = self.pools.get(&in_flight.arrival.service).ok_or(PlacementError::NoServer)?;
         let servers = keys.iter().filter_map(|it| self.servers.get(it));
         let required = Requirements {
             prompt: in_flight.arrival.prompt.as_ref(),
             tried: &in_flight.tried,
-            allowed_ms,
+            limits,
             remaining_ms: in_flight.arrival.deadline().remaining(now).0 as f64,
             data_centre: &self.options.data_centre,
         };
--- a/sl-route/src/state/attempt.rs
+++ b/sl-route/src/state/attempt.rs
@@ -6,6 +6,7 @@
 use crate::{
     AttemptEnd, Decision, Effect, Failure, Fault, Refusal, RetryPolicy, ServerKey,
     activity::TokenOutcome,
+    admission::AdmissionLimits,
     effect::{NextStep, Target},
     note::{AttemptKey, Note},
     place::{LowestEstimates, Placement},
@@ -326,7 +327,7 @@
         in_flight: &InFlightRequest,
     ) -> Option<Placement> {
         let remaining_ms = in_flight.arrival.deadline().remaining(now).0 as f64;
-        self.choose_server(now, in_flight, remaining_ms).ok()
+        self.choose_server(now, in_flight, AdmissionLimits::until_deadline(remaining_ms)).ok()
     }
 }
 
--- a/sl-route/tests/it/main.rs
+++ b/sl-route/tests/it/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the decision modules, individually and through the reducer.
 
 mod activity;
+mod admission;
 mod budget;
 mod cache;
 mod engine;
