sl-route: a request goes to an engine to which this instance has a connection left

What callers saw: 503 (code 1012) for requests of a team whose callers all reach one small instance, with engines to spare.

The reducer did not know how many were in use: it sent to the preferred engine, the pool answered that none was left, and after two such attempts the request was refused. Each counted as a failure of the engine at this instance, and as tokens granted and given back. Class: a limit that only the adapter that enforces it knows.

Change: the reducer counts its attempts in flight at each server and knows its part of the connections (`Event::ConnectionShare`, `State::connections_max`, which the pool's limit comes from as well); a server without one left is no candidate. Without the check a_request_goes_to_an_engine_to_which_a_connection_is_left fails: the third request is sent to an engine whose connection is in use.

--- a/sl-edge/src/caller/request.rs
+++ b/sl-edge/src/caller/request.rs
@@ -60,8 +60,7 @@
         let team = resolve_team(document, &route, &metadata)?;
         let service = ingress.core.with_state(|it| it.draw_service(&route.services));
         let service = service.ok_or(Code::NoServer)?;
-        let connections_total = document.services.get(&service).map_or(1, |it| it.max_connections);
-        let max_connections = ingress.core.connection_limit(connections_total);
+        let max_connections = ingress.core.with_state(|it| it.connections_max(service));
         let keeps_alive = head.keeps_alive() && !ingress.core.is_shedding();
         let arrived_at = ingress.core.now();
         Ok(Request {
--- a/sl-edge/src/core.rs
+++ b/sl-edge/src/core.rs
@@ -60,8 +60,6 @@
     /// When the store's contents were last confirmed, by the store itself or by a peer.
     store_contact_at: Cell<Timestamp>,
     has_document: Cell<bool>,
-    /// Fraction of each server's connections that this instance may open.
-    connection_share: Cell<f64>,
     ready: Arc<AtomicBool>,
     pub(crate) recorder: SharedRecorder,
     /// Engines whose cache contents are to be listed.
@@ -117,7 +115,6 @@
             document_applied_at: Cell::new(Clock.now()),
             store_contact_at: Cell::new(Clock.now()),
             has_document: Cell::new(false),
-            connection_share: Cell::new(1.0),
             ready: Arc::default(),
             recorder,
             cache_list_tx,
@@ -236,16 +233,6 @@
         }
     }
 
-    /// How many of a server's `total` connections this instance may open; at least one.
-    pub(crate) fn connection_limit(&self, total: u32) -> usize {
-        ((f64::from(total) * self.connection_share.get()) as usize).max(1)
-    }
-
-    /// Sets the fraction of each server's connections that this instance may open.
-    pub(crate) fn set_connection_share(&self, share: f64) {
-        self.connection_share.set(share);
-    }
-
     /// The readiness flag that the balancer polls.
     pub(crate) fn ready(&self) -> &Arc<AtomicBool> {
         &self.ready
--- a/sl-route/src/event.rs
+++ b/sl-route/src/event.rs
@@ -89,6 +89,8 @@
     Limits(InstanceLimits),
     /// The number of instances in the fleet, including this one.
     InstanceCount(usize),
+    /// The fraction of each server's connections that this instance may open.
+    ConnectionShare(f64),
 }
 
 /// Limits that the settings impose on an instance.
--- a/sl-route/src/place.rs
+++ b/sl-route/src/place.rs
@@ -19,6 +19,8 @@
     pub tried: &'a [ServerKey],
     /// Limits on the expected time to the first byte and on the cost to other requests.
     pub limits: AdmissionLimits,
+    /// Connections that this instance may have open to one server. Each attempt holds one.
+    pub connections_max: usize,
     /// Milliseconds until the request's deadline.
     pub remaining_ms: f64,
     /// The data centre of this instance; servers elsewhere are charged the extra network time.
@@ -62,7 +64,7 @@
     NoServer,
     /// No server is expected to send the first byte in time.
     TooLate(LowestEstimates),
-    /// No engine has a free slot.
+    /// No engine has a free slot, or this instance has no connection left to any server.
     NoSlot,
 }
 
@@ -228,13 +230,16 @@
 }
 
 /// Estimates how well a server suits a request; `None` if the server is an engine without a
-/// free slot.
+/// free slot, or all connections to it are in use.
 fn evaluate(
     now: Timestamp,
     server: &Server,
     required: Requirements<'_>,
     donor: Option<Donor>,
 ) -> Option<Candidate> {
+    if server.own_in_flight >= required.connections_max {
+        return None;
+    }
     let mut candidate = match &server.kind {
         ServerKind::Engine(engine) => evaluate_engine(now, server, engine, required, donor)?,
         ServerKind::Plain(plain) => evaluate_plain(now, server, plain),
--- a/sl-route/src/server.rs
+++ b/sl-route/src/server.rs
@@ -41,6 +41,8 @@
     /// When to request the list of the engine's cached parts; [`Timestamp::NEVER`] once its
     /// cache contents are known.
     pub list_cache_at: Timestamp,
+    /// Attempts of this instance in flight on the server; each holds a connection to it.
+    pub own_in_flight: usize,
     /// When the load was last updated, by this instance or a peer.
     pub updated_at: Timestamp,
 }
--- a/sl-route/src/state.rs
+++ b/sl-route/src/state.rs
@@ -59,6 +59,8 @@
     /// Requests of each team at this instance, asked for and admitted.
     local_requests: Shares,
     activity: Activity,
+    /// Fraction of each server's connections that this instance may open.
+    connection_share: f64,
     /// When the last message of each peer was received.
     peers: HashMap<u32, Timestamp>,
     /// The number of the latest attempt.
@@ -99,6 +101,7 @@
             shares: Shares::new(now, options.share_window),
             local_requests: Shares::new(now, options.share_window),
             activity: Activity::new(now),
+            connection_share: 1.0,
             peers: HashMap::new(),
             last_attempt: 0,
             prune_at: now,
@@ -138,6 +141,7 @@
                 self.options.limits = limits;
                 self.budget.set_options(limits.budget);
             }
+            Event::ConnectionShare(share) => self.connection_share = share,
             Event::InstanceCount(instances) => self.budget.set_instances(instances),
         }
         if self.prune_at.is_due(now) {
@@ -205,6 +209,12 @@
         if usage > 1.0 { Standing::OverShare } else { Standing::WithinShare }
     }
 
+    /// Connections that this instance may have open to one server of the service; at least one.
+    pub fn connections_max(&self, service: ServiceId) -> usize {
+        let total = self.document.services.get(&service).map_or(1, |it| it.max_connections);
+        ((f64::from(total) * self.connection_share) as usize).max(1)
+    }
+
     /// Draws one of a route's services at random, in proportion to the weights.
     pub fn draw_service(&mut self, services: &[(ServiceId, u32)]) -> Option<ServiceId> {
         let total_weight: u32 = services.iter().map(|it| it.1).sum();
@@ -296,6 +306,7 @@
             prompt: in_flight.arrival.prompt.as_ref(),
             tried: &in_flight.tried,
             limits,
+            connections_max: self.connections_max(in_flight.arrival.service),
             remaining_ms: in_flight.arrival.deadline().remaining(now).0 as f64,
             data_centre: &self.options.data_centre,
         };
--- a/sl-route/src/state/attempt.rs
+++ b/sl-route/src/state/attempt.rs
@@ -48,6 +48,7 @@
             return;
         };
         server.record_sent(now, key, placement.prefill_tokens);
+        server.own_in_flight += 1;
         let fetch = placement.fetch.map(|it| (it.from, it.duration_ms.round() as u32));
         self.record_transfer(now, placement.server, fetch);
         let Some(server) = self.servers.get_mut(&placement.server) else {
@@ -186,6 +187,8 @@
         }
         if let Some(server) = self.servers.get_mut(&server) {
             server.record_end(now, key);
+            // The entry may have been removed and listed again while the attempt ran.
+            server.own_in_flight = server.own_in_flight.saturating_sub(1);
             server.record_event_interval(now, event_interval_micros);
         }
         self.queue_note(Note::AttemptEnded {
--- a/sl-route/src/state/listing.rs
+++ b/sl-route/src/state/listing.rs
@@ -118,6 +118,7 @@
                 health: Health::new(now),
                 kind,
                 list_cache_at: now.after(FIRST_LIST_DELAY),
+                own_in_flight: 0,
                 updated_at: now,
             },
         );
--- a/sl-route/tests/it/main.rs
+++ b/sl-route/tests/it/main.rs
@@ -4,6 +4,7 @@
 mod admission;
 mod budget;
 mod cache;
+mod connections;
 mod engine;
 mod fairness;
 mod health;
