sl-edge: an instance that rejects requests leaves the balancer's rotation

What callers saw: 503 (code 1024) for seconds from the same small instance, again at the retry 10 ms later.

Cause: two thresholds of lateness. Above 30 ms a growing fraction of requests was rejected, above 60 ms the instance became unready; the rejections held the lateness between the two, so the instance stayed in rotation. Class: two controls of one quantity, the first of which hides the need for the second.

Change: from a rejected fraction of 0.4 on, half a second above 30 ms, a shedding period starts as well. Retry-After of a rejection is the time until the balancer has noticed (2.6 s, the delay that graceful shutdown uses) with up to 200 ms of spread; callers cap it at a third of their time.

Both new tests of the shedder failed without the change: no shedding period at 50 ms of lateness; 10 ms.

--- a/sl-edge/src/caller/request.rs
+++ b/sl-edge/src/caller/request.rs
@@ -31,8 +31,8 @@
     first_byte_at: Cell<Option<Timestamp>>,
 }
 
-/// Retry delay sent to callers that are rejected by this instance alone: another instance can
-/// take the retry at once.
+/// Retry delay sent to callers that this instance rejects while it shuts down: the balancer
+/// sends new connections to other instances by then.
 const RETRY_ELSEWHERE_AFTER: Millis = Millis(10);
 
 /// Time limit of a request whose caller states none.
@@ -92,7 +92,7 @@
             ingress.core.step(Event::RequestShed { team: team.clone(), tokens });
         }
         self.record_end(ingress, None, code.into(), code.status());
-        LocalResponse { code, retry_after: Some(RETRY_ELSEWHERE_AFTER) }
+        LocalResponse { code, retry_after: Some(ingress.core.rejection_retry_delay()) }
     }
 
     /// Runs the request and responds to it.
--- a/sl-edge/src/core.rs
+++ b/sl-edge/src/core.rs
@@ -88,6 +88,9 @@
     is_finished: bool,
 }
 
+/// Longest random part of the retry delay after a rejection.
+const RETRY_SPREAD: Millis = Millis(200);
+
 /// How often the gauges are updated and the number of omitted log lines is reported.
 const GAUGE_INTERVAL: Millis = Millis(1_000);
 
@@ -205,6 +208,14 @@
         rejected
     }
 
+    /// The delay after which the caller of a request that [`Core::should_reject`] rejected may
+    /// retry.
+    pub(crate) fn rejection_retry_delay(&self) -> Millis {
+        let delay = self.load_shedder.get().retry_delay(self.now());
+        let spread = self.with_state(|it| it.draw_delay(RETRY_SPREAD));
+        Millis(delay.0 + spread.0)
+    }
+
     /// Whether tasks run so late that a caller may have disconnected without being noticed
     /// yet.
     pub(crate) fn is_lagging(&self) -> bool {
--- a/sl-edge/src/overload.rs
+++ b/sl-edge/src/overload.rs
@@ -16,6 +16,9 @@
     late_ms: f64,
     /// End of the current shedding period, or of the last one.
     shed_until: Timestamp,
+    /// When the balancer has noticed the latest shedding period and sends new connections to
+    /// other instances.
+    callers_moved_at: Timestamp,
     /// Length of the next shedding period.
     next_shed_duration: Millis,
     /// Fraction of the requests that is rejected, from 0 to [`REJECT_FRACTION_MAX`].
@@ -34,6 +37,16 @@
 /// merely busy stays below it.
 const REJECT_LATENESS_MS: f64 = 30.0;
 
+/// Rejected fraction from which connections are shed, too: rejections keep the lateness below
+/// [`SHED_LATENESS_MS`], and the callers would stay with the instance that rejects them.
+const SHED_REJECT_FRACTION: f64 = 0.4;
+
+/// Time that the balancer needs to notice that the instance is not ready.
+pub const BALANCER_DELAY: Millis = Millis(2_600);
+
+/// Shortest retry delay after a rejection.
+const RETRY_DELAY_MIN: Millis = Millis(10);
+
 /// Weight of one tick in the moving average.
 const TICK_SMOOTHING: f64 = 0.25;
 
@@ -62,6 +75,7 @@
         LoadShedder {
             late_ms: 0.0,
             shed_until: now,
+            callers_moved_at: now,
             next_shed_duration: SHED_DURATION_MIN,
             reject_fraction: 0.0,
             due_rejections: 0.0,
@@ -76,9 +90,12 @@
         if self.reject_fraction == 0.0 {
             self.due_rejections = 0.0;
         }
-        if self.late_ms < SHED_LATENESS_MS || self.is_shedding(now) {
+        let is_overloaded =
+            self.late_ms >= SHED_LATENESS_MS || self.reject_fraction >= SHED_REJECT_FRACTION;
+        if !is_overloaded || self.is_shedding(now) {
             return false;
         }
+        self.callers_moved_at = now.after(BALANCER_DELAY);
         self.shed_until = now.after(self.next_shed_duration);
         self.next_shed_duration = Millis((self.next_shed_duration.0 * 2).min(SHED_DURATION_MAX.0));
         true
@@ -112,6 +129,12 @@
         true
     }
 
+    /// The delay after which the caller of a rejected request may retry: once new connections
+    /// go to other instances, or at once while the instance is in rotation.
+    pub fn retry_delay(&self, now: Timestamp) -> Millis {
+        self.callers_moved_at.remaining(now).max(RETRY_DELAY_MIN)
+    }
+
     /// The moving average of the ticks' lateness, in milliseconds.
     pub fn late_ms(&self) -> f64 {
         self.late_ms
--- a/sl-edge/src/stop.rs
+++ b/sl-edge/src/stop.rs
@@ -7,10 +7,10 @@
 use slog::info;
 use tokio::time::sleep;
 
-use crate::core::{Core, ShutdownPhase};
-
-/// Time that the balancer needs to notice that the instance is not ready.
-const BALANCER_DELAY: Millis = Millis(2_600);
+use crate::{
+    core::{Core, ShutdownPhase},
+    overload::BALANCER_DELAY,
+};
 
 /// Time that a request may be in transit to a connection that is being closed.
 const IN_TRANSIT_DELAY: Millis = Millis(100);
--- a/sl-edge/tests/it/overload.rs
+++ b/sl-edge/tests/it/overload.rs
@@ -121,3 +121,32 @@
     assert!(rejected_of(20) < 5);
     assert!((8..=9).contains(&rejected_of(10)));
 }
+
+/// Guards against an instance that rejects requests for seconds without leaving the balancer's
+/// rotation, so that its callers' retries come back to it and are rejected again.
+#[test]
+fn an_instance_that_rejects_two_fifths_of_its_requests_leaves_the_rotation() {
+    let mut shedder = LoadShedder::new(at(0));
+    let lateness_ms = 50.0;
+    let mut shed_at = None;
+    for tick in 0..30 {
+        if shedder.record_tick(at(tick * 100), lateness_ms) {
+            shed_at = Some(tick * 100);
+            break;
+        }
+    }
+    assert!(shed_at.is_some_and(|it| it <= 1_000), "{shed_at:?}");
+}
+
+/// Guards against callers that use up their retry at the instance that has just rejected them.
+#[test]
+fn a_rejected_caller_retries_when_the_balancer_has_moved_it() {
+    let mut shedder = LoadShedder::new(at(0));
+    assert_eq!(shedder.retry_delay(at(0)), Millis(10));
+    for tick in 0..5 {
+        shedder.record_tick(at(tick * 100), 200.0);
+    }
+    assert!(shedder.is_shedding(at(400)));
+    assert!(shedder.retry_delay(at(400)) > Millis(2_000));
+    assert_eq!(shedder.retry_delay(at(3_500)), Millis(10));
+}
--- a/sl-route/src/state.rs
+++ b/sl-route/src/state.rs
@@ -215,6 +215,11 @@
         ((f64::from(total) * self.connection_share) as usize).max(1)
     }
 
+    /// Draws a delay of up to `max` at random, so that callers do not all return at once.
+    pub fn draw_delay(&mut self, max: Millis) -> Millis {
+        Millis(self.rng.random_range(0..=max.0))
+    }
+
     /// Draws one of a route's services at random, in proportion to the weights.
     pub fn draw_service(&mut self, services: &[(ServiceId, u32)]) -> Option<ServiceId> {
         let total_weight: u32 = services.iter().map(|it| it.1).sum();
