--- a/sl-route/src/place.rs
+++ b/sl-route/src/place.rs
@@ -177,10 +177,10 @@
     let servers = if healthy.is_empty() { servers } else { healthy };
     let considered = servers.len();
     let donor = find_donor(now, &servers, required.prompt);
-    let mut candidates: Vec<Candidate> =
+    let candidates: Vec<Candidate> =
         servers.into_iter().filter_map(|it| evaluate(now, it, required, donor)).collect();
-    candidates.sort_by(|a, b| a.score.total_cmp(&b.score));
-    let in_time = candidates.iter().find(|it| it.is_in_time(required));
+    let in_time = candidates.iter().filter(|it| it.is_in_time(required));
+    let in_time = in_time.min_by(|a, b| a.score.total_cmp(&b.score));
     match in_time {
         Some(found) => Ok(Placement { candidates: considered, ..found.placement.clone() }),
         None if candidates.is_empty() => Err(PlacementError::NoSlot),
