sl-edge: an instance logs its load and the messages that it missed, once a second

No line told whether it had lost notes or ran late. `instance load` has both; the metric peer_messages counts missed messages.

--- a/sl-edge/src/core.rs
+++ b/sl-edge/src/core.rs
@@ -23,7 +23,7 @@
 
 use crate::{
     clock::Clock, detail::TailSampler, handle::SharedRecorder, log::Line, metrics::Metrics,
-    overload::LoadShedder,
+    overload::LoadShedder, peers::PeerArrival,
 };
 
 /// What the reducer decided to do next with one request.
@@ -53,6 +53,7 @@
     phase: watch::Sender<ShutdownPhase>,
     load_shedder: Cell<LoadShedder>,
     request_log: RefCell<TailSampler<Line>>,
+    peer_counts: Cell<PeerCounts>,
     /// When the gauges are updated next.
     next_gauge_update: Cell<Timestamp>,
     /// When the configuration in force was applied.
@@ -66,6 +67,14 @@
     cache_list_tx: mpsc::UnboundedSender<(ServerKey, SocketAddr)>,
 }
 
+/// Messages with notes from peers since the last log line about them.
+#[derive(Clone, Copy, Debug, Default)]
+struct PeerCounts {
+    received: u64,
+    missed: u64,
+    repeated: u64,
+}
+
 /// Phases of a graceful shutdown, in order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum ShutdownPhase {
@@ -114,6 +123,7 @@
             phase: watch::Sender::new(ShutdownPhase::Serving),
             load_shedder: Cell::new(LoadShedder::new(Clock.now())),
             request_log: RefCell::new(TailSampler::new(Clock.now())),
+            peer_counts: Cell::default(),
             next_gauge_update: Cell::new(Clock.now()),
             document_applied_at: Cell::new(Clock.now()),
             store_contact_at: Cell::new(Clock.now()),
@@ -185,11 +195,25 @@
         if self.next_gauge_update.get().is_due(now) {
             self.next_gauge_update.set(now.after(GAUGE_INTERVAL));
             self.log_dropped_lines();
+            self.log_instance_load();
             self.update_gauges(now);
         }
         self.update_readiness();
     }
 
+    /// Counts a message from a peer.
+    pub(crate) fn record_peer_arrival(&self, arrival: PeerArrival) {
+        let mut counts = self.peer_counts.get();
+        match arrival {
+            PeerArrival::New { missed } => {
+                counts.received += 1;
+                counts.missed += missed;
+            }
+            PeerArrival::Repeated => counts.repeated += 1,
+        }
+        self.peer_counts.set(counts);
+    }
+
     /// Whether connections are closed after their request, so that callers reconnect, possibly
     /// to another instance.
     pub(crate) fn is_shedding(&self) -> bool {
--- a/sl-edge/src/core/told.rs
+++ b/sl-edge/src/core/told.rs
@@ -4,13 +4,15 @@
 use sl_route::effect::Decision;
 use slog::o;
 
-use super::Core;
+use super::{Core, PeerCounts};
 use crate::{
     detail::BufferedLine,
     log::{self, Line},
     metrics::name_label,
 };
 
+const PERCENT: f64 = 100.0;
+
 const MILLIS_PER_SECOND: f64 = 1_000.0;
 
 impl Core {
@@ -58,6 +60,20 @@
         }
     }
 
+    /// Logs how late this instance runs and which messages of its peers arrived since the last
+    /// call.
+    pub(super) fn log_instance_load(&self) {
+        let PeerCounts { received, missed, repeated } = self.peer_counts.take();
+        let load_shedder = self.load_shedder.get();
+        let in_flight = self.with_state(|it| it.in_flight());
+        slog::info!(self.log, "instance load";
+            "late_ms" => load_shedder.late_ms().round(),
+            "rejected_percent" => (load_shedder.reject_fraction() * PERCENT).round(),
+            "held" => in_flight, "messages" => received, "missed" => missed,
+            "repeated" => repeated);
+        self.metrics.peer_messages.get_or_create(&name_label("missed")).inc_by(missed);
+    }
+
     /// Logs and counts the lines omitted since the last call, if any.
     pub(super) fn log_dropped_lines(&self) {
         let lines = self.request_log.borrow_mut().take_dropped();
--- a/sl-edge/src/overload.rs
+++ b/sl-edge/src/overload.rs
@@ -135,6 +135,11 @@
         self.callers_moved_at.remaining(now).max(RETRY_DELAY_MIN)
     }
 
+    /// The fraction of the requests that is rejected, from 0 to 1.
+    pub fn reject_fraction(&self) -> f64 {
+        self.reject_fraction
+    }
+
     /// The moving average of the ticks' lateness, in milliseconds.
     pub fn late_ms(&self) -> f64 {
         self.late_ms
--- a/sl-edge/src/peers.rs
+++ b/sl-edge/src/peers.rs
@@ -85,6 +85,21 @@
     last_received: RefCell<HashMap<InstanceId, (Incarnation, u64)>>,
 }
 
+/// How a message follows the last one received from the same instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum PeerArrival {
+    /// A newer message; `missed` messages in between did not arrive before it.
+    New { missed: u64 },
+    /// A copy that another relay forwarded, or a message that a newer one has overtaken.
+    Repeated,
+}
+
+impl PeerArrival {
+    fn is_new(self) -> bool {
+        matches!(self, PeerArrival::New { .. })
+    }
+}
+
 impl Gossip {
     /// Sends notes and heartbeats to peers until the daemon stops.
     pub(crate) async fn run_sender(&self) {
@@ -232,7 +247,9 @@
         self.core.metrics.peer_messages.get_or_create(&name_label("received")).inc();
         let now = self.core.now();
         for message in datagram.messages {
-            if message.from != self.own_id && self.relay_queue.is_new(&message) {
+            let arrival = self.relay_queue.arrival(&message);
+            self.core.record_peer_arrival(arrival);
+            if message.from != self.own_id && arrival.is_new() {
                 match datagram.hop {
                     Hop::ToRelay => {
                         self.relay_queue.from_instances.borrow_mut().push(message.clone())
@@ -273,18 +290,21 @@
         self.from_instances.borrow().is_empty() && self.from_relays.borrow().is_empty()
     }
 
-    /// Whether the message is newer than the last one received from the same instance, and so
-    /// not a copy forwarded by another relay. Messages without notes have no sequence
-    /// number and are always new.
-    fn is_new(&self, message: &Message) -> bool {
+    /// How the message follows the last one received from the same instance. Messages without
+    /// notes have no sequence number and are always new.
+    fn arrival(&self, message: &Message) -> PeerArrival {
         if message.sequence == 0 {
-            return true;
+            return PeerArrival::New { missed: 0 };
         }
         let mut last_received = self.last_received.borrow_mut();
-        let received = (message.incarnation, message.sequence);
         let last = last_received.entry(message.from).or_default();
-        let is_new = received > *last;
-        *last = received.max(*last);
-        is_new
+        let received = (message.incarnation, message.sequence);
+        if received <= *last {
+            return PeerArrival::Repeated;
+        }
+        let is_same_run = last.0 == message.incarnation;
+        let missed = if is_same_run { message.sequence - last.1 - 1 } else { 0 };
+        *last = received;
+        PeerArrival::New { missed }
     }
 }
