sl-route: work that an instance learns of late does not count as overdue as well

What callers saw: requests of a team whose callers all reach one instance refused with 503 (code 1008), while other instances sent to engines that were free.

Cause: the backlog of an engine is the queued prefill plus the time that its first request is overdue. An instance knows its own requests at once and its peers' after 50 ms and more, so in its model an own request stands before peers' requests that the engine got first. Their prefill was added to the backlog, and the delay that it caused to the own request was added once more as overdue time. An instance that sends much has such a request at nearly every engine. Class: one delay counted twice, in the view of the instance that is most affected.

Ruled out: lost notes (10 to 31 messages missed a second of 2,000, as everywhere), lateness (2 to 16 ms at that time). The new test fails before: 503 ms for 232 of queued work.

Change: a request that starts before others that the model has in front of it has overtaken them; their expected times move back by its prefill.

--- a/sl-route/src/engine.rs
+++ b/sl-route/src/engine.rs
@@ -51,7 +51,8 @@
     key: AttemptKey,
     tokens: u32,
     sent_at: Timestamp,
-    /// Expected time of the first token, as estimated at the time of sending.
+    /// Expected time of the first token, as estimated at the time of sending and pushed back by
+    /// requests that have overtaken this one.
     expected_at: Timestamp,
     /// The engine's `shift_micros` at the time of sending.
     shift_micros: i64,
@@ -311,6 +312,7 @@
         let Some(request) = self.queue.remove(index) else {
             return;
         };
+        self.push_back_overtaken(index, request.tokens);
         // Prompts are prefilled in order, so only the requests still queued remain.
         let remaining_micros: f64 =
             self.queue.iter().map(|it| self.prefill_ms(it.tokens) * MICROS_PER_MILLI).sum();
@@ -358,6 +360,16 @@
         }
     }
 
+    /// Pushes the expected times of the first `overtaken` requests back by the prefill of a
+    /// request that started before them. It reached the engine first, and this instance
+    /// learned of it later; its prefill must not count as overdue time of theirs.
+    fn push_back_overtaken(&mut self, overtaken: usize, tokens: u32) {
+        let micros = self.prefill_ms(tokens) * MICROS_PER_MILLI;
+        for request in self.queue.iter_mut().take(overtaken) {
+            request.expected_at = offset_by_micros(request.expected_at, micros);
+        }
+    }
+
     fn remove_work(&mut self, now: Timestamp, tokens: u32) {
         self.shift_estimates(-self.prefill_ms(tokens) * MICROS_PER_MILLI);
         self.prefill_done_at = self.prefill_done_at.max(now);
--- a/sl-route/tests/it/engine.rs
+++ b/sl-route/tests/it/engine.rs
@@ -95,3 +95,23 @@
     engine.prune(START, |instance| instance == 2);
     assert_eq!(engine.queued(), 1);
 }
+
+/// Guards against an instance that counts the same wait twice and refuses its teams' requests:
+/// a peer's request that reached the engine first, and that the instance learns of later,
+/// delays the instance's own request and is queued work as well.
+#[test]
+fn work_that_is_learned_of_late_does_not_also_count_as_overdue() {
+    let mut engine = engine();
+    engine.record_sent(START, attempt_key(1), 1_500);
+    for attempt in 2..12 {
+        engine.record_sent(at(60), attempt_key(attempt), 1_500);
+    }
+    // Eleven prompts of 52 ms; the engine prefills all the time, the own request last.
+    for (finished, attempt) in (2..8).enumerate() {
+        let now = at(52 * (finished as u64 + 1));
+        engine.record_first_token(now, attempt_key(attempt));
+    }
+    let remaining_ms = 11.0 * 52.0 - 340.0;
+    let backlog_ms = engine.backlog_ms(at(340));
+    assert!((backlog_ms - remaining_ms).abs() < 80.0, "{backlog_ms} {remaining_ms}");
+}
