sl-route: the reducer's admission and notes are modules of their own

Moved without change: arrivals, refusals and counts by team to state/admit.rs, notes to and from peers to state/notes.rs.

--- a/sl-route/src/state.rs
+++ b/sl-route/src/state.rs
@@ -1,8 +1,10 @@
 //! The reducer of one instance: [`State::step`] takes each event and returns the effects.
 
+mod admit;
 mod attempt;
 mod cache;
 mod listing;
+mod notes;
 
 use std::{collections::HashMap, sync::Arc};
 
@@ -11,14 +13,11 @@
 use sl_base::{Millis, RequestId, ServiceId, TeamId, Timestamp};
 
 use crate::{
-    Arrival, Decision, Directory, Document, Effect, Event, Failure, Notes, Refusal, ServerKey,
-    ServerState, Team,
-    activity::{Activity, TokenOutcome},
-    admission::AdmissionLimits,
+    Decision, Directory, Document, Effect, Event, Notes, ServerKey, ServerState,
+    activity::Activity,
     budget::Budget,
     event::InstanceLimits,
-    note::{AttemptKey, Note},
-    place::{self, LowestEstimates, PlacementError, Requirements},
+    note::Note,
     request::InFlightRequest,
     server::Server,
     share::{Shares, Standing},
@@ -81,12 +80,6 @@
 /// Interval between removals of inactive peers, overdue requests and expired server entries.
 const PRUNE_INTERVAL: Millis = Millis(250);
 
-/// Notes that may wait to be sent; further notes are dropped.
-const OUTBOX_CAPACITY: usize = 4_096;
-
-/// Bounds on the `Retry-After` time before jitter, in milliseconds.
-const RETRY_AFTER_MS: std::ops::Range<f64> = 100.0..2_000.0;
-
 impl State {
     /// Creates the state of an instance whose process started at `now`.
     pub fn new(options: Options, now: Timestamp) -> State {
@@ -236,195 +229,6 @@
         None
     }
 
-    fn on_arrival(&mut self, now: Timestamp, arrival: Arrival) {
-        let request = arrival.request;
-        self.budget.record_request(now, arrival.service);
-        if let Some(team) = &arrival.team {
-            self.local_requests.record_requested(now, team.id, 1);
-            self.local_requests.record_granted(now, team.id, 1);
-        }
-        if let Some((team, tokens)) = State::charge(&arrival) {
-            if let Some(team) = &arrival.team {
-                self.activity.record_requested(team, tokens);
-            }
-            self.shares.record_requested(now, team, tokens);
-            self.queue_note(Note::TokensRequested { team, tokens });
-        }
-        if self.crashes.is_barred(now, arrival.fingerprint) {
-            self.fail_request(request, Failure::CrashesServers);
-            return;
-        }
-        let in_flight = InFlightRequest::new(arrival);
-        if self.requests.len() >= self.options.limits.max_in_flight {
-            self.refuse(now, &in_flight, Refusal::InstanceFull, LowestEstimates::NONE, 0.0);
-            return;
-        }
-        let limits = self.admission_limits(now, &in_flight);
-        self.send_or_refuse(now, in_flight, limits);
-    }
-
-    /// The limits that apply to a new request, from where its team stands.
-    fn admission_limits(&mut self, now: Timestamp, in_flight: &InFlightRequest) -> AdmissionLimits {
-        let arrival = &in_flight.arrival;
-        let remaining_ms = arrival.deadline().remaining(now).0 as f64;
-        if arrival.prompt.is_none() {
-            return AdmissionLimits::until_deadline(remaining_ms);
-        }
-        let target_ms = arrival.route.target_latency.0 as f64;
-        let usage = arrival.team.as_ref().and_then(|it| self.shares.contended_usage(now, it.id));
-        AdmissionLimits::new(target_ms, remaining_ms, usage)
-    }
-
-    /// Ratio of the team's usage to its fair share; 1 means that the share is used up.
-    fn share_usage(&mut self, now: Timestamp, arrival: &Arrival) -> f64 {
-        arrival.team.as_ref().map_or(0.0, |it| self.shares.share_usage(now, it.id))
-    }
-
-    fn send_or_refuse(
-        &mut self,
-        now: Timestamp,
-        in_flight: InFlightRequest,
-        limits: AdmissionLimits,
-    ) {
-        match self.choose_server(now, &in_flight, limits) {
-            Ok(placement) => self.send(now, in_flight, placement),
-            Err(error) => {
-                let reason = self.refusal_reason(now, &in_flight, error);
-                let lowest = match error {
-                    PlacementError::TooLate(lowest) => lowest,
-                    PlacementError::NoServer | PlacementError::NoSlot => LowestEstimates::NONE,
-                };
-                self.refuse(now, &in_flight, reason, lowest, limits.allowed_ms);
-            }
-        }
-    }
-
-    fn choose_server(
-        &self,
-        now: Timestamp,
-        in_flight: &InFlightRequest,
-        limits: AdmissionLimits,
-    ) -> Result<place::Placement, PlacementError> {
-        let keys = self.pools.get(&in_flight.arrival.service).ok_or(PlacementError::NoServer)?;
-        let servers = keys.iter().filter_map(|it| self.servers.get(it));
-        let required = Requirements {
-            prompt: in_flight.arrival.prompt.as_ref(),
-            tried: &in_flight.tried,
-            limits,
-            connections_max: self.connections_max(in_flight.arrival.service),
-            remaining_ms: in_flight.arrival.deadline().remaining(now).0 as f64,
-            data_centre: &self.options.data_centre,
-        };
-        place::choose(now, servers, required)
-    }
-
-    fn refusal_reason(
-        &mut self,
-        now: Timestamp,
-        in_flight: &InFlightRequest,
-        error: PlacementError,
-    ) -> Refusal {
-        match error {
-            PlacementError::NoServer if in_flight.tried.is_empty() => Refusal::NoServer,
-            PlacementError::NoServer => Refusal::TurnedAway,
-            _ if in_flight.arrival.deadline().is_due(now) => Refusal::TooLate,
-            _ if self.share_usage(now, &in_flight.arrival) > 1.0 => Refusal::TeamOverShare,
-            _ => Refusal::Overload,
-        }
-    }
-
-    fn refuse(
-        &mut self,
-        now: Timestamp,
-        in_flight: &InFlightRequest,
-        reason: Refusal,
-        lowest: LowestEstimates,
-        allowed_ms: f64,
-    ) {
-        let request = in_flight.arrival.request;
-        let LowestEstimates { cost_ms, expected_ms } = lowest;
-        self.record_outcome(&in_flight.arrival, TokenOutcome::Refused);
-        let share_usage = self.share_usage(now, &in_flight.arrival);
-        let excess_ms = (cost_ms - allowed_ms).clamp(RETRY_AFTER_MS.start, RETRY_AFTER_MS.end);
-        let jitter = self.rng.random_range(1.0..2.0);
-        let retry_after = Millis((excess_ms * jitter) as u64);
-        let decision = Decision::RequestRefused {
-            request,
-            reason,
-            cost_ms,
-            expected_ms,
-            allowed_ms,
-            share_usage,
-        };
-        self.effects.push(Effect::Log(decision));
-        self.effects.push(Effect::Refuse { request, reason, retry_after });
-    }
-
-    fn fail_request(&mut self, request: RequestId, reason: Failure) {
-        self.effects.push(Effect::Log(Decision::RequestFailed { request, reason }));
-        self.effects.push(Effect::Fail { request, reason });
-    }
-
-    fn queue_note(&mut self, note: Note) {
-        // Notes only refine estimates, so dropping one when the outbox is full is safe.
-        if self.outbox.len() < OUTBOX_CAPACITY {
-            self.outbox.push(note);
-        }
-    }
-
-    fn on_notes_received(&mut self, now: Timestamp, from: u32, notes: Notes) {
-        self.peers.insert(from, now);
-        for note in notes.notes {
-            self.apply_note(now, from, note);
-        }
-    }
-
-    fn apply_note(&mut self, now: Timestamp, from: u32, note: Note) {
-        let attempt_key = |attempt| AttemptKey { instance: from, attempt };
-        match note {
-            Note::AttemptSent { server, attempt, prefill_tokens, charge, parts, fetch } => {
-                self.record_transfer(now, server, fetch);
-                if let Some((team, tokens)) = charge {
-                    self.shares.record_granted(now, team, tokens);
-                }
-                if let Some(server) = self.servers.get_mut(&server) {
-                    server.record_sent(now, attempt_key(attempt), prefill_tokens);
-                    server.record_cached_parts(now, &parts);
-                }
-            }
-            Note::ResponseStarted { server, attempt } => {
-                if let Some(server) = self.servers.get_mut(&server) {
-                    server.record_response_start(now, attempt_key(attempt));
-                }
-            }
-            Note::AttemptEnded { server, attempt, event_interval_micros, refunded } => {
-                if let Some((team, tokens)) = refunded {
-                    self.shares.record_refund(now, team, tokens);
-                }
-                if let Some(server) = self.servers.get_mut(&server) {
-                    server.record_end(now, attempt_key(attempt));
-                    server.record_event_interval(now, event_interval_micros);
-                }
-            }
-            Note::TokensRequested { team, tokens } => {
-                self.shares.record_requested(now, team, tokens)
-            }
-            Note::ServerAvoided { server, for_ms } => {
-                if let Some(server) = self.servers.get_mut(&server) {
-                    server.health.extend_avoidance(now.after(Millis(for_ms.into())));
-                }
-            }
-            Note::CacheListed { server, parts } => self.merge_peer_cache(now, server, &parts),
-            Note::ServerCrashed { fingerprint } => self.record_crash(now, fingerprint),
-        }
-    }
-
-    fn record_crash(&mut self, now: Timestamp, fingerprint: u64) {
-        if self.crashes.record_crash(now, fingerprint) {
-            self.effects.push(Effect::Log(Decision::RequestBarred { fingerprint }));
-        }
-    }
-
     fn prune(&mut self, now: Timestamp) {
         let inactive: Vec<u32> = self
             .peers
@@ -444,33 +248,4 @@
         self.update_speed_priors();
         self.request_cache_lists(now);
     }
-
-    /// Counts a request that this instance rejected. Its tokens are no demand on the engines, as
-    /// the caller sends it again.
-    fn on_request_shed(&mut self, now: Timestamp, team: &Arc<Team>, tokens: u32) {
-        self.local_requests.record_requested(now, team.id, 1);
-        self.activity.record_requested(team, tokens);
-        self.activity.record_outcome(team, tokens, TokenOutcome::Shed);
-    }
-
-    fn record_outcome(&mut self, arrival: &Arrival, outcome: TokenOutcome) {
-        if let (Some(team), Some(prompt)) = (&arrival.team, &arrival.prompt) {
-            self.activity.record_outcome(team, prompt.charge(), outcome);
-        }
-    }
-
-    /// Logs what each team asked for and got here, once a second.
-    fn report_activity(&mut self, now: Timestamp) {
-        for tokens in self.activity.take_report(now) {
-            let share_usage = self.shares.share_usage(now, tokens.team.id);
-            let fair_share = self.shares.fair_share();
-            let decision = Decision::TeamActivity { tokens, share_usage, fair_share };
-            self.effects.push(Effect::Log(decision));
-        }
-    }
-
-    fn charge(arrival: &Arrival) -> Option<(TeamId, u32)> {
-        let (team, prompt) = (arrival.team.as_ref()?, arrival.prompt.as_ref()?);
-        Some((team.id, prompt.charge()))
-    }
 }
--- /dev/null
+++ b/sl-route/src/state/admit.rs
@@ -0,0 +1,179 @@
+//! Arrival of requests: admission by the team's share, refusal, and counts by team.
+
+use std::sync::Arc;
+
+use rand::RngExt;
+use sl_base::{Millis, RequestId, TeamId, Timestamp};
+
+use super::State;
+use crate::{
+    Arrival, Decision, Effect, Failure, Refusal, Team,
+    activity::TokenOutcome,
+    admission::AdmissionLimits,
+    note::Note,
+    place::{self, LowestEstimates, PlacementError, Requirements},
+    request::InFlightRequest,
+};
+
+/// Bounds on the `Retry-After` time before jitter, in milliseconds.
+const RETRY_AFTER_MS: std::ops::Range<f64> = 100.0..2_000.0;
+
+impl State {
+    pub(super) fn on_arrival(&mut self, now: Timestamp, arrival: Arrival) {
+        let request = arrival.request;
+        self.budget.record_request(now, arrival.service);
+        if let Some(team) = &arrival.team {
+            self.local_requests.record_requested(now, team.id, 1);
+            self.local_requests.record_granted(now, team.id, 1);
+        }
+        if let Some((team, tokens)) = State::charge(&arrival) {
+            if let Some(team) = &arrival.team {
+                self.activity.record_requested(team, tokens);
+            }
+            self.shares.record_requested(now, team, tokens);
+            self.queue_note(Note::TokensRequested { team, tokens });
+        }
+        if self.crashes.is_barred(now, arrival.fingerprint) {
+            self.fail_request(request, Failure::CrashesServers);
+            return;
+        }
+        let in_flight = InFlightRequest::new(arrival);
+        if self.requests.len() >= self.options.limits.max_in_flight {
+            self.refuse(now, &in_flight, Refusal::InstanceFull, LowestEstimates::NONE, 0.0);
+            return;
+        }
+        let limits = self.admission_limits(now, &in_flight);
+        self.send_or_refuse(now, in_flight, limits);
+    }
+
+    /// The limits that apply to a new request, from where its team stands.
+    fn admission_limits(&mut self, now: Timestamp, in_flight: &InFlightRequest) -> AdmissionLimits {
+        let arrival = &in_flight.arrival;
+        let remaining_ms = arrival.deadline().remaining(now).0 as f64;
+        if arrival.prompt.is_none() {
+            return AdmissionLimits::until_deadline(remaining_ms);
+        }
+        let target_ms = arrival.route.target_latency.0 as f64;
+        let usage = arrival.team.as_ref().and_then(|it| self.shares.contended_usage(now, it.id));
+        AdmissionLimits::new(target_ms, remaining_ms, usage)
+    }
+
+    /// Ratio of the team's usage to its fair share; 1 means that the share is used up.
+    fn share_usage(&mut self, now: Timestamp, arrival: &Arrival) -> f64 {
+        arrival.team.as_ref().map_or(0.0, |it| self.shares.share_usage(now, it.id))
+    }
+
+    fn send_or_refuse(
+        &mut self,
+        now: Timestamp,
+        in_flight: InFlightRequest,
+        limits: AdmissionLimits,
+    ) {
+        match self.choose_server(now, &in_flight, limits) {
+            Ok(placement) => self.send(now, in_flight, placement),
+            Err(error) => {
+                let reason = self.refusal_reason(now, &in_flight, error);
+                let lowest = match error {
+                    PlacementError::TooLate(lowest) => lowest,
+                    PlacementError::NoServer | PlacementError::NoSlot => LowestEstimates::NONE,
+                };
+                self.refuse(now, &in_flight, reason, lowest, limits.allowed_ms);
+            }
+        }
+    }
+
+    pub(super) fn choose_server(
+        &self,
+        now: Timestamp,
+        in_flight: &InFlightRequest,
+        limits: AdmissionLimits,
+    ) -> Result<place::Placement, PlacementError> {
+        let keys = self.pools.get(&in_flight.arrival.service).ok_or(PlacementError::NoServer)?;
+        let servers = keys.iter().filter_map(|it| self.servers.get(it));
+        let required = Requirements {
+            prompt: in_flight.arrival.prompt.as_ref(),
+            tried: &in_flight.tried,
+            limits,
+            connections_max: self.connections_max(in_flight.arrival.service),
+            remaining_ms: in_flight.arrival.deadline().remaining(now).0 as f64,
+            data_centre: &self.options.data_centre,
+        };
+        place::choose(now, servers, required)
+    }
+
+    fn refusal_reason(
+        &mut self,
+        now: Timestamp,
+        in_flight: &InFlightRequest,
+        error: PlacementError,
+    ) -> Refusal {
+        match error {
+            PlacementError::NoServer if in_flight.tried.is_empty() => Refusal::NoServer,
+            PlacementError::NoServer => Refusal::TurnedAway,
+            _ if in_flight.arrival.deadline().is_due(now) => Refusal::TooLate,
+            _ if self.share_usage(now, &in_flight.arrival) > 1.0 => Refusal::TeamOverShare,
+            _ => Refusal::Overload,
+        }
+    }
+
+    pub(super) fn refuse(
+        &mut self,
+        now: Timestamp,
+        in_flight: &InFlightRequest,
+        reason: Refusal,
+        lowest: LowestEstimates,
+        allowed_ms: f64,
+    ) {
+        let request = in_flight.arrival.request;
+        let LowestEstimates { cost_ms, expected_ms } = lowest;
+        self.record_outcome(&in_flight.arrival, TokenOutcome::Refused);
+        let share_usage = self.share_usage(now, &in_flight.arrival);
+        let excess_ms = (cost_ms - allowed_ms).clamp(RETRY_AFTER_MS.start, RETRY_AFTER_MS.end);
+        let jitter = self.rng.random_range(1.0..2.0);
+        let retry_after = Millis((excess_ms * jitter) as u64);
+        let decision = Decision::RequestRefused {
+            request,
+            reason,
+            cost_ms,
+            expected_ms,
+            allowed_ms,
+            share_usage,
+        };
+        self.effects.push(Effect::Log(decision));
+        self.effects.push(Effect::Refuse { request, reason, retry_after });
+    }
+
+    pub(super) fn fail_request(&mut self, request: RequestId, reason: Failure) {
+        self.effects.push(Effect::Log(Decision::RequestFailed { request, reason }));
+        self.effects.push(Effect::Fail { request, reason });
+    }
+
+    /// Counts a request that this instance rejected. Its tokens are no demand on the engines, as
+    /// the caller sends it again.
+    pub(super) fn on_request_shed(&mut self, now: Timestamp, team: &Arc<Team>, tokens: u32) {
+        self.local_requests.record_requested(now, team.id, 1);
+        self.activity.record_requested(team, tokens);
+        self.activity.record_outcome(team, tokens, TokenOutcome::Shed);
+    }
+
+    pub(super) fn record_outcome(&mut self, arrival: &Arrival, outcome: TokenOutcome) {
+        if let (Some(team), Some(prompt)) = (&arrival.team, &arrival.prompt) {
+            self.activity.record_outcome(team, prompt.charge(), outcome);
+        }
+    }
+
+    /// Logs what each team asked for and got here, once a second.
+    pub(super) fn report_activity(&mut self, now: Timestamp) {
+        for tokens in self.activity.take_report(now) {
+            let share_usage = self.shares.share_usage(now, tokens.team.id);
+            let fair_share = self.shares.fair_share();
+            let decision = Decision::TeamActivity { tokens, share_usage, fair_share };
+            self.effects.push(Effect::Log(decision));
+        }
+    }
+
+    pub(super) fn charge(arrival: &Arrival) -> Option<(TeamId, u32)> {
+        let (team, prompt) = (arrival.team.as_ref()?, arrival.prompt.as_ref()?);
+        Some((team.id, prompt.charge()))
+    }
+}
--- /dev/null
+++ b/sl-route/src/state/notes.rs
@@ -0,0 +1,74 @@
+//! Notes to and from peers.
+
+use sl_base::{Millis, Timestamp};
+
+use super::State;
+use crate::{
+    Decision, Effect, Notes,
+    note::{AttemptKey, Note},
+};
+
+/// Notes that may wait to be sent; further notes are dropped.
+const OUTBOX_CAPACITY: usize = 4_096;
+
+impl State {
+    pub(super) fn queue_note(&mut self, note: Note) {
+        // Notes only refine estimates, so dropping one when the outbox is full is safe.
+        if self.outbox.len() < OUTBOX_CAPACITY {
+            self.outbox.push(note);
+        }
+    }
+
+    pub(super) fn on_notes_received(&mut self, now: Timestamp, from: u32, notes: Notes) {
+        self.peers.insert(from, now);
+        for note in notes.notes {
+            self.apply_note(now, from, note);
+        }
+    }
+
+    fn apply_note(&mut self, now: Timestamp, from: u32, note: Note) {
+        let attempt_key = |attempt| AttemptKey { instance: from, attempt };
+        match note {
+            Note::AttemptSent { server, attempt, prefill_tokens, charge, parts, fetch } => {
+                self.record_transfer(now, server, fetch);
+                if let Some((team, tokens)) = charge {
+                    self.shares.record_granted(now, team, tokens);
+                }
+                if let Some(server) = self.servers.get_mut(&server) {
+                    server.record_sent(now, attempt_key(attempt), prefill_tokens);
+                    server.record_cached_parts(now, &parts);
+                }
+            }
+            Note::ResponseStarted { server, attempt } => {
+                if let Some(server) = self.servers.get_mut(&server) {
+                    server.record_response_start(now, attempt_key(attempt));
+                }
+            }
+            Note::AttemptEnded { server, attempt, event_interval_micros, refunded } => {
+                if let Some((team, tokens)) = refunded {
+                    self.shares.record_refund(now, team, tokens);
+                }
+                if let Some(server) = self.servers.get_mut(&server) {
+                    server.record_end(now, attempt_key(attempt));
+                    server.record_event_interval(now, event_interval_micros);
+                }
+            }
+            Note::TokensRequested { team, tokens } => {
+                self.shares.record_requested(now, team, tokens)
+            }
+            Note::ServerAvoided { server, for_ms } => {
+                if let Some(server) = self.servers.get_mut(&server) {
+                    server.health.extend_avoidance(now.after(Millis(for_ms.into())));
+                }
+            }
+            Note::CacheListed { server, parts } => self.merge_peer_cache(now, server, &parts),
+            Note::ServerCrashed { fingerprint } => self.record_crash(now, fingerprint),
+        }
+    }
+
+    pub(super) fn record_crash(&mut self, now: Timestamp, fingerprint: u64) {
+        if self.crashes.record_crash(now, fingerprint) {
+            self.effects.push(Effect::Log(Decision::RequestBarred { fingerprint }));
+        }
+    }
+}
