--- a/sl-route/src/state/admit.rs
+++ b/sl-route/src/state/admit.rs
@@ -13,8 +13,12 @@
     note::Note,
     place::{self, LowestEstimates, PlacementError, Requirements},
     request::InFlightRequest,
+    share::Standing,
 };
 
+/// The limit of requests in flight divided by this is left to teams within their share.
+const WITHIN_SHARE_DIVISOR: usize = 4;
+
 /// Bounds on the `Retry-After` time before jitter, in milliseconds.
 const RETRY_AFTER_MS: std::ops::Range<f64> = 100.0..2_000.0;
 
@@ -24,7 +28,6 @@
         self.budget.record_request(now, arrival.service);
         if let Some(team) = &arrival.team {
             self.local_requests.record_requested(now, team.id, 1);
-            self.local_requests.record_granted(now, team.id, 1);
         }
         if let Some((team, tokens)) = State::charge(&arrival) {
             if let Some(team) = &arrival.team {
@@ -38,14 +41,27 @@
             return;
         }
         let in_flight = InFlightRequest::new(arrival);
-        if self.requests.len() >= self.options.limits.max_in_flight {
+        let team = in_flight.arrival.team.as_ref().map(|it| it.id);
+        if self.requests.len() >= self.in_flight_max(now, team) {
             self.refuse(now, &in_flight, Refusal::InstanceFull, LowestEstimates::NONE, 0.0);
             return;
         }
+        if let Some(team) = team {
+            self.local_requests.record_granted(now, team, 1);
+        }
         let limits = self.admission_limits(now, &in_flight);
         self.send_or_refuse(now, in_flight, limits);
     }
 
+    /// How many requests may be in flight for another one of the team to be admitted.
+    fn in_flight_max(&mut self, now: Timestamp, team: Option<TeamId>) -> usize {
+        let max = self.options.limits.max_in_flight;
+        match team.map(|it| self.standing(now, it)) {
+            Some(Standing::OverShare) => max - max / WITHIN_SHARE_DIVISOR,
+            Some(Standing::WithinShare) | None => max,
+        }
+    }
+
     /// The limits that apply to a new request, from where its team stands.
     fn admission_limits(&mut self, now: Timestamp, in_flight: &InFlightRequest) -> AdmissionLimits {
         let arrival = &in_flight.arrival;
--- a/sl-route/tests/it/fairness.rs
+++ b/sl-route/tests/it/fairness.rs
@@ -6,7 +6,7 @@
     Event, Notes, Prompt, PromptPart, RetryPolicy, ServerKey, State, note::Note, share::Standing,
 };
 
-use crate::testbed::{arrival, arrive, at, prompt, record, sent_target, state, team};
+use crate::testbed::{arrival, arrive, at, complete, prompt, record, sent_target, state, team};
 
 const PEER: u32 = 9;
 const SHARED_TOKENS: u32 = 13_000;
@@ -109,3 +109,23 @@
     assert_eq!(standing("modest"), Standing::WithinShare);
     assert_eq!(standing("greedy"), Standing::OverShare);
 }
+
+/// Guards against a team that fills an instance's requests in flight and leaves none to the
+/// others whose callers reach the same instance.
+#[test]
+fn a_full_instance_admits_teams_within_their_share_first() {
+    let mut state = state(0, &[("a", "app")]);
+    // The instance may have a hundred requests in flight.
+    let admitted = (0..120).filter(|it| admits(&mut state, *it, "heavy")).count();
+    assert_eq!(admitted, 100);
+    assert!(!admits(&mut state, 120, "light"));
+    complete(&mut state, at(200), 1);
+    assert!(!admits(&mut state, 300, "heavy"));
+    assert!(admits(&mut state, 301, "light"));
+}
+
+fn admits(state: &mut State, number: u64, name: &str) -> bool {
+    let mut arrival = arrival(at(number), number, RetryPolicy::Idempotent, None);
+    arrival.team = Some(team(name));
+    sent_target(&arrive(state, at(number), arrival)).is_some()
+}
