sl-route: repeated prefill counts in proportion to the part of its share that a team has used

What callers saw: later first tokens.

Cause: teams below half of their share are most of the teams, and together they repeat much prefill.

Change: the weight is 4 times the usage, and the fraction of the target falls from 0.95 to 0.7 with it, in place of both starting at half of the share.

--- a/sl-route/src/admission.rs
+++ b/sl-route/src/admission.rs
@@ -1,8 +1,8 @@
 //! How late and how costly a model request may be to be admitted, given where its team stands.
 //!
 //! Under overload teams over their fair share are refused first (docs/design.md). A refusal for
-//! the sake of other requests is for teams that have got enough: a team is not refused for the
-//! prefill that its request repeats until it has got half of its share.
+//! the sake of other requests is for teams that have got enough: the prefill that a request
+//! repeats counts in proportion to the part of its share that the team has used.
 
 use crate::share::ContendedUsage;
 
@@ -31,9 +31,6 @@
 /// prefill at the expense of many others.
 const DUPLICATE_PREFILL_WEIGHT: f64 = 4.0;
 
-/// Part of its share that a team gets without regard to the cost to other requests.
-const UNCONDITIONAL_SHARE: f64 = 0.5;
-
 /// Ratio of usage to fair share from which requests are sent to idle engines only. The first is
 /// the one while no team lacks much of its share; it falls with the largest shortfall to the
 /// second.
@@ -72,13 +69,13 @@
     }
 }
 
-/// Falls from the unconditional part of the share to the whole, and from there to nothing at the
-/// limit on usage.
+/// Falls with the part of the share that is used, and above the share to nothing at the limit on
+/// usage.
 fn target_fraction(usage: ContendedUsage) -> f64 {
     let ratio = usage.ratio;
     if ratio < 1.0 {
         let range = TARGET_FRACTION_WITHIN_SHARE - TARGET_FRACTION_OVER_SHARE;
-        return TARGET_FRACTION_WITHIN_SHARE - range * conditional_part(ratio);
+        return TARGET_FRACTION_WITHIN_SHARE - range * ratio;
     }
     let excess = (ratio - 1.0) / (usage_max(usage.shortfall) - 1.0);
     TARGET_FRACTION_OVER_SHARE / ratio.powi(2) * (1.0 - excess.min(1.0).powi(2))
@@ -90,11 +87,5 @@
 }
 
 fn duplicate_prefill_weight(usage: f64) -> f64 {
-    DUPLICATE_PREFILL_WEIGHT * conditional_part(usage)
-}
-
-/// How much a team with `usage` has used of the part of its share that depends on the cost to
-/// other requests, from 0 to 1.
-fn conditional_part(usage: f64) -> f64 {
-    ((usage - UNCONDITIONAL_SHARE) / (1.0 - UNCONDITIONAL_SHARE)).clamp(0.0, 1.0)
+    DUPLICATE_PREFILL_WEIGHT * usage.min(1.0)
 }
