--- a/sl-edge/src/core.rs
+++ b/sl-edge/src/core.rs
@@ -67,7 +67,7 @@
     cache_list_tx: mpsc::UnboundedSender<(ServerKey, SocketAddr)>,
 }
 
-/// Messages with notes from peers since the last log line about them.
+/// Messages from peers since the last log line about them, and gaps in their sequence numbers.
 #[derive(Clone, Copy, Debug, Default)]
 struct PeerCounts {
     received: u64,
