--- a/sl-route/tests/it/fairness.rs
+++ b/sl-route/tests/it/fairness.rs
@@ -11,13 +11,13 @@
 const PEER: u32 = 9;
 const SHARED_TOKENS: u32 = 13_000;
 
-/// Guards against a team within its share whose requests are refused for prefill that another
+/// Guards against a team with nothing of its share whose requests are refused for prefill that another
 /// engine has cached, while the team over its share goes on: on a day like the incident inc1,
 /// 363 of 394 refusals of teams below half of their share were of requests expected in time.
 #[rstest]
 #[case::within("modest", true)]
 #[case::over("greedy", false)]
-fn repeated_prefill_is_no_reason_to_refuse_a_team_within_its_share(
+fn repeated_prefill_is_no_reason_to_refuse_a_team_that_has_got_nothing(
     #[case] name: &str,
     #[case] is_sent: bool,
 ) {
