sl-config: allowances and windows may be fractions

Cause: the platform scales the retry allowance with the fleet and writes it with a fraction (33.157...). The template wrote windows as seconds with three zeros behind, which a fraction breaks as well (9.7 became 9.7000 ms).

Change: the allowance is a decimal number from 0 on; a window may be given as window-s, with a fraction. Negative values, NaN and infinity stay errors. The other values that the platform fills in were read for the same: cores and the ratio were decimal already, descriptors and ports are counts.

Tests: sl-config settings (fractions, negative, NaN, infinite), sl-core template.

--- a/sl-config/src/raw.rs
+++ b/sl-config/src/raw.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 
+use sl_base::Millis;
+
 /// The text of a value, without surrounding white space.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct RawValue<'a>(pub(crate) &'a str);
@@ -178,3 +180,43 @@
             .ok_or_else(|| Expected::new("a ratio from 0 to 10, such as 0.2"))
     }
 }
+
+/// An amount of at least 0, written as a decimal number such as 33.5.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct Amount(pub(crate) f64);
+
+/// Largest valid amount.
+const AMOUNT_MAX: f64 = 1_000_000.0;
+
+impl TryFrom<RawValue<'_>> for Amount {
+    type Error = Expected;
+
+    fn try_from(RawValue(text): RawValue<'_>) -> Result<Amount, Expected> {
+        let amount: Option<f64> = text.parse().ok();
+        amount
+            .filter(|it| (0.0..=AMOUNT_MAX).contains(it))
+            .map(Amount)
+            .ok_or_else(|| Expected::new("a number from 0 to 1000000, such as 33.5"))
+    }
+}
+
+/// A duration in seconds, written as a decimal number such as 9.7 and rounded to milliseconds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Seconds(pub(crate) Millis);
+
+/// Shortest and longest valid duration in seconds: a millisecond and a day.
+const SECONDS_RANGE: std::ops::RangeInclusive<f64> = 0.001..=86_400.0;
+
+const MILLIS_PER_SECOND: f64 = 1_000.0;
+
+impl TryFrom<RawValue<'_>> for Seconds {
+    type Error = Expected;
+
+    fn try_from(RawValue(text): RawValue<'_>) -> Result<Seconds, Expected> {
+        let seconds: Option<f64> = text.parse().ok();
+        seconds
+            .filter(|it| SECONDS_RANGE.contains(it))
+            .map(|it| Seconds(Millis((it * MILLIS_PER_SECOND).round() as u64)))
+            .ok_or_else(|| Expected::new("a number of seconds from 0.001 to 86400, such as 9.7"))
+    }
+}
--- a/sl-config/src/reader.rs
+++ b/sl-config/src/reader.rs
@@ -9,7 +9,7 @@
 use crate::{
     fault::{Fault, Problem},
     ini::{Entry, Section},
-    raw::{Expected, RawValue},
+    raw::{Expected, RawValue, Seconds},
 };
 
 /// Longest duration that a setting may hold: one day, in milliseconds.
@@ -95,6 +95,24 @@
         Millis(self.number(key, 1..=DURATION_MS_MAX, default.0))
     }
 
+    /// Returns a duration that is given under either of two keys: in whole milliseconds, or in
+    /// seconds with a fraction. Returns `default` if both are absent or, with a fault, if the
+    /// value is invalid or both are present.
+    pub(crate) fn span(
+        &mut self,
+        millis_key: &'static str,
+        seconds_key: &'static str,
+        default: Millis,
+    ) -> Millis {
+        let in_seconds = self.optional::<Seconds>(seconds_key);
+        if self.contains(millis_key) && self.contains(seconds_key) {
+            let message = format!("`{millis_key}` and `{seconds_key}` are mutually exclusive");
+            self.conflict(seconds_key, message);
+        }
+        let in_millis = self.millis(millis_key, default);
+        in_seconds.map_or(in_millis, |it| it.0)
+    }
+
     /// Like [`Reader::number`], for one of the names of an enum's variants.
     pub(crate) fn variant<W>(&mut self, key: &'static str, default: W) -> W
     where
@@ -121,7 +139,7 @@
     }
 
     /// Returns the span of the value of `key`, or of the section header if the key is absent.
-    pub(crate) fn span(&self, key: &str) -> SourceSpan {
+    pub(crate) fn source_span(&self, key: &str) -> SourceSpan {
         match self.find(key) {
             Some(entry) => entry.value.span,
             None => self.section.header.span,
@@ -130,7 +148,7 @@
 
     /// Adds a fault at the value of `key`, which conflicts with another setting.
     pub(crate) fn conflict(&mut self, key: &str, message: impl Into<String>) {
-        let span = self.span(key);
+        let span = self.source_span(key);
         let fault = Fault::new(Problem::Conflict(message.into()), span);
         self.faults.push(fault);
     }
--- a/sl-config/src/settings.rs
+++ b/sl-config/src/settings.rs
@@ -13,7 +13,7 @@
 use crate::{fault::Faults, key::KeySource};
 
 /// The checked settings of an instance.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// Name of the instance, as listed by the platform.
     pub name: String,
@@ -48,19 +48,19 @@
 
 /// Retry budget of the whole fleet for one service. In each window, it allows `ratio` times
 /// the number of requests, plus `allowance`.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RetryBudget {
     /// Retries allowed per request.
     pub ratio: Ratio,
-    /// Retries allowed per window regardless of the number of requests.
-    pub allowance: u32,
+    /// Retries allowed per window regardless of the number of requests; may be fractional.
+    pub allowance: f64,
     /// Window over which requests and retries are counted.
     pub window: Millis,
 }
 
 impl Default for RetryBudget {
     fn default() -> RetryBudget {
-        RetryBudget { ratio: Ratio { ppm: 100_000 }, allowance: 10, window: Millis(10_000) }
+        RetryBudget { ratio: Ratio { ppm: 100_000 }, allowance: 10.0, window: Millis(10_000) }
     }
 }
 
--- a/sl-config/src/settings/read.rs
+++ b/sl-config/src/settings/read.rs
@@ -10,7 +10,7 @@
     fault::{Fault, Problem},
     ini::{self, Section},
     key::KeySource,
-    raw::{BaseUrl, Expected, Hashes, Name, Percent, Ratio, RawValue, SeedInstances},
+    raw::{Amount, BaseUrl, Expected, Hashes, Name, Percent, Ratio, RawValue, SeedInstances},
     reader::Reader,
 };
 
@@ -245,7 +245,7 @@
 
 fn read_sharing(reader: &mut Reader<'_, '_>) -> Sharing {
     let defaults = Sharing::default();
-    Sharing { window: reader.millis("window-ms", defaults.window) }
+    Sharing { window: reader.span("window-ms", "window-s", defaults.window) }
 }
 
 fn read_objectives(reader: &mut Reader<'_, '_>) -> Objectives {
@@ -257,15 +257,12 @@
     }
 }
 
-/// Largest valid value of `allowance`.
-const ALLOWANCE_MAX: u64 = 1_000_000;
-
 fn read_retry_budget(reader: &mut Reader<'_, '_>) -> RetryBudget {
     let defaults = RetryBudget::default();
     RetryBudget {
         ratio: reader.optional("ratio").unwrap_or(defaults.ratio),
-        allowance: reader.number("allowance", 0..=ALLOWANCE_MAX, defaults.allowance),
-        window: reader.millis("window-ms", defaults.window),
+        allowance: reader.optional::<Amount>("allowance").map_or(defaults.allowance, |it| it.0),
+        window: reader.span("window-ms", "window-s", defaults.window),
     }
 }
 
--- a/sl-config/tests/it/settings.rs
+++ b/sl-config/tests/it/settings.rs
@@ -90,6 +90,36 @@
     "ratio = -0.1",
     "`-0.1` is not a ratio from 0 to 10, such as 0.2"
 )]
+#[case::allowance_below_zero(
+    "allowance = 10",
+    "allowance = -1.5",
+    "`-1.5` is not a number from 0 to 1000000, such as 33.5"
+)]
+#[case::allowance_not_a_number(
+    "allowance = 10",
+    "allowance = NaN",
+    "`NaN` is not a number from 0 to 1000000, such as 33.5"
+)]
+#[case::infinite_allowance(
+    "allowance = 10",
+    "allowance = inf",
+    "`inf` is not a number from 0 to 1000000, such as 33.5"
+)]
+#[case::window_of_no_length(
+    "window-ms = 10000",
+    "window-s = 0",
+    "`0` is not a number of seconds from 0.001 to 86400, such as 9.7"
+)]
+#[case::window_not_a_number(
+    "window-ms = 10000",
+    "window-s = NaN",
+    "`NaN` is not a number of seconds from 0.001 to 86400, such as 9.7"
+)]
+#[case::window_in_both_units(
+    "window-ms = 10000",
+    "window-ms = 10000\nwindow-s = 10",
+    "`window-ms` and `window-s` are mutually exclusive"
+)]
 #[case::missing_name("name = caerdydd-1", "", "missing key `name` in [instance]")]
 fn a_fault_has_its_message(#[case] from: &str, #[case] to: &str, #[case] expected: &str) {
     assert!(VALID.contains(from));
@@ -115,6 +145,20 @@
     assert_eq!(full.log.format, LogFormat::Json);
 }
 
+/// The platform hands over rates, allowances and windows with or without a fraction. Guards
+/// against a fleet of which no instance starts, because an allowance was not a whole number.
+#[test]
+fn amounts_and_windows_may_be_fractions() {
+    let text = VALID
+        .replace("allowance = 10", "allowance = 33.157894736842")
+        .replace("window-ms = 10000", "window-s = 9.7")
+        .replace("window-ms = 4000", "window-s = 4.0");
+    let settings = Settings::parse("settings.ini", &text).expect("fractions are valid");
+    assert!((settings.retry_budget.allowance - 33.157_894).abs() < 1e-5);
+    assert_eq!(settings.retry_budget.window.0, 9_700);
+    assert_eq!(settings.sharing.window.0, 4_000);
+}
+
 #[test]
 fn a_key_is_read_from_its_source_and_redacted_in_debug_output() {
     let source = KeySource::Env("CONTROL_KEY".to_owned());
--- a/sl-core/tests/it/template.rs
+++ b/sl-core/tests/it/template.rs
@@ -60,6 +60,18 @@
     assert!(text.ends_with("settings.ini: valid\n"));
 }
 
+/// The platform writes the bounds with or without a fraction, and scales some of them.
+#[test]
+fn the_deployed_template_accepts_fractions() {
+    let values = VALUES
+        .replace("retry_allowance = 50", "retry_allowance = 33.157894736842104")
+        .replace("retry_budget_ratio = 0.2", "retry_budget_ratio = 0.20000000000000001")
+        .replace("budget_window_s = 10", "budget_window_s = 9.7")
+        .replace("quota_window_s = 4", "quota_window_s = 4.0");
+    let (exit, text) = run_check(TEMPLATE, &values, OutputFormat::Text);
+    assert_eq!(exit, Exit::Done, "{text}");
+}
+
 #[rstest]
 #[case::no_value("max_fds = 4000", "", "no value for placeholder `limits.max_fds`")]
 #[case::wrong_type("cpu_quota = 0.25", "cpu_quota = \"a part\"", "`a part` is not")]
--- a/sl-edge/src/run.rs
+++ b/sl-edge/src/run.rs
@@ -403,7 +403,7 @@
     InstanceLimits {
         budget: budget::Options {
             ratio: settings.retry_budget.ratio.value(),
-            allowance: f64::from(settings.retry_budget.allowance),
+            allowance: settings.retry_budget.allowance,
             window: settings.retry_budget.window,
         },
         max_in_flight: settings.bounds.max_in_flight as usize,
