--- a/bench/src/load/play.rs
+++ b/bench/src/load/play.rs
@@ -200,6 +200,7 @@
         data_centre: "here".into(),
         slots: SLOTS,
         state: ServerState::Ready,
+        sequence: 1,
     }
 }
 
--- a/bench/src/soak.rs
+++ b/bench/src/soak.rs
@@ -190,6 +190,7 @@
             replaced_servers: Vec::new(),
             config_version: 1,
             paused: Vec::new(),
+            backup: None,
         };
         // Gives the instances time to replace the server addresses that they already know by
         // those of the relays.
--- a/bench/src/soak/plan.rs
+++ b/bench/src/soak/plan.rs
@@ -41,6 +41,11 @@
     Replace(usize),
     /// Puts a configuration with a new version into the store.
     Configure,
+    /// Copies the store or, every second time, restores it from that copy. Servers and operator
+    /// write their entries again after a moment.
+    RestoreStore,
+    /// Makes the server announce its shutdown in its responses, and then replaces it.
+    Leave(usize),
 }
 
 /// A fault of a network link.
@@ -74,6 +79,8 @@
     pub(crate) config_version: u64,
     /// Indexes of the suspended instances.
     pub(crate) paused: Vec<usize>,
+    /// The copy of the store from which it is restored next.
+    pub(crate) backup: Option<store::Backup>,
 }
 
 /// The mean interval between two faults of any kind, in milliseconds.
@@ -85,6 +92,12 @@
 /// The mean interval between two additional faults of servers, in milliseconds.
 const SERVER_FAULT_MEAN_INTERVAL_MS: u64 = 250;
 
+/// The mean interval between two restores, departures or pauses, in milliseconds.
+const NOTICE_MEAN_INTERVAL_MS: u64 = 600;
+
+/// How long a restored store lacks what servers and operator wrote since.
+const REWRITE_DELAY: Duration = Duration::from_millis(300);
+
 /// Draws the faults of a soak, in the order of their times. Faults of servers are more frequent
 /// than others, because the fault of one server affects the requests of few callers.
 pub(crate) fn faults(
@@ -97,10 +110,24 @@
     faults.extend(draw_schedule(rng, duration, SERVER_FAULT_MEAN_INTERVAL_MS, |rng| {
         Fault::Server(rng.random_range(0..SERVER_COUNT), draw_server_fault(rng))
     }));
+    // Drawn last, so that the other faults of a seed stay the same.
+    faults.extend(draw_schedule(rng, duration, NOTICE_MEAN_INTERVAL_MS, draw_notice));
     faults.sort_by_key(|it| it.0);
     faults
 }
 
+/// Draws a restore of the store, or something that a server announces in its responses.
+fn draw_notice(rng: &mut impl Rng) -> Fault {
+    let server = rng.random_range(0..SERVER_COUNT);
+    match rng.random_range(0..8) {
+        0..3 => Fault::RestoreStore,
+        3 => Fault::Leave(server),
+        4..6 => Fault::Server(server, server::Fault::Busy),
+        6 => Fault::Server(server, server::Fault::MalformedPause),
+        _ => Fault::Server(server, server::Fault::None),
+    }
+}
+
 /// Draws faults at random intervals with a mean of `mean_interval_ms`.
 fn draw_schedule<R: Rng>(
     rng: &mut R,
@@ -205,10 +232,34 @@
                 let document = configuration(self.config_version);
                 self.fleet.store.put(document::CONFIG_KEY, &document);
             }
+            Fault::RestoreStore => self.copy_or_restore_store().await,
+            Fault::Leave(index) => {
+                self.fleet.servers[index].set_fault(server::Fault::Leaving);
+                tokio::time::sleep(REWRITE_DELAY).await;
+                self.replace_server(index).await?;
+            }
         }
         Ok(())
     }
 
+    async fn copy_or_restore_store(&mut self) {
+        let store = &self.fleet.store;
+        let Some(backup) = self.backup.take() else {
+            self.backup = Some(store.backup());
+            return;
+        };
+        store.restore(backup);
+        tokio::time::sleep(REWRITE_DELAY).await;
+        store.put(document::CONFIG_KEY, &configuration(self.config_version));
+        let (relays, replaced_relays) = self.server_relays.split_at(self.fleet.servers.len());
+        for (server, relay) in self.fleet.servers.iter().zip(relays) {
+            server.register_at(store, relay.address(), "ready");
+        }
+        for (server, relay) in self.replaced_servers.iter().zip(replaced_relays) {
+            server.register_at(store, relay.address(), "draining");
+        }
+    }
+
     /// Ends all faults and puts a new configuration into the store.
     pub(crate) async fn end_all_faults(&mut self) -> io::Result<()> {
         self.fleet.store.set_fault(store::Fault::None);
--- a/sl-edge/src/attempt.rs
+++ b/sl-edge/src/attempt.rs
@@ -54,13 +54,15 @@
 const STRAY_BYTES_MAX: usize = 1 << 20;
 
 /// Sends the request to `target`, if `is_accepting` still holds once connected, and reads the
-/// head of the response.
+/// head of the response. `on_response` sees the head of each response of the target to this
+/// request, also of one that turns it away.
 pub(crate) async fn send(
     pool: &Pool,
     clock: Clock,
     target: &Target,
     outgoing: OutgoingRequest<'_>,
     is_accepting: impl Fn() -> bool,
+    on_response: impl Fn(ServerResponse<'_>),
 ) -> Result<Upstream, Fault> {
     let pooled = pool.acquire(target.address, outgoing.max_connections, outgoing.only_fresh).await;
     let mut pooled = pooled.map_err(|e| match e {
@@ -91,8 +93,8 @@
         Ok(Err(_)) => return Err(lost_fault),
         Err(_) => return Err(Fault::ResponseTimeout),
     };
-    match timeout_at(response_deadline, read_matching_head(&mut pooled, outgoing, lost_fault)).await
-    {
+    let reading = read_matching_head(&mut pooled, outgoing, lost_fault, on_response);
+    match timeout_at(response_deadline, reading).await {
         Ok(Ok((head, is_error))) => into_upstream(pooled, head, is_error, is_fully_sent, outgoing),
         Ok(Err(fault)) => Err(fault),
         Err(_) => Err(Fault::ResponseTimeout),
@@ -121,11 +123,16 @@
     pooled: &mut PooledConn,
     outgoing: OutgoingRequest<'_>,
     lost_fault: Fault,
+    on_response: impl Fn(ServerResponse<'_>),
 ) -> Result<(ResponseHead, bool), Fault> {
     for _ in 0..=STRAY_RESPONSES_MAX {
         let head = read_final_head(pooled, lost_fault).await?;
         let response = ServerResponse(&head);
-        match response.classify(outgoing.attempt_id) {
+        let class = response.classify(outgoing.attempt_id);
+        if class.is_by_target() {
+            on_response(response);
+        }
+        match class {
             ResponseClass::Valid => return Ok((head, false)),
             ResponseClass::ServerError if response.may_forward_error() => return Ok((head, true)),
             ResponseClass::ServerError => return Err(Fault::UnprovenRejection),
--- a/sl-edge/src/caller/exchange.rs
+++ b/sl-edge/src/caller/exchange.rs
@@ -3,12 +3,14 @@
 use bytes::Bytes;
 use sl_base::{Code, Millis, Timestamp};
 use sl_http::Conn;
-use sl_route::{Arrival, AttemptEnd, Event, Failure, Fault, RetryPolicy, effect::Target};
+use sl_route::{
+    Arrival, AttemptEnd, Event, Failure, Fault, RetryPolicy, ServerNotice, effect::Target,
+};
 
 use super::{Disposition, Ingress, request::Request};
 use crate::{
     attempt::{self, OutgoingRequest, Upstream},
-    core::{Action, RequestGuard},
+    core::{Action, Core, RequestGuard},
     refusal::LocalResponse,
     relay::{self, FullResponse, PIPELINED_BYTES_MAX, RelayDeadlines, RelayError, StreamRelay},
 };
@@ -122,8 +124,11 @@
             only_fresh: !request.route.retry_policy.allows_rerun(),
             max_connections: request.max_connections,
         };
-        let is_accepting = || self.ingress.core.with_state(|it| it.is_accepting(target.server));
-        let sending = attempt::send(&self.ingress.pool, clock, target, outgoing, is_accepting);
+        let core = &self.ingress.core;
+        let is_accepting = || core.with_state(|it| it.is_accepting(clock.now(), target.server));
+        let on_response = |response: ServerResponse<'_>| report_notices(core, target, response);
+        let sending =
+            attempt::send(&self.ingress.pool, clock, target, outgoing, is_accepting, on_response);
         let sent = tokio::select! {
             biased;
             sent = sending => sent,
@@ -233,6 +238,22 @@
     }
 }
 
+/// Reports to the reducer what the server asks for in the head of its response.
+fn report_notices(core: &Core, target: &Target, response: ServerResponse<'_>) {
+    let server = target.server;
+    if response.is_leaving() {
+        core.step(Event::ServerNotice { server, notice: ServerNotice::Leaving });
+    }
+    match response.retry_after() {
+        Ok(Some(pause)) => {
+            let until = core.now().after(pause);
+            core.step(Event::ServerNotice { server, notice: ServerNotice::Busy { until } });
+        }
+        Ok(None) => {}
+        Err(e) => core.warn_malformed("server response", &e),
+    }
+}
+
 /// Only responses with this status are relayed as streams.
 const STATUS_OK: u16 = 200;
 
--- a/sl-edge/src/catch_up.rs
+++ b/sl-edge/src/catch_up.rs
@@ -4,7 +4,7 @@
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use sl_base::{InstanceId, Millis};
-use sl_peer::Links;
+use sl_peer::{KnownStore, Links};
 use sl_route::{Event, note::EngineCaches};
 use slog::{debug, info};
 use tokio::time::{sleep, timeout};
@@ -85,9 +85,9 @@
 
     async fn fetch_from_newer_peer(&self) {
         if self.store.is_following() {
-            let own_revision = self.store.revision();
+            let own_version = self.store.version();
             sleep(Duration::from(STORE_HEAD_START)).await;
-            if self.store.revision() > own_revision {
+            if self.store.version() > own_version {
                 return;
             }
         }
@@ -106,11 +106,14 @@
     }
 
     async fn fetch(&self, peer: InstanceId, address: SocketAddr) {
-        let own_revision = self.store.revision();
-        match self.links.store_update(peer, address, own_revision).await {
+        let known = KnownStore {
+            version: self.store.version(),
+            document_version: self.core.document().version,
+        };
+        match self.links.store_update(peer, address, known).await {
             Ok(Some(store_update)) => {
                 info!(self.core.log, "store contents received from peer"; "address" => %address,
-                    "revision" => store_update.update.revision, "before" => own_revision,
+                    "version" => %store_update.update.version, "before" => %known.version,
                     "items" => store_update.update.items.len());
                 self.store.apply_update(store_update);
             }
--- a/sl-edge/src/change_handler.rs
+++ b/sl-edge/src/change_handler.rs
@@ -25,7 +25,7 @@
 
     fn apply_one(&self, change: &Change, origin: Origin) {
         match Entry::decode(&change.key, change.value.as_deref()) {
-            Entry::Document(Ok(document)) => self.apply_document(*document),
+            Entry::Document(Ok(document)) => self.apply_document(*document, change),
             Entry::Document(Err(e)) => {
                 warn!(self.core.log, "malformed configuration ignored"; "reason" => %e);
             }
@@ -43,7 +43,7 @@
         }
     }
 
-    fn apply_document(&self, document: sl_route::Document) {
+    fn apply_document(&self, document: sl_route::Document, change: &Change) {
         let before = self.core.document().version;
         let (version, routes) = (document.version, document.routes().count());
         if version <= before {
@@ -53,7 +53,7 @@
         }
         self.core.metrics.document_version.set(version as i64);
         self.core.step(Event::Document(document.into()));
-        self.core.record_document_applied();
+        self.core.record_document_applied(change.clone());
         info!(self.core.log, "configuration in force";
             "version" => version, "before" => before, "routes" => routes);
     }
--- a/sl-edge/src/core.rs
+++ b/sl-edge/src/core.rs
@@ -14,6 +14,7 @@
 };
 
 use sl_base::{Millis, RequestId, Timestamp};
+use sl_mirror::Change;
 use sl_route::{
     Document, Effect, Event, Failure, Refusal, Route, ServerKey, State, Team, effect::Target,
     share::Standing,
@@ -54,6 +55,8 @@
     load_shedder: Cell<LoadShedder>,
     request_log: RefCell<TailSampler<Line>>,
     peer_counts: Cell<PeerCounts>,
+    /// When malformed data of each kind may be logged again.
+    malformed_logged_until: RefCell<HashMap<&'static str, Timestamp>>,
     /// When the gauges are updated next.
     next_gauge_update: Cell<Timestamp>,
     /// When the configuration in force was applied.
@@ -61,6 +64,8 @@
     /// When the store's contents were last confirmed, by the store itself or by a peer.
     store_contact_at: Cell<Timestamp>,
     has_document: Cell<bool>,
+    /// The store's entry that the configuration in force was read from.
+    document_change: RefCell<Option<Change>>,
     ready: Arc<AtomicBool>,
     pub(crate) recorder: SharedRecorder,
     /// Engines whose cache contents are to be listed.
@@ -124,10 +129,12 @@
             load_shedder: Cell::new(LoadShedder::new(Clock.now())),
             request_log: RefCell::new(TailSampler::new(Clock.now())),
             peer_counts: Cell::default(),
+            malformed_logged_until: RefCell::default(),
             next_gauge_update: Cell::new(Clock.now()),
             document_applied_at: Cell::new(Clock.now()),
             store_contact_at: Cell::new(Clock.now()),
             has_document: Cell::new(false),
+            document_change: RefCell::default(),
             ready: Arc::default(),
             recorder,
             cache_list_tx,
@@ -273,8 +280,14 @@
         &self.ready
     }
 
-    /// Records that a configuration has been applied just now.
-    pub(crate) fn record_document_applied(&self) {
+    /// The store's entry that the configuration in force was read from.
+    pub(crate) fn document_change(&self) -> Option<Change> {
+        self.document_change.borrow().clone()
+    }
+
+    /// Records that the configuration in the entry has been applied just now.
+    pub(crate) fn record_document_applied(&self, change: Change) {
+        self.document_change.replace(Some(change));
         self.document_applied_at.set(self.now());
         self.has_document.set(true);
         self.update_readiness();
--- a/sl-edge/src/core/told.rs
+++ b/sl-edge/src/core/told.rs
@@ -1,6 +1,6 @@
 //! The core's log lines and gauges.
 
-use sl_base::{RequestId, Timestamp};
+use sl_base::{Millis, RequestId, Timestamp};
 use sl_route::effect::Decision;
 use slog::o;
 
@@ -15,6 +15,9 @@
 
 const MILLIS_PER_SECOND: f64 = 1_000.0;
 
+/// Shortest time between two log lines on malformed data of the same kind.
+const MALFORMED_LOG_INTERVAL: Millis = Millis(60_000);
+
 impl Core {
     pub(super) fn log_decision(&self, decision: Decision) {
         self.metrics.record_decision(&decision);
@@ -47,6 +50,18 @@
         log::write_end(&self.log, end);
     }
 
+    /// Logs that malformed data of a kind was ignored, at most once in
+    /// [`MALFORMED_LOG_INTERVAL`] for each kind.
+    pub(crate) fn warn_malformed(&self, kind: &'static str, reason: &dyn std::fmt::Display) {
+        let now = self.now();
+        let mut logged_until = self.malformed_logged_until.borrow_mut();
+        if logged_until.get(kind).is_some_and(|it| !it.is_due(now)) {
+            return;
+        }
+        logged_until.insert(kind, now.after(MALFORMED_LOG_INTERVAL));
+        slog::warn!(self.log, "malformed data ignored"; "in" => kind, "reason" => %reason);
+    }
+
     /// Updates the gauges whose values change with time alone.
     pub(super) fn update_gauges(&self, now: Timestamp) {
         let seconds = |at: Timestamp| now.millis_since(at) / MILLIS_PER_SECOND;
--- a/sl-edge/src/engines.rs
+++ b/sl-edge/src/engines.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, rc::Rc};
 
 use sl_base::Millis;
-use sl_route::{Event, ServerKey};
+use sl_route::{Event, PromptPart, ServerKey, ServerNotice};
 use slog::debug;
 use tokio::{sync::mpsc, time::Instant};
 
@@ -23,8 +23,12 @@
     mut engines: mpsc::UnboundedReceiver<(ServerKey, SocketAddr)>,
 ) {
     while let Some((server, address)) = engines.recv().await {
-        match fetch_list(address).await {
-            Ok(parts) => core.step(Event::CacheListed { server, parts }),
+        let listed = fetch_list(address).await;
+        if matches!(&listed, Ok(it) if it.is_leaving) {
+            core.step(Event::ServerNotice { server, notice: ServerNotice::Leaving });
+        }
+        match listed {
+            Ok(CacheList { parts, .. }) => core.step(Event::CacheListed { server, parts }),
             Err(e) => {
                 debug!(core.log, "failed to list engine cache";
                     "address" => %address, "reason" => %e);
@@ -48,7 +52,14 @@
     Malformed(#[from] platform::Malformed),
 }
 
-async fn fetch_list(address: SocketAddr) -> Result<Vec<sl_route::PromptPart>, Error> {
+/// An engine's response with the list of its cached parts.
+struct CacheList {
+    parts: Vec<PromptPart>,
+    /// Whether the engine announces that it shuts down.
+    is_leaving: bool,
+}
+
+async fn fetch_list(address: SocketAddr) -> Result<CacheList, Error> {
     let call = Call {
         method: "GET",
         target: platform::engine::LIST_CACHE_PATH,
@@ -61,5 +72,6 @@
     if response.status != STATUS_OK {
         return Err(Error::Status(response.status));
     }
-    Ok(platform::engine::parse_cached_parts(&response.body)?)
+    let is_leaving = platform::is_leaving(&response.headers);
+    Ok(CacheList { parts: platform::engine::parse_cached_parts(&response.body)?, is_leaving })
 }
--- a/sl-edge/src/handle.rs
+++ b/sl-edge/src/handle.rs
@@ -14,7 +14,7 @@
     InstanceId, Millis, Timestamp,
     status::{FleetStatus, InstanceStatus, ServerStatus},
 };
-use sl_peer::{Links, StoreUpdate};
+use sl_peer::{KnownStore, Links, StoreUpdate};
 use sl_report::{Objective, Recorder, Report, Sample, Snapshot};
 use sl_route::note::EngineCaches;
 use tokio::sync::{mpsc, oneshot};
@@ -27,8 +27,8 @@
     Status(oneshot::Sender<InstanceStatus>),
     /// The fleet as this instance knows it.
     Fleet(oneshot::Sender<FleetView>),
-    /// The store's contents, if newer than the given revision.
-    StoreUpdate(u64, oneshot::Sender<Option<StoreUpdate>>),
+    /// The store's contents beyond what the caller has.
+    StoreUpdate(KnownStore, oneshot::Sender<Option<StoreUpdate>>),
     /// The prompt parts that each model engine is estimated to cache, for a starting peer.
     EngineCaches(oneshot::Sender<EngineCaches>),
     /// Starts a graceful shutdown with the given drain timeout, or the configured one.
@@ -125,8 +125,8 @@
 }
 
 impl sl_peer::ControlHandler for Handle {
-    async fn store_update(&self, since: u64) -> Option<StoreUpdate> {
-        self.send_query(|tx| Query::StoreUpdate(since, tx)).await.flatten()
+    async fn store_update(&self, known: KnownStore) -> Option<StoreUpdate> {
+        self.send_query(|tx| Query::StoreUpdate(known, tx)).await.flatten()
     }
 
     async fn engine_caches(&self) -> Option<EngineCaches> {
--- a/sl-edge/src/lib.rs
+++ b/sl-edge/src/lib.rs
@@ -14,6 +14,7 @@
 mod core;
 pub mod detail;
 mod engines;
+mod era;
 mod events;
 mod handle;
 mod log;
--- a/sl-edge/src/log.rs
+++ b/sl-edge/src/log.rs
@@ -147,11 +147,40 @@
         Decision::RequestFailed { request, reason } => {
             warn!(log, "request failed"; "request" => request.0, "why" => %reason);
         }
+        Decision::ServerAvoided { .. }
+        | Decision::ServerLeaving { .. }
+        | Decision::ServerBusy { .. }
+        | Decision::ServerEntryOutdated { .. }
+        | Decision::ServerChanged { .. }
+        | Decision::CacheKnown { .. } => write_server_decision(log, decision),
+        Decision::StoreRestored => {
+            info!(log, "entries older than those known are ignored for a while");
+        }
+        Decision::RequestBarred { fingerprint } => {
+            warn!(log, "request blocked: servers crashed while running it";
+                "fingerprint" => format!("{fingerprint:016x}"));
+        }
+        Decision::PeerSilent { peer } => debug!(log, "peer silent"; "peer" => peer),
+    }
+}
+
+/// Logs a decision about a server; other decisions are ignored.
+fn write_server_decision(log: &Logger, decision: &Decision) {
+    match decision {
         Decision::ServerAvoided { server, fault, failure_rate, for_ms } => {
             info!(log, "server avoided";
                 "server" => %server, "fault" => %fault, "failing" => rounded(*failure_rate),
                 "for_ms" => for_ms);
         }
+        Decision::ServerLeaving { server, from_peer } => {
+            info!(log, "server leaving"; "server" => %server, "by_peer" => from_peer);
+        }
+        Decision::ServerBusy { server, for_ms } => {
+            info!(log, "server busy"; "server" => %server, "for_ms" => for_ms);
+        }
+        Decision::ServerEntryOutdated { server } => {
+            info!(log, "server entry older than the one known, ignored"; "server" => %server);
+        }
         Decision::ServerChanged { server, state } => {
             info!(log, "server changed"; "server" => %server, "now" => *state);
         }
@@ -159,11 +188,7 @@
             info!(log, "cache contents updated";
                 "server" => %server, "parts" => parts, "by_engine" => from_engine);
         }
-        Decision::RequestBarred { fingerprint } => {
-            warn!(log, "request blocked: servers crashed while running it";
-                "fingerprint" => format!("{fingerprint:016x}"));
-        }
-        Decision::PeerSilent { peer } => debug!(log, "peer silent"; "peer" => peer),
+        _ => {}
     }
 }
 
--- a/sl-edge/src/membership.rs
+++ b/sl-edge/src/membership.rs
@@ -169,9 +169,22 @@
     pub(crate) name: String,
     pub(crate) addresses: Addresses,
     /// The lease of the entry; `None` while there is no entry.
-    lease: std::cell::Cell<Option<u64>>,
+    lease: std::cell::Cell<Option<Lease>>,
 }
 
+/// A lease that the store has granted.
+#[derive(Clone, Copy)]
+struct Lease {
+    id: u64,
+    /// The store's era at the time. In a later one the lease is gone, and its id may be granted
+    /// to another instance.
+    era: u64,
+}
+
+/// Longest time by which an instance delays its registration after a restore of the store, so that
+/// the instances of a large fleet do not register all at once.
+const REGISTRATION_SPREAD: Millis = Millis(400);
+
 impl Membership {
     pub(crate) fn new(
         core: Rc<Core>,
@@ -186,22 +199,38 @@
     pub(crate) async fn run(&self) {
         let mut conn = None;
         while !self.core.is_stopping() {
-            let ttl = match self.lease.get() {
-                Some(lease) => self.renew(&mut conn, lease).await,
+            let ttl = match self.current_lease() {
+                Some(lease) => self.renew(&mut conn, lease.id).await,
                 None => self.register(&mut conn).await,
             };
-            match ttl {
-                Some(ttl) => sleep(Millis(ttl.0 / RENEWALS_PER_TTL).into()).await,
-                None => sleep(RETRY_DELAY.into()).await,
+            // A restore that the call itself has shown ends the lease, too.
+            let ttl = ttl.filter(|_| self.current_lease().is_some());
+            let pause = ttl.map_or(RETRY_DELAY, |it| Millis(it.0 / RENEWALS_PER_TTL));
+            let era = self.store.eras().latest();
+            tokio::select! {
+                () = sleep(pause.into()) => {}
+                () = self.store.eras().later_than(era) => self.spread_registration().await,
             }
         }
     }
 
+    /// The lease, if the store still has it as far as known.
+    fn current_lease(&self) -> Option<Lease> {
+        self.lease.get().filter(|it| it.era == self.store.eras().latest())
+    }
+
+    async fn spread_registration(&self) {
+        let delay = self.core.with_state(|it| it.draw_delay(REGISTRATION_SPREAD));
+        sleep(delay.into()).await;
+    }
+
     /// Ends the lease, and with it the entry, so that peers see the removal at once instead
     /// of after [`LEASE_TTL`].
     pub(crate) async fn deregister(&self) {
-        if let Some(lease) = self.lease.take() {
-            let call = store::revoke_lease(lease);
+        let lease = self.current_lease();
+        self.lease.set(None);
+        if let Some(lease) = lease {
+            let call = store::revoke_lease(lease.id);
             // If this fails, the lease expires.
             let _ = self.store.call(&mut None, "end-lease", &call, CALL_TIMEOUT).await;
         }
@@ -219,11 +248,16 @@
                 return None;
             }
         };
+        let era = self.store.eras().latest();
         let value = platform::instance_value(self.addresses);
         let call = store::put(&platform::instance_key(&self.name), &value, lease);
         let written = self.store.call(conn, "put", &call, CALL_TIMEOUT).await;
         self.successful("put", written)?;
-        self.lease.set(Some(lease));
+        if self.store.eras().latest() != era {
+            debug!(self.core.log, "store restored during the registration"; "lease" => lease);
+            return None;
+        }
+        self.lease.set(Some(Lease { id: lease, era }));
         info!(self.core.log, "instance registered in the store";
             "lease" => lease, "lease_ms" => ttl.0);
         Some(ttl)
--- a/sl-edge/src/metrics.rs
+++ b/sl-edge/src/metrics.rs
@@ -60,6 +60,10 @@
     pub document_version: Gauge,
     /// The store revision up to which the instance has every change.
     pub store_revision: Gauge,
+    /// The era of the store, which rises when the store is restored from an older copy.
+    pub store_era: Gauge,
+    /// Restores of the store that the instance has noticed.
+    pub store_restores: Counter,
     /// Requests by route and outcome.
     pub requests: Family<RouteOutcomeLabels, Counter>,
     /// Requests by team and outcome.
@@ -123,6 +127,8 @@
             ready: Gauge::default(),
             document_version: Gauge::default(),
             store_revision: Gauge::default(),
+            store_era: Gauge::default(),
+            store_restores: Counter::default(),
             requests: Family::default(),
             team_requests: Family::default(),
             team_tokens: Family::default(),
@@ -233,6 +239,12 @@
         it.register("ready", "Whether the instance is ready", self.ready.clone());
         it.register("document_version", "Configuration in force", self.document_version.clone());
         it.register("store_revision", "Platform's revision seen", self.store_revision.clone());
+        it.register("store_era", "Platform's era seen", self.store_era.clone());
+        it.register(
+            "store_restores",
+            "Restores of the platform's store",
+            self.store_restores.clone(),
+        );
         it.register("requests", "Requests by route and outcome", self.requests.clone());
         it.register("team_requests", "Requests by team and outcome", self.team_requests.clone());
         it.register("team_tokens", "Tokens by team and outcome", self.team_tokens.clone());
--- a/sl-edge/src/peers.rs
+++ b/sl-edge/src/peers.rs
@@ -232,7 +232,7 @@
                 addresses: self.addresses,
             },
             document_version: self.core.document().version,
-            store_revision: self.store.revision(),
+            store_version: self.store.version(),
             notes: Notes { notes },
         }
     }
@@ -269,17 +269,20 @@
 
     fn handle_message(&self, now: Timestamp, message: Message) {
         self.peer_table.record_message(now, message.from, message.info);
+        self.store.observe_era(message.store_version.era);
         let is_newer = message.document_version > self.core.document().version
-            || message.store_revision > self.store.revision();
+            || self.store.is_behind(message.store_version);
         if is_newer {
             self.newer_peer.set(Some(message.from));
             self.newer_peer_seen.notify_one();
         }
-        if message.info.follows_store && message.store_revision <= self.store.revision() {
+        let own_version = self.store.version();
+        let is_same_era = message.store_version.era == own_version.era;
+        if message.info.follows_store && is_same_era && message.store_version <= own_version {
             self.core.record_store_contact();
         }
         if message.info.has_complete_store {
-            self.store.confirm_removals(message.store_revision);
+            self.store.confirm_removals(message.store_version);
         }
         self.core.step(Event::NotesReceived { from: message.from.0, notes: message.notes });
     }
--- a/sl-edge/src/peers/datagram.rs
+++ b/sl-edge/src/peers/datagram.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 use sl_base::{Incarnation, InstanceId};
+use sl_mirror::Version;
 use sl_route::{Notes, note::Note};
 
 use crate::membership::PeerInfo;
@@ -18,7 +19,7 @@
 pub(super) const PAYLOAD_BYTES_MAX: usize = 1_300;
 
 /// Bytes reserved in each message for the fields other than its notes.
-const HEADER_BYTES: usize = 57;
+const HEADER_BYTES: usize = 60;
 
 /// Notes of one instance, or its heartbeat if there are none.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -34,8 +35,8 @@
     pub(super) info: PeerInfo,
     /// The version of the configuration in force at the sender.
     pub(super) document_version: u64,
-    /// The store revision up to which the sender has every change.
-    pub(super) store_revision: u64,
+    /// The store's version up to which the sender has every change.
+    pub(super) store_version: Version,
     pub(super) notes: Notes,
 }
 
@@ -62,7 +63,7 @@
 impl DatagramKey {
     /// Derives the key from the fleet's shared secret.
     pub(crate) fn derive(secret: &str) -> DatagramKey {
-        DatagramKey(blake3::derive_key("sesamelock fleet messages 1", secret.as_bytes()))
+        DatagramKey(blake3::derive_key("sesamelock fleet messages 2", secret.as_bytes()))
     }
 
     fn tag(&self, bytes: &[u8]) -> [u8; TAG_BYTES] {
--- a/sl-edge/src/query_handler.rs
+++ b/sl-edge/src/query_handler.rs
@@ -40,10 +40,7 @@
             match query {
                 Query::Status(tx) => drop(tx.send(self.status())),
                 Query::Fleet(tx) => drop(tx.send(self.fleet())),
-                Query::StoreUpdate(since, tx) => {
-                    let is_newer = self.store.revision() > since;
-                    drop(tx.send(is_newer.then(|| self.store.update_since(since))));
-                }
+                Query::StoreUpdate(known, tx) => drop(tx.send(self.store.update_beyond(known))),
                 Query::EngineCaches(tx) => {
                     drop(tx.send(self.core.with_state(|it| it.engine_caches())))
                 }
@@ -61,7 +58,7 @@
             data_centre: self.settings.data_centre.clone(),
             incarnation: self.incarnation,
             document_version: self.core.document().version,
-            revision: self.store.revision(),
+            revision: self.store.version().revision,
             ready: self.core.ready().load(std::sync::atomic::Ordering::Relaxed),
             stopping: self.core.is_stopping(),
             store_answers: self.store.is_reachable(),
--- a/sl-edge/src/store.rs
+++ b/sl-edge/src/store.rs
@@ -8,14 +8,15 @@
 
 use sl_base::{InstanceId, Millis, Timestamp, hash};
 use sl_http::Conn;
-use sl_mirror::{Change, Item, Mirror};
-use sl_peer::StoreUpdate;
+use sl_mirror::{Change, Item, Mirror, Version};
+use sl_peer::{KnownStore, StoreUpdate};
 use sl_route::Event;
 use slog::{info, warn};
 use tokio::time::{Instant, sleep};
 
 use crate::{
     core::Core,
+    era::{EraTracker, REREGISTRATION_TIME},
     membership::PeerTable,
     wire::{self, CallError, Response},
 };
@@ -29,6 +30,7 @@
     core: Rc<Core>,
     address: SocketAddr,
     mirror: RefCell<Mirror>,
+    eras: EraTracker,
     /// When the first call failed in the current outage; `None` while the store responds.
     unavailable_since: Cell<Option<Timestamp>>,
     /// When the store became available again after the last outage; `None` before the first one.
@@ -73,6 +75,10 @@
     /// to be listed again.
     #[error("the store has compacted its history")]
     HistoryCompacted,
+    /// The response is of another era of the store than the instance's copy, so all entries have
+    /// to be listed again.
+    #[error("the store was restored from an older copy")]
+    EraChanged,
     /// The body of a response could not be decoded.
     #[error("{0}")]
     Malformed(#[from] Malformed),
@@ -106,10 +112,6 @@
 /// The longest delay between retries.
 const BACKOFF_MAX: Millis = Millis(400);
 
-/// For this long after an outage, the store may lack entries of servers that run, because
-/// they have yet to write them again.
-const REREGISTRATION_TIME: Millis = Millis(2_000);
-
 impl StoreClient {
     pub(crate) fn new(
         core: Rc<Core>,
@@ -126,6 +128,7 @@
             core,
             address,
             mirror: RefCell::default(),
+            eras: EraTracker::default(),
             has_unconfirmed_removals: Cell::new(false),
             unavailable_since: Cell::new(None),
             available_at: Cell::new(None),
@@ -133,18 +136,57 @@
         }
     }
 
-    /// The store revision up to which this instance has every change.
-    pub(crate) fn revision(&self) -> u64 {
-        self.mirror.borrow().revision()
+    /// The store's version up to which this instance has every change.
+    pub(crate) fn version(&self) -> Version {
+        self.mirror.borrow().version()
+    }
+
+    /// The eras of the store.
+    pub(crate) fn eras(&self) -> &EraTracker {
+        &self.eras
     }
 
-    /// The changes that a peer lacks which has every change up to revision `since`.
-    pub(crate) fn update_since(&self, since: u64) -> StoreUpdate {
+    /// Whether a peer with this version of the store has something that this instance lacks.
+    pub(crate) fn is_behind(&self, version: Version) -> bool {
+        version > self.version() && !version.is_unknown()
+    }
+
+    /// What a peer lacks that has `known`; `None` if this instance has nothing more.
+    pub(crate) fn update_beyond(&self, known: KnownStore) -> Option<StoreUpdate> {
+        let version = self.version();
+        let has_document = self.core.document().version > known.document_version;
+        let has_entries = version > known.version;
+        if version.is_unknown() || !has_entries && !has_document {
+            return None;
+        }
         let complete_in = match self.origin() {
             Origin::AfterOutage { complete_at } => Some(complete_at.remaining(self.core.now())),
             Origin::Live => None,
         };
-        StoreUpdate { update: self.mirror.borrow().update_since(since), complete_in }
+        let update = self.mirror.borrow().update_since(known.version);
+        let document = self
+            .core
+            .document_change()
+            .filter(|it| has_document && !update.items.iter().any(|item| item.value == it.value));
+        Some(StoreUpdate { update, complete_in, document })
+    }
+
+    /// Records the era of the store that the store or a peer names.
+    pub(crate) fn observe_era(&self, era: u64) {
+        let now = self.core.now();
+        let before = self.version();
+        if !self.eras.observe(now, era, before.is_unknown()) {
+            return;
+        }
+        self.mirror.borrow_mut().begin_era(era);
+        self.core.metrics.store_era.set(era as i64);
+        if before.is_unknown() {
+            return;
+        }
+        self.core.metrics.store_restores.inc();
+        warn!(self.core.log, "store restored from an older copy";
+            "era" => era, "before" => %before);
+        self.core.step(Event::StoreRestored);
     }
 
     /// Whether this instance is one of the few that follow the store for the whole fleet.
@@ -167,26 +209,27 @@
     /// Applies the changes received from a peer.
     pub(crate) fn apply_update(&self, store_update: StoreUpdate) {
         self.core.record_store_contact();
-        let changes = self.mirror.borrow_mut().apply(store_update.update);
-        let origin = match store_update.complete_in {
-            Some(complete_in) => {
-                Origin::AfterOutage { complete_at: self.core.now().after(complete_in) }
-            }
-            // The peer saw no recent outage, even if this instance did.
-            None => Origin::Live,
-        };
-        self.has_unconfirmed_removals.set(store_update.complete_in.is_some());
+        self.observe_era(store_update.update.version.era);
+        let mut changes = self.mirror.borrow_mut().apply(store_update.update);
+        changes.extend(store_update.document);
+        let now = self.core.now();
+        let complete_at = store_update.complete_in.map(|it| now.after(it));
+        // A peer that saw no recent outage is believed, even if this instance saw one; but a peer
+        // that has started after a restore has not seen that.
+        let origin = origin_at(now, complete_at.max(self.eras.complete_at()));
+        self.has_unconfirmed_removals.set(origin != Origin::Live);
         self.publish(changes, origin);
     }
 
     /// Confirms removals that were received from a peer after an outage, because a peer without
-    /// a recent outage has every change up to `revision`. An instance that follows the store
+    /// a recent outage has every change up to `version`. An instance that follows the store
     /// itself ignores this: after its own outage it waits until the entries are complete.
-    pub(crate) fn confirm_removals(&self, revision: u64) {
+    pub(crate) fn confirm_removals(&self, version: Version) {
         let is_unconfirmed = self.has_unconfirmed_removals.get() && !self.is_following();
-        if is_unconfirmed && revision >= self.revision() {
+        let is_restoring = self.eras.complete_at().is_some_and(|it| !it.is_due(self.core.now()));
+        if is_unconfirmed && !is_restoring && version >= self.version() {
             self.has_unconfirmed_removals.set(false);
-            info!(self.core.log, "removals confirmed by a peer"; "revision" => revision);
+            info!(self.core.log, "removals confirmed by a peer"; "version" => %version);
             self.core.step(Event::RemovalsConfirmed);
         }
     }
@@ -215,6 +258,8 @@
                     is_listed = false;
                     continue;
                 }
+                // The next listing may be of the former era still, so the delay applies.
+                FollowError::EraChanged => is_listed = false,
                 other => self.mark_unavailable(&other),
             }
             sleep(backoff.into()).await;
@@ -229,6 +274,7 @@
             if *is_listed && !self.should_follow() {
                 self.stand_by().await;
                 conn = None;
+                *is_listed = !self.version().is_unknown();
             }
             let read =
                 if *is_listed { self.watch(&mut conn).await } else { self.list(&mut conn).await };
@@ -242,7 +288,7 @@
 
     /// Waits until this instance has to follow the store again.
     async fn stand_by(&self) {
-        info!(self.core.log, "store watch left to peers"; "revision" => self.revision());
+        info!(self.core.log, "store watch left to peers"; "version" => %self.version());
         self.following.set(false);
         // An outage that this instance saw says nothing about the store while peers follow it.
         self.unavailable_since.set(None);
@@ -251,16 +297,20 @@
             sleep(STANDBY_CHECK_INTERVAL.into()).await;
         }
         self.following.set(true);
-        info!(self.core.log, "store watch resumed"; "revision" => self.revision());
+        info!(self.core.log, "store watch resumed"; "version" => %self.version());
     }
 
     async fn list(&self, conn: &mut Option<Conn>) -> Result<(), FollowError> {
         let mut items = Vec::new();
         let mut revision = None;
+        let mut era = None;
         let mut after: Option<String> = None;
         loop {
             let call = store::range(after.as_deref());
             let response = self.call(conn, "range", &call, CALL_TIMEOUT).await?;
+            // All pages have to be of the latest era.
+            let era = *era.get_or_insert(self.version().era);
+            self.check_era(&response, era)?;
             let page = store::parse_items(&expect_ok(&response)?.body)?;
             // Pages are read at different revisions. The watch starts from the first page's,
             // so it delivers the changes made while later pages were read.
@@ -272,8 +322,8 @@
             }
         }
         let origin = self.origin();
-        let revision = revision.unwrap_or_default();
-        let changes = self.mirror.borrow_mut().replace(revision, items);
+        let version = Version::new(self.version().era, revision.unwrap_or_default());
+        let changes = self.mirror.borrow_mut().replace(version, items);
         self.mark_available();
         self.publish(changes, origin);
         Ok(())
@@ -282,9 +332,14 @@
     async fn watch(&self, conn: &mut Option<Conn>) -> Result<(), FollowError> {
         // After a failure, a watch returns at once to show whether the store responds again.
         let wait = if self.is_reachable() { WATCH_WAIT } else { Millis(1) };
-        let call = store::watch(self.revision(), wait);
+        let from = self.version();
+        let call = store::watch(from.revision, wait);
         let timeout = Millis(wait.0 + WATCH_MARGIN.0);
-        let response = self.call(conn, "watch", &call, timeout).await?;
+        let response = tokio::select! {
+            response = self.call(conn, "watch", &call, timeout) => response?,
+            () = self.eras.later_than(from.era) => return Err(FollowError::EraChanged),
+        };
+        self.check_era(&response, from.era)?;
         if response.status == store::COMPACTED_STATUS {
             return Err(FollowError::HistoryCompacted);
         }
@@ -292,7 +347,8 @@
         let items = page.items.into_iter().filter_map(to_mirror_item).collect();
         self.mark_available();
         let origin = self.origin();
-        let changes = self.mirror.borrow_mut().apply_changes(page.revision, items);
+        let version = Version::new(from.era, page.revision);
+        let changes = self.mirror.borrow_mut().apply_changes(version, items);
         self.publish(changes, origin);
         Ok(())
     }
@@ -325,6 +381,11 @@
             Ok(response)
         };
         let response: Result<Response, CallError> = response.await;
+        if let Ok(response) = &response
+            && let Some(era) = self.stated_era(response)
+        {
+            self.observe_era(era);
+        }
         match &response {
             Ok(response) => self.core.metrics.record_store_call(kind, response.status),
             Err(_) => self.core.metrics.record_store_call(kind, "unanswered"),
@@ -332,18 +393,34 @@
         response
     }
 
+    /// The era that a response states; `None` if it states none or a malformed one.
+    fn stated_era(&self, response: &Response) -> Option<u64> {
+        let era = store::era(&response.headers);
+        era.unwrap_or_else(|e| {
+            self.core.warn_malformed("store response", &e);
+            None
+        })
+    }
+
+    /// Checks that a response is of the era `expected`, and that no later one is known.
+    fn check_era(&self, response: &Response, expected: u64) -> Result<(), FollowError> {
+        let stated = self.stated_era(response).unwrap_or(expected);
+        if stated != expected || self.version().era != expected {
+            return Err(FollowError::EraChanged);
+        }
+        Ok(())
+    }
+
     /// The origin of changes that are read now.
     fn origin(&self) -> Origin {
         let now = self.core.now();
         let since = if self.is_reachable() { self.available_at.get() } else { Some(now) };
-        match since.map(|it| it.after(REREGISTRATION_TIME)) {
-            Some(complete_at) if !complete_at.is_due(now) => Origin::AfterOutage { complete_at },
-            _ => Origin::Live,
-        }
+        let complete_at = since.map(|it| it.after(REREGISTRATION_TIME));
+        origin_at(now, complete_at.max(self.eras.complete_at()))
     }
 
     fn publish(&self, changes: Vec<Change>, origin: Origin) {
-        self.core.metrics.store_revision.set(self.revision() as i64);
+        self.core.metrics.store_revision.set(self.version().revision as i64);
         if !changes.is_empty() {
             (self.on_change)(changes, origin);
         }
@@ -353,7 +430,7 @@
         if self.unavailable_since.get().is_none() {
             self.unavailable_since.set(Some(self.core.now()));
             warn!(self.core.log, "store unavailable";
-                "reason" => %reason, "revision" => self.revision());
+                "reason" => %reason, "version" => %self.version());
         }
     }
 
@@ -363,12 +440,21 @@
             let now = self.core.now();
             self.available_at.set(Some(now));
             info!(self.core.log, "store available again";
-                "revision" => self.revision(),
+                "version" => %self.version(),
                 "away_ms" => now.micros_since(unavailable_since) / 1_000);
         }
     }
 }
 
+/// The origin of changes that are read at `now`, if the entries are complete again at
+/// `complete_at`.
+fn origin_at(now: Timestamp, complete_at: Option<Timestamp>) -> Origin {
+    match complete_at {
+        Some(complete_at) if !complete_at.is_due(now) => Origin::AfterOutage { complete_at },
+        _ => Origin::Live,
+    }
+}
+
 fn expect_ok(response: &Response) -> Result<&Response, FollowError> {
     if response.status == 200 { Ok(response) } else { Err(FollowError::Status(response.status)) }
 }
--- a/sl-edge/src/wire.rs
+++ b/sl-edge/src/wire.rs
@@ -10,6 +10,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Response {
     pub(crate) status: u16,
+    pub(crate) headers: Headers,
     pub(crate) body: Bytes,
     /// Whether the connection can carry another call.
     pub(crate) is_reusable: bool,
@@ -66,7 +67,7 @@
         let framing = Framing::of_response(call.method.as_bytes(), &head)?;
         let body = Body::new(framing).collect(conn, RESPONSE_BYTES_MAX).await?;
         let is_reusable = head.keeps_alive() && framing != Framing::UntilClose;
-        Ok(Response { status: head.status, body, is_reusable })
+        Ok(Response { status: head.status, headers: head.headers, body, is_reusable })
     };
     timeout_at(call.deadline, exchange).await.unwrap_or(Err(CallError::Timeout))
 }
--- a/sl-mirror/src/lib.rs
+++ b/sl-mirror/src/lib.rs
@@ -3,4 +3,4 @@
 
 mod mirror;
 
-pub use mirror::{Change, Item, Mirror, Update};
+pub use mirror::{Change, Item, Mirror, Update, Version};
--- a/sl-mirror/src/mirror.rs
+++ b/sl-mirror/src/mirror.rs
@@ -1,18 +1,52 @@
 //! The instance's copy of the platform's store.
 //!
 //! Updates come from the store itself and from peers, in any order. An item is replaced only
-//! by a newer revision of it, so that the copy never returns to an earlier state.
+//! by a newer version of it, so that the copy never returns to an earlier state.
+//!
+//! The store may be restored from an older copy of its own. It then continues at an earlier
+//! revision, in a new era: revisions of different eras say nothing about each other, so each is
+//! compared together with its era.
 
 use std::collections::{HashMap, VecDeque};
 
 use serde::{Deserialize, Serialize};
 
+/// A state of the store. Versions of a later era are higher than all of the eras before.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Version {
+    /// Rises each time that the store is restored from an older copy.
+    pub era: u64,
+    /// The store's revision within the era; 0 before its first state is known.
+    pub revision: u64,
+}
+
+impl Version {
+    /// The version of a revision of the era.
+    pub fn new(era: u64, revision: u64) -> Version {
+        Version { era, revision }
+    }
+
+    /// Whether nothing is known of the era's contents.
+    pub fn is_unknown(self) -> bool {
+        self.revision == 0
+    }
+}
+
+impl std::fmt::Display for Version {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}.{}", self.era, self.revision)
+    }
+}
+
 /// A revision of a key: its value, or its removal.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Item {
     /// The key in the store.
     pub key: String,
-    /// The store's revision at which the key was last written or removed.
+    /// The store's revision at which the key was last written or removed, in the era of the
+    /// update that contains the item.
     pub revision: u64,
     /// The value; `None` if the key was removed.
     pub value: Option<Vec<u8>>,
@@ -21,36 +55,37 @@
 /// The changes after a revision, or a full listing, as sent to a peer.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Update {
-    /// The revision after which `items` lists all changes; `None` if `items` is a full listing.
-    pub since: Option<u64>,
-    /// The sender's revision: the update contains all changes up to it.
-    pub revision: u64,
+    /// The version after which `items` lists all changes, in the same era as `version`; `None` if
+    /// `items` is a full listing.
+    pub since: Option<Version>,
+    /// The sender's version: the update contains all changes up to it.
+    pub version: Version,
     /// The changed items including removals, or all items.
     pub items: Vec<Item>,
 }
 
-/// A copy of the store at one revision, with a bounded history of removals.
+/// A copy of the store at one version, with a bounded history of removals.
 #[derive(Clone, Debug, Default)]
 pub struct Mirror {
-    revision: u64,
+    version: Version,
     items: HashMap<String, StoredValue>,
-    /// Revision and key of the latest removals, oldest first.
+    /// Revision and key of the latest removals in the era of `version`, oldest first.
     tombstones: VecDeque<(u64, String)>,
-    /// `tombstones` contains all removals after this revision.
-    tombstones_since: u64,
+    /// `tombstones` contains all removals after this version.
+    tombstones_since: Version,
 }
 
-/// Tombstones kept. A peer whose revision is older than these gets a full listing.
+/// Tombstones kept. A peer whose version is older than these gets a full listing.
 const TOMBSTONES_MAX: usize = 1_000;
 
 #[derive(Clone, Debug)]
 struct StoredValue {
-    revision: u64,
+    version: Version,
     value: Vec<u8>,
 }
 
 /// A change of the copy that an update caused.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Change {
     /// The key in the store.
     pub key: String,
@@ -59,22 +94,33 @@
 }
 
 impl Mirror {
-    /// Returns the revision up to which the copy is complete; 0 before the first update.
-    pub fn revision(&self) -> u64 {
-        self.revision
+    /// Returns the version up to which the copy is complete; all zero before the first update.
+    pub fn version(&self) -> Version {
+        self.version
+    }
+
+    /// Records that the store is in a later era, of which nothing is known yet. The items stay
+    /// until the next listing. Returns whether the era is later than the copy's.
+    pub fn begin_era(&mut self, era: u64) -> bool {
+        if era <= self.version.era {
+            return false;
+        }
+        self.version = Version::new(era, 0);
+        self.forget_removals();
+        true
     }
 
-    /// Applies a full listing of the store at `revision`: items that the listing lacks are
-    /// removed. A listing older than the copy is ignored. Returns the changes of values.
-    pub fn replace(&mut self, revision: u64, items: Vec<Item>) -> Vec<Change> {
-        if revision < self.revision {
+    /// Applies a full listing of the store at `version`: items that the listing lacks are
+    /// removed. A listing older than the copy, or of an unknown version, is ignored. Returns the changes of values.
+    pub fn replace(&mut self, version: Version, items: Vec<Item>) -> Vec<Change> {
+        if version < self.version || version.is_unknown() {
             return Vec::new();
         }
         let listed: std::collections::HashSet<&String> = items.iter().map(|it| &it.key).collect();
         let removed: Vec<String> = self
             .items
             .iter()
-            .filter(|(key, it)| it.revision <= revision && !listed.contains(key))
+            .filter(|(key, it)| it.version <= version && !listed.contains(key))
             .map(|(key, _)| key.clone())
             .collect();
         let mut changes: Vec<Change> = Vec::new();
@@ -82,49 +128,53 @@
             self.items.remove(&key);
             changes.push(Change { key, value: None });
         }
-        // The listing does not show keys that were added and removed since the last revision,
+        self.version = version;
+        // The listing does not show keys that were added and removed since the last version,
         // so the tombstones of that time are incomplete.
-        self.tombstones.clear();
-        self.tombstones_since = revision;
+        self.forget_removals();
         changes.extend(items.into_iter().filter_map(|it| self.put(it)));
-        self.revision = revision;
         changes
     }
 
-    /// Applies the changes between an earlier revision and `revision`; those up to the current
-    /// revision are skipped. Returns the changes of values.
+    /// Applies the changes between an earlier version of the same era and `version`; those up to
+    /// the current version are skipped. Changes of another era are ignored. Returns the changes
+    /// of values.
     ///
-    /// `items` must contain all changes after the current revision.
-    pub fn apply_changes(&mut self, revision: u64, items: Vec<Item>) -> Vec<Change> {
-        let current = self.revision;
+    /// `items` must contain all changes after the current version.
+    pub fn apply_changes(&mut self, version: Version, items: Vec<Item>) -> Vec<Change> {
+        if version.era != self.version.era {
+            return Vec::new();
+        }
+        let current = self.version.revision;
         let newer = items.into_iter().filter(|it| it.revision > current);
         let newer: Vec<Item> = newer.collect();
         let changes = newer.into_iter().filter_map(|it| self.put(it)).collect();
-        self.revision = self.revision.max(revision);
+        self.version = self.version.max(version);
         changes
     }
 
-    /// Applies an update from a peer. An update that starts after the current revision is
-    /// ignored, because the changes in between are missing.
+    /// Applies an update from a peer. An update that starts after the current version, or in
+    /// another era, is ignored, because the changes in between are missing.
     pub fn apply(&mut self, update: Update) -> Vec<Change> {
         match update.since {
-            Some(since) if since <= self.revision => {
-                self.apply_changes(update.revision, update.items)
+            Some(since) if since.era == self.version.era && since <= self.version => {
+                self.apply_changes(update.version, update.items)
             }
-            // The next request to the peer names the current revision, so its response has no gap.
+            // The next request to the peer names the current version, so its response has no gap.
             Some(_) => Vec::new(),
-            None => self.replace(update.revision, update.items),
+            None => self.replace(update.version, update.items),
         }
     }
 
-    /// Returns the changes after the revision `since`, or a full listing if `since` is 0 or not
-    /// all removals after it are kept.
-    pub fn update_since(&self, since: u64) -> Update {
-        if since == 0 || since < self.tombstones_since {
+    /// Returns the changes after the version `since`; or a full listing if nothing is known at
+    /// `since`, if it is of another era, or if not all removals after it are kept.
+    pub fn update_since(&self, since: Version) -> Update {
+        let is_comparable = since.era == self.version.era && !since.is_unknown();
+        if !is_comparable || since < self.tombstones_since {
             return self.full_update();
         }
-        let newer = self.items.iter().filter(|(_, it)| it.revision > since);
-        let removed = self.tombstones.iter().filter(|(revision, _)| *revision > since);
+        let newer = self.items.iter().filter(|(_, it)| it.version > since);
+        let removed = self.tombstones.iter().filter(|(revision, _)| *revision > since.revision);
         let removed = removed.filter(|(_, key)| !self.items.contains_key(key));
         let removed = removed.map(|(revision, key)| Item {
             key: key.clone(),
@@ -133,23 +183,25 @@
         });
         let mut items: Vec<Item> = newer.map(to_item).chain(removed).collect();
         items.sort_by_key(|it| it.revision);
-        Update { since: Some(since), revision: self.revision, items }
+        Update { since: Some(since), version: self.version, items }
     }
 
     /// Returns a full listing.
     pub fn full_update(&self) -> Update {
         let items = self.items.iter().map(to_item).collect();
-        Update { since: None, revision: self.revision, items }
+        Update { since: None, version: self.version, items }
     }
 
+    /// Stores an item of the current era.
     fn put(&mut self, item: Item) -> Option<Change> {
+        let version = Version::new(self.version.era, item.revision);
         let current = self.items.get(&item.key);
-        if current.is_some_and(|it| it.revision >= item.revision) {
+        if current.is_some_and(|it| it.version >= version) {
             return None;
         }
         match &item.value {
             Some(value) => {
-                let stored = StoredValue { revision: item.revision, value: value.clone() };
+                let stored = StoredValue { version, value: value.clone() };
                 let previous = self.items.insert(item.key.clone(), stored);
                 let is_unchanged = previous.is_some_and(|it| it.value == *value);
                 (!is_unchanged).then_some(Change { key: item.key, value: item.value })
@@ -168,11 +220,16 @@
         if self.tombstones.len() > TOMBSTONES_MAX
             && let Some((revision, _)) = self.tombstones.pop_front()
         {
-            self.tombstones_since = revision;
+            self.tombstones_since = Version::new(self.version.era, revision);
         }
     }
+
+    fn forget_removals(&mut self) {
+        self.tombstones.clear();
+        self.tombstones_since = self.version;
+    }
 }
 
 fn to_item((key, stored): (&String, &StoredValue)) -> Item {
-    Item { key: key.clone(), revision: stored.revision, value: Some(stored.value.clone()) }
+    Item { key: key.clone(), revision: stored.version.revision, value: Some(stored.value.clone()) }
 }
--- a/sl-peer/src/lib.rs
+++ b/sl-peer/src/lib.rs
@@ -16,7 +16,7 @@
 pub use link::{Links, PeerUnreachable};
 pub use serve::{ControlHandler, Error, Server, serve};
 
-pub use service::StoreUpdate;
+pub use service::{KnownStore, StoreUpdate};
 
 use sl_base::Millis;
 
--- a/sl-peer/src/link.rs
+++ b/sl-peer/src/link.rs
@@ -17,7 +17,7 @@
     ConnectError, Counters, HandshakeKey, Hello, Options,
     count::CountingStream,
     frame, handshake,
-    service::{ControlClient, StoreUpdate},
+    service::{ControlClient, KnownStore, StoreUpdate},
 };
 
 /// A call got no response, or no link could be opened. A call on an existing link is repeated
@@ -70,8 +70,8 @@
         Links(Arc::new(Shared { hello, key, options, counters, links: Mutex::default() }))
     }
 
-    /// Asks a peer for the changes to the platform's store after revision `since`. `None` if
-    /// the peer knows of none or is shutting down.
+    /// Asks a peer for what changed in the platform's store beyond what is `known`. `None` if
+    /// the peer knows of nothing or is shutting down.
     ///
     /// # Errors
     ///
@@ -80,10 +80,10 @@
         &self,
         to: InstanceId,
         address: SocketAddr,
-        since: u64,
+        known: KnownStore,
     ) -> Result<Option<StoreUpdate>, PeerUnreachable> {
         self.call(to, address, |client, timeout_ms| async move {
-            client.store_update(frame::context(timeout_ms), since).await
+            client.store_update(frame::context(timeout_ms), known).await
         })
         .await
     }
--- a/sl-peer/src/serve.rs
+++ b/sl-peer/src/serve.rs
@@ -21,14 +21,14 @@
     Counters, HandshakeKey, Options,
     count::CountingStream,
     frame, handshake,
-    service::{Control, StoreUpdate},
+    service::{Control, KnownStore, StoreUpdate},
 };
 
 /// Answers the calls that arrive on the control port, on behalf of the instance.
 pub trait ControlHandler: Clone + Send + Sync + 'static {
-    /// Returns the changes to the platform's store after revision `since`. `None` if there are
-    /// none or the instance is shutting down.
-    fn store_update(&self, since: u64) -> impl Future<Output = Option<StoreUpdate>> + Send;
+    /// Returns what changed in the platform's store beyond what is `known`. `None` if nothing
+    /// did or the instance is shutting down.
+    fn store_update(&self, known: KnownStore) -> impl Future<Output = Option<StoreUpdate>> + Send;
 
     /// Returns the estimate of the KV caches of the model engines. `None` if the instance is
     /// shutting down.
@@ -144,8 +144,8 @@
 }
 
 impl<H: ControlHandler> Control for Service<H> {
-    async fn store_update(self, _: Context, since: u64) -> Option<StoreUpdate> {
-        self.handler.store_update(since).await
+    async fn store_update(self, _: Context, known: KnownStore) -> Option<StoreUpdate> {
+        self.handler.store_update(known).await
     }
 
     async fn engine_caches(self, _: Context) -> Option<EngineCaches> {
--- a/sl-peer/src/service.rs
+++ b/sl-peer/src/service.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 use sl_base::{Millis, status::InstanceStatus};
-use sl_mirror::Update;
+use sl_mirror::{Change, Update, Version};
 use sl_report::Snapshot;
 use sl_route::note::EngineCaches;
 
@@ -15,15 +15,27 @@
     /// recent outage was seen. Until then, the lease of a missing entry may merely have expired
     /// because of the outage; an entry that is missing afterwards was removed.
     pub complete_in: Option<Millis>,
+    /// The configuration in force at the sender, if the caller has an earlier one and `update`
+    /// does not contain it: a restored store may list an earlier one for a while.
+    pub document: Option<Change>,
+}
+
+/// What the calling instance has of the platform's store already.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KnownStore {
+    /// The version up to which the instance has every change.
+    pub version: Version,
+    /// The version of the configuration in force.
+    pub document_version: u64,
 }
 
 /// The calls between instances. Requests are encoded by method index: the order of
 /// the methods is part of the wire format.
 #[tarpc::service]
 pub(crate) trait Control {
-    /// Returns the changes to the platform's store after revision `since`, or `None` where
-    /// the called instance knows of none or is shutting down.
-    async fn store_update(since: u64) -> Option<StoreUpdate>;
+    /// Returns what changed in the platform's store beyond what is `known`, or `None` where
+    /// the called instance knows of nothing or is shutting down.
+    async fn store_update(known: KnownStore) -> Option<StoreUpdate>;
 
     /// Returns the instance's estimate of the KV caches of the model engines, or `None` where
     /// the instance is shutting down.
--- a/sl-peer/tests/it/cost.rs
+++ b/sl-peer/tests/it/cost.rs
@@ -1,6 +1,6 @@
 use sl_peer::Counters;
 
-use crate::testbed::{LATEST_REVISION, PEER, links, listen};
+use crate::testbed::{LATEST_REVISION, PEER, known, links, listen};
 
 /// Limit for a call with one small argument, in bytes, both directions with frame headers.
 const CALL_BYTES_MAX: u64 = 24;
@@ -13,11 +13,11 @@
     let remote = Counters::default();
     let (_, server) = listen("secret", &remote).await;
     let links = links("secret", &local);
-    links.store_update(PEER, server.address, LATEST_REVISION).await.unwrap();
+    links.store_update(PEER, server.address, known(LATEST_REVISION)).await.unwrap();
     let first = local.read();
     assert!(first.bytes_sent + first.bytes_received <= CONNECT_BYTES_MAX + CALL_BYTES_MAX);
     for _ in 0..1_000 {
-        links.store_update(PEER, server.address, LATEST_REVISION).await.unwrap();
+        links.store_update(PEER, server.address, known(LATEST_REVISION)).await.unwrap();
     }
     let last = local.read();
     let sent = last.bytes_sent - first.bytes_sent;
--- a/sl-peer/tests/it/link.rs
+++ b/sl-peer/tests/it/link.rs
@@ -10,14 +10,14 @@
     net::TcpStream,
 };
 
-use crate::testbed::{PEER, Relay, links, listen};
+use crate::testbed::{PEER, Relay, known, links, listen};
 
 #[tokio::test]
 async fn calls_are_answered_by_the_peer() {
     let counters = Counters::default();
     let (peer, server) = listen("secret", &counters).await;
     let links = links("secret", &counters);
-    links.store_update(PEER, server.address, 3).await.unwrap();
+    links.store_update(PEER, server.address, known(3)).await.unwrap();
     assert_eq!(*peer.known_revisions.lock().unwrap(), [3]);
     let status = links.status(PEER, server.address).await.unwrap();
     assert_eq!(status.unwrap().name, "peer");
@@ -33,7 +33,7 @@
     let counters = Counters::default();
     let (peer, server) = listen("secret", &counters).await;
     let links = links(secret, &counters);
-    let response = links.store_update(PEER, server.address, 3).await;
+    let response = links.store_update(PEER, server.address, known(3)).await;
     assert_eq!(response, Err(PeerUnreachable));
     assert!(peer.known_revisions.lock().unwrap().is_empty());
 }
@@ -71,7 +71,7 @@
         all
     });
     let links = links("secret", &Counters::default());
-    links.store_update(PEER, address, 1).await.unwrap();
+    links.store_update(PEER, address, known(1)).await.unwrap();
     drop(links);
     recorded.await.unwrap()
 }
@@ -82,9 +82,9 @@
     let (peer, server) = listen("secret", &counters).await;
     let relay = Relay::start(server.address).await;
     let links = links("secret", &counters);
-    links.store_update(PEER, relay.address, 1).await.unwrap();
+    links.store_update(PEER, relay.address, known(1)).await.unwrap();
     relay.silence_existing();
-    links.store_update(PEER, relay.address, 2).await.unwrap();
+    links.store_update(PEER, relay.address, known(2)).await.unwrap();
     assert_eq!(relay.accepted.load(Ordering::Relaxed), 2);
     let last = peer.known_revisions.lock().unwrap().last().cloned();
     assert_eq!(last, Some(2));
@@ -96,10 +96,10 @@
     let (_, server) = listen("secret", &counters).await;
     let relay = Relay::start(server.address).await;
     let links = links("secret", &counters);
-    links.store_update(PEER, relay.address, 1).await.unwrap();
+    links.store_update(PEER, relay.address, known(1)).await.unwrap();
     relay.silence_all();
     let start = Instant::now();
-    let response = links.store_update(PEER, relay.address, 2).await;
+    let response = links.store_update(PEER, relay.address, known(2)).await;
     assert_eq!(response, Err(PeerUnreachable));
     assert!(start.elapsed() < Duration::from_secs(2));
 }
@@ -110,10 +110,10 @@
     let (peer, server) = listen("secret", &counters).await;
     peer.delay_ms.store(2_000, Ordering::Relaxed);
     let links = links("secret", &counters);
-    let response = links.store_update(PEER, server.address, 1).await;
+    let response = links.store_update(PEER, server.address, known(1)).await;
     assert_eq!(response, Err(PeerUnreachable));
     peer.delay_ms.store(0, Ordering::Relaxed);
-    let response = links.store_update(PEER, server.address, 2).await;
+    let response = links.store_update(PEER, server.address, known(2)).await;
     assert!(response.is_ok());
 }
 
@@ -122,10 +122,10 @@
     let counters = Counters::default();
     let (_, first) = listen("secret", &counters).await;
     let links = links("secret", &counters);
-    links.store_update(PEER, first.address, 1).await.unwrap();
+    links.store_update(PEER, first.address, known(1)).await.unwrap();
     drop(first);
     let (peer, second) = listen("secret", &counters).await;
-    links.store_update(PEER, second.address, 2).await.unwrap();
+    links.store_update(PEER, second.address, known(2)).await.unwrap();
     assert_eq!(*peer.known_revisions.lock().unwrap(), [2]);
 }
 
@@ -139,7 +139,7 @@
         if expected == 2 {
             tokio::time::sleep(Duration::from_millis(900)).await;
         }
-        links.store_update(PEER, relay.address, 1).await.unwrap();
+        links.store_update(PEER, relay.address, known(1)).await.unwrap();
         assert_eq!(relay.accepted.load(Ordering::Relaxed), expected);
     }
 }
--- a/sl-peer/tests/it/testbed.rs
+++ b/sl-peer/tests/it/testbed.rs
@@ -11,9 +11,10 @@
 };
 
 use sl_base::{Incarnation, InstanceId, Millis, Timestamp, status::InstanceStatus};
-use sl_mirror::Update;
+use sl_mirror::{Update, Version};
 use sl_peer::{
-    ControlHandler, Counters, HandshakeKey, Hello, Links, Options, Server, StoreUpdate, serve,
+    ControlHandler, Counters, HandshakeKey, Hello, KnownStore, Links, Options, Server, StoreUpdate,
+    serve,
 };
 use sl_report::Snapshot;
 use tokio::net::{TcpListener, TcpStream};
@@ -27,22 +28,24 @@
 
 #[derive(Clone, Default)]
 pub struct Peer {
-    /// The `since` argument of each call to `store_update`.
+    /// The revision that each call to `store_update` knew.
     pub known_revisions: Arc<Mutex<Vec<u64>>>,
     /// Delay before each response to `store_update`, in milliseconds.
     pub delay_ms: Arc<AtomicU64>,
 }
 
 impl ControlHandler for Peer {
-    async fn store_update(&self, since: u64) -> Option<StoreUpdate> {
+    async fn store_update(&self, known: KnownStore) -> Option<StoreUpdate> {
+        let since = known.version.revision;
         let delay = self.delay_ms.load(Ordering::Relaxed);
         tokio::time::sleep(Duration::from_millis(delay)).await;
         self.known_revisions.lock().unwrap().push(since);
         if since >= LATEST_REVISION {
             return None;
         }
-        let update = Update { since: Some(since), revision: since + 1, items: Vec::new() };
-        Some(StoreUpdate { update, complete_in: None })
+        let version = Version::new(known.version.era, since + 1);
+        let update = Update { since: Some(known.version), version, items: Vec::new() };
+        Some(StoreUpdate { update, complete_in: None, document: None })
     }
 
     async fn engine_caches(&self) -> Option<sl_route::note::EngineCaches> {
@@ -63,6 +66,11 @@
     }
 }
 
+/// What an instance knows that has every change up to a revision of the first era.
+pub fn known(revision: u64) -> KnownStore {
+    KnownStore { version: Version::new(1, revision), document_version: 1 }
+}
+
 pub fn options() -> Options {
     Options {
         connect_timeout: Millis(300),
--- a/sl-route/src/directory.rs
+++ b/sl-route/src/directory.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashMap, net::SocketAddr, sync::Arc};
 
-use sl_base::{ServiceId, Timestamp};
+use sl_base::{Millis, ServiceId, Timestamp};
 use strum::IntoStaticStr;
 
 use crate::ServerKey;
@@ -25,6 +25,8 @@
     pub slots: u32,
     /// Whether the server accepts new requests.
     pub state: ServerState,
+    /// Counts the server's writes of its entry within one run; 0 if it does not count them.
+    pub sequence: u64,
 }
 
 /// Whether a server accepts new requests.
@@ -38,6 +40,11 @@
 }
 
 impl ServerRecord {
+    /// Whether the records say the same of the server, whenever they were written.
+    fn says_the_same(&self, other: &ServerRecord) -> bool {
+        *self == ServerRecord { sequence: self.sequence, ..other.clone() }
+    }
+
     /// The key of this run of the server.
     pub fn key(&self) -> ServerKey {
         ServerKey::of(&self.id, self.started_at_ms)
@@ -48,8 +55,28 @@
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
     entries: HashMap<Arc<str>, ListedServer>,
+    /// Entries that were removed lately, as they were last.
+    removed: HashMap<Arc<str>, RemovedServer>,
+    /// Until then, entries may come from the older copy that the store was restored from.
+    restore_ends_at: Timestamp,
+}
+
+#[derive(Clone, Debug)]
+struct RemovedServer {
+    record: ServerRecord,
+    removed_at: Timestamp,
 }
 
+/// How long entries are listed from a restored store that their servers may not have written
+/// again.
+const RESTORE_PERIOD: Millis = Millis(5_000);
+
+/// How long a removed entry is remembered.
+const REMOVED_RETENTION: Millis = Millis(60_000);
+
+/// Bound on the removed entries that are remembered.
+const REMOVED_MAX: usize = 8_192;
+
 #[derive(Clone, Debug)]
 struct ListedServer {
     record: ServerRecord,
@@ -63,12 +90,48 @@
     pub fn put(&mut self, record: ServerRecord) -> bool {
         let entry = ListedServer { record, expires_at: None };
         let previous = self.entries.insert(entry.record.id.clone(), entry.clone());
-        previous.is_none_or(|it| it.record != entry.record)
+        previous.is_none_or(|it| !it.record.says_the_same(&entry.record))
     }
 
     /// Removes an entry. Returns whether it was listed.
-    pub fn remove(&mut self, id: &str) -> bool {
-        self.entries.remove(id).is_some()
+    pub fn remove(&mut self, now: Timestamp, id: &str) -> bool {
+        let Some((id, entry)) = self.entries.remove_entry(id) else {
+            return false;
+        };
+        self.removed.retain(|_, it| !it.removed_at.after(REMOVED_RETENTION).is_due(now));
+        if self.removed.len() < REMOVED_MAX {
+            self.removed.insert(id, RemovedServer { record: entry.record, removed_at: now });
+        }
+        true
+    }
+
+    /// Records that the store was restored from an older copy at `now`.
+    pub fn begin_restore(&mut self, now: Timestamp) {
+        self.restore_ends_at = now.after(RESTORE_PERIOD);
+    }
+
+    /// Whether `record` comes from the older copy that the store was restored from: it would
+    /// bring back a run that has ended, a removed entry, or a server that shuts down as ready.
+    /// Servers write their entries again after a restore, with a higher sequence.
+    pub fn is_outdated(&self, now: Timestamp, record: &ServerRecord) -> bool {
+        if self.restore_ends_at.is_due(now) {
+            return false;
+        }
+        if let Some(listed) = self.get(&record.id) {
+            let takes_back_draining =
+                listed.state == ServerState::Draining && record.state == ServerState::Ready;
+            return record.started_at_ms < listed.started_at_ms
+                || record.key() == listed.key()
+                    && takes_back_draining
+                    && record.sequence < listed.sequence;
+        }
+        self.removed.get(&record.id).is_some_and(|it| {
+            let removed = &it.record;
+            record.started_at_ms < removed.started_at_ms
+                || record.key() == removed.key()
+                    && record.sequence > 0
+                    && record.sequence <= removed.sequence
+        })
     }
 
     /// Marks an entry as missing after an outage of the platform's store. The entry is dropped
--- a/sl-route/src/effect.rs
+++ b/sl-route/src/effect.rs
@@ -78,7 +78,8 @@
     TeamOverShare,
     /// No server of the service is listed as ready.
     NoServer,
-    /// Every server that was tried rejected the request without running it.
+    /// Every server that was tried rejected the request without running it, or every server
+    /// asked this instance to wait.
     TurnedAway,
     /// Too little time is left until the caller's deadline.
     TooLate,
@@ -193,6 +194,27 @@
         /// How long the server is avoided, in milliseconds.
         for_ms: u64,
     },
+    /// A server shuts down and gets no new requests.
+    ServerLeaving {
+        /// The id of the server.
+        server: Arc<str>,
+        /// Whether a peer reported it, rather than a response to this instance.
+        from_peer: bool,
+    },
+    /// A server asked this instance to send no requests for a while.
+    ServerBusy {
+        /// The id of the server.
+        server: Arc<str>,
+        /// For how long, in milliseconds.
+        for_ms: u64,
+    },
+    /// The platform's store was restored from an older copy.
+    StoreRestored,
+    /// A server's entry in a restored store was older than the one known before, and was ignored.
+    ServerEntryOutdated {
+        /// The id of the server.
+        server: Arc<str>,
+    },
     /// A server's entry was added, changed or removed.
     ServerChanged {
         /// The id of the server whose entry changed.
@@ -233,6 +255,10 @@
             | Decision::RequestFailed { request, .. } => Some(*request),
             Decision::TeamActivity { .. }
             | Decision::ServerAvoided { .. }
+            | Decision::ServerLeaving { .. }
+            | Decision::ServerBusy { .. }
+            | Decision::StoreRestored
+            | Decision::ServerEntryOutdated { .. }
             | Decision::ServerChanged { .. }
             | Decision::CacheKnown { .. }
             | Decision::RequestBarred { .. }
--- a/sl-route/src/event.rs
+++ b/sl-route/src/event.rs
@@ -85,6 +85,16 @@
     },
     /// A peer sent its view of the engines' KV caches, which an instance requests at startup.
     PeerCaches(EngineCaches),
+    /// A server's response carried a notice to its callers.
+    ServerNotice {
+        /// The server that responded.
+        server: ServerKey,
+        /// What it asks for.
+        notice: ServerNotice,
+    },
+    /// The platform's store was restored from an older copy. What is listed next may be older
+    /// than what was listed before.
+    StoreRestored,
     /// The limits in the settings changed.
     Limits(InstanceLimits),
     /// The number of instances in the fleet, including this one.
@@ -93,6 +103,18 @@
     ConnectionShare(f64),
 }
 
+/// What a server asks of its callers in the head of a response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ServerNotice {
+    /// The server shuts down: it is to get no new requests, from any instance.
+    Leaving,
+    /// The server is to get no requests from this instance before the given time.
+    Busy {
+        /// When this instance may send requests again.
+        until: Timestamp,
+    },
+}
+
 /// Limits that the settings impose on an instance.
 #[derive(Clone, Copy, Debug)]
 pub struct InstanceLimits {
--- a/sl-route/src/lib.rs
+++ b/sl-route/src/lib.rs
@@ -21,11 +21,12 @@
 pub mod share;
 mod state;
 pub mod strikes;
+pub mod withdrawn;
 
 pub use directory::{Directory, ServerRecord, ServerState};
 pub use document::{Document, Limits, RetryPolicy, Route, Service, Team};
 pub use effect::{Decision, Effect, Failure, Refusal};
-pub use event::{Arrival, AttemptEnd, Event, Fault};
+pub use event::{Arrival, AttemptEnd, Event, Fault, ServerNotice};
 pub use note::{AttemptKey, Notes};
 pub use prompt::{Prompt, PromptPart};
 pub use server::ServerKey;
--- a/sl-route/src/note.rs
+++ b/sl-route/src/note.rs
@@ -82,6 +82,11 @@
         /// The fingerprint of the request that the server was running.
         fingerprint: u64,
     },
+    /// A server announced in a response that it shuts down.
+    ServerLeaving {
+        /// The server, which is to get no new requests.
+        server: ServerKey,
+    },
 }
 
 /// An instance's view of the engines' KV caches, sent to peers that have just started.
--- a/sl-route/src/place.rs
+++ b/sl-route/src/place.rs
@@ -4,7 +4,7 @@
 use sl_base::Timestamp;
 
 use crate::{
-    Prompt, ServerKey, ServerState,
+    Prompt, ServerKey,
     admission::AdmissionLimits,
     engine::Engine,
     server::{PlainServer, Server, ServerKind},
@@ -66,6 +66,11 @@
     TooLate(LowestEstimates),
     /// No engine has a free slot, or this instance has no connection left to any server.
     NoSlot,
+    /// Every server asked this instance to send no requests for now.
+    Busy {
+        /// Milliseconds until the first of them may get requests again.
+        for_ms: f64,
+    },
 }
 
 /// The lowest estimates of any server for a request, infinite without a server.
@@ -166,11 +171,11 @@
     servers: impl Iterator<Item = &'a Server>,
     required: Requirements<'_>,
 ) -> Result<Placement, PlacementError> {
-    let eligible =
-        |it: &&Server| it.record.state == ServerState::Ready && !required.tried.contains(&it.key);
-    let servers: Vec<&Server> = servers.filter(eligible).collect();
+    let eligible = |it: &&Server| it.is_in_service() && !required.tried.contains(&it.key);
+    let eligible: Vec<&Server> = servers.filter(eligible).collect();
+    let servers: Vec<&Server> = eligible.iter().copied().filter(|it| !it.is_busy(now)).collect();
     if servers.is_empty() {
-        return Err(PlacementError::NoServer);
+        return Err(no_server_error(now, &eligible));
     }
     let healthy: Vec<&Server> =
         servers.iter().copied().filter(|it| !it.health.is_avoided(now)).collect();
@@ -188,6 +193,14 @@
     }
 }
 
+/// Why none of the `eligible` servers can be used now: all are busy, if there are any.
+fn no_server_error(now: Timestamp, eligible: &[&Server]) -> PlacementError {
+    let earliest = eligible.iter().map(|it| it.busy_until).min();
+    earliest.map_or(PlacementError::NoServer, |it| PlacementError::Busy {
+        for_ms: it.remaining(now).0 as f64,
+    })
+}
+
 fn lowest_estimates(candidates: &[Candidate], limits: AdmissionLimits) -> LowestEstimates {
     candidates.iter().fold(LowestEstimates::NONE, |lowest, it| LowestEstimates {
         cost_ms: lowest.cost_ms.min(it.cost_ms(limits)),
--- a/sl-route/src/server.rs
+++ b/sl-route/src/server.rs
@@ -5,7 +5,9 @@
 use serde::{Deserialize, Serialize};
 use sl_base::{ServerId, Timestamp, hash};
 
-use crate::{PromptPart, ServerRecord, engine::Engine, health::Health, note::AttemptKey};
+use crate::{
+    PromptPart, ServerRecord, ServerState, engine::Engine, health::Health, note::AttemptKey,
+};
 
 /// Identifies one run of a backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -45,6 +47,10 @@
     pub own_in_flight: usize,
     /// When the load was last updated, by this instance or a peer.
     pub updated_at: Timestamp,
+    /// Whether the server announced in a response that it shuts down.
+    pub is_leaving: bool,
+    /// The server asked this instance to send it no requests before this time.
+    pub busy_until: Timestamp,
 }
 
 /// The kind of a server and the model of its load.
@@ -103,6 +109,16 @@
 }
 
 impl Server {
+    /// Whether the server accepts new requests, now or after it has been busy.
+    pub fn is_in_service(&self) -> bool {
+        self.record.state == ServerState::Ready && !self.is_leaving
+    }
+
+    /// Whether the server asked this instance to send it no requests for now.
+    pub fn is_busy(&self, now: Timestamp) -> bool {
+        !self.busy_until.is_due(now)
+    }
+
     /// Records that a request was sent to the server; `tokens` is the number of prompt tokens
     /// that an engine has to prefill.
     pub fn record_sent(&mut self, now: Timestamp, key: AttemptKey, tokens: u32) {
--- a/sl-route/src/state.rs
+++ b/sl-route/src/state.rs
@@ -5,6 +5,7 @@
 mod cache;
 mod listing;
 mod notes;
+mod notices;
 
 use std::{collections::HashMap, sync::Arc};
 
@@ -13,7 +14,7 @@
 use sl_base::{Millis, RequestId, ServiceId, TeamId, Timestamp};
 
 use crate::{
-    Decision, Directory, Document, Effect, Event, Notes, ServerKey, ServerState,
+    Decision, Directory, Document, Effect, Event, Notes, ServerKey,
     activity::Activity,
     budget::Budget,
     event::InstanceLimits,
@@ -22,6 +23,7 @@
     server::Server,
     share::{Shares, Standing},
     strikes::CrashTracker,
+    withdrawn::WithdrawnRuns,
 };
 
 /// Parameters of an instance, fixed at its start except for `limits`.
@@ -48,6 +50,7 @@
     /// Servers as listed by the platform.
     directory: Directory,
     servers: HashMap<ServerKey, Server>,
+    withdrawn: WithdrawnRuns,
     /// Servers by service, sorted; rebuilt from `servers` when out of date.
     pools: HashMap<ServiceId, Vec<ServerKey>>,
     /// Requests in flight.
@@ -87,6 +90,7 @@
             document: Arc::default(),
             directory: Directory::default(),
             servers: HashMap::new(),
+            withdrawn: WithdrawnRuns::default(),
             pools: HashMap::new(),
             requests: HashMap::new(),
             budget: Budget::new(options.limits.budget),
@@ -130,6 +134,8 @@
             Event::CacheListed { server, parts } => self.on_cache_listed(now, server, &parts),
             Event::CacheListFailed { server } => self.on_cache_list_failed(now, server),
             Event::PeerCaches(caches) => self.on_peer_caches(now, caches),
+            Event::ServerNotice { server, notice } => self.on_server_notice(now, server, notice),
+            Event::StoreRestored => self.on_store_restored(now),
             Event::Limits(limits) => {
                 self.options.limits = limits;
                 self.budget.set_options(limits.budget);
@@ -164,10 +170,11 @@
         self.servers.values()
     }
 
-    /// Whether the server is listed as ready to accept requests.
-    pub fn is_accepting(&self, server: ServerKey) -> bool {
+    /// Whether the server may get a request of this instance at `now`: it is listed as ready, and
+    /// has not asked for anything else.
+    pub fn is_accepting(&self, now: Timestamp, server: ServerKey) -> bool {
         let server = self.servers.get(&server);
-        server.is_some_and(|it| it.record.state == ServerState::Ready)
+        server.is_some_and(|it| it.is_in_service() && !it.is_busy(now))
     }
 
     /// Number of requests in flight at this instance.
--- a/sl-route/src/state/cache.rs
+++ b/sl-route/src/state/cache.rs
@@ -46,7 +46,8 @@
         };
         for (key, server) in &mut self.servers {
             let is_engine = matches!(server.kind, ServerKind::Engine(_));
-            if is_engine && server.list_cache_at.is_due(now) && is_responsible_for(key.0) {
+            let may_ask = is_engine && !server.is_leaving && !server.is_busy(now);
+            if may_ask && server.list_cache_at.is_due(now) && is_responsible_for(key.0) {
                 server.list_cache_at = now.after(LIST_RETRY_DELAY);
                 let address = server.record.address;
                 self.effects.push(Effect::ListCache { server: *key, address });
--- a/sl-route/src/state/listing.rs
+++ b/sl-route/src/state/listing.rs
@@ -50,6 +50,10 @@
 
     pub(super) fn on_server_listed(&mut self, now: Timestamp, record: ServerRecord) {
         let id = record.id.clone();
+        if self.directory.is_outdated(now, &record) {
+            self.effects.push(Effect::Log(Decision::ServerEntryOutdated { server: id }));
+            return;
+        }
         let previous = self.directory.get(&id).map(ServerRecord::key);
         let state = record.state.into();
         let key = record.key();
@@ -64,9 +68,9 @@
         self.effects.push(Effect::Log(Decision::ServerChanged { server: id, state }));
     }
 
-    pub(super) fn on_server_removed(&mut self, _: Timestamp, id: &Arc<str>) {
+    pub(super) fn on_server_removed(&mut self, now: Timestamp, id: &Arc<str>) {
         let key = self.directory.get(id).map(ServerRecord::key);
-        if !self.directory.remove(id) {
+        if !self.directory.remove(now, id) {
             return;
         }
         if let Some(key) = key {
@@ -120,6 +124,8 @@
                 list_cache_at: now.after(FIRST_LIST_DELAY),
                 own_in_flight: 0,
                 updated_at: now,
+                is_leaving: self.withdrawn.contains(key),
+                busy_until: now,
             },
         );
         self.pools_are_current = false;
--- a/sl-route/tests/it/testbed.rs
+++ b/sl-route/tests/it/testbed.rs
@@ -69,6 +69,7 @@
         data_centre: DATA_CENTRE.into(),
         slots: 6,
         state: ServerState::Ready,
+        sequence: 1,
     }
 }
 
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -4,9 +4,11 @@
 mod callers;
 mod failure;
 mod membership;
+mod notices;
 mod operators;
 mod refusals;
 mod responses;
+mod restore;
 mod shutdown;
 mod soak;
 mod streams;
