sl-route: long prompts may wait as long as short ones

Cause: a request was refused when its expected first byte, its own prefill included, came after a fraction of the target.

Change: a fifth of the target is counted for the prefill of each prompt, in place of the actual one, so that the limit is on the wait; as far as a team's limits are lowered for its share, the actual prefill counts again. The deadline still bounds the whole.

--- a/bench/src/load/play.rs
+++ b/bench/src/load/play.rs
@@ -439,8 +439,7 @@
     fn finish_call(&mut self, call: usize, outcome: Outcome) {
         let call = &mut self.calls[call];
         if !std::mem::replace(&mut call.is_finished, true) {
-            let CallerRequest { kind, team, sent_at_ms, .. } = call.caller_request;
-            self.tally.record(kind, team, sent_at_ms, outcome);
+            self.tally.record(&call.caller_request, outcome);
         }
     }
 
--- a/bench/src/load/tally.rs
+++ b/bench/src/load/tally.rs
@@ -1,8 +1,9 @@
 //! The results of a simulation for its callers.
 
 use serde::Serialize;
+use sl_route::Prompt;
 
-use super::traffic::{KINDS, Load, TEAM_COUNT};
+use super::traffic::{CallerRequest, KINDS, Kind, Load, TEAM_COUNT};
 
 /// Results for one kind of request.
 #[derive(Clone, Debug, Default, Serialize)]
@@ -20,8 +21,30 @@
     pub refused: u32,
     /// Number of requests that failed, or whose callers disconnected.
     pub failed: u32,
+    /// The share of the tenth with the longest prompts that was served.
+    pub largest_served: f64,
+    /// Length of each prompt, and whether its request was served.
+    #[serde(skip)]
+    sizes: Vec<(u32, bool)>,
+}
+
+impl KindTally {
+    /// The share of the requests that was served, in time or late.
+    pub fn served(&self) -> f64 {
+        f64::from(self.in_time + self.late) / f64::from(self.requests.max(1))
+    }
+
+    fn count_largest(&mut self) {
+        self.sizes.sort_unstable_by_key(|it| std::cmp::Reverse(it.0));
+        let largest = &self.sizes[..self.sizes.len().div_ceil(LARGEST_DIVISOR)];
+        let served = largest.iter().filter(|it| it.1).count();
+        self.largest_served = served as f64 / largest.len().max(1) as f64;
+    }
 }
 
+/// One request in this many counts among the largest of its kind.
+const LARGEST_DIVISOR: usize = 10;
+
 /// Results of a simulation.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct Tally {
@@ -29,6 +52,8 @@
     pub kinds: Vec<KindTally>,
     /// The earned share of the attainable credit.
     pub credit: f64,
+    /// The same with each request weighted by its size.
+    pub credit_by_size: f64,
     /// The same for requests sent during the disturbance or up to two seconds after it.
     pub credit_disturbed: f64,
     /// The same for the team with the lowest share.
@@ -47,6 +72,8 @@
     #[serde(skip)]
     pub(super) all: Credit,
     #[serde(skip)]
+    pub(super) all_by_size: Credit,
+    #[serde(skip)]
     pub(super) disturbed: Credit,
     #[serde(skip)]
     pub(super) teams: Vec<Credit>,
@@ -85,6 +112,21 @@
     }
 }
 
+/// Tokens of prompt that count as much as one of output.
+const TOKENS_PER_OUTPUT_TOKEN: u32 = 10;
+
+/// The part of a request's weight that does not depend on its size, and the largest weight.
+const SIZE_WEIGHT_BASE: f64 = 0.3;
+const SIZE_WEIGHT_MAX: f64 = 4.0;
+
+/// The weight of a request by its size, around 1 for the usual size of its kind.
+fn size_weight(kind: &Kind, prompt: &Prompt) -> f64 {
+    let size = |input: u32, output: u32| f64::from(input + TOKENS_PER_OUTPUT_TOKEN * output);
+    let usual = size(kind.shared_tokens + kind.own_tokens, kind.max_output_tokens);
+    let relative = size(prompt.input_tokens, prompt.max_output_tokens) / usual;
+    (SIZE_WEIGHT_BASE + (1.0 - SIZE_WEIGHT_BASE) * relative).min(SIZE_WEIGHT_MAX)
+}
+
 impl Tally {
     pub(super) fn new() -> Tally {
         let kind = |name| KindTally { kind: name, ..KindTally::default() };
@@ -95,10 +137,13 @@
         }
     }
 
-    pub(super) fn record(&mut self, kind: usize, team: usize, sent_at_ms: u64, outcome: Outcome) {
+    pub(super) fn record(&mut self, request: &CallerRequest, outcome: Outcome) {
+        let CallerRequest { kind, team, sent_at_ms, .. } = *request;
         let spec = KINDS[kind];
         let tally = &mut self.kinds[kind];
         tally.requests += 1;
+        let is_served = matches!(outcome, Outcome::FirstToken { .. });
+        tally.sizes.push((request.prompt.input_tokens, is_served));
         let earned = match outcome {
             Outcome::FirstToken { after_ms } if after_ms <= spec.target_latency.0 => {
                 tally.in_time += 1;
@@ -121,6 +166,8 @@
             self.first_tokens.push(after_ms);
         }
         self.all.add(earned, spec.value);
+        let weight = size_weight(&spec, &request.prompt);
+        self.all_by_size.add(earned * weight, spec.value * weight);
         self.teams[team].add(earned, spec.value);
         let counted_ms = Load::DISTURBANCE_MS.start..Load::DISTURBANCE_MS.end + RECOVERY_MS;
         if counted_ms.contains(&sent_at_ms) {
@@ -131,12 +178,14 @@
     /// Computes the ratios and percentiles from the counts.
     pub(super) fn finish(mut self, reprocessed_tokens: u64, utilization: f64) -> Tally {
         self.first_tokens.sort_unstable();
+        self.kinds.iter_mut().for_each(KindTally::count_largest);
         let percentile = |quantile: f64| {
             let last = self.first_tokens.len().saturating_sub(1);
             self.first_tokens.get((last as f64 * quantile) as usize).copied().unwrap_or_default()
         };
         self.first_token_ms = [percentile(0.5), percentile(0.95), percentile(0.99)];
         self.credit = self.all.ratio();
+        self.credit_by_size = self.all_by_size.ratio();
         self.credit_disturbed = self.disturbed.ratio();
         self.worst_team = self.teams.iter().map(|it| it.ratio()).fold(1.0, f64::min);
         self.reprocessed_share = reprocessed_tokens as f64 / self.shared_tokens.max(1) as f64;
--- a/bench/src/load/traffic.rs
+++ b/bench/src/load/traffic.rs
@@ -81,6 +81,9 @@
     GreedyTeam,
     /// Half of the engines are down.
     HalfLost,
+    /// Three times as many requests all the time, with prompts whose lengths differ by far more than
+    /// usual.
+    LongTail,
     /// 1.7 times as many requests, and callers retry up to four times without waiting as long as
     /// the refusals ask for.
     Impatient,
@@ -112,6 +115,7 @@
         let factor = match self {
             Load::Burst | Load::Impatient if self.is_disturbed_at(elapsed_ms) => 1.7,
             Load::Flood if self.is_disturbed_at(elapsed_ms) => 2.5,
+            Load::LongTail => 3.0,
             // 7.5 times the requests of one team add 6.5 times its usual share.
             Load::GreedyTeam if self.is_disturbed_at(elapsed_ms) => {
                 1.0 + 6.5 * team_share(GREEDY_TEAM)
@@ -175,7 +179,10 @@
         draw_weighted(rng, (0..subject_count).map(|it| ((it + 1) as f64).powf(-SUBJECT_SKEW)));
     let subject = if is_hot { 0 } else { subject };
     let Kind { shared_tokens, own_tokens, max_output_tokens, name, .. } = KINDS[kind];
-    let own_tokens = vary(rng, own_tokens);
+    let own_tokens = match load {
+        Load::LongTail => vary_widely(rng, own_tokens),
+        _ => vary(rng, own_tokens),
+    };
     let prompt = Prompt {
         parts: vec![
             PromptPart::new("m", &format!("{name}-{subject}"), shared_tokens),
@@ -193,6 +200,19 @@
     (f64::from(usual) * rng.random_range(0.5..1.5)) as u32
 }
 
+/// Standard deviation of the logarithm of the sizes in a long-tailed distribution, and the largest
+/// size relative to the mean.
+const LONG_TAIL_SIGMA: f64 = 1.4;
+const LONG_TAIL_MAX: f64 = 16.0;
+
+/// Draws a size from a long-tailed distribution around the usual one.
+fn vary_widely(rng: &mut impl Rng, usual: u32) -> u32 {
+    let radius = (-2.0 * rng.random_range(f64::EPSILON..1.0).ln()).sqrt();
+    let normal = radius * rng.random_range(0.0..std::f64::consts::TAU).cos();
+    let factor = (LONG_TAIL_SIGMA * normal - LONG_TAIL_SIGMA.powi(2) / 2.0).exp();
+    (f64::from(usual) * factor.min(LONG_TAIL_MAX)) as u32
+}
+
 /// Draws an index with a probability in proportion to its weight.
 fn draw_weighted(rng: &mut impl Rng, weights: impl Iterator<Item = f64> + Clone) -> usize {
     let mut drawn = rng.random_range(0.0..weights.clone().sum::<f64>());
--- a/bench/tests/it/loads.rs
+++ b/bench/tests/it/loads.rs
@@ -51,6 +51,26 @@
     }
 }
 
+/// Guards against long prompts that are refused first: their own prefill takes most of the target
+/// latency, so a limit on the expected time alone leaves them less time to wait than short ones.
+/// The users want the longest tenth of a kind served at least half as often as the whole kind.
+#[test]
+fn the_longest_prompts_are_served_half_as_often_as_all_at_least() {
+    for seed in 1..=3 {
+        let options = Options {
+            seed,
+            load: Load::LongTail,
+            policy: Policy::Notes,
+            instances: 9,
+            engines: 12,
+            duration: Millis(30_000),
+        };
+        for kind in simulate(options).kinds {
+            assert!(kind.largest_served >= 0.5 * kind.served(), "seed {seed}: {kind:?}");
+        }
+    }
+}
+
 /// Instances that learn about each other's requests at once do not all choose the same engine.
 #[rstest]
 #[case::apart(Policy::Apart)]
--- a/sl-route/src/admission.rs
+++ b/sl-route/src/admission.rs
@@ -3,6 +3,9 @@
 //! Under overload teams over their fair share are refused first (docs/design.md). A refusal for
 //! the sake of other requests is for teams that have got enough: the prefill that a request
 //! repeats counts in proportion to the part of its share that the team has used.
+//!
+//! What is limited is the time that a request waits for others, not the time that its own prompt
+//! takes: a limit on both refuses the longest prompts first.
 
 use crate::share::ContendedUsage;
 
@@ -12,6 +15,12 @@
     /// Longest expected time to the first byte with the weighted cost to other requests, in
     /// milliseconds.
     pub allowed_ms: f64,
+    /// Milliseconds that are counted for the prefill of the request itself, whatever its length,
+    /// so that long prompts may wait as long for their turn as short ones.
+    pub counted_prefill_ms: f64,
+    /// Weight of `counted_prefill_ms` against the actual prefill, from 0 (the actual one counts)
+    /// to 1.
+    pub counted_prefill_weight: f64,
     /// Weight of prefill that duplicates what another engine has cached, when a request is
     /// checked against `allowed_ms`.
     pub duplicate_prefill_weight: f64,
@@ -27,6 +36,9 @@
 /// The same for a team whose share is used up.
 const TARGET_FRACTION_OVER_SHARE: f64 = 0.7;
 
+/// Fraction of a route's target latency that is counted for the prefill of each prompt.
+const COUNTED_PREFILL_FRACTION: f64 = 0.2;
+
 /// Weight of duplicate prefill. Under overload, refusing one request is cheaper than repeating
 /// prefill at the expense of many others.
 const DUPLICATE_PREFILL_WEIGHT: f64 = 4.0;
@@ -55,15 +67,25 @@
         let fraction = usage.map_or(TARGET_FRACTION, target_fraction);
         AdmissionLimits {
             allowed_ms: (target_ms * fraction).min(remaining_ms),
+            counted_prefill_ms: target_ms * COUNTED_PREFILL_FRACTION,
+            counted_prefill_weight: (fraction / TARGET_FRACTION).min(1.0),
             duplicate_prefill_weight: usage
                 .map_or(DUPLICATE_PREFILL_WEIGHT, |it| duplicate_prefill_weight(it.ratio)),
         }
     }
 
+    /// Milliseconds of a request's own prefill that do not count against `allowed_ms`; negative
+    /// for short prompts.
+    pub fn uncounted_prefill_ms(self, prefill_ms: f64) -> f64 {
+        self.counted_prefill_weight * (prefill_ms - self.counted_prefill_ms)
+    }
+
     /// The limits of a request that may take until its deadline, `remaining_ms` away.
     pub fn until_deadline(remaining_ms: f64) -> AdmissionLimits {
         AdmissionLimits {
             allowed_ms: remaining_ms,
+            counted_prefill_ms: 0.0,
+            counted_prefill_weight: 0.0,
             duplicate_prefill_weight: DUPLICATE_PREFILL_WEIGHT,
         }
     }
--- a/sl-route/src/place.rs
+++ b/sl-route/src/place.rs
@@ -143,6 +143,8 @@
     placement: Placement,
     /// Ranks the candidates; lower is better. In milliseconds.
     score: f64,
+    /// Milliseconds in which the server prefills the prompt.
+    prefill_ms: f64,
     /// Milliseconds of prefill that another engine has cached already.
     duplicate_prefill_ms: f64,
     /// Whether the time limit does not apply; see [`is_exempt`].
@@ -150,13 +152,17 @@
 }
 
 impl Candidate {
-    /// Milliseconds to the first byte plus the weighted cost to other requests.
+    /// Milliseconds to the first byte plus the weighted cost to other requests, with the prefill of
+    /// the request itself as far as it counts.
     fn cost_ms(&self, limits: AdmissionLimits) -> f64 {
         self.placement.expected_ms + limits.duplicate_prefill_weight * self.duplicate_prefill_ms
+            - limits.uncounted_prefill_ms(self.prefill_ms)
     }
 
     fn is_in_time(&self, required: Requirements<'_>) -> bool {
-        self.is_exempt || self.cost_ms(required.limits) <= required.limits.allowed_ms
+        let is_before_deadline = self.placement.expected_ms <= required.remaining_ms;
+        let is_within_limits = self.cost_ms(required.limits) <= required.limits.allowed_ms;
+        self.is_exempt || is_before_deadline && is_within_limits
     }
 }
 
@@ -309,7 +315,8 @@
     let is_exempt = is_exempt(engine, expected_ms, required);
     let duplicate_tokens = donor.map_or(0, |it| it.tokens);
     let duplicate_prefill_ms = f64::from(duplicate_tokens) / engine.tokens_per_ms();
-    Some(Candidate { placement, score, duplicate_prefill_ms, is_exempt })
+    let prefill_ms = engine.prefill_ms(prefill_tokens);
+    Some(Candidate { placement, score, prefill_ms, duplicate_prefill_ms, is_exempt })
 }
 
 /// Whether the time limit does not apply, because a refusal would help no other request: the
@@ -358,6 +365,7 @@
     Candidate {
         placement,
         score: response_ms * load_factor - idle_bonus,
+        prefill_ms: 0.0,
         duplicate_prefill_ms: 0.0,
         is_exempt: false,
     }
