sl-edge: an instance that the store rejects registers less and less often

Cause: an instance whose lease is gone tried to register twice a second for as long as the store rejected it. Rejected calls are priced like others.

Change: the delay doubles from 0.5 to 4 s, with jitter, and starts anew after a success. Peers know an instance without an entry from its messages. The store's client uses the same Backoff.

--- a/sl-edge/src/lib.rs
+++ b/sl-edge/src/lib.rs
@@ -6,6 +6,7 @@
 //! decisions that read the whole state then need no locks.
 
 mod attempt;
+pub mod backoff;
 mod caller;
 mod catch_up;
 mod change_handler;
--- a/sl-edge/src/membership.rs
+++ b/sl-edge/src/membership.rs
@@ -9,6 +9,7 @@
 use tokio::time::sleep;
 
 use crate::{
+    backoff::Backoff,
     connection_share,
     core::Core,
     store::{CALL_TIMEOUT, StoreClient},
@@ -21,9 +22,14 @@
 /// How often the lease is renewed within its time to live.
 const RENEWALS_PER_TTL: u64 = 3;
 
-/// The delay before the next attempt after a failed call.
+/// The delay before the next attempt after a failed call, which grows with further failures: the
+/// store may reject the calls of a large part of the fleet for a while, and peers know of an
+/// instance without an entry from its messages.
 const RETRY_DELAY: Millis = Millis(500);
 
+/// The longest delay between attempts.
+const RETRY_DELAY_MAX: Millis = Millis(4_000);
+
 /// The peers of this instance: those with an entry in the store, and those without one that
 /// sent a message recently. An entry can expire while its instance runs, if the store rejects
 /// the instance's calls.
@@ -198,6 +204,7 @@
     /// Registers this instance and renews its lease until a graceful shutdown starts.
     pub(crate) async fn run(&self) {
         let mut conn = None;
+        let mut backoff = Backoff::new(RETRY_DELAY, RETRY_DELAY_MAX);
         while !self.core.is_stopping() {
             let ttl = match self.current_lease() {
                 Some(lease) => self.renew(&mut conn, lease.id).await,
@@ -205,7 +212,13 @@
             };
             // A restore that the call itself has shown ends the lease, too.
             let ttl = ttl.filter(|_| self.current_lease().is_some());
-            let pause = ttl.map_or(RETRY_DELAY, |it| Millis(it.0 / RENEWALS_PER_TTL));
+            if ttl.is_some() {
+                backoff.reset();
+            }
+            let pause = match ttl {
+                Some(ttl) => Millis(ttl.0 / RENEWALS_PER_TTL),
+                None => self.with_jitter(backoff.next_delay()),
+            };
             let era = self.store.eras().latest();
             tokio::select! {
                 () = sleep(pause.into()) => {}
--- a/sl-edge/src/store.rs
+++ b/sl-edge/src/store.rs
@@ -15,6 +15,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::{
+    backoff::Backoff,
     core::Core,
     era::{EraTracker, REREGISTRATION_TIME},
     membership::PeerTable,
@@ -106,7 +107,7 @@
 /// The timeout of every call other than a watch.
 pub(crate) const CALL_TIMEOUT: Millis = Millis(1_000);
 
-/// The delay before the first retry; it doubles with every further failure.
+/// The delay before the first retry.
 const BACKOFF_INITIAL: Millis = Millis(50);
 
 /// The longest delay between retries.
@@ -248,7 +249,7 @@
 
     /// Follows the store, or stands by, until the daemon stops.
     pub(crate) async fn run(&self) {
-        let mut backoff = BACKOFF_INITIAL;
+        let mut backoff = Backoff::new(BACKOFF_INITIAL, BACKOFF_MAX);
         let mut is_listed = false;
         loop {
             let error = self.follow_until_error(&mut is_listed, &mut backoff).await;
@@ -262,13 +263,12 @@
                 FollowError::EraChanged => is_listed = false,
                 other => self.mark_unavailable(&other),
             }
-            sleep(backoff.into()).await;
-            backoff = Millis((backoff.0 * 2).min(BACKOFF_MAX.0));
+            sleep(backoff.next_delay().into()).await;
         }
     }
 
     /// Lists the entries, unless `is_listed`, and watches for changes until a call fails.
-    async fn follow_until_error(&self, is_listed: &mut bool, backoff: &mut Millis) -> FollowError {
+    async fn follow_until_error(&self, is_listed: &mut bool, backoff: &mut Backoff) -> FollowError {
         let mut conn = None;
         loop {
             if *is_listed && !self.should_follow() {
@@ -282,7 +282,7 @@
                 return e;
             }
             *is_listed = true;
-            *backoff = BACKOFF_INITIAL;
+            backoff.reset();
         }
     }
 
--- a/sl-edge/tests/it/main.rs
+++ b/sl-edge/tests/it/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the adapters' parts that need no network.
 
+mod backoff;
 mod connection_share;
 mod detail;
 mod events;
--- a/tests/it/membership.rs
+++ b/tests/it/membership.rs
@@ -207,3 +207,23 @@
     }
     assert_eq!(removed_server.executed_requests().len(), before);
 }
+
+/// Guards against a large fleet that calls a store which rejects it as often as before: all calls
+/// count against the store's limits and cost, rejected ones too. After the leases are gone, each
+/// instance tried to register twice a second.
+#[tokio::test(flavor = "multi_thread")]
+async fn instances_call_a_store_that_rejects_them_less_and_less() {
+    let fleet = fleet(6).await;
+    let prefix = "sesamelock/instances/";
+    eventually("all are registered", async || fleet.store.keys(prefix).len() == 6).await;
+    let backup = fleet.store.backup();
+    fleet.store.set_fault(Fault::Unavailable);
+    fleet.store.restore(backup);
+    tokio::time::sleep(Duration::from_millis(3_000)).await;
+    let (before, start) = (fleet.store.lease_call_count(), std::time::Instant::now());
+    tokio::time::sleep(Duration::from_millis(5_000)).await;
+    let calls = fleet.store.lease_call_count() - before;
+    assert!(calls <= 6 * 4, "{calls} calls in {:?}", start.elapsed());
+    fleet.store.set_fault(Fault::None);
+    eventually("all are registered", async || fleet.store.keys(prefix).len() == 6).await;
+}
