sl-edge: a message crosses to each other data centre once, and has the sender's state five times a second

Cause: each relay sent what it got to each other relay, 17 at 295 instances, 15 of them in other data centres; each instance sent a heartbeat to each other one once a second, 87,000 datagrams a second in all; and each message of notes repeated 45 bytes of the sender's state.

Change: a relay sends to one relay in each other data centre, which forwards there; direct heartbeats go to 16 peers in turn; the state is in heartbeats only (every 200 ms), in fleets with relays; roles are assigned ten times a second. An instance that is no relay drops what it was sent to forward: it was kept for ever.

Test: sl-edge roles a_message_reaches_each_instance_once_and_each_data_centre_once (proptest).

--- a/sl-edge/src/membership.rs
+++ b/sl-edge/src/membership.rs
@@ -96,8 +96,15 @@
         }
     }
 
+    /// Records a message of a peer that is known and did not report its state.
+    pub(crate) fn record_sign_of_life(&self, now: Timestamp, id: InstanceId) {
+        if let Some(peer) = self.0.borrow_mut().get_mut(&id) {
+            peer.last_seen = now;
+        }
+    }
+
     /// Records a message of a peer, with the state that the peer reported in it.
-    pub(crate) fn record_message(&self, now: Timestamp, id: InstanceId, info: PeerInfo) {
+    pub(crate) fn record_state(&self, now: Timestamp, id: InstanceId, info: PeerInfo) {
         let mut peers = self.0.borrow_mut();
         let addresses = info.addresses;
         let peer = PeerEntry { addresses, is_listed: false, last_seen: now, info: None };
@@ -232,6 +239,13 @@
         self.lease.get().filter(|it| it.era == self.store.eras().latest())
     }
 
+    /// A delay between half of `delay` and all of it, so that instances do not call in step.
+    fn with_jitter(&self, delay: Millis) -> Millis {
+        let half = Millis(delay.0 / 2);
+        let jitter = self.core.with_state(|it| it.draw_delay(half));
+        Millis(half.0 + jitter.0)
+    }
+
     async fn spread_registration(&self) {
         let delay = self.core.with_state(|it| it.draw_delay(REGISTRATION_SPREAD));
         sleep(delay.into()).await;
--- a/sl-edge/src/peers.rs
+++ b/sl-edge/src/peers.rs
@@ -3,8 +3,9 @@
 //! In a small fleet every instance sends directly to every other one. In a larger fleet the
 //! largest instances act as relays: an instance sends to its relay, relays exchange what they
 //! received, and each relay forwards it to the instances that it serves. So the number of
-//! messages per instance does not grow with the fleet. Notes only refine estimates, so a
-//! note that is lost or delivered twice only makes an estimate less accurate.
+//! messages per instance does not grow with the fleet. Between data centres, a relay sends to
+//! one relay in each, which forwards there. Notes only refine estimates, so a note that is
+//! lost or delivered twice only makes an estimate less accurate.
 
 mod datagram;
 
@@ -26,7 +27,7 @@
 };
 
 pub(crate) use datagram::DatagramKey;
-use datagram::{Hop, Message, PAYLOAD_BYTES_MAX, pack_notes};
+use datagram::{Hop, Message, PAYLOAD_BYTES_MAX, SenderState, pack_notes};
 
 use crate::{
     core::Core,
@@ -47,10 +48,16 @@
 /// notes.
 const HEARTBEAT_INTERVAL: Millis = Millis(200);
 
-/// How often an instance of a fleet with relays sends a heartbeat directly to every other
-/// instance.
+/// How often an instance of a fleet with relays sends a heartbeat directly to some of the other
+/// instances, in turn, so that instances find each other again that know different relays.
 const DIRECT_HEARTBEAT_INTERVAL: Millis = Millis(1_000);
 
+/// How long relay roles are used before they are assigned anew: that looks at all peers.
+const ROLES_LIFETIME: Millis = Millis(100);
+
+/// Instances that get such a heartbeat at a time.
+const DIRECT_HEARTBEAT_PEERS: usize = 16;
+
 /// Sends this instance's notes and heartbeats to peers, and handles those received from peers.
 pub(crate) struct Gossip {
     pub(crate) core: Rc<Core>,
@@ -71,6 +78,8 @@
     /// Signalled when `newer_peer` is set.
     pub(crate) newer_peer_seen: Notify,
     pub(crate) relay_queue: RelayQueue,
+    /// How many direct heartbeats of a fleet with relays have been sent.
+    pub(crate) direct_heartbeats_sent: Cell<usize>,
 }
 
 /// Messages that this instance forwards as a relay, and the state for sending and receiving
@@ -80,6 +89,9 @@
     /// The sequence number of the last message with notes that this instance sent.
     last_sent: Cell<u64>,
     from_instances: RefCell<Vec<Message>>,
+    /// From relays in other data centres, for all instances in this one.
+    from_data_centres: RefCell<Vec<Message>>,
+    /// From relays, for the instances that this one serves.
     from_relays: RefCell<Vec<Message>>,
     /// The highest incarnation and sequence number received from each instance.
     last_received: RefCell<HashMap<InstanceId, (Incarnation, u64)>>,
@@ -105,6 +117,8 @@
     pub(crate) async fn run_sender(&self) {
         let mut heartbeat_at = Instant::now();
         let mut direct_heartbeat_at = Instant::now();
+        let mut roles = None;
+        let mut roles_expire_at = Instant::now();
         loop {
             let max_wait = if self.relay_queue.is_empty() { HEARTBEAT_INTERVAL } else { Millis(0) };
             // A timeout is no error: a heartbeat may be due.
@@ -112,7 +126,10 @@
             let now = Instant::now();
             let is_heartbeat = heartbeat_at <= now;
             let notes = self.core.with_state(|it| it.take_notes());
-            let roles = self.relay_roles();
+            if roles_expire_at <= now {
+                roles_expire_at = now + ROLES_LIFETIME.into();
+                roles = self.relay_roles();
+            }
             if is_heartbeat || !notes.notes.is_empty() {
                 heartbeat_at = now + HEARTBEAT_INTERVAL.into();
             }
@@ -123,9 +140,12 @@
                 }
                 Some(roles) => self.send_to_relay(roles, notes, is_heartbeat).await,
             }
+            if !roles.as_ref().is_some_and(|it| it.is_relay) {
+                self.relay_queue.clear();
+            }
             if roles.is_some() && direct_heartbeat_at <= now {
                 direct_heartbeat_at = now + DIRECT_HEARTBEAT_INTERVAL.into();
-                self.send_to_all(Notes::default(), true).await;
+                self.send_direct_heartbeat().await;
             }
             let interval = if roles.is_some() { RELAYED_INTERVAL_MIN } else { DIRECT_INTERVAL_MIN };
             sleep_until(now + interval.into()).await;
@@ -146,12 +166,27 @@
     }
 
     async fn send_to_all(&self, notes: Notes, is_heartbeat: bool) {
-        let messages = self.build_messages(notes, is_heartbeat);
+        let mut messages = self.build_messages(notes, is_heartbeat);
+        messages.iter_mut().for_each(|it| it.state = Some(self.sender_state()));
         let peers = self.peer_table.all().into_iter().filter(|(id, _)| *id != self.own_id);
         let addresses: Vec<Addresses> = peers.map(|it| it.1).collect();
         self.send(Hop::Direct, messages, &addresses).await;
     }
 
+    /// Sends a heartbeat to the next [`DIRECT_HEARTBEAT_PEERS`] instances in turn.
+    async fn send_direct_heartbeat(&self) {
+        let mut peers = self.peer_table.all();
+        peers.retain(|(id, _)| *id != self.own_id);
+        peers.sort_by_key(|it| it.0);
+        let sent = self.direct_heartbeats_sent.get();
+        let count = peers.len().min(DIRECT_HEARTBEAT_PEERS);
+        self.direct_heartbeats_sent.set(sent.wrapping_add(count));
+        let skipped = sent.checked_rem(peers.len()).unwrap_or_default();
+        let next = peers.iter().cycle().skip(skipped).take(count);
+        let addresses: Vec<Addresses> = next.map(|it| it.1).collect();
+        self.send(Hop::Direct, self.build_messages(Notes::default(), true), &addresses).await;
+    }
+
     async fn send_to_relay(&self, roles: &RelayRoles, notes: Notes, is_heartbeat: bool) {
         let relay: Vec<Addresses> = roles.own_relay().into_iter().map(|it| it.addresses).collect();
         self.send(Hop::ToRelay, self.build_messages(notes, is_heartbeat), &relay).await;
@@ -160,11 +195,14 @@
     async fn send_as_relay(&self, roles: &RelayRoles, notes: Notes, is_heartbeat: bool) {
         let mut messages = self.relay_queue.from_instances.take();
         messages.extend(self.build_messages(notes, is_heartbeat));
-        let from_relays = self.relay_queue.from_relays.take();
+        let entries: Vec<Addresses> =
+            roles.remote_entries().iter().map(|it| it.addresses).collect();
+        let local_relays: Vec<Addresses> = roles.local_relays().map(|it| it.addresses).collect();
         let served: Vec<Addresses> = roles.served_peers().map(|it| it.addresses).collect();
-        let relays: Vec<Addresses> = roles.relays.iter().map(|it| it.addresses).collect();
-        self.send(Hop::BetweenRelays, messages.clone(), &relays).await;
-        messages.extend(from_relays);
+        self.send(Hop::ToDataCentre, messages.clone(), &entries).await;
+        messages.extend(self.relay_queue.from_data_centres.take());
+        self.send(Hop::BetweenRelays, messages.clone(), &local_relays).await;
+        messages.extend(self.relay_queue.from_relays.take());
         self.send(Hop::FromRelay, messages, &served).await;
     }
 
@@ -209,7 +247,12 @@
         if parts.is_empty() && is_heartbeat {
             parts.push(Vec::new());
         }
-        parts.into_iter().map(|it| self.build_message(it)).collect()
+        let mut messages: Vec<Message> =
+            parts.into_iter().map(|it| self.build_message(it)).collect();
+        if is_heartbeat && let Some(first) = messages.first_mut() {
+            first.state = Some(self.sender_state());
+        }
+        messages
     }
 
     fn build_message(&self, notes: Vec<Note>) -> Message {
@@ -223,6 +266,13 @@
             from: self.own_id,
             incarnation: self.incarnation,
             sequence,
+            state: None,
+            notes: Notes { notes },
+        }
+    }
+
+    fn sender_state(&self) -> SenderState {
+        SenderState {
             info: PeerInfo {
                 incarnation: self.incarnation,
                 follows_store: self.store.is_following() && self.store.is_reachable(),
@@ -233,7 +283,6 @@
             },
             document_version: self.core.document().version,
             store_version: self.store.version(),
-            notes: Notes { notes },
         }
     }
 
@@ -257,6 +306,9 @@
                     Hop::BetweenRelays => {
                         self.relay_queue.from_relays.borrow_mut().push(message.clone())
                     }
+                    Hop::ToDataCentre => {
+                        self.relay_queue.from_data_centres.borrow_mut().push(message.clone())
+                    }
                     Hop::Direct | Hop::FromRelay => {}
                 }
                 self.handle_message(now, message);
@@ -268,29 +320,47 @@
     }
 
     fn handle_message(&self, now: Timestamp, message: Message) {
-        self.peer_table.record_message(now, message.from, message.info);
-        self.store.observe_era(message.store_version.era);
-        let is_newer = message.document_version > self.core.document().version
-            || self.store.is_behind(message.store_version);
+        match message.state {
+            Some(state) => self.handle_state(now, message.from, state),
+            None => self.peer_table.record_sign_of_life(now, message.from),
+        }
+        self.core.step(Event::NotesReceived { from: message.from.0, notes: message.notes });
+    }
+
+    fn handle_state(&self, now: Timestamp, from: InstanceId, state: SenderState) {
+        let SenderState { info, document_version, store_version } = state;
+        self.peer_table.record_state(now, from, info);
+        self.store.observe_era(store_version.era);
+        let is_newer =
+            document_version > self.core.document().version || self.store.is_behind(store_version);
         if is_newer {
-            self.newer_peer.set(Some(message.from));
+            self.newer_peer.set(Some(from));
             self.newer_peer_seen.notify_one();
         }
         let own_version = self.store.version();
-        let is_same_era = message.store_version.era == own_version.era;
-        if message.info.follows_store && is_same_era && message.store_version <= own_version {
+        let is_same_era = store_version.era == own_version.era;
+        if info.follows_store && is_same_era && store_version <= own_version {
             self.core.record_store_contact();
         }
-        if message.info.has_complete_store {
-            self.store.confirm_removals(message.store_version);
+        if info.has_complete_store {
+            self.store.confirm_removals(store_version);
         }
-        self.core.step(Event::NotesReceived { from: message.from.0, notes: message.notes });
     }
 }
 
 impl RelayQueue {
     fn is_empty(&self) -> bool {
-        self.from_instances.borrow().is_empty() && self.from_relays.borrow().is_empty()
+        self.from_instances.borrow().is_empty()
+            && self.from_data_centres.borrow().is_empty()
+            && self.from_relays.borrow().is_empty()
+    }
+
+    /// Drops what this instance got for others to forward although it is not a relay, because
+    /// its peers know other instances than it does.
+    fn clear(&self) {
+        self.from_instances.borrow_mut().clear();
+        self.from_data_centres.borrow_mut().clear();
+        self.from_relays.borrow_mut().clear();
     }
 
     /// How the message follows the last one received from the same instance. Messages without
--- a/sl-edge/src/peers/datagram.rs
+++ b/sl-edge/src/peers/datagram.rs
@@ -19,7 +19,7 @@
 pub(super) const PAYLOAD_BYTES_MAX: usize = 1_300;
 
 /// Bytes reserved in each message for the fields other than its notes.
-const HEADER_BYTES: usize = 60;
+const HEADER_BYTES: usize = 61;
 
 /// Notes of one instance, or its heartbeat if there are none.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -31,13 +31,20 @@
     /// Increases with each message that has notes, within one incarnation; 0 if the
     /// message has none.
     pub(super) sequence: u64,
-    /// The sender's state, for the peer table.
+    /// The sender's state; `None` if an earlier message had it a moment before.
+    pub(super) state: Option<SenderState>,
+    pub(super) notes: Notes,
+}
+
+/// The state of the instance that wrote a message. It is longer than most notes.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub(super) struct SenderState {
+    /// The sender's state for the peer table.
     pub(super) info: PeerInfo,
     /// The version of the configuration in force at the sender.
     pub(super) document_version: u64,
     /// The store's version up to which the sender has every change.
     pub(super) store_version: Version,
-    pub(super) notes: Notes,
 }
 
 /// The hop on which a datagram is sent.
@@ -51,6 +58,9 @@
     BetweenRelays,
     /// From a relay to the instances that it serves; not forwarded.
     FromRelay,
+    /// From a relay to one in another data centre, which forwards to the other relays there and
+    /// to the instances that it serves.
+    ToDataCentre,
 }
 
 /// The contents of a datagram behind its tag.
--- a/sl-edge/src/roles.rs
+++ b/sl-edge/src/roles.rs
@@ -4,6 +4,8 @@
 //! without an election. Instances that know different peers may disagree, and then a note is
 //! delivered twice or not at all, which only makes an estimate less accurate.
 
+use std::collections::HashMap;
+
 use platform::Addresses;
 use sl_base::{InstanceId, hash};
 
@@ -62,6 +64,27 @@
         self.relay_of(self.own)
     }
 
+    /// The relays in the data centre of this instance, other than itself.
+    pub fn local_relays(&self) -> impl Iterator<Item = RelayCandidate> {
+        self.relays.iter().copied().filter(|it| it.data_centre == self.own.data_centre)
+    }
+
+    /// For each other data centre with relays, the one to which this relay sends what it got from
+    /// the instances that it serves. It forwards that in its data centre, so that each message
+    /// crosses to another data centre once. Different relays send to different ones.
+    pub fn remote_entries(&self) -> Vec<RelayCandidate> {
+        let key = rank(self.own.id);
+        let mut entries: HashMap<u32, RelayCandidate> = HashMap::new();
+        for relay in self.relays.iter().filter(|it| it.data_centre != self.own.data_centre) {
+            let weight = |it: &RelayCandidate| hash::weight(key, it.id.into());
+            let entry = entries.entry(relay.data_centre).or_insert(*relay);
+            if weight(relay) > weight(entry) {
+                *entry = *relay;
+            }
+        }
+        entries.into_values().collect()
+    }
+
     /// The peers that this instance serves as a relay.
     pub fn served_peers(&self) -> impl Iterator<Item = RelayCandidate> {
         self.others.iter().copied().filter(|it| self.relay_of(*it).is_none())
--- a/sl-edge/src/run.rs
+++ b/sl-edge/src/run.rs
@@ -266,6 +266,7 @@
             newer_peer: Cell::new(None),
             newer_peer_seen: Notify::new(),
             relay_queue: RelayQueue::default(),
+            direct_heartbeats_sent: Cell::new(0),
         });
         let seeds = settings.seed_instances.iter().map(|it| (InstanceId::of(&it.name), it.control));
         let catch_up = CatchUp {
--- a/sl-edge/tests/it/roles.rs
+++ b/sl-edge/tests/it/roles.rs
@@ -1,5 +1,5 @@
 use platform::Addresses;
-use proptest::prelude::*;
+use proptest::{prelude::*, test_runner::RngSeed};
 use sl_base::InstanceId;
 use sl_edge::roles::{RelayCandidate, RelayRoles};
 
@@ -63,3 +63,50 @@
         prop_assert!(others.iter().all(|it| fleet[*it].cores <= least));
     }
 }
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(0x5e5a_0022),
+        cases: 48,
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against bytes between data centres that grow with the relays there: each message
+    /// crosses to each other data centre that has a relay once, and reaches each instance once.
+    #[test]
+    fn a_message_reaches_each_instance_once_and_each_data_centre_once(fleet in fleet()) {
+        prop_assume!(fleet.len() > DIRECT_FLEET_MAX);
+        let all: Vec<RelayRoles> = (0..fleet.len()).map(|it| roles(&fleet, it).unwrap()).collect();
+        let at = |id: InstanceId| fleet.iter().position(|it| it.id == id).unwrap();
+        for (index, own) in all.iter().enumerate() {
+            let first = own.own_relay().filter(|_| !own.is_relay).map_or(index, |it| at(it.id));
+            let mut reached = vec![0; fleet.len()];
+            reached[index] += 1;
+            if first != index {
+                reached[first] += 1;
+            }
+            let entries: Vec<usize> = all[first].remote_entries().iter().map(|it| at(it.id)).collect();
+            let mut entered: Vec<u32> = entries.iter().map(|it| fleet[*it].data_centre).collect();
+            entered.sort_unstable();
+            let count = entered.len();
+            entered.dedup();
+            prop_assert_eq!(entered.len(), count);
+            let mut relays: Vec<usize> = std::iter::once(first).chain(entries.clone()).collect();
+            for &relay in &entries {
+                reached[relay] += 1;
+            }
+            for relay in relays.clone() {
+                let local: Vec<usize> = all[relay].local_relays().map(|it| at(it.id)).collect();
+                local.iter().for_each(|it| reached[*it] += 1);
+                relays.extend(local);
+            }
+            for relay in relays {
+                let served = all[relay].served_peers().map(|it| at(it.id));
+                // The writer gets its own message back from its relay, and ignores it.
+                served.filter(|it| *it != index).for_each(|it| reached[it] += 1);
+            }
+            prop_assert!(reached.iter().all(|it| *it == 1), "{reached:?}");
+        }
+    }
+}
