sl-edge: a small instance leaves the rotation for longer

Cause: the balancer gives all callers of an address to one instance. A small one that ran late left the rotation for 4 s at first; its callers moved, mostly to another small one, and came back before they had reached a larger one.

Change: the shedding period is multiplied by how many times larger the largest instance of the fleet is, up to the 32 s that were the limit before. Nothing changes where all are equal.

Test: sl-edge overload a_small_instance_leaves_the_rotation_for_longer; the case of a fifth was 4 s before.

--- a/sl-edge/src/core.rs
+++ b/sl-edge/src/core.rs
@@ -208,6 +208,13 @@
         self.update_readiness();
     }
 
+    /// Sets how many times larger the largest instance of the fleet is than this one.
+    pub(crate) fn set_largest_ratio(&self, ratio: f64) {
+        let mut load_shedder = self.load_shedder.get();
+        load_shedder.set_largest_ratio(ratio);
+        self.load_shedder.set(load_shedder);
+    }
+
     /// Counts a message from a peer.
     pub(crate) fn record_peer_arrival(&self, arrival: PeerArrival) {
         let mut counts = self.peer_counts.get();
--- a/sl-edge/src/membership.rs
+++ b/sl-edge/src/membership.rs
@@ -170,6 +170,13 @@
         connection_share::connection_share(cores, others.map(|(_, it)| it.info.map(|it| it.cores)))
     }
 
+    /// How many times more cores the largest known instance has than this one, with `cores`.
+    pub(crate) fn largest_ratio(&self, cores: f32) -> f64 {
+        let peers = self.0.borrow();
+        let all = peers.values().filter_map(|it| it.info.map(|it| it.cores));
+        f64::from(all.fold(cores, f32::max) / cores.max(f32::MIN_POSITIVE))
+    }
+
     pub(crate) fn len(&self) -> usize {
         self.0.borrow().len()
     }
--- a/sl-edge/src/overload.rs
+++ b/sl-edge/src/overload.rs
@@ -19,8 +19,10 @@
     /// When the balancer has noticed the latest shedding period and sends new connections to
     /// other instances.
     callers_moved_at: Timestamp,
-    /// Length of the next shedding period.
+    /// Length of the next shedding period of an instance that is as large as any of the fleet.
     next_shed_duration: Millis,
+    /// How many times larger the largest instance of the fleet is than this one; at least 1.
+    largest_ratio: f64,
     /// Fraction of the requests that is rejected, from 0 to [`REJECT_FRACTION_MAX`].
     reject_fraction: f64,
     /// Requests that should have been rejected by now and were not.
@@ -63,7 +65,8 @@
 /// Bound on the rejections that are due, so that they end soon after the lateness.
 const DUE_REJECTIONS_MAX: f64 = WITHIN_SHARE_RESERVE + 2.0;
 
-/// Length of the first shedding period; each further one is twice as long as the one before.
+/// Length of the first shedding period of the largest instances of a fleet; each further one is
+/// twice as long as the one before.
 const SHED_DURATION_MIN: Millis = Millis(4_000);
 
 /// Upper bound of a shedding period.
@@ -77,11 +80,19 @@
             shed_until: now,
             callers_moved_at: now,
             next_shed_duration: SHED_DURATION_MIN,
+            largest_ratio: 1.0,
             reject_fraction: 0.0,
             due_rejections: 0.0,
         }
     }
 
+    /// Sets how many times larger the largest instance of the fleet is than this one. The callers
+    /// of a small instance are served better by a larger one. The balancer gives them to any
+    /// other, so it takes some periods until they reach one, and they must not come back before.
+    pub fn set_largest_ratio(&mut self, ratio: f64) {
+        self.largest_ratio = ratio.max(1.0);
+    }
+
     /// Records a tick that ran `late_ms` milliseconds late; true if a shedding period starts.
     pub fn record_tick(&mut self, now: Timestamp, late_ms: f64) -> bool {
         self.late_ms += (late_ms - self.late_ms) * TICK_SMOOTHING;
@@ -96,7 +107,8 @@
             return false;
         }
         self.callers_moved_at = now.after(BALANCER_DELAY);
-        self.shed_until = now.after(self.next_shed_duration);
+        let duration = (self.next_shed_duration.0 as f64 * self.largest_ratio) as u64;
+        self.shed_until = now.after(Millis(duration).min(SHED_DURATION_MAX));
         self.next_shed_duration = Millis((self.next_shed_duration.0 * 2).min(SHED_DURATION_MAX.0));
         true
     }
--- a/sl-edge/src/run.rs
+++ b/sl-edge/src/run.rs
@@ -374,6 +374,7 @@
         ingress.pool.prune();
         peer_table.prune(clock.now());
         ingress.core.step(Event::InstanceCount(peer_table.len()));
+        ingress.core.set_largest_ratio(peer_table.largest_ratio(cores));
         let connection_share = peer_table.connection_share(own_id, cores);
         ingress.core.step(Event::ConnectionShare(connection_share));
         let suspended = clock.suspended().saturating_sub(total_suspended);
--- a/sl-edge/tests/it/overload.rs
+++ b/sl-edge/tests/it/overload.rs
@@ -23,6 +23,24 @@
     assert_eq!(gaps, [4_000, 8_000, 16_000]);
 }
 
+/// Guards against a team whose callers all reach one small instance, which rejects them, leaves the
+/// rotation for a few seconds, and gets them back before they have reached a larger one. In plays
+/// of a fleet with instances of 0.09 to 0.5 cores that came again up to seven times a minute, and
+/// thousands of connections were not accepted each time.
+#[rstest]
+#[case::as_large_as_any(1.0, 4_000)]
+#[case::half_as_large(2.0, 8_000)]
+#[case::a_fifth(5.0, 20_000)]
+#[case::tiny(50.0, 32_000)]
+#[case::never_shorter(0.5, 4_000)]
+fn a_small_instance_leaves_the_rotation_for_longer(#[case] ratio: f64, #[case] expected_ms: u64) {
+    let mut shedder = LoadShedder::new(at(0));
+    shedder.set_largest_ratio(ratio);
+    let start = (0..).find(|tick| shedder.record_tick(at(tick * 100), 200.0)).unwrap() * 100;
+    assert!(shedder.is_shedding(at(start + expected_ms - 1)));
+    assert!(!shedder.is_shedding(at(start + expected_ms)));
+}
+
 #[test]
 fn a_single_late_tick_starts_no_shedding() {
     let mut shedder = LoadShedder::new(at(0));
