sl-route: the failure rate of a server without failures is known without a power

Each decision asks every server of the service for it: 6.6% of the load model's time at 100 instances and 150 engines (perf).

--- a/sl-route/src/health.rs
+++ b/sl-route/src/health.rs
@@ -39,6 +39,10 @@
 
     /// Expected fraction of requests that fail, from 0 to 1.
     pub fn failure_rate(&self, now: Timestamp) -> f64 {
+        // Most servers have no failures, and each decision asks for the rate of all.
+        if self.failure_rate == 0.0 {
+            return 0.0;
+        }
         let half_lives = now.millis_since(self.updated_at) / FAILURE_HALF_LIFE.0 as f64;
         self.failure_rate * 0.5_f64.powf(half_lives)
     }
