sl-edge: a path with dot segments is refused

Cause: GET /status/../book/1 was routed as the repeatable /status/ and passed on as it is; a server that resolves dots runs a booking, maybe twice. The same with encoded dots and slashes.

--- a/sl-edge/src/caller/request.rs
+++ b/sl-edge/src/caller/request.rs
@@ -51,6 +51,10 @@
         let host = head.headers.only("host").ok_or(Code::Malformed)?;
         let path = std::str::from_utf8(&head.target).map_err(|_| Code::Malformed)?;
         let path = path.split('?').next().unwrap_or_default();
+        // The route decides whether a request may be repeated, so the path must have one reading.
+        if sl_http::has_dot_segment(path) {
+            return Err(Code::Malformed);
+        }
         let route = document.route(host, path).ok_or(Code::UnknownRoute)?.clone();
         let metadata = RequestMetadata::try_from(&head.headers).map_err(|e| {
             warn!(ingress.core.log, "invalid request header";
--- a/sl-http/src/lib.rs
+++ b/sl-http/src/lib.rs
@@ -10,6 +10,7 @@
 mod framing;
 mod head;
 mod headers;
+mod path;
 mod socket;
 
 pub use body::{Body, BodyError, Ending};
@@ -18,4 +19,5 @@
 pub use framing::{Framing, FramingError};
 pub use head::{Head, MalformedHead, RequestHead, ResponseHead};
 pub use headers::{Field, Headers};
+pub use path::has_dot_segment;
 pub use socket::{connect, set_socket_options};
--- a/sl-http/tests/it/main.rs
+++ b/sl-http/tests/it/main.rs
@@ -4,3 +4,4 @@
 mod conn;
 mod framing;
 mod head;
+mod path;
--- a/tests/it/refusals.rs
+++ b/tests/it/refusals.rs
@@ -36,6 +36,8 @@
     400,
     "1021"
 )]
+#[case::dot_segment(call("GET", "/status/../book/1", "a"), 400, "1021")]
+#[case::encoded_dot_segment(call("GET", "/status/%2e%2e%2fbook/1", "a"), 400, "1021")]
 #[case::malformed_deadline(
     Call { headers: vec![("X-Deadline-Ms", "soon".into())], ..call("GET", "/status/7", "a") },
     400,
