sl-http: a head above the limit is refused also when it arrives in one read

Cause: the limit was checked only while a head was incomplete. Test: sl-http conn a_complete_head_is_limited_however_it_arrives, red before.

--- a/sl-http/src/conn.rs
+++ b/sl-http/src/conn.rs
@@ -85,10 +85,12 @@
     /// [`HeadError`] if no complete, valid head arrives within the limit.
     pub async fn read_head<H: Head>(&mut self, limit: usize) -> Result<H, HeadError> {
         loop {
-            if !self.buf.is_empty()
+            let buffered = self.buf.len();
+            if buffered > 0
                 && let Some(head) = H::parse(&mut self.buf)?
             {
-                return Ok(head);
+                let is_too_large = buffered - self.buf.len() > limit;
+                return if is_too_large { Err(HeadError::TooLarge) } else { Ok(head) };
             }
             if self.buf.len() > limit {
                 return Err(HeadError::TooLarge);
--- a/sl-http/tests/it/conn.rs
+++ b/sl-http/tests/it/conn.rs
@@ -1,6 +1,7 @@
 use std::time::Duration;
 
-use sl_http::Conn;
+use rstest::rstest;
+use sl_http::{Conn, HeadError, RequestHead};
 use tokio::{
     io::AsyncWriteExt,
     net::{TcpListener, TcpStream},
@@ -24,3 +25,20 @@
     conn.release_buffer();
     assert_eq!(conn.buffered().capacity(), 0);
 }
+
+/// Guards against a limit that holds only for heads which arrive in several reads.
+#[rstest]
+#[case::at_the_limit(0, true)]
+#[case::above_the_limit(1, false)]
+#[tokio::test]
+async fn a_complete_head_is_limited_however_it_arrives(#[case] excess: usize, #[case] fits: bool) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let mut peer = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+    let mut conn = Conn::new(listener.accept().await.unwrap().0);
+    let head = b"GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+    let body = [b'x'; 100];
+    peer.write_all(&[&head[..], &body].concat()).await.unwrap();
+    let read = conn.read_head::<RequestHead>(head.len() - excess).await;
+    assert_eq!(read.is_ok(), fits, "{read:?}");
+    assert!(fits || matches!(read, Err(HeadError::TooLarge)));
+}
