sl-edge: a store that is restored once more before it was listed counts again; two names

A second restore before the first listing of an era looked like the first contact with the store: it was neither logged nor counted, and the two seconds for servers to write again ran from the restore before. Found by reading; no test shows it. record_sign_of_life is record_contact, core/told.rs is core/reporting.rs.

--- a/sl-edge/src/core.rs
+++ b/sl-edge/src/core.rs
@@ -1,6 +1,6 @@
 //! Owns the reducer's state, steps it and dispatches its effects to the waiting tasks.
 
-mod told;
+mod reporting;
 
 use std::{
     cell::{Cell, RefCell},
--- a/sl-edge/src/membership.rs
+++ b/sl-edge/src/membership.rs
@@ -97,7 +97,7 @@
     }
 
     /// Records a message of a peer that is known and did not report its state.
-    pub(crate) fn record_sign_of_life(&self, now: Timestamp, id: InstanceId) {
+    pub(crate) fn record_contact(&self, now: Timestamp, id: InstanceId) {
         if let Some(peer) = self.0.borrow_mut().get_mut(&id) {
             peer.last_seen = now;
         }
--- a/sl-edge/src/peers.rs
+++ b/sl-edge/src/peers.rs
@@ -322,7 +322,7 @@
     fn handle_message(&self, now: Timestamp, message: Message) {
         match message.state {
             Some(state) => self.handle_state(now, message.from, state),
-            None => self.peer_table.record_sign_of_life(now, message.from),
+            None => self.peer_table.record_contact(now, message.from),
         }
         self.core.step(Event::NotesReceived { from: message.from.0, notes: message.notes });
     }
--- a/sl-edge/src/store.rs
+++ b/sl-edge/src/store.rs
@@ -127,12 +127,14 @@
     pub(crate) fn observe_era(&self, era: u64) {
         let now = self.core.now();
         let before = self.version();
-        if !self.eras.observe(now, era, before.is_unknown()) {
+        // A store that is restored once more, before it was listed, counts again.
+        let is_first = before.is_unknown() && self.eras.latest() == 0;
+        if !self.eras.observe(now, era, is_first) {
             return;
         }
         self.mirror.borrow_mut().begin_era(era);
         self.core.metrics.store_era.set(era as i64);
-        if before.is_unknown() {
+        if is_first {
             return;
         }
         self.core.metrics.store_restores.inc();
