sl-edge: an instance that starts sends heartbeats to all others for five seconds

Cause: since direct heartbeats go to 16 peers in turn, instances that start together know different relays for up to 18 s, a message sent to an instance that is no relay is dropped, and more instances took up the watch of the store, since they did not hear of those that follow it.

--- a/sl-edge/src/peers.rs
+++ b/sl-edge/src/peers.rs
@@ -55,6 +55,10 @@
 /// How long relay roles are used before they are assigned anew: that looks at all peers.
 const ROLES_LIFETIME: Millis = Millis(100);
 
+/// For this long after its start an instance sends them to all others: instances that start at the
+/// same time know different relays until they have heard of each other.
+const DISCOVERY_PERIOD: Millis = Millis(5_000);
+
 /// Instances that get such a heartbeat at a time.
 const DIRECT_HEARTBEAT_PEERS: usize = 16;
 
@@ -117,6 +121,7 @@
     pub(crate) async fn run_sender(&self) {
         let mut heartbeat_at = Instant::now();
         let mut direct_heartbeat_at = Instant::now();
+        let discovery_ends_at = Instant::now() + DISCOVERY_PERIOD.into();
         let mut roles = None;
         let mut roles_expire_at = Instant::now();
         loop {
@@ -145,7 +150,11 @@
             }
             if roles.is_some() && direct_heartbeat_at <= now {
                 direct_heartbeat_at = now + DIRECT_HEARTBEAT_INTERVAL.into();
-                self.send_direct_heartbeat().await;
+                if now < discovery_ends_at {
+                    self.send_to_all(Notes::default(), true).await;
+                } else {
+                    self.send_direct_heartbeat().await;
+                }
             }
             let interval = if roles.is_some() { RELAYED_INTERVAL_MIN } else { DIRECT_INTERVAL_MIN };
             sleep_until(now + interval.into()).await;
