--- a/bench/src/load/tally.rs
+++ b/bench/src/load/tally.rs
@@ -1,9 +1,8 @@
 //! The results of a simulation for its callers.
 
 use serde::Serialize;
-use sl_route::Prompt;
 
-use super::traffic::{CallerRequest, KINDS, Kind, Load, TEAM_COUNT};
+use super::traffic::{CallerRequest, KINDS, Load, TEAM_COUNT};
 
 /// Results for one kind of request.
 #[derive(Clone, Debug, Default, Serialize)]
@@ -52,8 +51,6 @@
     pub kinds: Vec<KindTally>,
     /// The earned share of the attainable credit.
     pub credit: f64,
-    /// The same with each request weighted by its size.
-    pub credit_by_size: f64,
     /// The same for requests sent during the disturbance or up to two seconds after it.
     pub credit_disturbed: f64,
     /// The same for the team with the lowest share.
@@ -72,8 +69,6 @@
     #[serde(skip)]
     pub(super) all: Credit,
     #[serde(skip)]
-    pub(super) all_by_size: Credit,
-    #[serde(skip)]
     pub(super) disturbed: Credit,
     #[serde(skip)]
     pub(super) teams: Vec<Credit>,
@@ -112,21 +107,6 @@
     }
 }
 
-/// Tokens of prompt that count as much as one of output.
-const TOKENS_PER_OUTPUT_TOKEN: u32 = 10;
-
-/// The part of a request's weight that does not depend on its size, and the largest weight.
-const SIZE_WEIGHT_BASE: f64 = 0.3;
-const SIZE_WEIGHT_MAX: f64 = 4.0;
-
-/// The weight of a request by its size, around 1 for the usual size of its kind.
-fn size_weight(kind: &Kind, prompt: &Prompt) -> f64 {
-    let size = |input: u32, output: u32| f64::from(input + TOKENS_PER_OUTPUT_TOKEN * output);
-    let usual = size(kind.shared_tokens + kind.own_tokens, kind.max_output_tokens);
-    let relative = size(prompt.input_tokens, prompt.max_output_tokens) / usual;
-    (SIZE_WEIGHT_BASE + (1.0 - SIZE_WEIGHT_BASE) * relative).min(SIZE_WEIGHT_MAX)
-}
-
 impl Tally {
     pub(super) fn new() -> Tally {
         let kind = |name| KindTally { kind: name, ..KindTally::default() };
@@ -166,8 +146,6 @@
             self.first_tokens.push(after_ms);
         }
         self.all.add(earned, spec.value);
-        let weight = size_weight(&spec, &request.prompt);
-        self.all_by_size.add(earned * weight, spec.value * weight);
         self.teams[team].add(earned, spec.value);
         let counted_ms = Load::DISTURBANCE_MS.start..Load::DISTURBANCE_MS.end + RECOVERY_MS;
         if counted_ms.contains(&sent_at_ms) {
@@ -185,7 +163,6 @@
         };
         self.first_token_ms = [percentile(0.5), percentile(0.95), percentile(0.99)];
         self.credit = self.all.ratio();
-        self.credit_by_size = self.all_by_size.ratio();
         self.credit_disturbed = self.disturbed.ratio();
         self.worst_team = self.teams.iter().map(|it| it.ratio()).fold(1.0, f64::min);
         self.reprocessed_share = reprocessed_tokens as f64 / self.shared_tokens.max(1) as f64;
--- a/bench/src/load/traffic.rs
+++ b/bench/src/load/traffic.rs
@@ -81,8 +81,8 @@
     GreedyTeam,
     /// Half of the engines are down.
     HalfLost,
-    /// Three times as many requests all the time, with prompts whose lengths differ by far more than
-    /// usual.
+    /// Three times as many requests all the time, with prompts whose lengths differ by far more
+    /// than usual.
     LongTail,
     /// 1.7 times as many requests, and callers retry up to four times without waiting as long as
     /// the refusals ask for.
--- a/bench/src/soak/plan.rs
+++ b/bench/src/soak/plan.rs
@@ -45,7 +45,7 @@
     /// write their entries again after a moment.
     RestoreStore,
     /// Makes the server announce its shutdown in its responses, and then replaces it.
-    Leave(usize),
+    AnnounceDrain(usize),
 }
 
 /// A fault of a network link.
@@ -121,8 +121,8 @@
     let server = rng.random_range(0..SERVER_COUNT);
     match rng.random_range(0..8) {
         0..3 => Fault::RestoreStore,
-        3 => Fault::Leave(server),
-        4..6 => Fault::Server(server, server::Fault::Busy),
+        3 => Fault::AnnounceDrain(server),
+        4..6 => Fault::Server(server, server::Fault::RequestsPause),
         6 => Fault::Server(server, server::Fault::MalformedPause),
         _ => Fault::Server(server, server::Fault::None),
     }
@@ -233,8 +233,8 @@
                 self.fleet.store.put(document::CONFIG_KEY, &document);
             }
             Fault::RestoreStore => self.copy_or_restore_store().await,
-            Fault::Leave(index) => {
-                self.fleet.servers[index].set_fault(server::Fault::Leaving);
+            Fault::AnnounceDrain(index) => {
+                self.fleet.servers[index].set_fault(server::Fault::AnnouncesDrain);
                 tokio::time::sleep(REWRITE_DELAY).await;
                 self.replace_server(index).await?;
             }
--- a/sl-config/src/reader.rs
+++ b/sl-config/src/reader.rs
@@ -98,7 +98,7 @@
     /// Returns a duration that is given under either of two keys: in whole milliseconds, or in
     /// seconds with a fraction. Returns `default` if both are absent or, with a fault, if the
     /// value is invalid or both are present.
-    pub(crate) fn span(
+    pub(crate) fn duration(
         &mut self,
         millis_key: &'static str,
         seconds_key: &'static str,
@@ -139,7 +139,7 @@
     }
 
     /// Returns the span of the value of `key`, or of the section header if the key is absent.
-    pub(crate) fn source_span(&self, key: &str) -> SourceSpan {
+    pub(crate) fn span(&self, key: &str) -> SourceSpan {
         match self.find(key) {
             Some(entry) => entry.value.span,
             None => self.section.header.span,
@@ -148,7 +148,7 @@
 
     /// Adds a fault at the value of `key`, which conflicts with another setting.
     pub(crate) fn conflict(&mut self, key: &str, message: impl Into<String>) {
-        let span = self.source_span(key);
+        let span = self.span(key);
         let fault = Fault::new(Problem::Conflict(message.into()), span);
         self.faults.push(fault);
     }
--- a/sl-config/src/settings/read.rs
+++ b/sl-config/src/settings/read.rs
@@ -245,7 +245,7 @@
 
 fn read_sharing(reader: &mut Reader<'_, '_>) -> Sharing {
     let defaults = Sharing::default();
-    Sharing { window: reader.span("window-ms", "window-s", defaults.window) }
+    Sharing { window: reader.duration("window-ms", "window-s", defaults.window) }
 }
 
 fn read_objectives(reader: &mut Reader<'_, '_>) -> Objectives {
@@ -262,7 +262,7 @@
     RetryBudget {
         ratio: reader.optional("ratio").unwrap_or(defaults.ratio),
         allowance: reader.optional::<Amount>("allowance").map_or(defaults.allowance, |it| it.0),
-        window: reader.span("window-ms", "window-s", defaults.window),
+        window: reader.duration("window-ms", "window-s", defaults.window),
     }
 }
 
--- a/sl-edge/src/caller/exchange.rs
+++ b/sl-edge/src/caller/exchange.rs
@@ -241,13 +241,13 @@
 /// Reports to the reducer what the server asks for in the head of its response.
 fn report_notices(core: &Core, target: &Target, response: ServerResponse<'_>) {
     let server = target.server;
-    if response.is_leaving() {
-        core.step(Event::ServerNotice { server, notice: ServerNotice::Leaving });
+    if response.announces_drain() {
+        core.step(Event::ServerNotice { server, notice: ServerNotice::Draining });
     }
     match response.retry_after() {
         Ok(Some(pause)) => {
             let until = core.now().after(pause);
-            core.step(Event::ServerNotice { server, notice: ServerNotice::Busy { until } });
+            core.step(Event::ServerNotice { server, notice: ServerNotice::Pause { until } });
         }
         Ok(None) => {}
         Err(e) => core.warn_malformed("server response", &e),
--- a/sl-edge/src/core.rs
+++ b/sl-edge/src/core.rs
@@ -65,7 +65,7 @@
     store_contact_at: Cell<Timestamp>,
     has_document: Cell<bool>,
     /// The store's entry that the configuration in force was read from.
-    document_change: RefCell<Option<Change>>,
+    document_entry: RefCell<Option<Change>>,
     ready: Arc<AtomicBool>,
     pub(crate) recorder: SharedRecorder,
     /// Engines whose cache contents are to be listed.
@@ -134,7 +134,7 @@
             document_applied_at: Cell::new(Clock.now()),
             store_contact_at: Cell::new(Clock.now()),
             has_document: Cell::new(false),
-            document_change: RefCell::default(),
+            document_entry: RefCell::default(),
             ready: Arc::default(),
             recorder,
             cache_list_tx,
@@ -288,13 +288,13 @@
     }
 
     /// The store's entry that the configuration in force was read from.
-    pub(crate) fn document_change(&self) -> Option<Change> {
-        self.document_change.borrow().clone()
+    pub(crate) fn document_entry(&self) -> Option<Change> {
+        self.document_entry.borrow().clone()
     }
 
     /// Records that the configuration in the entry has been applied just now.
     pub(crate) fn record_document_applied(&self, change: Change) {
-        self.document_change.replace(Some(change));
+        self.document_entry.replace(Some(change));
         self.document_applied_at.set(self.now());
         self.has_document.set(true);
         self.update_readiness();
--- a/sl-edge/src/engines.rs
+++ b/sl-edge/src/engines.rs
@@ -24,8 +24,8 @@
 ) {
     while let Some((server, address)) = engines.recv().await {
         let listed = fetch_list(address).await;
-        if matches!(&listed, Ok(it) if it.is_leaving) {
-            core.step(Event::ServerNotice { server, notice: ServerNotice::Leaving });
+        if matches!(&listed, Ok(it) if it.announces_drain) {
+            core.step(Event::ServerNotice { server, notice: ServerNotice::Draining });
         }
         match listed {
             Ok(CacheList { parts, .. }) => core.step(Event::CacheListed { server, parts }),
@@ -56,7 +56,7 @@
 struct CacheList {
     parts: Vec<PromptPart>,
     /// Whether the engine announces that it shuts down.
-    is_leaving: bool,
+    announces_drain: bool,
 }
 
 async fn fetch_list(address: SocketAddr) -> Result<CacheList, Error> {
@@ -72,6 +72,6 @@
     if response.status != STATUS_OK {
         return Err(Error::Status(response.status));
     }
-    let is_leaving = platform::is_leaving(&response.headers);
-    Ok(CacheList { parts: platform::engine::parse_cached_parts(&response.body)?, is_leaving })
+    let announces_drain = platform::announces_drain(&response.headers);
+    Ok(CacheList { parts: platform::engine::parse_cached_parts(&response.body)?, announces_drain })
 }
--- a/sl-edge/src/log.rs
+++ b/sl-edge/src/log.rs
@@ -8,7 +8,10 @@
 
 use sl_base::RequestId;
 use sl_config::settings::{Log, LogFormat, LogLevel};
-use sl_route::{Decision, Route, Team, activity::TokenOutcome};
+use sl_route::{
+    Decision, Route, Team,
+    activity::{TeamTokens, TokenOutcome},
+};
 use slog::{Drain, Level, LevelFilter, Logger, debug, info, o, warn};
 
 use crate::log_buffer::{LogBuffer, LogWriter};
@@ -136,47 +139,24 @@
             "request" => request.0, "why" => %reason, "counted_ms" => cost_ms.round(),
             "expected_ms" => expected_ms.round(), "allowed_ms" => allowed_ms.round(),
             "team_share" => rounded(*share_usage)),
-        Decision::TeamActivity { tokens, share_usage, fair_share } => info!(log, "team activity";
-            "team" => &tokens.team.name, "requested" => tokens.requested,
-            "granted" => tokens.of(TokenOutcome::Granted),
-            "refused" => tokens.of(TokenOutcome::Refused),
-            "shed" => tokens.of(TokenOutcome::Shed), "lost" => tokens.of(TokenOutcome::Lost),
-            "team_share" => rounded(*share_usage), "fair_share" => fair_share.map(f64::round)),
+        Decision::TeamActivity { tokens, share_usage, fair_share } => {
+            write_team_activity(log, tokens, *share_usage, *fair_share);
+        }
         Decision::AttemptFailed { request, server, fault, next } => warn!(log, "attempt failed";
             "request" => request.0, "server" => %server, "fault" => %fault, "then" => %next),
         Decision::RequestFailed { request, reason } => {
             warn!(log, "request failed"; "request" => request.0, "why" => %reason);
         }
-        Decision::ServerAvoided { .. }
-        | Decision::ServerLeaving { .. }
-        | Decision::ServerBusy { .. }
-        | Decision::ServerEntryOutdated { .. }
-        | Decision::ServerChanged { .. }
-        | Decision::CacheKnown { .. } => write_server_decision(log, decision),
-        Decision::StoreRestored => {
-            info!(log, "entries older than those known are ignored for a while");
-        }
-        Decision::RequestBarred { fingerprint } => {
-            warn!(log, "request blocked: servers crashed while running it";
-                "fingerprint" => format!("{fingerprint:016x}"));
-        }
-        Decision::PeerSilent { peer } => debug!(log, "peer silent"; "peer" => peer),
-    }
-}
-
-/// Logs a decision about a server; other decisions are ignored.
-fn write_server_decision(log: &Logger, decision: &Decision) {
-    match decision {
         Decision::ServerAvoided { server, fault, failure_rate, for_ms } => {
             info!(log, "server avoided";
                 "server" => %server, "fault" => %fault, "failing" => rounded(*failure_rate),
                 "for_ms" => for_ms);
         }
-        Decision::ServerLeaving { server, from_peer } => {
-            info!(log, "server leaving"; "server" => %server, "by_peer" => from_peer);
+        Decision::DrainAnnounced { server, from_peer } => {
+            info!(log, "drain announced by server"; "server" => %server, "by_peer" => from_peer);
         }
-        Decision::ServerBusy { server, for_ms } => {
-            info!(log, "server busy"; "server" => %server, "for_ms" => for_ms);
+        Decision::PauseRequested { server, for_ms } => {
+            info!(log, "pause requested by server"; "server" => %server, "for_ms" => for_ms);
         }
         Decision::ServerEntryOutdated { server } => {
             info!(log, "server entry older than the one known, ignored"; "server" => %server);
@@ -188,10 +168,32 @@
             info!(log, "cache contents updated";
                 "server" => %server, "parts" => parts, "by_engine" => from_engine);
         }
-        _ => {}
+        Decision::StoreRestored => {
+            info!(log, "entries older than those known are ignored for a while");
+        }
+        Decision::RequestBarred { fingerprint } => {
+            warn!(log, "request blocked: servers crashed while running it";
+                "fingerprint" => format!("{fingerprint:016x}"));
+        }
+        Decision::PeerSilent { peer } => debug!(log, "peer silent"; "peer" => peer),
     }
 }
 
+/// Logs what a team asked for and got.
+fn write_team_activity(
+    log: &Logger,
+    tokens: &TeamTokens,
+    share_usage: f64,
+    fair_share: Option<f64>,
+) {
+    info!(log, "team activity";
+        "team" => &tokens.team.name, "requested" => tokens.requested,
+        "granted" => tokens.of(TokenOutcome::Granted),
+        "refused" => tokens.of(TokenOutcome::Refused), "shed" => tokens.of(TokenOutcome::Shed),
+        "lost" => tokens.of(TokenOutcome::Lost), "team_share" => rounded(share_usage),
+        "fair_share" => fair_share.map(f64::round));
+}
+
 /// Rounds to two decimal places.
 fn rounded(value: f64) -> f64 {
     (value * HUNDREDTHS_PER_UNIT).round() / HUNDREDTHS_PER_UNIT
--- a/sl-edge/src/peers.rs
+++ b/sl-edge/src/peers.rs
@@ -150,11 +150,7 @@
             }
             if roles.is_some() && direct_heartbeat_at <= now {
                 direct_heartbeat_at = now + DIRECT_HEARTBEAT_INTERVAL.into();
-                if now < discovery_ends_at {
-                    self.send_to_all(Notes::default(), true).await;
-                } else {
-                    self.send_direct_heartbeat().await;
-                }
+                self.send_direct_heartbeat(now < discovery_ends_at).await;
             }
             let interval = if roles.is_some() { RELAYED_INTERVAL_MIN } else { DIRECT_INTERVAL_MIN };
             sleep_until(now + interval.into()).await;
@@ -182,8 +178,12 @@
         self.send(Hop::Direct, messages, &addresses).await;
     }
 
-    /// Sends a heartbeat to the next [`DIRECT_HEARTBEAT_PEERS`] instances in turn.
-    async fn send_direct_heartbeat(&self) {
+    /// Sends a heartbeat to all other instances while they are being discovered, later to the
+    /// next [`DIRECT_HEARTBEAT_PEERS`] in turn.
+    async fn send_direct_heartbeat(&self, is_discovering: bool) {
+        if is_discovering {
+            return self.send_to_all(Notes::default(), true).await;
+        }
         let mut peers = self.peer_table.all();
         peers.retain(|(id, _)| *id != self.own_id);
         peers.sort_by_key(|it| it.0);
--- a/sl-edge/src/store.rs
+++ b/sl-edge/src/store.rs
@@ -118,7 +118,7 @@
         let update = self.mirror.borrow().update_since(known.version);
         let document = self
             .core
-            .document_change()
+            .document_entry()
             .filter(|it| has_document && !update.items.iter().any(|item| item.value == it.value));
         Some(StoreUpdate { update, complete_in, document })
     }
--- a/sl-edge/tests/it/overload.rs
+++ b/sl-edge/tests/it/overload.rs
@@ -24,9 +24,8 @@
 }
 
 /// Guards against a team whose callers all reach one small instance, which rejects them, leaves the
-/// rotation for a few seconds, and gets them back before they have reached a larger one. In plays
-/// of a fleet with instances of 0.09 to 0.5 cores that came again up to seven times a minute, and
-/// thousands of connections were not accepted each time.
+/// rotation for a few seconds, and gets them back before they have reached a larger one: each time
+/// its connections are not accepted until the balancer has noticed.
 #[rstest]
 #[case::as_large_as_any(1.0, 4_000)]
 #[case::half_as_large(2.0, 8_000)]
--- a/sl-mirror/src/mirror.rs
+++ b/sl-mirror/src/mirror.rs
@@ -111,7 +111,8 @@
     }
 
     /// Applies a full listing of the store at `version`: items that the listing lacks are
-    /// removed. A listing older than the copy, or of an unknown version, is ignored. Returns the changes of values.
+    /// removed. A listing older than the copy, or of an unknown version, is ignored. Returns the
+    /// changes of values.
     pub fn replace(&mut self, version: Version, items: Vec<Item>) -> Vec<Change> {
         if version < self.version || version.is_unknown() {
             return Vec::new();
--- a/sl-route/src/admission.rs
+++ b/sl-route/src/admission.rs
@@ -74,10 +74,10 @@
         }
     }
 
-    /// Milliseconds of a request's own prefill that do not count against `allowed_ms`; negative
-    /// for short prompts.
-    pub fn uncounted_prefill_ms(self, prefill_ms: f64) -> f64 {
-        self.counted_prefill_weight * (prefill_ms - self.counted_prefill_ms)
+    /// What to add to an expected time with `prefill_ms` of the request's own prefill, so that the
+    /// prefill is counted as these limits say: negative for long prompts.
+    pub fn prefill_adjustment_ms(self, prefill_ms: f64) -> f64 {
+        self.counted_prefill_weight * (self.counted_prefill_ms - prefill_ms)
     }
 
     /// The limits of a request that may take until its deadline, `remaining_ms` away.
--- a/sl-route/src/directory.rs
+++ b/sl-route/src/directory.rs
@@ -40,6 +40,24 @@
 }
 
 impl ServerRecord {
+    /// Whether this record is of an earlier run of the server than `known`.
+    fn precedes_run_of(&self, known: &ServerRecord) -> bool {
+        self.started_at_ms < known.started_at_ms
+    }
+
+    /// Whether this record was written before the same run reported in `listed` that it drains.
+    fn takes_back_drain(&self, listed: &ServerRecord) -> bool {
+        let takes_back = listed.state == ServerState::Draining && self.state == ServerState::Ready;
+        takes_back && self.key() == listed.key() && self.sequence < listed.sequence
+    }
+
+    /// Whether this record was written no later than the last entry of the same run, which was
+    /// removed. Unknown, and so not assumed, for a server that does not count its writes.
+    fn takes_back_removal(&self, removed: &ServerRecord) -> bool {
+        let is_counted = self.sequence > 0;
+        is_counted && self.key() == removed.key() && self.sequence <= removed.sequence
+    }
+
     /// Whether the records say the same of the server, whenever they were written.
     fn says_the_same(&self, other: &ServerRecord) -> bool {
         *self == ServerRecord { sequence: self.sequence, ..other.clone() }
@@ -117,21 +135,14 @@
         if self.restore_ends_at.is_due(now) {
             return false;
         }
-        if let Some(listed) = self.get(&record.id) {
-            let takes_back_draining =
-                listed.state == ServerState::Draining && record.state == ServerState::Ready;
-            return record.started_at_ms < listed.started_at_ms
-                || record.key() == listed.key()
-                    && takes_back_draining
-                    && record.sequence < listed.sequence;
+        match (self.get(&record.id), self.removed.get(&record.id)) {
+            (Some(listed), _) => record.precedes_run_of(listed) || record.takes_back_drain(listed),
+            (None, Some(removed)) => {
+                record.precedes_run_of(&removed.record)
+                    || record.takes_back_removal(&removed.record)
+            }
+            (None, None) => false,
         }
-        self.removed.get(&record.id).is_some_and(|it| {
-            let removed = &it.record;
-            record.started_at_ms < removed.started_at_ms
-                || record.key() == removed.key()
-                    && record.sequence > 0
-                    && record.sequence <= removed.sequence
-        })
     }
 
     /// Marks an entry as missing after an outage of the platform's store. The entry is dropped
--- a/sl-route/src/draining.rs
+++ b/sl-route/src/draining.rs
@@ -14,7 +14,7 @@
 
 /// The runs of servers that shut down, until they are forgotten.
 #[derive(Clone, Debug, Default)]
-pub struct WithdrawnRuns(HashMap<ServerKey, Timestamp>);
+pub struct DrainingRuns(HashMap<ServerKey, Timestamp>);
 
 /// A run is forgotten after this time. Servers end long before.
 const RETENTION: Millis = Millis(600_000);
@@ -22,7 +22,7 @@
 /// Bound on the number of runs tracked; the oldest is forgotten for a further one.
 const RUNS_MAX: usize = 8_192;
 
-impl WithdrawnRuns {
+impl DrainingRuns {
     /// Adds a run; true if it is new.
     pub fn insert(&mut self, now: Timestamp, run: ServerKey) -> bool {
         if self.0.len() >= RUNS_MAX {
--- a/sl-route/src/effect.rs
+++ b/sl-route/src/effect.rs
@@ -194,15 +194,15 @@
         /// How long the server is avoided, in milliseconds.
         for_ms: u64,
     },
-    /// A server shuts down and gets no new requests.
-    ServerLeaving {
+    /// A server announced that it shuts down, and gets no new requests.
+    DrainAnnounced {
         /// The id of the server.
         server: Arc<str>,
         /// Whether a peer reported it, rather than a response to this instance.
         from_peer: bool,
     },
     /// A server asked this instance to send no requests for a while.
-    ServerBusy {
+    PauseRequested {
         /// The id of the server.
         server: Arc<str>,
         /// For how long, in milliseconds.
@@ -255,8 +255,8 @@
             | Decision::RequestFailed { request, .. } => Some(*request),
             Decision::TeamActivity { .. }
             | Decision::ServerAvoided { .. }
-            | Decision::ServerLeaving { .. }
-            | Decision::ServerBusy { .. }
+            | Decision::DrainAnnounced { .. }
+            | Decision::PauseRequested { .. }
             | Decision::StoreRestored
             | Decision::ServerEntryOutdated { .. }
             | Decision::ServerChanged { .. }
--- a/sl-route/src/event.rs
+++ b/sl-route/src/event.rs
@@ -107,9 +107,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ServerNotice {
     /// The server shuts down: it is to get no new requests, from any instance.
-    Leaving,
+    Draining,
     /// The server is to get no requests from this instance before the given time.
-    Busy {
+    Pause {
         /// When this instance may send requests again.
         until: Timestamp,
     },
--- a/sl-route/src/lib.rs
+++ b/sl-route/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod cache;
 pub mod directory;
 pub mod document;
+pub mod draining;
 pub mod effect;
 pub mod engine;
 pub mod event;
@@ -21,7 +22,6 @@
 pub mod share;
 mod state;
 pub mod strikes;
-pub mod withdrawn;
 
 pub use directory::{Directory, ServerRecord, ServerState};
 pub use document::{Document, Limits, RetryPolicy, Route, Service, Team};
--- a/sl-route/src/note.rs
+++ b/sl-route/src/note.rs
@@ -83,7 +83,7 @@
         fingerprint: u64,
     },
     /// A server announced in a response that it shuts down.
-    ServerLeaving {
+    ServerDraining {
         /// The server, which is to get no new requests.
         server: ServerKey,
     },
--- a/sl-route/src/place.rs
+++ b/sl-route/src/place.rs
@@ -67,7 +67,7 @@
     /// No engine has a free slot, or this instance has no connection left to any server.
     NoSlot,
     /// Every server asked this instance to send no requests for now.
-    Busy {
+    Paused {
         /// Milliseconds until the first of them may get requests again.
         for_ms: f64,
     },
@@ -152,11 +152,12 @@
 }
 
 impl Candidate {
-    /// Milliseconds to the first byte plus the weighted cost to other requests, with the prefill of
-    /// the request itself as far as it counts.
+    /// Milliseconds to the first byte plus the weighted cost to other requests, with the prefill
+    /// of the request itself as it is counted.
     fn cost_ms(&self, limits: AdmissionLimits) -> f64 {
-        self.placement.expected_ms + limits.duplicate_prefill_weight * self.duplicate_prefill_ms
-            - limits.uncounted_prefill_ms(self.prefill_ms)
+        self.placement.expected_ms
+            + limits.duplicate_prefill_weight * self.duplicate_prefill_ms
+            + limits.prefill_adjustment_ms(self.prefill_ms)
     }
 
     fn is_in_time(&self, required: Requirements<'_>) -> bool {
@@ -179,7 +180,7 @@
 ) -> Result<Placement, PlacementError> {
     let eligible = |it: &&Server| it.is_in_service() && !required.tried.contains(&it.key);
     let eligible: Vec<&Server> = servers.filter(eligible).collect();
-    let servers: Vec<&Server> = eligible.iter().copied().filter(|it| !it.is_busy(now)).collect();
+    let servers: Vec<&Server> = eligible.iter().copied().filter(|it| !it.is_paused(now)).collect();
     if servers.is_empty() {
         return Err(no_server_error(now, &eligible));
     }
@@ -199,10 +200,10 @@
     }
 }
 
-/// Why none of the `eligible` servers can be used now: all are busy, if there are any.
+/// Why none of the `eligible` servers can be used now: all are paused, if there are any.
 fn no_server_error(now: Timestamp, eligible: &[&Server]) -> PlacementError {
-    let earliest = eligible.iter().map(|it| it.busy_until).min();
-    earliest.map_or(PlacementError::NoServer, |it| PlacementError::Busy {
+    let earliest = eligible.iter().map(|it| it.paused_until).min();
+    earliest.map_or(PlacementError::NoServer, |it| PlacementError::Paused {
         for_ms: it.remaining(now).0 as f64,
     })
 }
--- a/sl-route/src/server.rs
+++ b/sl-route/src/server.rs
@@ -48,9 +48,9 @@
     /// When the load was last updated, by this instance or a peer.
     pub updated_at: Timestamp,
     /// Whether the server announced in a response that it shuts down.
-    pub is_leaving: bool,
+    pub has_announced_drain: bool,
     /// The server asked this instance to send it no requests before this time.
-    pub busy_until: Timestamp,
+    pub paused_until: Timestamp,
 }
 
 /// The kind of a server and the model of its load.
@@ -109,14 +109,14 @@
 }
 
 impl Server {
-    /// Whether the server accepts new requests, now or after it has been busy.
+    /// Whether the server accepts new requests, now or after a pause that it asked for.
     pub fn is_in_service(&self) -> bool {
-        self.record.state == ServerState::Ready && !self.is_leaving
+        self.record.state == ServerState::Ready && !self.has_announced_drain
     }
 
     /// Whether the server asked this instance to send it no requests for now.
-    pub fn is_busy(&self, now: Timestamp) -> bool {
-        !self.busy_until.is_due(now)
+    pub fn is_paused(&self, now: Timestamp) -> bool {
+        !self.paused_until.is_due(now)
     }
 
     /// Records that a request was sent to the server; `tokens` is the number of prompt tokens
--- a/sl-route/src/state.rs
+++ b/sl-route/src/state.rs
@@ -17,13 +17,13 @@
     Decision, Directory, Document, Effect, Event, Notes, ServerKey,
     activity::Activity,
     budget::Budget,
+    draining::DrainingRuns,
     event::InstanceLimits,
     note::Note,
     request::InFlightRequest,
     server::Server,
     share::{Shares, Standing},
     strikes::CrashTracker,
-    withdrawn::WithdrawnRuns,
 };
 
 /// Parameters of an instance, fixed at its start except for `limits`.
@@ -50,7 +50,7 @@
     /// Servers as listed by the platform.
     directory: Directory,
     servers: HashMap<ServerKey, Server>,
-    withdrawn: WithdrawnRuns,
+    draining_runs: DrainingRuns,
     /// Servers by service, sorted; rebuilt from `servers` when out of date.
     pools: HashMap<ServiceId, Vec<ServerKey>>,
     /// Requests in flight.
@@ -90,7 +90,7 @@
             document: Arc::default(),
             directory: Directory::default(),
             servers: HashMap::new(),
-            withdrawn: WithdrawnRuns::default(),
+            draining_runs: DrainingRuns::default(),
             pools: HashMap::new(),
             requests: HashMap::new(),
             budget: Budget::new(options.limits.budget),
@@ -174,7 +174,7 @@
     /// has not asked for anything else.
     pub fn is_accepting(&self, now: Timestamp, server: ServerKey) -> bool {
         let server = self.servers.get(&server);
-        server.is_some_and(|it| it.is_in_service() && !it.is_busy(now))
+        server.is_some_and(|it| it.is_in_service() && !it.is_paused(now))
     }
 
     /// Number of requests in flight at this instance.
--- a/sl-route/src/state/admit.rs
+++ b/sl-route/src/state/admit.rs
@@ -91,7 +91,7 @@
                 let reason = self.refusal_reason(now, &in_flight, error);
                 let lowest = match error {
                     PlacementError::TooLate(lowest) => lowest,
-                    PlacementError::Busy { for_ms } => {
+                    PlacementError::Paused { for_ms } => {
                         LowestEstimates { cost_ms: for_ms, expected_ms: for_ms }
                     }
                     PlacementError::NoServer | PlacementError::NoSlot => LowestEstimates::NONE,
@@ -128,7 +128,7 @@
     ) -> Refusal {
         match error {
             PlacementError::NoServer if in_flight.tried.is_empty() => Refusal::NoServer,
-            PlacementError::NoServer | PlacementError::Busy { .. } => Refusal::TurnedAway,
+            PlacementError::NoServer | PlacementError::Paused { .. } => Refusal::TurnedAway,
             _ if in_flight.arrival.deadline().is_due(now) => Refusal::TooLate,
             _ if self.share_usage(now, &in_flight.arrival) > 1.0 => Refusal::TeamOverShare,
             _ => Refusal::Overload,
--- a/sl-route/src/state/cache.rs
+++ b/sl-route/src/state/cache.rs
@@ -46,7 +46,7 @@
         };
         for (key, server) in &mut self.servers {
             let is_engine = matches!(server.kind, ServerKind::Engine(_));
-            let may_ask = is_engine && !server.is_leaving && !server.is_busy(now);
+            let may_ask = is_engine && !server.has_announced_drain && !server.is_paused(now);
             if may_ask && server.list_cache_at.is_due(now) && is_responsible_for(key.0) {
                 server.list_cache_at = now.after(LIST_RETRY_DELAY);
                 let address = server.record.address;
--- a/sl-route/src/state/listing.rs
+++ b/sl-route/src/state/listing.rs
@@ -124,8 +124,8 @@
                 list_cache_at: now.after(FIRST_LIST_DELAY),
                 own_in_flight: 0,
                 updated_at: now,
-                is_leaving: self.withdrawn.contains(key),
-                busy_until: now,
+                has_announced_drain: self.draining_runs.contains(key),
+                paused_until: now,
             },
         );
         self.pools_are_current = false;
--- a/sl-route/src/state/notes.rs
+++ b/sl-route/src/state/notes.rs
@@ -63,7 +63,7 @@
             }
             Note::CacheListed { server, parts } => self.merge_peer_cache(now, server, &parts),
             Note::ServerCrashed { fingerprint } => self.record_crash(now, fingerprint),
-            Note::ServerLeaving { server } => self.withdraw(now, server, true),
+            Note::ServerDraining { server } => self.mark_draining(now, server, true),
         }
     }
 
--- a/sl-route/tests/it/restore.rs
+++ b/sl-route/tests/it/restore.rs
@@ -76,7 +76,7 @@
     Removed,
     Missing,
     Restored,
-    Leaving,
+    DrainAnnounced,
 }
 
 fn step() -> impl Strategy<Value = Step> {
@@ -86,7 +86,7 @@
         Just(Step::Removed),
         Just(Step::Missing),
         Just(Step::Restored),
-        Just(Step::Leaving),
+        Just(Step::DrainAnnounced),
     ]
 }
 
@@ -105,7 +105,7 @@
         steps in prop::collection::vec(step(), 0..20),
     ) {
         let mut state = state(0, &[]);
-        let mut is_leaving = false;
+        let mut announces_drain = false;
         let mut is_restoring = false;
         // The state and sequence that the server wrote last, if its entry was not removed.
         let mut written: Option<(u64, bool)> = None;
@@ -134,18 +134,18 @@
                     state.step(at(now), Event::StoreRestored);
                     is_restoring = true;
                 }
-                Step::Leaving => {
+                Step::DrainAnnounced => {
                     let server = record("a", "app").key();
-                    let notice = ServerNotice::Leaving;
+                    let notice = ServerNotice::Draining;
                     state.step(at(now), Event::ServerNotice { server, notice });
-                    is_leaving = true;
+                    announces_drain = true;
                 }
             }
             let is_used = is_used(&mut state, now + 1);
-            prop_assert!(!is_used || !is_leaving);
+            prop_assert!(!is_used || !announces_drain);
             prop_assert!(!is_used || !matches!(written, Some((_, true)) | None));
         }
         state.step(at(now + 10), Event::ServerListed(listed(100, ServerState::Ready)));
-        prop_assert_eq!(is_used(&mut state, now + 20), !is_leaving);
+        prop_assert_eq!(is_used(&mut state, now + 20), !announces_drain);
     }
 }
--- a/tests/it/notices.rs
+++ b/tests/it/notices.rs
@@ -19,7 +19,7 @@
 async fn a_server_that_announces_its_shutdown_gets_no_more_requests_from_any_instance() {
     let fleet = fleet(3).await;
     let server = fleet.apps().next().unwrap();
-    server.set_fault(Fault::Leaving);
+    server.set_fault(Fault::AnnouncesDrain);
     serve_some(&fleet, 0, 6).await;
     assert_eq!(server.executed_requests().len(), 1, "the response announced the shutdown");
     tokio::time::sleep(Duration::from_millis(300)).await;
@@ -32,14 +32,17 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn an_engine_that_announces_its_shutdown_finishes_its_stream_and_gets_no_other() {
     let fleet = fleet(1).await;
-    let engines: Vec<_> = fleet.engines().collect();
-    engines[0].set_fault(Fault::Leaving);
+    for engine in fleet.engines() {
+        engine.set_fault(Fault::AnnouncesDrain);
+    }
+    let mut statuses = Vec::new();
     for index in 0..6 {
         let mut caller = fleet.caller(0).await.unwrap();
         let request = model_call("/chat/7", &format!("s-{index}"));
-        assert_eq!(caller.call(&request).await.unwrap().status(), 200);
+        statuses.push(caller.call(&request).await.unwrap().status());
     }
-    assert!(engines[0].executed_requests().len() <= 1);
+    assert_eq!(statuses, [200, 200, 503, 503, 503, 503], "each engine serves one stream");
+    assert!(fleet.engines().all(|it| it.executed_requests().len() == 1));
 }
 
 /// The bound is that of the users: two requests between half a second after the response and the
@@ -47,7 +50,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_server_that_asks_for_a_pause_gets_nothing_until_its_end() {
     let fleet = fleet(1).await;
-    turn_away(&fleet, Fault::Busy);
+    turn_away(&fleet, Fault::RequestsPause);
     send_for(&fleet, Duration::from_millis(2_500)).await;
     for server in fleet.apps() {
         let times = server.turned_away();
@@ -78,7 +81,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_is_refused_at_once_while_all_servers_ask_for_a_pause() {
     let fleet = fleet(1).await;
-    turn_away(&fleet, Fault::Busy);
+    turn_away(&fleet, Fault::RequestsPause);
     for index in 0..6 {
         let mut caller = fleet.caller(0).await.unwrap();
         let start = Instant::now();
