sl-route: the log says why a failed attempt is not retried

'attempt failed' has no_retry now; the decision is the same as before, with one function that selects the server of a retry or says why there is none. The log's decisions on servers moved to a function of their own. a_failed_attempt_says_why_it_is_not_retried passes.

--- a/sl-edge/src/log.rs
+++ b/sl-edge/src/log.rs
@@ -142,11 +142,33 @@
         Decision::TeamActivity { tokens, share_usage, fair_share } => {
             write_team_activity(log, tokens, *share_usage, *fair_share);
         }
-        Decision::AttemptFailed { request, server, fault, next } => warn!(log, "attempt failed";
-            "request" => request.0, "server" => %server, "fault" => %fault, "then" => %next),
+        Decision::AttemptFailed { request, server, fault, next, denial } => warn!(
+            log, "attempt failed";
+            "request" => request.0, "server" => %server, "fault" => %fault, "then" => %next,
+            "no_retry" => denial.map(<&str>::from)),
         Decision::RequestFailed { request, reason } => {
-            warn!(log, "request failed"; "request" => request.0, "why" => %reason);
+            warn!(log, "request failed"; "request" => request.0, "why" => %reason)
         }
+        Decision::ServerAvoided { .. }
+        | Decision::DrainAnnounced { .. }
+        | Decision::PauseRequested { .. }
+        | Decision::ServerEntryOutdated { .. }
+        | Decision::ServerChanged { .. }
+        | Decision::CacheKnown { .. } => write_server_decision(log, decision),
+        Decision::StoreRestored => {
+            info!(log, "entries older than those known are ignored for a while");
+        }
+        Decision::RequestBarred { fingerprint } => {
+            warn!(log, "request blocked: servers crashed while running it";
+                "fingerprint" => format!("{fingerprint:016x}"));
+        }
+        Decision::PeerSilent { peer } => debug!(log, "peer silent"; "peer" => peer),
+    }
+}
+
+/// Logs a decision on a server; other decisions are ignored.
+fn write_server_decision(log: &Logger, decision: &Decision) {
+    match decision {
         Decision::ServerAvoided { server, fault, failure_rate, for_ms } => {
             info!(log, "server avoided";
                 "server" => %server, "fault" => %fault, "failing" => rounded(*failure_rate),
@@ -168,14 +190,7 @@
             info!(log, "cache contents updated";
                 "server" => %server, "parts" => parts, "by_engine" => from_engine);
         }
-        Decision::StoreRestored => {
-            info!(log, "entries older than those known are ignored for a while");
-        }
-        Decision::RequestBarred { fingerprint } => {
-            warn!(log, "request blocked: servers crashed while running it";
-                "fingerprint" => format!("{fingerprint:016x}"));
-        }
-        Decision::PeerSilent { peer } => debug!(log, "peer silent"; "peer" => peer),
+        _ => {}
     }
 }
 
--- a/sl-route/src/effect.rs
+++ b/sl-route/src/effect.rs
@@ -175,6 +175,8 @@
         fault: Fault,
         /// The action that follows.
         next: NextStep,
+        /// Why the request is not retried; `None` if it is.
+        denial: Option<RetryDenial>,
     },
     /// A request failed and is not retried.
     RequestFailed {
@@ -267,6 +269,25 @@
     }
 }
 
+/// Why a request is not sent to another server after an attempt on one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum RetryDenial {
+    /// The request may have run, or a part of its response was delivered, and its route does not
+    /// allow it to continue elsewhere.
+    NotRepeatable,
+    /// Too little time is left until its deadline.
+    NoTime,
+    /// It was sent to as many servers as its route allows.
+    NoAttemptLeft,
+    /// Requests with its fingerprint have crashed several servers.
+    Barred,
+    /// The fleet's retry budget is used up.
+    BudgetUsed,
+    /// No other server is expected to respond before its deadline.
+    NoServer,
+}
+
 /// The action that follows a failed attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
--- a/sl-route/src/state/attempt.rs
+++ b/sl-route/src/state/attempt.rs
@@ -7,7 +7,7 @@
     AttemptEnd, Decision, Effect, Failure, Fault, Refusal, RetryPolicy, ServerKey,
     activity::TokenOutcome,
     admission::AdmissionLimits,
-    effect::{NextStep, Target},
+    effect::{NextStep, RetryDenial, Target},
     note::{AttemptKey, Note},
     place::{LowestEstimates, Placement},
     request::{CurrentAttempt, InFlightRequest},
@@ -228,27 +228,27 @@
         let server = in_flight.current.and_then(|it| self.servers.get(&it.server));
         let server = server.map(|it| it.record.id.clone());
         in_flight.current = None;
-        let may_retry = self.may_retry(now, &in_flight, fault, is_partially_delivered);
-        let placement = if may_retry { self.choose_retry_server(now, &in_flight) } else { None };
+        let placement = self.place_retry(now, &in_flight, fault, is_partially_delivered);
         let next = match (&placement, fault) {
-            (Some(_), _) => NextStep::Retry,
-            (None, Fault::ServerError) => NextStep::ForwardServerError,
-            (None, _) if !in_flight.may_have_run && !is_partially_delivered => NextStep::Refuse,
-            (None, _) => NextStep::Fail,
+            (Ok(_), _) => NextStep::Retry,
+            (Err(_), Fault::ServerError) => NextStep::ForwardServerError,
+            (Err(_), _) if !in_flight.may_have_run && !is_partially_delivered => NextStep::Refuse,
+            (Err(_), _) => NextStep::Fail,
         };
         let request = in_flight.arrival.request;
         if let Some(server) = server {
-            let decision = Decision::AttemptFailed { request, server, fault, next };
+            let denial = placement.as_ref().err().copied();
+            let decision = Decision::AttemptFailed { request, server, fault, next, denial };
             self.effects.push(Effect::Log(decision));
         }
         match placement {
-            Some(placement) => {
+            Ok(placement) => {
                 if in_flight.attempts > 0 {
                     self.budget.try_take(now, in_flight.arrival.service);
                 }
                 self.send(now, in_flight, placement);
             }
-            None => self.report_failure(now, &in_flight, fault, next),
+            Err(_) => self.report_failure(now, &in_flight, fault, next),
         }
     }
 
@@ -303,34 +303,37 @@
         }
     }
 
-    fn may_retry(
+    /// Selects another server for a request whose attempt ended with `fault`.
+    fn place_retry(
         &mut self,
         now: Timestamp,
         in_flight: &InFlightRequest,
         fault: Fault,
         is_partially_delivered: bool,
-    ) -> bool {
-        let policy = in_flight.arrival.route.retry_policy;
+    ) -> Result<Placement, RetryDenial> {
+        let arrival = &in_flight.arrival;
+        let policy = arrival.route.retry_policy;
         let may_run_again =
             fault.proves_not_run() && !in_flight.may_have_run || policy.allows_rerun();
         let can_resume = !is_partially_delivered || policy == RetryPolicy::ResumableStream;
-        let deadline = in_flight.arrival.deadline();
-        let has_time = !deadline.is_due(now.after(ATTEMPT_TIME_MIN));
-        let has_attempt = in_flight.attempts < in_flight.arrival.route.max_attempts;
-        let is_barred = self.crashes.is_barred(now, in_flight.arrival.fingerprint);
-        if !may_run_again || !can_resume || !has_time || !has_attempt || is_barred {
-            return false;
+        if !may_run_again || !can_resume {
+            return Err(RetryDenial::NotRepeatable);
         }
-        in_flight.attempts == 0 || self.budget.available(now, in_flight.arrival.service) >= 1.0
-    }
-
-    fn choose_retry_server(
-        &mut self,
-        now: Timestamp,
-        in_flight: &InFlightRequest,
-    ) -> Option<Placement> {
-        let remaining_ms = in_flight.arrival.deadline().remaining(now).0 as f64;
-        self.choose_server(now, in_flight, AdmissionLimits::until_deadline(remaining_ms)).ok()
+        let deadline = arrival.deadline();
+        if deadline.is_due(now.after(ATTEMPT_TIME_MIN)) {
+            return Err(RetryDenial::NoTime);
+        }
+        if in_flight.attempts >= arrival.route.max_attempts {
+            return Err(RetryDenial::NoAttemptLeft);
+        }
+        if self.crashes.is_barred(now, arrival.fingerprint) {
+            return Err(RetryDenial::Barred);
+        }
+        if in_flight.attempts > 0 && self.budget.available(now, arrival.service) < 1.0 {
+            return Err(RetryDenial::BudgetUsed);
+        }
+        let limits = AdmissionLimits::until_deadline(deadline.remaining(now).0 as f64);
+        self.choose_server(now, in_flight, limits).map_err(|_| RetryDenial::NoServer)
     }
 }
 
--- a/sl-route/tests/it/retry.rs
+++ b/sl-route/tests/it/retry.rs
@@ -2,7 +2,7 @@
 
 use rstest::rstest;
 use sl_base::{Millis, RequestId};
-use sl_route::{AttemptEnd, Effect, Event, Fault, RetryPolicy};
+use sl_route::{AttemptEnd, Decision, Effect, Event, Fault, RetryPolicy, effect::RetryDenial};
 
 use crate::testbed::{
     arrival, arrive, at, fail_attempt, prompt, request_effects, sent_target, state,
@@ -168,3 +168,23 @@
     let effects = arrive(&mut state, at(0), arrival(at(0), 2, RetryPolicy::NonIdempotent, None));
     assert_eq!(sent_target(&effects).unwrap().response_deadline, at(0).after(Millis(8_000)));
 }
+
+// Guards against log lines that do not tell a used-up retry budget from a lack of servers.
+#[test]
+fn a_failed_attempt_says_why_it_is_not_retried() {
+    let denial = |servers: &[(&str, &str)], retry_policy, now| {
+        let mut state = state(1, servers);
+        arrive(&mut state, at(0), arrival(at(0), 1, retry_policy, None));
+        let effects = fail_attempt(&mut state, now, 1, Fault::ConnectionLost);
+        effects.into_iter().find_map(|it| match it {
+            Effect::Log(Decision::AttemptFailed { denial, .. }) => Some(denial),
+            _ => None,
+        })
+    };
+    let idempotent = RetryPolicy::Idempotent;
+    assert_eq!(denial(&APPS, idempotent, at(10)), Some(None));
+    assert_eq!(denial(&APPS[..1], idempotent, at(10)), Some(Some(RetryDenial::NoServer)));
+    assert_eq!(denial(&APPS, idempotent, at(7_990)), Some(Some(RetryDenial::NoTime)));
+    let not_repeatable = Some(Some(RetryDenial::NotRepeatable));
+    assert_eq!(denial(&APPS, RetryPolicy::NonIdempotent, at(10)), not_repeatable);
+}
