--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -10,6 +10,7 @@
 mod responses;
 mod restore;
 mod shutdown;
+mod silence;
 mod soak;
 mod streams;
 mod testbed;
