sl-route, sl-edge: an attempt on a silent server is given up only for another server

What callers saw: a request that had been read whole ended with a closed connection, without an answer or a refusal. Cause: when a server had sent nothing for a time (twice the target gap of a stream, three times the expected time before a response), the adapter closed the attempt and only then asked the reducer for another server. Without one (retry budget used up, no time, none in service) the request failed, though its server would have gone on; a stream that had begun was cut off.

Change: silence is an event of its own. The reducer either moves the request or lets the attempt continue, and is asked again after 250 ms; the attempt's own end is the request's deadline. The failure of a silent server counts once for each attempt. Considered and not done: keeping the first attempt while a second one starts, since one request would run on two servers.

--- a/bench/src/load/play.rs
+++ b/bench/src/load/play.rs
@@ -378,7 +378,7 @@
                 Effect::Fail { request, .. } | Effect::ForwardServerError { request } => {
                     self.finish_call(request.0 as usize, Outcome::Failed);
                 }
-                Effect::ListCache { .. } | Effect::Log(_) => {}
+                Effect::KeepWaiting { .. } | Effect::ListCache { .. } | Effect::Log(_) => {}
             }
         }
         self.schedule_notes(instance);
--- a/sl-edge/src/attempt.rs
+++ b/sl-edge/src/attempt.rs
@@ -85,19 +85,19 @@
     let mut buf = BytesMut::with_capacity(outgoing.body.len() + HEAD_CAPACITY);
     forward.head(outgoing.head).write(&mut buf);
     buf.extend_from_slice(outgoing.body);
-    let response_deadline = clock.instant(target.response_deadline);
-    let written = timeout_at(response_deadline, pooled.conn.write_until_response(&buf)).await;
+    let deadline = clock.instant(outgoing.deadline);
+    let written = timeout_at(deadline, pooled.conn.write_until_response(&buf)).await;
     let lost_fault = if pooled.is_reused { Fault::StaleConnection } else { Fault::ConnectionLost };
     let is_fully_sent = match written {
         Ok(Ok(written)) => written == buf.len(),
         Ok(Err(_)) => return Err(lost_fault),
-        Err(_) => return Err(Fault::ResponseTimeout),
+        Err(_) => return Err(Fault::DeadlineExceeded),
     };
     let reading = read_matching_head(&mut pooled, outgoing, lost_fault, on_response);
-    match timeout_at(response_deadline, reading).await {
+    match timeout_at(deadline, reading).await {
         Ok(Ok((head, is_error))) => into_upstream(pooled, head, is_error, is_fully_sent, outgoing),
         Ok(Err(fault)) => Err(fault),
-        Err(_) => Err(Fault::ResponseTimeout),
+        Err(_) => Err(Fault::DeadlineExceeded),
     }
 }
 
--- a/sl-edge/src/caller/exchange.rs
+++ b/sl-edge/src/caller/exchange.rs
@@ -7,12 +7,17 @@
     Arrival, AttemptEnd, Event, Failure, Fault, RetryPolicy, ServerNotice, effect::Target,
 };
 
+use tokio::time::sleep_until;
+
 use super::{Disposition, Ingress, request::Request};
 use crate::{
     attempt::{self, OutgoingRequest, Upstream},
     core::{Action, Core, RequestGuard},
     refusal::LocalResponse,
-    relay::{self, FullResponse, PIPELINED_BYTES_MAX, RelayDeadlines, RelayError, StreamRelay},
+    relay::{
+        self, CollectError, FullResponse, PIPELINED_BYTES_MAX, RelayDeadlines, RelayError,
+        StreamRelay,
+    },
 };
 use platform::ServerResponse;
 
@@ -28,6 +33,16 @@
     Failed { fault: Fault, response: Option<FullResponse> },
     /// The caller closed its connection, or writing to it failed.
     CallerDisconnected,
+    /// The server was silent, and the reducer decided on something else than waiting for it.
+    Superseded { next: Option<Action> },
+}
+
+/// What the reducer decided on an attempt whose server is silent.
+enum SilenceDecision {
+    /// The attempt continues; the server counts as silent again at `until`.
+    Wait { until: Timestamp },
+    /// The attempt is given up.
+    GiveUp { next: Option<Action> },
 }
 
 /// A request in progress on a caller's connection.
@@ -61,9 +76,9 @@
 
     /// Runs the request, with retries on other servers as the reducer decides, and responds.
     pub(super) async fn run(mut self, arrival: Arrival) -> Disposition {
-        let mut event = Event::RequestArrived(Box::new(arrival));
+        let mut next = self.guard.next_action(Event::RequestArrived(Box::new(arrival))).await;
         loop {
-            let target = match self.guard.next_action(event).await {
+            let target = match next {
                 Some(Action::Send(target)) => target,
                 Some(action) => {
                     self.guard.mark_finished();
@@ -71,7 +86,8 @@
                 }
                 None => return Disposition::Reset,
             };
-            match self.attempt(&target).await {
+            next = match self.attempt(&target).await {
+                AttemptOutcome::Superseded { next } => next,
                 AttemptOutcome::Delivered { status } => return self.complete(status),
                 AttemptOutcome::CallerDisconnected => {
                     self.request.record_end(
@@ -86,9 +102,10 @@
                     self.server_error = response;
                     let is_partially_delivered = self.stream.is_head_sent;
                     let end = AttemptEnd::Failed { fault, is_partially_delivered };
-                    event = Event::AttemptEnded { request: self.guard.request, end };
+                    let request = self.guard.request;
+                    self.guard.next_action(Event::AttemptEnded { request, end }).await
                 }
-            }
+            };
         }
     }
 
@@ -129,35 +146,54 @@
         let on_response = |response: ServerResponse<'_>| report_notices(core, target, response);
         let sending =
             attempt::send(&self.ingress.pool, clock, target, outgoing, is_accepting, on_response);
-        let sent = tokio::select! {
-            biased;
-            sent = sending => sent,
-            () = self.conn.closed(PIPELINED_BYTES_MAX) => return AttemptOutcome::CallerDisconnected,
+        let mut sending = std::pin::pin!(sending);
+        let mut silent_at = target.silent_at;
+        let sent = loop {
+            tokio::select! {
+                biased;
+                sent = &mut sending => break sent,
+                () = self.conn.closed(PIPELINED_BYTES_MAX) => {
+                    return AttemptOutcome::CallerDisconnected;
+                }
+                () = sleep_until(clock.instant(silent_at)), if silent_at < self.deadline => {}
+            }
+            match self.report_silence().await {
+                SilenceDecision::Wait { until } => silent_at = until,
+                SilenceDecision::GiveUp { next } => return AttemptOutcome::Superseded { next },
+            }
         };
         let upstream = match sent {
             Ok(upstream) => upstream,
-            Err(Fault::ResponseTimeout) if self.deadline.is_due(clock.now()) => {
-                return AttemptOutcome::Failed { fault: Fault::DeadlineExceeded, response: None };
-            }
             Err(fault) => return AttemptOutcome::Failed { fault, response: None },
         };
         let is_stream =
             self.request.route.retry_policy.is_stream() && upstream.head.status == STATUS_OK;
         match (self.stream.is_head_sent, is_stream) {
-            (_, true) => self.relay_stream(target, upstream).await,
+            (_, true) => self.relay_stream(target, upstream, silent_at).await,
             (false, false) => self.relay_full(target, upstream).await,
             (true, false) => AttemptOutcome::Failed { fault: Fault::ServerError, response: None },
         }
     }
 
+    /// Asks the reducer what to do about an attempt whose server is silent.
+    async fn report_silence(&mut self) -> SilenceDecision {
+        let request = self.guard.request;
+        let is_partially_delivered = self.stream.is_head_sent;
+        let event = Event::AttemptSilent { request, is_partially_delivered };
+        match self.guard.next_action(event).await {
+            Some(Action::KeepWaiting { until }) => SilenceDecision::Wait { until },
+            next => SilenceDecision::GiveUp { next },
+        }
+    }
+
     /// Reads a whole response and writes it to the caller, unless it is an error that may be
     /// retried on another server.
     async fn relay_full(&mut self, target: &Target, mut upstream: Upstream) -> AttemptOutcome {
         let clock = self.ingress.core.clock;
         let response = match relay::collect(clock, self.conn, &mut upstream, self.deadline).await {
             Ok(response) => response,
-            Err(RelayError::CallerDisconnected) => return AttemptOutcome::CallerDisconnected,
-            Err(RelayError::Fault(fault)) => {
+            Err(CollectError::CallerDisconnected) => return AttemptOutcome::CallerDisconnected,
+            Err(CollectError::Fault(fault)) => {
                 return AttemptOutcome::Failed { fault, response: None };
             }
         };
@@ -176,29 +212,40 @@
         }
     }
 
-    /// Relays a stream of events to the caller as they arrive.
-    async fn relay_stream(&mut self, target: &Target, mut upstream: Upstream) -> AttemptOutcome {
+    /// Relays a stream of events to the caller as they arrive. The server counts as silent at
+    /// `silent_at` unless an event arrives before.
+    async fn relay_stream(
+        &mut self,
+        target: &Target,
+        mut upstream: Upstream,
+        mut silent_at: Timestamp,
+    ) -> AttemptOutcome {
         let route = &self.request.route;
         let is_resumable = route.retry_policy == RetryPolicy::ResumableStream;
         let event_gap = route.target_gap.filter(|_| is_resumable && target.may_retry);
         let event_gap = event_gap.map(|it| Millis(it.0 * STREAM_GAP_FACTOR));
-        let deadlines = RelayDeadlines {
-            first_event_deadline: target.response_deadline,
-            stream_deadline: self.deadline,
-            event_gap,
-        };
         let clock = self.ingress.core.clock;
-        let on_first_event = || self.request.record_first_byte(self.ingress, &self.guard);
-        let relaying =
-            self.stream.relay(clock, self.conn, &mut upstream, deadlines, on_first_event);
-        match relaying.await {
-            Ok(()) => {
-                let status = upstream.head.status;
-                return_to_pool(self.ingress, target, upstream);
-                AttemptOutcome::Delivered { status }
+        self.stream.begin_response();
+        loop {
+            let deadlines = RelayDeadlines { silent_at, stream_deadline: self.deadline, event_gap };
+            let on_first_event = || self.request.record_first_byte(self.ingress, &self.guard);
+            let relaying =
+                self.stream.relay(clock, self.conn, &mut upstream, deadlines, on_first_event);
+            match relaying.await {
+                Ok(()) => {
+                    let status = upstream.head.status;
+                    return_to_pool(self.ingress, target, upstream);
+                    return AttemptOutcome::Delivered { status };
+                }
+                Err(RelayError::Silent) => match self.report_silence().await {
+                    SilenceDecision::Wait { until } => silent_at = until,
+                    SilenceDecision::GiveUp { next } => return AttemptOutcome::Superseded { next },
+                },
+                Err(RelayError::CallerDisconnected) => return AttemptOutcome::CallerDisconnected,
+                Err(RelayError::Fault(fault)) => {
+                    return AttemptOutcome::Failed { fault, response: None };
+                }
             }
-            Err(RelayError::CallerDisconnected) => AttemptOutcome::CallerDisconnected,
-            Err(RelayError::Fault(fault)) => AttemptOutcome::Failed { fault, response: None },
         }
     }
 
@@ -224,7 +271,7 @@
                 }
                 None => LocalResponse::failed(Failure::ConnectionLost),
             },
-            Action::Send(_) => return Disposition::Reset,
+            Action::Send(_) | Action::KeepWaiting { .. } => return Disposition::Reset,
         };
         self.request.record_end(
             self.ingress,
--- a/sl-edge/src/core.rs
+++ b/sl-edge/src/core.rs
@@ -32,6 +32,8 @@
 pub(crate) enum Action {
     /// Attempt the request on this server.
     Send(Target),
+    /// Continue the current attempt, and ask again at `until` unless data arrives before.
+    KeepWaiting { until: Timestamp },
     /// Reject the request, which has not run.
     Refuse { reason: Refusal, retry_after: Millis },
     /// Report the failure of a request that may have run.
@@ -316,6 +318,9 @@
     fn execute(&self, effect: Effect) {
         match effect {
             Effect::Send { request, target } => self.deliver(request, Action::Send(target)),
+            Effect::KeepWaiting { request, until } => {
+                self.deliver(request, Action::KeepWaiting { until });
+            }
             Effect::Refuse { request, reason, retry_after } => {
                 self.deliver(request, Action::Refuse { reason, retry_after });
             }
--- a/sl-edge/src/log.rs
+++ b/sl-edge/src/log.rs
@@ -146,6 +146,9 @@
             log, "attempt failed";
             "request" => request.0, "server" => %server, "fault" => %fault, "then" => %next,
             "no_retry" => denial.map(<&str>::from)),
+        Decision::AttemptSilent { request, server, denial } => info!(
+            log, "attempt continues on a silent server";
+            "request" => request.0, "server" => %server, "no_retry" => %denial),
         Decision::RequestFailed { request, reason } => {
             warn!(log, "request failed"; "request" => request.0, "why" => %reason)
         }
--- a/sl-edge/src/relay.rs
+++ b/sl-edge/src/relay.rs
@@ -23,10 +23,20 @@
     pub(crate) body: Bytes,
 }
 
-/// Why a response was not relayed to its end.
+/// Why a response was not read to its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CollectError {
+    CallerDisconnected,
+    /// The attempt on the server failed.
+    Fault(Fault),
+}
+
+/// Why a stream was not relayed to its end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum RelayError {
     CallerDisconnected,
+    /// No event arrived by the time that was set for it. The server may still go on.
+    Silent,
     /// The attempt on the server failed.
     Fault(Fault),
 }
@@ -37,21 +47,21 @@
     caller: &mut Conn,
     upstream: &mut Upstream,
     deadline: Timestamp,
-) -> Result<FullResponse, RelayError> {
+) -> Result<FullResponse, CollectError> {
     let deadline = clock.instant(deadline);
     let reading = upstream.body.collect(&mut upstream.pooled.conn, RESPONSE_BYTES_MAX);
     let read = tokio::select! {
         biased;
         read = timeout_at(deadline, reading) => read,
-        () = caller.closed(PIPELINED_BYTES_MAX) => return Err(RelayError::CallerDisconnected),
+        () = caller.closed(PIPELINED_BYTES_MAX) => return Err(CollectError::CallerDisconnected),
     };
     match read {
         Ok(Ok(body)) => Ok(FullResponse { head: upstream.head.clone(), body }),
         Ok(Err(BodyError::Malformed | BodyError::TooLarge)) => {
-            Err(RelayError::Fault(Fault::InvalidResponse))
+            Err(CollectError::Fault(Fault::InvalidResponse))
         }
-        Ok(Err(_)) => Err(RelayError::Fault(Fault::TruncatedResponse)),
-        Err(_) => Err(RelayError::Fault(Fault::DeadlineExceeded)),
+        Ok(Err(_)) => Err(CollectError::Fault(Fault::TruncatedResponse)),
+        Err(_) => Err(CollectError::Fault(Fault::DeadlineExceeded)),
     }
 }
 
@@ -105,6 +115,8 @@
     is_chunked: bool,
     keeps_alive: bool,
     splitter: EventSplitter,
+    /// Whether the current server has sent no complete event yet.
+    awaits_first_event: bool,
     /// Events relayed so far.
     event_count: u32,
     /// When the first events of the stream were received.
@@ -119,8 +131,8 @@
 /// Deadlines of a stream's events.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct RelayDeadlines {
-    /// Deadline for the server's first event.
-    pub(crate) first_event_deadline: Timestamp,
+    /// When the server counts as silent, unless an event arrives before.
+    pub(crate) silent_at: Timestamp,
     /// Deadline for the whole stream.
     pub(crate) stream_deadline: Timestamp,
     /// Longest gap between two events; `None` if the route has no target for the gap, or no
@@ -143,6 +155,7 @@
             is_chunked,
             keeps_alive: keeps_alive && is_chunked,
             splitter: EventSplitter::default(),
+            awaits_first_event: true,
             event_count: 0,
             first_event_at: None,
             last_event_at: None,
@@ -162,36 +175,39 @@
         self.keeps_alive
     }
 
-    /// Relays the events of `upstream` until its end; calls `on_first_event` when the first
-    /// event of this upstream has arrived.
+    /// Prepares for the response of another server.
+    pub(crate) fn begin_response(&mut self) {
+        self.splitter = EventSplitter::default();
+        self.awaits_first_event = true;
+    }
+
+    /// Relays the events of `upstream` until its end; calls `on_first_event` when its first event
+    /// has arrived. After [`RelayError::Silent`] the same response can be relayed further.
     pub(crate) async fn relay(
         &mut self,
         clock: Clock,
         caller: &mut Conn,
         upstream: &mut Upstream,
-        deadlines: RelayDeadlines,
+        mut deadlines: RelayDeadlines,
         mut on_first_event: impl FnMut(),
     ) -> Result<(), RelayError> {
-        self.splitter = EventSplitter::default();
-        let mut next_event_deadline = deadlines.first_event_deadline;
-        let mut is_first = true;
         if !self.is_head_sent {
             self.write(clock, caller, deadlines.stream_deadline, &self.encode_head(&upstream.head))
                 .await?;
             self.is_head_sent = true;
         }
         loop {
+            let due = clock.instant(deadlines.silent_at.min(deadlines.stream_deadline));
             let next = upstream.body.next(&mut upstream.pooled.conn);
             let next = tokio::select! {
                 biased;
-                next = timeout_at(clock.instant(next_event_deadline), next) => next,
+                next = timeout_at(due, next) => next,
                 () = caller.closed(PIPELINED_BYTES_MAX) => return Err(RelayError::CallerDisconnected),
             };
             let Ok(next) = next else {
                 let is_expired = deadlines.stream_deadline.is_due(clock.now());
-                let fault =
-                    if is_expired { Fault::DeadlineExceeded } else { Fault::ResponseTimeout };
-                return Err(RelayError::Fault(fault));
+                let expired = RelayError::Fault(Fault::DeadlineExceeded);
+                return Err(if is_expired { expired } else { RelayError::Silent });
             };
             let Some(piece) = next.map_err(|e| RelayError::Fault(fault(&e)))? else {
                 return self.finish(clock, caller, upstream, deadlines.stream_deadline).await;
@@ -201,7 +217,7 @@
             if complete.is_empty() {
                 continue;
             }
-            if std::mem::take(&mut is_first) {
+            if std::mem::take(&mut self.awaits_first_event) {
                 on_first_event();
             }
             self.has_sent_events = true;
@@ -210,8 +226,8 @@
             self.last_event_at = Some(now);
             let framed = self.frame(&complete);
             self.write(clock, caller, deadlines.stream_deadline, &framed).await?;
-            next_event_deadline = match deadlines.event_gap {
-                Some(gap) => clock.now().after(gap).min(deadlines.stream_deadline),
+            deadlines.silent_at = match deadlines.event_gap {
+                Some(gap) => clock.now().after(gap),
                 None => deadlines.stream_deadline,
             };
         }
--- a/sl-route/src/effect.rs
+++ b/sl-route/src/effect.rs
@@ -17,6 +17,13 @@
         /// The server to send it to.
         target: Target,
     },
+    /// Continue the current attempt, although its server is silent.
+    KeepWaiting {
+        /// The request whose attempt continues.
+        request: RequestId,
+        /// When the reducer is asked again, unless data arrives before.
+        until: Timestamp,
+    },
     /// Tell the caller that the request was not run, and when to retry.
     Refuse {
         /// The request to refuse.
@@ -62,8 +69,8 @@
     pub address: SocketAddr,
     /// The engine from which the server fetches the parts of the prompt that it has not cached.
     pub fetch_from: Option<SocketAddr>,
-    /// When the response has to have started.
-    pub response_deadline: Timestamp,
+    /// When the server counts as silent, unless the response has started.
+    pub silent_at: Timestamp,
     /// Whether the request may still be retried on another server.
     pub may_retry: bool,
 }
@@ -178,6 +185,15 @@
         /// Why the request is not retried; `None` if it is.
         denial: Option<RetryDenial>,
     },
+    /// The server of an attempt is silent and no other one takes over, so the attempt continues.
+    AttemptSilent {
+        /// The request to which the attempt belongs.
+        request: RequestId,
+        /// The id of the server to which the attempt was sent.
+        server: Arc<str>,
+        /// Why the request is not sent to another server.
+        denial: RetryDenial,
+    },
     /// A request failed and is not retried.
     RequestFailed {
         /// The request that failed.
@@ -254,6 +270,7 @@
             | Decision::ResponseStarted { request, .. }
             | Decision::RequestRefused { request, .. }
             | Decision::AttemptFailed { request, .. }
+            | Decision::AttemptSilent { request, .. }
             | Decision::RequestFailed { request, .. } => Some(*request),
             Decision::TeamActivity { .. }
             | Decision::ServerAvoided { .. }
--- a/sl-route/src/event.rs
+++ b/sl-route/src/event.rs
@@ -43,6 +43,14 @@
         /// How the attempt ended.
         end: AttemptEnd,
     },
+    /// No data of the request's current attempt arrived by the time that was set for it. The
+    /// server may have failed, or may go on.
+    AttemptSilent {
+        /// The request whose attempt is silent.
+        request: RequestId,
+        /// Whether a part of the response has already been delivered to the caller.
+        is_partially_delivered: bool,
+    },
     /// A configuration was received. It takes effect if its version is higher than the current
     /// one.
     Document(Arc<Document>),
--- a/sl-route/src/request.rs
+++ b/sl-route/src/request.rs
@@ -35,6 +35,8 @@
     pub expected_ms: f64,
     /// Whether the response has started.
     pub has_response_started: bool,
+    /// Whether the server was silent during this attempt.
+    pub was_silent: bool,
 }
 
 impl InFlightRequest {
--- a/sl-route/src/state.rs
+++ b/sl-route/src/state.rs
@@ -125,6 +125,9 @@
             Event::CallerDisconnected { request } => self.on_caller_disconnected(now, request),
             Event::ResponseStarted { request } => self.on_response_started(now, request),
             Event::AttemptEnded { request, end } => self.on_attempt_ended(now, request, end),
+            Event::AttemptSilent { request, is_partially_delivered } => {
+                self.on_attempt_silent(now, request, is_partially_delivered);
+            }
             Event::Document(document) => self.on_document(now, document),
             Event::ServerListed(record) => self.on_server_listed(now, record),
             Event::ServerRemoved { id } => self.on_server_removed(now, &id),
--- a/sl-route/src/state/attempt.rs
+++ b/sl-route/src/state/attempt.rs
@@ -17,13 +17,16 @@
 /// No attempt is made with less time than this before the request's deadline.
 const ATTEMPT_TIME_MIN: Millis = Millis(20);
 
-/// Factor on the expected time to the first byte after which an attempt times out, if the
-/// request may be sent to another server.
-const RESPONSE_TIMEOUT_FACTOR: f64 = 3.0;
+/// Factor on the expected time to the first byte after which a server counts as silent, if the
+/// request may be sent to another one.
+const SILENCE_FACTOR: f64 = 3.0;
 
-/// Added to that timeout for model requests, so that no attempt times out sooner than this
-/// after its expected first byte.
-const RESPONSE_TIMEOUT_SLACK: Millis = Millis(400);
+/// Added to that time for model requests, so that no server counts as silent sooner than this
+/// after the expected first byte.
+const SILENCE_SLACK: Millis = Millis(400);
+
+/// How often a server is looked for that takes over from a silent one.
+const SILENCE_CHECK_INTERVAL: Millis = Millis(250);
 
 /// The lowest status of a server error.
 const SERVER_ERROR_STATUS_MIN: u16 = 500;
@@ -63,6 +66,7 @@
             sent_at: now,
             expected_ms: placement.expected_ms,
             has_response_started: false,
+            was_silent: false,
         });
         let may_retry = in_flight.attempts < in_flight.arrival.route.max_attempts;
         let target = Target {
@@ -70,7 +74,7 @@
             id: server.record.id.clone(),
             address: server.record.address,
             fetch_from,
-            response_deadline: response_deadline(now, &in_flight, &placement, may_retry),
+            silent_at: silent_at(now, &in_flight, &placement, may_retry),
             may_retry,
         };
         let decision = Decision::AttemptSent {
@@ -242,16 +246,62 @@
             self.effects.push(Effect::Log(decision));
         }
         match placement {
-            Ok(placement) => {
-                if in_flight.attempts > 0 {
-                    self.budget.try_take(now, in_flight.arrival.service);
-                }
-                self.send(now, in_flight, placement);
-            }
+            Ok(placement) => self.retry(now, in_flight, placement),
             Err(_) => self.report_failure(now, &in_flight, fault, next),
         }
     }
 
+    /// Moves the request to another server if one takes over. Silence is no proof of a failure,
+    /// so the attempt continues otherwise.
+    pub(super) fn on_attempt_silent(
+        &mut self,
+        now: Timestamp,
+        request: RequestId,
+        is_partially_delivered: bool,
+    ) {
+        let Some(in_flight) = self.requests.remove(&request) else {
+            return;
+        };
+        let fault = Fault::ResponseTimeout;
+        let placement = self.place_retry(now, &in_flight, fault, is_partially_delivered);
+        self.requests.insert(request, in_flight);
+        match placement {
+            Ok(_) => {
+                let end = AttemptEnd::Failed { fault, is_partially_delivered };
+                self.on_attempt_ended(now, request, end);
+            }
+            Err(denial) => self.keep_waiting(now, request, denial),
+        }
+    }
+
+    fn keep_waiting(&mut self, now: Timestamp, request: RequestId, denial: RetryDenial) {
+        let Some(in_flight) = self.requests.get_mut(&request) else {
+            return;
+        };
+        let until = now.after(SILENCE_CHECK_INTERVAL).min(in_flight.arrival.deadline());
+        self.effects.push(Effect::KeepWaiting { request, until });
+        let Some(current) = in_flight.current.as_mut() else {
+            return;
+        };
+        if std::mem::replace(&mut current.was_silent, true) {
+            return;
+        }
+        let server = current.server;
+        self.record_server_failure(now, server, Fault::ResponseTimeout);
+        if let Some(server) = self.servers.get(&server) {
+            let server = server.record.id.clone();
+            let decision = Decision::AttemptSilent { request, server, denial };
+            self.effects.push(Effect::Log(decision));
+        }
+    }
+
+    fn retry(&mut self, now: Timestamp, in_flight: InFlightRequest, placement: Placement) {
+        if in_flight.attempts > 0 {
+            self.budget.try_take(now, in_flight.arrival.service);
+        }
+        self.send(now, in_flight, placement);
+    }
+
     fn report_failure(
         &mut self,
         now: Timestamp,
@@ -280,10 +330,15 @@
             self.queue_note(Note::ServerCrashed { fingerprint });
             self.record_crash(now, fingerprint);
         }
-        if fault == Fault::DeadlineExceeded {
-            return;
+        let is_counted = fault == Fault::ResponseTimeout && current.was_silent;
+        if fault != Fault::DeadlineExceeded && !is_counted {
+            self.record_server_failure(now, current.server, fault);
         }
-        let Some(server) = self.servers.get_mut(&current.server) else {
+    }
+
+    /// Records a failure in the health of a server, and tells the peers if it is avoided now.
+    fn record_server_failure(&mut self, now: Timestamp, key: ServerKey, fault: Fault) {
+        let Some(server) = self.servers.get_mut(&key) else {
             return;
         };
         if !server.health.record_failure(now, fault) {
@@ -299,7 +354,7 @@
         self.effects.push(Effect::Log(decision));
         if !matches!(fault, Fault::Full) {
             let for_ms = u32::try_from(for_ms).unwrap_or(u32::MAX);
-            self.queue_note(Note::ServerAvoided { server: current.server, for_ms });
+            self.queue_note(Note::ServerAvoided { server: key, for_ms });
         }
     }
 
@@ -337,9 +392,9 @@
     }
 }
 
-/// Deadline for the start of the response to an attempt: late enough for a busy server to respond, early
-/// enough to leave time for an attempt at another server.
-fn response_deadline(
+/// When the server of an attempt counts as silent: late enough for a busy server to respond,
+/// early enough to leave time for an attempt on another server.
+fn silent_at(
     now: Timestamp,
     in_flight: &InFlightRequest,
     placement: &Placement,
@@ -350,11 +405,9 @@
         return deadline;
     }
     let timeout = match in_flight.arrival.prompt {
-        Some(_) => Millis(
-            (placement.expected_ms * RESPONSE_TIMEOUT_FACTOR) as u64 + RESPONSE_TIMEOUT_SLACK.0,
-        ),
+        Some(_) => Millis((placement.expected_ms * SILENCE_FACTOR) as u64 + SILENCE_SLACK.0),
         None => {
-            let expected = placement.expected_ms * RESPONSE_TIMEOUT_FACTOR;
+            let expected = placement.expected_ms * SILENCE_FACTOR;
             Millis(expected.max(in_flight.arrival.route.target_latency.0 as f64) as u64)
         }
     };
--- a/sl-route/tests/it/retry.rs
+++ b/sl-route/tests/it/retry.rs
@@ -164,9 +164,9 @@
 fn the_response_deadline_leaves_time_for_a_retry() {
     let mut state = state(1, &APPS);
     let effects = arrive(&mut state, at(0), arrival(at(0), 1, RetryPolicy::Idempotent, None));
-    assert!(sent_target(&effects).unwrap().response_deadline <= at(1_000));
+    assert!(sent_target(&effects).unwrap().silent_at <= at(1_000));
     let effects = arrive(&mut state, at(0), arrival(at(0), 2, RetryPolicy::NonIdempotent, None));
-    assert_eq!(sent_target(&effects).unwrap().response_deadline, at(0).after(Millis(8_000)));
+    assert_eq!(sent_target(&effects).unwrap().silent_at, at(0).after(Millis(8_000)));
 }
 
 // Guards against log lines that do not tell a used-up retry budget from a lack of servers.
