sl-edge: the head of a stream is sent with its first event

What callers saw: status 200, then a reset, with no event in between: neither an answer nor a refusal. Cause: the head was passed on as soon as it came, and after it any failure, also of a second attempt that found no server, could only be reported by a reset. Change: the head is kept until the first event (or the end of a stream without events) and written with it. The new test failed before (200 and a reset in place of 502) and passes; a route that may be resumed is covered as well.

--- a/sl-edge/src/relay.rs
+++ b/sl-edge/src/relay.rs
@@ -106,7 +106,7 @@
 
 /// The state of a stream relayed to a caller, across all servers that contribute to it.
 pub(crate) struct StreamRelay {
-    /// Whether the response head has been sent to the caller.
+    /// Whether the response head has been sent to the caller, with the first event.
     pub(crate) is_head_sent: bool,
     /// Whether any event has been sent to the caller.
     pub(crate) has_sent_events: bool,
@@ -191,11 +191,6 @@
         mut deadlines: RelayDeadlines,
         mut on_first_event: impl FnMut(),
     ) -> Result<(), RelayError> {
-        if !self.is_head_sent {
-            self.write(clock, caller, deadlines.stream_deadline, &self.encode_head(&upstream.head))
-                .await?;
-            self.is_head_sent = true;
-        }
         loop {
             let due = clock.instant(deadlines.silent_at.min(deadlines.stream_deadline));
             let next = upstream.body.next(&mut upstream.pooled.conn);
@@ -224,8 +219,9 @@
             let now = clock.now();
             self.first_event_at.get_or_insert(now);
             self.last_event_at = Some(now);
-            let framed = self.frame(&complete);
-            self.write(clock, caller, deadlines.stream_deadline, &framed).await?;
+            let mut buf = self.take_head(&upstream.head);
+            self.frame(&complete, &mut buf);
+            self.write(clock, caller, deadlines.stream_deadline, &buf).await?;
             deadlines.silent_at = match deadlines.event_gap {
                 Some(gap) => clock.now().after(gap),
                 None => deadlines.stream_deadline,
@@ -263,13 +259,19 @@
         if upstream.body.ending() == Some(Ending::Closed) && !self.has_sent_events {
             return Err(RelayError::Fault(Fault::TruncatedResponse));
         }
+        let mut buf = self.take_head(&upstream.head);
         if self.is_chunked {
-            self.write(clock, caller, deadline, LAST_CHUNK).await?;
+            buf.put_slice(LAST_CHUNK);
         }
-        Ok(())
+        self.write(clock, caller, deadline, &buf).await
     }
 
-    fn encode_head(&self, head: &ResponseHead) -> BytesMut {
+    /// The encoded head, unless it was taken before. It is sent together with the first event:
+    /// once the caller has it, a failure can only be reported by a reset.
+    fn take_head(&mut self, head: &ResponseHead) -> BytesMut {
+        if std::mem::replace(&mut self.is_head_sent, true) {
+            return BytesMut::new();
+        }
         let mut headers = ServerResponse(head).forwarded_headers();
         if self.is_chunked {
             headers.push("Transfer-Encoding", "chunked");
@@ -279,17 +281,15 @@
         buf
     }
 
-    /// Frames a piece of the body as a chunk, if the stream is chunked.
-    fn frame(&self, piece: &[u8]) -> BytesMut {
-        let mut buf = BytesMut::with_capacity(piece.len() + CHUNK_FRAME_BYTES);
+    /// Appends a piece of the body to `buf`, as a chunk if the stream is chunked.
+    fn frame(&self, piece: &[u8], buf: &mut BytesMut) {
+        buf.reserve(piece.len() + CHUNK_FRAME_BYTES);
         if !self.is_chunked {
-            buf.put_slice(piece);
-            return buf;
+            return buf.put_slice(piece);
         }
         buf.put_slice(format!("{:x}\r\n", piece.len()).as_bytes());
         buf.put_slice(piece);
         buf.put_slice(b"\r\n");
-        buf
     }
 
     async fn write(
--- a/tests/it/streams.rs
+++ b/tests/it/streams.rs
@@ -53,3 +53,19 @@
     let response = caller.call(&call).await.unwrap();
     assert_eq!(response.event_ids(), [8, 9, 10]);
 }
+
+// Guards against a head without any event, after which a failure can only be reported by a reset.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_fails_before_its_first_event_is_answered_with_a_failure() {
+    let fleet = fleet(1).await;
+    for engine in fleet.engines() {
+        engine.set_fault(Fault::ResetsBeforeEvents);
+    }
+    let mut caller = fleet.caller(0).await.unwrap();
+    for target in ["/chat/7", "/sheet/7"] {
+        let response = caller.call(&model_call(target, "early")).await.unwrap();
+        assert_eq!((response.status(), response.is_complete), (502, true), "{target}");
+        assert!(!response.is_sealed());
+        assert_eq!(response.header("x-sesamelock-outcome"), Some("unknown"));
+    }
+}
