bench: each process reserves its ports for as long as it lives

Seen: two test runs on one machine could get the same ports. An instance of one of them then ended with "cannot listen: Address already in use", and the test waited in vain until it was ready.

Cause: `free_port` probed a port, released it and returned it. A second process could probe the same port before the instance listened on it; the different first ports only made that rare.

Change: `bench::ports::PortAllocator` reserves blocks of 50 consecutive ports. The listener on the first port of a block is kept, so the system gives the block to one process only, and takes it back however that process ends. `free_port` uses one allocator for the whole process.

Result: `two_allocators_never_hand_out_the_same_port` passes.

--- a/bench/src/instance.rs
+++ b/bench/src/instance.rs
@@ -3,10 +3,9 @@
 use std::{
     fs::File,
     io,
-    net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
+    net::SocketAddr,
     path::{Path, PathBuf},
     process::{Child, Command, ExitStatus, Stdio},
-    sync::atomic::{AtomicU32, Ordering},
     time::Duration,
 };
 
@@ -15,6 +14,8 @@
     unistd::Pid,
 };
 
+use crate::ports::free_port;
+
 /// The operator key of every instance of a fleet.
 pub const OPERATOR_KEY: &str = "operators-on-loopback";
 
@@ -58,37 +59,6 @@
 /// How often a child process is checked for its exit.
 const CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
-/// The first port for instances. The ports are below the system's ephemeral range, because an
-/// outgoing connection could take an ephemeral port before the instance listens on it.
-const FIRST_PORT: u16 = 10_000;
-
-/// Number of ports for instances.
-const PORT_COUNT: u32 = 20_000;
-
-/// Offset between the first ports of test processes with consecutive process ids, so that
-/// processes that run at the same time rarely try the same ports.
-const PROCESS_PORT_STRIDE: u32 = 389;
-
-/// Returns a loopback address whose port is not in use at present.
-///
-/// # Panics
-///
-/// Panics if all ports are in use.
-pub fn free_port() -> SocketAddr {
-    static NEXT_OFFSET: AtomicU32 = AtomicU32::new(0);
-    let start_offset = std::process::id().wrapping_mul(PROCESS_PORT_STRIDE);
-    for _ in 0..PORT_COUNT {
-        let offset =
-            start_offset.wrapping_add(NEXT_OFFSET.fetch_add(1, Ordering::Relaxed)) % PORT_COUNT;
-        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, FIRST_PORT + offset as u16));
-        let is_free = TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok();
-        if is_free {
-            return address;
-        }
-    }
-    panic!("no free port on loopback");
-}
-
 impl Instance {
     /// Writes the settings of an instance without starting its process.
     ///
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod fleet;
 pub mod instance;
 pub mod load;
+pub mod ports;
 pub mod soak;
 
 pub use fleet::{Fleet, eventually};
--- a/bench/tests/it/main.rs
+++ b/bench/tests/it/main.rs
@@ -1,3 +1,4 @@
-//! Tests of the load model.
+//! Tests of the load model and of the ports for instances.
 
 mod loads;
+mod ports;
--- a/tests/it/failure.rs
+++ b/tests/it/failure.rs
@@ -84,12 +84,12 @@
     let text = std::fs::read_to_string(fleet.instances[0].settings()).unwrap();
     let dir = tempfile::tempdir().unwrap();
     let path = dir.path().join("blocked.ini");
-    let caller_port = bench::instance::free_port();
+    let caller_port = bench::ports::free_port();
     let mut text = text.replace("name = instance-0", "name = blocked");
     for old in
         [&fleet.instances[0].control, &fleet.instances[0].operator, &fleet.instances[0].metrics]
     {
-        text = text.replace(&old.to_string(), &bench::instance::free_port().to_string());
+        text = text.replace(&old.to_string(), &bench::ports::free_port().to_string());
     }
     let text = text.replace(&fleet.instances[0].caller.to_string(), &caller_port.to_string());
     std::fs::write(&path, text).unwrap();
