bench: the log of an instance that does not become ready is read after the wait

Cause: the condition was a string that was built before the wait.

Change: `eventually` takes any condition that can be displayed, and formats it only for the panic. `Readiness` displays the instance's log of that moment.

No test waits out the timeout of a real instance.

--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -1,7 +1,7 @@
 //! Several instances with a store and backend servers.
 
 use std::{
-    io,
+    fmt, io,
     net::{Ipv4Addr, SocketAddr},
     path::PathBuf,
     time::Duration,
@@ -59,12 +59,12 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Waits until `is_met` returns true. `condition` describes the condition in the message of
-/// the panic.
+/// the panic; it is formatted after the wait, so it can show what happened meanwhile.
 ///
 /// # Panics
 ///
 /// Panics if the condition is not met within a timeout that is long on any machine.
-pub async fn eventually(condition: &str, mut is_met: impl AsyncFnMut() -> bool) {
+pub async fn eventually(condition: impl fmt::Display, mut is_met: impl AsyncFnMut() -> bool) {
     let deadline = tokio::time::Instant::now() + CONDITION_TIMEOUT;
     while !is_met().await {
         assert!(tokio::time::Instant::now() < deadline, "timeout while waiting until: {condition}");
@@ -138,8 +138,7 @@
     /// Waits until all instances are ready.
     pub async fn wait_until_ready(&self) {
         for instance in &self.instances {
-            let condition = format!("{} is ready; its log:\n{}", instance.name, instance.log());
-            eventually(&condition, async || is_ready(instance).await).await;
+            eventually(Readiness(instance), async || is_ready(instance).await).await;
         }
     }
 
@@ -169,6 +168,15 @@
     }
 }
 
+/// The condition that an instance is ready, displayed with the instance's log of that moment.
+struct Readiness<'a>(&'a Instance);
+
+impl fmt::Display for Readiness<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} is ready; its log:\n{}", self.0.name, self.0.log())
+    }
+}
+
 async fn start_server(
     id: &str,
     service: &str,
--- a/bench/tests/it/main.rs
+++ b/bench/tests/it/main.rs
@@ -1,4 +1,5 @@
-//! Tests of the load model and of the ports for instances.
+//! Tests of the load model, and of what tests of real processes rely on.
 
+mod fleet;
 mod loads;
 mod ports;
