sl-edge: a connection does not carry the same attempt id again

Seen: a server that sends a second copy of a response after the next request has arrived gets it delivered as the response to that request, if both have the same attempt id. Callers choose the ids, so two of them may use the same one: `/status/1` got the bytes of `/status/0`. By reading, a retry of a request on the same server is open to it too.

Cause: the copy is told from the response by the attempt id alone, and any idle connection was used.

Change: a pooled connection knows the ids of the last four requests that it carried (`SentRequests`), and is not used for a request with one of them. Other requests are still sent on it.

Result: `late_copies`, 17 cases: copies before, after, around the next request, in two writes, longer, chunked, without an attempt id, on an idempotent and a non-idempotent route. On the unfixed code two fail, those of the same attempt id after the next request and in two writes ("GET /status/0 by app-1" for /status/1); the other 15 passed before.

--- a/sl-edge/src/attempt.rs
+++ b/sl-edge/src/attempt.rs
@@ -64,7 +64,8 @@
     is_accepting: impl Fn() -> bool,
     on_response: impl Fn(ServerResponse<'_>),
 ) -> Result<Upstream, Fault> {
-    let pooled = pool.acquire(target.address, outgoing.max_connections, outgoing.only_fresh).await;
+    let OutgoingRequest { attempt_id, max_connections, only_fresh, .. } = outgoing;
+    let pooled = pool.acquire(target.address, attempt_id, max_connections, only_fresh).await;
     let mut pooled = pooled.map_err(|e| match e {
         PoolError::LimitReached => Fault::Full,
         PoolError::Io(_) | PoolError::Timeout => Fault::NotConnected,
@@ -85,6 +86,7 @@
     let mut buf = BytesMut::with_capacity(outgoing.body.len() + HEAD_CAPACITY);
     forward.head(outgoing.head).write(&mut buf);
     buf.extend_from_slice(outgoing.body);
+    pooled.sent.record(attempt_id);
     let response_deadline = clock.instant(target.response_deadline);
     let written = timeout_at(response_deadline, pooled.conn.write_until_response(&buf)).await;
     let lost_fault = if pooled.is_reused { Fault::StaleConnection } else { Fault::ConnectionLost };
--- a/sl-edge/src/lib.rs
+++ b/sl-edge/src/lib.rs
@@ -31,6 +31,7 @@
 mod reload;
 pub mod roles;
 mod run;
+mod sent_requests;
 mod stop;
 mod store;
 pub mod unused;
--- a/sl-edge/src/pool.rs
+++ b/sl-edge/src/pool.rs
@@ -11,7 +11,7 @@
 use sl_base::{Millis, Timestamp};
 use sl_http::Conn;
 
-use crate::{clock::Clock, metrics::Metrics};
+use crate::{clock::Clock, metrics::Metrics, sent_requests::SentRequests};
 
 /// Idle connections and counts of those in use, by server address.
 pub(crate) struct Pool {
@@ -30,6 +30,7 @@
 
 struct IdleConn {
     conn: Conn,
+    sent: SentRequests,
     idle_since: Timestamp,
     expires_at: Timestamp,
 }
@@ -37,6 +38,8 @@
 /// A connection in use by one request.
 pub(crate) struct PooledConn {
     pub(crate) conn: Conn,
+    /// The requests that it has carried last.
+    pub(crate) sent: SentRequests,
     /// Whether it has carried a request before.
     pub(crate) is_reused: bool,
     _guard: InUseGuard,
@@ -92,19 +95,20 @@
     }
 
     /// Takes an idle connection to `address` or opens one, with at most `max_connections` open
-    /// to that address. With `only_fresh`, connections idle for longer than [`FRESH_IDLE_MAX`]
-    /// are not used.
+    /// to that address. Connections that have lately carried a request with `attempt_id` are not
+    /// used. With `only_fresh`, connections idle for longer than [`FRESH_IDLE_MAX`] are not used.
     pub(crate) async fn acquire(
         &self,
         address: SocketAddr,
+        attempt_id: &[u8],
         max_connections: usize,
         only_fresh: bool,
     ) -> Result<PooledConn, PoolError> {
         let server = self.servers.borrow_mut().entry(address).or_default().clone();
-        if let Some(conn) = self.take_idle(&server, only_fresh) {
-            return Ok(PooledConn { conn, is_reused: true, _guard: InUseGuard::new(server) });
+        if let Some(IdleConn { conn, sent, .. }) = self.take_idle(&server, attempt_id, only_fresh) {
+            return Ok(PooledConn { conn, sent, is_reused: true, _guard: InUseGuard::new(server) });
         }
-        // At the limit, an idle connection that is not fresh enough makes room for a new one.
+        // At the limit, an idle connection that cannot be used makes room for a new one.
         if server.in_use.get() + server.idle.borrow().len() >= max_connections
             && server.idle.borrow_mut().pop().is_none()
         {
@@ -116,7 +120,8 @@
         let conn = tokio::time::timeout(CONNECT_TIMEOUT.into(), connecting)
             .await
             .map_err(|_| PoolError::Timeout)??;
-        Ok(PooledConn { conn, is_reused: false, _guard: guard })
+        let sent = SentRequests::default();
+        Ok(PooledConn { conn, sent, is_reused: false, _guard: guard })
     }
 
     /// Returns a connection for reuse; `keep_alive` is the server's idle timeout, if
@@ -131,7 +136,8 @@
         let now = self.clock.now();
         let keep_alive = Millis(keep_alive.unwrap_or(IDLE_TIMEOUT).0.saturating_sub(IDLE_MARGIN.0));
         let expires_at = now.after(keep_alive.min(IDLE_TIMEOUT));
-        server.idle.borrow_mut().push(IdleConn { conn: pooled.conn, idle_since: now, expires_at });
+        let PooledConn { conn, sent, .. } = pooled;
+        server.idle.borrow_mut().push(IdleConn { conn, sent, idle_since: now, expires_at });
     }
 
     /// Drops idle connections that have expired.
@@ -143,20 +149,27 @@
         });
     }
 
-    /// The most recently used idle connection that is still usable.
-    fn take_idle(&self, server: &ServerConns, only_fresh: bool) -> Option<Conn> {
+    /// The most recently used idle connection that is still usable for a request with
+    /// `attempt_id`.
+    fn take_idle(
+        &self,
+        server: &ServerConns,
+        attempt_id: &[u8],
+        only_fresh: bool,
+    ) -> Option<IdleConn> {
         let now = self.clock.now();
         let mut idle = server.idle.borrow_mut();
         // The most recently used connection is the least likely to have been closed.
-        while let Some(mut newest) = idle.pop() {
+        while let Some(index) = idle.iter().rposition(|it| !it.sent.contains(attempt_id)) {
+            let mut newest = idle.remove(index);
             if newest.expires_at.is_due(now) || !newest.conn.is_idle() {
                 continue;
             }
             if only_fresh && newest.idle_since.after(FRESH_IDLE_MAX).is_due(now) {
-                idle.push(newest);
+                idle.insert(index, newest);
                 return None;
             }
-            return Some(newest.conn);
+            return Some(newest);
         }
         None
     }
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -3,6 +3,7 @@
 
 mod callers;
 mod failure;
+mod late_copies;
 mod membership;
 mod notices;
 mod operators;
