sl-edge: a late copy of a response is read by the method of its own request

Seen: a HEAD request failed with 502 on both servers, because each sent a second copy of the response to an earlier GET request on the connection.

Cause: whether a response has a body was taken from the method of the current request, so the body of the copy was read as the next response. The other way round, a copy without a body would have taken bytes of the response.

Change: `SentRequests` knows the methods of the latest requests, and a response to one of them is discarded accordingly.

Result: `a_late_copy_is_read_by_the_method_of_its_own_request` passes; on the unfixed code it fails, with 502 instead of 200. The other way round was not run, since the stand-in sends a body to HEAD requests too.

--- a/sl-edge/src/attempt.rs
+++ b/sl-edge/src/attempt.rs
@@ -86,7 +86,7 @@
     let mut buf = BytesMut::with_capacity(outgoing.body.len() + HEAD_CAPACITY);
     forward.head(outgoing.head).write(&mut buf);
     buf.extend_from_slice(outgoing.body);
-    pooled.sent.record(attempt_id);
+    pooled.sent.record(attempt_id, &outgoing.head.method);
     let response_deadline = clock.instant(target.response_deadline);
     let written = timeout_at(response_deadline, pooled.conn.write_until_response(&buf)).await;
     let lost_fault = if pooled.is_reused { Fault::StaleConnection } else { Fault::ConnectionLost };
@@ -165,14 +165,17 @@
     }
 }
 
-/// Reads and drops the body of a response to another request.
+/// Reads and drops the body of a response to another request. Whether the response has a body
+/// depends on the method of that request; if the connection no longer knows it, the method is
+/// taken to be that of the current one.
 async fn discard_response(
     pooled: &mut PooledConn,
     head: &ResponseHead,
     outgoing: OutgoingRequest<'_>,
 ) -> Result<(), Fault> {
-    let framing =
-        Framing::of_response(&outgoing.head.method, head).map_err(|_| Fault::InvalidResponse)?;
+    let other_method = ServerResponse(head).attempt_id().and_then(|it| pooled.sent.method(it));
+    let method = other_method.unwrap_or(&outgoing.head.method);
+    let framing = Framing::of_response(method, head).map_err(|_| Fault::InvalidResponse)?;
     if framing == Framing::UntilClose {
         return Err(Fault::InvalidResponse);
     }
--- a/tests/it/late_copies.rs
+++ b/tests/it/late_copies.rs
@@ -96,3 +96,17 @@
         tokio::time::sleep(DELAY * 2).await;
     }
 }
+
+// The response to a HEAD request has no body, whatever length it states. A copy of the response
+// to a GET request has one, which was read as the next response.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_late_copy_is_read_by_the_method_of_its_own_request() {
+    let fleet = fleet(1).await;
+    for app in fleet.apps() {
+        app.set_fault(Fault::SendsLateCopy(LateCopy::AfterNext));
+    }
+    let mut caller = fleet.caller(0).await.unwrap();
+    call_in_turn(&mut caller, "GET", "status").await;
+    let response = caller.call(&call("HEAD", "/status/7", "head")).await.unwrap();
+    assert_eq!((response.status(), response.text()), (200, ""));
+}
