sl-edge: a long request is sent on after an interim response or a late copy

Seen: a request with a long body on a reused connection ended with 504 after the whole timeout, if the server sent a second copy of an earlier response, or an interim (1xx) one, while the body was being sent. One that may run only once is then reported as possibly executed.

Cause: the sending stops at the first bytes from the server, since they may be an early response. It never went on when they were none, so the server waited for the rest of the body.

Change: sending and reading are one loop, which sends on after each response head that is not the final one.

Result: `a_long_body_is_sent_to_its_end_unless_its_response_arrives` (12 MB, late copy and interim response) passes; on the unfixed code both cases fail with 504 total-timeout.

--- a/sl-edge/src/attempt.rs
+++ b/sl-edge/src/attempt.rs
@@ -88,16 +88,10 @@
     buf.extend_from_slice(outgoing.body);
     pooled.sent.record(attempt_id, &outgoing.head.method);
     let response_deadline = clock.instant(target.response_deadline);
-    let written = timeout_at(response_deadline, pooled.conn.write_until_response(&buf)).await;
     let lost_fault = if pooled.is_reused { Fault::StaleConnection } else { Fault::ConnectionLost };
-    let is_fully_sent = match written {
-        Ok(Ok(written)) => written == buf.len(),
-        Ok(Err(_)) => return Err(lost_fault),
-        Err(_) => return Err(Fault::ResponseTimeout),
-    };
-    let reading = read_matching_head(&mut pooled, outgoing, lost_fault, on_response);
-    match timeout_at(response_deadline, reading).await {
-        Ok(Ok((head, is_error))) => into_upstream(pooled, head, is_error, is_fully_sent, outgoing),
+    let exchange = exchange(&mut pooled, &buf, outgoing, lost_fault, on_response);
+    match timeout_at(response_deadline, exchange).await {
+        Ok(Ok(response)) => into_upstream(pooled, response, outgoing),
         Ok(Err(fault)) => Err(fault),
         Err(_) => Err(Fault::ResponseTimeout),
     }
@@ -106,53 +100,73 @@
 /// Initial buffer capacity for a request head, in bytes.
 const HEAD_CAPACITY: usize = 1_024;
 
-fn into_upstream(
-    pooled: PooledConn,
+/// The head of the response to a request.
+struct MatchingHead {
     head: ResponseHead,
+    /// Whether the response is a server error that may be forwarded to the caller.
     is_error: bool,
+    /// Whether the server responded after the whole request had been sent.
     is_fully_sent: bool,
+}
+
+fn into_upstream(
+    pooled: PooledConn,
+    response: MatchingHead,
     outgoing: OutgoingRequest<'_>,
 ) -> Result<Upstream, Fault> {
+    let MatchingHead { head, is_error, is_fully_sent } = response;
     let framing =
         Framing::of_response(&outgoing.head.method, &head).map_err(|_| Fault::InvalidResponse)?;
     let is_reusable = is_fully_sent && head.keeps_alive() && framing != Framing::UntilClose;
     Ok(Upstream { pooled, head, body: Body::new(framing), is_reusable, is_error })
 }
 
-/// Reads response heads until one carries the request's attempt id. Returns that head, and
-/// whether it is a server error that may be forwarded to the caller.
-async fn read_matching_head(
+/// Sends `request` until a response head carries its attempt id, and returns that head.
+async fn exchange(
     pooled: &mut PooledConn,
+    request: &[u8],
     outgoing: OutgoingRequest<'_>,
     lost_fault: Fault,
     on_response: impl Fn(ServerResponse<'_>),
-) -> Result<(ResponseHead, bool), Fault> {
+) -> Result<MatchingHead, Fault> {
+    let mut unsent = request;
     for _ in 0..=STRAY_RESPONSES_MAX {
-        let head = read_final_head(pooled, lost_fault).await?;
+        let head = send_until_final_head(pooled, &mut unsent, lost_fault).await?;
         let response = ServerResponse(&head);
         let class = response.classify(outgoing.attempt_id);
         if class.is_by_target() {
             on_response(response);
         }
-        match class {
-            ResponseClass::Valid => return Ok((head, false)),
-            ResponseClass::ServerError if response.may_forward_error() => return Ok((head, true)),
+        let is_error = match class {
+            ResponseClass::Valid => false,
+            ResponseClass::ServerError if response.may_forward_error() => true,
             ResponseClass::ServerError => return Err(Fault::UnprovenRejection),
             ResponseClass::NotRun => return Err(Fault::Full),
             ResponseClass::Misdirected => return Err(Fault::WrongServer),
             ResponseClass::Invalid => return Err(Fault::InvalidResponse),
-            ResponseClass::OtherRequest => discard_response(pooled, &head, outgoing).await?,
-        }
+            ResponseClass::OtherRequest => {
+                discard_response(pooled, &head, outgoing).await?;
+                continue;
+            }
+        };
+        return Ok(MatchingHead { head, is_error, is_fully_sent: unsent.is_empty() });
     }
     Err(Fault::InvalidResponse)
 }
 
-/// Reads the next response head that is not an interim (1xx) one.
-async fn read_final_head(
+/// Sends `unsent` until the server responds, and reads the next response head that is not an
+/// interim (1xx) one. After an interim response the sending goes on.
+async fn send_until_final_head(
     pooled: &mut PooledConn,
+    unsent: &mut &[u8],
     lost_fault: Fault,
 ) -> Result<ResponseHead, Fault> {
     loop {
+        // A response that has arrived already is read first: the server may not read on.
+        if pooled.conn.buffered().is_empty() {
+            let written = pooled.conn.write_until_response(unsent).await;
+            *unsent = &unsent[written.map_err(|_| lost_fault)?..];
+        }
         let head =
             pooled.conn.read_head::<ResponseHead>(HEAD_BYTES_MAX).await.map_err(|e| match e {
                 sl_http::HeadError::Closed | sl_http::HeadError::Io(_) => lost_fault,
--- a/tests/it/late_copies.rs
+++ b/tests/it/late_copies.rs
@@ -3,7 +3,7 @@
 
 use rstest::rstest;
 use stand_ins::{
-    Caller,
+    Call, Caller, document,
     late_copy::{DELAY, LateCopy},
     server::Fault,
 };
@@ -110,3 +110,36 @@
     let response = caller.call(&call("HEAD", "/status/7", "head")).await.unwrap();
     assert_eq!((response.status(), response.text()), (200, ""));
 }
+
+// Bytes that arrive while a long body is being sent may be the response, so the sending stops. If
+// they are not, the server waits for the rest of the body.
+#[rstest]
+#[case::late_copy(Fault::SendsLateCopy(LateCopy::AfterNext))]
+#[case::interim_response(Fault::SendsInterim)]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_long_body_is_sent_to_its_end_unless_its_response_arrives(#[case] fault: Fault) {
+    const BODY_BYTES: usize = 12 << 20;
+    let fleet = fleet(1).await;
+    let mut config = document::standard(2);
+    config["limits"]["max_body_bytes"] = (BODY_BYTES * 2).into();
+    config["routes"][1]["timeout_ms"] = 8_000.into();
+    fleet.store.put(document::CONFIG_KEY, &config);
+    for app in fleet.apps() {
+        app.set_fault(fault);
+    }
+    let mut caller = fleet.caller(0).await.unwrap();
+    let long_call = |id: &str| {
+        let body = vec![b'x'; BODY_BYTES].into();
+        Call { body, ..call("POST", "/book/7", id) }
+    };
+    bench::eventually("long bodies are accepted", async || {
+        let mut caller = fleet.caller(0).await.unwrap();
+        caller.call(&long_call("first")).await.is_ok_and(|it| it.status() == 200)
+    })
+    .await;
+    for i in 0..REQUESTS {
+        let response = caller.call(&long_call(&format!("long-{i}"))).await.unwrap();
+        assert_eq!(response.status(), 200, "{i}: {}", response.text());
+        assert_eq!(fleet.execution_count(&format!("long-{i}")), 1);
+    }
+}
