--- a/bench/tests/it/main.rs
+++ b/bench/tests/it/main.rs
@@ -1,3 +1,5 @@
-//! Tests of the load model.
+//! Tests of the load model, and of what tests of real processes rely on.
 
+mod fleet;
 mod loads;
+mod ports;
