sl-edge: bytes that arrived during a suspension are read before a timeout acts

What callers saw: after an instance had been suspended, a stream whose events were waiting in the socket counted as silent and was run again on another server, and a request whose response was waiting got 504. Cause (from reading; the result agrees): after SIGCONT the runtime's poll is interrupted without an event, and the due timers fire before the next poll. Change: Clock::reached yields to the runtime once after the timer, so that what has arrived is read first.

--- a/sl-edge/src/attempt.rs
+++ b/sl-edge/src/attempt.rs
@@ -4,7 +4,6 @@
 use sl_base::{Millis, Timestamp};
 use sl_http::{Body, Framing, RequestHead, ResponseHead};
 use sl_route::{Fault, effect::Target};
-use tokio::time::timeout_at;
 
 use crate::{
     clock::Clock,
@@ -85,19 +84,21 @@
     let mut buf = BytesMut::with_capacity(outgoing.body.len() + HEAD_CAPACITY);
     forward.head(outgoing.head).write(&mut buf);
     buf.extend_from_slice(outgoing.body);
-    let deadline = clock.instant(outgoing.deadline);
-    let written = timeout_at(deadline, pooled.conn.write_until_response(&buf)).await;
+    let writing = pooled.conn.write_until_response(&buf);
+    let written = clock.complete_by(outgoing.deadline, writing).await;
     let lost_fault = if pooled.is_reused { Fault::StaleConnection } else { Fault::ConnectionLost };
     let is_fully_sent = match written {
-        Ok(Ok(written)) => written == buf.len(),
-        Ok(Err(_)) => return Err(lost_fault),
-        Err(_) => return Err(Fault::DeadlineExceeded),
+        Some(Ok(written)) => written == buf.len(),
+        Some(Err(_)) => return Err(lost_fault),
+        None => return Err(Fault::DeadlineExceeded),
     };
     let reading = read_matching_head(&mut pooled, outgoing, lost_fault, on_response);
-    match timeout_at(deadline, reading).await {
-        Ok(Ok((head, is_error))) => into_upstream(pooled, head, is_error, is_fully_sent, outgoing),
-        Ok(Err(fault)) => Err(fault),
-        Err(_) => Err(Fault::DeadlineExceeded),
+    match clock.complete_by(outgoing.deadline, reading).await {
+        Some(Ok((head, is_error))) => {
+            into_upstream(pooled, head, is_error, is_fully_sent, outgoing)
+        }
+        Some(Err(fault)) => Err(fault),
+        None => Err(Fault::DeadlineExceeded),
     }
 }
 
--- a/sl-edge/src/caller/exchange.rs
+++ b/sl-edge/src/caller/exchange.rs
@@ -7,8 +7,6 @@
     Arrival, AttemptEnd, Event, Failure, Fault, RetryPolicy, ServerNotice, effect::Target,
 };
 
-use tokio::time::sleep_until;
-
 use super::{Disposition, Ingress, request::Request};
 use crate::{
     attempt::{self, OutgoingRequest, Upstream},
@@ -155,7 +153,7 @@
                 () = self.conn.closed(PIPELINED_BYTES_MAX) => {
                     return AttemptOutcome::CallerDisconnected;
                 }
-                () = sleep_until(clock.instant(silent_at)), if silent_at < self.deadline => {}
+                () = clock.reached(silent_at), if silent_at < self.deadline => {}
             }
             match self.report_silence().await {
                 SilenceDecision::Wait { until } => silent_at = until,
--- a/sl-edge/src/clock.rs
+++ b/sl-edge/src/clock.rs
@@ -4,7 +4,10 @@
 
 use nix::time::{ClockId, clock_gettime};
 use sl_base::Timestamp;
-use tokio::time::Instant;
+use tokio::{
+    task::yield_now,
+    time::{Instant, sleep_until},
+};
 
 /// Monotonic time since boot, including time in which the machine was suspended, so that a
 /// deadline that passes during a suspension is due afterwards.
@@ -35,6 +38,26 @@
         let after = Duration::from_micros(at.micros_since(self.now()));
         Instant::now() + after.min(TIMER_MAX)
     }
+
+    /// Waits until `at`, and until the bytes that have arrived by then are noticed: the timers of
+    /// a process that was suspended fire before the runtime asks for them.
+    pub(crate) async fn reached(self, at: Timestamp) {
+        sleep_until(self.instant(at)).await;
+        yield_now().await;
+    }
+
+    /// Runs `future` until `at`; `None` if it is not complete by then.
+    pub(crate) async fn complete_by<F: Future>(
+        self,
+        at: Timestamp,
+        future: F,
+    ) -> Option<F::Output> {
+        tokio::select! {
+            biased;
+            output = future => Some(output),
+            () = self.reached(at) => None,
+        }
+    }
 }
 
 fn read(clock: ClockId) -> Timestamp {
--- a/sl-edge/src/relay.rs
+++ b/sl-edge/src/relay.rs
@@ -4,7 +4,6 @@
 use sl_base::Timestamp;
 use sl_http::{BodyError, Conn, Ending, Headers, ResponseHead};
 use sl_route::Fault;
-use tokio::time::timeout_at;
 
 use crate::{attempt::Upstream, clock::Clock, events::EventSplitter};
 use platform::ServerResponse;
@@ -48,20 +47,19 @@
     upstream: &mut Upstream,
     deadline: Timestamp,
 ) -> Result<FullResponse, CollectError> {
-    let deadline = clock.instant(deadline);
     let reading = upstream.body.collect(&mut upstream.pooled.conn, RESPONSE_BYTES_MAX);
     let read = tokio::select! {
         biased;
-        read = timeout_at(deadline, reading) => read,
+        read = clock.complete_by(deadline, reading) => read,
         () = caller.closed(PIPELINED_BYTES_MAX) => return Err(CollectError::CallerDisconnected),
     };
     match read {
-        Ok(Ok(body)) => Ok(FullResponse { head: upstream.head.clone(), body }),
-        Ok(Err(BodyError::Malformed | BodyError::TooLarge)) => {
+        Some(Ok(body)) => Ok(FullResponse { head: upstream.head.clone(), body }),
+        Some(Err(BodyError::Malformed | BodyError::TooLarge)) => {
             Err(CollectError::Fault(Fault::InvalidResponse))
         }
-        Ok(Err(_)) => Err(CollectError::Fault(Fault::TruncatedResponse)),
-        Err(_) => Err(CollectError::Fault(Fault::DeadlineExceeded)),
+        Some(Err(_)) => Err(CollectError::Fault(Fault::TruncatedResponse)),
+        None => Err(CollectError::Fault(Fault::DeadlineExceeded)),
     }
 }
 
@@ -192,14 +190,14 @@
         mut on_first_event: impl FnMut(),
     ) -> Result<(), RelayError> {
         loop {
-            let due = clock.instant(deadlines.silent_at.min(deadlines.stream_deadline));
+            let due = deadlines.silent_at.min(deadlines.stream_deadline);
             let next = upstream.body.next(&mut upstream.pooled.conn);
             let next = tokio::select! {
                 biased;
-                next = timeout_at(due, next) => next,
+                next = clock.complete_by(due, next) => next,
                 () = caller.closed(PIPELINED_BYTES_MAX) => return Err(RelayError::CallerDisconnected),
             };
-            let Ok(next) = next else {
+            let Some(next) = next else {
                 let is_expired = deadlines.stream_deadline.is_due(clock.now());
                 let expired = RelayError::Fault(Fault::DeadlineExceeded);
                 return Err(if is_expired { expired } else { RelayError::Silent });
@@ -299,10 +297,10 @@
         deadline: Timestamp,
         bytes: &[u8],
     ) -> Result<(), RelayError> {
-        match timeout_at(clock.instant(deadline), caller.write(bytes)).await {
-            Ok(Ok(())) => Ok(()),
-            Ok(Err(_)) => Err(RelayError::CallerDisconnected),
-            Err(_) => Err(RelayError::Fault(Fault::DeadlineExceeded)),
+        match clock.complete_by(deadline, caller.write(bytes)).await {
+            Some(Ok(())) => Ok(()),
+            Some(Err(_)) => Err(RelayError::CallerDisconnected),
+            None => Err(RelayError::Fault(Fault::DeadlineExceeded)),
         }
     }
 }
--- a/tests/it/silence.rs
+++ b/tests/it/silence.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bench::Fleet;
+use nix::sys::signal::Signal;
 use rstest::rstest;
 use stand_ins::{Call, Server, server::Fault};
 
@@ -77,3 +78,55 @@
     }
     assert!(moved > 0, "no request was sent to the stalled server first");
 }
+
+/// How long an instance is suspended, until after a silent stream may move.
+const STREAM_SUSPENSION: Duration = Duration::from_millis(2_500);
+
+/// How long an instance is suspended, until after a request without a stream may move, and before
+/// its timeout.
+const REQUEST_SUSPENSION: Duration = Duration::from_millis(800);
+
+/// Suspends the instance for `duration`.
+async fn suspend(fleet: &Fleet, duration: Duration) {
+    fleet.instances[0].signal(Signal::SIGSTOP);
+    tokio::time::sleep(duration).await;
+    fleet.instances[0].signal(Signal::SIGCONT);
+}
+
+// Guards against streams that move to another server, since the timers of an instance that was
+// suspended are due before the events that have arrived meanwhile are read.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_does_not_move_when_its_events_arrived_during_a_suspension() {
+    let fleet = fleet(1).await;
+    let mut callers = Vec::new();
+    for index in 0..4 {
+        let mut caller = fleet.caller(0).await.unwrap();
+        let call = model_call("/sheet/7", &format!("suspended-{index}"));
+        caller.send(&call.to_bytes()).await.unwrap();
+        callers.push(caller);
+    }
+    tokio::time::sleep(Duration::from_millis(150)).await;
+    suspend(&fleet, STREAM_SUSPENSION).await;
+    for (index, mut caller) in callers.into_iter().enumerate() {
+        let response = caller.read_response("POST").await.unwrap();
+        assert_eq!((response.status(), response.is_complete), (200, true), "{}", response.text());
+        assert_eq!(response.event_ids(), (1..=10).collect::<Vec<u64>>());
+        assert_eq!(fleet.execution_count(&format!("suspended-{index}")), 1, "{index}");
+    }
+}
+
+// Guards against requests that fail although their response arrived during a suspension.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_response_that_arrived_during_a_suspension_is_delivered() {
+    let fleet = fleet(1).await;
+    for app in fleet.apps() {
+        app.set_fault(Fault::StallsBeforeResponse);
+    }
+    let mut caller = fleet.caller(0).await.unwrap();
+    caller.send(&call("GET", "/status/7", "suspended").to_bytes()).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    suspend(&fleet, REQUEST_SUSPENSION).await;
+    let response = caller.read_response("GET").await.unwrap();
+    assert_eq!((response.status(), response.is_complete), (200, true), "{}", response.text());
+    assert_eq!(fleet.execution_count("suspended"), 1);
+}
