sl-edge: a resumed stream that is closed before its first event is not complete

What callers saw: a stream with events 1 to 5 of 10 that looked complete. Cause: a close before any event counted as a failure only until the first server had sent one; when a second server was to continue the stream and closed its connection after the head, the close was taken for the end. Change: the first event of the present server is asked for.

--- a/sl-edge/src/relay.rs
+++ b/sl-edge/src/relay.rs
@@ -254,7 +254,8 @@
         if self.splitter.is_partial() {
             return Err(RelayError::Fault(Fault::TruncatedResponse));
         }
-        if upstream.body.ending() == Some(Ending::Closed) && !self.has_sent_events {
+        // A close before the first event of this server is no proof that the stream has ended.
+        if upstream.body.ending() == Some(Ending::Closed) && self.awaits_first_event {
             return Err(RelayError::Fault(Fault::TruncatedResponse));
         }
         let mut buf = self.take_head(&upstream.head);
--- a/tests/it/streams.rs
+++ b/tests/it/streams.rs
@@ -69,3 +69,30 @@
         assert_eq!(response.header("x-sesamelock-outcome"), Some("unknown"));
     }
 }
+
+// Guards against a stream that looks complete, since the server that was to continue it closed the
+// connection, which ends a response without a length, before its first event.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_resumed_stream_without_events_that_ends_with_its_connection_is_not_complete() {
+    let fleet = fleet(1).await;
+    let faults = [Fault::TruncatesResponse, Fault::ClosesBeforeEvents];
+    for (engine, fault) in fleet.engines().zip(faults) {
+        engine.set_fault(fault);
+    }
+    let mut resumed = 0;
+    for index in 0..6 {
+        let id = format!("resumed-{index}");
+        let mut caller = fleet.caller(0).await.unwrap();
+        let response = caller.call(&model_call("/sheet/7", &id)).await.unwrap();
+        let is_whole = response.event_ids() == (1..=10).collect::<Vec<u64>>();
+        assert!(
+            !response.is_complete || response.status() != 200 || is_whole,
+            "{}",
+            response.text()
+        );
+        let executed = fleet.engines().nth(1).unwrap().executed_requests();
+        let continued = executed.iter().find(|it| it.attempt_id == id);
+        resumed += usize::from(continued.is_some_and(|it| it.last_event_id.is_some()));
+    }
+    assert!(resumed > 0, "no stream was continued");
+}
