--- a/tests/it/silence.rs
+++ b/tests/it/silence.rs
@@ -130,3 +130,23 @@
     assert_eq!((response.status(), response.is_complete), (200, true), "{}", response.text());
     assert_eq!(fleet.execution_count("suspended"), 1);
 }
+
+// Guards against a stream that is cut off because it moved from a silent server, which would have
+// gone on, to one that rejects it or cannot be reached.
+#[rstest]
+#[case::rejected(true)]
+#[case::unreachable(false)]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_survives_a_second_server_that_does_not_take_it(#[case] is_reachable: bool) {
+    let fleet = fleet_with_one_server("model", Fault::StallsBetweenEvents).await;
+    let second = fleet.engines().nth(1).unwrap();
+    second.set_fault(Fault::Full);
+    let mut caller = fleet.caller(0).await.unwrap();
+    caller.send(&model_call("/sheet/7", "moved").to_bytes()).await.unwrap();
+    tokio::time::sleep(DRAIN_DELAY).await;
+    let address = if is_reachable { second.address() } else { bench::instance::free_port() };
+    second.register_at(&fleet.store, address, "ready");
+    let response = caller.read_response("POST").await.unwrap();
+    assert_eq!((response.status(), response.is_complete), (200, true), "{}", response.text());
+    assert_eq!(response.event_ids(), (1..=10).collect::<Vec<u64>>());
+}
