--- a/sl-route/tests/it/silence.rs
+++ b/sl-route/tests/it/silence.rs
@@ -1,8 +1,12 @@
 //! An attempt whose server is silent is given up only for another server that takes over.
 
+use std::sync::Arc;
+
 use rstest::rstest;
 use sl_base::RequestId;
-use sl_route::{Decision, Effect, Event, Fault, RetryPolicy, State, effect::RetryDenial};
+use sl_route::{
+    Decision, Document, Effect, Event, Fault, Limits, RetryPolicy, State, effect::RetryDenial,
+};
 
 use crate::testbed::{
     arrival, arrive, at, complete, document, fail_attempt, prompt, request_effects, sent_target,
@@ -105,3 +109,23 @@
     assert_eq!(failure_rate(1, false), failure_rate(4, false));
     assert_eq!(failure_rate(1, false), failure_rate(4, true));
 }
+
+// Guards against a request that gets no decision, or a failure, because its silent server or its
+// service is no longer listed.
+#[rstest]
+#[case::server(true)]
+#[case::service(false)]
+fn a_removal_does_not_end_a_request_on_a_silent_server(#[case] removes_server: bool) {
+    let mut state = state_with_stream(&ENGINES[..1], RetryPolicy::ResumableStream);
+    report_silence(&mut state, 1_700);
+    let removal = if removes_server {
+        Event::ServerRemoved { id: "e1".into() }
+    } else {
+        Event::Document(Arc::new(Document::new(2, [], [], Limits::default(), [])))
+    };
+    state.step(at(1_800), removal);
+    let effects = request_effects(report_silence(&mut state, 1_950));
+    assert!(matches!(effects.as_slice(), [Effect::KeepWaiting { .. }]), "{effects:?}");
+    complete(&mut state, at(2_000), 1);
+    assert_eq!(state.in_flight(), 0);
+}
