--- a/sl-edge/src/attempt.rs
+++ b/sl-edge/src/attempt.rs
@@ -4,7 +4,6 @@
 use sl_base::{Millis, Timestamp};
 use sl_http::{Body, Framing, RequestHead, ResponseHead};
 use sl_route::{Fault, effect::Target};
-use tokio::time::timeout_at;
 
 use crate::{
     clock::Clock,
@@ -87,13 +86,12 @@
     forward.head(outgoing.head).write(&mut buf);
     buf.extend_from_slice(outgoing.body);
     pooled.sent.record(attempt_id, &outgoing.head.method);
-    let deadline = clock.instant(outgoing.deadline);
     let lost_fault = if pooled.is_reused { Fault::StaleConnection } else { Fault::ConnectionLost };
     let exchange = exchange(&mut pooled, &buf, outgoing, lost_fault, on_response);
-    match timeout_at(deadline, exchange).await {
-        Ok(Ok(response)) => into_upstream(pooled, response, outgoing),
-        Ok(Err(fault)) => Err(fault),
-        Err(_) => Err(Fault::DeadlineExceeded),
+    match clock.complete_by(outgoing.deadline, exchange).await {
+        Some(Ok(response)) => into_upstream(pooled, response, outgoing),
+        Some(Err(fault)) => Err(fault),
+        None => Err(Fault::DeadlineExceeded),
     }
 }
 
