log: tell a crashed engine from a response that was broken off, and name the suspects' prompt parts

Cause: an attempt that loses its connection was logged by itself (`fault=broken`, `lost` or `stale`).

Change: lost attempts are kept by run of the engine, and told to the peers (`Note::AttemptLost`, appended). If the run shows no sign of life for 300 ms, one line `server crashed: all its attempts were lost` on each instance that lost an attempt has the server, the attempts lost, and the suspects with their shared parts: only the attempts in the most suspect phase, first those with a response head and no event. No decision on a request changes.

--- a/sl-edge/src/log.rs
+++ b/sl-edge/src/log.rs
@@ -11,6 +11,7 @@
 use sl_route::{
     Decision, Route, Team,
     activity::{TeamTokens, TokenOutcome},
+    effect::ServerCrash,
 };
 use slog::{Drain, Level, LevelFilter, Logger, debug, info, o, warn};
 
@@ -171,10 +172,8 @@
         Decision::StoreRestored => {
             info!(log, "entries older than those known are ignored for a while");
         }
-        Decision::RequestBarred { fingerprint } => {
-            warn!(log, "request blocked: servers crashed while running it";
-                "fingerprint" => format!("{fingerprint:016x}"));
-        }
+        Decision::RequestBarred { fingerprint } => write_request_barred(log, *fingerprint),
+        Decision::ServerCrashed(crash) => write_server_crash(log, crash),
         Decision::PeerSilent { peer } => debug!(log, "peer silent"; "peer" => peer),
     }
 }
@@ -194,6 +193,25 @@
         "fair_share" => fair_share.map(f64::round));
 }
 
+/// Logs that requests with a fingerprint are no longer run.
+fn write_request_barred(log: &Logger, fingerprint: u64) {
+    warn!(log, "request blocked: servers crashed while running it";
+        "fingerprint" => format!("{fingerprint:016x}"));
+}
+
+/// Logs the crash of a server and what its suspects have in common.
+fn write_server_crash(log: &Logger, crash: &ServerCrash) {
+    warn!(log, "server crashed: all its attempts were lost";
+        "server" => %crash.server, "lost" => crash.lost, "suspects" => crash.suspects,
+        "parts" => part_keys(&crash.parts));
+}
+
+/// The keys of prompt parts in hexadecimal, separated by commas.
+fn part_keys(parts: &[u64]) -> String {
+    let parts: Vec<String> = parts.iter().map(|it| format!("{it:016x}")).collect();
+    parts.join(",")
+}
+
 /// Rounds to two decimal places.
 fn rounded(value: f64) -> f64 {
     (value * HUNDREDTHS_PER_UNIT).round() / HUNDREDTHS_PER_UNIT
--- a/sl-route/src/effect.rs
+++ b/sl-route/src/effect.rs
@@ -237,6 +237,8 @@
         /// The fingerprint of the requests.
         fingerprint: u64,
     },
+    /// A server crashed while it ran attempts of this instance.
+    ServerCrashed(ServerCrash),
     /// A peer has sent no message for so long that it is removed, along with its attempts.
     PeerSilent {
         /// The peer's instance id.
@@ -244,6 +246,19 @@
     },
 }
 
+/// The crash of a server, for the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServerCrash {
+    /// The id of the server, or the key of its run if it is no longer listed.
+    pub server: Arc<str>,
+    /// The number of attempts of all instances that are known to be lost.
+    pub lost: usize,
+    /// How many of them may have caused the crash.
+    pub suspects: usize,
+    /// The keys of the shared prompt parts of the suspects.
+    pub parts: Vec<u64>,
+}
+
 impl Decision {
     /// The request that the decision concerns, if it concerns a single one.
     pub fn request(&self) -> Option<RequestId> {
@@ -262,6 +277,7 @@
             | Decision::ServerChanged { .. }
             | Decision::CacheKnown { .. }
             | Decision::RequestBarred { .. }
+            | Decision::ServerCrashed(_)
             | Decision::PeerSilent { .. } => None,
         }
     }
--- a/sl-route/src/lib.rs
+++ b/sl-route/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod admission;
 pub mod budget;
 pub mod cache;
+pub mod crash_detector;
 pub mod directory;
 pub mod document;
 pub mod draining;
--- a/sl-route/src/note.rs
+++ b/sl-route/src/note.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use sl_base::TeamId;
 
-use crate::{PromptPart, ServerKey};
+use crate::{PromptPart, ServerKey, crash_detector::LossPhase};
 
 /// Identifies an attempt among all instances.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -87,6 +87,17 @@
         /// The server, which is to get no new requests.
         server: ServerKey,
     },
+    /// The connection of a model request's attempt ended before the response was complete. The
+    /// engine may have crashed.
+    AttemptLost {
+        /// The engine to which the attempt was sent.
+        server: ServerKey,
+        /// How far the attempt had come.
+        phase: LossPhase,
+        /// The keys of the shared parts of the prompt, in order; empty in
+        /// [`LossPhase::Running`].
+        parts: Vec<u64>,
+    },
 }
 
 /// An instance's view of the engines' KV caches, sent to peers that have just started.
--- a/sl-route/src/request.rs
+++ b/sl-route/src/request.rs
@@ -33,8 +33,15 @@
     pub sent_at: Timestamp,
     /// The time to the first byte that was expected when the attempt was sent, in milliseconds.
     pub expected_ms: f64,
+    /// When the response started; `None` until then.
+    pub response_started_at: Option<Timestamp>,
+}
+
+impl CurrentAttempt {
     /// Whether the response has started.
-    pub has_response_started: bool,
+    pub fn has_response_started(&self) -> bool {
+        self.response_started_at.is_some()
+    }
 }
 
 impl InFlightRequest {
--- a/sl-route/src/state.rs
+++ b/sl-route/src/state.rs
@@ -3,6 +3,7 @@
 mod admit;
 mod attempt;
 mod cache;
+mod crashes;
 mod listing;
 mod notes;
 mod notices;
@@ -17,6 +18,7 @@
     Decision, Directory, Document, Effect, Event, Notes, ServerKey,
     activity::Activity,
     budget::Budget,
+    crash_detector::CrashDetector,
     draining::DrainingRuns,
     event::InstanceLimits,
     note::Note,
@@ -57,6 +59,7 @@
     requests: HashMap<RequestId, InFlightRequest>,
     budget: Budget,
     crashes: CrashTracker,
+    crash_detector: CrashDetector,
     shares: Shares,
     /// Requests of each team at this instance, asked for and admitted.
     local_requests: Shares,
@@ -95,6 +98,7 @@
             requests: HashMap::new(),
             budget: Budget::new(options.limits.budget),
             crashes: CrashTracker::default(),
+            crash_detector: CrashDetector::default(),
             shares: Shares::new(now, options.share_window),
             local_requests: Shares::new(now, options.share_window),
             activity: Activity::new(now),
@@ -143,6 +147,7 @@
             Event::ConnectionShare(share) => self.connection_share = share,
             Event::InstanceCount(instances) => self.budget.set_instances(instances),
         }
+        self.confirm_crashes(now);
         if self.prune_at.is_due(now) {
             self.prune(now);
             self.prune_at = now.after(PRUNE_INTERVAL);
--- a/sl-route/src/state/attempt.rs
+++ b/sl-route/src/state/attempt.rs
@@ -62,7 +62,7 @@
             key,
             sent_at: now,
             expected_ms: placement.expected_ms,
-            has_response_started: false,
+            response_started_at: None,
         });
         let may_retry = in_flight.attempts < in_flight.arrival.route.max_attempts;
         let target = Target {
@@ -126,11 +126,12 @@
         else {
             return;
         };
-        if std::mem::replace(&mut current.has_response_started, true) {
+        if current.response_started_at.replace(now).is_some() {
             return;
         }
         let CurrentAttempt { server, key, sent_at, expected_ms, .. } = *current;
         let took_ms = now.millis_since(sent_at);
+        self.crash_detector.record_alive(now, server);
         if let Some(server) = self.servers.get_mut(&server) {
             server.record_response_start(now, key);
             server.health.record_success(now);
@@ -175,12 +176,12 @@
         in_flight: &mut InFlightRequest,
         event_interval_micros: Option<u32>,
     ) {
-        let Some(CurrentAttempt { server, key, has_response_started, .. }) = in_flight.current
-        else {
+        let Some(current) = in_flight.current else {
             return;
         };
+        let CurrentAttempt { server, key, .. } = current;
         // Without a first byte the team got nothing, so its charge is refunded.
-        let refunded = if has_response_started { None } else { in_flight.charged.take() };
+        let refunded = if current.has_response_started() { None } else { in_flight.charged.take() };
         if let Some((team, tokens)) = refunded {
             self.shares.record_refund(now, team, tokens);
             self.record_outcome(&in_flight.arrival, TokenOutcome::Lost);
@@ -201,9 +202,11 @@
 
     fn on_attempt_completed(&mut self, now: Timestamp, in_flight: &InFlightRequest, status: u16) {
         self.crashes.clear(in_flight.arrival.fingerprint);
-        if let Some(current) = in_flight.current
-            && let Some(server) = self.servers.get_mut(&current.server)
-        {
+        let Some(current) = in_flight.current else {
+            return;
+        };
+        self.crash_detector.record_alive(now, current.server);
+        if let Some(server) = self.servers.get_mut(&current.server) {
             if status < SERVER_ERROR_STATUS_MIN {
                 server.health.record_success(now);
             } else {
@@ -219,6 +222,7 @@
         fault: Fault,
         is_partially_delivered: bool,
     ) {
+        self.record_engine_fault(now, &in_flight, fault);
         self.record_fault(now, &in_flight, fault);
         if fault == Fault::NotConnected {
             // The request did not reach the server; the attempt does not count.
@@ -275,7 +279,7 @@
         let Some(current) = in_flight.current else {
             return;
         };
-        if fault == Fault::ConnectionLost && !current.has_response_started {
+        if fault == Fault::ConnectionLost && !current.has_response_started() {
             let fingerprint = in_flight.arrival.fingerprint;
             self.queue_note(Note::ServerCrashed { fingerprint });
             self.record_crash(now, fingerprint);
--- a/sl-route/src/state/notes.rs
+++ b/sl-route/src/state/notes.rs
@@ -5,6 +5,7 @@
 use super::State;
 use crate::{
     Decision, Effect, Notes,
+    crash_detector::Loss,
     note::{AttemptKey, Note},
 };
 
@@ -40,6 +41,7 @@
                 }
             }
             Note::ResponseStarted { server, attempt } => {
+                self.crash_detector.record_alive(now, server);
                 if let Some(server) = self.servers.get_mut(&server) {
                     server.record_response_start(now, attempt_key(attempt));
                 }
@@ -48,6 +50,9 @@
                 if let Some((team, tokens)) = refunded {
                     self.shares.record_refund(now, team, tokens);
                 }
+                if event_interval_micros.is_some() {
+                    self.crash_detector.record_alive(now, server);
+                }
                 if let Some(server) = self.servers.get_mut(&server) {
                     server.record_end(now, attempt_key(attempt));
                     server.record_event_interval(now, event_interval_micros);
@@ -64,6 +69,10 @@
             Note::CacheListed { server, parts } => self.merge_peer_cache(now, server, &parts),
             Note::ServerCrashed { fingerprint } => self.record_crash(now, fingerprint),
             Note::ServerDraining { server } => self.mark_draining(now, server, true),
+            Note::AttemptLost { server, phase, parts } => {
+                let loss = Loss { phase, parts, is_own: false };
+                self.crash_detector.record_loss(now, server, loss);
+            }
         }
     }
 
--- a/sl-route/tests/it/main.rs
+++ b/sl-route/tests/it/main.rs
@@ -5,6 +5,7 @@
 mod budget;
 mod cache;
 mod connections;
+mod crash_detector;
 mod engine;
 mod fairness;
 mod health;
