--- /dev/null
+++ b/sl-route/tests/it/fleet.rs
@@ -0,0 +1,338 @@
+//! A model of a fleet: reducer states that exchange notes, some of which are lost, and engines
+//! that crash when they begin a response to a prompt with a given part. There is no network.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use rand::{Rng, RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use sl_base::{Millis, RequestId, Timestamp};
+use sl_route::{
+    AttemptEnd, Effect, Event, Fault, Notes, Prompt, PromptPart, RetryPolicy, State, effect::Target,
+};
+
+use crate::testbed::{START, arrival, document, options, record};
+
+/// The size of the fleet and what happens to it.
+#[derive(Clone, Copy, Debug)]
+pub struct Scenario {
+    pub instances: usize,
+    pub engines: usize,
+    /// How often a request with the bad part arrives; `None` for never.
+    pub bad_interval: Option<Millis>,
+    /// How often a sound request arrives.
+    pub sound_interval: Millis,
+    /// Of 100 messages from one instance to another, how many are lost.
+    pub lost_percent: u32,
+    /// How often an instance starts again with an empty state; `None` for never.
+    pub restart_interval: Option<Millis>,
+}
+
+/// What the engines and callers saw.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Outcome {
+    pub crashes: u32,
+    /// Attempts with the bad part that reached engines later than [`CONTACT`] after the crash
+    /// with number [`CRASHES_FREE`].
+    pub late_bad_attempts: u32,
+    pub sound_requests: u32,
+    /// Sound requests that were sent to an engine when they arrived.
+    pub sound_sent: u32,
+}
+
+/// How long instances may take to learn of a crash.
+pub const CONTACT: Millis = Millis(3_000);
+
+/// The number of crashes after which the time starts.
+const CRASHES_FREE: u32 = 5;
+
+/// How long a crashed engine is away.
+const RESTART_TIME: Millis = Millis(5_000);
+
+/// How long after its crash the entry of an engine is removed.
+const LEASE: Millis = Millis(1_500);
+
+const STEP: Millis = Millis(5);
+const TICK_INTERVAL: Millis = Millis(100);
+const NOTE_DELAY: Millis = Millis(15);
+
+/// The part under which engines crash.
+const BAD_PART: &str = "bad";
+
+/// The number of different sound parts, beside the first one.
+const SOUND_PARTS: u32 = 5;
+
+pub struct Fleet {
+    scenario: Scenario,
+    rng: ChaCha8Rng,
+    now: Timestamp,
+    instances: Vec<State>,
+    engines: Vec<Engine>,
+    attempts: BTreeMap<RequestId, Attempt>,
+    is_bad: BTreeMap<RequestId, bool>,
+    messages: VecDeque<Message>,
+    last_request: u64,
+    crash_limit_at: Timestamp,
+    outcome: Outcome,
+}
+
+struct Engine {
+    run: u32,
+    removed_at: Timestamp,
+    back_at: Timestamp,
+}
+
+/// An attempt on its way through an engine.
+struct Attempt {
+    instance: usize,
+    /// The engine, or `None` if the connection is refused.
+    engine: Option<usize>,
+    begins_at: Timestamp,
+    crashes_at: Timestamp,
+    first_event_at: Timestamp,
+    has_started: bool,
+    ends_at: Timestamp,
+}
+
+struct Message {
+    due_at: Timestamp,
+    from: usize,
+    to: usize,
+    notes: Notes,
+}
+
+impl Fleet {
+    pub fn new(scenario: Scenario, seed: u64) -> Fleet {
+        let engine = || Engine { run: 1, removed_at: Timestamp::NEVER, back_at: Timestamp::NEVER };
+        let mut fleet = Fleet {
+            scenario,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            now: START,
+            instances: Vec::new(),
+            engines: (0..scenario.engines).map(|_| engine()).collect(),
+            attempts: BTreeMap::new(),
+            is_bad: BTreeMap::new(),
+            messages: VecDeque::new(),
+            last_request: 0,
+            crash_limit_at: Timestamp::NEVER,
+            outcome: Outcome::default(),
+        };
+        fleet.instances = (0..scenario.instances).map(|it| fleet.new_instance(it)).collect();
+        fleet
+    }
+
+    /// Runs the fleet for a time.
+    pub fn run(mut self, span: Millis) -> Outcome {
+        let end = self.now.after(span);
+        while !end.is_due(self.now) {
+            self.now = self.now.after(STEP);
+            self.restart_instance();
+            self.update_engines();
+            self.advance_attempts();
+            self.arrive();
+            self.exchange_notes();
+            if self.is_time(TICK_INTERVAL) {
+                (0..self.instances.len()).for_each(|it| self.step(it, Event::Tick));
+            }
+        }
+        self.outcome
+    }
+
+    fn is_time(&self, interval: Millis) -> bool {
+        let millis = self.now.millis_since(START) as u64;
+        millis.is_multiple_of(interval.0)
+    }
+
+    fn new_instance(&self, index: usize) -> State {
+        let mut state = State::new(options(index as u32), self.now);
+        state.step(self.now, Event::Document(document(1)));
+        state.step(self.now, Event::InstanceCount(self.scenario.instances));
+        for (index, engine) in self.engines.iter().enumerate() {
+            if engine.removed_at == Timestamp::NEVER && engine.back_at == Timestamp::NEVER {
+                let event = Event::ServerListed(record(&engine_id(index, engine.run), "model"));
+                state.step(self.now, event);
+            }
+        }
+        state
+    }
+
+    fn restart_instance(&mut self) {
+        if self.scenario.restart_interval.is_some_and(|it| self.is_time(it)) {
+            let index = self.rng.random_range(0..self.instances.len());
+            self.attempts.retain(|_, it| it.instance != index);
+            self.instances[index] = self.new_instance(index);
+        }
+    }
+
+    fn step(&mut self, instance: usize, event: Event) {
+        let effects = self.instances[instance].step(self.now, event);
+        for effect in effects {
+            if let Effect::Send { request, target } = effect {
+                self.begin_attempt(instance, request, &target);
+            }
+        }
+    }
+
+    fn step_all(&mut self, event: &Event) {
+        (0..self.instances.len()).for_each(|it| self.step(it, event.clone()));
+    }
+
+    fn update_engines(&mut self) {
+        for index in 0..self.engines.len() {
+            if self.engines[index].removed_at.is_due(self.now) {
+                self.engines[index].removed_at = Timestamp::NEVER;
+                let id = engine_id(index, self.engines[index].run).into();
+                self.step_all(&Event::ServerRemoved { id });
+            }
+            if self.engines[index].back_at.is_due(self.now) {
+                self.engines[index].back_at = Timestamp::NEVER;
+                self.engines[index].run += 1;
+                let id = engine_id(index, self.engines[index].run);
+                self.step_all(&Event::ServerListed(record(&id, "model")));
+            }
+        }
+    }
+
+    fn begin_attempt(&mut self, instance: usize, request: RequestId, target: &Target) {
+        let is_target = |it: &usize| {
+            let engine = &self.engines[*it];
+            engine.back_at == Timestamp::NEVER && *target.id == engine_id(*it, engine.run)
+        };
+        let engine = (0..self.engines.len()).find(is_target);
+        let is_bad = self.is_bad.get(&request).copied().unwrap_or(false);
+        if is_bad && engine.is_some() && self.crash_limit_at.is_due(self.now) {
+            self.outcome.late_bad_attempts += 1;
+        }
+        let begins_at = self.now.after(Millis(self.rng.random_range(20..150)));
+        let crash_delay = Millis(self.rng.random_range(50..120));
+        let first_event_at = begins_at.after(Millis(if is_bad { 200 } else { 30 }));
+        let attempt = Attempt {
+            instance,
+            engine,
+            begins_at,
+            crashes_at: if is_bad { begins_at.after(crash_delay) } else { Timestamp::NEVER },
+            first_event_at,
+            has_started: false,
+            ends_at: first_event_at.after(Millis(self.rng.random_range(300..3_000))),
+        };
+        self.attempts.insert(request, attempt);
+    }
+
+    fn advance_attempts(&mut self) {
+        let requests: Vec<RequestId> = self.attempts.keys().copied().collect();
+        for request in requests {
+            let Some(attempt) = self.attempts.get_mut(&request) else {
+                continue;
+            };
+            let instance = attempt.instance;
+            let Some(engine) = attempt.engine else {
+                self.end(request, failed(Fault::NotConnected, false));
+                continue;
+            };
+            if attempt.crashes_at.is_due(self.now) {
+                self.crash(engine);
+            } else if attempt.ends_at.is_due(self.now) {
+                let event_interval_micros = Some(20_000);
+                self.end(request, AttemptEnd::Completed { status: 200, event_interval_micros });
+            } else if attempt.first_event_at.is_due(self.now) && !attempt.has_started {
+                attempt.has_started = true;
+                self.step(instance, Event::ResponseStarted { request });
+            }
+        }
+    }
+
+    /// Ends a run of an engine with all its attempts.
+    fn crash(&mut self, engine: usize) {
+        self.engines[engine].back_at = self.now.after(RESTART_TIME);
+        self.engines[engine].removed_at = self.now.after(LEASE);
+        self.outcome.crashes += 1;
+        if self.outcome.crashes == CRASHES_FREE {
+            self.crash_limit_at = self.now.after(CONTACT);
+        }
+        let is_lost = |it: &&RequestId| self.attempts[it].engine == Some(engine);
+        let lost: Vec<RequestId> = self.attempts.keys().filter(is_lost).copied().collect();
+        for request in lost {
+            let attempt = &self.attempts[&request];
+            let has_begun = attempt.begins_at.is_due(self.now);
+            let fault = match (has_begun, self.rng.random_range(0..2)) {
+                (true, _) => Fault::TruncatedResponse,
+                (false, 0) => Fault::ConnectionLost,
+                (false, _) => Fault::StaleConnection,
+            };
+            let is_partially_delivered = attempt.has_started;
+            self.end(request, failed(fault, is_partially_delivered));
+        }
+    }
+
+    fn end(&mut self, request: RequestId, end: AttemptEnd) {
+        if let Some(attempt) = self.attempts.remove(&request) {
+            self.step(attempt.instance, Event::AttemptEnded { request, end });
+        }
+    }
+
+    fn arrive(&mut self) {
+        if self.is_time(self.scenario.sound_interval) {
+            self.arrive_one(false);
+        }
+        if self.scenario.bad_interval.is_some_and(|it| self.is_time(it)) {
+            self.arrive_one(true);
+        }
+    }
+
+    fn arrive_one(&mut self, is_bad: bool) {
+        self.last_request += 1;
+        let request = RequestId(self.last_request);
+        let prompt = self.draw_prompt(is_bad);
+        let policies = [RetryPolicy::Stream, RetryPolicy::ResumableStream];
+        let policy = policies[self.rng.random_range(0..policies.len())];
+        let arrival = arrival(self.now, request.0, policy, Some(prompt));
+        let instance = self.rng.random_range(0..self.instances.len());
+        self.is_bad.insert(request, is_bad);
+        self.step(instance, Event::RequestArrived(Box::new(arrival)));
+        if !is_bad {
+            self.outcome.sound_requests += 1;
+            self.outcome.sound_sent += u32::from(self.attempts.contains_key(&request));
+        }
+    }
+
+    /// A prompt of which all parts but the bad one are shared with sound requests.
+    fn draw_prompt(&mut self, is_bad: bool) -> Prompt {
+        let sound = format!("sound-{}", self.rng.random_range(0..SOUND_PARTS));
+        let own = format!("own-{}", self.rng.next_u64());
+        let mut ids = vec!["first", &sound, &own];
+        if is_bad {
+            ids.insert(1, BAD_PART);
+        }
+        let parts: Vec<PromptPart> = ids.iter().map(|it| PromptPart::new("m", it, 100)).collect();
+        let input_tokens = parts.iter().map(|it| it.tokens).sum();
+        Prompt { parts, input_tokens, max_output_tokens: 100, expected_output_tokens: None }
+    }
+
+    fn exchange_notes(&mut self) {
+        for from in 0..self.instances.len() {
+            if !self.instances[from].has_notes() {
+                continue;
+            }
+            let notes = self.instances[from].take_notes();
+            for to in (0..self.instances.len()).filter(|it| *it != from) {
+                if self.rng.random_range(0..100) >= self.scenario.lost_percent {
+                    let due_at = self.now.after(NOTE_DELAY);
+                    self.messages.push_back(Message { due_at, from, to, notes: notes.clone() });
+                }
+            }
+        }
+        while self.messages.front().is_some_and(|it| it.due_at.is_due(self.now)) {
+            let Some(Message { from, to, notes, .. }) = self.messages.pop_front() else {
+                return;
+            };
+            self.step(to, Event::NotesReceived { from: from as u32, notes });
+        }
+    }
+}
+
+fn engine_id(index: usize, run: u32) -> String {
+    format!("engine-{index}-{run}")
+}
+
+fn failed(fault: Fault, is_partially_delivered: bool) -> AttemptEnd {
+    AttemptEnd::Failed { fault, is_partially_delivered }
+}
