sl-route: bar a prompt part under which engines crash, in the whole fleet

Cause: crashes were counted by the fingerprint of the whole request, and only of attempts without a response head. The requests share one prompt part and nothing else, and their engines crash after the head.

Change: each confirmed crash counts for the shared parts of its suspects (`part_crashes`). Any attempt with a part that completes, or still runs 500 ms after its first event, clears the part here and, by a note, at the peers. A part with three crashes of different runs, more than 200 ms apart, is barred for ten minutes: `on_arrival` fails the request at once with code 1018, before it counts as demand of its team (requests barred by fingerprint too), and no attempt is repeated. After that a single crash bars the part again, for twice as long; a request that completes clears it. Of several parts that explain the same crashes the last one is barred, and crashes that a barred part explains no longer count for others. Barred parts are announced about once a second by an instance at random, and come with the engines' caches to an instance that starts (`EngineCaches::barred_parts`, appended; notes appended).

--- a/sl-edge/src/catch_up.rs
+++ b/sl-edge/src/catch_up.rs
@@ -38,8 +38,8 @@
 const SEED_INTERVAL: Millis = Millis(300);
 
 impl CatchUp {
-    /// Fetches the engines' cache contents from the peer that has been running for longest,
-    /// until one sends a list that is not empty.
+    /// Fetches the engines' cache contents, with the barred prompt parts, from the peer that has
+    /// been running for longest, until one sends a list of engines that is not empty.
     pub(crate) async fn fetch_engine_caches(&self) {
         for _ in 0..CACHE_FETCH_ATTEMPTS {
             sleep(CACHE_FETCH_INTERVAL.into()).await;
@@ -50,6 +50,9 @@
                 Ok(Some(caches)) if !caches.engines.is_empty() => {
                     return self.apply_engine_caches(peer, caches);
                 }
+                Ok(Some(caches)) if !caches.barred_parts.is_empty() => {
+                    self.core.step(Event::PeerCaches(caches));
+                }
                 Ok(_) => {}
                 Err(e) => debug!(self.core.log, "failed to fetch cache contents from peer";
                     "reason" => %e),
--- a/sl-edge/src/log.rs
+++ b/sl-edge/src/log.rs
@@ -11,7 +11,7 @@
 use sl_route::{
     Decision, Route, Team,
     activity::{TeamTokens, TokenOutcome},
-    effect::ServerCrash,
+    effect::{PartBar, ServerCrash},
 };
 use slog::{Drain, Level, LevelFilter, Logger, debug, info, o, warn};
 
@@ -173,6 +173,7 @@
             info!(log, "entries older than those known are ignored for a while");
         }
         Decision::RequestBarred { fingerprint } => write_request_barred(log, *fingerprint),
+        Decision::PartBarred(bar) => write_part_bar(log, bar),
         Decision::ServerCrashed(crash) => write_server_crash(log, crash),
         Decision::PeerSilent { peer } => debug!(log, "peer silent"; "peer" => peer),
     }
@@ -199,6 +200,12 @@
         "fingerprint" => format!("{fingerprint:016x}"));
 }
 
+/// Logs that requests with a prompt part are no longer run.
+fn write_part_bar(log: &Logger, bar: &PartBar) {
+    warn!(log, "prompt part blocked: engines crashed while beginning an answer";
+        "part" => part_keys(&[bar.part]), "crashes" => bar.crashes, "by_peer" => bar.from_peer);
+}
+
 /// Logs the crash of a server and what its suspects have in common.
 fn write_server_crash(log: &Logger, crash: &ServerCrash) {
     warn!(log, "server crashed: all its attempts were lost";
--- a/sl-edge/src/query_handler.rs
+++ b/sl-edge/src/query_handler.rs
@@ -42,7 +42,8 @@
                 Query::Fleet(tx) => drop(tx.send(self.fleet())),
                 Query::StoreUpdate(known, tx) => drop(tx.send(self.store.update_beyond(known))),
                 Query::EngineCaches(tx) => {
-                    drop(tx.send(self.core.with_state(|it| it.engine_caches())))
+                    let now = self.core.now();
+                    drop(tx.send(self.core.with_state(|it| it.engine_caches(now))))
                 }
                 // The channel is full only if a shutdown was requested before.
                 Query::ShutDown(drain_timeout) => drop(shutdown_tx.try_send(drain_timeout)),
--- a/sl-route/src/effect.rs
+++ b/sl-route/src/effect.rs
@@ -99,7 +99,7 @@
     InvalidResponse,
     /// No response arrived in time.
     Timeout,
-    /// Requests with this fingerprint have crashed several servers.
+    /// Requests with this fingerprint, or with a part of this prompt, have crashed several servers.
     #[strum(serialize = "crashes")]
     CrashesServers,
 }
@@ -239,6 +239,8 @@
     },
     /// A server crashed while it ran attempts of this instance.
     ServerCrashed(ServerCrash),
+    /// Requests with a prompt part are no longer run because engines crashed under them.
+    PartBarred(PartBar),
     /// A peer has sent no message for so long that it is removed, along with its attempts.
     PeerSilent {
         /// The peer's instance id.
@@ -259,6 +261,17 @@
     pub parts: Vec<u64>,
 }
 
+/// The bar of a prompt part, for the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PartBar {
+    /// The key of the part.
+    pub part: u64,
+    /// The number of crashes that led to the bar, each of another run of an engine.
+    pub crashes: u32,
+    /// Whether a peer announced it, rather than this instance's own count.
+    pub from_peer: bool,
+}
+
 impl Decision {
     /// The request that the decision concerns, if it concerns a single one.
     pub fn request(&self) -> Option<RequestId> {
@@ -278,6 +291,7 @@
             | Decision::CacheKnown { .. }
             | Decision::RequestBarred { .. }
             | Decision::ServerCrashed(_)
+            | Decision::PartBarred(_)
             | Decision::PeerSilent { .. } => None,
         }
     }
--- a/sl-route/src/lib.rs
+++ b/sl-route/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod event;
 pub mod health;
 pub mod note;
+pub mod part_crashes;
 pub mod place;
 pub mod prompt;
 pub mod request;
--- a/sl-route/src/note.rs
+++ b/sl-route/src/note.rs
@@ -98,13 +98,38 @@
         /// [`LossPhase::Running`].
         parts: Vec<u64>,
     },
+    /// Engines survived attempts with prompt parts that were suspected of crashing engines.
+    PartsServed {
+        /// The keys of the parts.
+        parts: Vec<u64>,
+        /// Whether the attempts completed, rather than ran for longer than any that crashes its
+        /// engine.
+        is_complete: bool,
+    },
+    /// Requests with a prompt part are no longer sent to engines.
+    PartBarred(BarredPart),
+}
+
+/// A prompt part that is barred because engines crashed under it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BarredPart {
+    /// The key of the part.
+    pub part: u64,
+    /// The remaining time in milliseconds.
+    pub for_ms: u32,
+    /// How often the bar was renewed after it had ended.
+    pub renewals: u32,
+    /// The number of crashes that led to the bar.
+    pub crashes: u32,
 }
 
-/// An instance's view of the engines' KV caches, sent to peers that have just started.
+/// An instance's view of the engines' KV caches, and what it knows of crashes, sent to peers that have just started.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct EngineCaches {
     /// The engines and the parts they are assumed to hold, the least recently used first.
     pub engines: Vec<(ServerKey, Vec<PromptPart>)>,
+    /// The prompt parts that are barred.
+    pub barred_parts: Vec<BarredPart>,
 }
 
 /// A batch of notes from one instance to its peers.
--- a/sl-route/src/request.rs
+++ b/sl-route/src/request.rs
@@ -2,7 +2,7 @@
 
 use sl_base::{TeamId, Timestamp};
 
-use crate::{Arrival, ServerKey, note::AttemptKey};
+use crate::{Arrival, ServerKey, crash_detector::SUSPECT_PERIOD, note::AttemptKey};
 
 /// A request from its arrival until its final effect.
 #[derive(Clone, Debug)]
@@ -45,6 +45,12 @@
 }
 
 impl InFlightRequest {
+    /// Whether the current attempt has been responding for longer than any that crashes its engine.
+    pub fn has_survived(&self, now: Timestamp) -> bool {
+        let started_at = self.current.and_then(|it| it.response_started_at);
+        started_at.is_some_and(|it| it.after(SUSPECT_PERIOD).is_due(now))
+    }
+
     /// A request that has not been sent to any server yet.
     pub fn new(arrival: Arrival) -> InFlightRequest {
         InFlightRequest {
--- a/sl-route/src/state.rs
+++ b/sl-route/src/state.rs
@@ -22,6 +22,7 @@
     draining::DrainingRuns,
     event::InstanceLimits,
     note::Note,
+    part_crashes::PartCrashes,
     request::InFlightRequest,
     server::Server,
     share::{Shares, Standing},
@@ -60,6 +61,7 @@
     budget: Budget,
     crashes: CrashTracker,
     crash_detector: CrashDetector,
+    part_crashes: PartCrashes,
     shares: Shares,
     /// Requests of each team at this instance, asked for and admitted.
     local_requests: Shares,
@@ -99,6 +101,7 @@
             budget: Budget::new(options.limits.budget),
             crashes: CrashTracker::default(),
             crash_detector: CrashDetector::default(),
+            part_crashes: PartCrashes::default(),
             shares: Shares::new(now, options.share_window),
             local_requests: Shares::new(now, options.share_window),
             activity: Activity::new(now),
@@ -123,7 +126,7 @@
             self.rebuild_pools();
         }
         match event {
-            Event::Tick => self.report_activity(now),
+            Event::Tick => self.on_tick(now),
             Event::RequestArrived(arrival) => self.on_arrival(now, *arrival),
             Event::RequestShed { team, tokens } => self.on_request_shed(now, &team, tokens),
             Event::CallerDisconnected { request } => self.on_caller_disconnected(now, request),
@@ -241,7 +244,13 @@
         None
     }
 
+    fn on_tick(&mut self, now: Timestamp) {
+        self.report_activity(now);
+        self.announce_barred_parts(now);
+    }
+
     fn prune(&mut self, now: Timestamp) {
+        self.record_survivors(now);
         let inactive: Vec<u32> = self
             .peers
             .iter()
--- a/sl-route/src/state/admit.rs
+++ b/sl-route/src/state/admit.rs
@@ -26,6 +26,10 @@
     pub(super) fn on_arrival(&mut self, now: Timestamp, arrival: Arrival) {
         let request = arrival.request;
         self.budget.record_request(now, arrival.service);
+        if self.is_barred(now, &arrival) {
+            self.fail_request(request, Failure::CrashesServers);
+            return;
+        }
         if let Some(team) = &arrival.team {
             self.local_requests.record_requested(now, team.id, 1);
         }
@@ -36,10 +40,6 @@
             self.shares.record_requested(now, team, tokens);
             self.queue_note(Note::TokensRequested { team, tokens });
         }
-        if self.crashes.is_barred(now, arrival.fingerprint) {
-            self.fail_request(request, Failure::CrashesServers);
-            return;
-        }
         let in_flight = InFlightRequest::new(arrival);
         let team = in_flight.arrival.team.as_ref().map(|it| it.id);
         if self.requests.len() >= self.in_flight_max(now, team) {
--- a/sl-route/src/state/attempt.rs
+++ b/sl-route/src/state/attempt.rs
@@ -206,6 +206,7 @@
             return;
         };
         self.crash_detector.record_alive(now, current.server);
+        self.record_completed(now, in_flight, status);
         if let Some(server) = self.servers.get_mut(&current.server) {
             if status < SERVER_ERROR_STATUS_MIN {
                 server.health.record_success(now);
@@ -321,7 +322,7 @@
         let deadline = in_flight.arrival.deadline();
         let has_time = !deadline.is_due(now.after(ATTEMPT_TIME_MIN));
         let has_attempt = in_flight.attempts < in_flight.arrival.route.max_attempts;
-        let is_barred = self.crashes.is_barred(now, in_flight.arrival.fingerprint);
+        let is_barred = self.is_barred(now, &in_flight.arrival);
         if !may_run_again || !can_resume || !has_time || !has_attempt || is_barred {
             return false;
         }
--- a/sl-route/src/state/cache.rs
+++ b/sl-route/src/state/cache.rs
@@ -20,7 +20,7 @@
 
 impl State {
     /// The estimated engine caches, for a peer that has just started.
-    pub fn engine_caches(&self) -> EngineCaches {
+    pub fn engine_caches(&self, now: Timestamp) -> EngineCaches {
         let engine = |(key, server): (&ServerKey, &Server)| match &server.kind {
             // Skips engines whose cache contents are still unknown: an instance that has just
             // started knows only the requests sent since its start.
@@ -32,7 +32,10 @@
             }
             _ => None,
         };
-        EngineCaches { engines: self.servers.iter().filter_map(engine).collect() }
+        EngineCaches {
+            engines: self.servers.iter().filter_map(engine).collect(),
+            barred_parts: self.part_crashes.barred_parts(now),
+        }
     }
 
     /// Requests the lists of cached parts from the engines whose contents are unknown and for which this
@@ -75,8 +78,12 @@
         }
     }
 
-    /// Merges the engine caches as estimated by a peer. All their parts count as used at `now`.
+    /// Merges the engine caches as estimated by a peer, and the prompt parts that it has barred. All
+    /// parts of the caches count as used at `now`.
     pub(super) fn on_peer_caches(&mut self, now: Timestamp, caches: EngineCaches) {
+        for barred in caches.barred_parts {
+            self.on_part_barred(now, barred);
+        }
         for (key, parts) in caches.engines {
             self.merge_peer_cache(now, key, &parts);
             self.log_cache_known(key, parts.len(), false);
--- a/sl-route/src/state/notes.rs
+++ b/sl-route/src/state/notes.rs
@@ -73,6 +73,10 @@
                 let loss = Loss { phase, parts, is_own: false };
                 self.crash_detector.record_loss(now, server, loss);
             }
+            Note::PartsServed { parts, is_complete } => {
+                self.on_parts_served(now, &parts, is_complete);
+            }
+            Note::PartBarred(barred) => self.on_part_barred(now, barred),
         }
     }
 
