sl-route: tests that a crash bars its cause and nothing else

Callers of sound requests would see 502 for ten minutes if their prompt part were barred for crashes that others caused.

Change: tests only. A proptest that a part with which a request completes after every second crash is not barred; racks of engines that fail every 8 s, and 40% broken responses at three of nine engines, bar no sound part, and neither do the crashes of the two tests of the fleet; an instance that has just started applies an announcement; tables are bounded; further rules of `part_crashes`.

--- a/sl-route/tests/it/fleet.rs
+++ b/sl-route/tests/it/fleet.rs
@@ -7,7 +7,8 @@
 use rand_chacha::ChaCha8Rng;
 use sl_base::{Millis, RequestId, Timestamp};
 use sl_route::{
-    AttemptEnd, Effect, Event, Fault, Notes, Prompt, PromptPart, RetryPolicy, State, effect::Target,
+    AttemptEnd, Decision, Effect, Event, Fault, Notes, Prompt, PromptPart, RetryPolicy, State,
+    effect::Target,
 };
 
 use crate::testbed::{START, arrival, document, options, record};
@@ -25,6 +26,11 @@
     pub lost_percent: u32,
     /// How often an instance starts again with an empty state; `None` for never.
     pub restart_interval: Option<Millis>,
+    /// How often a rack with [`RACK_ENGINES`] engines fails; `None` for never.
+    pub rack_interval: Option<Millis>,
+    /// Of 100 requests at each of the first [`BREAKING_ENGINES`] engines, how many responses
+    /// the engine breaks off.
+    pub broken_percent: u32,
 }
 
 /// What the engines and callers saw.
@@ -37,6 +43,8 @@
     pub sound_requests: u32,
     /// Sound requests that were sent to an engine when they arrived.
     pub sound_sent: u32,
+    /// Bars of sound prompt parts, each counted at every instance.
+    pub sound_bars: u32,
 }
 
 /// How long instances may take to learn of a crash.
@@ -51,6 +59,12 @@
 /// How long after its crash the entry of an engine is removed.
 const LEASE: Millis = Millis(1_500);
 
+/// The engines that fail together.
+const RACK_ENGINES: usize = 4;
+
+/// The engines that break off responses.
+const BREAKING_ENGINES: usize = 3;
+
 const STEP: Millis = Millis(5);
 const TICK_INTERVAL: Millis = Millis(100);
 const NOTE_DELAY: Millis = Millis(15);
@@ -58,6 +72,9 @@
 /// How long after its start an instance gets an answer from a peer.
 const FETCH_DELAY: Millis = Millis(200);
 
+/// The model of all requests.
+const MODEL: &str = "m";
+
 /// The part under which engines crash.
 const BAD_PART: &str = "bad";
 
@@ -94,6 +111,7 @@
     engine: Option<usize>,
     begins_at: Timestamp,
     crashes_at: Timestamp,
+    breaks_at: Timestamp,
     first_event_at: Timestamp,
     has_started: bool,
     ends_at: Timestamp,
@@ -141,6 +159,7 @@
         while !end.is_due(self.now) {
             self.now = self.now.after(STEP);
             self.restart_instance();
+            self.fail_rack();
             self.update_engines();
             self.advance_attempts();
             self.arrive();
@@ -191,8 +210,13 @@
     fn step(&mut self, instance: usize, event: Event) {
         let effects = self.instances[instance].step(self.now, event);
         for effect in effects {
-            if let Effect::Send { request, target } = effect {
-                self.begin_attempt(instance, request, &target);
+            match effect {
+                Effect::Send { request, target } => self.begin_attempt(instance, request, &target),
+                Effect::Log(Decision::PartBarred(bar)) => {
+                    let bad_part = PromptPart::new(MODEL, BAD_PART, 0).key;
+                    self.outcome.sound_bars += u32::from(bar.part != bad_part);
+                }
+                _ => {}
             }
         }
     }
@@ -220,7 +244,7 @@
     fn begin_attempt(&mut self, instance: usize, request: RequestId, target: &Target) {
         let is_target = |it: &usize| {
             let engine = &self.engines[*it];
-            engine.back_at == Timestamp::NEVER && *target.id == engine_id(*it, engine.run)
+            self.is_up(*it) && *target.id == engine_id(*it, engine.run)
         };
         let engine = (0..self.engines.len()).find(is_target);
         let is_bad = self.is_bad.get(&request).copied().unwrap_or(false);
@@ -231,11 +255,15 @@
         let begins_at = self.now.after(Millis(self.rng.random_range(20..150)));
         let crash_delay = Millis(self.rng.random_range(50..120));
         let first_event_at = begins_at.after(Millis(if is_bad { 200 } else { 30 }));
+        let is_broken = engine.is_some_and(|it| it < BREAKING_ENGINES)
+            && self.rng.random_range(0..100) < self.scenario.broken_percent;
+        let break_delay = Millis(self.rng.random_range(0..300));
         let attempt = Attempt {
             instance,
             engine,
             begins_at,
             crashes_at: if is_bad { begins_at.after(crash_delay) } else { Timestamp::NEVER },
+            breaks_at: if is_broken { begins_at.after(break_delay) } else { Timestamp::NEVER },
             first_event_at,
             has_started: false,
             ends_at: first_event_at.after(Millis(self.rng.random_range(300..3_000))),
@@ -256,6 +284,9 @@
             };
             if attempt.crashes_at.is_due(self.now) {
                 self.crash(engine);
+            } else if attempt.breaks_at.is_due(self.now) {
+                let end = failed(Fault::TruncatedResponse, attempt.has_started);
+                self.end(request, end);
             } else if attempt.ends_at.is_due(self.now) {
                 let event_interval_micros = Some(20_000);
                 self.end(request, AttemptEnd::Completed { status: 200, event_interval_micros });
@@ -266,6 +297,21 @@
         }
     }
 
+    fn fail_rack(&mut self) {
+        if self.scenario.rack_interval.is_some_and(|it| self.is_time(it)) {
+            let first = self.rng.random_range(0..self.engines.len());
+            let rack = (0..RACK_ENGINES).map(|it| (first + it) % self.engines.len());
+            let rack: Vec<usize> = rack.collect();
+            for engine in rack.into_iter().filter(|it| self.is_up(*it)).collect::<Vec<_>>() {
+                self.crash(engine);
+            }
+        }
+    }
+
+    fn is_up(&self, engine: usize) -> bool {
+        self.engines[engine].back_at == Timestamp::NEVER
+    }
+
     /// Ends a run of an engine with all its attempts.
     fn crash(&mut self, engine: usize) {
         self.engines[engine].back_at = self.now.after(RESTART_TIME);
@@ -328,7 +374,7 @@
         if is_bad {
             ids.insert(1, BAD_PART);
         }
-        let parts: Vec<PromptPart> = ids.iter().map(|it| PromptPart::new("m", it, 100)).collect();
+        let parts: Vec<PromptPart> = ids.iter().map(|it| PromptPart::new(MODEL, it, 100)).collect();
         let input_tokens = parts.iter().map(|it| it.tokens).sum();
         Prompt { parts, input_tokens, max_output_tokens: 100, expected_output_tokens: None }
     }
--- a/sl-route/tests/it/part_crashes.rs
+++ b/sl-route/tests/it/part_crashes.rs
@@ -1,8 +1,20 @@
 //! Prompt parts under which engines crash are barred, and others are not.
 
-use sl_base::Millis;
+use proptest::{prelude::*, test_runner::RngSeed};
+use sl_base::{Millis, RequestId, Timestamp};
+use sl_route::{
+    Effect, Event, Failure, Fault, Notes, Prompt, PromptPart, RetryPolicy, ServerKey, State,
+    crash_detector::Crash,
+    note::{BarredPart, Note},
+    part_crashes::{BAR_INITIAL, PARTS_MAX, PartCrashes, Proof},
+};
 
-use crate::fleet::{Fleet, Outcome, Scenario};
+use crate::{
+    fleet::{Fleet, Outcome, Scenario},
+    testbed::{
+        arrival, arrive, at, fail_attempt, prompt, record, request_effects, sent_target, state,
+    },
+};
 
 /// How long each fleet runs.
 const SPAN: Millis = Millis(40_000);
@@ -19,6 +31,8 @@
     sound_interval: Millis(10),
     lost_percent: 20,
     restart_interval: None,
+    rack_interval: None,
+    broken_percent: 0,
 };
 
 fn check(scenario: Scenario) {
@@ -27,6 +41,7 @@
         let Outcome { sound_sent: usual, .. } = Fleet::new(sound, seed).run(SPAN);
         let outcome = Fleet::new(scenario, seed).run(SPAN);
         assert!(outcome.crashes >= 3, "seed {seed}: {outcome:?}");
+        assert_eq!(outcome.sound_bars, 0, "seed {seed}: {outcome:?}");
         assert!(
             outcome.late_bad_attempts <= LATE_BAD_ATTEMPTS_MAX,
             "seed {seed}: {outcome:?}, sent without crashes: {usual}"
@@ -47,3 +62,227 @@
 fn a_barred_part_stays_barred_while_instances_restart() {
     check(Scenario { restart_interval: Some(Millis(4_000)), ..SCENARIO });
 }
+
+fn check_no_bars(scenario: Scenario) {
+    for seed in SEEDS {
+        let outcome = Fleet::new(scenario, seed).run(SPAN);
+        assert_eq!(outcome.sound_bars, 0, "seed {seed}: {outcome:?}");
+    }
+}
+
+// Guards against blaming the parts in use for a rack that fails: each of its engines loses
+// requests with them.
+#[test]
+fn racks_that_fail_bar_no_part_that_is_in_use() {
+    check_no_bars(Scenario { bad_interval: None, rack_interval: Some(Millis(8_000)), ..SCENARIO });
+}
+
+// Guards against taking responses that engines broke off for crashes of these engines.
+#[test]
+fn responses_that_are_broken_off_bar_no_part() {
+    check_no_bars(Scenario { bad_interval: None, broken_percent: 40, ..SCENARIO });
+}
+
+fn crash(millis: u64, run: u64, suspects: &[&[u64]]) -> Crash {
+    let suspects: Vec<Vec<u64>> = suspects.iter().map(|it| it.to_vec()).collect();
+    Crash { run: ServerKey(run), at: at(millis), lost: 1, is_own: true, suspects }
+}
+
+/// Applies a crash of the run with the number `run` to the parts; returns those barred by it.
+fn apply(parts: &mut PartCrashes, millis: u64, run: u64, suspects: &[&[u64]]) -> Vec<u64> {
+    let now = at(millis);
+    let barred = parts.record_crash(now, &crash(millis, run, suspects), now);
+    barred.into_iter().map(|it| it.part).collect()
+}
+
+// Guards against barring parts for single failures of engines, and against missing the cause.
+#[test]
+fn the_third_crash_bars_a_part() {
+    let mut parts = PartCrashes::default();
+    assert_eq!(apply(&mut parts, 0, 1, &[&[7]]), []);
+    assert_eq!(apply(&mut parts, 1_000, 2, &[&[7]]), []);
+    assert!(!parts.is_barred(at(1_000), [7]));
+    assert_eq!(apply(&mut parts, 2_000, 3, &[&[7]]), [7]);
+    assert!(parts.is_barred(at(2_000), [7]));
+    assert!(!parts.is_barred(at(2_000), [8]));
+}
+
+// Guards against counting a run several times, whose losses come late or which only broke off
+// responses, and a rack as several crashes.
+#[test]
+fn a_run_counts_once_and_so_do_runs_that_crash_together() {
+    let mut parts = PartCrashes::default();
+    for millis in [0, 1_000, 2_000, 3_000] {
+        assert_eq!(apply(&mut parts, millis, 1, &[&[7]]), []);
+    }
+    for run in 2..10 {
+        assert_eq!(apply(&mut parts, 4_000 + run, run, &[&[7]]), []);
+    }
+}
+
+// Guards against barring all parts of the requests that crash engines, which sound ones share.
+#[test]
+fn of_parts_that_explain_the_same_crashes_only_the_last_is_barred() {
+    let mut parts = PartCrashes::default();
+    for run in 0..2 {
+        apply(&mut parts, run * 1_000, run, &[&[1, 2, 10 + run]]);
+    }
+    assert_eq!(apply(&mut parts, 2_000, 2, &[&[1, 2, 12]]), [2]);
+    for run in 3..9 {
+        assert_eq!(apply(&mut parts, run * 1_000, run, &[&[1, 2, 10 + run]]), []);
+    }
+    assert!(!parts.is_barred(at(9_000), [1]));
+}
+
+// Guards against parts that crash engines again after a bar, and against bars that never end.
+#[test]
+fn after_a_bar_one_crash_bars_again_for_twice_as_long_and_a_completion_clears() {
+    let mut parts = PartCrashes::default();
+    for run in 0..3 {
+        apply(&mut parts, run * 1_000, run, &[&[7]]);
+    }
+    let ended = 2_000 + BAR_INITIAL.0;
+    assert!(parts.is_barred(at(ended - 1), [7]));
+    assert!(!parts.is_barred(at(ended), [7]));
+    assert_eq!(apply(&mut parts, ended, 4, &[&[7]]), [7]);
+    let ended_again = ended + 2 * BAR_INITIAL.0;
+    assert!(parts.is_barred(at(ended_again - 1), [7]));
+    assert!(!parts.is_barred(at(ended_again), [7]));
+    assert!(parts.record_served(at(ended_again), 7, Proof::Completed, true));
+    assert_eq!(apply(&mut parts, ended_again + 1_000, 5, &[&[7]]), []);
+}
+
+// Guards against unbounded tables where many requests are lost.
+#[test]
+fn the_number_of_parts_is_bounded() {
+    let mut parts = PartCrashes::default();
+    for run in 0..3 {
+        apply(&mut parts, run * 1_000, run, &[&[7]]);
+    }
+    for run in 0..2 * PARTS_MAX as u64 {
+        apply(&mut parts, 10_000 + run, 10 + run, &[&[100 + run]]);
+    }
+    assert!(parts.len() <= PARTS_MAX, "{}", parts.len());
+    assert!(parts.is_barred(at(20_000), [7]), "the barred part was forgotten");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(0x5e5a_0026),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against barring a part for crashes that others caused: whatever crashes, a part with
+    /// which a request completes after every second crash at the latest is not barred.
+    #[test]
+    fn a_part_with_which_requests_complete_is_not_barred(
+        crashes in prop::collection::vec((0_u64..2_000, prop::collection::vec(2_u64..6, 0..4), any::<bool>()), 0..40),
+        is_complete in any::<bool>(),
+    ) {
+        const SOUND: u64 = 1;
+        let mut parts = PartCrashes::default();
+        let (mut millis, mut crashes_since) = (0, 0);
+        for (run, (pause, mut suspect, completes)) in crashes.into_iter().enumerate() {
+            millis += pause;
+            suspect.insert(suspect.len() / 2, SOUND);
+            let barred = apply(&mut parts, millis, run as u64, &[&suspect]);
+            prop_assert!(!barred.contains(&SOUND));
+            crashes_since += 1;
+            if completes || crashes_since == 2 {
+                let proof = if is_complete { Proof::Completed } else { Proof::Running };
+                parts.record_served(at(millis), SOUND, proof, true);
+                crashes_since = 0;
+            }
+        }
+    }
+}
+
+const BAD: &str = "bad";
+
+fn barred_part(id: &str) -> Note {
+    let part = PromptPart::new("m", id, 0).key;
+    Note::PartBarred(BarredPart { part, for_ms: 60_000, renewals: 0, crashes: 3 })
+}
+
+fn receive(state: &mut State, now: Timestamp, note: Note) -> Vec<Effect> {
+    state.step(now, Event::NotesReceived { from: 9, notes: Notes { notes: vec![note] } })
+}
+
+fn reaction(state: &mut State, now: Timestamp, number: u64, prompt: Prompt) -> Vec<Effect> {
+    let arrival = arrival(now, number, RetryPolicy::ResumableStream, Some(prompt));
+    request_effects(arrive(state, now, arrival))
+}
+
+// Guards against instances that send a barred part to engines until they have seen crashes.
+#[test]
+fn an_instance_that_has_just_started_applies_an_announcement() {
+    let mut state = state(1, &[("a", "model")]);
+    receive(&mut state, at(0), barred_part(BAD));
+    state.take_notes();
+    let failed = Effect::Fail { request: RequestId(1), reason: Failure::CrashesServers };
+    assert_eq!(reaction(&mut state, at(1), 1, prompt(BAD, 100, "own", 10)), [failed]);
+    assert_eq!(state.take_notes().notes, [], "the request counts as demand of its team");
+    let other = reaction(&mut state, at(2), 2, prompt("good", 100, "own", 10));
+    assert!(sent_target(&other).is_some());
+}
+
+// Guards against losing the bars with the only instance that announces them.
+#[test]
+fn an_instance_announces_the_bars_that_it_has_learned() {
+    let mut state = state(1, &[("a", "model")]);
+    receive(&mut state, at(0), barred_part(BAD));
+    let caches = state.engine_caches(at(10));
+    assert_eq!(caches.barred_parts.len(), 1);
+    state.step(at(1_600), Event::Tick);
+    let is_bar = |it: &Note| matches!(it, Note::PartBarred(_));
+    assert!(state.take_notes().notes.iter().any(is_bar));
+    receive(&mut state, at(1_700), barred_part(BAD));
+    state.step(at(2_100), Event::Tick);
+    assert!(!state.take_notes().notes.iter().any(is_bar), "a peer has just announced it");
+}
+
+// Guards against barring what belongs to one request or session: nothing else shares it.
+#[test]
+fn the_last_part_of_a_prompt_is_never_barred() {
+    let mut state = state(1, &[("a", "model")]);
+    receive(&mut state, at(0), barred_part("own"));
+    let effects = reaction(&mut state, at(1), 1, prompt("good", 100, "own", 10));
+    assert!(sent_target(&effects).is_some());
+    for number in 2..6 {
+        let id = format!("engine-{number}");
+        let now = at(number * 1_000);
+        state.step(now, Event::ServerListed(record(&id, "model")));
+        let parts = vec![PromptPart::new("m", "single", 100)];
+        let single = Prompt { parts, input_tokens: 100, ..Prompt::default() };
+        let effects = reaction(&mut state, now, number, single);
+        assert!(sent_target(&effects).is_some(), "{effects:?}");
+        fail_attempt(&mut state, at(number * 1_000 + 100), number, Fault::TruncatedResponse);
+    }
+}
+
+// Guards against repeating a request under which the next engine would crash.
+#[test]
+fn a_request_with_a_part_that_is_barred_meanwhile_is_not_repeated() {
+    let mut state = state(1, &[("a", "model"), ("b", "model")]);
+    let effects = reaction(&mut state, at(0), 1, prompt(BAD, 100, "own", 10));
+    assert!(sent_target(&effects).is_some());
+    receive(&mut state, at(10), barred_part(BAD));
+    let effects = fail_attempt(&mut state, at(20), 1, Fault::TruncatedResponse);
+    assert!(sent_target(&effects).is_none(), "{effects:?}");
+}
+
+// Guards against a bar that stays at a peer which missed the note of a completion.
+#[test]
+fn an_instance_contradicts_the_announcement_of_a_part_with_which_a_request_completed() {
+    let mut state = state(1, &[("a", "model")]);
+    reaction(&mut state, at(0), 1, prompt(BAD, 100, "own", 10));
+    receive(&mut state, at(10), barred_part(BAD));
+    crate::testbed::complete(&mut state, at(600), 1);
+    state.take_notes();
+    receive(&mut state, at(700), barred_part(BAD));
+    let notes = state.take_notes().notes;
+    assert!(notes.iter().any(|it| matches!(it, Note::PartsServed { .. })), "{notes:?}");
+    let effects = reaction(&mut state, at(710), 2, prompt(BAD, 100, "own-2", 10));
+    assert!(sent_target(&effects).is_some());
+}
