sl-route: count crashes on reused connections and after the head, and clear a request at the peers

Callers of requests without a prompt that crash servers: the request went on to further servers if these crashed after the response head, or on a connection that had been used before, as most have.

Cause: only `Fault::ConnectionLost` counted. A completion cleared the record on one instance, while peers kept the crashes that they had heard of.

Change: `stale` and `broken` count too, for requests without a prompt. As these are often no crashes, a run of a server counts once for a request (`ServerCrashed::server`, appended): a crashed server comes back as another run. A completion clears the record at the peers (`Note::RequestServed`, appended).

--- a/sl-route/src/note.rs
+++ b/sl-route/src/note.rs
@@ -76,11 +76,13 @@
         /// Some of the cached parts. A long list is split over several notes.
         parts: Vec<PromptPart>,
     },
-    /// A server closed the connection before responding, possibly because the request crashed
-    /// it.
+    /// A server closed the connection before the response was complete, possibly because the
+    /// request crashed it.
     ServerCrashed {
         /// The fingerprint of the request that the server was running.
         fingerprint: u64,
+        /// The run of the server.
+        server: ServerKey,
     },
     /// A server announced in a response that it shuts down.
     ServerDraining {
@@ -108,6 +110,11 @@
     },
     /// Requests with a prompt part are no longer sent to engines.
     PartBarred(BarredPart),
+    /// A request completed under which servers were thought to crash.
+    RequestServed {
+        /// The fingerprint of the request.
+        fingerprint: u64,
+    },
 }
 
 /// A prompt part that is barred because engines crashed under it.
--- a/sl-route/src/state/attempt.rs
+++ b/sl-route/src/state/attempt.rs
@@ -201,7 +201,7 @@
     }
 
     fn on_attempt_completed(&mut self, now: Timestamp, in_flight: &InFlightRequest, status: u16) {
-        self.crashes.clear(in_flight.arrival.fingerprint);
+        self.clear_request(in_flight.arrival.fingerprint);
         let Some(current) = in_flight.current else {
             return;
         };
@@ -223,6 +223,7 @@
         fault: Fault,
         is_partially_delivered: bool,
     ) {
+        self.record_request_loss(now, &in_flight, fault);
         self.record_engine_fault(now, &in_flight, fault);
         self.record_fault(now, &in_flight, fault);
         if fault == Fault::NotConnected {
@@ -280,11 +281,6 @@
         let Some(current) = in_flight.current else {
             return;
         };
-        if fault == Fault::ConnectionLost && !current.has_response_started() {
-            let fingerprint = in_flight.arrival.fingerprint;
-            self.queue_note(Note::ServerCrashed { fingerprint });
-            self.record_crash(now, fingerprint);
-        }
         if fault == Fault::DeadlineExceeded {
             return;
         }
--- a/sl-route/src/state/crashes.rs
+++ b/sl-route/src/state/crashes.rs
@@ -28,6 +28,41 @@
 const ANNOUNCEMENT_SPREAD_PER_PEER: Millis = Millis(20);
 
 impl State {
+    /// Counts a possible crash for the fingerprint of the request whose attempt failed.
+    pub(super) fn record_request_loss(
+        &mut self,
+        now: Timestamp,
+        in_flight: &InFlightRequest,
+        fault: Fault,
+    ) {
+        let Some(current) = in_flight.current else {
+            return;
+        };
+        let is_loss = match in_flight.arrival.prompt {
+            // An engine that crashes loses many requests, most of which it had begun.
+            Some(_) => fault == Fault::ConnectionLost,
+            None => LossPhase::of(now, fault, current.response_started_at).is_some(),
+        };
+        if is_loss {
+            let (server, fingerprint) = (current.server, in_flight.arrival.fingerprint);
+            self.queue_note(Note::ServerCrashed { fingerprint, server });
+            self.record_crash(now, fingerprint, server);
+        }
+    }
+
+    pub(super) fn record_crash(&mut self, now: Timestamp, fingerprint: u64, run: ServerKey) {
+        if self.crashes.record_crash(now, fingerprint, run) {
+            self.effects.push(Effect::Log(Decision::RequestBarred { fingerprint }));
+        }
+    }
+
+    /// Clears a request that completed, here and at the peers, which heard of its crashes.
+    pub(super) fn clear_request(&mut self, fingerprint: u64) {
+        if self.crashes.clear(fingerprint) {
+            self.queue_note(Note::RequestServed { fingerprint });
+        }
+    }
+
     /// Records how an attempt of a model request failed, if the connection to the engine was
     /// lost or refused.
     pub(super) fn record_engine_fault(
--- a/sl-route/src/state/notes.rs
+++ b/sl-route/src/state/notes.rs
@@ -4,7 +4,7 @@
 
 use super::State;
 use crate::{
-    Decision, Effect, Notes,
+    Notes,
     crash_detector::Loss,
     note::{AttemptKey, Note},
 };
@@ -67,7 +67,9 @@
                 }
             }
             Note::CacheListed { server, parts } => self.merge_peer_cache(now, server, &parts),
-            Note::ServerCrashed { fingerprint } => self.record_crash(now, fingerprint),
+            Note::ServerCrashed { fingerprint, server } => {
+                self.record_crash(now, fingerprint, server);
+            }
             Note::ServerDraining { server } => self.mark_draining(now, server, true),
             Note::AttemptLost { server, phase, parts } => {
                 let loss = Loss { phase, parts, is_own: false };
@@ -77,12 +79,9 @@
                 self.on_parts_served(now, &parts, is_complete);
             }
             Note::PartBarred(barred) => self.on_part_barred(now, barred),
-        }
-    }
-
-    pub(super) fn record_crash(&mut self, now: Timestamp, fingerprint: u64) {
-        if self.crashes.record_crash(now, fingerprint) {
-            self.effects.push(Effect::Log(Decision::RequestBarred { fingerprint }));
+            Note::RequestServed { fingerprint } => {
+                self.crashes.clear(fingerprint);
+            }
         }
     }
 }
--- a/sl-route/src/strikes.rs
+++ b/sl-route/src/strikes.rs
@@ -4,19 +4,22 @@
 
 use sl_base::{Millis, Timestamp};
 
+use crate::ServerKey;
+
 /// Crashes by request fingerprint. Any of the requests in flight on a crashed server may be
 /// the cause, so a request is barred only after several crashes.
 #[derive(Clone, Debug, Default)]
 pub struct CrashTracker(HashMap<u64, CrashRecord>);
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct CrashRecord {
-    crashes: u32,
+    /// The runs that crashed. A run that only broke off responses counts once.
+    runs: Vec<ServerKey>,
     expires_at: Timestamp,
 }
 
 /// Crashes after which a request is barred.
-const CRASHES_MAX: u32 = 3;
+const CRASHES_MAX: usize = 3;
 
 /// A fingerprint without a crash for this long is forgotten.
 const RETENTION: Millis = Millis(60_000);
@@ -25,9 +28,9 @@
 const FINGERPRINTS_MAX: usize = 4_096;
 
 impl CrashTracker {
-    /// Records that a server crashed while running the request; true if the request is barred
-    /// now.
-    pub fn record_crash(&mut self, now: Timestamp, fingerprint: u64) -> bool {
+    /// Records that the run of a server crashed while it ran the request; true if the request is
+    /// barred now.
+    pub fn record_crash(&mut self, now: Timestamp, fingerprint: u64, run: ServerKey) -> bool {
         if self.0.len() >= FINGERPRINTS_MAX {
             self.0.retain(|_, it| !it.expires_at.is_due(now));
         }
@@ -35,20 +38,23 @@
             return false;
         }
         let expires_at = now.after(RETENTION);
-        let record = self.0.entry(fingerprint).or_insert(CrashRecord { crashes: 0, expires_at });
-        record.crashes += 1;
+        let record =
+            self.0.entry(fingerprint).or_insert(CrashRecord { runs: Vec::new(), expires_at });
+        if record.runs.len() < CRASHES_MAX && !record.runs.contains(&run) {
+            record.runs.push(run);
+        }
         record.expires_at = expires_at;
-        record.crashes >= CRASHES_MAX
+        record.runs.len() >= CRASHES_MAX
     }
 
-    /// Forgets the crashes of a request that ran to completion.
-    pub fn clear(&mut self, fingerprint: u64) {
-        self.0.remove(&fingerprint);
+    /// Forgets the crashes of a request that ran to completion; true if there were any.
+    pub fn clear(&mut self, fingerprint: u64) -> bool {
+        self.0.remove(&fingerprint).is_some()
     }
 
     /// Whether the request is barred from running.
     pub fn is_barred(&self, now: Timestamp, fingerprint: u64) -> bool {
         let record = self.0.get(&fingerprint);
-        record.is_some_and(|it| it.crashes >= CRASHES_MAX && !it.expires_at.is_due(now))
+        record.is_some_and(|it| it.runs.len() >= CRASHES_MAX && !it.expires_at.is_due(now))
     }
 }
