sl-route: a completion from before the crashes contradicts no bar

Cause: an instance at which a request with the part had completed once answered each later announcement with a proof, which ends the bar at the peers, as long as it kept the record of the part.

Change: only a completion of the last 3 s, with no crash counted since, contradicts an announcement. Survivors no longer extend the life of a record that has nothing to clear.

--- a/sl-route/src/note.rs
+++ b/sl-route/src/note.rs
@@ -130,7 +130,8 @@
     pub crashes: u32,
 }
 
-/// An instance's view of the engines' KV caches, and what it knows of crashes, sent to peers that have just started.
+/// An instance's view of the engines' KV caches, and the prompt parts that it has barred, sent to
+/// peers that have just started.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct EngineCaches {
     /// The engines and the parts they are assumed to hold, the least recently used first.
--- a/sl-route/src/part_crashes.rs
+++ b/sl-route/src/part_crashes.rs
@@ -41,8 +41,8 @@
     last_crash_at: Timestamp,
     /// When an attempt with the part last proved that it is not the cause.
     served_at: Option<Timestamp>,
-    /// Whether that attempt completed here, rather than at a peer.
-    has_completed_here: bool,
+    /// When an attempt with the part last completed at this instance.
+    completed_here_at: Option<Timestamp>,
     bar: Option<Bar>,
     expires_at: Timestamp,
 }
@@ -72,7 +72,7 @@
 const CRASH_RETENTION: Millis = Millis(600_000);
 
 /// How long a proof contradicts the announcements of peers.
-const PROOF_RETENTION: Millis = Millis(10_000);
+const PROOF_RETENTION: Millis = Millis(3_000);
 
 /// Bound on the number of parts tracked; the one with the fewest crashes gives way.
 pub const PARTS_MAX: usize = 4_096;
@@ -124,8 +124,12 @@
         let is_cleared = record.bar.take().is_some() || !record.runs.is_empty();
         record.runs.clear();
         record.served_at = Some(now);
-        record.has_completed_here = is_complete && is_own;
-        record.expires_at = now.after(PROOF_RETENTION);
+        if is_complete && is_own {
+            record.completed_here_at = Some(now);
+        }
+        if is_cleared {
+            record.expires_at = now.after(PROOF_RETENTION);
+        }
         is_cleared
     }
 
@@ -138,7 +142,7 @@
         announce_at: Timestamp,
     ) -> Reaction {
         let BarredPart { part, for_ms, renewals, crashes } = announcement;
-        if self.0.get(&part).is_some_and(|it| it.has_completed_here) {
+        if self.0.get(&part).is_some_and(|it| it.contradicts_bar(now)) {
             return Reaction::Contradicted;
         }
         let was_barred = self.is_barred(now, [part]);
@@ -259,12 +263,18 @@
             runs: Vec::new(),
             last_crash_at: now,
             served_at: None,
-            has_completed_here: false,
+            completed_here_at: None,
             bar: None,
             expires_at: now.after(CRASH_RETENTION),
         }
     }
 
+    /// Whether an attempt with the part has just completed here, and no crash was counted since.
+    fn contradicts_bar(&self, now: Timestamp) -> bool {
+        let contradicts_until = self.completed_here_at.map(|it| it.after(PROOF_RETENTION));
+        self.runs.is_empty() && contradicts_until.is_some_and(|it| !it.is_due(now))
+    }
+
     /// Whether the crash is one more than those counted, and later than any proof that the part
     /// is not the cause.
     fn counts(&self, crash: &Crash) -> bool {
--- a/sl-route/src/request.rs
+++ b/sl-route/src/request.rs
@@ -45,12 +45,6 @@
 }
 
 impl InFlightRequest {
-    /// Whether the current attempt has been responding for longer than any that crashes its engine.
-    pub fn has_survived(&self, now: Timestamp) -> bool {
-        let started_at = self.current.and_then(|it| it.response_started_at);
-        started_at.is_some_and(|it| it.after(SUSPECT_PERIOD).is_due(now))
-    }
-
     /// A request that has not been sent to any server yet.
     pub fn new(arrival: Arrival) -> InFlightRequest {
         InFlightRequest {
@@ -62,4 +56,10 @@
             charged: None,
         }
     }
+
+    /// Whether the current attempt has been responding for longer than any that crashes its engine.
+    pub fn has_survived(&self, now: Timestamp) -> bool {
+        let started_at = self.current.and_then(|it| it.response_started_at);
+        started_at.is_some_and(|it| it.after(SUSPECT_PERIOD).is_due(now))
+    }
 }
--- a/sl-route/tests/it/part_crashes.rs
+++ b/sl-route/tests/it/part_crashes.rs
@@ -6,7 +6,7 @@
     Effect, Event, Failure, Fault, Notes, Prompt, PromptPart, RetryPolicy, ServerKey, State,
     crash_detector::Crash,
     note::{BarredPart, Note},
-    part_crashes::{BAR_INITIAL, PARTS_MAX, PartCrashes, Proof},
+    part_crashes::{BAR_INITIAL, PARTS_MAX, PartCrashes, Proof, Reaction},
 };
 
 use crate::{
@@ -198,6 +198,21 @@
     }
 }
 
+// Guards against a completion from before the crashes, for which an instance would have its peers
+// drop the bar.
+#[test]
+fn a_completion_contradicts_no_bar_for_later_crashes() {
+    let mut parts = PartCrashes::default();
+    apply(&mut parts, 0, 1, &[&[7]]);
+    parts.record_served(at(500), 7, Proof::Completed, true);
+    for run in 2..4 {
+        apply(&mut parts, run * 1_000, run, &[&[7]]);
+    }
+    let announced = BarredPart { part: 7, for_ms: 60_000, renewals: 0, crashes: 3 };
+    assert_eq!(parts.apply(at(3_500), announced, at(4_500)), Reaction::Applied);
+    assert_eq!(parts.apply(at(4_000), announced, at(5_000)), Reaction::Known);
+}
+
 const BAD: &str = "bad";
 
 fn barred_part(id: &str) -> Note {
