--- a/sl-route/src/note.rs
+++ b/sl-route/src/note.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use sl_base::TeamId;
 
-use crate::{PromptPart, ServerKey};
+use crate::{PromptPart, ServerKey, crash_detector::LossPhase};
 
 /// Identifies an attempt among all instances.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -76,24 +76,68 @@
         /// Some of the cached parts. A long list is split over several notes.
         parts: Vec<PromptPart>,
     },
-    /// A server closed the connection before responding, possibly because the request crashed
-    /// it.
+    /// A server closed the connection before the response was complete, possibly because the
+    /// request crashed it.
     ServerCrashed {
         /// The fingerprint of the request that the server was running.
         fingerprint: u64,
+        /// The run of the server.
+        server: ServerKey,
     },
     /// A server announced in a response that it shuts down.
     ServerDraining {
         /// The server, which is to get no new requests.
         server: ServerKey,
     },
+    /// The connection of a model request's attempt ended before the response was complete. The
+    /// engine may have crashed.
+    AttemptLost {
+        /// The engine to which the attempt was sent.
+        server: ServerKey,
+        /// How far the attempt had come.
+        phase: LossPhase,
+        /// The keys of the shared parts of the prompt, in order; empty in
+        /// [`LossPhase::Running`].
+        parts: Vec<u64>,
+    },
+    /// Engines survived attempts with prompt parts that were suspected of crashing engines.
+    PartsServed {
+        /// The keys of the parts.
+        parts: Vec<u64>,
+        /// Whether the attempts completed, rather than ran for longer than any that crashes its
+        /// engine.
+        is_complete: bool,
+    },
+    /// Requests with a prompt part are no longer sent to engines.
+    PartBarred(BarredPart),
+    /// A request completed under which servers were thought to crash.
+    RequestServed {
+        /// The fingerprint of the request.
+        fingerprint: u64,
+    },
+}
+
+/// A prompt part that is barred because engines crashed under it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BarredPart {
+    /// The key of the part.
+    pub part: u64,
+    /// The remaining time in milliseconds.
+    pub for_ms: u32,
+    /// How often the bar was renewed after it had ended.
+    pub renewals: u32,
+    /// The number of crashes that led to the bar.
+    pub crashes: u32,
 }
 
-/// An instance's view of the engines' KV caches, sent to peers that have just started.
+/// An instance's view of the engines' KV caches, and the prompt parts that it has barred, sent to
+/// peers that have just started.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct EngineCaches {
     /// The engines and the parts they are assumed to hold, the least recently used first.
     pub engines: Vec<(ServerKey, Vec<PromptPart>)>,
+    /// The prompt parts that are barred.
+    pub barred_parts: Vec<BarredPart>,
 }
 
 /// A batch of notes from one instance to its peers.
--- a/sl-route/src/request.rs
+++ b/sl-route/src/request.rs
@@ -2,7 +2,7 @@
 
 use sl_base::{TeamId, Timestamp};
 
-use crate::{Arrival, ServerKey, note::AttemptKey};
+use crate::{Arrival, ServerKey, crash_detector::SUSPECT_PERIOD, note::AttemptKey};
 
 /// A request from its arrival until its final effect.
 #[derive(Clone, Debug)]
@@ -33,12 +33,19 @@
     pub sent_at: Timestamp,
     /// The time to the first byte that was expected when the attempt was sent, in milliseconds.
     pub expected_ms: f64,
-    /// Whether the response has started.
-    pub has_response_started: bool,
+    /// When the response started; `None` until then.
+    pub response_started_at: Option<Timestamp>,
     /// Whether the server was silent during this attempt.
     pub was_silent: bool,
 }
 
+impl CurrentAttempt {
+    /// Whether the response has started.
+    pub fn has_response_started(&self) -> bool {
+        self.response_started_at.is_some()
+    }
+}
+
 impl InFlightRequest {
     /// A request that has not been sent to any server yet.
     pub fn new(arrival: Arrival) -> InFlightRequest {
@@ -51,4 +58,10 @@
             charged: None,
         }
     }
+
+    /// Whether the current attempt has been responding for longer than any that crashes its engine.
+    pub fn has_survived(&self, now: Timestamp) -> bool {
+        let started_at = self.current.and_then(|it| it.response_started_at);
+        started_at.is_some_and(|it| it.after(SUSPECT_PERIOD).is_due(now))
+    }
 }
--- a/sl-route/src/state.rs
+++ b/sl-route/src/state.rs
@@ -3,6 +3,7 @@
 mod admit;
 mod attempt;
 mod cache;
+mod crashes;
 mod listing;
 mod notes;
 mod notices;
@@ -17,9 +18,11 @@
     Decision, Directory, Document, Effect, Event, Notes, ServerKey,
     activity::Activity,
     budget::Budget,
+    crash_detector::CrashDetector,
     draining::DrainingRuns,
     event::InstanceLimits,
     note::Note,
+    part_crashes::PartCrashes,
     request::InFlightRequest,
     server::Server,
     share::{Shares, Standing},
@@ -57,6 +60,8 @@
     requests: HashMap<RequestId, InFlightRequest>,
     budget: Budget,
     crashes: CrashTracker,
+    crash_detector: CrashDetector,
+    part_crashes: PartCrashes,
     shares: Shares,
     /// Requests of each team at this instance, asked for and admitted.
     local_requests: Shares,
@@ -95,6 +100,8 @@
             requests: HashMap::new(),
             budget: Budget::new(options.limits.budget),
             crashes: CrashTracker::default(),
+            crash_detector: CrashDetector::default(),
+            part_crashes: PartCrashes::default(),
             shares: Shares::new(now, options.share_window),
             local_requests: Shares::new(now, options.share_window),
             activity: Activity::new(now),
@@ -119,7 +126,7 @@
             self.rebuild_pools();
         }
         match event {
-            Event::Tick => self.report_activity(now),
+            Event::Tick => self.on_tick(now),
             Event::RequestArrived(arrival) => self.on_arrival(now, *arrival),
             Event::RequestShed { team, tokens } => self.on_request_shed(now, &team, tokens),
             Event::CallerDisconnected { request } => self.on_caller_disconnected(now, request),
@@ -146,6 +153,7 @@
             Event::ConnectionShare(share) => self.connection_share = share,
             Event::InstanceCount(instances) => self.budget.set_instances(instances),
         }
+        self.confirm_crashes(now);
         if self.prune_at.is_due(now) {
             self.prune(now);
             self.prune_at = now.after(PRUNE_INTERVAL);
@@ -239,7 +247,13 @@
         None
     }
 
+    fn on_tick(&mut self, now: Timestamp) {
+        self.report_activity(now);
+        self.announce_barred_parts(now);
+    }
+
     fn prune(&mut self, now: Timestamp) {
+        self.record_survivors(now);
         let inactive: Vec<u32> = self
             .peers
             .iter()
--- a/sl-route/src/state/notes.rs
+++ b/sl-route/src/state/notes.rs
@@ -4,7 +4,8 @@
 
 use super::State;
 use crate::{
-    Decision, Effect, Notes,
+    Notes,
+    crash_detector::Loss,
     note::{AttemptKey, Note},
 };
 
@@ -40,6 +41,7 @@
                 }
             }
             Note::ResponseStarted { server, attempt } => {
+                self.crash_detector.record_alive(now, server);
                 if let Some(server) = self.servers.get_mut(&server) {
                     server.record_response_start(now, attempt_key(attempt));
                 }
@@ -48,6 +50,9 @@
                 if let Some((team, tokens)) = refunded {
                     self.shares.record_refund(now, team, tokens);
                 }
+                if event_interval_micros.is_some() {
+                    self.crash_detector.record_alive(now, server);
+                }
                 if let Some(server) = self.servers.get_mut(&server) {
                     server.record_end(now, attempt_key(attempt));
                     server.record_event_interval(now, event_interval_micros);
@@ -62,14 +67,21 @@
                 }
             }
             Note::CacheListed { server, parts } => self.merge_peer_cache(now, server, &parts),
-            Note::ServerCrashed { fingerprint } => self.record_crash(now, fingerprint),
+            Note::ServerCrashed { fingerprint, server } => {
+                self.record_crash(now, fingerprint, server);
+            }
             Note::ServerDraining { server } => self.mark_draining(now, server, true),
-        }
-    }
-
-    pub(super) fn record_crash(&mut self, now: Timestamp, fingerprint: u64) {
-        if self.crashes.record_crash(now, fingerprint) {
-            self.effects.push(Effect::Log(Decision::RequestBarred { fingerprint }));
+            Note::AttemptLost { server, phase, parts } => {
+                let loss = Loss { phase, parts, is_own: false };
+                self.crash_detector.record_loss(now, server, loss);
+            }
+            Note::PartsServed { parts, is_complete } => {
+                self.on_parts_served(now, &parts, is_complete);
+            }
+            Note::PartBarred(barred) => self.on_part_barred(now, barred),
+            Note::RequestServed { fingerprint } => {
+                self.crashes.clear(fingerprint);
+            }
         }
     }
 }
