http: trailers and chunk extensions of a body are limited to 16 KB

Callers saw: a server that never ends its trailer section, or that sends long extensions with tiny chunks, kept the request until its deadline. Cause: these bytes were discarded without counting towards any limit. Change: their total is limited per body; beyond it the body is malformed, so the attempt ends as an invalid response. Result: the four cases of sl-http endless.rs end at the limit.

--- a/sl-http/src/chunk.rs
+++ b/sl-http/src/chunk.rs
@@ -5,9 +5,14 @@
 use crate::BodyError;
 
 /// Incremental decoder of the chunked transfer coding. Chunk extensions and trailer fields are
-/// discarded.
+/// discarded; their total size is limited, because they may come without end from a server in
+/// trouble and never count towards the size of the body.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct ChunkedDecoder(State);
+pub struct ChunkedDecoder {
+    state: State,
+    /// Bytes of chunk extensions and trailer lines so far.
+    discarded: usize,
+}
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum State {
@@ -26,6 +31,9 @@
 /// Maximum length of a chunk-size line or trailer line, in bytes.
 const LINE_BYTES_MAX: usize = 4_096;
 
+/// Maximum size of all chunk extensions and trailer lines of a body, in bytes.
+const DISCARDED_BYTES_MAX: usize = 16 * 1_024;
+
 /// Result of one decoding step.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Step {
@@ -42,15 +50,18 @@
     ///
     /// # Errors
     ///
-    /// [`BodyError::Malformed`] if the bytes are not valid chunked coding.
+    /// [`BodyError::Malformed`] if the bytes are not valid chunked coding, or if the extensions
+    /// and trailers exceed their limit.
     pub fn decode(&mut self, buf: &mut BytesMut) -> Result<Step, BodyError> {
         loop {
-            match self.0 {
+            match self.state {
                 State::Size => {
                     let Some(line) = take_line(buf)? else {
                         return Ok(Step::NeedsInput);
                     };
-                    self.0 = match parse_size(&line)? {
+                    let (size, extension) = split_extension(&line);
+                    self.discard(extension.len())?;
+                    self.state = match parse_size(size)? {
                         0 => State::Trailers,
                         size => State::Data(size),
                     };
@@ -61,7 +72,8 @@
                     }
                     let len = usize::try_from(remaining).unwrap_or(usize::MAX).min(buf.len());
                     let remaining = remaining - len as u64;
-                    self.0 = if remaining == 0 { State::DataEnd } else { State::Data(remaining) };
+                    self.state =
+                        if remaining == 0 { State::DataEnd } else { State::Data(remaining) };
                     return Ok(Step::Data(buf.split_to(len).freeze()));
                 }
                 State::DataEnd => {
@@ -72,20 +84,28 @@
                         return Err(BodyError::Malformed);
                     }
                     buf.advance(CRLF.len());
-                    self.0 = State::Size;
+                    self.state = State::Size;
                 }
                 State::Trailers => {
                     let Some(line) = take_line(buf)? else {
                         return Ok(Step::NeedsInput);
                     };
                     if line.is_empty() {
-                        self.0 = State::Done;
+                        self.state = State::Done;
+                    } else {
+                        self.discard(line.len() + CRLF.len())?;
                     }
                 }
                 State::Done => return Ok(Step::Done),
             }
         }
     }
+
+    /// Counts discarded bytes against their limit.
+    fn discard(&mut self, bytes: usize) -> Result<(), BodyError> {
+        self.discarded += bytes;
+        if self.discarded > DISCARDED_BYTES_MAX { Err(BodyError::Malformed) } else { Ok(()) }
+    }
 }
 
 const CRLF: &[u8] = b"\r\n";
@@ -99,8 +119,14 @@
     Ok(Some(line))
 }
 
-fn parse_size(line: &[u8]) -> Result<u64, BodyError> {
-    let digits = line.split(|&it| it == b';').next().unwrap_or_default().trim_ascii_end();
+/// Splits a chunk-size line before the semicolon that starts its extensions.
+fn split_extension(line: &[u8]) -> (&[u8], &[u8]) {
+    let semicolon = line.iter().position(|&it| it == b';');
+    line.split_at(semicolon.unwrap_or(line.len()))
+}
+
+fn parse_size(size: &[u8]) -> Result<u64, BodyError> {
+    let digits = size.trim_ascii_end();
     let is_size =
         (1..=SIZE_DIGITS_MAX).contains(&digits.len()) && digits.iter().all(u8::is_ascii_hexdigit);
     if !is_size {
--- /dev/null
+++ b/sl-http/tests/it/endless.rs
@@ -0,0 +1,53 @@
+//! Bytes without end, as a server in trouble sends them: every reader stops at a limit.
+
+use std::time::Duration;
+
+use rstest::rstest;
+use sl_http::{Body, BodyError, Conn, Framing};
+use tokio::{
+    io::AsyncWriteExt,
+    net::{TcpListener, TcpStream},
+    time::timeout,
+};
+
+/// Bytes after which the peer stops: far more than any limit that these tests check.
+const SENT_BYTES_MAX: usize = 4 << 20;
+
+/// How long a reader may take to reach its limit, even on a busy machine.
+const READ_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// A connection whose peer sends `start`, then `repeated` over and over until the reader closes
+/// the connection, and at most [`SENT_BYTES_MAX`] bytes.
+async fn connect_to_endless(start: &'static [u8], repeated: &'static [u8]) -> Conn {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let mut peer = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+    let conn = Conn::new(listener.accept().await.unwrap().0);
+    tokio::spawn(async move {
+        let _ = peer.write_all(start).await;
+        let block = repeated.repeat(1_000);
+        let mut sent = 0;
+        while sent < SENT_BYTES_MAX && peer.write_all(&block).await.is_ok() {
+            sent += block.len();
+        }
+    });
+    conn
+}
+
+/// Guards against bytes that count towards no body size: trailers and chunk extensions without
+/// end would be read until the server stops, whatever the limit of the body.
+#[rstest]
+#[case::trailers(b"0\r\n", b"X-A: b\r\n")]
+#[case::unnamed_trailers(b"0\r\n", b"zzzzzzzz\r\n")]
+#[case::extensions(b"", b"1;extension=extension\r\nx\r\n")]
+#[case::one_extension(b"1;", b"x")]
+#[tokio::test]
+async fn discarded_parts_of_a_chunked_body_are_limited(
+    #[case] start: &'static [u8],
+    #[case] repeated: &'static [u8],
+) {
+    let mut conn = connect_to_endless(start, repeated).await;
+    let mut body = Body::new(Framing::Chunked);
+    let read = timeout(READ_TIMEOUT, body.collect(&mut conn, SENT_BYTES_MAX)).await.unwrap();
+    assert!(matches!(read, Err(BodyError::Malformed)), "{read:?}");
+    assert_eq!(body.ending(), None);
+}
--- a/sl-http/tests/it/main.rs
+++ b/sl-http/tests/it/main.rs
@@ -2,6 +2,7 @@
 
 mod body;
 mod conn;
+mod endless;
 mod framing;
 mod head;
 mod path;
