http: a connection that always has bytes lets other tasks and timeouts run

Callers saw: while a server sends without a pause, nobody else is served and no deadline of the request elapses. Cause: neither waiting for readiness nor a read that does not wait counts towards the runtime's cooperative budget, so the loop around it never yields, and a timeout is only looked at when the read inside it yields. Change: each read of Conn::fill consumes one unit of the budget. Result: the timeout of the test elapses. On the unfixed code it does not within ten times its length (the test failed: the timeout did not elapse).

--- a/sl-http/src/conn.rs
+++ b/sl-http/src/conn.rs
@@ -6,6 +6,7 @@
 use tokio::{
     io::{AsyncWriteExt, Interest},
     net::TcpStream,
+    task::coop,
 };
 
 use crate::{Head, MalformedHead};
@@ -116,6 +117,9 @@
         loop {
             // Reserves memory only after the wait: idle connections hold no buffer.
             self.stream.readable().await?;
+            // A socket that always has bytes would otherwise never let other tasks run, nor a
+            // timeout around this read elapse.
+            coop::consume_budget().await;
             self.buf.reserve(READ_BYTES);
             match self.stream.try_read_buf(&mut self.buf) {
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => self.release_buffer(),
--- a/sl-http/tests/it/endless.rs
+++ b/sl-http/tests/it/endless.rs
@@ -51,3 +51,33 @@
     assert!(matches!(read, Err(BodyError::Malformed)), "{read:?}");
     assert_eq!(body.ending(), None);
 }
+
+/// How long the reader of the next test may read. It stops by itself afterwards, because it
+/// would otherwise never end if it never yielded.
+const READ_DEADLINE: Duration = Duration::from_millis(100);
+
+/// Guards against a connection that occupies the thread for as long as its peer sends: the
+/// instance has one thread, and a timeout elapses only when the read inside it yields.
+#[tokio::test]
+async fn a_timeout_elapses_while_bytes_arrive_without_a_pause() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut peer = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    let accepted = listener.accept().unwrap().0;
+    accepted.set_nonblocking(true).unwrap();
+    let socket = accepted.try_clone().unwrap();
+    let mut conn = Conn::new(TcpStream::from_std(accepted).unwrap());
+    std::thread::spawn(move || while std::io::Write::write(&mut peer, &[0; 1 << 20]).is_ok() {});
+    let started_at = std::time::Instant::now();
+    let reading = async {
+        while started_at.elapsed() < 10 * READ_DEADLINE {
+            // Blocks the thread, so that the read never has to wait.
+            while socket.peek(&mut [0]).is_err() {
+                std::thread::sleep(Duration::from_micros(50));
+            }
+            conn.fill().await.unwrap();
+            conn.buffered().clear();
+        }
+    };
+    let read = timeout(READ_DEADLINE, reading).await;
+    assert!(read.is_err(), "the timeout did not elapse");
+}
