edge: an event of a stream is limited to 128 KB and split in linear time

Callers saw: a server that sends an event without end fills the memory of the instance, and its processor: nobody is served any more. Cause: EventSplitter buffered an incomplete event without a limit, and searched it from the start with each piece received. Change: a stream whose incomplete event exceeds EVENT_BYTES_MAX has sent an invalid response; the search goes on where it stopped.

--- a/sl-edge/src/events.rs
+++ b/sl-edge/src/events.rs
@@ -7,8 +7,15 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     partial: BytesMut,
+    /// Length of the part of `partial` in which no event ends. Searching it again with each
+    /// piece would take quadratic time.
+    searched: usize,
 }
 
+/// Size of the largest event that is relayed, in bytes. Many streams may send events without
+/// end at the same time, and an instance has little memory.
+pub const EVENT_BYTES_MAX: usize = 128 * 1_024;
+
 /// A complete event, unparsed except for its id.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RawEvent {
@@ -29,20 +36,33 @@
         !self.partial.is_empty()
     }
 
+    /// Whether the incomplete event exceeds [`EVENT_BYTES_MAX`]. Nothing more may be pushed
+    /// then.
+    pub fn is_oversized(&self) -> bool {
+        self.partial.len() > EVENT_BYTES_MAX
+    }
+
     /// Takes the next complete event, if one is buffered.
     pub fn next_event(&mut self) -> Option<RawEvent> {
-        let end = end_of_event(&self.partial)?;
+        let Some(end) = end_of_event(&self.partial, self.searched) else {
+            self.searched = self.partial.len().saturating_sub(TERMINATOR_BYTES_MAX - 1);
+            return None;
+        };
+        self.searched = 0;
         let bytes = self.partial.split_to(end).freeze();
         let id = event_id(&bytes);
         Some(RawEvent { bytes, id })
     }
 }
 
-/// The length of the first event including its terminator, if complete. Lines may end in LF or
-/// CRLF.
-fn end_of_event(bytes: &[u8]) -> Option<usize> {
+/// Length of the longest line breaks that end an event: LF, CR, LF.
+const TERMINATOR_BYTES_MAX: usize = 3;
+
+/// The length of the first event including its terminator, if complete. The terminator starts
+/// at `from` or later. Lines may end in LF or CRLF.
+fn end_of_event(bytes: &[u8], from: usize) -> Option<usize> {
     let newline = |at: usize| bytes.get(at) == Some(&b'\n');
-    for at in 0..bytes.len() {
+    for at in from..bytes.len() {
         if !newline(at) {
             continue;
         }
--- a/sl-edge/src/lib.rs
+++ b/sl-edge/src/lib.rs
@@ -36,5 +36,5 @@
 pub mod unused;
 mod wire;
 
-pub use events::{EventSplitter, RawEvent};
+pub use events::{EVENT_BYTES_MAX, EventSplitter, RawEvent};
 pub use run::{Error, run, signals};
--- a/sl-edge/src/relay.rs
+++ b/sl-edge/src/relay.rs
@@ -181,6 +181,9 @@
             self.is_head_sent = true;
         }
         loop {
+            if self.splitter.is_oversized() {
+                return Err(RelayError::Fault(Fault::InvalidResponse));
+            }
             let next = upstream.body.next(&mut upstream.pooled.conn);
             let next = tokio::select! {
                 biased;
--- a/sl-edge/tests/it/events.rs
+++ b/sl-edge/tests/it/events.rs
@@ -1,6 +1,8 @@
+use std::time::{Duration, Instant};
+
 use proptest::{prelude::*, test_runner::RngSeed};
 use rstest::rstest;
-use sl_edge::EventSplitter;
+use sl_edge::{EVENT_BYTES_MAX, EventSplitter};
 
 /// The bytes and the id of each event.
 type Events = Vec<(Vec<u8>, Option<u64>)>;
@@ -33,6 +35,32 @@
     assert_eq!((events.len(), is_partial), (1, true));
 }
 
+/// Guards against a stream that fills the memory of the instance with an event without end.
+#[test]
+fn only_an_event_above_the_size_limit_is_oversized() {
+    let mut splitter = EventSplitter::default();
+    splitter.push(&vec![b'x'; EVENT_BYTES_MAX]);
+    assert_eq!((splitter.next_event(), splitter.is_oversized()), (None, false));
+    splitter.push(b"x");
+    assert_eq!((splitter.next_event(), splitter.is_oversized()), (None, true));
+}
+
+/// Guards against a stream that occupies the processor by sending a large event in small
+/// pieces: a search from the start with each piece takes quadratic time.
+#[test]
+fn the_time_to_split_an_event_grows_with_its_size_only() {
+    let deadline = Instant::now() + Duration::from_secs(20);
+    let mut splitter = EventSplitter::default();
+    for pushed in 0..EVENT_BYTES_MAX {
+        splitter.push(b"x");
+        assert_eq!(splitter.next_event(), None);
+        assert!(Instant::now() < deadline, "only {pushed} bytes in 20 s");
+    }
+    splitter.push(b"\n\n");
+    assert_eq!(splitter.next_event().unwrap().bytes.len(), EVENT_BYTES_MAX + 2);
+    assert!(!splitter.is_partial());
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         rng_seed: RngSeed::Fixed(0x5e5a_0007),
