http: a buffer of many chunks is decoded with pauses for other tasks

Callers saw: while a server sends a large body in tiny chunks, others wait, the instance runs late and closes connections after their responses (seen in a trial of the endless streams: the second call on a connection found it closed). Cause: one read can bring thousands of chunks, which were decoded in one turn. Change: each piece of a body consumes one unit of the runtime's cooperative budget.

--- a/sl-http/src/body.rs
+++ b/sl-http/src/body.rs
@@ -3,6 +3,7 @@
 use std::io;
 
 use bytes::{Bytes, BytesMut};
+use tokio::task::coop;
 
 use crate::{
     Conn, Framing,
@@ -75,6 +76,8 @@
     /// [`BodyError`] if the body cannot be completed.
     pub async fn next(&mut self, conn: &mut Conn) -> Result<Option<Bytes>, BodyError> {
         loop {
+            // A buffer may hold thousands of chunks, which would keep other tasks waiting.
+            coop::consume_budget().await;
             if let Some(data) = self.decode(conn.buffered())? {
                 return Ok(Some(data));
             }
--- a/sl-http/tests/it/endless.rs
+++ b/sl-http/tests/it/endless.rs
@@ -81,3 +81,27 @@
     let read = timeout(READ_DEADLINE, reading).await;
     assert!(read.is_err(), "the timeout did not elapse");
 }
+
+/// Guards against a buffer of many small chunks that is decoded without a pause, while nobody
+/// else is served.
+#[tokio::test]
+async fn other_tasks_run_while_buffered_chunks_are_decoded() {
+    const CHUNKS: usize = 10_000;
+    let mut conn = connect_to_endless(b"", b"x").await;
+    conn.buffered().extend_from_slice(&b"1\r\nx\r\n".repeat(CHUNKS));
+    conn.buffered().extend_from_slice(b"0\r\n\r\n");
+    let turns = std::rc::Rc::new(std::cell::Cell::new(0));
+    let counted = turns.clone();
+    let counting = async move {
+        loop {
+            counted.set(counted.get() + 1);
+            tokio::task::yield_now().await;
+        }
+    };
+    let local = tokio::task::LocalSet::new();
+    local.spawn_local(counting);
+    let mut body = Body::new(Framing::Chunked);
+    let collected = local.run_until(body.collect(&mut conn, CHUNKS)).await.unwrap();
+    assert_eq!(collected.len(), CHUNKS);
+    assert!(turns.get() > 10, "other tasks had {} turns", turns.get());
+}
