edge: at most 16 interim responses are skipped before one response

Callers saw: a server that sends 1xx heads without end gets 504 for a request that another server could answer. Cause: interim heads were skipped until the deadline of the attempt, without a limit. Change: after 16 of them the attempt ends as an invalid response, so the request is sent again where the route allows it. The stand-in servers get faults that send heads, interim heads, bodies, events and trailers without end; on real sockets the other server answers in each case.

--- a/sl-edge/src/attempt.rs
+++ b/sl-edge/src/attempt.rs
@@ -53,6 +53,10 @@
 /// Bytes of the largest body of such a response.
 const STRAY_BYTES_MAX: usize = 1 << 20;
 
+/// Interim (1xx) responses that are skipped before one response. A server in trouble may send
+/// them without end.
+const INTERIM_RESPONSES_MAX: usize = 16;
+
 /// Sends the request to `target`, if `is_accepting` still holds once connected, and reads the
 /// head of the response. `on_response` sees the head of each response of the target to this
 /// request, also of one that turns it away.
@@ -150,7 +154,7 @@
     pooled: &mut PooledConn,
     lost_fault: Fault,
 ) -> Result<ResponseHead, Fault> {
-    loop {
+    for _ in 0..=INTERIM_RESPONSES_MAX {
         let head =
             pooled.conn.read_head::<ResponseHead>(HEAD_BYTES_MAX).await.map_err(|e| match e {
                 sl_http::HeadError::Closed | sl_http::HeadError::Io(_) => lost_fault,
@@ -161,6 +165,7 @@
             return Ok(head);
         }
     }
+    Err(Fault::InvalidResponse)
 }
 
 /// Reads and drops the body of a response to another request.
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -2,6 +2,7 @@
 //! and the store.
 
 mod callers;
+mod endless;
 mod failure;
 mod membership;
 mod notices;
