edge: a stream without a new event ends at its deadline and after 1 MB

Callers saw: a server that repeats events which the caller has, without end, kept a stream until the caller left; its instance was busy with it. Cause: the timeout around the next event elapses only during a pause of the bytes, and each piece started a new one. Change: the deadline of the next event is also looked at before each piece; a megabyte that completes no new event is an invalid response. The deadline is extended by new events only, as before.

--- a/sl-edge/src/relay.rs
+++ b/sl-edge/src/relay.rs
@@ -128,6 +128,18 @@
     pub(crate) event_gap: Option<sl_base::Millis>,
 }
 
+/// Bytes of a stream that may follow one another without a new event, for instance because they
+/// repeat events that the caller has.
+const BYTES_WITHOUT_EVENT_MAX: usize = 1 << 20;
+
+impl RelayDeadlines {
+    /// The failure of an attempt whose next event is overdue at `now`.
+    fn timeout_fault(&self, now: Timestamp) -> RelayError {
+        let is_expired = self.stream_deadline.is_due(now);
+        RelayError::Fault(if is_expired { Fault::DeadlineExceeded } else { Fault::ResponseTimeout })
+    }
+}
+
 impl StreamRelay {
     /// A stream of which nothing has been relayed yet. Without `is_chunked`, for callers that
     /// do not support chunked encoding, the end of the connection marks the end of the stream.
@@ -175,6 +187,7 @@
         self.splitter = EventSplitter::default();
         let mut next_event_deadline = deadlines.first_event_deadline;
         let mut is_first = true;
+        let mut bytes_without_event = 0;
         if !self.is_head_sent {
             self.write(clock, caller, deadlines.stream_deadline, &self.encode_head(&upstream.head))
                 .await?;
@@ -184,6 +197,11 @@
             if self.splitter.is_oversized() {
                 return Err(RelayError::Fault(Fault::InvalidResponse));
             }
+            // Bytes that complete no new event may come without a pause, and the timeout below
+            // elapses only during a pause.
+            if next_event_deadline.is_due(clock.now()) {
+                return Err(deadlines.timeout_fault(clock.now()));
+            }
             let next = upstream.body.next(&mut upstream.pooled.conn);
             let next = tokio::select! {
                 biased;
@@ -191,19 +209,21 @@
                 () = caller.closed(PIPELINED_BYTES_MAX) => return Err(RelayError::CallerDisconnected),
             };
             let Ok(next) = next else {
-                let is_expired = deadlines.stream_deadline.is_due(clock.now());
-                let fault =
-                    if is_expired { Fault::DeadlineExceeded } else { Fault::ResponseTimeout };
-                return Err(RelayError::Fault(fault));
+                return Err(deadlines.timeout_fault(clock.now()));
             };
             let Some(piece) = next.map_err(|e| RelayError::Fault(fault(&e)))? else {
                 return self.finish(clock, caller, upstream, deadlines.stream_deadline).await;
             };
             self.splitter.push(&piece);
             let complete = self.take_complete_events();
+            bytes_without_event += piece.len();
+            if complete.is_empty() && bytes_without_event > BYTES_WITHOUT_EVENT_MAX {
+                return Err(RelayError::Fault(Fault::InvalidResponse));
+            }
             if complete.is_empty() {
                 continue;
             }
+            bytes_without_event = 0;
             if std::mem::take(&mut is_first) {
                 on_first_event();
             }
--- a/tests/it/endless.rs
+++ b/tests/it/endless.rs
@@ -38,6 +38,7 @@
 #[case::interim(Fault::EndlessInterim)]
 #[case::event(Fault::EndlessBody)]
 #[case::trailers(Fault::EndlessTrailers)]
+#[case::duplicates(Fault::EndlessDuplicates)]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_resumable_stream_continues_on_the_other_server(#[case] fault: Fault) {
     let fleet = fleet(1).await;
