edge: large bodies of all responses together are limited to 16 MB

Callers saw: an instance with 120 MB whose server sends bodies without end to many callers at the same time would run out of memory, and all of its callers with it. Cause: each response could be buffered up to 8 MB, without a limit over all of them. Change: 64 KB of each body are always available; what large bodies use beyond that has a common limit, above which the response is invalid (sl-edge/src/body_memory.rs). Result: with 40 callers at a server that sends bodies, or events, without end, the instance grows by less than 73,728 KiB and serves others.

--- a/sl-edge/src/caller.rs
+++ b/sl-edge/src/caller.rs
@@ -15,7 +15,10 @@
     time::timeout,
 };
 
-use crate::{core::Core, pool::Pool, refusal::LocalResponse, unused::ConnectionTracker};
+use crate::{
+    body_memory::BodyMemory, core::Core, pool::Pool, refusal::LocalResponse,
+    unused::ConnectionTracker,
+};
 use request::Request;
 
 /// State shared by the tasks that serve callers' connections.
@@ -23,6 +26,7 @@
     pub(crate) core: Rc<Core>,
     pub(crate) pool: Pool,
     pub(crate) connections: ConnectionTracker,
+    pub(crate) body_memory: BodyMemory,
 }
 
 /// What to do with a connection after a request.
--- a/sl-edge/src/caller/exchange.rs
+++ b/sl-edge/src/caller/exchange.rs
@@ -154,7 +154,9 @@
     /// retried on another server.
     async fn relay_full(&mut self, target: &Target, mut upstream: Upstream) -> AttemptOutcome {
         let clock = self.ingress.core.clock;
-        let response = match relay::collect(clock, self.conn, &mut upstream, self.deadline).await {
+        let memory = self.ingress.body_memory.share();
+        let collecting = relay::collect(clock, self.conn, &mut upstream, self.deadline, memory);
+        let response = match collecting.await {
             Ok(response) => response,
             Err(RelayError::CallerDisconnected) => return AttemptOutcome::CallerDisconnected,
             Err(RelayError::Fault(fault)) => {
--- a/sl-edge/src/lib.rs
+++ b/sl-edge/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod attempt;
 pub mod backoff;
+pub mod body_memory;
 mod caller;
 mod catch_up;
 mod change_handler;
--- a/sl-edge/src/relay.rs
+++ b/sl-edge/src/relay.rs
@@ -6,7 +6,7 @@
 use sl_route::Fault;
 use tokio::time::timeout_at;
 
-use crate::{attempt::Upstream, clock::Clock, events::EventSplitter};
+use crate::{attempt::Upstream, body_memory::BodyShare, clock::Clock, events::EventSplitter};
 use platform::ServerResponse;
 
 /// Bytes of the largest response body that is buffered as a whole.
@@ -17,10 +17,11 @@
 pub(crate) const PIPELINED_BYTES_MAX: usize = 64 * 1_024;
 
 /// A server's response, read completely.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub(crate) struct FullResponse {
     pub(crate) head: ResponseHead,
     pub(crate) body: Bytes,
+    _memory: BodyShare,
 }
 
 /// Why a response was not relayed to its end.
@@ -37,16 +38,19 @@
     caller: &mut Conn,
     upstream: &mut Upstream,
     deadline: Timestamp,
+    mut memory: BodyShare,
 ) -> Result<FullResponse, RelayError> {
     let deadline = clock.instant(deadline);
-    let reading = upstream.body.collect(&mut upstream.pooled.conn, RESPONSE_BYTES_MAX);
+    let conn = &mut upstream.pooled.conn;
+    let reading =
+        upstream.body.collect_reserved(conn, RESPONSE_BYTES_MAX, |bytes| memory.reserve(bytes));
     let read = tokio::select! {
         biased;
         read = timeout_at(deadline, reading) => read,
         () = caller.closed(PIPELINED_BYTES_MAX) => return Err(RelayError::CallerDisconnected),
     };
     match read {
-        Ok(Ok(body)) => Ok(FullResponse { head: upstream.head.clone(), body }),
+        Ok(Ok(body)) => Ok(FullResponse { head: upstream.head.clone(), body, _memory: memory }),
         Ok(Err(BodyError::Malformed | BodyError::TooLarge)) => {
             Err(RelayError::Fault(Fault::InvalidResponse))
         }
--- a/sl-edge/src/run.rs
+++ b/sl-edge/src/run.rs
@@ -23,6 +23,7 @@
 };
 
 use crate::{
+    body_memory::BodyMemory,
     caller::{self, Ingress},
     catch_up::CatchUp,
     change_handler::ChangeHandler,
@@ -283,7 +284,8 @@
         let pool = Pool::new(self.core.metrics.clone());
         let max_callers = settings.bounds.max_descriptors as usize / CALLER_DESCRIPTORS_DIVISOR;
         let connections = ConnectionTracker::new(max_callers);
-        let ingress = Rc::new(Ingress { core: self.core.clone(), pool, connections });
+        let body_memory = BodyMemory::default();
+        let ingress = Rc::new(Ingress { core: self.core.clone(), pool, connections, body_memory });
         spawn_local(caller::accept_loop(ingress.clone(), caller_listener));
         spawn_local(async move { store.run().await });
         let (own_id, cores) = (settings.id(), settings.cores.value() as f32);
--- a/sl-edge/tests/it/main.rs
+++ b/sl-edge/tests/it/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the adapters' parts that need no network.
 
 mod backoff;
+mod body_memory;
 mod connection_share;
 mod detail;
 mod events;
--- a/sl-http/src/body.rs
+++ b/sl-http/src/body.rs
@@ -102,6 +102,22 @@
     ///
     /// [`BodyError::TooLarge`] if the rest exceeds `limit`, and the errors of [`Body::next`].
     pub async fn collect(&mut self, conn: &mut Conn, limit: usize) -> Result<Bytes, BodyError> {
+        self.collect_reserved(conn, limit, |_| true).await
+    }
+
+    /// Reads the rest of the body, at most `limit` bytes, and asks `reserve` for the memory of
+    /// each piece, whose number of bytes it gets.
+    ///
+    /// # Errors
+    ///
+    /// [`BodyError::TooLarge`] if the rest exceeds `limit` or `reserve` returns false, and the
+    /// errors of [`Body::next`].
+    pub async fn collect_reserved(
+        &mut self,
+        conn: &mut Conn,
+        limit: usize,
+        mut reserve: impl FnMut(usize) -> bool,
+    ) -> Result<Bytes, BodyError> {
         if let State::Length(length) = self.0
             && length > limit as u64
         {
@@ -109,7 +125,7 @@
         }
         let mut collected = BytesMut::new();
         while let Some(data) = self.next(conn).await? {
-            if collected.len() + data.len() > limit {
+            if collected.len() + data.len() > limit || !reserve(data.len()) {
                 return Err(BodyError::TooLarge);
             }
             collected.extend_from_slice(&data);
--- a/tests/it/endless.rs
+++ b/tests/it/endless.rs
@@ -1,7 +1,10 @@
 //! Servers in trouble send bytes without end, until the instance closes the connection.
 
+use bench::{Fleet, eventually, fleet::ANY_PORT};
+use futures::future::join_all;
 use rstest::rstest;
-use stand_ins::server::Fault;
+use sl_edge::body_memory::LARGE_BODIES_BYTES_MAX;
+use stand_ins::{Response, Server, ServerSpec, server::Fault};
 
 use crate::testbed::{call, fleet, model_call};
 
@@ -51,3 +54,61 @@
     }
     assert!(!fleet.engines().next().unwrap().executed_requests().is_empty());
 }
+
+/// Requests that are sent at the same time to the server in trouble.
+const CALLERS: usize = 40;
+
+/// Memory by which the instance may grow while it serves these requests, in KiB: twice the
+/// memory of large bodies, because buffers grow by doubling, and 1 MB for each caller, of which
+/// buffers of bodies, events and connections use less than half.
+const GROWTH_KIB_MAX: u64 = 2 * (LARGE_BODIES_BYTES_MAX as u64 / 1_024) + CALLERS as u64 * 1_024;
+
+/// Guards against an instance that runs out of memory, or serves nobody else, while a server
+/// sends bytes without end to many callers.
+#[rstest]
+#[case::body("app", "/status/7", "/chat/7")]
+#[case::event("model", "/sheet/7", "/status/7")]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_instance_bounds_its_memory_and_serves_others(
+    #[case] service: &str,
+    #[case] target: &'static str,
+    #[case] other_target: &'static str,
+) {
+    let mut fleet = fleet(1).await;
+    let sound = fleet.servers.iter().find(|it| it.spec.service == service).unwrap();
+    let spec = ServerSpec { id: "in-trouble".to_owned(), slots: CALLERS, ..sound.spec.clone() };
+    let in_trouble = Server::start(ANY_PORT, spec).await.unwrap();
+    in_trouble.set_fault(Fault::EndlessBody);
+    in_trouble.register(&fleet.store, "ready");
+    eventually("the new server is known", async || fleet.instances[0].log().contains("in-trouble"))
+        .await;
+    let memory_before = peak_memory_kib(&fleet);
+    let others = async {
+        for i in 0..4 {
+            let response = call_once(&fleet, other_target, format!("other-{i}")).await;
+            assert_eq!((response.status(), response.is_complete), (200, true));
+        }
+    };
+    let calls = (0..CALLERS).map(|i| call_once(&fleet, target, format!("m-{i}")));
+    let (_, ()) = tokio::join!(join_all(calls), others);
+    let growth = peak_memory_kib(&fleet) - memory_before;
+    assert!(growth < GROWTH_KIB_MAX, "grew by {growth} KiB of {GROWTH_KIB_MAX}");
+    assert!(!in_trouble.executed_requests().is_empty());
+    assert!(fleet.instances[0].is_running());
+}
+
+async fn call_once(fleet: &Fleet, target: &str, attempt_id: String) -> Response {
+    let call = match target.starts_with("/status") {
+        true => call("GET", target, &attempt_id),
+        false => model_call(target, &attempt_id),
+    };
+    fleet.caller(0).await.unwrap().call(&call).await.unwrap()
+}
+
+/// The largest resident memory that the process of the first instance has used, in KiB.
+fn peak_memory_kib(fleet: &Fleet) -> u64 {
+    let process_id = fleet.instances[0].process_id().unwrap();
+    let status = std::fs::read_to_string(format!("/proc/{process_id}/status")).unwrap();
+    let line = status.lines().find_map(|it| it.strip_prefix("VmHWM:")).unwrap();
+    line.trim().trim_end_matches(" kB").parse().unwrap()
+}
