tests: responses with neither a length nor chunks, on real sockets

What callers must see, each with a test: a plain response arrives whole with a length, one that is reset is not complete; a stream that ends between two events is complete; one that is reset, or ends in an event or before any, continues elsewhere or is not complete; a stray response without a length drops its connection.

--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -14,3 +14,4 @@
 mod soak;
 mod streams;
 mod testbed;
+mod unframed;
