edge: a resumed stream needs an event of its last server to end with a close

Cause: whether a close may end the stream was asked of the events of all servers, not of the server that closed. Change: a close without any new event of that server is a truncated response.

--- a/sl-edge/src/relay.rs
+++ b/sl-edge/src/relay.rs
@@ -216,7 +216,11 @@
                 return Err(deadlines.timeout_fault(clock.now()));
             };
             let Some(piece) = next.map_err(|e| RelayError::Fault(fault(&e)))? else {
-                return self.finish(clock, caller, upstream, deadlines.stream_deadline).await;
+                // Without any event of this server, a close says nothing about the stream's end.
+                if is_first && upstream.body.ending() == Some(Ending::Closed) {
+                    return Err(RelayError::Fault(Fault::TruncatedResponse));
+                }
+                return self.finish(clock, caller, deadlines.stream_deadline).await;
             };
             self.splitter.push(&piece);
             let complete = self.take_complete_events();
@@ -260,20 +264,16 @@
         complete
     }
 
-    /// Ends the stream after the last byte of `upstream`, which must be at an event boundary.
+    /// Ends the stream after the last byte of a server, which must be at an event boundary.
     async fn finish(
         &mut self,
         clock: Clock,
         caller: &mut Conn,
-        upstream: &Upstream,
         deadline: Timestamp,
     ) -> Result<(), RelayError> {
         if self.splitter.is_partial() {
             return Err(RelayError::Fault(Fault::TruncatedResponse));
         }
-        if upstream.body.ending() == Some(Ending::Closed) && !self.has_sent_events {
-            return Err(RelayError::Fault(Fault::TruncatedResponse));
-        }
         if self.is_chunked {
             self.write(clock, caller, deadline, LAST_CHUNK).await?;
         }
--- a/tests/it/unframed.rs
+++ b/tests/it/unframed.rs
@@ -118,3 +118,21 @@
     // The server handles each request until its connection is closed.
     bench::eventually("the connections are dropped", async || failing.in_flight() == 0).await;
 }
+
+/// Guards against a resumed stream that counts as complete because of the events of another
+/// server, when the server that resumes it closes the connection without any.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_resumed_stream_that_ends_before_any_further_event_is_not_complete() {
+    let fleet = fleet(1).await;
+    let mut engines = fleet.engines();
+    engines.next().unwrap().set_fault(Fault::UnframedReset);
+    engines.next().unwrap().set_fault(Fault::UnframedNoEvent);
+    let mut resumed = 0;
+    for i in 0..6 {
+        let mut caller = fleet.caller(0).await.unwrap();
+        let response = caller.call(&model_call("/sheet/7", &format!("g-{i}"))).await.unwrap();
+        assert!(!response.is_complete || response.status() != 200, "{}", response.text());
+        resumed += usize::from(fleet.execution_count(&format!("g-{i}")) == 2);
+    }
+    assert!(resumed > 0, "no stream was resumed");
+}
