edge: an engine's list of cached parts is limited to 2 MB

Callers saw: an engine that lists its cache without end takes 32 MB or more of the memory of each instance that asks. Cause: the limit of store responses held for engines too. Change: each call states its limit; a list may have 2 MB, a store response 32 MB as before.

--- a/sl-edge/src/engines.rs
+++ b/sl-edge/src/engines.rs
@@ -15,6 +15,9 @@
 /// The timeout of a request for an engine's list.
 const LIST_TIMEOUT: Millis = Millis(1_000);
 
+/// Bytes of the largest list that is accepted: room for tens of thousands of parts.
+const LIST_BYTES_MAX: usize = 2 << 20;
+
 const STATUS_OK: u16 = 200;
 
 /// Lists the cache of each engine received over `engines`, one engine at a time.
@@ -65,6 +68,7 @@
         target: platform::engine::LIST_CACHE_PATH,
         host: address,
         body: &[],
+        body_bytes_max: LIST_BYTES_MAX,
         deadline: Instant::now() + LIST_TIMEOUT.into(),
     };
     let mut conn = wire::connect(call).await?;
--- a/sl-edge/src/store.rs
+++ b/sl-edge/src/store.rs
@@ -64,6 +64,9 @@
 /// The timeout of every call other than a watch.
 pub(crate) const CALL_TIMEOUT: Millis = Millis(1_000);
 
+/// Bytes of the largest response body that is accepted.
+const RESPONSE_BYTES_MAX: usize = 32 << 20;
+
 impl StoreClient {
     pub(crate) fn new(
         core: Rc<Core>,
@@ -202,6 +205,7 @@
             target: &call.target,
             host: self.address,
             body: &call.body,
+            body_bytes_max: RESPONSE_BYTES_MAX,
             deadline: Instant::now() + timeout.into(),
         };
         let response = async {
--- a/sl-edge/src/wire.rs
+++ b/sl-edge/src/wire.rs
@@ -43,13 +43,12 @@
     pub(crate) target: &'a str,
     pub(crate) host: SocketAddr,
     pub(crate) body: &'a [u8],
+    /// Bytes of the largest response body that is accepted.
+    pub(crate) body_bytes_max: usize,
     /// Deadline for connecting and for the complete response.
     pub(crate) deadline: Instant,
 }
 
-/// Bytes of the largest response body that is accepted.
-const RESPONSE_BYTES_MAX: usize = 32 << 20;
-
 /// Bytes of the largest response head that is accepted.
 const HEAD_BYTES_MAX: usize = 16 * 1_024;
 
@@ -65,7 +64,7 @@
         conn.write(&encode(call)).await?;
         let head: ResponseHead = conn.read_head(HEAD_BYTES_MAX).await?;
         let framing = Framing::of_response(call.method.as_bytes(), &head)?;
-        let body = Body::new(framing).collect(conn, RESPONSE_BYTES_MAX).await?;
+        let body = Body::new(framing).collect(conn, call.body_bytes_max).await?;
         let is_reusable = head.keeps_alive() && framing != Framing::UntilClose;
         Ok(Response { status: head.status, headers: head.headers, body, is_reusable })
     };
--- a/tests/it/endless.rs
+++ b/tests/it/endless.rs
@@ -112,3 +112,34 @@
     let line = status.lines().find_map(|it| it.strip_prefix("VmHWM:")).unwrap();
     line.trim().trim_end_matches(" kB").parse().unwrap()
 }
+
+/// Memory by which the instance may grow while it reads a list of cached parts, in KiB.
+const LIST_GROWTH_KIB_MAX: u64 = 16 * 1_024;
+
+/// Guards against an engine whose list of cached parts fills the memory of the instance.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_list_of_cached_parts_without_end_is_given_up() {
+    let fleet = fleet(1).await;
+    let log_has = |text: &str| fleet.instances[0].log().contains(text);
+    eventually("the caches of all engines are listed", async || {
+        log_has(r#""parts":0,"server":"engine-0""#) && log_has(r#""parts":0,"server":"engine-1""#)
+    })
+    .await;
+    let memory_before = peak_memory_kib(&fleet);
+    let mut added = Vec::new();
+    // Caches are listed one after another, so the second list shows that the first has ended.
+    for (id, fault) in [("in-trouble", Fault::EndlessCacheList), ("sound", Fault::None)] {
+        let spec = fleet.engines().next().unwrap().spec.clone();
+        let server =
+            Server::start(ANY_PORT, ServerSpec { id: id.to_owned(), ..spec }).await.unwrap();
+        server.set_fault(fault);
+        server.register(&fleet.store, "ready");
+        added.push(server);
+    }
+    eventually("the cache of the sound engine is listed", async || {
+        log_has(r#""parts":0,"server":"sound""#)
+    })
+    .await;
+    let growth = peak_memory_kib(&fleet) - memory_before;
+    assert!(growth < LIST_GROWTH_KIB_MAX, "grew by {growth} KiB of {LIST_GROWTH_KIB_MAX}");
+}
