--- a/sl-edge/src/attempt.rs
+++ b/sl-edge/src/attempt.rs
@@ -52,6 +52,10 @@
 /// Bytes of the largest body of such a response.
 const STRAY_BYTES_MAX: usize = 1 << 20;
 
+/// Interim (1xx) responses that are skipped before one response. A server in trouble may send
+/// them without end.
+const INTERIM_RESPONSES_MAX: usize = 16;
+
 /// Sends the request to `target`, if `is_accepting` still holds once connected, and reads the
 /// head of the response. `on_response` sees the head of each response of the target to this
 /// request, also of one that turns it away.
@@ -159,7 +163,7 @@
     unsent: &mut &[u8],
     lost_fault: Fault,
 ) -> Result<ResponseHead, Fault> {
-    loop {
+    for _ in 0..=INTERIM_RESPONSES_MAX {
         // A response that has arrived already is read first: the server may not read on.
         if pooled.conn.buffered().is_empty() {
             let written = pooled.conn.write_until_response(unsent).await;
@@ -175,6 +179,7 @@
             return Ok(head);
         }
     }
+    Err(Fault::InvalidResponse)
 }
 
 /// Reads and drops the body of a response to another request. Whether the response has a body
--- a/sl-edge/src/lib.rs
+++ b/sl-edge/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod attempt;
 pub mod backoff;
+pub mod body_memory;
 mod caller;
 mod catch_up;
 mod change_handler;
@@ -37,5 +38,5 @@
 pub mod unused;
 mod wire;
 
-pub use events::{EventSplitter, RawEvent};
+pub use events::{EVENT_BYTES_MAX, EventSplitter, RawEvent};
 pub use run::{Error, run, signals};
--- a/sl-edge/src/relay.rs
+++ b/sl-edge/src/relay.rs
@@ -5,7 +5,7 @@
 use sl_http::{BodyError, Conn, Ending, Headers, ResponseHead};
 use sl_route::Fault;
 
-use crate::{attempt::Upstream, clock::Clock, events::EventSplitter};
+use crate::{attempt::Upstream, body_memory::BodyShare, clock::Clock, events::EventSplitter};
 use platform::ServerResponse;
 
 /// Bytes of the largest response body that is buffered as a whole.
@@ -16,10 +16,11 @@
 pub(crate) const PIPELINED_BYTES_MAX: usize = 64 * 1_024;
 
 /// A server's response, read completely.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub(crate) struct FullResponse {
     pub(crate) head: ResponseHead,
     pub(crate) body: Bytes,
+    _memory: BodyShare,
 }
 
 /// Why a response was not read to its end.
@@ -46,15 +47,18 @@
     caller: &mut Conn,
     upstream: &mut Upstream,
     deadline: Timestamp,
+    mut memory: BodyShare,
 ) -> Result<FullResponse, CollectError> {
-    let reading = upstream.body.collect(&mut upstream.pooled.conn, RESPONSE_BYTES_MAX);
+    let conn = &mut upstream.pooled.conn;
+    let reading =
+        upstream.body.collect_reserved(conn, RESPONSE_BYTES_MAX, |bytes| memory.reserve(bytes));
     let read = tokio::select! {
         biased;
         read = clock.complete_by(deadline, reading) => read,
         () = caller.closed(PIPELINED_BYTES_MAX) => return Err(CollectError::CallerDisconnected),
     };
     match read {
-        Some(Ok(body)) => Ok(FullResponse { head: upstream.head.clone(), body }),
+        Some(Ok(body)) => Ok(FullResponse { head: upstream.head.clone(), body, _memory: memory }),
         Some(Err(BodyError::Malformed | BodyError::TooLarge)) => {
             Err(CollectError::Fault(Fault::InvalidResponse))
         }
@@ -115,6 +119,8 @@
     splitter: EventSplitter,
     /// Whether the current server has sent no complete event yet.
     awaits_first_event: bool,
+    /// Bytes of the current server since its last event that was new to the caller.
+    bytes_without_event: usize,
     /// Events relayed so far.
     event_count: u32,
     /// When the first events of the stream were received.
@@ -138,6 +144,20 @@
     pub(crate) event_gap: Option<sl_base::Millis>,
 }
 
+/// Bytes of a stream that may follow one another without a new event, for instance because they
+/// repeat events that the caller has.
+const BYTES_WITHOUT_EVENT_MAX: usize = 1 << 20;
+
+impl RelayDeadlines {
+    /// Why an attempt whose next event is overdue at `now` is not relayed further.
+    fn timeout_error(&self, now: Timestamp) -> RelayError {
+        match self.stream_deadline.is_due(now) {
+            true => RelayError::Fault(Fault::DeadlineExceeded),
+            false => RelayError::Silent,
+        }
+    }
+}
+
 impl StreamRelay {
     /// A stream of which nothing has been relayed yet. Without `is_chunked`, for callers that
     /// do not support chunked encoding, the end of the connection marks the end of the stream.
@@ -154,6 +174,7 @@
             keeps_alive: keeps_alive && is_chunked,
             splitter: EventSplitter::default(),
             awaits_first_event: true,
+            bytes_without_event: 0,
             event_count: 0,
             first_event_at: None,
             last_event_at: None,
@@ -177,6 +198,7 @@
     pub(crate) fn begin_response(&mut self) {
         self.splitter = EventSplitter::default();
         self.awaits_first_event = true;
+        self.bytes_without_event = 0;
     }
 
     /// Relays the events of `upstream` until its end; calls `on_first_event` when its first event
@@ -198,15 +220,17 @@
                 () = caller.closed(PIPELINED_BYTES_MAX) => return Err(RelayError::CallerDisconnected),
             };
             let Some(next) = next else {
-                let is_expired = deadlines.stream_deadline.is_due(clock.now());
-                let expired = RelayError::Fault(Fault::DeadlineExceeded);
-                return Err(if is_expired { expired } else { RelayError::Silent });
+                return Err(deadlines.timeout_error(clock.now()));
             };
             let Some(piece) = next.map_err(|e| RelayError::Fault(fault(&e)))? else {
                 return self.finish(clock, caller, upstream, deadlines.stream_deadline).await;
             };
-            self.splitter.push(&piece);
-            let complete = self.take_complete_events();
+            let complete = self.push(&piece)?;
+            // Bytes that complete no new event may come without a pause, and the timeout above
+            // elapses only during a pause.
+            if complete.is_empty() && due.is_due(clock.now()) {
+                return Err(deadlines.timeout_error(clock.now()));
+            }
             if complete.is_empty() {
                 continue;
             }
@@ -227,6 +251,23 @@
         }
     }
 
+    /// Adds a piece of the response, and returns the complete events that the caller does not have
+    /// yet. Fails if too many bytes have completed no event; complete events are returned first,
+    /// as they count as delivered from now on.
+    fn push(&mut self, piece: &[u8]) -> Result<BytesMut, RelayError> {
+        self.splitter.push(piece);
+        let complete = self.take_complete_events();
+        if !complete.is_empty() {
+            self.bytes_without_event = 0;
+            return Ok(complete);
+        }
+        self.bytes_without_event += piece.len();
+        if self.splitter.is_oversized() || self.bytes_without_event > BYTES_WITHOUT_EVENT_MAX {
+            return Err(RelayError::Fault(Fault::InvalidResponse));
+        }
+        Ok(complete)
+    }
+
     /// Takes the complete events received so far that the caller does not have yet.
     fn take_complete_events(&mut self) -> BytesMut {
         let mut complete = BytesMut::new();
@@ -243,7 +284,7 @@
         complete
     }
 
-    /// Ends the stream after the last byte of `upstream`, which must be at an event boundary.
+    /// Ends the stream after the last byte of a server, which must be at an event boundary.
     async fn finish(
         &mut self,
         clock: Clock,
--- a/sl-http/src/body.rs
+++ b/sl-http/src/body.rs
@@ -3,6 +3,7 @@
 use std::io;
 
 use bytes::{Bytes, BytesMut};
+use tokio::task::coop;
 
 use crate::{
     Conn, Framing,
@@ -75,6 +76,8 @@
     /// [`BodyError`] if the body cannot be completed.
     pub async fn next(&mut self, conn: &mut Conn) -> Result<Option<Bytes>, BodyError> {
         loop {
+            // A buffer may hold thousands of chunks, which would keep other tasks waiting.
+            coop::consume_budget().await;
             if let Some(data) = self.decode(conn.buffered())? {
                 return Ok(Some(data));
             }
@@ -99,6 +102,22 @@
     ///
     /// [`BodyError::TooLarge`] if the rest exceeds `limit`, and the errors of [`Body::next`].
     pub async fn collect(&mut self, conn: &mut Conn, limit: usize) -> Result<Bytes, BodyError> {
+        self.collect_reserved(conn, limit, |_| true).await
+    }
+
+    /// Reads the rest of the body, at most `limit` bytes, and asks `reserve` for the memory of
+    /// each piece, whose number of bytes it gets.
+    ///
+    /// # Errors
+    ///
+    /// [`BodyError::TooLarge`] if the rest exceeds `limit` or `reserve` returns false, and the
+    /// errors of [`Body::next`].
+    pub async fn collect_reserved(
+        &mut self,
+        conn: &mut Conn,
+        limit: usize,
+        mut reserve: impl FnMut(usize) -> bool,
+    ) -> Result<Bytes, BodyError> {
         if let State::Length(length) = self.0
             && length > limit as u64
         {
@@ -106,7 +125,7 @@
         }
         let mut collected = BytesMut::new();
         while let Some(data) = self.next(conn).await? {
-            if collected.len() + data.len() > limit {
+            if collected.len() + data.len() > limit || !reserve(data.len()) {
                 return Err(BodyError::TooLarge);
             }
             collected.extend_from_slice(&data);
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -3,6 +3,7 @@
 
 mod callers;
 mod crashes;
+mod endless;
 mod failure;
 mod late_copies;
 mod membership;
@@ -16,3 +17,4 @@
 mod soak;
 mod streams;
 mod testbed;
+mod unframed;
--- a/tests/it/streams.rs
+++ b/tests/it/streams.rs
@@ -75,7 +75,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_resumed_stream_without_events_that_ends_with_its_connection_is_not_complete() {
     let fleet = fleet(1).await;
-    let faults = [Fault::TruncatesResponse, Fault::ClosesBeforeEvents];
+    let faults = [Fault::TruncatesResponse, Fault::UnframedNoEvent];
     for (engine, fault) in fleet.engines().zip(faults) {
         engine.set_fault(fault);
     }
