sl-edge: a shutdown waits for requests that are still being received

Seen: a caller that was sending a request body during a planned stop had its connection closed without an answer, as soon as no other request was in flight (after 2.85 s at the earliest), and could not know whether it may repeat the request.

Cause: only requests whose body had been read counted as in flight.

Change: `ConnectionTracker` counts requests of which a part was received, and `shut_down` waits for these too, within `stop-within-ms`. One whose body is incomplete at the end gets 503 with code 1014 (not run). Whether the connection closes after the response is decided once the body is there, not when the head arrived.

--- a/sl-edge/src/caller.rs
+++ b/sl-edge/src/caller.rs
@@ -22,7 +22,7 @@
 pub(crate) struct Ingress {
     pub(crate) core: Rc<Core>,
     pub(crate) pool: Pool,
-    pub(crate) connections: ConnectionTracker,
+    pub(crate) connections: Rc<ConnectionTracker>,
 }
 
 /// What to do with a connection after a request.
@@ -122,6 +122,7 @@
             return Err(None);
         }
     }
+    let _receiving = ingress.connections.mark_receiving();
     let read = timeout(limits.header_timeout.into(), conn.read_head(limits.max_header_bytes)).await;
     match read {
         Ok(Ok(head)) => Ok(head),
@@ -149,8 +150,14 @@
     if ingress.core.should_reject(request.team.as_deref()) {
         return Err(request.reject_for_overload(ingress));
     }
-    let body =
-        read_body(document, conn, framing, &request.head).await.map_err(LocalResponse::of)?;
+    let receiving = ingress.connections.mark_receiving();
+    let body = tokio::select! {
+        biased;
+        body = read_body(document, conn, framing, &request.head) => body,
+        () = ingress.core.termination_started() => return Err(request.reject_for_shutdown(ingress)),
+    };
+    drop(receiving);
+    let body = body.map_err(LocalResponse::of)?;
     if !ingress.core.accepts(&request.route) {
         return Err(request.reject_for_shutdown(ingress));
     }
--- a/sl-edge/src/caller/request.rs
+++ b/sl-edge/src/caller/request.rs
@@ -65,7 +65,7 @@
         let service = ingress.core.with_state(|it| it.draw_service(&route.services));
         let service = service.ok_or(Code::NoServer)?;
         let max_connections = ingress.core.with_state(|it| it.connections_max(service));
-        let keeps_alive = head.keeps_alive() && !ingress.core.is_shedding();
+        let keeps_alive = head.keeps_alive();
         let arrived_at = ingress.core.now();
         Ok(Request {
             head,
@@ -100,7 +100,14 @@
     }
 
     /// Runs the request and responds to it.
-    pub(super) async fn run(self, ingress: &Ingress, conn: &mut Conn, body: Bytes) -> Disposition {
+    pub(super) async fn run(
+        mut self,
+        ingress: &Ingress,
+        conn: &mut Conn,
+        body: Bytes,
+    ) -> Disposition {
+        // Not decided earlier: a shutdown may have started while the body was received.
+        self.keeps_alive &= !ingress.core.is_shedding();
         let guard = ingress.core.register_request();
         let arrival = self.arrival(&guard, &body);
         self.log_admitted(ingress, &guard, &arrival);
--- a/sl-edge/src/run.rs
+++ b/sl-edge/src/run.rs
@@ -151,6 +151,7 @@
     spawn_local(reload::watch(components.core.clone(), settings, hangups, reload_settings));
     wait_for_shutdown(
         components.core.clone(),
+        &components.connections,
         membership,
         signals,
         shutdown_requests,
@@ -179,6 +180,7 @@
     /// Writes the log; dropped last, so that it flushes the remaining lines.
     log_writer: LogWriter,
     core: Rc<Core>,
+    connections: Rc<ConnectionTracker>,
     store: Rc<StoreClient>,
     peer_table: Rc<PeerTable>,
     links: Links,
@@ -196,6 +198,8 @@
         let platform = platform.map_err(|_| Error::Platform(base.clone()))?;
         let (log, log_writer) = log::logger(settings.log, &settings.name);
         let state = State::new(options(settings)?, Clock.now());
+        let max_callers = settings.bounds.max_descriptors as usize / CALLER_DESCRIPTORS_DIVISOR;
+        let connections = Rc::new(ConnectionTracker::new(max_callers));
         let recorder = SharedRecorder::new(&settings.name);
         let (cache_list_tx, cache_list_rx) = mpsc::unbounded_channel();
         let core = Rc::new(Core::new(state, log, Metrics::default(), recorder, cache_list_tx));
@@ -214,6 +218,7 @@
         Ok(Components {
             log_writer,
             core,
+            connections,
             store,
             peer_table,
             links,
@@ -281,8 +286,7 @@
         let membership =
             Rc::new(Membership::new(core, store.clone(), settings.name.clone(), addresses));
         let pool = Pool::new(self.core.metrics.clone());
-        let max_callers = settings.bounds.max_descriptors as usize / CALLER_DESCRIPTORS_DIVISOR;
-        let connections = ConnectionTracker::new(max_callers);
+        let connections = self.connections.clone();
         let ingress = Rc::new(Ingress { core: self.core.clone(), pool, connections });
         spawn_local(caller::accept_loop(ingress.clone(), caller_listener));
         spawn_local(async move { store.run().await });
@@ -323,6 +327,7 @@
 /// received meanwhile aborts the shutdown.
 async fn wait_for_shutdown(
     core: Rc<Core>,
+    connections: &ConnectionTracker,
     membership: Rc<Membership>,
     signals: impl Stream<Item = ()>,
     mut shutdown_requests: mpsc::Receiver<Option<Millis>>,
@@ -336,13 +341,12 @@
         },
         Some(requested) = shutdown_requests.recv() => requested.unwrap_or(drain_timeout),
     };
-    let log = core.log.clone();
     // The store entry is removed at once, so that peers see the removal while requests in
     // flight are completed.
     spawn_local(async move { membership.deregister().await });
     tokio::select! {
-        () = stop::shut_down(core, drain_timeout) => {}
-        Some(()) = signals.next() => warn!(log, "graceful shutdown aborted by a signal"),
+        () = stop::shut_down(&core, connections, drain_timeout) => {}
+        Some(()) = signals.next() => warn!(core.log, "graceful shutdown aborted by a signal"),
     }
 }
 
--- a/sl-edge/src/unused.rs
+++ b/sl-edge/src/unused.rs
@@ -12,10 +12,12 @@
 
 use tokio::sync::Notify;
 
-/// Counts open connections and orders the idle ones by how long they have been idle.
+/// Counts open connections and the requests that are being received on them, and orders the
+/// idle connections by how long they have been idle.
 pub struct ConnectionTracker {
     max_open: usize,
     open: Cell<usize>,
+    receiving: Cell<usize>,
     /// The number given to the latest idle period; numbers increase with time.
     last_number: Cell<u64>,
     /// Wakes each idle connection for its eviction, longest idle first.
@@ -25,6 +27,9 @@
 /// Counts a connection as open until dropped.
 pub struct OpenGuard<'a>(&'a ConnectionTracker);
 
+/// Counts a request as being received until dropped.
+pub struct ReceivingGuard<'a>(&'a ConnectionTracker);
+
 /// Marks a connection as idle until dropped.
 pub struct IdleGuard<'a> {
     tracker: &'a ConnectionTracker,
@@ -36,7 +41,13 @@
     /// A tracker that evicts idle connections when more than `max_open` are open.
     pub fn new(max_open: usize) -> ConnectionTracker {
         let idle = RefCell::default();
-        ConnectionTracker { max_open, open: Cell::new(0), last_number: Cell::new(0), idle }
+        ConnectionTracker {
+            max_open,
+            open: Cell::new(0),
+            receiving: Cell::new(0),
+            last_number: Cell::new(0),
+            idle,
+        }
     }
 
     /// Counts a new connection and evicts the longest idle one if too many are open.
@@ -59,6 +70,17 @@
         IdleGuard { tracker: self, number, evict }
     }
 
+    /// Counts a request as being received from now on.
+    pub fn mark_receiving(&self) -> ReceivingGuard<'_> {
+        self.receiving.set(self.receiving.get() + 1);
+        ReceivingGuard(self)
+    }
+
+    /// The number of requests of which a part was received.
+    pub fn receiving_count(&self) -> usize {
+        self.receiving.get()
+    }
+
     /// The number of open connections.
     pub fn open_count(&self) -> usize {
         self.open.get()
@@ -78,6 +100,12 @@
     }
 }
 
+impl Drop for ReceivingGuard<'_> {
+    fn drop(&mut self) {
+        self.0.receiving.set(self.0.receiving.get() - 1);
+    }
+}
+
 impl Drop for IdleGuard<'_> {
     fn drop(&mut self) {
         self.tracker.idle.borrow_mut().remove(&self.number);
--- a/tests/it/shutdown.rs
+++ b/tests/it/shutdown.rs
@@ -4,7 +4,7 @@
 
 use bench::{eventually, fleet::is_ready};
 use nix::sys::signal::Signal;
-use stand_ins::server::Fault;
+use stand_ins::{Call, document, server::Fault};
 
 use crate::testbed::{call, fleet, model_call};
 
@@ -82,3 +82,55 @@
         futures::future::join_all(callers).await.into_iter().flatten().collect();
     assert_eq!(unanswered, Vec::<String>::new());
 }
+
+/// Adds the route `/upload/`, whose requests may take longer than a shutdown without requests.
+async fn add_upload_route(fleet: &bench::Fleet) {
+    let mut config = document::standard(2);
+    let route = document::route("upload", "non_idempotent", "app", 1, 8_000);
+    config["routes"].as_array_mut().unwrap().push(route);
+    fleet.store.put(document::CONFIG_KEY, &config);
+    eventually("the new route is served", async || {
+        let mut caller = fleet.caller(0).await.unwrap();
+        caller.call(&call("POST", "/upload/7", "probe")).await.unwrap().status() == 200
+    })
+    .await;
+}
+
+/// The start of a request with a body of ten bytes, five of which are missing.
+fn half_request(attempt_id: &str) -> Vec<u8> {
+    let whole = Call { body: "0123456789".into(), ..call("POST", "/upload/7", attempt_id) };
+    let mut bytes = whole.to_bytes();
+    bytes.truncate(bytes.len() - 5);
+    bytes
+}
+
+// A request whose body was still being received did not count as in flight, so the instance
+// exited while the caller was sending it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_with_a_slow_body_is_served_during_a_shutdown() {
+    let mut fleet = fleet(1).await;
+    add_upload_route(&fleet).await;
+    let mut caller = fleet.caller(0).await.unwrap();
+    caller.send(&half_request("slow")).await.unwrap();
+    fleet.instances[0].signal(Signal::SIGTERM);
+    // Longer than a shutdown takes without requests.
+    tokio::time::sleep(Duration::from_millis(3_500)).await;
+    caller.send(b"56789").await.unwrap();
+    let response = caller.read_response("POST").await.unwrap();
+    assert_eq!((response.status(), response.header("connection")), (200, Some("close")));
+    let exit_status = fleet.instances[0].wait_for_exit(Duration::from_secs(5)).await.unwrap();
+    assert!(exit_status.success());
+}
+
+// Without an answer, the caller does not know whether it may repeat the request.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_whose_body_stays_incomplete_is_refused_before_the_exit() {
+    let fleet = fleet(1).await;
+    add_upload_route(&fleet).await;
+    let mut caller = fleet.caller(0).await.unwrap();
+    caller.send(&half_request("incomplete")).await.unwrap();
+    fleet.instances[0].signal(Signal::SIGTERM);
+    let response = caller.read_response("POST").await.unwrap();
+    assert_eq!((response.status(), response.header("x-sesamelock-code")), (503, Some("1014")));
+    assert_eq!(fleet.execution_count("incomplete"), 0);
+}
