sl-edge: a shutdown closes idle connections when the balancer has noticed it, not at once

Cause: connections that were idle at that moment were closed at once, while a request may be in transit on them.

--- a/sl-edge/src/caller.rs
+++ b/sl-edge/src/caller.rs
@@ -94,9 +94,10 @@
 }
 
 /// Reads the next request head; `Err(None)` if the connection is to be closed without a
-/// response. During a graceful shutdown, idle connections that have served a request are
-/// closed; new ones still wait for their first request, as the balancer opens connections
-/// until it notices that the instance is not ready.
+/// response. Late in a graceful shutdown, idle connections that have served a request are closed.
+/// Before, they are open for their next request, which may be in transit already; new ones still
+/// wait for their first request, as the balancer opens connections until it notices that the
+/// instance is not ready.
 async fn read_head(
     ingress: &Ingress,
     conn: &mut Conn,
@@ -110,7 +111,7 @@
         let first = tokio::select! {
             biased;
             first = timeout(limits.idle_timeout.into(), conn.fill()) => first,
-            () = core.shutdown_started(), if is_reused => return Err(None),
+            () = core.idle_close_started(), if is_reused => return Err(None),
             () = idle.evicted() => {
                 slog::debug!(core.log, "idle connection closed";
                     "reason" => "connection limit reached",
--- a/sl-edge/src/core.rs
+++ b/sl-edge/src/core.rs
@@ -85,9 +85,10 @@
 pub(crate) enum ShutdownPhase {
     /// No shutdown is in progress.
     Serving,
-    /// Reused idle connections are closed; the others are closed after their request.
+    /// Connections are closed after their next response.
     Stopping,
-    /// Streaming requests are rejected, too, as they may outlast this instance.
+    /// Idle connections are closed, too, unless they wait for their first request. Streaming
+    /// requests are rejected, as they may outlast this instance.
     RefusingStreams,
     /// Every request is rejected and the process is about to exit.
     Terminating,
@@ -260,10 +261,10 @@
         self.load_shedder.get().is_lagging()
     }
 
-    /// Waits until a graceful shutdown starts.
-    pub(crate) async fn shutdown_started(&self) {
+    /// Waits until a graceful shutdown closes idle connections.
+    pub(crate) async fn idle_close_started(&self) {
         // Cannot fail: the sender lives as long as the core.
-        let _ = self.phase.subscribe().wait_for(|it| *it > ShutdownPhase::Serving).await;
+        let _ = self.phase.subscribe().wait_for(|it| *it > ShutdownPhase::Stopping).await;
     }
 
     /// Waits until no further connections are to be accepted.
--- a/tests/it/shutdown.rs
+++ b/tests/it/shutdown.rs
@@ -134,3 +134,46 @@
     assert_eq!((response.status(), response.header("x-sesamelock-code")), (503, Some("1014")));
     assert_eq!(fleet.execution_count("incomplete"), 0);
 }
+
+/// Time between a response and the next request on the same connection.
+const PAUSE: Duration = Duration::from_millis(5);
+
+/// Sends requests on one connection after the other until connecting fails. Returns the attempt
+/// ids of the requests that got no response, though others were answered on their connection
+/// and it was open when they were sent.
+async fn unanswered_in_use(fleet: &bench::Fleet, caller_number: usize) -> Vec<String> {
+    let mut unanswered = Vec::new();
+    for connection in 0.. {
+        let Ok(mut caller) = fleet.caller(0).await else {
+            break;
+        };
+        for i in 0.. {
+            let attempt_id = format!("use-{caller_number}-{connection}-{i}");
+            match caller.call(&call("POST", "/book/7", &attempt_id)).await {
+                Ok(response) if response.header("connection") == Some("close") => break,
+                Ok(_) => tokio::time::sleep(PAUSE).await,
+                Err(_) if i == 0 => break,
+                Err(_) => unanswered.push(attempt_id),
+            }
+            if !caller.is_idle() {
+                break;
+            }
+        }
+    }
+    unanswered
+}
+
+// Connections that were idle for the few milliseconds between two requests were closed at once,
+// while their next request was in transit.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_on_connections_in_use_are_answered_during_a_shutdown() {
+    let fleet = fleet(1).await;
+    let callers = (0..64).map(|caller_number| unanswered_in_use(&fleet, caller_number));
+    let stop = async {
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        fleet.instances[0].signal(Signal::SIGTERM);
+    };
+    let (unanswered, ()) = tokio::join!(futures::future::join_all(callers), stop);
+    let unanswered: Vec<String> = unanswered.into_iter().flatten().collect();
+    assert_eq!(unanswered, Vec::<String>::new());
+}
