sl-edge: a listing of the store whose pages do not advance ends with an error

Seen, with a store that answers each page of a listing with the same one: the instance never ended the listing, called the store without a pause (96 calls in 2 s) and kept the entries of all pages in memory, without a bound.

Cause: `list` went on as long as a page said that there are more, whatever its last key was. A page without entries that said so ended the listing as if it were complete, which removes all entries that it lacks.

Change: such a page is `FollowError::PageRepeated`. The store then counts as unavailable, and is asked again with backoff.

The page without entries was not run.

--- a/sl-edge/src/store/follow.rs
+++ b/sl-edge/src/store/follow.rs
@@ -31,6 +31,9 @@
     /// to be listed again.
     #[error("the store was restored from an older copy")]
     EraChanged,
+    /// A page of a listing does not end after the page before, though there are more.
+    #[error("the store's listing does not advance")]
+    PageRepeated,
     /// The body of a response could not be decoded.
     #[error("{0}")]
     Malformed(#[from] Malformed),
@@ -142,9 +145,14 @@
             // Pages are read at different revisions. The watch starts from the first page's,
             // so it delivers the changes made while later pages were read.
             revision.get_or_insert(page.revision);
-            after = page.items.last().map(|it| it.key.clone());
+            let last = page.items.last().map(|it| it.key.clone());
+            // Otherwise the same pages would come again and again.
+            if page.has_more && last <= after {
+                return Err(FollowError::PageRepeated);
+            }
+            after = last;
             items.extend(page.items.into_iter().filter_map(to_mirror_item));
-            if !page.has_more || after.is_none() {
+            if !page.has_more {
                 break;
             }
         }
--- a/tests/it/membership.rs
+++ b/tests/it/membership.rs
@@ -208,6 +208,31 @@
     assert_eq!(removed_server.executed_requests().len(), before);
 }
 
+// A listing of which the same page comes again and again never ended: the instance called the
+// store without a pause and kept all pages in memory.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_listing_whose_pages_do_not_advance_is_ended() {
+    let fleet = fleet(1).await;
+    fleet.store.set_fault(Fault::RepeatsPages);
+    // The instance lists all entries anew.
+    fleet.store.restore(fleet.store.backup());
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let before = fleet.store.call_count();
+    tokio::time::sleep(Duration::from_millis(2_000)).await;
+    let calls = fleet.store.call_count() - before;
+    assert!(calls <= 30, "{calls} calls in 2 s");
+    let mut caller = fleet.caller(0).await.unwrap();
+    assert_eq!(caller.call(&call("GET", "/status/7", "during")).await.unwrap().status(), 200);
+    fleet.store.set_fault(Fault::None);
+    let mut config = document::standard(2);
+    config["tenants"][0]["api_keys"] = serde_json::json!([]);
+    fleet.store.put(document::CONFIG_KEY, &config);
+    eventually("the listing is applied", async || {
+        caller.call(&call("GET", "/status/7", "after")).await.unwrap().status() == 401
+    })
+    .await;
+}
+
 /// Guards against a large fleet that calls a store which rejects it as often as before: all calls
 /// count against the store's limits and cost, rejected ones too. After the leases are gone, each
 /// instance tried to register twice a second.
