sl-route: the weights of a route's services may be as large as 32 bits allow

Seen, with a configuration that splits a route by weights whose sum exceeds 32 bits: each request of the route had its connection closed without a response (debug build). In a release build, which does not check, the sum wraps; by reading, the first service then gets all requests.

Cause: `draw_service` summed the weights as `u32`.

Change: as `u64`.

--- a/sl-route/src/state.rs
+++ b/sl-route/src/state.rs
@@ -222,12 +222,13 @@
 
     /// Draws one of a route's services at random, in proportion to the weights.
     pub fn draw_service(&mut self, services: &[(ServiceId, u32)]) -> Option<ServiceId> {
-        let total_weight: u32 = services.iter().map(|it| it.1).sum();
+        let total_weight: u64 = services.iter().map(|it| u64::from(it.1)).sum();
         if total_weight == 0 {
             return services.first().map(|it| it.0);
         }
         let mut drawn = self.rng.random_range(0..total_weight);
         for &(service, weight) in services {
+            let weight = u64::from(weight);
             if drawn < weight {
                 return Some(service);
             }
--- a/sl-route/tests/it/main.rs
+++ b/sl-route/tests/it/main.rs
@@ -13,6 +13,7 @@
 mod restore;
 mod retry;
 mod share;
+mod split;
 mod strikes;
 mod testbed;
 mod views;
--- a/tests/it/failure.rs
+++ b/tests/it/failure.rs
@@ -76,6 +76,24 @@
     assert_eq!(caller.call(&call("GET", "/status/7", "after")).await.unwrap().status(), 200);
 }
 
+// The sum of the weights of a route's services overflowed, which ended the connection of each
+// request of the route without a response (debug build).
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_are_served_if_the_weights_of_their_services_are_the_largest() {
+    let fleet = fleet(1).await;
+    let mut config = document::standard(2);
+    let share = serde_json::json!({"service": "app", "weight": u32::MAX});
+    config["routes"][0]["traffic_split"] = serde_json::json!([share, share]);
+    fleet.store.put(document::CONFIG_KEY, &config);
+    // Ample time to apply a configuration.
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let mut caller = fleet.caller(0).await.unwrap();
+    for i in 0..8 {
+        let response = caller.call(&call("GET", "/status/7", &format!("w-{i}"))).await.unwrap();
+        assert_eq!(response.status(), 200);
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_are_served_while_the_log_output_is_not_read() {
     use std::process::{Command, Stdio};
