--- a/tests/it/callers.rs
+++ b/tests/it/callers.rs
@@ -1,7 +1,7 @@
 //! Callers that disconnect, and callers that reuse their connections.
 
 use bench::eventually;
-use stand_ins::{Server, document, server::Fault};
+use stand_ins::{Call, Server, document, server::Fault};
 
 use crate::testbed::{call, fleet, model_call};
 
@@ -54,3 +54,18 @@
         assert_eq!((response.status(), response.header("x-attempt-id")), (200, Some(attempt_id)));
     }
 }
+
+// The sizes that a caller states for the parts of its prompt are added up. A sum over 32 bits ended
+// the connection without a response (debug build).
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_is_served_whatever_sizes_its_prompt_parts_state() {
+    let fleet = fleet(1).await;
+    let mut caller = fleet.caller(0).await.unwrap();
+    let parts =
+        ["a1:1000,b2:400", "a1:4294967295,b2:4294967295", "c3:4294967295", "a1:1000,b2:400"];
+    for (i, parts) in parts.into_iter().enumerate() {
+        let request = model_call("/chat/7", &format!("size-{i}"));
+        let request = Call { prompt: Some((1_400, 60, parts.to_owned())), ..request };
+        assert_eq!(caller.call(&request).await.unwrap().status(), 200);
+    }
+}
