sl-edge: a store whose history cannot be watched is listed with backoff

Seen, with a store that answers each watch with 410 (history compacted): 419 calls in 2 s from one instance, all of them charged, as long as that lasts.

Cause: after 410 the listing was repeated at once, and each listing reset the backoff.

Change: the delay applies after 410, too, from 50 ms on, and only a watch that succeeds resets it.

Result: `a_listing_that_leads_nowhere_is_repeated_with_backoff` (the former test of pages that do not advance, with the same bound and a second case) passes; on the unfixed code the second case fails with 419 calls instead of 30 at most. `membership` 18 of 18, `restore` 4 of 4.

--- a/sl-edge/src/store/follow.rs
+++ b/sl-edge/src/store/follow.rs
@@ -87,7 +87,6 @@
                 FollowError::HistoryCompacted => {
                     info!(self.core.log, "store history compacted, listing all entries again");
                     is_listed = false;
-                    continue;
                 }
                 // The next listing may be of the former era still, so the delay applies.
                 FollowError::EraChanged => is_listed = false,
@@ -111,8 +110,11 @@
             if let Err(e) = read {
                 return e;
             }
+            // Not after a listing: the store may have no history after it that can be watched.
+            if *is_listed {
+                backoff.reset();
+            }
             *is_listed = true;
-            backoff.reset();
         }
     }
 
--- a/tests/it/membership.rs
+++ b/tests/it/membership.rs
@@ -208,15 +208,19 @@
     assert_eq!(removed_server.executed_requests().len(), before);
 }
 
-// A listing of which the same page comes again and again never ended: the instance called the
-// store without a pause and kept all pages in memory.
+// A listing of which the same page comes again and again never ended, and one after which the
+// history of the store does not reach back far enough was repeated at once: the instance called the
+// store without a pause, in the first case keeping all pages in memory.
+#[rstest]
+#[case::pages_do_not_advance(Fault::RepeatsPages)]
+#[case::history_is_forgotten(Fault::ForgetsHistory)]
 #[tokio::test(flavor = "multi_thread")]
-async fn a_listing_whose_pages_do_not_advance_is_ended() {
+async fn a_listing_that_leads_nowhere_is_repeated_with_backoff(#[case] fault: Fault) {
     let fleet = fleet(1).await;
-    fleet.store.set_fault(Fault::RepeatsPages);
+    fleet.store.set_fault(fault);
     // The instance lists all entries anew.
     fleet.store.restore(fleet.store.backup());
-    tokio::time::sleep(Duration::from_millis(500)).await;
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
     let before = fleet.store.call_count();
     tokio::time::sleep(Duration::from_millis(2_000)).await;
     let calls = fleet.store.call_count() - before;
