tests: pipelined requests during a shutdown

A second request in the buffer of the instance at SIGTERM is served, with the close announced; one behind a response that announced the close is not executed.

--- a/tests/it/shutdown.rs
+++ b/tests/it/shutdown.rs
@@ -177,3 +177,36 @@
     let unanswered: Vec<String> = unanswered.into_iter().flatten().collect();
     assert_eq!(unanswered, Vec::<String>::new());
 }
+
+// The second of two requests that a caller sends without waiting is in the buffer of the instance
+// while the first is served, when the shutdown starts.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_pipelined_request_is_served_during_a_shutdown() {
+    let fleet = fleet(1).await;
+    let mut caller = fleet.caller(0).await.unwrap();
+    let mut both = model_call("/chat/7", "first").to_bytes();
+    both.extend_from_slice(&call("GET", "/status/7", "second").to_bytes());
+    caller.send(&both).await.unwrap();
+    eventually("the first is executed", async || fleet.execution_count("first") == 1).await;
+    fleet.instances[0].signal(Signal::SIGTERM);
+    let first = caller.read_response("POST").await.unwrap();
+    assert_eq!((first.status(), first.is_complete), (200, true));
+    let second = caller.read_response("GET").await.unwrap();
+    assert_eq!((second.status(), second.header("connection")), (200, Some("close")));
+}
+
+// A request behind a response that announces the close is not answered, so it must not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_behind_the_last_response_of_a_connection_is_not_executed() {
+    let fleet = fleet(1).await;
+    fleet.instances[0].signal(Signal::SIGTERM);
+    eventually("the instance is not ready", async || !is_ready(&fleet.instances[0]).await).await;
+    let mut caller = fleet.caller(0).await.unwrap();
+    let mut both = call("POST", "/book/7", "first").to_bytes();
+    both.extend_from_slice(&call("POST", "/book/7", "second").to_bytes());
+    caller.send(&both).await.unwrap();
+    let first = caller.read_response("POST").await.unwrap();
+    assert_eq!((first.status(), first.header("connection")), (200, Some("close")));
+    caller.closed().await;
+    assert_eq!((fleet.execution_count("first"), fleet.execution_count("second")), (1, 0));
+}
