--- a/tests/it/failure.rs
+++ b/tests/it/failure.rs
@@ -94,6 +94,37 @@
     }
 }
 
+// A multiple of a duration overflowed, which ended the connection of a request without a response
+// (debug build).
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_are_served_if_durations_of_the_configuration_are_enormous() {
+    const ENORMOUS_MS: f64 = 1e300;
+    let fleet = fleet(1).await;
+    let mut config = document::standard(2);
+    for route in config["routes"].as_array_mut().unwrap() {
+        for name in ["timeout_ms", "target_latency_ms", "target_gap_ms"] {
+            route[name] = ENORMOUS_MS.into();
+        }
+    }
+    for name in ["header_timeout_ms", "idle_timeout_ms"] {
+        config["limits"][name] = ENORMOUS_MS.into();
+    }
+    fleet.store.put(document::CONFIG_KEY, &config);
+    // Ample time to apply a configuration.
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let requests = [
+        call("GET", "/status/7", "d-1"),
+        call("POST", "/book/7", "d-2"),
+        model_call("/chat/7", "d-3"),
+        model_call("/sheet/7", "d-4"),
+    ];
+    let mut caller = fleet.caller(0).await.unwrap();
+    for request in requests {
+        let response = caller.call(&request).await.unwrap();
+        assert_eq!((response.status(), response.is_complete), (200, true), "{request:?}");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_are_served_while_the_log_output_is_not_read() {
     use std::process::{Command, Stdio};
