--- a/sl-edge/src/caller.rs
+++ b/sl-edge/src/caller.rs
@@ -25,7 +25,7 @@
 pub(crate) struct Ingress {
     pub(crate) core: Rc<Core>,
     pub(crate) pool: Pool,
-    pub(crate) connections: ConnectionTracker,
+    pub(crate) connections: Rc<ConnectionTracker>,
     pub(crate) body_memory: BodyMemory,
 }
 
@@ -98,9 +98,10 @@
 }
 
 /// Reads the next request head; `Err(None)` if the connection is to be closed without a
-/// response. During a graceful shutdown, idle connections that have served a request are
-/// closed; new ones still wait for their first request, as the balancer opens connections
-/// until it notices that the instance is not ready.
+/// response. Late in a graceful shutdown, idle connections that have served a request are closed.
+/// Before, they are open for their next request, which may be in transit already; new ones still
+/// wait for their first request, as the balancer opens connections until it notices that the
+/// instance is not ready.
 async fn read_head(
     ingress: &Ingress,
     conn: &mut Conn,
@@ -114,7 +115,7 @@
         let first = tokio::select! {
             biased;
             first = timeout(limits.idle_timeout.into(), conn.fill()) => first,
-            () = core.shutdown_started(), if is_reused => return Err(None),
+            () = core.idle_close_started(), if is_reused => return Err(None),
             () = idle.evicted() => {
                 slog::debug!(core.log, "idle connection closed";
                     "reason" => "connection limit reached",
@@ -126,6 +127,7 @@
             return Err(None);
         }
     }
+    let _receiving = ingress.connections.mark_receiving();
     let read = timeout(limits.header_timeout.into(), conn.read_head(limits.max_header_bytes)).await;
     match read {
         Ok(Ok(head)) => Ok(head),
@@ -153,8 +155,14 @@
     if ingress.core.should_reject(request.team.as_deref()) {
         return Err(request.reject_for_overload(ingress));
     }
-    let body =
-        read_body(document, conn, framing, &request.head).await.map_err(LocalResponse::of)?;
+    let receiving = ingress.connections.mark_receiving();
+    let body = tokio::select! {
+        biased;
+        body = read_body(document, conn, framing, &request.head) => body,
+        () = ingress.core.termination_started() => return Err(request.reject_for_shutdown(ingress)),
+    };
+    drop(receiving);
+    let body = body.map_err(LocalResponse::of)?;
     if !ingress.core.accepts(&request.route) {
         return Err(request.reject_for_shutdown(ingress));
     }
--- a/sl-edge/src/store/follow.rs
+++ b/sl-edge/src/store/follow.rs
@@ -31,6 +31,9 @@
     /// to be listed again.
     #[error("the store was restored from an older copy")]
     EraChanged,
+    /// A page of a listing does not end after the page before, though there are more.
+    #[error("the store's listing does not advance")]
+    PageRepeated,
     /// The body of a response could not be decoded.
     #[error("{0}")]
     Malformed(#[from] Malformed),
@@ -84,7 +87,6 @@
                 FollowError::HistoryCompacted => {
                     info!(self.core.log, "store history compacted, listing all entries again");
                     is_listed = false;
-                    continue;
                 }
                 // The next listing may be of the former era still, so the delay applies.
                 FollowError::EraChanged => is_listed = false,
@@ -108,8 +110,11 @@
             if let Err(e) = read {
                 return e;
             }
+            // Not after a listing: the store may have no history after it that can be watched.
+            if *is_listed {
+                backoff.reset();
+            }
             *is_listed = true;
-            backoff.reset();
         }
     }
 
@@ -142,9 +147,14 @@
             // Pages are read at different revisions. The watch starts from the first page's,
             // so it delivers the changes made while later pages were read.
             revision.get_or_insert(page.revision);
-            after = page.items.last().map(|it| it.key.clone());
+            let last = page.items.last().map(|it| it.key.clone());
+            // Otherwise the same pages would come again and again.
+            if page.has_more && last <= after {
+                return Err(FollowError::PageRepeated);
+            }
+            after = last;
             items.extend(page.items.into_iter().filter_map(to_mirror_item));
-            if !page.has_more || after.is_none() {
+            if !page.has_more {
                 break;
             }
         }
--- a/sl-route/tests/it/main.rs
+++ b/sl-route/tests/it/main.rs
@@ -17,6 +17,7 @@
 mod retry;
 mod share;
 mod silence;
+mod split;
 mod strikes;
 mod testbed;
 mod views;
