sl-route: a request that no other server takes over returns to the silent one

What callers saw: a stream whose server is silent for 2 s and would go on is cut off, because the server that it moves to rejects it as not run, or cannot be reached. Cause: the choice of another server does not prove that it takes the request, and the silent one was excluded as tried. Change: when an attempt after a move ends as not run and no further server may be tried, the request is sent to the silent server again, once, within the retry budget; it has been sent there already, so the servers that it is sent to stay within the route's limit.

--- a/sl-route/src/request.rs
+++ b/sl-route/src/request.rs
@@ -11,6 +11,8 @@
     pub arrival: Arrival,
     /// The servers to which the request was sent, the latest one last.
     pub tried: Vec<ServerKey>,
+    /// The server that was silent when the request last moved to another one.
+    pub silent_server: Option<ServerKey>,
     /// The number of attempts, not counting those that failed to connect.
     pub attempts: u32,
     /// Whether an earlier attempt may have been run by a server.
@@ -52,6 +54,7 @@
         InFlightRequest {
             arrival,
             tried: Vec::new(),
+            silent_server: None,
             attempts: 0,
             may_have_run: false,
             current: None,
--- a/sl-route/src/state/admit.rs
+++ b/sl-route/src/state/admit.rs
@@ -109,15 +109,24 @@
     ) -> Result<place::Placement, PlacementError> {
         let keys = self.pools.get(&in_flight.arrival.service).ok_or(PlacementError::NoServer)?;
         let servers = keys.iter().filter_map(|it| self.servers.get(it));
-        let required = Requirements {
+        place::choose(now, servers, self.requirements(now, in_flight, limits))
+    }
+
+    /// What a request requires of a server that it was not sent to before.
+    pub(super) fn requirements<'a>(
+        &'a self,
+        now: Timestamp,
+        in_flight: &'a InFlightRequest,
+        limits: AdmissionLimits,
+    ) -> Requirements<'a> {
+        Requirements {
             prompt: in_flight.arrival.prompt.as_ref(),
             tried: &in_flight.tried,
             limits,
             connections_max: self.connections_max(in_flight.arrival.service),
             remaining_ms: in_flight.arrival.deadline().remaining(now).0 as f64,
             data_centre: &self.options.data_centre,
-        };
-        place::choose(now, servers, required)
+        }
     }
 
     fn refusal_reason(
--- a/sl-route/src/state/attempt.rs
+++ b/sl-route/src/state/attempt.rs
@@ -9,7 +9,7 @@
     admission::AdmissionLimits,
     effect::{NextStep, RetryDenial, Target},
     note::{AttemptKey, Note},
-    place::{LowestEstimates, Placement},
+    place::{self, LowestEstimates, Placement, Requirements},
     request::{CurrentAttempt, InFlightRequest},
     server::{Server, ServerKind},
 };
@@ -238,7 +238,10 @@
         let server = in_flight.current.and_then(|it| self.servers.get(&it.server));
         let server = server.map(|it| it.record.id.clone());
         in_flight.current = None;
-        let placement = self.place_retry(now, &in_flight, fault, is_partially_delivered);
+        let mut placement = self.place_retry(now, &in_flight, fault, is_partially_delivered);
+        if placement.is_err() && fault.proves_not_run() {
+            placement = self.place_return(now, &mut in_flight).or(placement);
+        }
         let next = match (&placement, fault) {
             (Ok(_), _) => NextStep::Retry,
             (Err(_), Fault::ServerError) => NextStep::ForwardServerError,
@@ -265,11 +268,14 @@
         request: RequestId,
         is_partially_delivered: bool,
     ) {
-        let Some(in_flight) = self.requests.remove(&request) else {
+        let Some(mut in_flight) = self.requests.remove(&request) else {
             return;
         };
         let fault = Fault::ResponseTimeout;
         let placement = self.place_retry(now, &in_flight, fault, is_partially_delivered);
+        if placement.is_ok() {
+            in_flight.silent_server = in_flight.current.map(|it| it.server);
+        }
         self.requests.insert(request, in_flight);
         match placement {
             Ok(_) => {
@@ -391,6 +397,28 @@
         let limits = AdmissionLimits::until_deadline(deadline.remaining(now).0 as f64);
         self.choose_server(now, in_flight, limits).map_err(|_| RetryDenial::NoServer)
     }
+
+    /// Selects the server that was silent before, for a request that no other server has taken
+    /// over. The request was sent there already, so this is no attempt on a further server.
+    fn place_return(
+        &mut self,
+        now: Timestamp,
+        in_flight: &mut InFlightRequest,
+    ) -> Result<Placement, RetryDenial> {
+        let arrival = &in_flight.arrival;
+        if self.is_barred(now, arrival) {
+            return Err(RetryDenial::Barred);
+        }
+        if self.budget.available(now, arrival.service) < 1.0 {
+            return Err(RetryDenial::BudgetUsed);
+        }
+        let server = in_flight.silent_server.take().and_then(|it| self.servers.get(&it));
+        let server = server.ok_or(RetryDenial::NoServer)?;
+        let remaining_ms = in_flight.arrival.deadline().remaining(now).0 as f64;
+        let limits = AdmissionLimits::until_deadline(remaining_ms);
+        let required = Requirements { tried: &[], ..self.requirements(now, in_flight, limits) };
+        place::choose(now, std::iter::once(server), required).map_err(|_| RetryDenial::NoServer)
+    }
 }
 
 /// When the server of an attempt counts as silent: late enough for a busy server to respond,
--- a/sl-route/tests/it/silence.rs
+++ b/sl-route/tests/it/silence.rs
@@ -5,7 +5,8 @@
 use rstest::rstest;
 use sl_base::RequestId;
 use sl_route::{
-    Decision, Document, Effect, Event, Fault, Limits, RetryPolicy, State, effect::RetryDenial,
+    AttemptEnd, Decision, Document, Effect, Event, Fault, Limits, RetryPolicy, State,
+    effect::RetryDenial,
 };
 
 use crate::testbed::{
@@ -129,3 +130,21 @@
     complete(&mut state, at(2_000), 1);
     assert_eq!(state.in_flight(), 0);
 }
+
+// Guards against a stream that is cut off because the server that should take over from a silent
+// one does not run it: it was rejected, or the server cannot be reached.
+#[rstest]
+#[case::rejected(Fault::Full)]
+#[case::unreachable(Fault::NotConnected)]
+fn a_request_returns_to_the_silent_server_once_if_no_other_one_takes_over(#[case] fault: Fault) {
+    let mut state = state_with_stream(&ENGINES, RetryPolicy::ResumableStream);
+    let first = state.servers().find(|it| it.in_flight() == 1).unwrap().key;
+    assert_ne!(sent_target(&report_silence(&mut state, 1_700)).unwrap().server, first);
+    let end = AttemptEnd::Failed { fault, is_partially_delivered: true };
+    let returned = state.step(at(1_710), Event::AttemptEnded { request: REQUEST, end });
+    assert_eq!(sent_target(&returned).unwrap().server, first);
+    let failed = state.step(at(1_720), Event::AttemptEnded { request: REQUEST, end });
+    assert!(matches!(request_effects(failed).as_slice(), [Effect::Fail { .. }]));
+    assert_eq!(state.in_flight(), 0);
+    assert_eq!(state.servers().map(|it| it.in_flight()).sum::<usize>(), 0);
+}
