http: a head in small pieces is parsed in linear time

Callers saw: a server that sends a head without end in small pieces occupies the processor of the instance, up to the size limit of the head. Cause: the head was parsed from its start with each piece received. Change: only the first piece and pieces that end a line are parsed. Result: sl-http endless.rs passes: a head of 1 MB in pieces of 64 bytes is read.

--- a/sl-http/src/conn.rs
+++ b/sl-http/src/conn.rs
@@ -85,9 +85,15 @@
     ///
     /// [`HeadError`] if no complete, valid head arrives within the limit.
     pub async fn read_head<H: Head>(&mut self, limit: usize) -> Result<H, HeadError> {
+        // A head ends with a line. Parsing it again with each piece of a long line would take
+        // quadratic time, so only the first piece and those that end a line are parsed.
+        let mut searched = 0;
         loop {
             let buffered = self.buf.len();
+            let may_be_complete = searched == 0 || self.buf[searched..].contains(&b'\n');
+            searched = buffered;
             if buffered > 0
+                && may_be_complete
                 && let Some(head) = H::parse(&mut self.buf)?
             {
                 let is_too_large = buffered - self.buf.len() > limit;
--- a/sl-http/tests/it/endless.rs
+++ b/sl-http/tests/it/endless.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use rstest::rstest;
-use sl_http::{Body, BodyError, Conn, Framing};
+use sl_http::{Body, BodyError, Conn, Framing, ResponseHead};
 use tokio::{
     io::AsyncWriteExt,
     net::{TcpListener, TcpStream},
@@ -105,3 +105,30 @@
     assert_eq!(collected.len(), CHUNKS);
     assert!(turns.get() > 10, "other tasks had {} turns", turns.get());
 }
+
+/// Size of the head of the next test, in bytes.
+const LONG_HEAD_BYTES: usize = 1 << 20;
+
+/// Guards against a head in small pieces that occupies the processor: parsing it from the start
+/// with each piece takes quadratic time.
+#[tokio::test]
+async fn the_time_to_read_a_head_grows_with_its_size_only() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let mut peer = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+    peer.set_nodelay(true).unwrap();
+    let mut conn = Conn::new(listener.accept().await.unwrap().0);
+    tokio::spawn(async move {
+        peer.write_all(b"HTTP/1.1 200 OK\r\nA: ").await.unwrap();
+        for _ in 0..LONG_HEAD_BYTES / 64 {
+            peer.write_all(&[b'x'; 64]).await.unwrap();
+            // The reader gets each piece by itself.
+            tokio::task::yield_now().await;
+        }
+        let _ = peer.write_all(b"\r\n\r\n").await;
+        // Keeps the connection open until the reader is done.
+        std::future::pending::<()>().await;
+    });
+    let reading = conn.read_head::<ResponseHead>(2 * LONG_HEAD_BYTES);
+    let head = timeout(READ_TIMEOUT, reading).await.unwrap().unwrap();
+    assert_eq!(head.headers.get("A").unwrap().len(), LONG_HEAD_BYTES);
+}
