soak: servers send responses without an end or without a length

Change: a schedule of its own draws these faults after all others, so that the other faults of a seed stay the same. The tests of endless responses also check that the connections of the server in trouble are closed.

--- a/bench/src/soak/plan.rs
+++ b/bench/src/soak/plan.rs
@@ -95,6 +95,9 @@
 /// The mean interval between two restores, departures or pauses, in milliseconds.
 const NOTICE_MEAN_INTERVAL_MS: u64 = 600;
 
+/// The mean interval between two responses without an end or a length, in milliseconds.
+const RESPONSE_FAULT_MEAN_INTERVAL_MS: u64 = 600;
+
 /// How long a restored store lacks what servers and operator wrote since.
 const REWRITE_DELAY: Duration = Duration::from_millis(300);
 
@@ -112,6 +115,9 @@
     }));
     // Drawn last, so that the other faults of a seed stay the same.
     faults.extend(draw_schedule(rng, duration, NOTICE_MEAN_INTERVAL_MS, draw_notice));
+    faults.extend(draw_schedule(rng, duration, RESPONSE_FAULT_MEAN_INTERVAL_MS, |rng| {
+        Fault::Server(rng.random_range(0..SERVER_COUNT), draw_response_fault(rng))
+    }));
     faults.sort_by_key(|it| it.0);
     faults
 }
@@ -202,6 +208,28 @@
     all[rng.random_range(0..all.len())]
 }
 
+/// Draws responses without an end, or without a length.
+fn draw_response_fault(rng: &mut impl Rng) -> server::Fault {
+    use server::Fault::{
+        EndlessBody, EndlessDuplicates, EndlessHead, EndlessInterim, EndlessTrailers, None,
+        UnframedNoEvent, UnframedPartialEvent, UnframedReset, UnframedStray,
+    };
+    let all = [
+        None,
+        None,
+        EndlessHead,
+        EndlessInterim,
+        EndlessBody,
+        EndlessTrailers,
+        EndlessDuplicates,
+        UnframedReset,
+        UnframedPartialEvent,
+        UnframedNoEvent,
+        UnframedStray,
+    ];
+    all[rng.random_range(0..all.len())]
+}
+
 impl Testbed {
     pub(crate) async fn inject(&mut self, fault: Fault) -> io::Result<()> {
         match fault {
--- a/tests/it/endless.rs
+++ b/tests/it/endless.rs
@@ -18,7 +18,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn an_idempotent_request_is_answered_by_the_other_server(#[case] fault: Fault) {
     let fleet = fleet(1).await;
-    fleet.apps().next().unwrap().set_fault(fault);
+    let in_trouble = fleet.apps().next().unwrap();
+    in_trouble.set_fault(fault);
     for i in 0..8 {
         let mut caller = fleet.caller(0).await.unwrap();
         let response = caller.call(&call("GET", "/status/7", &format!("a-{i}"))).await.unwrap();
@@ -31,7 +32,8 @@
         );
         assert!(response.text().ends_with("by app-1"), "{}", response.text());
     }
-    assert!(!fleet.apps().next().unwrap().executed_requests().is_empty());
+    assert!(!in_trouble.executed_requests().is_empty());
+    eventually("all connections to it are closed", async || in_trouble.in_flight() == 0).await;
 }
 
 /// Guards against a stream that goes on without a new event: bytes that complete none must not
@@ -45,14 +47,16 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_resumable_stream_continues_on_the_other_server(#[case] fault: Fault) {
     let fleet = fleet(1).await;
-    fleet.engines().next().unwrap().set_fault(fault);
+    let in_trouble = fleet.engines().next().unwrap();
+    in_trouble.set_fault(fault);
     for i in 0..4 {
         let mut caller = fleet.caller(0).await.unwrap();
         let response = caller.call(&model_call("/sheet/7", &format!("b-{i}"))).await.unwrap();
         assert!(response.is_complete, "{}", response.text());
         assert_eq!(response.event_ids(), (1..=10).collect::<Vec<u64>>(), "{}", response.text());
     }
-    assert!(!fleet.engines().next().unwrap().executed_requests().is_empty());
+    assert!(!in_trouble.executed_requests().is_empty());
+    eventually("all connections to it are closed", async || in_trouble.in_flight() == 0).await;
 }
 
 /// Requests that are sent at the same time to the server in trouble.
