--- a/bench/src/soak/plan.rs
+++ b/bench/src/soak/plan.rs
@@ -212,7 +212,7 @@
 fn draw_response_fault(rng: &mut impl Rng) -> server::Fault {
     use server::Fault::{
         EndlessBody, EndlessDuplicates, EndlessHead, EndlessInterim, EndlessTrailers, None,
-        UnframedNoEvent, UnframedPartialEvent, UnframedReset, UnframedStray,
+        TricklesEvent, UnframedNoEvent, UnframedPartialEvent, UnframedReset, UnframedStray,
     };
     let all = [
         None,
@@ -226,6 +226,7 @@
         UnframedPartialEvent,
         UnframedNoEvent,
         UnframedStray,
+        TricklesEvent,
     ];
     all[rng.random_range(0..all.len())]
 }
--- a/tests/it/endless.rs
+++ b/tests/it/endless.rs
@@ -44,6 +44,7 @@
 #[case::event(Fault::EndlessBody)]
 #[case::trailers(Fault::EndlessTrailers)]
 #[case::duplicates(Fault::EndlessDuplicates)]
+#[case::trickle(Fault::TricklesEvent)]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_resumable_stream_continues_on_the_other_server(#[case] fault: Fault) {
     let fleet = fleet(1).await;
