sl-route: requests on silent servers leave half of the retry budget to failures

What callers saw: a request whose server crashed fails without a second attempt, since requests on servers that were only silent had used up the budget.

--- a/sl-route/src/budget.rs
+++ b/sl-route/src/budget.rs
@@ -80,6 +80,12 @@
         bound * USABLE_FRACTION - usage.retries.len() as f64
     }
 
+    /// Whether more retries to `service` are left than are used.
+    pub fn is_half_left(&mut self, now: Timestamp, service: ServiceId) -> bool {
+        let available = self.available(now, service);
+        available > self.service_usage(now, service).retries.len() as f64
+    }
+
     /// Takes one retry to `service` from the budget; false if none is left.
     pub fn try_take(&mut self, now: Timestamp, service: ServiceId) -> bool {
         if self.available(now, service) < 1.0 {
--- a/sl-route/src/state/attempt.rs
+++ b/sl-route/src/state/attempt.rs
@@ -272,7 +272,7 @@
             return;
         };
         let fault = Fault::ResponseTimeout;
-        let placement = self.place_retry(now, &in_flight, fault, is_partially_delivered);
+        let placement = self.place_move(now, &in_flight, is_partially_delivered);
         if placement.is_ok() {
             in_flight.silent_server = in_flight.current.map(|it| it.server);
         }
@@ -286,6 +286,20 @@
         }
     }
 
+    /// Selects the server that takes over from a silent one. Half of the retry budget is left to
+    /// requests that failed, as most silent servers go on.
+    fn place_move(
+        &mut self,
+        now: Timestamp,
+        in_flight: &InFlightRequest,
+        is_partially_delivered: bool,
+    ) -> Result<Placement, RetryDenial> {
+        if !self.budget.is_half_left(now, in_flight.arrival.service) {
+            return Err(RetryDenial::BudgetUsed);
+        }
+        self.place_retry(now, in_flight, Fault::ResponseTimeout, is_partially_delivered)
+    }
+
     fn keep_waiting(&mut self, now: Timestamp, request: RequestId, denial: RetryDenial) {
         let Some(in_flight) = self.requests.get_mut(&request) else {
             return;
--- a/sl-route/tests/it/silence.rs
+++ b/sl-route/tests/it/silence.rs
@@ -148,3 +148,27 @@
     assert_eq!(state.in_flight(), 0);
     assert_eq!(state.servers().map(|it| it.in_flight()).sum::<usize>(), 0);
 }
+
+// Guards against requests that fail because silent servers, which mostly go on, have used up the
+// retries.
+#[test]
+fn requests_on_silent_servers_leave_half_of_the_retries_to_failures() {
+    const REQUESTS: u64 = 40;
+    let mut state = state(1, &ENGINES);
+    for number in 0..REQUESTS {
+        let prompt = Some(prompt("a", 1_000, &number.to_string(), 100));
+        arrive(&mut state, at(0), arrival(at(0), number, RetryPolicy::ResumableStream, prompt));
+    }
+    let silent = (0..REQUESTS).map(|number| Event::AttemptSilent {
+        request: RequestId(number),
+        is_partially_delivered: false,
+    });
+    let moved = silent.filter(|it| sent_target(&state.step(at(10), it.clone())).is_some()).count();
+    let failed = (0..REQUESTS)
+        .filter(|it| {
+            sent_target(&fail_attempt(&mut state, at(20), *it, Fault::ConnectionLost)).is_some()
+        })
+        .count();
+    // (0.2 * 40 + 160 / 16) * 0.8 = 14.4 retries in all.
+    assert_eq!((moved, failed), (8, 6));
+}
