--- a/bench/src/soak/plan.rs
+++ b/bench/src/soak/plan.rs
@@ -208,11 +208,12 @@
     all[rng.random_range(0..all.len())]
 }
 
-/// Draws responses without an end, or without a length.
+/// Draws responses without an end or without a length, and responses that stall or end early.
 fn draw_response_fault(rng: &mut impl Rng) -> server::Fault {
     use server::Fault::{
         EndlessBody, EndlessDuplicates, EndlessHead, EndlessInterim, EndlessTrailers, None,
-        TricklesEvent, UnframedNoEvent, UnframedPartialEvent, UnframedReset, UnframedStray,
+        ResetsBeforeEvents, StallsBeforeResponse, StallsBetweenEvents, TricklesEvent,
+        UnframedNoEvent, UnframedPartialEvent, UnframedReset, UnframedStray,
     };
     let all = [
         None,
@@ -227,6 +228,9 @@
         UnframedNoEvent,
         UnframedStray,
         TricklesEvent,
+        StallsBeforeResponse,
+        StallsBetweenEvents,
+        ResetsBeforeEvents,
     ];
     all[rng.random_range(0..all.len())]
 }
--- a/sl-route/src/state.rs
+++ b/sl-route/src/state.rs
@@ -7,6 +7,7 @@
 mod listing;
 mod notes;
 mod notices;
+mod silence;
 
 use std::{collections::HashMap, sync::Arc};
 
