--- a/sl-route/tests/it/fleet.rs
+++ b/sl-route/tests/it/fleet.rs
@@ -26,6 +26,8 @@
     pub lost_percent: u32,
     /// How often an instance starts again with an empty state; `None` for never.
     pub restart_interval: Option<Millis>,
+    /// How often all instances start again at the same moment; `None` for never.
+    pub fleet_restart_interval: Option<Millis>,
     /// How often a rack with [`RACK_ENGINES`] engines fails; `None` for never.
     pub rack_interval: Option<Millis>,
     /// Of 100 requests at each of the first [`BREAKING_ENGINES`] engines, how many responses
@@ -159,6 +161,7 @@
         while !end.is_due(self.now) {
             self.now = self.now.after(STEP);
             self.restart_instance();
+            self.restart_fleet();
             self.fail_rack();
             self.update_engines();
             self.advance_attempts();
@@ -207,6 +210,20 @@
         }
     }
 
+    /// Starts all instances again with empty states, so that no peer has anything to tell.
+    fn restart_fleet(&mut self) {
+        if !self.scenario.fleet_restart_interval.is_some_and(|it| self.is_time(it)) {
+            return;
+        }
+        self.attempts.clear();
+        self.messages.clear();
+        self.cache_fetch = None;
+        for index in 0..self.instances.len() {
+            self.instances[index] = self.new_instance(index);
+            self.in_touch_at[index] = self.now.after(CONTACT);
+        }
+    }
+
     fn step(&mut self, instance: usize, event: Event) {
         let effects = self.instances[instance].step(self.now, event);
         for effect in effects {
--- a/sl-route/tests/it/part_crashes.rs
+++ b/sl-route/tests/it/part_crashes.rs
@@ -31,6 +31,7 @@
     sound_interval: Millis(10),
     lost_percent: 20,
     restart_interval: None,
+    fleet_restart_interval: None,
     rack_interval: None,
     broken_percent: 0,
 };
@@ -63,6 +64,14 @@
     check(Scenario { restart_interval: Some(Millis(4_000)), ..SCENARIO });
 }
 
+// Guards against a fleet that forgets the part when all of its instances start again, and learns it
+// anew by three crashes each time.
+#[test]
+fn a_barred_part_stays_barred_while_the_whole_fleet_restarts() {
+    let fleet_restart_interval = Some(Millis(13_000));
+    check(Scenario { fleet_restart_interval, bad_interval: Some(Millis(3_000)), ..SCENARIO });
+}
+
 fn check_no_bars(scenario: Scenario) {
     for seed in SEEDS {
         let outcome = Fleet::new(scenario, seed).run(SPAN);
