sl-route: the crashes of requests are called so; a doc comment that had become untrue

From reading the whole change as a newcomer; no behaviour changes. The module strikes with CrashTracker stood beside crash_detector and part_crashes, so its name said nothing: request_crashes, RequestCrashes. RetryDenial::Barred is also for a barred prompt part. Two conditions got the reason that was missing.

--- a/sl-route/src/effect.rs
+++ b/sl-route/src/effect.rs
@@ -327,7 +327,7 @@
     NoTime,
     /// It was sent to as many servers as its route allows.
     NoAttemptLeft,
-    /// Requests with its fingerprint have crashed several servers.
+    /// Requests with its fingerprint, or with a part of its prompt, have crashed several servers.
     Barred,
     /// The fleet's retry budget is used up.
     BudgetUsed,
--- a/sl-route/src/lib.rs
+++ b/sl-route/src/lib.rs
@@ -20,10 +20,10 @@
 pub mod place;
 pub mod prompt;
 pub mod request;
+pub mod request_crashes;
 pub mod server;
 pub mod share;
 mod state;
-pub mod strikes;
 
 pub use directory::{Directory, ServerRecord, ServerState};
 pub use document::{Document, Limits, RetryPolicy, Route, Service, Team};
--- a/sl-route/src/strikes.rs
+++ b/sl-route/src/request_crashes.rs
@@ -9,7 +9,7 @@
 /// Crashes by request fingerprint. Any of the requests in flight on a crashed server may be
 /// the cause, so a request is barred only after several crashes.
 #[derive(Clone, Debug, Default)]
-pub struct CrashTracker(HashMap<u64, CrashRecord>);
+pub struct RequestCrashes(HashMap<u64, CrashRecord>);
 
 #[derive(Clone, Debug)]
 struct CrashRecord {
@@ -27,7 +27,7 @@
 /// Bound on the number of fingerprints tracked; crashes of further ones are not counted.
 const FINGERPRINTS_MAX: usize = 4_096;
 
-impl CrashTracker {
+impl RequestCrashes {
     /// Records that the run of a server crashed while it ran the request; true if the request is
     /// barred now.
     pub fn record_crash(&mut self, now: Timestamp, fingerprint: u64, run: ServerKey) -> bool {
--- a/sl-route/src/state.rs
+++ b/sl-route/src/state.rs
@@ -25,9 +25,9 @@
     note::Note,
     part_crashes::PartCrashes,
     request::InFlightRequest,
+    request_crashes::RequestCrashes,
     server::Server,
     share::{Shares, Standing},
-    strikes::CrashTracker,
 };
 
 /// Parameters of an instance, fixed at its start except for `limits`.
@@ -60,7 +60,7 @@
     /// Requests in flight.
     requests: HashMap<RequestId, InFlightRequest>,
     budget: Budget,
-    crashes: CrashTracker,
+    request_crashes: RequestCrashes,
     crash_detector: CrashDetector,
     part_crashes: PartCrashes,
     shares: Shares,
@@ -100,7 +100,7 @@
             pools: HashMap::new(),
             requests: HashMap::new(),
             budget: Budget::new(options.limits.budget),
-            crashes: CrashTracker::default(),
+            request_crashes: RequestCrashes::default(),
             crash_detector: CrashDetector::default(),
             part_crashes: PartCrashes::default(),
             shares: Shares::new(now, options.share_window),
--- a/sl-route/src/state/attempt.rs
+++ b/sl-route/src/state/attempt.rs
@@ -279,8 +279,9 @@
         let Some(current) = in_flight.current else {
             return;
         };
-        let is_counted = fault == Fault::ResponseTimeout && current.was_silent;
-        if fault != Fault::DeadlineExceeded && !is_counted {
+        // The silence of an attempt counts once, when it is noticed.
+        let was_counted = fault == Fault::ResponseTimeout && current.was_silent;
+        if fault != Fault::DeadlineExceeded && !was_counted {
             self.record_server_failure(now, current.server, fault);
         }
     }
--- a/sl-route/src/state/crashes.rs
+++ b/sl-route/src/state/crashes.rs
@@ -51,14 +51,14 @@
     }
 
     pub(super) fn record_crash(&mut self, now: Timestamp, fingerprint: u64, run: ServerKey) {
-        if self.crashes.record_crash(now, fingerprint, run) {
+        if self.request_crashes.record_crash(now, fingerprint, run) {
             self.effects.push(Effect::Log(Decision::RequestBarred { fingerprint }));
         }
     }
 
     /// Clears a request that completed, here and at the peers, which heard of its crashes.
     pub(super) fn clear_request(&mut self, fingerprint: u64) {
-        if self.crashes.clear(fingerprint) {
+        if self.request_crashes.clear(fingerprint) {
             self.queue_note(Note::RequestServed { fingerprint });
         }
     }
@@ -104,7 +104,7 @@
     /// Whether requests like this one crash servers: by fingerprint or by a shared prompt part.
     pub(super) fn is_barred(&self, now: Timestamp, arrival: &Arrival) -> bool {
         let parts = arrival.prompt.as_ref().map_or(&[][..], Prompt::shared_parts);
-        self.crashes.is_barred(now, arrival.fingerprint)
+        self.request_crashes.is_barred(now, arrival.fingerprint)
             || self.part_crashes.is_barred(now, parts.iter().map(|it| it.key))
     }
 
--- a/sl-route/src/state/notes.rs
+++ b/sl-route/src/state/notes.rs
@@ -50,6 +50,7 @@
                 if let Some((team, tokens)) = refunded {
                     self.shares.record_refund(now, team, tokens);
                 }
+                // Only an attempt that the server completed has an interval.
                 if event_interval_micros.is_some() {
                     self.crash_detector.record_alive(now, server);
                 }
@@ -80,7 +81,7 @@
             }
             Note::PartBarred(barred) => self.on_part_barred(now, barred),
             Note::RequestServed { fingerprint } => {
-                self.crashes.clear(fingerprint);
+                self.request_crashes.clear(fingerprint);
             }
         }
     }
--- a/sl-route/tests/it/strikes.rs
+++ b/sl-route/tests/it/request_crashes.rs
@@ -3,7 +3,8 @@
 use rstest::rstest;
 use sl_base::RequestId;
 use sl_route::{
-    AttemptEnd, Effect, Event, Failure, Fault, RetryPolicy, ServerKey, State, strikes::CrashTracker,
+    AttemptEnd, Effect, Event, Failure, Fault, RetryPolicy, ServerKey, State,
+    request_crashes::RequestCrashes,
 };
 
 use crate::testbed::{
@@ -12,7 +13,7 @@
 
 #[test]
 fn three_crashes_bar_a_request_until_they_expire() {
-    let mut tracker = CrashTracker::default();
+    let mut tracker = RequestCrashes::default();
     assert!(!tracker.record_crash(at(0), 7, ServerKey(1)));
     assert!(!tracker.record_crash(at(1), 7, ServerKey(2)));
     assert!(!tracker.is_barred(at(1), 7));
@@ -24,7 +25,7 @@
 
 #[test]
 fn a_request_that_completes_is_cleared() {
-    let mut tracker = CrashTracker::default();
+    let mut tracker = RequestCrashes::default();
     tracker.record_crash(at(0), 7, ServerKey(1));
     tracker.record_crash(at(1), 7, ServerKey(2));
     tracker.clear(7);
@@ -109,7 +110,7 @@
 // Guards against barring a request for one server that breaks off responses.
 #[test]
 fn a_server_counts_once() {
-    let mut tracker = CrashTracker::default();
+    let mut tracker = RequestCrashes::default();
     for millis in 0..9 {
         assert!(!tracker.record_crash(at(millis), 7, ServerKey(1)));
     }
