tests: a request that comes again whole crashes one engine after the other (fails, listed)

The fleet model plays bad requests that are one request, whole, beside sound ones that come again too, on engines and plain servers. Product code is unchanged.

--- a/sl-route/tests/it/fleet.rs
+++ b/sl-route/tests/it/fleet.rs
@@ -1,14 +1,14 @@
-//! A model of a fleet: reducer states that exchange notes, some of which are lost, and engines
-//! that crash when they begin a response to a prompt with a given part. There is no network.
+//! A model of a fleet: reducer states that exchange notes, some of which are lost, and servers
+//! that crash when they begin a response to a bad request. There is no network.
 
 use std::collections::{BTreeMap, VecDeque};
 
-use rand::{Rng, RngExt, SeedableRng};
+use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use sl_base::{Millis, RequestId, Timestamp};
 use sl_route::{
-    AttemptEnd, Decision, Effect, Event, Fault, Notes, Prompt, PromptPart, RetryPolicy, State,
-    effect::Target,
+    Arrival, AttemptEnd, Decision, Effect, Event, Failure, Fault, Notes, Prompt, PromptPart,
+    RetryPolicy, State, effect::Target,
 };
 
 use crate::testbed::{START, arrival, document, options, record};
@@ -18,7 +18,18 @@
 pub struct Scenario {
     pub instances: usize,
     pub engines: usize,
-    /// How often a request with the bad part arrives; `None` for never.
+    /// What the servers are, and with it whether requests have prompts.
+    pub servers: Servers,
+    /// What the requests that crash servers have in common.
+    pub bad: Bad,
+    /// How far the response to a bad request has come when its server crashes.
+    pub crash_phase: CrashPhase,
+    /// How many different sound requests there are, each of which arrives again and again;
+    /// `None` if all are different.
+    pub sound_requests: Option<u32>,
+    /// The number of crashes after which no more than a few bad requests may be sent.
+    pub crashes_free: u32,
+    /// How often a bad request arrives; `None` for never.
     pub bad_interval: Option<Millis>,
     /// How often a sound request arrives.
     pub sound_interval: Millis,
@@ -35,26 +46,49 @@
     pub broken_percent: u32,
 }
 
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Servers {
+    Engines,
+    Plain,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Bad {
+    /// They share one prompt part, and are otherwise all different.
+    Part,
+    /// They are the same request, which arrives again and again.
+    Request,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CrashPhase {
+    /// Nothing has been received.
+    NoResponse,
+    /// The head has been received.
+    HeadOnly,
+    /// The first event has been received.
+    Started,
+}
+
 /// What the engines and callers saw.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Outcome {
     pub crashes: u32,
-    /// Attempts with the bad part that reached engines later than [`CONTACT`] after the crash
-    /// with number [`CRASHES_FREE`], sent by instances that had been running for as long.
+    /// Attempts of bad requests that reached servers later than [`CONTACT`] after the crash with
+    /// the number `crashes_free`, sent by instances that had been running for as long.
     pub late_bad_attempts: u32,
     pub sound_requests: u32,
     /// Sound requests that were sent to an engine when they arrived.
     pub sound_sent: u32,
     /// Bars of sound prompt parts, each counted at every instance.
     pub sound_bars: u32,
+    /// Sound requests that were answered as if they crashed servers.
+    pub sound_failed: u32,
 }
 
 /// How long instances may take to learn of a crash.
 pub const CONTACT: Millis = Millis(3_000);
 
-/// The number of crashes after which the time starts.
-const CRASHES_FREE: u32 = 5;
-
 /// How long a crashed engine is away.
 const RESTART_TIME: Millis = Millis(5_000);
 
@@ -83,6 +117,15 @@
 /// The number of different sound parts, beside the first one.
 const SOUND_PARTS: u32 = 5;
 
+/// The fingerprint of the bad request, if there is only one.
+const BAD_FINGERPRINT: u64 = u64::MAX;
+
+/// The time from the beginning of a sound response to its first event.
+const FIRST_EVENT_DELAY: Millis = Millis(30);
+
+/// The same of a bad request whose response starts before its server crashes.
+const BAD_FIRST_EVENT_DELAY: Millis = Millis(10);
+
 pub struct Fleet {
     scenario: Scenario,
     rng: ChaCha8Rng,
@@ -117,6 +160,7 @@
     first_event_at: Timestamp,
     has_started: bool,
     ends_at: Timestamp,
+    sends_no_head: bool,
 }
 
 /// The request of an instance that has just started for what a peer knows.
@@ -185,8 +229,8 @@
         state.step(self.now, Event::InstanceCount(self.scenario.instances));
         for (index, engine) in self.engines.iter().enumerate() {
             if engine.removed_at == Timestamp::NEVER && engine.back_at == Timestamp::NEVER {
-                let event = Event::ServerListed(record(&engine_id(index, engine.run), "model"));
-                state.step(self.now, event);
+                let id = engine_id(index, engine.run);
+                state.step(self.now, Event::ServerListed(record(&id, self.service())));
             }
         }
         state
@@ -233,6 +277,10 @@
                     let bad_part = PromptPart::new(MODEL, BAD_PART, 0).key;
                     self.outcome.sound_bars += u32::from(bar.part != bad_part);
                 }
+                Effect::Fail { request, reason: Failure::CrashesServers } => {
+                    let is_bad = self.is_bad.get(&request).copied().unwrap_or(false);
+                    self.outcome.sound_failed += u32::from(!is_bad);
+                }
                 _ => {}
             }
         }
@@ -253,7 +301,7 @@
                 self.engines[index].back_at = Timestamp::NEVER;
                 self.engines[index].run += 1;
                 let id = engine_id(index, self.engines[index].run);
-                self.step_all(&Event::ServerListed(record(&id, "model")));
+                self.step_all(&Event::ServerListed(record(&id, self.service())));
             }
         }
     }
@@ -271,7 +319,11 @@
         }
         let begins_at = self.now.after(Millis(self.rng.random_range(20..150)));
         let crash_delay = Millis(self.rng.random_range(50..120));
-        let first_event_at = begins_at.after(Millis(if is_bad { 200 } else { 30 }));
+        let first_event_at = match (is_bad, self.scenario.crash_phase) {
+            (false, _) => begins_at.after(FIRST_EVENT_DELAY),
+            (true, CrashPhase::Started) => begins_at.after(BAD_FIRST_EVENT_DELAY),
+            (true, _) => Timestamp::NEVER,
+        };
         let is_broken = engine.is_some_and(|it| it < BREAKING_ENGINES)
             && self.rng.random_range(0..100) < self.scenario.broken_percent;
         let break_delay = Millis(self.rng.random_range(0..300));
@@ -284,6 +336,7 @@
             first_event_at,
             has_started: false,
             ends_at: first_event_at.after(Millis(self.rng.random_range(300..3_000))),
+            sends_no_head: is_bad && self.scenario.crash_phase == CrashPhase::NoResponse,
         };
         self.attempts.insert(request, attempt);
     }
@@ -334,15 +387,15 @@
         self.engines[engine].back_at = self.now.after(RESTART_TIME);
         self.engines[engine].removed_at = self.now.after(LEASE);
         self.outcome.crashes += 1;
-        if self.outcome.crashes == CRASHES_FREE {
+        if self.outcome.crashes == self.scenario.crashes_free {
             self.crash_limit_at = self.now.after(CONTACT);
         }
         let is_lost = |it: &&RequestId| self.attempts[it].engine == Some(engine);
         let lost: Vec<RequestId> = self.attempts.keys().filter(is_lost).copied().collect();
         for request in lost {
             let attempt = &self.attempts[&request];
-            let has_begun = attempt.begins_at.is_due(self.now);
-            let fault = match (has_begun, self.rng.random_range(0..2)) {
+            let has_head = attempt.begins_at.is_due(self.now) && !attempt.sends_no_head;
+            let fault = match (has_head, self.rng.random_range(0..2)) {
                 (true, _) => Fault::TruncatedResponse,
                 (false, 0) => Fault::ConnectionLost,
                 (false, _) => Fault::StaleConnection,
@@ -370,10 +423,15 @@
     fn arrive_one(&mut self, is_bad: bool) {
         self.last_request += 1;
         let request = RequestId(self.last_request);
-        let prompt = self.draw_prompt(is_bad);
-        let policies = [RetryPolicy::Stream, RetryPolicy::ResumableStream];
+        let fingerprint = self.draw_fingerprint(is_bad, request);
+        let has_prompt = self.scenario.servers == Servers::Engines;
+        let prompt = has_prompt.then(|| self.draw_prompt(is_bad, fingerprint));
+        let policies = match self.scenario.servers {
+            Servers::Engines => [RetryPolicy::Stream, RetryPolicy::ResumableStream],
+            Servers::Plain => [RetryPolicy::NonIdempotent, RetryPolicy::Idempotent],
+        };
         let policy = policies[self.rng.random_range(0..policies.len())];
-        let arrival = arrival(self.now, request.0, policy, Some(prompt));
+        let arrival = Arrival { fingerprint, ..arrival(self.now, request.0, policy, prompt) };
         let instance = self.rng.random_range(0..self.instances.len());
         self.is_bad.insert(request, is_bad);
         self.step(instance, Event::RequestArrived(Box::new(arrival)));
@@ -383,12 +441,27 @@
         }
     }
 
-    /// A prompt of which all parts but the bad one are shared with sound requests.
-    fn draw_prompt(&mut self, is_bad: bool) -> Prompt {
-        let sound = format!("sound-{}", self.rng.random_range(0..SOUND_PARTS));
-        let own = format!("own-{}", self.rng.next_u64());
+    fn service(&self) -> &'static str {
+        match self.scenario.servers {
+            Servers::Engines => "model",
+            Servers::Plain => "app",
+        }
+    }
+
+    fn draw_fingerprint(&mut self, is_bad: bool, request: RequestId) -> u64 {
+        match (is_bad, self.scenario.bad, self.scenario.sound_requests) {
+            (true, Bad::Request, _) => BAD_FINGERPRINT,
+            (false, _, Some(different)) => self.rng.random_range(0..different).into(),
+            _ => u64::from(u32::MAX) + request.0,
+        }
+    }
+
+    /// A prompt of which all parts but the bad one, and the last, are shared with sound requests.
+    fn draw_prompt(&mut self, is_bad: bool, fingerprint: u64) -> Prompt {
+        let sound = format!("sound-{}", fingerprint % u64::from(SOUND_PARTS));
+        let own = format!("own-{fingerprint}");
         let mut ids = vec!["first", &sound, &own];
-        if is_bad {
+        if is_bad && self.scenario.bad == Bad::Part {
             ids.insert(1, BAD_PART);
         }
         let parts: Vec<PromptPart> = ids.iter().map(|it| PromptPart::new(MODEL, it, 100)).collect();
--- a/sl-route/tests/it/part_crashes.rs
+++ b/sl-route/tests/it/part_crashes.rs
@@ -10,7 +10,7 @@
 };
 
 use crate::{
-    fleet::{Fleet, Outcome, Scenario},
+    fleet::{Bad, CrashPhase, Fleet, Outcome, Scenario, Servers},
     testbed::{
         arrival, arrive, at, fail_attempt, prompt, record, request_effects, sent_target, state,
     },
@@ -27,6 +27,11 @@
 const SCENARIO: Scenario = Scenario {
     instances: 4,
     engines: 9,
+    servers: Servers::Engines,
+    bad: Bad::Part,
+    crash_phase: CrashPhase::HeadOnly,
+    sound_requests: None,
+    crashes_free: 5,
     bad_interval: Some(Millis(500)),
     sound_interval: Millis(10),
     lost_percent: 20,
--- a/sl-route/tests/it/request_crashes.rs
+++ b/sl-route/tests/it/request_crashes.rs
@@ -1,16 +1,101 @@
 //! Requests that crash servers are barred, and other requests are not.
 
 use rstest::rstest;
-use sl_base::RequestId;
+use sl_base::{Millis, RequestId};
 use sl_route::{
     AttemptEnd, Effect, Event, Failure, Fault, RetryPolicy, ServerKey, State,
     request_crashes::RequestCrashes,
 };
 
-use crate::testbed::{
-    START, arrival, arrive, at, complete, fail_attempt, record, request_effects, sent_target, state,
+use crate::{
+    fleet::{Bad, CrashPhase, Fleet, Outcome, Scenario, Servers},
+    testbed::{
+        START, arrival, arrive, at, complete, fail_attempt, prompt, record, request_effects,
+        sent_target, state,
+    },
 };
 
+/// How long each fleet runs.
+const SPAN: Millis = Millis(40_000);
+
+/// Attempts of a request that may reach servers after the fleet had time to learn that it has
+/// crashed three.
+const LATE_BAD_ATTEMPTS_MAX: u32 = 3;
+
+const SEEDS: std::ops::Range<u64> = 0..5;
+
+/// One bad request comes again and again, beside sound ones that do so as well, share its prompt
+/// parts but the last, and run on the same servers.
+const SCENARIO: Scenario = Scenario {
+    instances: 4,
+    engines: 9,
+    servers: Servers::Engines,
+    bad: Bad::Request,
+    crash_phase: CrashPhase::HeadOnly,
+    sound_requests: Some(40),
+    crashes_free: 3,
+    bad_interval: Some(Millis(500)),
+    sound_interval: Millis(10),
+    lost_percent: 20,
+    restart_interval: None,
+    fleet_restart_interval: None,
+    rack_interval: None,
+    broken_percent: 0,
+};
+
+fn check(scenario: Scenario) {
+    for seed in SEEDS {
+        let sound = Scenario { bad_interval: None, ..scenario };
+        let Outcome { sound_sent: usual, .. } = Fleet::new(sound, seed).run(SPAN);
+        let outcome = Fleet::new(scenario, seed).run(SPAN);
+        assert!(outcome.crashes >= 3, "seed {seed}: {outcome:?}");
+        assert_eq!(outcome.sound_failed, 0, "seed {seed}: {outcome:?}");
+        assert_eq!(outcome.sound_bars, 0, "seed {seed}: {outcome:?}");
+        assert!(
+            outcome.late_bad_attempts <= LATE_BAD_ATTEMPTS_MAX,
+            "seed {seed}: {outcome:?}, sent without crashes: {usual}"
+        );
+        assert!(outcome.sound_sent * 2 >= usual, "seed {seed}: {outcome:?}, without: {usual}");
+    }
+}
+
+// Guards against a request that comes again whole, to any instance, and crashes one server after
+// the other: however far the response had come, and whatever sound requests do on the same servers.
+#[rstest]
+fn a_request_that_crashes_servers_is_barred_in_the_whole_fleet(
+    #[values(Servers::Engines, Servers::Plain)] servers: Servers,
+    #[values(CrashPhase::NoResponse, CrashPhase::HeadOnly, CrashPhase::Started)]
+    crash_phase: CrashPhase,
+) {
+    check(Scenario { servers, crash_phase, ..SCENARIO });
+}
+
+// Guards against instances that forget the request when they start again.
+#[rstest]
+fn a_barred_request_stays_barred_while_instances_restart(
+    #[values(Servers::Engines, Servers::Plain)] servers: Servers,
+) {
+    check(Scenario { servers, restart_interval: Some(Millis(4_000)), ..SCENARIO });
+}
+
+// Guards against barring sound requests that come again: racks that fail and responses that are
+// broken off end their attempts as well.
+#[rstest]
+fn failures_without_a_bad_request_bar_no_request_that_comes_again(
+    #[values(Servers::Engines, Servers::Plain)] servers: Servers,
+) {
+    let scenario = Scenario { servers, bad_interval: None, ..SCENARIO };
+    for seed in SEEDS {
+        for scenario in [
+            Scenario { rack_interval: Some(Millis(8_000)), ..scenario },
+            Scenario { broken_percent: 40, ..scenario },
+        ] {
+            let outcome = Fleet::new(scenario, seed).run(SPAN);
+            assert_eq!(outcome.sound_failed, 0, "seed {seed}: {outcome:?}");
+        }
+    }
+}
+
 #[test]
 fn three_crashes_bar_a_request_until_they_expire() {
     let mut tracker = RequestCrashes::default();
@@ -126,3 +211,46 @@
     here.step(at(9_700), Event::NotesReceived { from: 2, notes: there.take_notes() });
     assert!(is_sent(&mut here, 9_800));
 }
+
+// Guards against a model request that comes again whole after three engines crashed under it, and
+// is taken for one of the many that each crash of an engine ends.
+#[rstest]
+#[case::lost(Fault::ConnectionLost, false)]
+#[case::stale(Fault::StaleConnection, false)]
+#[case::head_only(Fault::TruncatedResponse, false)]
+#[case::started(Fault::TruncatedResponse, true)]
+fn a_model_request_is_barred_however_its_connections_ended(
+    #[case] fault: Fault,
+    #[case] has_started: bool,
+) {
+    let mut here = state(1, &[("a", "model")]);
+    let mut there = state(2, &[("d", "model")]);
+    let bad = |millis| {
+        let prompt = Some(prompt("shared", 100, "own", 10));
+        let arrival = arrival(at(millis), millis, RetryPolicy::Stream, prompt);
+        sl_route::Arrival { fingerprint: 99, ..arrival }
+    };
+    for (index, millis) in [3_000, 6_000, 9_000].into_iter().enumerate() {
+        let effects = arrive(&mut here, at(millis), bad(millis));
+        assert!(sent_target(&effects).is_some());
+        if has_started {
+            here.step(at(millis), Event::ResponseStarted { request: RequestId(millis) });
+        }
+        let end = AttemptEnd::Failed { fault, is_partially_delivered: has_started };
+        here.step(at(millis), Event::AttemptEnded { request: RequestId(millis), end });
+        here.step(at(millis), Event::ServerRemoved { id: ["a", "b", "c"][index].into() });
+        let next = ["b", "c", "d"][index];
+        here.step(at(millis + 400), Event::ServerListed(record(next, "model")));
+        there.step(at(millis + 400), Event::NotesReceived { from: 1, notes: here.take_notes() });
+        let sound = prompt("shared", 100, "own-sound", 10);
+        let sound = arrival(at(millis + 410), millis + 1, RetryPolicy::Stream, Some(sound));
+        let effects = arrive(&mut here, at(millis + 410), sound);
+        assert!(sent_target(&effects).is_some());
+        complete(&mut here, at(millis + 500), millis + 1);
+    }
+    for instance in [&mut here, &mut there] {
+        let effects = request_effects(arrive(instance, at(9_600), bad(9_600)));
+        let request = RequestId(9_600);
+        assert_eq!(effects, [Effect::Fail { request, reason: Failure::CrashesServers }]);
+    }
+}
