--- a/sl-edge/src/catch_up.rs
+++ b/sl-edge/src/catch_up.rs
@@ -38,7 +38,7 @@
 const SEED_INTERVAL: Millis = Millis(300);
 
 impl CatchUp {
-    /// Fetches the engines' cache contents, with the barred prompt parts, from the peer that has
+    /// Fetches the engines' cache contents, with the bars, from the peer that has
     /// been running for longest, until one sends a list of engines that is not empty.
     pub(crate) async fn fetch_engine_caches(&self) {
         for _ in 0..CACHE_FETCH_ATTEMPTS {
@@ -50,7 +50,7 @@
                 Ok(Some(caches)) if !caches.engines.is_empty() => {
                     return self.apply_engine_caches(peer, caches);
                 }
-                Ok(Some(caches)) if !caches.barred_parts.is_empty() => {
+                Ok(Some(caches)) if !caches.bars.is_empty() => {
                     self.core.step(Event::PeerCaches(caches));
                 }
                 Ok(_) => {}
--- a/sl-edge/src/log.rs
+++ b/sl-edge/src/log.rs
@@ -11,7 +11,8 @@
 use sl_route::{
     Decision, Route, Team,
     activity::{TeamTokens, TokenOutcome},
-    effect::{PartBar, ServerCrash},
+    crash_causes::Cause,
+    effect::{BarDecision, ServerCrash},
 };
 use slog::{Drain, Level, LevelFilter, Logger, debug, info, o, warn};
 
@@ -162,8 +163,7 @@
         Decision::StoreRestored => {
             info!(log, "entries older than those known are ignored for a while");
         }
-        Decision::RequestBarred { fingerprint } => write_request_barred(log, *fingerprint),
-        Decision::PartBarred(bar) => write_part_bar(log, bar),
+        Decision::Barred(bar) => write_bar(log, bar),
         Decision::ServerCrashed(crash) => write_server_crash(log, crash),
         Decision::PeerSilent { peer } => debug!(log, "peer silent"; "peer" => peer),
     }
@@ -212,29 +212,32 @@
         "fair_share" => fair_share.map(f64::round));
 }
 
-/// Logs that requests with a fingerprint are no longer run.
-fn write_request_barred(log: &Logger, fingerprint: u64) {
-    warn!(log, "request blocked: servers crashed while running it";
-        "fingerprint" => format!("{fingerprint:016x}"));
-}
-
-/// Logs that requests with a prompt part are no longer run.
-fn write_part_bar(log: &Logger, bar: &PartBar) {
-    warn!(log, "prompt part blocked: engines crashed while beginning an answer";
-        "part" => part_keys(&[bar.part]), "crashes" => bar.crashes, "by_peer" => bar.from_peer);
+/// Logs that requests are no longer run because servers crashed under them.
+fn write_bar(log: &Logger, bar: &BarDecision) {
+    let BarDecision { cause, crashes, from_peer } = *bar;
+    match cause {
+        Cause::Request(fingerprint) => {
+            warn!(log, "request blocked: servers crashed while running it";
+                "fingerprint" => keys(&[fingerprint]), "crashes" => crashes, "by_peer" => from_peer);
+        }
+        Cause::Part(part) => {
+            warn!(log, "prompt part blocked: engines crashed while beginning an answer";
+                "part" => keys(&[part]), "crashes" => crashes, "by_peer" => from_peer);
+        }
+    }
 }
 
 /// Logs the crash of a server and what its suspects have in common.
 fn write_server_crash(log: &Logger, crash: &ServerCrash) {
     warn!(log, "server crashed: all its attempts were lost";
         "server" => %crash.server, "lost" => crash.lost, "suspects" => crash.suspects,
-        "parts" => part_keys(&crash.parts));
+        "requests" => keys(&crash.requests), "parts" => keys(&crash.parts));
 }
 
-/// The keys of prompt parts in hexadecimal, separated by commas.
-fn part_keys(parts: &[u64]) -> String {
-    let parts: Vec<String> = parts.iter().map(|it| format!("{it:016x}")).collect();
-    parts.join(",")
+/// Keys of prompt parts or fingerprints in hexadecimal, separated by commas.
+fn keys(keys: &[u64]) -> String {
+    let keys: Vec<String> = keys.iter().map(|it| format!("{it:016x}")).collect();
+    keys.join(",")
 }
 
 /// Rounds to two decimal places.
--- a/sl-route/src/crash_detector.rs
+++ b/sl-route/src/crash_detector.rs
@@ -5,12 +5,12 @@
 //! run are therefore kept until the run shows a sign of life, or until it has shown none for
 //! [`CONFIRMATION_DELAY`].
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
 use serde::{Deserialize, Serialize};
 use sl_base::{Millis, Timestamp};
 
-use crate::{Fault, ServerKey};
+use crate::{Fault, ServerKey, crash_causes::Cause, note::AttemptKey};
 
 /// How far a lost attempt had come. The earlier variant is the more suspect one: an engine
 /// crashes while it begins a response.
@@ -49,14 +49,37 @@
 /// An attempt whose connection ended before the response was complete.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Loss {
+    /// The attempt, which peers report twice.
+    pub attempt: AttemptKey,
     /// How far the attempt had come.
     pub phase: LossPhase,
+    /// The request.
+    pub request: LostRequest,
     /// The keys of the shared parts of its prompt, in order.
     pub parts: Vec<u64>,
     /// Whether this instance made the attempt, rather than a peer.
     pub is_own: bool,
 }
 
+/// A request whose attempt was lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct LostRequest {
+    /// The fingerprint of the request.
+    pub fingerprint: u64,
+    /// The number of crashes under the request before the attempt was sent, as far as the instance
+    /// knows that sent it. The loss of the attempt is no part of these.
+    pub crashes_before: u32,
+}
+
+/// A request that is one of the most likely to have caused a crash.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Suspect {
+    /// The fingerprint of the request.
+    pub fingerprint: u64,
+    /// The keys of the shared parts of its prompt, in order.
+    pub parts: Vec<u64>,
+}
+
 /// A crash of a server that is regarded as certain.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Crash {
@@ -68,9 +91,11 @@
     pub lost: usize,
     /// Whether an attempt of this instance is among them.
     pub is_own: bool,
-    /// The shared parts of each suspect: of the lost attempts in the most suspect phase. Empty
-    /// if all attempts had been running for long.
-    pub suspects: Vec<Vec<u64>>,
+    /// The requests of the lost attempts in the most suspect phase. Empty if all attempts had been
+    /// running for long.
+    pub suspects: Vec<Suspect>,
+    /// The requests of all lost attempts that had not been running for long.
+    pub requests: Vec<LostRequest>,
 }
 
 /// The losses of each run that are not explained yet.
@@ -123,7 +148,8 @@
             confirm_at: now.after(CONFIRMATION_DELAY),
             losses: Vec::new(),
         });
-        if pending.losses.len() < LOSSES_PER_RUN_MAX {
+        let is_new = pending.losses.iter().all(|it| it.attempt != loss.attempt);
+        if is_new && pending.losses.len() < LOSSES_PER_RUN_MAX {
             pending.losses.push(loss);
         }
     }
@@ -172,14 +198,50 @@
     }
 }
 
+impl Loss {
+    fn into_suspect(self) -> Suspect {
+        Suspect { fingerprint: self.request.fingerprint, parts: self.parts }
+    }
+}
+
+impl Crash {
+    /// Everything that may have caused the crash.
+    pub fn causes(&self) -> impl Iterator<Item = Cause> {
+        self.parts().chain(self.requests.iter().map(|it| Cause::Request(it.fingerprint)))
+    }
+
+    /// What is most likely to have caused the crash.
+    pub fn likely(&self) -> impl Iterator<Item = Cause> {
+        self.parts().chain(self.suspects.iter().map(|it| Cause::Request(it.fingerprint)))
+    }
+
+    fn parts(&self) -> impl Iterator<Item = Cause> {
+        self.suspects.iter().flat_map(|it| &it.parts).map(|it| Cause::Part(*it))
+    }
+
+    /// Whether the request is among the suspects.
+    pub fn suspects_request(&self, fingerprint: u64) -> bool {
+        self.suspects.iter().any(|it| it.fingerprint == fingerprint)
+    }
+
+    /// The shared prompt parts of a request among the suspects. They may crash servers under other
+    /// requests as well.
+    pub fn parts_of(&self, cause: Cause) -> BTreeSet<Cause> {
+        let suspects = self.suspects.iter().filter(|it| Cause::Request(it.fingerprint) == cause);
+        suspects.flat_map(|it| &it.parts).map(|it| Cause::Part(*it)).collect()
+    }
+}
+
 impl PendingCrash {
     fn into_crash(self, run: ServerKey) -> Crash {
         let lost = self.losses.len();
         let is_own = self.losses.iter().any(|it| it.is_own);
         let phase = self.losses.iter().map(|it| it.phase).min();
         let phase = phase.filter(|it| *it != LossPhase::Running);
+        let requests = self.losses.iter().filter(|it| it.phase != LossPhase::Running);
+        let requests = requests.map(|it| it.request).collect();
         let suspects = self.losses.into_iter().filter(|it| Some(it.phase) == phase);
-        let suspects = suspects.map(|it| it.parts).collect();
-        Crash { run, at: self.first_lost_at, lost, is_own, suspects }
+        let suspects = suspects.map(Loss::into_suspect).collect();
+        Crash { run, at: self.first_lost_at, lost, is_own, suspects, requests }
     }
 }
--- a/sl-route/src/effect.rs
+++ b/sl-route/src/effect.rs
@@ -5,7 +5,7 @@
 use sl_base::{Millis, RequestId, Timestamp};
 use strum::{Display, IntoStaticStr};
 
-use crate::{Fault, ServerKey, activity::TeamTokens};
+use crate::{Fault, ServerKey, activity::TeamTokens, crash_causes::Cause};
 
 /// An action that the caller of [`State::step`](crate::State::step) has to perform.
 #[derive(Clone, Debug, PartialEq)]
@@ -250,15 +250,10 @@
         /// Whether the engine itself reported the parts, rather than a peer.
         from_engine: bool,
     },
-    /// Requests with a fingerprint are no longer run because they have crashed servers.
-    RequestBarred {
-        /// The fingerprint of the requests.
-        fingerprint: u64,
-    },
     /// A server crashed while it ran attempts of this instance.
     ServerCrashed(ServerCrash),
-    /// Requests with a prompt part are no longer run because engines crashed under them.
-    PartBarred(PartBar),
+    /// Requests are no longer run because servers crashed under them.
+    Barred(BarDecision),
     /// A peer has sent no message for so long that it is removed, along with its attempts.
     PeerSilent {
         /// The peer's instance id.
@@ -275,16 +270,18 @@
     pub lost: usize,
     /// How many of them may have caused the crash.
     pub suspects: usize,
+    /// The fingerprints of the suspects.
+    pub requests: Vec<u64>,
     /// The keys of the shared prompt parts of the suspects.
     pub parts: Vec<u64>,
 }
 
-/// The bar of a prompt part, for the log.
+/// The bar of a request or of a prompt part, for the log.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct PartBar {
-    /// The key of the part.
-    pub part: u64,
-    /// The number of crashes that led to the bar, each of another run of an engine.
+pub struct BarDecision {
+    /// What is barred.
+    pub cause: Cause,
+    /// The number of crashes that led to the bar, each of another run of a server.
     pub crashes: u32,
     /// Whether a peer announced it, rather than this instance's own count.
     pub from_peer: bool,
@@ -308,9 +305,8 @@
             | Decision::ServerEntryOutdated { .. }
             | Decision::ServerChanged { .. }
             | Decision::CacheKnown { .. }
-            | Decision::RequestBarred { .. }
             | Decision::ServerCrashed(_)
-            | Decision::PartBarred(_)
+            | Decision::Barred(_)
             | Decision::PeerSilent { .. } => None,
         }
     }
--- a/sl-route/src/note.rs
+++ b/sl-route/src/note.rs
@@ -5,7 +5,11 @@
 use serde::{Deserialize, Serialize};
 use sl_base::TeamId;
 
-use crate::{PromptPart, ServerKey, crash_detector::LossPhase};
+use crate::{
+    PromptPart, ServerKey,
+    crash_causes::Cause,
+    crash_detector::{LossPhase, LostRequest},
+};
 
 /// Identifies an attempt among all instances.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -76,52 +80,44 @@
         /// Some of the cached parts. A long list is split over several notes.
         parts: Vec<PromptPart>,
     },
-    /// A server closed the connection before the response was complete, possibly because the
-    /// request crashed it.
-    ServerCrashed {
-        /// The fingerprint of the request that the server was running.
-        fingerprint: u64,
-        /// The run of the server.
-        server: ServerKey,
-    },
     /// A server announced in a response that it shuts down.
     ServerDraining {
         /// The server, which is to get no new requests.
         server: ServerKey,
     },
-    /// The connection of a model request's attempt ended before the response was complete. The
-    /// engine may have crashed.
+    /// The connection of an attempt ended before the response was complete. The server may have
+    /// crashed. Sent twice, since what a peer does not know of a crash may lead it to blame sound
+    /// requests.
     AttemptLost {
-        /// The engine to which the attempt was sent.
+        /// The server to which the attempt was sent.
         server: ServerKey,
+        /// The number of the attempt, unique within one run of the sending instance.
+        attempt: u64,
         /// How far the attempt had come.
         phase: LossPhase,
+        /// The request that was sent.
+        request: LostRequest,
         /// The keys of the shared parts of the prompt, in order; empty in
         /// [`LossPhase::Running`].
         parts: Vec<u64>,
     },
-    /// Engines survived attempts with prompt parts that were suspected of crashing engines.
-    PartsServed {
-        /// The keys of the parts.
-        parts: Vec<u64>,
+    /// Servers survived attempts that were suspected of crashing servers.
+    CausesServed {
+        /// The requests, and the parts of their prompts.
+        causes: Vec<Cause>,
         /// Whether the attempts completed, rather than ran for longer than any that crashes its
-        /// engine.
+        /// server.
         is_complete: bool,
     },
-    /// Requests with a prompt part are no longer sent to engines.
-    PartBarred(BarredPart),
-    /// A request completed under which servers were thought to crash.
-    RequestServed {
-        /// The fingerprint of the request.
-        fingerprint: u64,
-    },
+    /// Requests with a cause of crashes are no longer sent to servers.
+    Barred(Bar),
 }
 
-/// A prompt part that is barred because engines crashed under it.
+/// The bar of what crashed servers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct BarredPart {
-    /// The key of the part.
-    pub part: u64,
+pub struct Bar {
+    /// What is barred.
+    pub cause: Cause,
     /// The remaining time in milliseconds.
     pub for_ms: u32,
     /// How often the bar was renewed after it had ended.
@@ -130,14 +126,13 @@
     pub crashes: u32,
 }
 
-/// An instance's view of the engines' KV caches, and the prompt parts that it has barred, sent to
-/// peers that have just started.
+/// An instance's view of the engines' KV caches, and its bars, sent to peers that have just started.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct EngineCaches {
     /// The engines and the parts they are assumed to hold, the least recently used first.
     pub engines: Vec<(ServerKey, Vec<PromptPart>)>,
-    /// The prompt parts that are barred.
-    pub barred_parts: Vec<BarredPart>,
+    /// What is barred because it crashed servers.
+    pub bars: Vec<Bar>,
 }
 
 /// A batch of notes from one instance to its peers.
--- a/sl-route/src/state.rs
+++ b/sl-route/src/state.rs
@@ -19,13 +19,12 @@
     Decision, Directory, Document, Effect, Event, Notes, ServerKey,
     activity::Activity,
     budget::Budget,
+    crash_causes::CrashCauses,
     crash_detector::CrashDetector,
     draining::DrainingRuns,
     event::InstanceLimits,
     note::Note,
-    part_crashes::PartCrashes,
     request::InFlightRequest,
-    request_crashes::RequestCrashes,
     server::Server,
     share::{Shares, Standing},
 };
@@ -60,9 +59,8 @@
     /// Requests in flight.
     requests: HashMap<RequestId, InFlightRequest>,
     budget: Budget,
-    request_crashes: RequestCrashes,
     crash_detector: CrashDetector,
-    part_crashes: PartCrashes,
+    crash_causes: CrashCauses,
     shares: Shares,
     /// Requests of each team at this instance, asked for and admitted.
     local_requests: Shares,
@@ -78,6 +76,8 @@
     pools_are_current: bool,
     /// Notes to be sent to peers.
     outbox: Vec<Note>,
+    /// Notes to be sent to peers once more, at the next tick.
+    repeated_notes: Vec<Note>,
     /// Effects of the current step.
     effects: Vec<Effect>,
     rng: ChaCha8Rng,
@@ -100,9 +100,8 @@
             pools: HashMap::new(),
             requests: HashMap::new(),
             budget: Budget::new(options.limits.budget),
-            request_crashes: RequestCrashes::default(),
             crash_detector: CrashDetector::default(),
-            part_crashes: PartCrashes::default(),
+            crash_causes: CrashCauses::default(),
             shares: Shares::new(now, options.share_window),
             local_requests: Shares::new(now, options.share_window),
             activity: Activity::new(now),
@@ -112,6 +111,7 @@
             prune_at: now,
             pools_are_current: true,
             outbox: Vec::new(),
+            repeated_notes: Vec::new(),
             effects: Vec::new(),
             rng: ChaCha8Rng::seed_from_u64(options.seed),
             options,
@@ -126,6 +126,8 @@
         ) {
             self.rebuild_pools();
         }
+        // First, so that a request which arrives now is judged by all crashes known by now.
+        self.confirm_crashes(now);
         match event {
             Event::Tick => self.on_tick(now),
             Event::RequestArrived(arrival) => self.on_arrival(now, *arrival),
@@ -154,7 +156,6 @@
             Event::ConnectionShare(share) => self.connection_share = share,
             Event::InstanceCount(instances) => self.budget.set_instances(instances),
         }
-        self.confirm_crashes(now);
         if self.prune_at.is_due(now) {
             self.prune(now);
             self.prune_at = now.after(PRUNE_INTERVAL);
@@ -250,8 +251,9 @@
     }
 
     fn on_tick(&mut self, now: Timestamp) {
+        std::mem::take(&mut self.repeated_notes).into_iter().for_each(|it| self.queue_note(it));
         self.report_activity(now);
-        self.announce_barred_parts(now);
+        self.announce_bars(now);
     }
 
     fn prune(&mut self, now: Timestamp) {
--- a/sl-route/src/state/admit.rs
+++ b/sl-route/src/state/admit.rs
@@ -26,7 +26,7 @@
     pub(super) fn on_arrival(&mut self, now: Timestamp, arrival: Arrival) {
         let request = arrival.request;
         self.budget.record_request(now, arrival.service);
-        if self.is_barred(now, &arrival) {
+        if self.is_barred(now, &arrival) && !self.try_probe(now, &arrival) {
             self.fail_request(request, Failure::CrashesServers);
             return;
         }
--- a/sl-route/src/state/attempt.rs
+++ b/sl-route/src/state/attempt.rs
@@ -194,7 +194,6 @@
     }
 
     fn on_attempt_completed(&mut self, now: Timestamp, in_flight: &InFlightRequest, status: u16) {
-        self.clear_request(in_flight.arrival.fingerprint);
         let Some(current) = in_flight.current else {
             return;
         };
@@ -216,8 +215,7 @@
         fault: Fault,
         is_partially_delivered: bool,
     ) {
-        self.record_request_loss(now, &in_flight, fault);
-        self.record_engine_fault(now, &in_flight, fault);
+        self.record_loss(now, &in_flight, fault);
         self.record_fault(now, &in_flight, fault);
         if fault == Fault::NotConnected {
             // The request did not reach the server; the attempt does not count.
--- a/sl-route/src/state/cache.rs
+++ b/sl-route/src/state/cache.rs
@@ -34,30 +34,35 @@
         };
         EngineCaches {
             engines: self.servers.iter().filter_map(engine).collect(),
-            barred_parts: self.part_crashes.barred_parts(now),
+            bars: self.crash_causes.bars(now),
         }
     }
 
     /// Requests the lists of cached parts from the engines whose contents are unknown and for which this
     /// instance is responsible by rendezvous hashing among its peers.
     pub(super) fn request_cache_lists(&mut self, now: Timestamp) {
-        let own_id = u64::from(self.options.instance);
-        let peers: Vec<u64> = self.peers.keys().map(|&it| u64::from(it)).collect();
-        let is_responsible_for = |key: u64| {
-            let own_weight = hash::weight(key, own_id);
-            peers.iter().all(|&it| hash::weight(key, it) < own_weight)
-        };
-        for (key, server) in &mut self.servers {
+        let may_ask = |server: &Server| {
             let is_engine = matches!(server.kind, ServerKind::Engine(_));
-            let may_ask = is_engine && !server.has_announced_drain && !server.is_paused(now);
-            if may_ask && server.list_cache_at.is_due(now) && is_responsible_for(key.0) {
+            let is_asked = is_engine && !server.has_announced_drain && !server.is_paused(now);
+            is_asked && server.list_cache_at.is_due(now) && self.is_responsible_for(server.key.0)
+        };
+        let asked = self.servers.values().filter(|it| may_ask(it)).map(|it| it.key);
+        for key in asked.collect::<Vec<_>>() {
+            if let Some(server) = self.servers.get_mut(&key) {
                 server.list_cache_at = now.after(LIST_RETRY_DELAY);
                 let address = server.record.address;
-                self.effects.push(Effect::ListCache { server: *key, address });
+                self.effects.push(Effect::ListCache { server: key, address });
             }
         }
     }
 
+    /// Whether this instance does for the whole fleet what only one has to do, by rendezvous hashing
+    /// among its peers. Two may be responsible while their views of the peers differ.
+    pub(super) fn is_responsible_for(&self, key: u64) -> bool {
+        let own_weight = hash::weight(key, self.options.instance.into());
+        self.peers.keys().all(|&it| hash::weight(key, it.into()) < own_weight)
+    }
+
     pub(super) fn on_cache_listed(&mut self, now: Timestamp, key: ServerKey, parts: &[PromptPart]) {
         let Some(server) = self.servers.get_mut(&key) else {
             return;
@@ -78,11 +83,11 @@
         }
     }
 
-    /// Merges the engine caches as estimated by a peer, and the prompt parts that it has barred. All
+    /// Merges the engine caches as estimated by a peer, and applies its bars. All
     /// parts of the caches count as used at `now`.
     pub(super) fn on_peer_caches(&mut self, now: Timestamp, caches: EngineCaches) {
-        for barred in caches.barred_parts {
-            self.on_part_barred(now, barred);
+        for bar in caches.bars {
+            self.on_bar(now, bar);
         }
         for (key, parts) in caches.engines {
             self.merge_peer_cache(now, key, &parts);
--- a/sl-route/src/state/crashes.rs
+++ b/sl-route/src/state/crashes.rs
@@ -1,5 +1,4 @@
-//! Crashes of servers: which attempts were lost, what they had in common, and which prompt parts
-//! are barred for it.
+//! Crashes of servers: which attempts were lost, what they had in common, and what is barred for it.
 
 use std::{collections::BTreeSet, sync::Arc};
 
@@ -8,17 +7,17 @@
 use super::State;
 use crate::{
     Arrival, Decision, Effect, Fault, Prompt, ServerKey,
-    crash_detector::{Crash, Loss, LossPhase},
-    effect::{PartBar, ServerCrash},
-    note::{BarredPart, Note},
-    part_crashes::{Proof, Reaction},
+    crash_causes::{Cause, Proof, Reaction},
+    crash_detector::{Crash, Loss, LossPhase, LostRequest},
+    effect::{BarDecision, ServerCrash},
+    note::{Bar, Note},
     request::InFlightRequest,
 };
 
-/// Statuses of responses that prove that the engine ran the request to its end.
+/// Statuses of responses that prove that the server ran the request to its end.
 const SUCCESS_STATUS: std::ops::Range<u16> = 200..300;
 
-/// The shortest time between two announcements of a barred part.
+/// The shortest time between two announcements of a bar.
 const ANNOUNCEMENT_INTERVAL: Millis = Millis(500);
 
 /// The random delay of an announcement is drawn from at least this span.
@@ -28,8 +27,8 @@
 const ANNOUNCEMENT_SPREAD_PER_PEER: Millis = Millis(20);
 
 impl State {
-    /// Counts a possible crash for the fingerprint of the request whose attempt failed.
-    pub(super) fn record_request_loss(
+    /// Records how an attempt failed, if the connection to the server was lost or refused.
+    pub(super) fn record_loss(
         &mut self,
         now: Timestamp,
         in_flight: &InFlightRequest,
@@ -38,55 +37,41 @@
         let Some(current) = in_flight.current else {
             return;
         };
-        let is_loss = match in_flight.arrival.prompt {
-            // An engine that crashes loses many requests, most of which it had begun.
-            Some(_) => fault == Fault::ConnectionLost,
-            None => LossPhase::of(now, fault, current.response_started_at).is_some(),
-        };
-        if is_loss {
-            let (server, fingerprint) = (current.server, in_flight.arrival.fingerprint);
-            self.queue_note(Note::ServerCrashed { fingerprint, server });
-            self.record_crash(now, fingerprint, server);
-        }
-    }
-
-    pub(super) fn record_crash(&mut self, now: Timestamp, fingerprint: u64, run: ServerKey) {
-        if self.request_crashes.record_crash(now, fingerprint, run) {
-            self.effects.push(Effect::Log(Decision::RequestBarred { fingerprint }));
-        }
-    }
-
-    /// Clears a request that completed, here and at the peers, which heard of its crashes.
-    pub(super) fn clear_request(&mut self, fingerprint: u64) {
-        if self.request_crashes.clear(fingerprint) {
-            self.queue_note(Note::RequestServed { fingerprint });
-        }
-    }
-
-    /// Records how an attempt of a model request failed, if the connection to the engine was
-    /// lost or refused.
-    pub(super) fn record_engine_fault(
-        &mut self,
-        now: Timestamp,
-        in_flight: &InFlightRequest,
-        fault: Fault,
-    ) {
-        let (Some(current), Some(prompt)) = (in_flight.current, &in_flight.arrival.prompt) else {
-            return;
-        };
+        let server = current.server;
         if fault == Fault::NotConnected {
-            self.crash_detector.record_unreachable(current.server);
+            self.crash_detector.record_unreachable(server);
         }
         let Some(phase) = LossPhase::of(now, fault, current.response_started_at) else {
             return;
         };
-        let parts: Vec<u64> = match phase {
-            LossPhase::Running => Vec::new(),
-            _ => prompt.shared_parts().iter().map(|it| it.key).collect(),
+        let prompt = in_flight.arrival.prompt.as_ref();
+        let (phase, parts) = match (phase, prompt) {
+            (LossPhase::Running, Some(_)) => {
+                self.record_served(now, causes(&in_flight.arrival).collect(), Proof::Running);
+                (phase, Vec::new())
+            }
+            // Only an engine shows by its events that it goes on.
+            (LossPhase::Running, None) => (LossPhase::JustStarted, Vec::new()),
+            (_, Some(prompt)) => {
+                (phase, prompt.shared_parts().iter().map(|it| it.key).collect::<Vec<u64>>())
+            }
+            (_, None) => (phase, Vec::new()),
         };
-        let server = current.server;
-        self.queue_note(Note::AttemptLost { server, phase, parts: parts.clone() });
-        self.crash_detector.record_loss(now, server, Loss { phase, parts, is_own: true });
+        let request = self.lost_request(in_flight);
+        let loss = Loss { attempt: current.key, phase, request, parts, is_own: true };
+        let attempt = current.key.attempt;
+        let parts = loss.parts.clone();
+        let note = Note::AttemptLost { server, attempt, phase, request, parts };
+        self.queue_note(note.clone());
+        self.repeat_note(note);
+        self.crash_detector.record_loss(now, server, loss);
+    }
+
+    fn lost_request(&self, in_flight: &InFlightRequest) -> LostRequest {
+        let fingerprint = in_flight.arrival.fingerprint;
+        let earlier_attempts = in_flight.attempts.saturating_sub(1);
+        let crashes_before = self.crash_causes.crashes_under(fingerprint).max(earlier_attempts);
+        LostRequest { fingerprint, crashes_before }
     }
 
     /// Handles the crashes that have become certain by now.
@@ -95,95 +80,103 @@
             self.log_crash(&crash);
             self.record_survivors(now);
             let announce_at = now.after(self.draw_announcement_delay());
-            for barred in self.part_crashes.record_crash(now, &crash, announce_at) {
-                self.log_barred_part(&barred, false);
+            for bar in self.crash_causes.record_crash(now, &crash, announce_at) {
+                self.log_bar(&bar, false);
+                // The peers may have missed notes of the crashes, and learn of the bar at once.
+                if crash.is_own {
+                    self.queue_note(Note::Barred(bar));
+                }
             }
         }
     }
 
-    /// Whether requests like this one crash servers: by fingerprint or by a shared prompt part.
+    /// Whether requests like this one crash servers.
     pub(super) fn is_barred(&self, now: Timestamp, arrival: &Arrival) -> bool {
-        let parts = arrival.prompt.as_ref().map_or(&[][..], Prompt::shared_parts);
-        self.request_crashes.is_barred(now, arrival.fingerprint)
-            || self.part_crashes.is_barred(now, parts.iter().map(|it| it.key))
+        self.crash_causes.is_barred(now, causes(arrival))
+    }
+
+    /// Whether a barred request is sent once nevertheless, by one instance for the whole fleet. A
+    /// sound request that was barred shows so by completing.
+    pub(super) fn try_probe(&mut self, now: Timestamp, arrival: &Arrival) -> bool {
+        let parts = causes(arrival).filter(|it| matches!(it, Cause::Part(_)));
+        !self.crash_causes.is_barred(now, parts)
+            && self.is_responsible_for(arrival.fingerprint)
+            && self.crash_causes.try_probe(now, arrival.fingerprint)
     }
 
-    /// Clears the prompt parts of a request that completed.
+    /// Clears a request that completed, and the parts of its prompt.
     pub(super) fn record_completed(
         &mut self,
         now: Timestamp,
         in_flight: &InFlightRequest,
         status: u16,
     ) {
-        if SUCCESS_STATUS.contains(&status)
-            && let Some(prompt) = &in_flight.arrival.prompt
-        {
-            let parts = prompt.shared_parts().iter().map(|it| it.key).collect();
-            self.record_served(now, parts, Proof::Completed);
+        if SUCCESS_STATUS.contains(&status) {
+            self.record_served(now, causes(&in_flight.arrival).collect(), Proof::Completed);
         }
     }
 
-    /// Clears the prompt parts of the requests that have been running for longer than any that
-    /// crashes its engine.
+    /// Clears the requests that have been running for longer than any that crashes its engine, and
+    /// the parts of their prompts.
     pub(super) fn record_survivors(&mut self, now: Timestamp) {
-        if self.part_crashes.is_empty() {
+        if self.crash_causes.is_empty() {
             return;
         }
         let survivors = self.requests.values().filter(|it| it.has_survived(now));
-        let prompts = survivors.filter_map(|it| it.arrival.prompt.as_ref());
-        let parts = prompts.flat_map(Prompt::shared_parts).map(|it| it.key).collect();
-        self.record_served(now, parts, Proof::Running);
+        let survivors = survivors.filter(|it| it.arrival.prompt.is_some());
+        let served = survivors.flat_map(|it| causes(&it.arrival)).collect();
+        self.record_served(now, served, Proof::Running);
     }
 
-    fn record_served(&mut self, now: Timestamp, mut parts: BTreeSet<u64>, proof: Proof) {
-        parts.retain(|it| self.part_crashes.record_served(now, *it, proof, true));
-        if !parts.is_empty() {
-            let parts = parts.into_iter().collect();
-            self.queue_note(Note::PartsServed { parts, is_complete: proof == Proof::Completed });
+    fn record_served(&mut self, now: Timestamp, mut causes: BTreeSet<Cause>, proof: Proof) {
+        causes.retain(|it| self.crash_causes.record_served(now, *it, proof, true));
+        if !causes.is_empty() {
+            let causes = causes.into_iter().collect();
+            self.queue_note(Note::CausesServed { causes, is_complete: proof == Proof::Completed });
         }
     }
 
-    pub(super) fn on_parts_served(&mut self, now: Timestamp, parts: &[u64], is_complete: bool) {
+    pub(super) fn on_causes_served(&mut self, now: Timestamp, causes: &[Cause], is_complete: bool) {
         let proof = if is_complete { Proof::Completed } else { Proof::Running };
-        for &part in parts {
-            self.part_crashes.record_served(now, part, proof, false);
+        for &cause in causes {
+            self.crash_causes.record_served(now, cause, proof, false);
         }
     }
 
-    pub(super) fn on_part_barred(&mut self, now: Timestamp, announcement: BarredPart) {
+    pub(super) fn on_bar(&mut self, now: Timestamp, bar: Bar) {
         let announce_at = now.after(ANNOUNCEMENT_INTERVAL).after(self.draw_announcement_delay());
-        match self.part_crashes.apply(now, announcement, announce_at) {
-            Reaction::Applied => self.log_barred_part(&announcement, true),
+        match self.crash_causes.apply(now, bar, announce_at) {
+            Reaction::Applied => self.log_bar(&bar, true),
             Reaction::Known => {}
             Reaction::Contradicted => {
-                let parts = vec![announcement.part];
-                self.queue_note(Note::PartsServed { parts, is_complete: true });
+                let causes = vec![bar.cause];
+                self.queue_note(Note::CausesServed { causes, is_complete: true });
             }
         }
     }
 
-    /// Announces the barred parts to the peers, unless one of them has just done so. Peers that
-    /// have started since, or missed a note, learn of a part in this way.
-    pub(super) fn announce_barred_parts(&mut self, now: Timestamp) {
-        if self.part_crashes.is_empty() {
+    /// Announces the bars to the peers, unless one of them has just done so. Peers that have
+    /// started since, or missed a note, learn of a bar in this way.
+    pub(super) fn announce_bars(&mut self, now: Timestamp) {
+        if self.crash_causes.is_empty() {
             return;
         }
         let next_at = now.after(ANNOUNCEMENT_INTERVAL).after(self.draw_announcement_delay());
-        for barred in self.part_crashes.take_announcements(now, || next_at) {
-            self.queue_note(Note::PartBarred(barred));
+        for bar in self.crash_causes.take_announcements(now, || next_at) {
+            self.queue_note(Note::Barred(bar));
         }
     }
 
-    /// A random delay, so that one instance or a few announce a part and not all. The more peers
+    /// A random delay, so that one instance or a few announce a bar and not all. The more peers
     /// there are, the further the delays are apart.
     fn draw_announcement_delay(&mut self) -> Millis {
         let spread = ANNOUNCEMENT_SPREAD_PER_PEER.0 * self.peers.len() as u64;
         self.draw_delay(Millis(spread.max(ANNOUNCEMENT_SPREAD_MIN.0)))
     }
 
-    fn log_barred_part(&mut self, barred: &BarredPart, from_peer: bool) {
-        let BarredPart { part, crashes, .. } = *barred;
-        self.effects.push(Effect::Log(Decision::PartBarred(PartBar { part, crashes, from_peer })));
+    fn log_bar(&mut self, bar: &Bar, from_peer: bool) {
+        let Bar { cause, crashes, .. } = *bar;
+        self.effects.push(Effect::Log(Decision::Barred(BarDecision { cause, crashes, from_peer })));
     }
 
     /// Logs a crash on the instances that lost an attempt by it.
@@ -191,11 +184,14 @@
         if !crash.is_own {
             return;
         }
-        let parts: BTreeSet<u64> = crash.suspects.iter().flatten().copied().collect();
+        let parts = crash.suspects.iter().flat_map(|it| &it.parts).copied();
+        let parts: BTreeSet<u64> = parts.collect();
+        let requests: BTreeSet<u64> = crash.suspects.iter().map(|it| it.fingerprint).collect();
         self.effects.push(Effect::Log(Decision::ServerCrashed(ServerCrash {
             server: self.server_name(crash.run),
             lost: crash.lost,
             suspects: crash.suspects.len(),
+            requests: requests.into_iter().collect(),
             parts: parts.into_iter().collect(),
         })));
     }
@@ -208,3 +204,10 @@
         }
     }
 }
+
+/// What a request may be barred for: itself, or a part of its prompt that others share.
+fn causes(arrival: &Arrival) -> impl Iterator<Item = Cause> {
+    let parts = arrival.prompt.as_ref().map_or(&[][..], Prompt::shared_parts);
+    let parts = parts.iter().map(|it| Cause::Part(it.key));
+    parts.chain([Cause::Request(arrival.fingerprint)])
+}
--- a/sl-route/src/state/notes.rs
+++ b/sl-route/src/state/notes.rs
@@ -20,6 +20,13 @@
         }
     }
 
+    /// Queues a note once more at the next tick, for peers that miss the first one.
+    pub(super) fn repeat_note(&mut self, note: Note) {
+        if self.repeated_notes.len() < OUTBOX_CAPACITY {
+            self.repeated_notes.push(note);
+        }
+    }
+
     pub(super) fn on_notes_received(&mut self, now: Timestamp, from: u32, notes: Notes) {
         self.peers.insert(from, now);
         for note in notes.notes {
@@ -68,21 +75,16 @@
                 }
             }
             Note::CacheListed { server, parts } => self.merge_peer_cache(now, server, &parts),
-            Note::ServerCrashed { fingerprint, server } => {
-                self.record_crash(now, fingerprint, server);
-            }
             Note::ServerDraining { server } => self.mark_draining(now, server, true),
-            Note::AttemptLost { server, phase, parts } => {
-                let loss = Loss { phase, parts, is_own: false };
+            Note::AttemptLost { server, attempt, phase, request, parts } => {
+                let attempt = attempt_key(attempt);
+                let loss = Loss { attempt, phase, request, parts, is_own: false };
                 self.crash_detector.record_loss(now, server, loss);
             }
-            Note::PartsServed { parts, is_complete } => {
-                self.on_parts_served(now, &parts, is_complete);
-            }
-            Note::PartBarred(barred) => self.on_part_barred(now, barred),
-            Note::RequestServed { fingerprint } => {
-                self.request_crashes.clear(fingerprint);
+            Note::CausesServed { causes, is_complete } => {
+                self.on_causes_served(now, &causes, is_complete);
             }
+            Note::Barred(bar) => self.on_bar(now, bar),
         }
     }
 }
--- a/sl-route/tests/it/crash_detector.rs
+++ b/sl-route/tests/it/crash_detector.rs
@@ -3,8 +3,9 @@
 use sl_base::RequestId;
 use sl_route::{
     AttemptEnd, Decision, Effect, Event, Fault, PromptPart, RetryPolicy, State,
-    crash_detector::{Crash, CrashDetector, Loss, LossPhase, RUNS_MAX},
+    crash_detector::{Crash, CrashDetector, Loss, LossPhase, LostRequest, RUNS_MAX, Suspect},
     effect::ServerCrash,
+    note::AttemptKey,
     server::ServerKey,
 };
 
@@ -12,8 +13,14 @@
 
 const RUN: ServerKey = ServerKey(1);
 
-fn loss(phase: LossPhase, part: u64) -> Loss {
-    Loss { phase, parts: vec![part], is_own: true }
+fn request(fingerprint: u64) -> LostRequest {
+    LostRequest { fingerprint, crashes_before: 0 }
+}
+
+/// The loss of an attempt whose request has the same number as its only shared part.
+fn loss(phase: LossPhase, number: u64) -> Loss {
+    let attempt = AttemptKey { instance: 1, attempt: number };
+    Loss { attempt, phase, request: request(number), parts: vec![number], is_own: true }
 }
 
 // Guards against counting a response that the server alone broke off as a crash.
@@ -35,6 +42,15 @@
     assert_eq!(detector.take_confirmed(at(300)).len(), 1);
 }
 
+// Guards against counting an attempt twice, as its note is sent twice.
+#[test]
+fn a_loss_that_is_reported_twice_counts_once() {
+    let mut detector = CrashDetector::default();
+    detector.record_loss(at(0), RUN, loss(LossPhase::HeadOnly, 1));
+    detector.record_loss(at(100), RUN, loss(LossPhase::HeadOnly, 1));
+    assert_eq!(detector.take_confirmed(at(300))[0].lost, 1);
+}
+
 // Guards against suspecting all requests of a crashed engine, most of which it had not begun.
 #[test]
 fn only_attempts_in_the_most_suspect_phase_are_suspects() {
@@ -43,8 +59,9 @@
     detector.record_loss(at(1), RUN, loss(LossPhase::HeadOnly, 2));
     detector.record_loss(at(2), RUN, loss(LossPhase::JustStarted, 3));
     detector.record_loss(at(3), RUN, loss(LossPhase::Running, 4));
-    let suspects = vec![vec![2]];
-    let crash = Crash { run: RUN, at: at(0), lost: 4, is_own: true, suspects };
+    let suspects = vec![Suspect { fingerprint: 2, parts: vec![2] }];
+    let requests = vec![request(1), request(2), request(3)];
+    let crash = Crash { run: RUN, at: at(0), lost: 4, is_own: true, suspects, requests };
     assert_eq!(detector.take_confirmed(at(300)), [crash]);
 }
 
@@ -89,7 +106,8 @@
     state.step(at(901), Event::AttemptEnded { request: RequestId(2), end });
     assert_eq!(logged_crashes(&mut state, 1_199), []);
     let parts = vec![PromptPart::new("m", "bad", 100).key];
-    let crash = ServerCrash { server: "a".into(), lost: 2, suspects: 1, parts };
+    let requests = vec![1];
+    let crash = ServerCrash { server: "a".into(), lost: 2, suspects: 1, requests, parts };
     let decision = Decision::ServerCrashed(crash);
     assert_eq!(logged_crashes(&mut state, 1_200), [Effect::Log(decision)]);
 }
--- a/sl-route/tests/it/fleet.rs
+++ b/sl-route/tests/it/fleet.rs
@@ -1,14 +1,14 @@
 //! A model of a fleet: reducer states that exchange notes, some of which are lost, and servers
 //! that crash when they begin a response to a bad request. There is no network.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use sl_base::{Millis, RequestId, Timestamp};
 use sl_route::{
     Arrival, AttemptEnd, Decision, Effect, Event, Failure, Fault, Notes, Prompt, PromptPart,
-    RetryPolicy, State, effect::Target,
+    RetryPolicy, State, crash_causes::Cause, effect::Target,
 };
 
 use crate::testbed::{START, arrival, document, options, record};
@@ -136,6 +136,7 @@
     engines: Vec<Engine>,
     attempts: BTreeMap<RequestId, Attempt>,
     is_bad: BTreeMap<RequestId, bool>,
+    bad_fingerprints: BTreeSet<u64>,
     messages: VecDeque<Message>,
     cache_fetch: Option<CacheFetch>,
     last_request: u64,
@@ -189,6 +190,7 @@
             engines: (0..scenario.engines).map(|_| engine()).collect(),
             attempts: BTreeMap::new(),
             is_bad: BTreeMap::new(),
+            bad_fingerprints: BTreeSet::new(),
             messages: VecDeque::new(),
             cache_fetch: None,
             last_request: 0,
@@ -273,9 +275,8 @@
         for effect in effects {
             match effect {
                 Effect::Send { request, target } => self.begin_attempt(instance, request, &target),
-                Effect::Log(Decision::PartBarred(bar)) => {
-                    let bad_part = PromptPart::new(MODEL, BAD_PART, 0).key;
-                    self.outcome.sound_bars += u32::from(bar.part != bad_part);
+                Effect::Log(Decision::Barred(bar)) => {
+                    self.outcome.sound_bars += u32::from(!self.is_bad_cause(bar.cause));
                 }
                 Effect::Fail { request, reason: Failure::CrashesServers } => {
                     let is_bad = self.is_bad.get(&request).copied().unwrap_or(false);
@@ -286,6 +287,15 @@
         }
     }
 
+    /// Whether a bar of the cause bars bad requests only. With a bad part, each request with it is
+    /// bad as well.
+    fn is_bad_cause(&self, cause: Cause) -> bool {
+        match cause {
+            Cause::Part(part) => part == PromptPart::new(MODEL, BAD_PART, 0).key,
+            Cause::Request(fingerprint) => self.bad_fingerprints.contains(&fingerprint),
+        }
+    }
+
     fn step_all(&mut self, event: &Event) {
         (0..self.instances.len()).for_each(|it| self.step(it, event.clone()));
     }
@@ -434,6 +444,9 @@
         let arrival = Arrival { fingerprint, ..arrival(self.now, request.0, policy, prompt) };
         let instance = self.rng.random_range(0..self.instances.len());
         self.is_bad.insert(request, is_bad);
+        if is_bad {
+            self.bad_fingerprints.insert(fingerprint);
+        }
         self.step(instance, Event::RequestArrived(Box::new(arrival)));
         if !is_bad {
             self.outcome.sound_requests += 1;
--- a/sl-route/tests/it/part_crashes.rs
+++ b/sl-route/tests/it/part_crashes.rs
@@ -4,9 +4,9 @@
 use sl_base::{Millis, RequestId, Timestamp};
 use sl_route::{
     Effect, Event, Failure, Fault, Notes, Prompt, PromptPart, RetryPolicy, ServerKey, State,
-    crash_detector::Crash,
-    note::{BarredPart, Note},
-    part_crashes::{BAR_INITIAL, PARTS_MAX, PartCrashes, Proof, Reaction},
+    crash_causes::{BAR_INITIAL, CAUSES_MAX, Cause, CrashCauses, Proof, Reaction},
+    crash_detector::{Crash, LostRequest, Suspect},
+    note::{Bar, Note},
 };
 
 use crate::{
@@ -97,35 +97,47 @@
     check_no_bars(Scenario { bad_interval: None, broken_percent: 40, ..SCENARIO });
 }
 
+/// A crash under requests that are otherwise all different, each with the parts of one suspect.
 fn crash(millis: u64, run: u64, suspects: &[&[u64]]) -> Crash {
-    let suspects: Vec<Vec<u64>> = suspects.iter().map(|it| it.to_vec()).collect();
-    Crash { run: ServerKey(run), at: at(millis), lost: 1, is_own: true, suspects }
+    let suspects = suspects
+        .iter()
+        .zip(0..)
+        .map(|(parts, index)| Suspect { fingerprint: run * 1_000 + index, parts: parts.to_vec() });
+    let suspects: Vec<Suspect> = suspects.collect();
+    let requests = suspects.iter().map(|it| it.fingerprint);
+    let requests = requests.map(|fingerprint| LostRequest { fingerprint, crashes_before: 0 });
+    let requests = requests.collect();
+    Crash { run: ServerKey(run), at: at(millis), lost: 1, is_own: true, suspects, requests }
 }
 
 /// Applies a crash of the run with the number `run` to the parts; returns those barred by it.
-fn apply(parts: &mut PartCrashes, millis: u64, run: u64, suspects: &[&[u64]]) -> Vec<u64> {
+fn apply(causes: &mut CrashCauses, millis: u64, run: u64, suspects: &[&[u64]]) -> Vec<u64> {
     let now = at(millis);
-    let barred = parts.record_crash(now, &crash(millis, run, suspects), now);
-    barred.into_iter().map(|it| it.part).collect()
+    let barred = causes.record_crash(now, &crash(millis, run, suspects), now);
+    let part = |bar: Bar| match bar.cause {
+        Cause::Part(part) => part,
+        Cause::Request(_) => panic!("{bar:?} although no request came twice"),
+    };
+    barred.into_iter().map(part).collect()
 }
 
 // Guards against barring parts for single failures of engines, and against missing the cause.
 #[test]
 fn the_third_crash_bars_a_part() {
-    let mut parts = PartCrashes::default();
+    let mut parts = CrashCauses::default();
     assert_eq!(apply(&mut parts, 0, 1, &[&[7]]), []);
     assert_eq!(apply(&mut parts, 1_000, 2, &[&[7]]), []);
-    assert!(!parts.is_barred(at(1_000), [7]));
+    assert!(!parts.is_barred(at(1_000), [Cause::Part(7)]));
     assert_eq!(apply(&mut parts, 2_000, 3, &[&[7]]), [7]);
-    assert!(parts.is_barred(at(2_000), [7]));
-    assert!(!parts.is_barred(at(2_000), [8]));
+    assert!(parts.is_barred(at(2_000), [Cause::Part(7)]));
+    assert!(!parts.is_barred(at(2_000), [Cause::Part(8)]));
 }
 
 // Guards against counting a run several times, whose losses come late or which only broke off
 // responses, and a rack as several crashes.
 #[test]
 fn a_run_counts_once_and_so_do_runs_that_crash_together() {
-    let mut parts = PartCrashes::default();
+    let mut parts = CrashCauses::default();
     for millis in [0, 1_000, 2_000, 3_000] {
         assert_eq!(apply(&mut parts, millis, 1, &[&[7]]), []);
     }
@@ -137,7 +149,7 @@
 // Guards against barring all parts of the requests that crash engines, which sound ones share.
 #[test]
 fn of_parts_that_explain_the_same_crashes_only_the_last_is_barred() {
-    let mut parts = PartCrashes::default();
+    let mut parts = CrashCauses::default();
     for run in 0..2 {
         apply(&mut parts, run * 1_000, run, &[&[1, 2, 10 + run]]);
     }
@@ -145,39 +157,39 @@
     for run in 3..9 {
         assert_eq!(apply(&mut parts, run * 1_000, run, &[&[1, 2, 10 + run]]), []);
     }
-    assert!(!parts.is_barred(at(9_000), [1]));
+    assert!(!parts.is_barred(at(9_000), [Cause::Part(1)]));
 }
 
 // Guards against parts that crash engines again after a bar, and against bars that never end.
 #[test]
 fn after_a_bar_one_crash_bars_again_for_twice_as_long_and_a_completion_clears() {
-    let mut parts = PartCrashes::default();
+    let mut parts = CrashCauses::default();
     for run in 0..3 {
         apply(&mut parts, run * 1_000, run, &[&[7]]);
     }
     let ended = 2_000 + BAR_INITIAL.0;
-    assert!(parts.is_barred(at(ended - 1), [7]));
-    assert!(!parts.is_barred(at(ended), [7]));
+    assert!(parts.is_barred(at(ended - 1), [Cause::Part(7)]));
+    assert!(!parts.is_barred(at(ended), [Cause::Part(7)]));
     assert_eq!(apply(&mut parts, ended, 4, &[&[7]]), [7]);
     let ended_again = ended + 2 * BAR_INITIAL.0;
-    assert!(parts.is_barred(at(ended_again - 1), [7]));
-    assert!(!parts.is_barred(at(ended_again), [7]));
-    assert!(parts.record_served(at(ended_again), 7, Proof::Completed, true));
+    assert!(parts.is_barred(at(ended_again - 1), [Cause::Part(7)]));
+    assert!(!parts.is_barred(at(ended_again), [Cause::Part(7)]));
+    assert!(parts.record_served(at(ended_again), Cause::Part(7), Proof::Completed, true));
     assert_eq!(apply(&mut parts, ended_again + 1_000, 5, &[&[7]]), []);
 }
 
 // Guards against unbounded tables where many requests are lost.
 #[test]
 fn the_number_of_parts_is_bounded() {
-    let mut parts = PartCrashes::default();
+    let mut parts = CrashCauses::default();
     for run in 0..3 {
         apply(&mut parts, run * 1_000, run, &[&[7]]);
     }
-    for run in 0..2 * PARTS_MAX as u64 {
+    for run in 0..2 * CAUSES_MAX as u64 {
         apply(&mut parts, 10_000 + run, 10 + run, &[&[100 + run]]);
     }
-    assert!(parts.len() <= PARTS_MAX, "{}", parts.len());
-    assert!(parts.is_barred(at(20_000), [7]), "the barred part was forgotten");
+    assert!(parts.len() <= CAUSES_MAX, "{}", parts.len());
+    assert!(parts.is_barred(at(20_000), [Cause::Part(7)]), "the barred part was forgotten");
 }
 
 proptest! {
@@ -195,7 +207,7 @@
         is_complete in any::<bool>(),
     ) {
         const SOUND: u64 = 1;
-        let mut parts = PartCrashes::default();
+        let mut parts = CrashCauses::default();
         let (mut millis, mut crashes_since) = (0, 0);
         for (run, (pause, mut suspect, completes)) in crashes.into_iter().enumerate() {
             millis += pause;
@@ -205,7 +217,7 @@
             crashes_since += 1;
             if completes || crashes_since == 2 {
                 let proof = if is_complete { Proof::Completed } else { Proof::Running };
-                parts.record_served(at(millis), SOUND, proof, true);
+                parts.record_served(at(millis), Cause::Part(SOUND), proof, true);
                 crashes_since = 0;
             }
         }
@@ -216,13 +228,13 @@
 // drop the bar.
 #[test]
 fn a_completion_contradicts_no_bar_for_later_crashes() {
-    let mut parts = PartCrashes::default();
+    let mut parts = CrashCauses::default();
     apply(&mut parts, 0, 1, &[&[7]]);
-    parts.record_served(at(500), 7, Proof::Completed, true);
+    parts.record_served(at(500), Cause::Part(7), Proof::Completed, true);
     for run in 2..4 {
         apply(&mut parts, run * 1_000, run, &[&[7]]);
     }
-    let announced = BarredPart { part: 7, for_ms: 60_000, renewals: 0, crashes: 3 };
+    let announced = Bar { cause: Cause::Part(7), for_ms: 60_000, renewals: 0, crashes: 3 };
     assert_eq!(parts.apply(at(3_500), announced, at(4_500)), Reaction::Applied);
     assert_eq!(parts.apply(at(4_000), announced, at(5_000)), Reaction::Known);
 }
@@ -230,8 +242,8 @@
 const BAD: &str = "bad";
 
 fn barred_part(id: &str) -> Note {
-    let part = PromptPart::new("m", id, 0).key;
-    Note::PartBarred(BarredPart { part, for_ms: 60_000, renewals: 0, crashes: 3 })
+    let cause = Cause::Part(PromptPart::new("m", id, 0).key);
+    Note::Barred(Bar { cause, for_ms: 60_000, renewals: 0, crashes: 3 })
 }
 
 fn receive(state: &mut State, now: Timestamp, note: Note) -> Vec<Effect> {
@@ -262,9 +274,9 @@
     let mut state = state(1, &[("a", "model")]);
     receive(&mut state, at(0), barred_part(BAD));
     let caches = state.engine_caches(at(10));
-    assert_eq!(caches.barred_parts.len(), 1);
+    assert_eq!(caches.bars.len(), 1);
     state.step(at(1_600), Event::Tick);
-    let is_bar = |it: &Note| matches!(it, Note::PartBarred(_));
+    let is_bar = |it: &Note| matches!(it, Note::Barred(_));
     assert!(state.take_notes().notes.iter().any(is_bar));
     receive(&mut state, at(1_700), barred_part(BAD));
     state.step(at(2_100), Event::Tick);
@@ -311,7 +323,7 @@
     state.take_notes();
     receive(&mut state, at(700), barred_part(BAD));
     let notes = state.take_notes().notes;
-    assert!(notes.iter().any(|it| matches!(it, Note::PartsServed { .. })), "{notes:?}");
+    assert!(notes.iter().any(|it| matches!(it, Note::CausesServed { .. })), "{notes:?}");
     let effects = reaction(&mut state, at(710), 2, prompt(BAD, 100, "own-2", 10));
     assert!(sent_target(&effects).is_some());
 }
--- a/sl-route/tests/it/request_crashes.rs
+++ b/sl-route/tests/it/request_crashes.rs
@@ -3,8 +3,12 @@
 use rstest::rstest;
 use sl_base::{Millis, RequestId};
 use sl_route::{
-    AttemptEnd, Effect, Event, Failure, Fault, RetryPolicy, ServerKey, State,
-    request_crashes::RequestCrashes,
+    AttemptEnd, Effect, Event, Failure, Fault, Notes, RetryPolicy, ServerKey, State,
+    crash_causes::{
+        BAR_INITIAL, CAUSES_MAX, CRASHES_TIED_MAX, Cause, CrashCauses, PROBE_DELAY, Proof,
+    },
+    crash_detector::{Crash, LostRequest, Suspect},
+    note::{Bar, Note},
 };
 
 use crate::{
@@ -96,25 +100,160 @@
     }
 }
 
+const FINGERPRINT: u64 = 7;
+
+/// Applies a crash of a run under one request alone; true if the request is barred by it.
+fn crash(causes: &mut CrashCauses, millis: u64, run: u64) -> bool {
+    !crash_under(causes, millis, run, &[FINGERPRINT]).is_empty()
+}
+
+/// Applies a crash of a run under some requests; returns those barred by it.
+fn crash_under(
+    causes: &mut CrashCauses,
+    millis: u64,
+    run: u64,
+    fingerprints: &[u64],
+) -> Vec<Cause> {
+    let lost = |fingerprint: &u64| LostRequest { fingerprint: *fingerprint, crashes_before: 0 };
+    let requests = fingerprints.iter().map(lost).collect();
+    let (run, at) = (ServerKey(run), at(millis));
+    let crash = Crash { run, at, lost: 1, is_own: true, suspects: Vec::new(), requests };
+    causes.record_crash(at, &crash, at).into_iter().map(|it| it.cause).collect()
+}
+
+fn is_barred(causes: &CrashCauses, millis: u64, fingerprint: u64) -> bool {
+    causes.is_barred(at(millis), [Cause::Request(fingerprint)])
+}
+
 #[test]
 fn three_crashes_bar_a_request_until_they_expire() {
-    let mut tracker = RequestCrashes::default();
-    assert!(!tracker.record_crash(at(0), 7, ServerKey(1)));
-    assert!(!tracker.record_crash(at(1), 7, ServerKey(2)));
-    assert!(!tracker.is_barred(at(1), 7));
-    assert!(tracker.record_crash(at(2), 7, ServerKey(3)));
-    assert!(tracker.is_barred(at(2), 7));
-    assert!(!tracker.is_barred(at(2), 8));
-    assert!(!tracker.is_barred(at(70_000), 7));
+    let mut causes = CrashCauses::default();
+    assert!(!crash(&mut causes, 0, 1));
+    assert!(!crash(&mut causes, 1_000, 2));
+    assert!(!is_barred(&causes, 1_000, FINGERPRINT));
+    assert!(crash(&mut causes, 2_000, 3));
+    assert!(is_barred(&causes, 2_000, FINGERPRINT));
+    assert!(!is_barred(&causes, 2_000, 8));
+    assert!(is_barred(&causes, 2_000 + BAR_INITIAL.0 - 1, FINGERPRINT));
+    assert!(!is_barred(&causes, 2_000 + BAR_INITIAL.0, FINGERPRINT));
 }
 
 #[test]
 fn a_request_that_completes_is_cleared() {
-    let mut tracker = RequestCrashes::default();
-    tracker.record_crash(at(0), 7, ServerKey(1));
-    tracker.record_crash(at(1), 7, ServerKey(2));
-    tracker.clear(7);
-    assert!(!tracker.record_crash(at(2), 7, ServerKey(3)));
+    let mut causes = CrashCauses::default();
+    crash(&mut causes, 0, 1);
+    crash(&mut causes, 1_000, 2);
+    causes.record_served(at(1_500), Cause::Request(FINGERPRINT), Proof::Completed, true);
+    assert!(!crash(&mut causes, 2_000, 3));
+}
+
+// Guards against barring a sound request that was on the same three servers as the bad one: which
+// of them is bad shows when one of them completes, or is lost without the other.
+#[test]
+fn of_two_requests_that_explain_the_same_crashes_the_one_that_crashes_more_is_barred() {
+    const SOUND: u64 = 8;
+    let mut causes = CrashCauses::default();
+    for run in 0..3 {
+        assert_eq!(crash_under(&mut causes, run * 1_000, run, &[SOUND, FINGERPRINT]), []);
+    }
+    assert_eq!(crash_under(&mut causes, 3_000, 3, &[FINGERPRINT]), []);
+    assert_eq!(crash_under(&mut causes, 4_000, 4, &[FINGERPRINT]), [Cause::Request(FINGERPRINT)]);
+    assert!(!is_barred(&causes, 4_000, SOUND));
+}
+
+// Guards against barring a sound request at an instance that missed the notes of how the bad one,
+// which was on the same servers, was lost.
+#[test]
+fn a_request_is_not_barred_while_another_explains_all_of_its_crashes_but_one() {
+    let mut causes = CrashCauses::default();
+    for run in 0..2 {
+        crash_under(&mut causes, run * 1_000, run, &[FINGERPRINT, 8]);
+    }
+    assert!(!crash(&mut causes, 2_000, 2));
+    causes.record_served(at(2_500), Cause::Request(8), Proof::Completed, false);
+    assert!(crash(&mut causes, 3_000, 3));
+}
+
+// Guards against two bad requests that always come together, of which neither would be barred.
+#[test]
+fn requests_that_explain_five_crashes_equally_well_are_all_barred() {
+    let mut causes = CrashCauses::default();
+    for run in 0..CRASHES_TIED_MAX as u64 - 1 {
+        assert_eq!(crash_under(&mut causes, run * 1_000, run, &[1, 2]), []);
+    }
+    let both = [Cause::Request(1), Cause::Request(2)];
+    assert_eq!(crash_under(&mut causes, 9_000, 9, &[1, 2]), both);
+}
+
+// Guards against a sound request that stays barred with the bad one that it came with, and against
+// a bad one that is sent again and again to find that out.
+#[test]
+fn a_barred_request_is_sent_once_by_one_instance_and_cleared_if_it_completes() {
+    let servers = [("a", "app"), ("b", "app")];
+    let (mut here, mut there) = (state(1, &servers), state(2, &servers));
+    let bar = Bar { cause: Cause::Request(99), for_ms: 60_000, renewals: 0, crashes: 3 };
+    for (instance, peer) in [(&mut here, 2), (&mut there, 1)] {
+        let notes = Notes { notes: vec![Note::Barred(bar)] };
+        instance.step(at(0), Event::NotesReceived { from: peer, notes });
+    }
+    let due = PROBE_DELAY.0;
+    for instance in [&mut here, &mut there] {
+        assert!(!is_sent(instance, due - 1));
+    }
+    for (instance, peer) in [(&mut here, 2), (&mut there, 1)] {
+        let notes = Notes { notes: Vec::new() };
+        instance.step(at(due), Event::NotesReceived { from: peer, notes });
+    }
+    let sent = [is_sent(&mut here, due), is_sent(&mut there, due)];
+    assert_eq!(sent.iter().filter(|it| **it).count(), 1);
+    let (prober, other) = if sent[0] { (&mut here, &mut there) } else { (&mut there, &mut here) };
+    assert!(!is_sent(prober, due + 1_000));
+    complete(prober, at(due + 1_100), due);
+    let notes = prober.take_notes();
+    other.step(at(due + 1_200), Event::NotesReceived { from: 1, notes });
+    for instance in [prober, other] {
+        assert!(is_sent(instance, due + 1_300));
+    }
+}
+
+// Guards against a full table, in which no further request would ever be counted.
+#[test]
+fn a_request_is_counted_however_many_others_were_lost() {
+    let mut causes = CrashCauses::default();
+    for number in 0..2 * CAUSES_MAX as u64 {
+        crash_under(&mut causes, number, number, &[1_000 + number]);
+    }
+    let start = 3 * CAUSES_MAX as u64;
+    for run in 0..2 {
+        assert!(!crash(&mut causes, start + run * 1_000, start + run));
+        for number in 0..CAUSES_MAX as u64 / 2 {
+            let number = start * (run + 2) + number;
+            crash_under(&mut causes, number, number, &[1_000 + number]);
+        }
+    }
+    assert!(causes.len() <= CAUSES_MAX, "{}", causes.len());
+    assert!(crash(&mut causes, start * 9, start * 9));
+}
+
+// Guards against blaming a prompt part for one request that comes again: others with it are sound.
+#[test]
+fn a_part_is_not_barred_for_the_crashes_of_one_request() {
+    let mut causes = CrashCauses::default();
+    let bar = |causes: &mut CrashCauses, run: u64, fingerprint| {
+        let suspects = vec![Suspect { fingerprint, parts: vec![1] }];
+        let requests = vec![LostRequest { fingerprint, crashes_before: 0 }];
+        let (run, at) = (ServerKey(run), at(run * 1_000));
+        let crash = Crash { run, at, lost: 1, is_own: true, suspects, requests };
+        let bars = causes.record_crash(at, &crash, at).into_iter();
+        bars.map(|it| it.cause).collect::<Vec<_>>()
+    };
+    for run in 0..2 {
+        assert_eq!(bar(&mut causes, run, FINGERPRINT), []);
+    }
+    assert_eq!(bar(&mut causes, 2, FINGERPRINT), [Cause::Request(FINGERPRINT)]);
+    assert!(!causes.is_barred(at(2_000), [Cause::Part(1)]));
+    // A second request that crashes a server shows that the part is the cause.
+    assert_eq!(bar(&mut causes, 3, 8), [Cause::Part(1)]);
 }
 
 #[test]
@@ -195,9 +334,9 @@
 // Guards against barring a request for one server that breaks off responses.
 #[test]
 fn a_server_counts_once() {
-    let mut tracker = RequestCrashes::default();
-    for millis in 0..9 {
-        assert!(!tracker.record_crash(at(millis), 7, ServerKey(1)));
+    let mut causes = CrashCauses::default();
+    for index in 0..9 {
+        assert!(!crash(&mut causes, index * 1_000, 1));
     }
 }
 
