--- a/tests/it/crashes.rs
+++ b/tests/it/crashes.rs
@@ -1,4 +1,5 @@
-//! Requests with a prompt part under which engines crash stop reaching engines, at every instance.
+//! Requests under which engines crash stop reaching engines, at every instance: those that share a
+//! prompt part, and one that comes again whole.
 
 use std::{path::Path, time::Duration};
 
@@ -41,6 +42,14 @@
     Call { prompt, ..model_call("/chat/7", &format!("sound-{number}")) }
 }
 
+/// The bad request that comes again whole. The part under which engines crash is its own, and the
+/// one before it belongs to sound requests as well.
+fn repeated_call(number: usize) -> Call {
+    let prompt = Some((1_400, 60, format!("a1:1000,{CRASHING_PART}:400")));
+    let body = "bad".into();
+    Call { prompt, body, ..model_call("/chat/7", &format!("repeated-{number}")) }
+}
+
 async fn send(fleet: &Fleet, instance: usize, call: &Call) -> Response {
     let mut caller = fleet.caller(instance).await.unwrap();
     caller.call(call).await.unwrap()
@@ -55,8 +64,8 @@
     tokio::time::sleep(Duration::from_millis(300)).await;
 }
 
-async fn assert_barred(fleet: &Fleet, instance: usize, number: usize) {
-    let response = send(fleet, instance, &bad_call(number)).await;
+async fn assert_barred(fleet: &Fleet, instance: usize, call: &Call) {
+    let response = send(fleet, instance, call).await;
     let code = response.header("x-sesamelock-code");
     assert_eq!((response.status(), code), (502, Some("1018")), "at instance {instance}");
 }
@@ -79,14 +88,33 @@
     }
     tokio::time::sleep(CONTACT).await;
     for instance in 0..INSTANCES {
-        assert_barred(&fleet, instance, 10 + instance).await;
+        assert_barred(&fleet, instance, &bad_call(10 + instance)).await;
         assert_served(&fleet, instance, 10 + instance).await;
     }
     fleet.instances[0].kill();
     fleet.instances[0].start().unwrap();
     fleet.wait_until_ready().await;
     tokio::time::sleep(CONTACT).await;
-    assert_barred(&fleet, 0, 20).await;
+    assert_barred(&fleet, 0, &bad_call(20)).await;
     assert_served(&fleet, 0, 20).await;
     assert_eq!(fleet.engines().map(|it| it.crashes()).sum::<u64>(), CRASHES as u64);
 }
+
+// Guards against a request that comes again whole, to any instance, and crashes the engines one after
+// the other within their responses.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_crashes_engines_is_barred_at_every_instance() {
+    let fleet = start_fleet().await;
+    for number in 0..CRASHES {
+        assert_served(&fleet, number % INSTANCES, number).await;
+        let response = send(&fleet, number % INSTANCES, &repeated_call(number)).await;
+        assert!(!response.is_complete || response.status() == 502, "{}", response.text());
+        restart_engines(&fleet).await;
+    }
+    tokio::time::sleep(CONTACT).await;
+    for instance in 0..INSTANCES {
+        assert_barred(&fleet, instance, &repeated_call(10 + instance)).await;
+        assert_served(&fleet, instance, 10 + instance).await;
+    }
+    assert_eq!(fleet.engines().map(|it| it.crashes()).sum::<u64>(), CRASHES as u64);
+}
