--- a/sl-core/src/explain.rs
+++ b/sl-core/src/explain.rs
@@ -126,14 +126,22 @@
 ];
 
 /// Messages that describe the state of one backend server, named by the field `server`.
-const OF_SERVER: [&str; 4] = [
+const OF_SERVER: [&str; 6] = [
     "server changed",
     "server avoided",
     "cache contents updated",
+    "request limit named by server",
+    "request limit of server ended",
     // Text of older builds.
     "cache known",
 ];
 
+/// Messages that describe a limit of a server, which may have kept a request from all servers.
+const OF_LIMITS: [&str; 2] = ["request limit named by server", "request limit of server ended"];
+
+/// The reason of a refusal because no server took the request, as logged.
+const TURNED_AWAY: &str = "turned_away";
+
 /// Reads the logs and collects the traces of the request.
 ///
 /// # Errors
@@ -221,12 +229,14 @@
 /// Returns the latest line of each kind that describes state on which the request depended.
 fn known_state(before: &[Line], steps: &[Line]) -> Vec<StateLine> {
     let servers: Vec<&str> = steps.iter().filter_map(|it| it.field("server")).collect();
+    let is_turned_away = steps.iter().any(|it| it.field("why") == Some(TURNED_AWAY));
     let mut latest: BTreeMap<(&str, &str), &Line> = BTreeMap::new();
     for line in before {
         let server = line.field("server").unwrap_or_default();
         let is_general = GENERAL.contains(&line.msg.as_str());
         let is_of_server = OF_SERVER.contains(&line.msg.as_str()) && servers.contains(&server);
-        if is_general || is_of_server {
+        let is_of_limit = is_turned_away && OF_LIMITS.contains(&line.msg.as_str());
+        if is_general || is_of_server || is_of_limit {
             latest.insert((&line.msg, server), line);
         }
     }
--- a/sl-core/tests/it/explain.rs
+++ b/sl-core/tests/it/explain.rs
@@ -134,3 +134,22 @@
     ];
     assert_eq!(known_state_messages(&messages), messages);
 }
+
+// Guards against a refusal whose cause no line explains: no server was asked.
+#[test]
+fn the_limits_of_servers_explain_a_request_that_no_server_took() {
+    let log = r#"
+{"msg":"request limit named by server","level":"INFO","ts":"2026-03-08T15:25:04.000Z","instance":"edge-1","server":"i-1","per_s":2.5}
+{"msg":"request admitted","level":"INFO","ts":"2026-03-08T15:25:05.000Z","instance":"edge-1","request":7,"id":"aa"}
+{"msg":"request refused","level":"WARN","ts":"2026-03-08T15:25:05.000Z","instance":"edge-1","request":7,"why":"turned_away"}
+{"msg":"request admitted","level":"INFO","ts":"2026-03-08T15:25:06.000Z","instance":"edge-1","request":8,"id":"bb"}
+{"msg":"request refused","level":"WARN","ts":"2026-03-08T15:25:06.000Z","instance":"edge-1","request":8,"why":"overload"}
+"#;
+    let known = |id| {
+        let outcome = explain(&options(id, OutputFormat::Text), log.as_bytes()).unwrap();
+        let known_state = outcome.traces[0].known_state.iter();
+        known_state.map(|it| it.line.msg.clone()).collect::<Vec<_>>()
+    };
+    assert_eq!(known("aa"), ["request limit named by server"]);
+    assert_eq!(known("bb"), [""; 0]);
+}
--- a/sl-edge/src/caller/exchange.rs
+++ b/sl-edge/src/caller/exchange.rs
@@ -4,7 +4,8 @@
 use sl_base::{Code, Millis, Timestamp};
 use sl_http::Conn;
 use sl_route::{
-    Arrival, AttemptEnd, Event, Failure, Fault, RetryPolicy, ServerNotice, effect::Target,
+    Arrival, AttemptEnd, Event, Failure, Fault, RetryPolicy, ServerKey, ServerNotice,
+    effect::Target,
 };
 
 use super::{Disposition, Ingress, request::Request};
@@ -141,7 +142,9 @@
         };
         let core = &self.ingress.core;
         let is_accepting = || core.with_state(|it| it.is_accepting(clock.now(), target.server));
-        let on_response = |response: ServerResponse<'_>| report_notices(core, target, response);
+        let sent_at = clock.now();
+        let on_response =
+            |response: ServerResponse<'_>| report_notices(core, target, sent_at, response);
         let sending =
             attempt::send(&self.ingress.pool, clock, target, outgoing, is_accepting, on_response);
         let mut sending = std::pin::pin!(sending);
@@ -286,8 +289,9 @@
 }
 
 /// Reports to the reducer what the server asks for in the head of its response.
-fn report_notices(core: &Core, target: &Target, response: ServerResponse<'_>) {
+fn report_notices(core: &Core, target: &Target, sent_at: Timestamp, response: ServerResponse<'_>) {
     let server = target.server;
+    report_limit(core, server, sent_at, response);
     if response.announces_drain() {
         core.step(Event::ServerNotice { server, notice: ServerNotice::Draining });
     }
@@ -301,6 +305,20 @@
     }
 }
 
+/// Reports the limit that a server names, or that it names none although it did before. A response
+/// that turns the request away may lack the limit while it holds.
+fn report_limit(core: &Core, server: ServerKey, sent_at: Timestamp, response: ServerResponse<'_>) {
+    let notice = match response.request_limit() {
+        Ok(Some(per_second)) => ServerNotice::Limit { per_second },
+        Ok(None) if response.is_sealed() && core.with_state(|it| it.is_limited(server)) => {
+            ServerNotice::NoLimit { sent_at }
+        }
+        Ok(None) => return,
+        Err(e) => return core.warn_malformed("server response", &e),
+    };
+    core.step(Event::ServerNotice { server, notice });
+}
+
 /// Only responses with this status are relayed as streams.
 const STATUS_OK: u16 = 200;
 
--- a/sl-edge/src/core/reporting.rs
+++ b/sl-edge/src/core/reporting.rs
@@ -69,6 +69,9 @@
         self.metrics.store_age.set(seconds(self.store_contact_at.get()));
         let (oldest_contact, left) =
             self.with_state(|it| (it.oldest_peer_contact(), it.retries_left(now)));
+        let limited =
+            self.with_state(|it| it.servers().filter(|it| it.send_limit.is_some()).count());
+        self.metrics.limited_servers.set(limited as i64);
         self.metrics.peer_age.set(oldest_contact.map_or(0.0, seconds));
         for (service, left) in left {
             self.metrics.retries_left.get_or_create(&name_label(service)).set(left);
--- a/sl-edge/src/log.rs
+++ b/sl-edge/src/log.rs
@@ -157,6 +157,8 @@
         Decision::ServerAvoided { .. }
         | Decision::DrainAnnounced { .. }
         | Decision::PauseRequested { .. }
+        | Decision::LimitNamed { .. }
+        | Decision::LimitEnded { .. }
         | Decision::ServerEntryOutdated { .. }
         | Decision::ServerChanged { .. }
         | Decision::CacheKnown { .. } => write_server_decision(log, decision),
@@ -183,6 +185,14 @@
         Decision::PauseRequested { server, for_ms } => {
             info!(log, "pause requested by server"; "server" => %server, "for_ms" => for_ms);
         }
+        Decision::LimitNamed { server, per_second, from_peer } => {
+            info!(log, "request limit named by server";
+                "server" => %server, "per_s" => per_second, "by_peer" => from_peer);
+        }
+        Decision::LimitEnded { server, from_peer } => {
+            info!(log, "request limit of server ended";
+                "server" => %server, "by_peer" => from_peer);
+        }
         Decision::ServerEntryOutdated { server } => {
             info!(log, "server entry older than the one known, ignored"; "server" => %server);
         }
--- a/sl-edge/src/metrics.rs
+++ b/sl-edge/src/metrics.rs
@@ -74,6 +74,8 @@
     pub server_attempts: Family<NameOutcomeLabels, Counter>,
     /// Retries left in this instance's budget, by service.
     pub retries_left: Family<NameLabel, FloatGauge>,
+    /// Servers that name a limit on the requests of all instances.
+    pub limited_servers: Gauge,
     /// Seconds since the configuration came into force here.
     pub document_age: FloatGauge,
     /// Seconds since the store's contents were last known to be current, from the store or from
@@ -134,6 +136,7 @@
             team_tokens: Family::default(),
             server_attempts: Family::default(),
             retries_left: Family::default(),
+            limited_servers: Gauge::default(),
             document_age: Gauge::default(),
             store_age: Gauge::default(),
             peer_age: Gauge::default(),
@@ -253,6 +256,11 @@
             "Attempts by server and outcome",
             self.server_attempts.clone(),
         );
+        it.register(
+            "limited_servers",
+            "Servers that name a limit on the requests of all instances",
+            self.limited_servers.clone(),
+        );
         it.register("retries_left", "Retries left by service", self.retries_left.clone());
         it.register("document_age_seconds", "Since it is in force", self.document_age.clone());
         it.register("store_age_seconds", "Since the store was heard", self.store_age.clone());
--- a/sl-route/src/effect.rs
+++ b/sl-route/src/effect.rs
@@ -250,6 +250,22 @@
         /// Whether the engine itself reported the parts, rather than a peer.
         from_engine: bool,
     },
+    /// A server named a limit on the requests of all instances together, or another one than before.
+    LimitNamed {
+        /// The id of the server.
+        server: Arc<str>,
+        /// Requests a second.
+        per_second: f64,
+        /// Whether a peer reported it, rather than a response.
+        from_peer: bool,
+    },
+    /// The limit of a server has ended.
+    LimitEnded {
+        /// The id of the server.
+        server: Arc<str>,
+        /// Whether a peer reported it, rather than a response or the lack of any.
+        from_peer: bool,
+    },
     /// A server crashed while it ran attempts of this instance.
     ServerCrashed(ServerCrash),
     /// Requests are no longer run because servers crashed under them.
@@ -301,6 +317,8 @@
             | Decision::ServerAvoided { .. }
             | Decision::DrainAnnounced { .. }
             | Decision::PauseRequested { .. }
+            | Decision::LimitNamed { .. }
+            | Decision::LimitEnded { .. }
             | Decision::StoreRestored
             | Decision::ServerEntryOutdated { .. }
             | Decision::ServerChanged { .. }
--- a/sl-route/src/event.rs
+++ b/sl-route/src/event.rs
@@ -112,7 +112,7 @@
 }
 
 /// What a server asks of its callers in the head of a response.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub enum ServerNotice {
     /// The server shuts down: it is to get no new requests, from any instance.
     Draining,
@@ -121,6 +121,16 @@
         /// When this instance may send requests again.
         until: Timestamp,
     },
+    /// The server takes no more than so many requests a second from all instances together.
+    Limit {
+        /// Requests a second.
+        per_second: f64,
+    },
+    /// The response names no limit.
+    NoLimit {
+        /// When the request was sent that the server responds to.
+        sent_at: Timestamp,
+    },
 }
 
 /// Limits that the settings impose on an instance.
--- a/sl-route/src/lib.rs
+++ b/sl-route/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod place;
 pub mod prompt;
 pub mod request;
+pub mod send_limit;
 pub mod server;
 pub mod share;
 mod state;
--- a/sl-route/src/note.rs
+++ b/sl-route/src/note.rs
@@ -111,6 +111,14 @@
     },
     /// Requests with a cause of crashes are no longer sent to servers.
     Barred(Bar),
+    /// A server named a limit on the requests that it takes from all instances together, or has
+    /// ceased to.
+    ServerLimit {
+        /// The server.
+        server: ServerKey,
+        /// Requests a second; `None` if the limit has ended.
+        per_second: Option<f64>,
+    },
 }
 
 /// The bar of what crashed servers.
--- a/sl-route/src/server.rs
+++ b/sl-route/src/server.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     PromptPart, ServerRecord, ServerState, engine::Engine, health::Health, note::AttemptKey,
+    send_limit::SendLimit,
 };
 
 /// Identifies one run of a backend server.
@@ -51,6 +52,8 @@
     pub has_announced_drain: bool,
     /// The server asked this instance to send it no requests before this time.
     pub paused_until: Timestamp,
+    /// The limit that the server names on the requests of all instances; `None` without one.
+    pub send_limit: Option<SendLimit>,
 }
 
 /// The kind of a server and the model of its load.
--- a/sl-route/src/state.rs
+++ b/sl-route/src/state.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod cache;
 mod crashes;
+mod limits;
 mod listing;
 mod notes;
 mod notices;
@@ -190,6 +191,11 @@
         server.is_some_and(|it| it.is_in_service() && !it.is_paused(now))
     }
 
+    /// Whether the server has named a limit on the requests of all instances.
+    pub fn is_limited(&self, server: ServerKey) -> bool {
+        self.servers.get(&server).is_some_and(|it| it.send_limit.is_some())
+    }
+
     /// Number of requests in flight at this instance.
     pub fn in_flight(&self) -> usize {
         self.requests.len()
@@ -273,6 +279,7 @@
             server.prune(now, |it| it != own_id && !peers.contains_key(&it));
         }
         self.expire_missing_servers(now);
+        self.expire_limits(now);
         self.update_speed_priors();
         self.request_cache_lists(now);
     }
--- /dev/null
+++ b/sl-route/src/state/limits.rs
@@ -0,0 +1,66 @@
+//! Limits that servers name on the requests of all instances together.
+
+use sl_base::Timestamp;
+
+use super::State;
+use crate::{Decision, Effect, ServerKey, note::Note, send_limit::SendLimit};
+
+impl State {
+    /// Applies a limit that a server named in a response to this instance or, if `from_peer`, to
+    /// another one.
+    pub(super) fn on_limit_named(
+        &mut self,
+        now: Timestamp,
+        key: ServerKey,
+        per_second: f64,
+        from_peer: bool,
+    ) {
+        let Some(server) = self.servers.get_mut(&key) else {
+            return;
+        };
+        let is_new = server.send_limit.is_none();
+        let limit = server.send_limit.get_or_insert_with(|| SendLimit::new(now, per_second));
+        let has_changed = limit.renew(now, per_second);
+        if from_peer {
+            limit.defer_announcement(now);
+        }
+        let is_announced = !from_peer && (has_changed || limit.take_announcement(now));
+        if is_new || has_changed {
+            let server = server.record.id.clone();
+            let decision = Decision::LimitNamed { server, per_second, from_peer };
+            self.effects.push(Effect::Log(decision));
+        }
+        if is_announced {
+            self.queue_note(Note::ServerLimit { server: key, per_second: Some(per_second) });
+        }
+    }
+
+    /// Ends the limit of a server whose response to a request sent at `sent_at` names none.
+    pub(super) fn on_no_limit(&mut self, key: ServerKey, sent_at: Timestamp) {
+        let limit = self.servers.get(&key).and_then(|it| it.send_limit.as_ref());
+        if limit.is_some_and(|it| it.may_end(sent_at)) {
+            self.end_limit(key, false);
+            self.queue_note(Note::ServerLimit { server: key, per_second: None });
+        }
+    }
+
+    /// Ends the limit of a server, if there is one.
+    pub(super) fn end_limit(&mut self, key: ServerKey, from_peer: bool) {
+        let Some(server) = self.servers.get_mut(&key) else {
+            return;
+        };
+        if server.send_limit.take().is_some() {
+            let server = server.record.id.clone();
+            self.effects.push(Effect::Log(Decision::LimitEnded { server, from_peer }));
+        }
+    }
+
+    /// Ends the limits that have not been named for long.
+    pub(super) fn expire_limits(&mut self, now: Timestamp) {
+        let is_expired = |it: &SendLimit| it.is_expired(now);
+        let expired =
+            self.servers.values().filter(|it| it.send_limit.as_ref().is_some_and(is_expired));
+        let expired: Vec<ServerKey> = expired.map(|it| it.key).collect();
+        expired.into_iter().for_each(|it| self.end_limit(it, false));
+    }
+}
--- a/sl-route/src/state/listing.rs
+++ b/sl-route/src/state/listing.rs
@@ -126,6 +126,7 @@
                 updated_at: now,
                 has_announced_drain: self.draining_runs.contains(key),
                 paused_until: now,
+                send_limit: None,
             },
         );
         self.pools_are_current = false;
--- a/sl-route/src/state/notes.rs
+++ b/sl-route/src/state/notes.rs
@@ -85,6 +85,10 @@
                 self.on_causes_served(now, &causes, is_complete);
             }
             Note::Barred(bar) => self.on_bar(now, bar),
+            Note::ServerLimit { server, per_second: Some(per_second) } => {
+                self.on_limit_named(now, server, per_second, true);
+            }
+            Note::ServerLimit { server, per_second: None } => self.end_limit(server, true),
         }
     }
 }
--- a/sl-route/src/state/notices.rs
+++ b/sl-route/src/state/notices.rs
@@ -19,6 +19,10 @@
         match notice {
             ServerNotice::Draining => self.on_drain_announced(now, server),
             ServerNotice::Pause { until } => self.on_pause_requested(now, server, until),
+            ServerNotice::Limit { per_second } => {
+                self.on_limit_named(now, server, per_second, false);
+            }
+            ServerNotice::NoLimit { sent_at } => self.on_no_limit(server, sent_at),
         }
     }
 
