--- /dev/null
+++ b/sl-route/tests/it/limits.rs
@@ -0,0 +1,356 @@
+//! Servers that name a limit on the requests of all instances together get no more.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+use sl_base::{Millis, RequestId, Timestamp};
+use sl_route::{Effect, Event, Notes, RetryPolicy, ServerKey, ServerNotice, State, effect::Target};
+
+use crate::testbed::{START, arrival, document, options, record, state};
+
+/// A fleet before servers of which some name a limit, and the time for which they do.
+#[derive(Clone, Copy, Debug)]
+struct Scenario {
+    instances: usize,
+    limited: usize,
+    unlimited: usize,
+    /// Requests a second that each limited server takes.
+    per_second: f64,
+    /// Requests a second of all callers.
+    load: u64,
+    /// How often an instance starts again with an empty state; `None` for never.
+    restart_interval: Option<Millis>,
+}
+
+const SCENARIO: Scenario = Scenario {
+    instances: 9,
+    limited: 6,
+    unlimited: 3,
+    per_second: 3.6,
+    load: 200,
+    restart_interval: None,
+};
+
+const SPAN: Millis = Millis(24_000);
+
+/// The limits are named between these times.
+const LIMITED_FROM: Millis = Millis(4_000);
+const LIMITED_UNTIL: Millis = Millis(18_000);
+
+/// How long an instance may take to hold to a limit that it was told.
+const GRACE: Millis = Millis(500);
+
+const WINDOW: Millis = Millis(4_000);
+
+/// What the limit allows within [`WINDOW`], as a factor and requests beyond.
+const ALLOWED_FACTOR: f64 = 1.5;
+const ALLOWED_EXTRA: f64 = 5.0;
+
+const STEP: Millis = Millis(5);
+const TICK_INTERVAL: Millis = Millis(100);
+const RESPONSE_TIME: Millis = Millis(40);
+
+/// How long an instance takes to learn of the number of instances.
+const MEMBERS_DELAY: Millis = Millis(400);
+
+/// Of 100 messages, how many are lost.
+const LOST_PERCENT: u32 = 3;
+
+struct Fleet {
+    scenario: Scenario,
+    rng: ChaCha8Rng,
+    now: Timestamp,
+    instances: Vec<State>,
+    started_at: Vec<Timestamp>,
+    attempts: BTreeMap<RequestId, Attempt>,
+    messages: VecDeque<(Timestamp, usize, usize, Notes)>,
+    /// When each instance was first told of the limit of each server, since its start.
+    told_at: HashMap<(usize, ServerKey), Timestamp>,
+    /// When requests reached each limited server from instances that had been told for as long as
+    /// the grace.
+    counted: HashMap<ServerKey, Vec<Timestamp>>,
+    /// When requests reached each limited server.
+    arrivals: HashMap<ServerKey, Vec<Timestamp>>,
+    refused: u32,
+    last_request: u64,
+}
+
+struct Attempt {
+    instance: usize,
+    server: ServerKey,
+    sent_at: Timestamp,
+    ends_at: Timestamp,
+}
+
+impl Fleet {
+    fn new(scenario: Scenario, seed: u64) -> Fleet {
+        let mut fleet = Fleet {
+            scenario,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            now: START,
+            instances: Vec::new(),
+            started_at: vec![START; scenario.instances],
+            attempts: BTreeMap::new(),
+            messages: VecDeque::new(),
+            told_at: HashMap::new(),
+            counted: HashMap::new(),
+            arrivals: HashMap::new(),
+            refused: 0,
+            last_request: 0,
+        };
+        fleet.instances = (0..scenario.instances).map(|it| fleet.new_instance(it)).collect();
+        fleet
+    }
+
+    fn new_instance(&mut self, index: usize) -> State {
+        let seed = self.rng.random_range(0..u64::MAX);
+        let mut state = State::new(sl_route::Options { seed, ..options(index as u32) }, self.now);
+        state.step(self.now, Event::Document(document(1)));
+        for server in 0..self.scenario.limited + self.scenario.unlimited {
+            state.step(self.now, Event::ServerListed(record(&server_id(server), "app")));
+        }
+        state
+    }
+
+    fn run(mut self) -> Fleet {
+        let end = START.after(SPAN);
+        while !end.is_due(self.now) {
+            self.now = self.now.after(STEP);
+            self.restart_instance();
+            self.end_attempts();
+            self.arrive();
+            self.exchange_notes();
+            if self.is_time(TICK_INTERVAL) {
+                (0..self.instances.len()).for_each(|it| self.tick(it));
+            }
+        }
+        self
+    }
+
+    fn is_time(&self, interval: Millis) -> bool {
+        (self.now.millis_since(START) as u64).is_multiple_of(interval.0)
+    }
+
+    fn is_limited_at(&self, server: ServerKey, at: Timestamp) -> bool {
+        let is_named =
+            START.after(LIMITED_FROM).is_due(at) && !START.after(LIMITED_UNTIL).is_due(at);
+        is_named && (0..self.scenario.limited).any(|it| ServerKey::of(&server_id(it), 1) == server)
+    }
+
+    fn restart_instance(&mut self) {
+        if self.scenario.restart_interval.is_some_and(|it| self.is_time(it)) {
+            let index = self.rng.random_range(0..self.instances.len());
+            self.attempts.retain(|_, it| it.instance != index);
+            self.told_at.retain(|(instance, _), _| *instance != index);
+            self.instances[index] = self.new_instance(index);
+            self.started_at[index] = self.now;
+        }
+    }
+
+    fn tick(&mut self, index: usize) {
+        self.step(index, Event::Tick);
+        if self.started_at[index].after(MEMBERS_DELAY).is_due(self.now) {
+            self.step(index, Event::InstanceCount(self.scenario.instances));
+        }
+    }
+
+    fn step(&mut self, instance: usize, event: Event) {
+        let effects = self.instances[instance].step(self.now, event);
+        for effect in effects {
+            match effect {
+                Effect::Send { request, target } => self.send(instance, request, &target),
+                Effect::Refuse { .. } => self.refused += 1,
+                _ => {}
+            }
+        }
+    }
+
+    fn send(&mut self, instance: usize, request: RequestId, target: &Target) {
+        let server = target.server;
+        if self.is_limited_at(server, self.now) {
+            self.arrivals.entry(server).or_default().push(self.now);
+        }
+        let told_at = self.told_at.get(&(instance, server));
+        if told_at.is_some_and(|it| it.after(GRACE).is_due(self.now)) {
+            self.counted.entry(server).or_default().push(self.now);
+        }
+        let (sent_at, ends_at) = (self.now, self.now.after(RESPONSE_TIME));
+        self.attempts.insert(request, Attempt { instance, server, sent_at, ends_at });
+    }
+
+    fn end_attempts(&mut self) {
+        let ended: Vec<RequestId> = self
+            .attempts
+            .iter()
+            .filter(|(_, it)| it.ends_at.is_due(self.now))
+            .map(|(&request, _)| request)
+            .collect();
+        for request in ended {
+            let Some(Attempt { instance, server, sent_at, .. }) = self.attempts.remove(&request)
+            else {
+                continue;
+            };
+            let notice = if self.is_limited_at(server, self.now) {
+                self.told_at.entry((instance, server)).or_insert(self.now);
+                ServerNotice::Limit { per_second: self.scenario.per_second }
+            } else {
+                self.told_at.remove(&(instance, server));
+                ServerNotice::NoLimit { sent_at }
+            };
+            self.step(instance, Event::ServerNotice { server, notice });
+            self.step(instance, Event::ResponseStarted { request });
+            let end = sl_route::AttemptEnd::Completed { status: 200, event_interval_micros: None };
+            self.step(instance, Event::AttemptEnded { request, end });
+        }
+    }
+
+    fn arrive(&mut self) {
+        let per_step = self.scenario.load * STEP.0;
+        let count =
+            per_step / 1_000 + u64::from(self.rng.random_range(0..1_000) < per_step % 1_000);
+        for _ in 0..count {
+            self.last_request += 1;
+            // The balancer spreads callers unevenly: a third of the requests reach one instance.
+            let index = match self.rng.random_range(0..3) {
+                0 => 0,
+                _ => self.rng.random_range(0..self.instances.len()),
+            };
+            let arrival = arrival(self.now, self.last_request, RetryPolicy::Idempotent, None);
+            self.step(index, Event::RequestArrived(Box::new(arrival)));
+        }
+    }
+
+    fn exchange_notes(&mut self) {
+        for from in 0..self.instances.len() {
+            if !self.instances[from].has_notes() {
+                continue;
+            }
+            let notes = self.instances[from].take_notes();
+            for to in (0..self.instances.len()).filter(|it| *it != from) {
+                if self.rng.random_range(0..100) >= LOST_PERCENT {
+                    let due_at = self.now.after(Millis(self.rng.random_range(15..60)));
+                    self.messages.push_back((due_at, from, to, notes.clone()));
+                }
+            }
+        }
+        for _ in 0..self.messages.len() {
+            let Some((due_at, from, to, notes)) = self.messages.pop_front() else {
+                return;
+            };
+            if due_at.is_due(self.now) {
+                self.step(to, Event::NotesReceived { from: from as u32, notes });
+            } else {
+                self.messages.push_back((due_at, from, to, notes));
+            }
+        }
+    }
+
+    /// The most requests that reached a limited server within any window.
+    fn most_in_window(&self) -> usize {
+        let most = |times: &Vec<Timestamp>| {
+            let in_window = |from: &Timestamp| {
+                times.iter().filter(|it| from <= it && **it < from.after(WINDOW)).count()
+            };
+            times.iter().map(in_window).max().unwrap_or(0)
+        };
+        self.counted.values().map(most).max().unwrap_or(0)
+    }
+
+    /// Requests a second that reached a limited server on average, while the limit held.
+    fn mean_rate(&self) -> f64 {
+        let settled = START.after(LIMITED_FROM).after(Millis(2_000));
+        let arrivals = self.arrivals.values().flatten().filter(|it| settled <= **it).count();
+        let seconds = (LIMITED_UNTIL.0 - LIMITED_FROM.0 - 2_000) as f64 / 1_000.0;
+        arrivals as f64 / self.scenario.limited as f64 / seconds
+    }
+}
+
+fn server_id(index: usize) -> String {
+    format!("server-{index}")
+}
+
+fn check(scenario: Scenario) {
+    for seed in 0..3 {
+        let fleet = Fleet::new(scenario, seed).run();
+        let most = fleet.most_in_window();
+        let limit = scenario.per_second;
+        let allowed = ALLOWED_FACTOR * limit * WINDOW.0 as f64 / 1_000.0 + ALLOWED_EXTRA;
+        assert!(most as f64 <= allowed, "seed {seed}: {most} in a window, allowed {allowed}");
+        let mean = fleet.mean_rate();
+        assert!(mean >= limit / 2.0, "seed {seed}: {mean} requests a second of {limit}");
+        if scenario.unlimited > 0 {
+            assert_eq!(fleet.refused, 0, "seed {seed}: refused although a server took requests");
+        }
+    }
+}
+
+// Guards against a limit that each instance holds to by itself, or only after it has heard of the
+// requests of all others: whatever the size of the fleet, all instances together exceed it.
+#[rstest]
+#[case::three(Scenario { instances: 3, ..SCENARIO })]
+#[case::nine(SCENARIO)]
+#[case::low(Scenario { per_second: 0.7, ..SCENARIO })]
+#[case::high(Scenario { per_second: 12.0, load: 400, ..SCENARIO })]
+#[case::all_limited(Scenario { limited: 9, unlimited: 0, ..SCENARIO })]
+#[case::grown(Scenario { instances: 76, per_second: 2.0, load: 400, ..SCENARIO })]
+fn a_server_gets_no_more_than_it_takes_from_all_instances(#[case] scenario: Scenario) {
+    check(scenario);
+}
+
+// Guards against instances that start again and send what the whole fleet may, until they know of
+// the others.
+#[test]
+fn instances_that_start_hold_to_the_limits() {
+    check(Scenario { restart_interval: Some(Millis(1_000)), ..SCENARIO });
+}
+
+// Guards against the limit at the size of the largest deployment, where each instance may send one
+// request in two minutes.
+#[test]
+fn a_limit_holds_for_two_hundred_and_ninety_five_instances() {
+    let scenario = Scenario { instances: 295, per_second: 2.0, load: 300, ..SCENARIO };
+    let fleet = Fleet::new(scenario, 0).run();
+    let most = fleet.most_in_window();
+    assert!(most <= 17, "{most} in a window, allowed 17");
+}
+
+fn limit(state: &mut State, millis: u64, per_second: f64) {
+    let (server, notice) = (ServerKey::of("a", 1), ServerNotice::Limit { per_second });
+    state.step(crate::testbed::at(millis), Event::ServerNotice { server, notice });
+}
+
+// Guards against servers that stay limited because the instance that saw the end of the limit kept
+// it to itself, and against a response from before the limit that ends it.
+#[test]
+fn a_limit_ends_at_all_instances_with_a_response_that_names_none() {
+    let at = crate::testbed::at;
+    let (mut here, mut there) = (state(1, &[("a", "app")]), state(2, &[("a", "app")]));
+    let server = ServerKey::of("a", 1);
+    limit(&mut here, 100, 2.0);
+    there.step(at(120), Event::NotesReceived { from: 1, notes: here.take_notes() });
+    assert!(here.is_limited(server) && there.is_limited(server));
+    let notice = ServerNotice::NoLimit { sent_at: at(99) };
+    here.step(at(150), Event::ServerNotice { server, notice });
+    assert!(here.is_limited(server), "the response is from before the limit");
+    let notice = ServerNotice::NoLimit { sent_at: at(101) };
+    here.step(at(200), Event::ServerNotice { server, notice });
+    there.step(at(220), Event::NotesReceived { from: 1, notes: here.take_notes() });
+    assert!(!here.is_limited(server) && !there.is_limited(server));
+}
+
+// Guards against a limit that is never lifted where no response comes any more, and against one
+// that is lifted while the server takes a request in a long time only.
+#[test]
+fn a_limit_that_is_not_named_again_ends() {
+    let server = ServerKey::of("a", 1);
+    for (per_second, held_ms, ended_ms) in [(4.0, 9_000, 11_000), (0.1, 190_000, 210_000)] {
+        let mut state = state(1, &[("a", "app")]);
+        limit(&mut state, 0, per_second);
+        state.step(crate::testbed::at(held_ms), Event::Tick);
+        assert!(state.is_limited(server));
+        state.step(crate::testbed::at(ended_ms), Event::Tick);
+        assert!(!state.is_limited(server));
+    }
+}
--- a/sl-route/tests/it/main.rs
+++ b/sl-route/tests/it/main.rs
@@ -10,6 +10,7 @@
 mod fairness;
 mod fleet;
 mod health;
+mod limits;
 mod notices;
 mod part_crashes;
 mod place;
