sl-route: a server gets no more requests than it takes from all instances together

Cause: no decision knew the limit. The class: a limit of the fleet that no instance can keep alone.

Change: each instance sends in slots of its own, one in instances / limit seconds, from a random time on; unused slots end after a second; what peers are known to have sent only closes slots. An instance that has just started takes the fleet for large for two seconds. The rest goes to other servers, or is refused at once with Retry-After from the next slot.

--- a/sl-edge/src/run.rs
+++ b/sl-edge/src/run.rs
@@ -379,7 +379,10 @@
         ingress.core.step(Event::Tick);
         ingress.pool.prune();
         peer_table.prune(clock.now());
-        ingress.core.step(Event::InstanceCount(peer_table.len()));
+        // While nobody has named the members, the reducer assumes many.
+        if peer_table.len() > 0 {
+            ingress.core.step(Event::InstanceCount(peer_table.len()));
+        }
         ingress.core.set_largest_ratio(peer_table.largest_ratio(cores));
         let connection_share = peer_table.connection_share(own_id, cores);
         ingress.core.step(Event::ConnectionShare(connection_share));
--- a/sl-route/src/effect.rs
+++ b/sl-route/src/effect.rs
@@ -86,7 +86,7 @@
     /// No server of the service is listed as ready.
     NoServer,
     /// Every server that was tried rejected the request without running it, or every server
-    /// asked this instance to wait.
+    /// asked this instance to wait or takes no more requests than it has got.
     TurnedAway,
     /// Too little time is left until the caller's deadline.
     TooLate,
--- a/sl-route/src/place.rs
+++ b/sl-route/src/place.rs
@@ -66,7 +66,8 @@
     TooLate(LowestEstimates),
     /// No engine has a free slot, or this instance has no connection left to any server.
     NoSlot,
-    /// Every server asked this instance to send no requests for now.
+    /// Every server asked this instance to send no requests for now, or has named a limit of which
+    /// this instance has used its part.
     Paused {
         /// Milliseconds until the first of them may get requests again.
         for_ms: f64,
@@ -180,7 +181,8 @@
 ) -> Result<Placement, PlacementError> {
     let eligible = |it: &&Server| it.is_in_service() && !required.tried.contains(&it.key);
     let eligible: Vec<&Server> = servers.filter(eligible).collect();
-    let servers: Vec<&Server> = eligible.iter().copied().filter(|it| !it.is_paused(now)).collect();
+    let is_open = |it: &&Server| it.opens_at(now).is_due(now);
+    let servers: Vec<&Server> = eligible.iter().copied().filter(is_open).collect();
     if servers.is_empty() {
         return Err(no_server_error(now, &eligible));
     }
@@ -200,9 +202,9 @@
     }
 }
 
-/// Why none of the `eligible` servers can be used now: all are paused, if there are any.
+/// Why none of the `eligible` servers can be used now: all are paused or limited, if there are any.
 fn no_server_error(now: Timestamp, eligible: &[&Server]) -> PlacementError {
-    let earliest = eligible.iter().map(|it| it.paused_until).min();
+    let earliest = eligible.iter().map(|it| it.opens_at(now)).min();
     earliest.map_or(PlacementError::NoServer, |it| PlacementError::Paused {
         for_ms: it.remaining(now).0 as f64,
     })
--- a/sl-route/src/send_limit.rs
+++ b/sl-route/src/send_limit.rs
@@ -1,12 +1,26 @@
 //! The limit on the requests a second that a server named for all instances together.
+//!
+//! Instances hear of each other's requests too late to agree on each. So each one sends in time
+//! slots of its own, as many as its part of the limit, which begin at a random time: all slots
+//! together come at the rate of the limit, however large the fleet. A slot that is not used ends
+//! soon, so that unused ones do not add up to a burst. What the peers are known to have sent only
+//! closes slots. See docs/design.md, "What servers announce".
+
+use std::collections::VecDeque;
 
 use sl_base::{Millis, Timestamp};
 
-/// A limit that a server names in its responses.
+/// A limit that a server names in its responses, and the slots of this instance.
 #[derive(Clone, Debug)]
 pub struct SendLimit {
     /// Requests a second, of all instances together.
     per_second: f64,
+    /// The number of instances that share the limit.
+    instances: usize,
+    /// When the next slot opens, or has opened if it is not used yet.
+    next_slot_at: Timestamp,
+    /// When requests of all instances were sent, within [`WINDOW`].
+    sent: VecDeque<Timestamp>,
     /// When the limit was last named to this instance or to a peer that told it.
     named_at: Timestamp,
     /// When the limit ends unless it is named again.
@@ -29,17 +43,102 @@
 /// show that its limit has ended.
 const PER_SECOND_MIN: f64 = 0.05;
 
+/// How long a slot that is not used stays open.
+const SLOT_OPEN: Millis = Millis(1_000);
+
+/// The time over which the requests of all instances are counted.
+const WINDOW: Millis = Millis(4_000);
+
+/// No slot opens while all instances are known to have sent so many times the limit in the window,
+/// and [`WINDOW_EXTRA`] requests.
+const WINDOW_FACTOR: f64 = 1.2;
+
+/// The requests that may be sent in the window in addition.
+const WINDOW_EXTRA: f64 = 2.0;
+
 const MILLIS_PER_SECOND: f64 = 1_000.0;
 
 impl SendLimit {
-    /// A limit that was named at `now`.
-    pub fn new(now: Timestamp, per_second: f64) -> SendLimit {
-        let mut limit =
-            SendLimit { per_second: 0.0, named_at: now, expires_at: now, announce_at: now };
+    /// A limit that was named at `now`, shared by `instances`. The first slot opens at `phase`, from
+    /// 0 to 1, of the time between two slots.
+    pub fn new(now: Timestamp, per_second: f64, instances: usize, phase: f64) -> SendLimit {
+        let mut limit = SendLimit {
+            per_second: 0.0,
+            instances,
+            next_slot_at: now,
+            sent: VecDeque::new(),
+            named_at: now,
+            expires_at: now,
+            announce_at: now,
+        };
         limit.renew(now, per_second);
+        limit.next_slot_at = now.after(Millis((limit.slot_interval().0 as f64 * phase) as u64));
         limit
     }
 
+    /// Sets the number of instances that share the limit. The time until the next slot changes in
+    /// proportion.
+    pub fn set_instances(&mut self, now: Timestamp, instances: usize) {
+        let ratio = instances as f64 / self.instances.max(1) as f64;
+        let remaining = self.next_slot_at.remaining(now).0 as f64 * ratio;
+        self.instances = instances;
+        if !self.next_slot_at.is_due(now) {
+            self.next_slot_at = now.after(Millis(remaining as u64));
+        }
+    }
+
+    /// When this instance may send the next request: the past, if it may now.
+    pub fn opens_at(&self, now: Timestamp) -> Timestamp {
+        self.slot_at(now).max(self.window_opens_at())
+    }
+
+    /// Records that this instance sent a request.
+    pub fn record_own_send(&mut self, now: Timestamp) {
+        self.next_slot_at = self.slot_at(now).after(self.slot_interval());
+        self.record_send(now);
+    }
+
+    /// Records that an instance sent a request.
+    pub fn record_send(&mut self, now: Timestamp) {
+        while self.sent.front().is_some_and(|it| it.after(WINDOW).is_due(now)) {
+            self.sent.pop_front();
+        }
+        if self.sent.len() >= self.window_max() {
+            self.sent.pop_front();
+        }
+        self.sent.push_back(now);
+    }
+
+    /// The slot that is open at `now`, or else the next one.
+    fn slot_at(&self, now: Timestamp) -> Timestamp {
+        let oldest_open = now.before(SLOT_OPEN);
+        if oldest_open <= self.next_slot_at {
+            return self.next_slot_at;
+        }
+        let interval = self.slot_interval().0;
+        let missed = (oldest_open.millis_since(self.next_slot_at) as u64).div_ceil(interval);
+        self.next_slot_at.after(Millis(missed * interval))
+    }
+
+    /// The time between two slots of this instance.
+    fn slot_interval(&self) -> Millis {
+        let interval_s = self.instances as f64 / self.per_second;
+        Millis(((interval_s * MILLIS_PER_SECOND) as u64).max(1))
+    }
+
+    /// When all instances have sent few enough requests in the window for another one.
+    fn window_opens_at(&self) -> Timestamp {
+        let is_full = self.sent.len() >= self.window_max();
+        let oldest = self.sent.front().filter(|_| is_full);
+        oldest.map_or(Timestamp::default(), |it| it.after(WINDOW))
+    }
+
+    /// The requests of all instances in the window from which on no slot opens.
+    fn window_max(&self) -> usize {
+        let window_s = WINDOW.0 as f64 / MILLIS_PER_SECOND;
+        (self.per_second * window_s * WINDOW_FACTOR + WINDOW_EXTRA) as usize
+    }
+
     /// Records that the limit was named again; true if it has changed.
     pub fn renew(&mut self, now: Timestamp, per_second: f64) -> bool {
         let per_second = per_second.max(PER_SECOND_MIN);
--- a/sl-route/src/server.rs
+++ b/sl-route/src/server.rs
@@ -122,6 +122,12 @@
         !self.paused_until.is_due(now)
     }
 
+    /// When this instance may send the server a request: the past, if it may now.
+    pub fn opens_at(&self, now: Timestamp) -> Timestamp {
+        let limit = self.send_limit.as_ref();
+        limit.map_or(self.paused_until, |it| it.opens_at(now).max(self.paused_until))
+    }
+
     /// Records that a request was sent to the server; `tokens` is the number of prompt tokens
     /// that an engine has to prefill.
     pub fn record_sent(&mut self, now: Timestamp, key: AttemptKey, tokens: u32) {
--- a/sl-route/src/state.rs
+++ b/sl-route/src/state.rs
@@ -70,6 +70,9 @@
     connection_share: f64,
     /// When the last message of each peer was received.
     peers: HashMap<u32, Timestamp>,
+    started_at: Timestamp,
+    /// The number of instances in the fleet, including this one.
+    instances: usize,
     /// The number of the latest attempt.
     last_attempt: u64,
     prune_at: Timestamp,
@@ -84,6 +87,10 @@
     rng: ChaCha8Rng,
 }
 
+/// Fleet size assumed until the actual one is known. High, so that a new instance uses little of
+/// what it shares with the others.
+const INSTANCES_DEFAULT: usize = 1_000;
+
 /// A peer that sent no message for this long is removed, along with its attempts.
 const PEER_TIMEOUT: Millis = Millis(3_000);
 
@@ -108,6 +115,8 @@
             activity: Activity::new(now),
             connection_share: 1.0,
             peers: HashMap::new(),
+            started_at: now,
+            instances: INSTANCES_DEFAULT,
             last_attempt: 0,
             prune_at: now,
             pools_are_current: true,
@@ -155,7 +164,7 @@
                 self.budget.set_options(limits.budget);
             }
             Event::ConnectionShare(share) => self.connection_share = share,
-            Event::InstanceCount(instances) => self.budget.set_instances(instances),
+            Event::InstanceCount(instances) => self.on_instance_count(now, instances),
         }
         if self.prune_at.is_due(now) {
             self.prune(now);
--- a/sl-route/src/state/attempt.rs
+++ b/sl-route/src/state/attempt.rs
@@ -40,6 +40,9 @@
             return;
         };
         server.record_sent(now, key, placement.prefill_tokens);
+        if let Some(limit) = &mut server.send_limit {
+            limit.record_own_send(now);
+        }
         server.own_in_flight += 1;
         let fetch = placement.fetch.map(|it| (it.from, it.duration_ms.round() as u32));
         self.record_transfer(now, placement.server, fetch);
--- a/sl-route/src/state/limits.rs
+++ b/sl-route/src/state/limits.rs
@@ -1,10 +1,14 @@
 //! Limits that servers name on the requests of all instances together.
 
-use sl_base::Timestamp;
+use rand::RngExt;
+use sl_base::{Millis, Timestamp};
 
 use super::State;
 use crate::{Decision, Effect, ServerKey, note::Note, send_limit::SendLimit};
 
+/// How long after its start an instance knows the other instances, from the store or from peers.
+const MEMBERSHIP_DELAY: Millis = Millis(2_000);
+
 impl State {
     /// Applies a limit that a server named in a response to this instance or, if `from_peer`, to
     /// another one.
@@ -18,8 +22,10 @@
         let Some(server) = self.servers.get_mut(&key) else {
             return;
         };
+        let (instances, rng) = (self.instances, &mut self.rng);
         let is_new = server.send_limit.is_none();
-        let limit = server.send_limit.get_or_insert_with(|| SendLimit::new(now, per_second));
+        let new = || SendLimit::new(now, per_second, instances, rng.random_range(0.0..1.0));
+        let limit = server.send_limit.get_or_insert_with(new);
         let has_changed = limit.renew(now, per_second);
         if from_peer {
             limit.defer_announcement(now);
@@ -35,6 +41,20 @@
         }
     }
 
+    /// Sets the number of instances that share the retry budget and each limit. For the limits, a
+    /// number from shortly after the start may leave out most of the fleet.
+    pub(super) fn on_instance_count(&mut self, now: Timestamp, instances: usize) {
+        self.budget.set_instances(instances);
+        if !self.started_at.after(MEMBERSHIP_DELAY).is_due(now) {
+            return;
+        }
+        if std::mem::replace(&mut self.instances, instances) == instances {
+            return;
+        }
+        let limits = self.servers.values_mut().filter_map(|it| it.send_limit.as_mut());
+        limits.for_each(|it| it.set_instances(now, instances));
+    }
+
     /// Ends the limit of a server whose response to a request sent at `sent_at` names none.
     pub(super) fn on_no_limit(&mut self, key: ServerKey, sent_at: Timestamp) {
         let limit = self.servers.get(&key).and_then(|it| it.send_limit.as_ref());
--- a/sl-route/src/state/notes.rs
+++ b/sl-route/src/state/notes.rs
@@ -44,6 +44,9 @@
                 }
                 if let Some(server) = self.servers.get_mut(&server) {
                     server.record_sent(now, attempt_key(attempt), prefill_tokens);
+                    if let Some(limit) = &mut server.send_limit {
+                        limit.record_send(now);
+                    }
                     server.record_cached_parts(now, &parts);
                 }
             }
--- a/sl-route/tests/it/limits.rs
+++ b/sl-route/tests/it/limits.rs
@@ -171,10 +171,10 @@
         let server = target.server;
         if self.is_limited_at(server, self.now) {
             self.arrivals.entry(server).or_default().push(self.now);
-        }
-        let told_at = self.told_at.get(&(instance, server));
-        if told_at.is_some_and(|it| it.after(GRACE).is_due(self.now)) {
-            self.counted.entry(server).or_default().push(self.now);
+            let told_at = self.told_at.get(&(instance, server));
+            if told_at.is_some_and(|it| it.after(GRACE).is_due(self.now)) {
+                self.counted.entry(server).or_default().push(self.now);
+            }
         }
         let (sent_at, ends_at) = (self.now, self.now.after(RESPONSE_TIME));
         self.attempts.insert(request, Attempt { instance, server, sent_at, ends_at });
@@ -247,15 +247,19 @@
         }
     }
 
-    /// The most requests that reached a limited server within any window.
+    /// The most requests that reached a limited server within any window: from instances that it
+    /// had told, and from all instances once they had the time to hear of the limit.
     fn most_in_window(&self) -> usize {
-        let most = |times: &Vec<Timestamp>| {
+        let known_at = START.after(LIMITED_FROM).after(GRACE);
+        let most = |times: &Vec<Timestamp>, since: Timestamp| {
             let in_window = |from: &Timestamp| {
                 times.iter().filter(|it| from <= it && **it < from.after(WINDOW)).count()
             };
-            times.iter().map(in_window).max().unwrap_or(0)
+            times.iter().filter(|it| since <= **it).map(in_window).max().unwrap_or(0)
         };
-        self.counted.values().map(most).max().unwrap_or(0)
+        let told = self.counted.values().map(|it| most(it, START));
+        let all = self.arrivals.values().map(|it| most(it, known_at));
+        told.chain(all).max().unwrap_or(0)
     }
 
     /// Requests a second that reached a limited server on average, while the limit held.
