--- a/bench/src/soak/plan.rs
+++ b/bench/src/soak/plan.rs
@@ -37,6 +37,8 @@
     ServerLink(usize, LinkFault),
     /// Sets the fault of the server.
     Server(usize, server::Fault),
+    /// Makes the server name a limit, in requests in ten seconds; `None` for none.
+    Limit(usize, Option<u32>),
     /// Registers the server as draining, and starts another one in its place.
     Replace(usize),
     /// Puts a configuration with a new version into the store.
@@ -98,6 +100,15 @@
 /// The mean interval between two responses without an end or a length, in milliseconds.
 const RESPONSE_FAULT_MEAN_INTERVAL_MS: u64 = 600;
 
+/// The mean interval between two changes of the limits that servers name, in milliseconds.
+const LIMIT_MEAN_INTERVAL_MS: u64 = 1_500;
+
+/// The limits that servers name, in requests in ten seconds.
+const LIMITS: std::ops::Range<u32> = 2..200;
+
+/// The time for which limits are named, in seconds.
+const LIMIT_TIME_S: f64 = 10.0;
+
 /// How long a restored store lacks what servers and operator wrote since.
 const REWRITE_DELAY: Duration = Duration::from_millis(300);
 
@@ -118,6 +129,7 @@
     faults.extend(draw_schedule(rng, duration, RESPONSE_FAULT_MEAN_INTERVAL_MS, |rng| {
         Fault::Server(rng.random_range(0..SERVER_COUNT), draw_response_fault(rng))
     }));
+    faults.extend(draw_schedule(rng, duration, LIMIT_MEAN_INTERVAL_MS, draw_limit));
     faults.sort_by_key(|it| it.0);
     faults
 }
@@ -134,6 +146,13 @@
     }
 }
 
+/// Draws a server that names a limit or, every second time, none any more.
+fn draw_limit(rng: &mut impl Rng) -> Fault {
+    let server = rng.random_range(0..SERVER_COUNT);
+    let limit = rng.random_range(LIMITS);
+    Fault::Limit(server, rng.random_bool(0.5).then_some(limit))
+}
+
 /// Draws faults at random intervals with a mean of `mean_interval_ms`.
 fn draw_schedule<R: Rng>(
     rng: &mut R,
@@ -259,6 +278,10 @@
             }
             Fault::ServerLink(index, fault) => apply_link_fault(&self.server_relays[index], fault),
             Fault::Server(index, fault) => self.fleet.servers[index].set_fault(fault),
+            Fault::Limit(index, limit) => {
+                let per_second = limit.map(|it| f64::from(it) / LIMIT_TIME_S);
+                self.fleet.servers[index].set_request_limit(per_second);
+            }
             Fault::Replace(index) => self.replace_server(index).await?,
             Fault::Configure => {
                 self.config_version += 1;
@@ -302,6 +325,7 @@
         }
         for server in &self.fleet.servers {
             server.set_fault(server::Fault::None);
+            server.set_request_limit(None);
         }
         for index in 0..self.fleet.instances.len() {
             self.resume(index);
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -6,6 +6,7 @@
 mod endless;
 mod failure;
 mod late_copies;
+mod limits;
 mod membership;
 mod notices;
 mod operators;
--- a/tests/it/operators.rs
+++ b/tests/it/operators.rs
@@ -4,7 +4,7 @@
 
 use bench::{Fleet, eventually, instance::OPERATOR_KEY};
 
-use crate::testbed::{call, fleet, model_call};
+use crate::testbed::{call, fleet, metrics, model_call};
 
 fn run_command(fleet: &Fleet, args: &[&str]) -> Output {
     Command::new(env!("CARGO_BIN_EXE_sesamelock"))
@@ -52,12 +52,6 @@
     assert!(exit_status.unwrap().success());
 }
 
-async fn metrics(fleet: &Fleet) -> String {
-    let mut probe = stand_ins::Caller::connect(fleet.instances[0].metrics).await.unwrap();
-    probe.send(b"GET /metrics HTTP/1.1\r\nHost: probe\r\n\r\n").await.unwrap();
-    probe.read_response("GET").await.unwrap().text().to_owned()
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn metrics_count_requests_by_outcome() {
     let fleet = fleet(1).await;
--- a/tests/it/testbed.rs
+++ b/tests/it/testbed.rs
@@ -22,3 +22,10 @@
     let prompt = Some((1_400, 60, "a1:1000,b2:400".to_owned()));
     Call { prompt, ..call("POST", target, attempt_id) }
 }
+
+/// The metrics of the first instance.
+pub async fn metrics(fleet: &Fleet) -> String {
+    let mut probe = stand_ins::Caller::connect(fleet.instances[0].metrics).await.unwrap();
+    probe.send(b"GET /metrics HTTP/1.1\r\nHost: probe\r\n\r\n").await.unwrap();
+    probe.read_response("GET").await.unwrap().text().to_owned()
+}
