sl-route: the next slot follows a limit that changes

Found while reading the diff: with a limit of 0.05 a second the next slot of an instance is minutes away, and stayed so after the server had raised its limit. The time until the slot changes with the interval now, for the limit as for the number of instances; the_next_slot_follows_a_limit_that_changes, a_slot_that_is_not_used_ends.

--- a/sl-route/src/send_limit.rs
+++ b/sl-route/src/send_limit.rs
@@ -62,8 +62,9 @@
     /// A limit that was named at `now`, shared by `instances`. The first slot opens at `phase`, from
     /// 0 to 1, of the time between two slots.
     pub fn new(now: Timestamp, per_second: f64, instances: usize, phase: f64) -> SendLimit {
+        let per_second = per_second.max(PER_SECOND_MIN);
         let mut limit = SendLimit {
-            per_second: 0.0,
+            per_second,
             instances,
             next_slot_at: now,
             sent: VecDeque::new(),
@@ -76,13 +77,18 @@
         limit
     }
 
-    /// Sets the number of instances that share the limit. The time until the next slot changes in
-    /// proportion.
+    /// Sets the number of instances that share the limit.
     pub fn set_instances(&mut self, now: Timestamp, instances: usize) {
-        let ratio = instances as f64 / self.instances.max(1) as f64;
-        let remaining = self.next_slot_at.remaining(now).0 as f64 * ratio;
+        let interval = self.slot_interval();
         self.instances = instances;
+        self.rescale_next_slot(now, interval);
+    }
+
+    /// Changes the time until the next slot in proportion to the interval, which was `interval`.
+    fn rescale_next_slot(&mut self, now: Timestamp, interval: Millis) {
         if !self.next_slot_at.is_due(now) {
+            let ratio = self.slot_interval().0 as f64 / interval.0 as f64;
+            let remaining = self.next_slot_at.remaining(now).0 as f64 * ratio;
             self.next_slot_at = now.after(Millis(remaining as u64));
         }
     }
@@ -144,7 +150,9 @@
         let per_second = per_second.max(PER_SECOND_MIN);
         let has_changed = per_second != self.per_second;
         let retention = RETENTION_REQUESTS / per_second * MILLIS_PER_SECOND;
+        let interval = self.slot_interval();
         self.per_second = per_second;
+        self.rescale_next_slot(now, interval);
         self.named_at = now;
         self.expires_at = now.after(RETENTION_MIN.max(Millis(retention as u64)));
         has_changed
--- a/sl-route/tests/it/limits.rs
+++ b/sl-route/tests/it/limits.rs
@@ -6,7 +6,10 @@
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
 use sl_base::{Millis, RequestId, Timestamp};
-use sl_route::{Effect, Event, Notes, RetryPolicy, ServerKey, ServerNotice, State, effect::Target};
+use sl_route::{
+    Effect, Event, Notes, RetryPolicy, ServerKey, ServerNotice, State, effect::Target,
+    send_limit::SendLimit,
+};
 
 use crate::testbed::{START, arrival, document, options, record, state};
 
@@ -358,3 +361,26 @@
         assert!(!state.is_limited(server));
     }
 }
+
+// Guards against a server that is left unused for minutes after it has raised a low limit.
+#[test]
+fn the_next_slot_follows_a_limit_that_changes() {
+    let at = crate::testbed::at;
+    let mut limit = SendLimit::new(at(0), 0.1, 10, 0.5);
+    assert_eq!(limit.opens_at(at(0)), at(50_000));
+    assert!(limit.renew(at(0), 10.0));
+    assert_eq!(limit.opens_at(at(0)), at(500));
+    limit.set_instances(at(0), 20);
+    assert_eq!(limit.opens_at(at(0)), at(1_000));
+}
+
+// Guards against slots that add up while nothing is sent, and are used all at once.
+#[test]
+fn a_slot_that_is_not_used_ends() {
+    let at = crate::testbed::at;
+    let mut limit = SendLimit::new(at(0), 1.0, 10, 0.0);
+    assert!(limit.opens_at(at(999)).is_due(at(999)));
+    assert_eq!(limit.opens_at(at(1_500)), at(10_000));
+    limit.record_own_send(at(10_400));
+    assert_eq!(limit.opens_at(at(10_400)), at(20_000));
+}
