--- a/sl-route/src/send_limit.rs
+++ b/sl-route/src/send_limit.rs
@@ -172,11 +172,6 @@
         self.announce_at = now.after(ANNOUNCEMENT_INTERVAL);
     }
 
-    /// Requests a second that the server takes from all instances together.
-    pub fn per_second(&self) -> f64 {
-        self.per_second
-    }
-
     /// Whether the response to a request that was sent at `sent_at` may end the limit: an earlier
     /// one may be from before the limit.
     pub fn may_end(&self, sent_at: Timestamp) -> bool {
--- a/sl-route/src/state/crashes.rs
+++ b/sl-route/src/state/crashes.rs
@@ -44,19 +44,10 @@
         let Some(phase) = LossPhase::of(now, fault, current.response_started_at) else {
             return;
         };
-        let prompt = in_flight.arrival.prompt.as_ref();
-        let (phase, parts) = match (phase, prompt) {
-            (LossPhase::Running, Some(_)) => {
-                self.record_served(now, causes(&in_flight.arrival).collect(), Proof::Running);
-                (phase, Vec::new())
-            }
-            // Only an engine shows by its events that it goes on.
-            (LossPhase::Running, None) => (LossPhase::JustStarted, Vec::new()),
-            (_, Some(prompt)) => {
-                (phase, prompt.shared_parts().iter().map(|it| it.key).collect::<Vec<u64>>())
-            }
-            (_, None) => (phase, Vec::new()),
-        };
+        let (phase, parts) = suspect_parts(phase, in_flight.arrival.prompt.as_ref());
+        if phase == LossPhase::Running {
+            self.record_served(now, causes(&in_flight.arrival).collect(), Proof::Running);
+        }
         let request = self.lost_request(in_flight);
         let loss = Loss { attempt: current.key, phase, request, parts, is_own: true };
         let attempt = current.key.attempt;
@@ -111,7 +102,7 @@
         in_flight: &InFlightRequest,
         status: u16,
     ) {
-        if SUCCESS_STATUS.contains(&status) {
+        if SUCCESS_STATUS.contains(&status) && !self.crash_causes.is_empty() {
             self.record_served(now, causes(&in_flight.arrival).collect(), Proof::Completed);
         }
     }
@@ -205,6 +196,16 @@
     }
 }
 
+/// The phase of a lost attempt, and the prompt parts that it makes suspect.
+fn suspect_parts(phase: LossPhase, prompt: Option<&Prompt>) -> (LossPhase, Vec<u64>) {
+    match (phase, prompt) {
+        // Only an engine shows by its events that it goes on.
+        (LossPhase::Running, None) => (LossPhase::JustStarted, Vec::new()),
+        (LossPhase::Running, Some(_)) | (_, None) => (phase, Vec::new()),
+        (_, Some(prompt)) => (phase, prompt.shared_parts().iter().map(|it| it.key).collect()),
+    }
+}
+
 /// What a request may be barred for: itself, or a part of its prompt that others share.
 fn causes(arrival: &Arrival) -> impl Iterator<Item = Cause> {
     let parts = arrival.prompt.as_ref().map_or(&[][..], Prompt::shared_parts);
