--- a/bench/src/bin/soak.rs
+++ b/bench/src/bin/soak.rs
@@ -61,6 +61,7 @@
         }
         println!("  faults: {:?}", outcome.faults);
         if let Some(dir) = &args.logs {
+            std::fs::create_dir_all(dir).into_diagnostic()?;
             for (name, log) in &outcome.logs {
                 let path = dir.join(format!("soak-{seed}-{name}.log"));
                 std::fs::write(path, log).into_diagnostic()?;
