--- a/sl-route/src/crash_causes.rs
+++ b/sl-route/src/crash_causes.rs
@@ -1,5 +1,5 @@
-//! Tracking of what crashes servers: one request that comes again whole, or a prompt part that
-//! requests share which are otherwise all different.
+//! Tracking of what crashes servers: one request that is sent repeatedly, or a prompt part that
+//! several different requests share.
 //!
 //! Each crash counts for the requests that it may have been caused by, and for the shared parts of
 //! the most suspect ones. A cause is cleared by any attempt that a server survived, so that only
@@ -53,7 +53,7 @@
 struct CauseRecord {
     /// The runs that crashed, each at another time.
     runs: Vec<ServerKey>,
-    /// The number of these crashes of which it was one of the most likely causes.
+    /// The number of these crashes in which its attempt was in the most suspect phase.
     suspected: usize,
     /// The fingerprints of the requests under which they crashed, at most [`REQUESTS_MIN`].
     requests: Vec<u64>,
@@ -94,8 +94,8 @@
 /// The first duration of a bar; doubled with each renewal.
 pub const BAR_INITIAL: Millis = Millis(600_000);
 
-/// When a barred request may be sent once more, to show whether it is sound after all. By then, no
-/// attempt from before the bar runs any more that would show so by itself.
+/// How long after the bar a request is sent once more, to find out whether it crashes servers. Its
+/// earlier attempts have usually ended by then.
 pub const PROBE_DELAY: Millis = Millis(5_000);
 
 /// Limit on the doublings of the duration.
@@ -292,7 +292,7 @@
         if is_clear { causes } else { BTreeSet::new() }
     }
 
-    /// Those of the causes that were most often among the most likely ones.
+    /// Those of the causes whose attempts were most often in the most suspect phase.
     fn most_suspected(&self, mut causes: BTreeSet<Cause>) -> BTreeSet<Cause> {
         let suspected = |it: &Cause| self.0.get(it).map_or(0, |it| it.suspected);
         let most = causes.iter().map(suspected).max();
