--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -19,3 +19,4 @@
 mod streams;
 mod testbed;
 mod unframed;
+mod versions;
--- /dev/null
+++ b/tests/it/versions.rs
@@ -0,0 +1,181 @@
+//! A stream holds events of servers of one software version only, in one response and over the
+//! tries of its caller.
+
+use bench::{Fleet, fleet::eventually};
+use rstest::rstest;
+use serde_json::{Value, json};
+use stand_ins::{
+    Call, Response,
+    server::{FIRST_VERSION, Fault},
+};
+
+use crate::testbed::{fleet, metrics, model_call};
+
+/// Streams that are begun in a test; enough for both engines to get some.
+const STREAMS: usize = 8;
+
+/// A fleet with one engine of each of two versions. The first breaks off its streams.
+async fn fleet_of_two_versions(instances: usize) -> Fleet {
+    let fleet = fleet(instances).await;
+    let second = fleet.engines().nth(1).unwrap();
+    second.set_version(json!("v2"));
+    second.register(&fleet.store, "ready");
+    settle(&fleet).await;
+    fleet.engines().next().unwrap().set_fault(Fault::TruncatesResponse);
+    fleet
+}
+
+/// Waits until all instances have the store's entries.
+async fn settle(fleet: &Fleet) {
+    let revision = fleet.store.revision();
+    for instance in &fleet.instances {
+        eventually("the instance has the entries", async || {
+            let mut probe = stand_ins::Caller::connect(instance.metrics).await.unwrap();
+            probe.send(b"GET /metrics HTTP/1.1\r\nHost: probe\r\n\r\n").await.unwrap();
+            let text = probe.read_response("GET").await.unwrap().text().to_owned();
+            let value = text.lines().find_map(|it| it.strip_prefix("sesamelock_store_revision "));
+            value.and_then(|it| it.parse::<u64>().ok()).is_some_and(|it| it >= revision)
+        })
+        .await;
+    }
+}
+
+/// The request by which a caller takes up the stream that its attempt `began` brought.
+fn resuming(began: &str, attempt_id: &str, response: &Response) -> Call {
+    let mut call = model_call("/sheet/7", attempt_id);
+    let last = response.event_ids().last().copied().unwrap();
+    call.headers.push(("Last-Event-Id", last.to_string()));
+    call.headers.push(("Resumes", began.to_owned()));
+    call
+}
+
+/// Begins streams at the instance with `index`; returns the ids and the responses of those that
+/// were cut off after their first events.
+async fn cut_streams(fleet: &Fleet, index: usize) -> Vec<(String, Response)> {
+    let mut cut = Vec::new();
+    for number in 0..STREAMS {
+        let id = format!("began-{index}-{number}");
+        let mut caller = fleet.caller(index).await.unwrap();
+        let response = caller.call(&model_call("/sheet/7", &id)).await.unwrap();
+        if response.status() == 200 && !response.is_complete {
+            cut.push((id, response));
+        }
+    }
+    assert!(!cut.is_empty(), "no stream was sent to the engine that breaks off");
+    cut
+}
+
+// Guards against a stream that goes on within one response at a server of another version.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_does_not_go_on_at_another_version_within_its_response() {
+    let fleet = fleet_of_two_versions(1).await;
+    for (id, response) in cut_streams(&fleet, 0).await {
+        assert_eq!(response.versions(), [json!(FIRST_VERSION).to_string()], "{id}");
+    }
+}
+
+// Guards against a stream that its caller takes up at a server of another version, at the instance
+// that began it, at another one, and at one that has just started.
+#[rstest]
+#[case::same_instance(0, false)]
+#[case::other_instance(1, false)]
+#[case::started_anew(1, true)]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_goes_on_at_its_own_version_when_it_is_taken_up(
+    #[case] resumed_at: usize,
+    #[case] starts_anew: bool,
+) {
+    let mut fleet = fleet_of_two_versions(3).await;
+    let cut = cut_streams(&fleet, 0).await;
+    fleet.engines().next().unwrap().set_fault(Fault::None);
+    if starts_anew {
+        fleet.instances[resumed_at].kill();
+        fleet.instances[resumed_at].start().unwrap();
+        fleet.wait_until_ready().await;
+    }
+    for (id, response) in cut {
+        let call = resuming(&id, &format!("again-{id}"), &response);
+        let mut caller = fleet.caller(resumed_at).await.unwrap();
+        let rest = caller.call(&call).await.unwrap();
+        assert_eq!((rest.status(), rest.is_complete), (200, true), "{id}: {}", rest.text());
+        assert_eq!(rest.versions(), response.versions(), "{id}");
+        assert_eq!(rest.event_ids().last(), Some(&10));
+    }
+}
+
+// Guards against a stream that is taken up at another version once none of its own is left, and
+// against a caller that has to wait for that answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_is_refused_at_once_when_no_server_of_its_version_is_left() {
+    let fleet = fleet_of_two_versions(2).await;
+    let cut = cut_streams(&fleet, 0).await;
+    let first = fleet.engines().next().unwrap();
+    fleet.store.remove(&first.key());
+    settle(&fleet).await;
+    for (id, response) in cut {
+        let call = resuming(&id, &format!("again-{id}"), &response);
+        let mut caller = fleet.caller(1).await.unwrap();
+        let refused = caller.call(&call).await.unwrap();
+        assert_eq!(refused.status(), 503, "{id}: {}", refused.text());
+        assert_eq!(refused.header("x-sesamelock-code"), Some("1025"));
+        assert_eq!(refused.header("x-sesamelock-outcome"), Some("not-run"));
+        assert_eq!(fleet.execution_count(&format!("again-{id}")), 0);
+    }
+}
+
+// Guards against guessing: a caller that does not name the attempt, or names one that nobody knows.
+#[rstest]
+#[case::not_named(None)]
+#[case::never_seen(Some("never-seen"))]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_of_which_nobody_knows_where_it_began_is_refused(#[case] resumes: Option<&str>) {
+    let fleet = fleet_of_two_versions(2).await;
+    let mut call = model_call("/sheet/7", "unknown");
+    call.headers.push(("Last-Event-Id", "5".to_owned()));
+    call.headers.extend(resumes.map(|it| ("Resumes", it.to_owned())));
+    let refused = fleet.caller(0).await.unwrap().call(&call).await.unwrap();
+    assert_eq!(refused.status(), 503, "{}", refused.text());
+    assert_eq!(refused.header("x-sesamelock-code"), Some("1026"));
+    assert_eq!(fleet.execution_count("unknown"), 0);
+    let metrics = metrics(&fleet).await;
+    assert!(metrics.contains(r#"streams_resumed_total{name="unknown"} 1"#), "{metrics}");
+}
+
+// Guards against a server that comes back under its id, and at its address, with another version:
+// streams of the former version do not go on there.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_server_that_comes_back_with_another_version_does_not_go_on_with_its_streams() {
+    let fleet = fleet_of_two_versions(2).await;
+    let cut = cut_streams(&fleet, 0).await;
+    let first = fleet.engines().next().unwrap();
+    first.set_version(json!("v3"));
+    first.set_fault(Fault::None);
+    first.register(&fleet.store, "ready");
+    settle(&fleet).await;
+    for (id, response) in cut {
+        let call = resuming(&id, &format!("again-{id}"), &response);
+        let refused = fleet.caller(1).await.unwrap().call(&call).await.unwrap();
+        assert_eq!(refused.header("x-sesamelock-code"), Some("1025"), "{id}: {}", refused.text());
+    }
+}
+
+// Guards against taking two servers that name no version, or a malformed one, for servers of the
+// same version, and against refusing all requests to them.
+#[rstest]
+#[case::missing(Value::Null)]
+#[case::of_another_type(json!(2))]
+#[case::empty(json!(""))]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_server_without_a_version_serves_new_streams_and_takes_up_none(#[case] version: Value) {
+    let fleet = fleet(2).await;
+    let first = fleet.engines().next().unwrap();
+    first.set_version(version);
+    first.register(&fleet.store, "ready");
+    settle(&fleet).await;
+    let second = fleet.engines().nth(1).unwrap();
+    second.set_fault(Fault::TruncatesResponse);
+    for (id, response) in cut_streams(&fleet, 0).await {
+        assert_eq!(response.versions(), [json!(FIRST_VERSION).to_string()], "{id}");
+    }
+    assert!(!first.executed_requests().is_empty(), "the server got no new streams");
+}
