--- a/bench/src/load/play.rs
+++ b/bench/src/load/play.rs
@@ -198,6 +198,7 @@
         service: ServiceId::of(SERVICE),
         address: ([10, 0, 0, 1], engine as u16 + 1).into(),
         data_centre: "here".into(),
+        version: None,
         slots: SLOTS,
         state: ServerState::Ready,
         sequence: 1,
@@ -360,6 +361,7 @@
             caller_deadline: deadline,
             prompt: Some(caller_request.prompt),
             fingerprint: call as u64,
+            stream: None,
         };
         self.step(instance, Event::RequestArrived(Box::new(arrival)));
     }
--- a/bench/src/soak.rs
+++ b/bench/src/soak.rs
@@ -21,7 +21,7 @@
 use stand_ins::{Relay, Server, document};
 use tokio::time::{Instant, sleep_until};
 
-pub use callers::{Kind, Record};
+pub use callers::{Kind, Record, Resumed};
 pub use check::Violation;
 pub use plan::Fault;
 
--- a/bench/src/soak/callers.rs
+++ b/bench/src/soak/callers.rs
@@ -60,9 +60,33 @@
     pub body: String,
     /// Ids of the received events.
     pub events: Vec<u64>,
+    /// The software versions of the servers that sent events, in order.
+    pub versions: Vec<String>,
+    /// The stream that the request takes up; `None` if it asks for one from its start.
+    pub resumes: Option<Resumed>,
+}
+
+/// A stream that its caller takes up after some of its events.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Resumed {
+    /// Id of the caller's attempt that brought the first event.
+    pub began_by: String,
+    /// Id of the last event that the caller has.
+    pub last_event: u64,
+    /// The software version that sent it.
+    pub version: Option<String>,
 }
 
 impl Record {
+    /// What the caller has of the stream, if it broke off after some events and may be taken up.
+    fn broken_stream(&self) -> Option<Resumed> {
+        let is_broken = self.kind == Kind::Sheet && self.status == 200 && !self.is_complete;
+        let last_event = *self.events.last().filter(|_| is_broken)?;
+        let began_by = self.resumes.as_ref().map_or(&self.attempt_id, |it| &it.began_by);
+        let version = self.versions.last().cloned();
+        Some(Resumed { began_by: began_by.clone(), last_event, version })
+    }
+
     /// Whether the status tells the caller that the request did not run.
     pub fn reports_not_run(&self) -> bool {
         matches!(self.status, 408 | 421 | 429 | 503)
@@ -85,6 +109,7 @@
 ) {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut idle_connection: Option<Caller> = None;
+    let mut broken: Option<Resumed> = None;
     for i in 0_u64.. {
         if Instant::now() > deadline {
             return;
@@ -93,7 +118,9 @@
         // Excludes the newest route, which changes until the faults have ended.
         let kind = Kind::ALL[rng.random_range(0..Kind::ALL.len() - 1)];
         let instance = instances[rng.random_range(0..instances.len())];
-        let call = request(kind, &format!("soak-{caller_number}-{i}"), 0);
+        let resumes = broken.take();
+        let kind = if resumes.is_some() { Kind::Sheet } else { kind };
+        let call = request(kind, &format!("soak-{caller_number}-{i}"), 0, resumes.as_ref());
         let mut caller = match idle_connection.take() {
             Some(caller) => caller,
             None => match Caller::connect(instance).await {
@@ -106,7 +133,9 @@
         let is_reusable = response.as_ref().is_some_and(|it| {
             it.is_complete && it.header("connection") != Some("close") && caller.is_idle()
         });
-        record_log.add(record(kind, &call, response));
+        let record = record(kind, &call, resumes, response);
+        broken = record.broken_stream();
+        record_log.add(record);
         idle_connection = is_reusable.then_some(caller);
     }
 }
@@ -118,15 +147,15 @@
     attempt_id: String,
     config_version: u64,
 ) -> Record {
-    let call = request(kind, &attempt_id, config_version);
+    let call = request(kind, &attempt_id, config_version, None);
     let response = async {
         let mut caller = Caller::connect(instance).await.ok()?;
         timeout(RESPONSE_TIMEOUT, caller.call(&call)).await.ok()?.ok()
     };
-    record(kind, &call, response.await)
+    record(kind, &call, None, response.await)
 }
 
-fn request(kind: Kind, attempt_id: &str, config_version: u64) -> Call {
+fn request(kind: Kind, attempt_id: &str, config_version: u64, resumes: Option<&Resumed>) -> Call {
     let newest_target = format!("/v{config_version}/{attempt_id}");
     let (method, target) = match kind {
         Kind::Status => ("GET", format!("/status/{attempt_id}")),
@@ -139,13 +168,17 @@
     call.api_key = Some(document::BREWERS_KEY.to_owned());
     call.timeout = Duration::from_millis(1_500);
     call.body = if method == "POST" { attempt_id.to_owned().into() } else { Default::default() };
+    if let Some(Resumed { began_by, last_event, .. }) = resumes {
+        call.headers.push(("Resumes", began_by.clone()));
+        call.headers.push(("Last-Event-Id", last_event.to_string()));
+    }
     if kind.is_stream() {
         call.prompt = Some((1_400, 60, format!("a1:1000,{attempt_id}:400")));
     }
     call
 }
 
-fn record(kind: Kind, call: &Call, response: Option<Response>) -> Record {
+fn record(kind: Kind, call: &Call, resumes: Option<Resumed>, response: Option<Response>) -> Record {
     let request_line = format!("{} {}", call.method, call.target);
     let attempt_id = call.attempt_id.clone();
     match response {
@@ -159,6 +192,8 @@
             response_attempt_id: response.attempt_id().map(str::to_owned),
             body: response.text().to_owned(),
             events: response.event_ids(),
+            versions: response.versions(),
+            resumes,
         },
         None => Record {
             kind,
@@ -170,6 +205,8 @@
             response_attempt_id: None,
             body: String::new(),
             events: Vec::new(),
+            versions: Vec::new(),
+            resumes,
         },
     }
 }
--- a/bench/src/soak/check.rs
+++ b/bench/src/soak/check.rs
@@ -40,6 +40,14 @@
         /// Ids of the received events.
         events: Vec<u64>,
     },
+    /// A stream has events of servers of several software versions, in one response or over its
+    /// caller's tries.
+    MixedVersions {
+        /// Id of the attempt.
+        attempt_id: String,
+        /// The versions, in the order of their events.
+        versions: Vec<String>,
+    },
     /// A server executed a request that no caller sent in this form.
     UnrequestedExecution {
         /// The executed request.
@@ -84,6 +92,7 @@
         violations.extend(check_executions(record, executed.len()));
         violations.extend(check_response(record));
         violations.extend(check_events(record));
+        violations.extend(check_versions(record));
         violations.extend(executed.into_iter().filter_map(|it| check_executed_request(record, it)));
     }
     // The remaining requests were executed without a record of a caller.
@@ -128,12 +137,22 @@
     if record.status != 200 || !record.kind.is_stream() {
         return None;
     }
-    let is_prefix = record.events.iter().copied().eq(1..=record.events.len() as u64);
-    let is_valid = is_prefix && (!record.is_complete || record.events.len() as u64 == EVENT_COUNT);
+    let before = record.resumes.as_ref().map_or(0, |it| it.last_event);
+    let received = before + record.events.len() as u64;
+    let is_prefix = record.events.iter().copied().eq(before + 1..=received);
+    let is_valid = is_prefix && (!record.is_complete || received == EVENT_COUNT);
     let (attempt_id, events) = (record.attempt_id.clone(), record.events.clone());
     (!is_valid).then_some(Violation::WrongEvents { attempt_id, events })
 }
 
+fn check_versions(record: &Record) -> Option<Violation> {
+    let before = record.resumes.iter().filter_map(|it| it.version.clone());
+    let mut versions: Vec<String> = before.chain(record.versions.iter().cloned()).collect();
+    versions.dedup();
+    let attempt_id = record.attempt_id.clone();
+    (versions.len() > 1).then_some(Violation::MixedVersions { attempt_id, versions })
+}
+
 fn check_executed_request(record: &Record, request: ExecutedRequest) -> Option<Violation> {
     let has_same_line = format!("{} {}", request.method, request.target) == record.request_line;
     let has_same_body = request.method == "GET" || request.body == record.attempt_id.as_bytes();
--- a/bench/src/soak/plan.rs
+++ b/bench/src/soak/plan.rs
@@ -41,6 +41,8 @@
     Limit(usize, Option<u32>),
     /// Registers the server as draining, and starts another one in its place.
     Replace(usize),
+    /// Replaces the server by one of another software version.
+    Release(usize),
     /// Puts a configuration with a new version into the store.
     Configure,
     /// Copies the store or, every second time, restores it from that copy. Servers and operator
@@ -103,12 +105,19 @@
 /// The mean interval between two changes of the limits that servers name, in milliseconds.
 const LIMIT_MEAN_INTERVAL_MS: u64 = 3_000;
 
+/// The mean interval between two servers that are replaced by ones of another software version, in
+/// milliseconds.
+const RELEASE_MEAN_INTERVAL_MS: u64 = 1_500;
+
 /// The limits that servers name, in requests in ten seconds.
 const LIMITS: std::ops::Range<u32> = 20..200;
 
 /// The time for which limits are named, in seconds.
 const LIMIT_TIME_S: f64 = 10.0;
 
+/// The software version of the servers that replace those of the first one.
+const SECOND_VERSION: &str = "v2";
+
 /// How long a restored store lacks what servers and operator wrote since.
 const REWRITE_DELAY: Duration = Duration::from_millis(300);
 
@@ -130,6 +139,9 @@
         Fault::Server(rng.random_range(0..SERVER_COUNT), draw_response_fault(rng))
     }));
     faults.extend(draw_schedule(rng, duration, LIMIT_MEAN_INTERVAL_MS, draw_limit));
+    faults.extend(draw_schedule(rng, duration, RELEASE_MEAN_INTERVAL_MS, |rng| {
+        Fault::Release(rng.random_range(0..SERVER_COUNT))
+    }));
     faults.sort_by_key(|it| it.0);
     faults
 }
@@ -283,6 +295,12 @@
                 self.fleet.servers[index].set_request_limit(per_second);
             }
             Fault::Replace(index) => self.replace_server(index).await?,
+            Fault::Release(index) => {
+                let version = self.fleet.servers[index].version();
+                let is_first = version == server::FIRST_VERSION;
+                let next = if is_first { SECOND_VERSION } else { server::FIRST_VERSION };
+                self.replace_server_by(index, next.into()).await?;
+            }
             Fault::Configure => {
                 self.config_version += 1;
                 let document = configuration(self.config_version);
@@ -370,11 +388,22 @@
     }
 
     async fn replace_server(&mut self, index: usize) -> io::Result<()> {
+        let version = self.fleet.servers[index].version();
+        self.replace_server_by(index, version).await
+    }
+
+    /// Starts a server of the software version `version` in the place of another one, which drains.
+    async fn replace_server_by(
+        &mut self,
+        index: usize,
+        version: serde_json::Value,
+    ) -> io::Result<()> {
         let old = &self.fleet.servers[index];
         old.register_at(&self.fleet.store, self.server_relays[index].address(), "draining");
         let mut spec = old.spec.clone();
         spec.id = format!("{}-{}", spec.service, self.replaced_servers.len() + SERVER_COUNT);
         let new = Server::start(fleet::ANY_PORT, spec).await?;
+        new.set_version(version);
         let relay = Relay::start(fleet::ANY_PORT, new.address()).await?;
         new.register_at(&self.fleet.store, relay.address(), "ready");
         // The old server and its relay go on running, as a draining server does for a while.
--- a/sl-base/src/code.rs
+++ b/sl-base/src/code.rs
@@ -88,6 +88,11 @@
     HeaderInvalid = 1023,
     /// The instance has reached its limit of requests in flight.
     InstanceFull = 1024,
+    /// The request resumes a stream, and no server of the software version that began it is left.
+    VersionGone = 1025,
+    /// The request resumes a stream, servers of several software versions could go on with it, and
+    /// it is not known which version began it.
+    OriginUnknown = 1026,
     /// No response arrived before the deadline.
     TotalTimeout = 3005,
     /// The connection failed after the request may have been sent.
@@ -130,7 +135,9 @@
             | Code::Draining
             | Code::NoConfiguration
             | Code::Overloaded
-            | Code::InstanceFull => 503,
+            | Code::InstanceFull
+            | Code::VersionGone
+            | Code::OriginUnknown => 503,
         }
     }
 }
--- a/sl-base/src/id.rs
+++ b/sl-base/src/id.rs
@@ -62,6 +62,13 @@
     ServerId,
     u64
 );
+hashed_id!(
+    /// A stream of events, hashed from the id of the caller's attempt that brought its first event.
+    /// It is short because a note of each stream carries it: of a thousand streams a second, two
+    /// that are remembered at the same time have the same id once in some hundred thousand.
+    StreamId,
+    u32
+);
 
 macro_rules! counted_id {
     ($(#[$doc:meta])* $name:ident) => {
--- a/sl-base/src/lib.rs
+++ b/sl-base/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub use code::{Code, Outcome};
 pub use id::{
-    AttemptId, DocumentVersion, Incarnation, InstanceId, RequestId, ServerId, ServiceId, TeamId,
+    AttemptId, DocumentVersion, Incarnation, InstanceId, RequestId, ServerId, ServiceId, StreamId,
+    TeamId,
 };
 pub use time::{Millis, Timestamp};
--- a/sl-core/src/explain.rs
+++ b/sl-core/src/explain.rs
@@ -3,7 +3,7 @@
 //! docs/OPERATIONS.md has an example.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     fs,
     io::{self, BufRead},
     path::PathBuf,
@@ -37,7 +37,8 @@
 pub struct Outcome {
     /// Attempt id of the request, as sent by the caller.
     pub id: String,
-    /// One trace per instance that handled the request, ordered by time.
+    /// One trace per instance that handled the request or one that resumed its stream, ordered by
+    /// time.
     #[serde(rename = "stories")]
     pub traces: Vec<Trace>,
 }
@@ -47,6 +48,8 @@
 pub struct Trace {
     /// Name of the instance.
     pub instance: String,
+    /// Attempt id of the request, or of one that resumed its stream.
+    pub id: String,
     /// The lines about the request, oldest first.
     pub steps: Vec<Line>,
     /// The state that the instance knew when the request arrived: for each kind of line and
@@ -156,10 +159,11 @@
         let file = fs::File::open(path).map_err(ReadError::at(path))?;
         read_log(io::BufReader::new(file), &mut logs).map_err(ReadError::at(path))?;
     }
+    let ids = related_ids(&logs, &options.id);
     let mut traces = Vec::new();
     for (instance, lines) in &mut logs {
         lines.sort_by_key(Line::time);
-        traces.extend(trace(instance, lines, &options.id));
+        traces.extend(ids.iter().filter_map(|id| trace(instance, lines, id)));
     }
     traces.sort_by(|a, b| first_ts(a).cmp(first_ts(b)));
     if traces.is_empty() {
@@ -168,6 +172,13 @@
     Ok(Outcome { id: options.id.clone(), traces })
 }
 
+/// The attempt `id`, and the attempts by which the caller took up the stream that `id` began.
+fn related_ids(logs: &BTreeMap<String, Vec<Line>>, id: &str) -> BTreeSet<String> {
+    let resumed = logs.values().flatten().filter(|it| it.field("resumes") == Some(id));
+    let resumed = resumed.filter_map(|it| it.field("id"));
+    resumed.chain([id]).map(str::to_owned).collect()
+}
+
 fn first_ts(trace: &Trace) -> &str {
     trace.steps.first().map_or("", |it| &it.ts)
 }
@@ -223,7 +234,7 @@
     };
     let steps: Vec<Line> = lines[admitted..end].iter().filter(is_step).cloned().collect();
     let known_state = known_state(&lines[..admitted], &steps);
-    Some(Trace { instance: instance.to_owned(), steps, known_state })
+    Some(Trace { instance: instance.to_owned(), id: id.to_owned(), steps, known_state })
 }
 
 /// Returns the latest line of each kind that describes state on which the request depended.
@@ -289,7 +300,7 @@
 
     fn write_text(&self, out: &mut impl io::Write) -> io::Result<()> {
         for trace in &self.traces {
-            writeln!(out, "{} on {}", self.id, trace.instance)?;
+            writeln!(out, "{} on {}", trace.id, trace.instance)?;
             for step in &trace.steps {
                 writeln!(out, "  {}  {}", step.ts, step.text())?;
             }
--- a/sl-core/tests/it/explain.rs
+++ b/sl-core/tests/it/explain.rs
@@ -153,3 +153,25 @@
     assert_eq!(known("aa"), ["request limit named by server"]);
     assert_eq!(known("bb"), [""; 0]);
 }
+
+// Guards against an operator who sees why a stream was cut off and not how its caller fared later.
+#[test]
+fn the_attempts_that_take_up_a_stream_belong_to_its_story() {
+    let log = r#"
+{"msg":"server changed","level":"INFO","ts":"2026-03-08T15:25:01.000Z","instance":"edge-1","server":"i-1","now":"ready","version":"v1"}
+{"msg":"request admitted","level":"INFO","ts":"2026-03-08T15:25:05.000Z","instance":"edge-1","request":7,"id":"aa"}
+{"msg":"attempt sent","level":"INFO","ts":"2026-03-08T15:25:05.001Z","instance":"edge-1","request":7,"server":"i-1"}
+{"msg":"request admitted","level":"INFO","ts":"2026-03-08T15:25:06.000Z","instance":"edge-2","request":3,"id":"bb","resumes":"aa"}
+{"msg":"stream resumed by caller","level":"INFO","ts":"2026-03-08T15:25:06.001Z","instance":"edge-2","request":3,"known":"origin","began_at":"v1"}
+{"msg":"request admitted","level":"INFO","ts":"2026-03-08T15:25:06.000Z","instance":"edge-2","request":4,"id":"cc","resumes":"other"}
+"#;
+    let outcome = explain(&options("aa", OutputFormat::Text), log.as_bytes()).unwrap();
+    let traces: Vec<_> =
+        outcome.traces.iter().map(|it| (it.instance.as_str(), it.id.as_str())).collect();
+    assert_eq!(traces, [("edge-1", "aa"), ("edge-2", "bb")]);
+    let mut out = Vec::new();
+    outcome.write(OutputFormat::Text, &mut out).unwrap();
+    let text = String::from_utf8(out).unwrap();
+    assert!(text.contains("bb on edge-2"), "{text}");
+    assert!(text.contains("version=v1") && text.contains("began_at=v1"), "{text}");
+}
--- a/sl-edge/src/caller.rs
+++ b/sl-edge/src/caller.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     body_memory::BodyMemory, core::Core, pool::Pool, refusal::LocalResponse,
-    unused::ConnectionTracker,
+    stream_locator::StreamLocator, unused::ConnectionTracker,
 };
 use request::Request;
 
@@ -27,6 +27,7 @@
     pub(crate) pool: Pool,
     pub(crate) connections: Rc<ConnectionTracker>,
     pub(crate) body_memory: BodyMemory,
+    pub(crate) stream_locator: StreamLocator,
 }
 
 /// What to do with a connection after a request.
@@ -152,7 +153,8 @@
         return Err(LocalResponse::of(Code::BodyTooLarge));
     }
     let request = Request::resolve(ingress, document, head).map_err(LocalResponse::of)?;
-    if ingress.core.should_reject(request.team.as_deref()) {
+    // The caller of a stream that is taken up has a part of the response already.
+    if !request.is_resumed() && ingress.core.should_reject(request.team.as_deref()) {
         return Err(request.reject_for_overload(ingress));
     }
     let receiving = ingress.connections.mark_receiving();
--- a/sl-edge/src/caller/exchange.rs
+++ b/sl-edge/src/caller/exchange.rs
@@ -138,7 +138,7 @@
             deadline: self.deadline,
             last_event_id: self.stream.last_event_id.filter(|_| self.stream.has_sent_events),
             only_fresh: !request.route.retry_policy.allows_rerun(),
-            max_connections: request.max_connections,
+            max_connections: request.max_connections(self.ingress),
         };
         let core = &self.ingress.core;
         let is_accepting = || core.with_state(|it| it.is_accepting(clock.now(), target.server));
--- a/sl-edge/src/caller/request.rs
+++ b/sl-edge/src/caller/request.rs
@@ -6,7 +6,9 @@
 use sl_base::{Code, Millis, ServiceId, Timestamp};
 use sl_http::{Conn, RequestHead};
 use sl_report::Sample;
-use sl_route::{Arrival, Document, Event, Prompt, Route, Team};
+use sl_route::{
+    Arrival, Document, Event, Prompt, RetryPolicy, Route, Team, stream_origin::StreamRequest,
+};
 use slog::warn;
 
 use super::{Disposition, Ingress, exchange::Exchange};
@@ -23,11 +25,13 @@
     pub(super) head: RequestHead,
     pub(super) metadata: RequestMetadata,
     pub(super) route: Arc<Route>,
+    /// The service that runs the request, drawn from those of the route.
     service: ServiceId,
+    /// What the request asks for, if the route serves resumable streams.
+    stream: Option<StreamRequest>,
     pub(super) team: Option<Arc<Team>>,
     arrived_at: Timestamp,
     pub(super) keeps_alive: bool,
-    pub(super) max_connections: usize,
     first_byte_at: Cell<Option<Timestamp>>,
 }
 
@@ -64,7 +68,8 @@
         let team = resolve_team(document, &route, &metadata)?;
         let service = ingress.core.with_state(|it| it.draw_service(&route.services));
         let service = service.ok_or(Code::NoServer)?;
-        let max_connections = ingress.core.with_state(|it| it.connections_max(service));
+        let is_resumable = route.retry_policy == RetryPolicy::ResumableStream;
+        let stream = is_resumable.then(|| metadata.stream_request());
         let keeps_alive = head.keeps_alive();
         let arrived_at = ingress.core.now();
         Ok(Request {
@@ -72,10 +77,10 @@
             metadata,
             route,
             service,
+            stream,
             team,
             arrived_at,
             keeps_alive,
-            max_connections,
             first_byte_at: Cell::new(None),
         })
     }
@@ -108,6 +113,7 @@
     ) -> Disposition {
         // Not decided earlier: a shutdown may have started while the body was received.
         self.keeps_alive &= !ingress.core.is_shedding();
+        self.locate_stream(ingress).await;
         let guard = ingress.core.register_request();
         let arrival = self.arrival(&guard, &body);
         self.log_admitted(ingress, &guard, &arrival);
@@ -116,6 +122,26 @@
         exchange.run(arrival).await
     }
 
+    /// Whether the caller has a part of the stream already.
+    pub(super) fn is_resumed(&self) -> bool {
+        self.stream.is_some_and(StreamRequest::is_resumed)
+    }
+
+    /// Finds out where the stream began that the request resumes, and goes on at that service.
+    async fn locate_stream(&mut self, ingress: &Ingress) {
+        let Some(stream) = self.stream.filter(|it| it.is_resumed()) else {
+            return;
+        };
+        ingress.stream_locator.locate(&self.route, stream).await;
+        let service = ingress.core.with_state(|it| it.service_of_stream(&self.route, stream));
+        self.service = service.unwrap_or(self.service);
+    }
+
+    /// Connections that this instance may have open to one server of the request's service.
+    pub(super) fn max_connections(&self, ingress: &Ingress) -> usize {
+        ingress.core.with_state(|it| it.connections_max(self.service))
+    }
+
     fn log_admitted(&self, ingress: &Ingress, guard: &RequestGuard, arrival: &Arrival) {
         let line = Line::Admitted(Admitted {
             request: guard.request,
@@ -126,6 +152,7 @@
             remaining_ms: arrival.deadline().remaining(self.arrived_at).0,
             input_tokens: arrival.prompt.as_ref().map(|it| it.input_tokens),
             last_event_id: self.metadata.last_event_id,
+            resumes: self.metadata.resumes.clone(),
         });
         ingress.core.log_request_line(guard.request, line);
     }
@@ -141,6 +168,7 @@
             caller_deadline: self.arrived_at.after(timeout),
             prompt: self.metadata.prompt.clone(),
             fingerprint: self.fingerprint(body),
+            stream: self.stream,
         }
     }
 
--- a/sl-edge/src/handle.rs
+++ b/sl-edge/src/handle.rs
@@ -11,12 +11,12 @@
 
 use futures::future::join_all;
 use sl_base::{
-    InstanceId, Millis, Timestamp,
+    InstanceId, Millis, StreamId, Timestamp,
     status::{FleetStatus, InstanceStatus, ServerStatus},
 };
 use sl_peer::{KnownStore, Links, StoreUpdate};
 use sl_report::{Objective, Recorder, Report, Sample, Snapshot};
-use sl_route::note::EngineCaches;
+use sl_route::{note::EngineCaches, stream_origin::StreamOrigin};
 use tokio::sync::{mpsc, oneshot};
 
 use crate::{clock::Clock, metrics::Metrics};
@@ -31,6 +31,8 @@
     StoreUpdate(KnownStore, oneshot::Sender<Option<StoreUpdate>>),
     /// The prompt parts that each model engine is estimated to cache, for a starting peer.
     EngineCaches(oneshot::Sender<EngineCaches>),
+    /// Where a stream began, for a peer at which it is taken up.
+    StreamOrigin(StreamId, oneshot::Sender<Option<StreamOrigin>>),
     /// Starts a graceful shutdown with the given drain timeout, or the configured one.
     ShutDown(Option<Millis>),
 }
@@ -140,6 +142,10 @@
     fn report_snapshot(&self) -> Snapshot {
         self.recorder.snapshot()
     }
+
+    async fn stream_origin(&self, stream: StreamId) -> Option<StreamOrigin> {
+        self.send_query(|tx| Query::StreamOrigin(stream, tx)).await.flatten()
+    }
 }
 
 /// The recorder behind the burn report, which counts request outcomes by team and route;
--- a/sl-edge/src/lib.rs
+++ b/sl-edge/src/lib.rs
@@ -35,6 +35,7 @@
 mod sent_requests;
 mod stop;
 mod store;
+mod stream_locator;
 pub mod unused;
 mod wire;
 
--- a/sl-edge/src/log.rs
+++ b/sl-edge/src/log.rs
@@ -74,6 +74,8 @@
     pub(crate) input_tokens: Option<u32>,
     /// The id of the last event that the caller has; `None` if it does not resume a stream.
     pub(crate) last_event_id: Option<u64>,
+    /// The id of the caller's attempt that began the stream, if the caller names it.
+    pub(crate) resumes: Option<String>,
 }
 
 /// The outcome of a request, for its last log line.
@@ -95,7 +97,7 @@
             "request" => it.request.0, "id" => &it.attempt_id, "route" => &it.route.name,
             "team" => it.team.as_ref().map(|it| it.name.as_str()), "version" => it.document_version,
             "within_ms" => it.remaining_ms, "tokens" => it.input_tokens,
-            "resumes_after" => it.last_event_id),
+            "resumes_after" => it.last_event_id, "resumes" => it.resumes.as_deref()),
         Line::Decided(it) => write_decision(log, it),
     }
 }
@@ -125,6 +127,10 @@
             "expected_ms" => expected_ms.round(), "backlog_ms" => backlog_ms.round(),
             "to_read" => prefill_tokens, "to_fetch" => fetch_tokens, "candidates" => candidates,
             "heard_ms" => view_age_ms.round()),
+        Decision::StreamResumed { request, known, version } => {
+            info!(log, "stream resumed by caller";
+                "request" => request.0, "known" => %known, "began_at" => version.as_deref());
+        }
         Decision::ResponseStarted { request, server, took_ms, expected_ms } => {
             info!(log, "response started";
                 "request" => request.0, "server" => %server, "took_ms" => took_ms.round(),
@@ -196,8 +202,9 @@
         Decision::ServerEntryOutdated { server } => {
             info!(log, "server entry older than the one known, ignored"; "server" => %server);
         }
-        Decision::ServerChanged { server, state } => {
-            info!(log, "server changed"; "server" => %server, "now" => *state);
+        Decision::ServerChanged { server, state, version } => {
+            info!(log, "server changed";
+                "server" => %server, "now" => *state, "version" => version.as_deref());
         }
         Decision::CacheKnown { server, parts, from_engine } => {
             info!(log, "cache contents updated";
--- a/sl-edge/src/metrics.rs
+++ b/sl-edge/src/metrics.rs
@@ -94,6 +94,8 @@
     pub faults: Family<NameLabel, Counter>,
     /// Requests refused without being run, by reason.
     pub refusals: Family<NameLabel, Counter>,
+    /// Streams that callers took up again, by what is known of where they began.
+    pub streams_resumed: Family<NameLabel, Counter>,
     /// Calls to the platform's store, by kind and result: the status or `unanswered`.
     pub store_calls: Family<NameLabel, Counter>,
     /// New connections to backend servers.
@@ -149,6 +151,7 @@
             )),
             faults: Family::default(),
             refusals: Family::default(),
+            streams_resumed: Family::default(),
             store_calls: Family::default(),
             server_connections: Counter::default(),
             peer_messages: Family::default(),
@@ -220,6 +223,9 @@
                 self.first_byte_delay.observe((took_ms - expected_ms).max(0.0));
             }
             Decision::TeamActivity { tokens, .. } => self.record_team_tokens(tokens),
+            Decision::StreamResumed { known, .. } => {
+                self.streams_resumed.get_or_create(&name_label(known.to_string())).inc();
+            }
             _ => {}
         }
     }
@@ -270,6 +276,11 @@
         it.register("late_milliseconds", "Later than expected", self.first_byte_delay.clone());
         it.register("faults", "Failed attempts by fault", self.faults.clone());
         it.register("refusals", "Refusals by reason", self.refusals.clone());
+        it.register(
+            "streams_resumed",
+            "Streams resumed by callers, by what is known of where they began",
+            self.streams_resumed.clone(),
+        );
         it.register("store_calls", "Calls by kind and answer", self.store_calls.clone());
         it.register("connections", "New connections to servers", self.server_connections.clone());
         it.register("lines_left_out", "Log lines left out", self.log_lines_dropped.clone());
--- a/sl-edge/src/peers/datagram.rs
+++ b/sl-edge/src/peers/datagram.rs
@@ -73,7 +73,7 @@
 impl DatagramKey {
     /// Derives the key from the fleet's shared secret.
     pub(crate) fn derive(secret: &str) -> DatagramKey {
-        DatagramKey(blake3::derive_key("sesamelock fleet messages 3", secret.as_bytes()))
+        DatagramKey(blake3::derive_key("sesamelock fleet messages 4", secret.as_bytes()))
     }
 
     fn tag(&self, bytes: &[u8]) -> [u8; TAG_BYTES] {
--- a/sl-edge/src/query_handler.rs
+++ b/sl-edge/src/query_handler.rs
@@ -45,6 +45,10 @@
                     let now = self.core.now();
                     drop(tx.send(self.core.with_state(|it| it.engine_caches(now))))
                 }
+                Query::StreamOrigin(stream, tx) => {
+                    let origin = self.core.with_state(|it| it.stream_origin(stream).cloned());
+                    drop(tx.send(origin));
+                }
                 // The channel is full only if a shutdown was requested before.
                 Query::ShutDown(drain_timeout) => drop(shutdown_tx.try_send(drain_timeout)),
             }
--- a/sl-edge/src/refusal.rs
+++ b/sl-edge/src/refusal.rs
@@ -38,6 +38,8 @@
             Refusal::NoServer => Code::NoServer,
             Refusal::TurnedAway => Code::TurnedAway,
             Refusal::TooLate => Code::TooLate,
+            Refusal::VersionGone => Code::VersionGone,
+            Refusal::OriginUnknown => Code::OriginUnknown,
         };
         LocalResponse { code, retry_after: Some(retry_after) }
     }
--- a/sl-edge/src/run.rs
+++ b/sl-edge/src/run.rs
@@ -40,6 +40,7 @@
     query_handler::QueryHandler,
     reload, stop,
     store::StoreClient,
+    stream_locator::StreamLocator,
     unused::ConnectionTracker,
 };
 
@@ -289,7 +290,14 @@
         let pool = Pool::new(self.core.metrics.clone());
         let connections = self.connections.clone();
         let body_memory = BodyMemory::default();
-        let ingress = Rc::new(Ingress { core: self.core.clone(), pool, connections, body_memory });
+        let stream_locator = StreamLocator {
+            core: self.core.clone(),
+            peer_table: self.peer_table.clone(),
+            links: self.links.clone(),
+            own_id: settings.id(),
+        };
+        let core = self.core.clone();
+        let ingress = Rc::new(Ingress { core, pool, connections, body_memory, stream_locator });
         spawn_local(caller::accept_loop(ingress.clone(), caller_listener));
         spawn_local(async move { store.run().await });
         let (own_id, cores) = (settings.id(), settings.cores.value() as f32);
--- /dev/null
+++ b/sl-edge/src/stream_locator.rs
@@ -0,0 +1,77 @@
+//! Asks peers where a stream began that a caller takes up here. This instance may not know, because
+//! it has just started, was cut off, or missed a note.
+
+use std::{net::SocketAddr, rc::Rc};
+
+use futures::{StreamExt, stream::FuturesUnordered};
+use sl_base::{InstanceId, Millis, StreamId, hash};
+use sl_peer::Links;
+use sl_route::{
+    Event, Route,
+    stream_origin::{StreamOrigin, StreamRequest},
+};
+
+use crate::{core::Core, membership::PeerTable};
+
+/// Finds out from peers where streams began.
+pub(crate) struct StreamLocator {
+    pub(crate) core: Rc<Core>,
+    pub(crate) peer_table: Rc<PeerTable>,
+    pub(crate) links: Links,
+    pub(crate) own_id: InstanceId,
+}
+
+/// The number of peers that are asked about one stream, at the same time. Nearly all know of it.
+const PEERS_ASKED: usize = 3;
+
+/// How long their responses are waited for. The caller waits as long, and is refused afterwards.
+const RESPONSE_TIMEOUT: Millis = Millis(250);
+
+impl StreamLocator {
+    /// Tells the reducer where the stream began that a request on `route` takes up, if the reducer
+    /// lacks that and a peer knows.
+    pub(crate) async fn locate(&self, route: &Route, request: StreamRequest) {
+        let missing = self.core.with_state(|it| it.missing_origin(route, request));
+        let Some(stream) = missing else {
+            return;
+        };
+        let asking = self.ask(stream);
+        let found = tokio::time::timeout(RESPONSE_TIMEOUT.into(), asking).await;
+        if let Ok(Some(origin)) = found {
+            self.core.step(Event::StreamOriginFound { stream, origin });
+        }
+    }
+
+    /// The first response of a peer that knows of the stream.
+    async fn ask(&self, stream: StreamId) -> Option<StreamOrigin> {
+        let calls = self.peers_to_ask(stream).into_iter();
+        let mut responses: FuturesUnordered<_> =
+            calls.map(|(peer, control)| self.links.stream_origin(peer, control, stream)).collect();
+        while let Some(response) = responses.next().await {
+            if let Ok(Some(origin)) = response {
+                return Some(origin);
+            }
+        }
+        None
+    }
+
+    /// The peer that has been running for longest, and others that differ from stream to stream:
+    /// those that sent a message lately, and listed ones while there are too few of these.
+    fn peers_to_ask(&self, stream: StreamId) -> Vec<(InstanceId, SocketAddr)> {
+        let active = self.peer_table.recently_active(self.core.now());
+        let oldest = active.iter().filter(|it| it.0 != self.own_id);
+        let oldest = oldest.min_by_key(|(_, info)| info.incarnation).map(|it| it.0);
+        let ranked = |peers: Vec<InstanceId>| {
+            let others = peers.into_iter().filter(|it| *it != self.own_id && Some(*it) != oldest);
+            hash::ranked_members(stream.0.into(), others, PEERS_ASKED)
+        };
+        let listed = self.peer_table.all();
+        let mut asked: Vec<InstanceId> = oldest.into_iter().collect();
+        asked.extend(ranked(active.iter().map(|it| it.0).collect()));
+        let listed_ids = ranked(listed.iter().map(|it| it.0).collect());
+        asked.extend(listed_ids.into_iter().filter(|it| active.iter().all(|(id, _)| id != it)));
+        asked.truncate(PEERS_ASKED);
+        let asked = listed.into_iter().filter(|(id, _)| asked.contains(id));
+        asked.map(|(id, addresses)| (id, addresses.control)).collect()
+    }
+}
--- a/sl-peer/src/link.rs
+++ b/sl-peer/src/link.rs
@@ -7,9 +7,9 @@
     sync::{Arc, Mutex, PoisonError},
 };
 
-use sl_base::{InstanceId, status::InstanceStatus};
+use sl_base::{InstanceId, StreamId, status::InstanceStatus};
 use sl_report::Snapshot;
-use sl_route::note::EngineCaches;
+use sl_route::{note::EngineCaches, stream_origin::StreamOrigin};
 use tarpc::client::{self, RpcError};
 use tokio::{net::TcpStream, sync, task::AbortHandle, time};
 
@@ -137,6 +137,23 @@
         .await
     }
 
+    /// Asks a peer where a stream began. `None` if the peer does not know or is shutting down.
+    ///
+    /// # Errors
+    ///
+    /// [`PeerUnreachable`] if the peer does not respond in time, even on a new link.
+    pub async fn stream_origin(
+        &self,
+        to: InstanceId,
+        address: SocketAddr,
+        stream: StreamId,
+    ) -> Result<Option<StreamOrigin>, PeerUnreachable> {
+        self.call(to, address, |client, timeout_ms| async move {
+            client.stream_origin(frame::context(timeout_ms), stream).await
+        })
+        .await
+    }
+
     /// Closes the links to the peers for which `keep` returns false.
     pub fn retain(&self, keep: impl Fn(InstanceId) -> bool) {
         self.slots().retain(|&id, _| keep(id));
--- a/sl-peer/src/serve.rs
+++ b/sl-peer/src/serve.rs
@@ -3,9 +3,9 @@
 use std::{future::Future, net::SocketAddr, pin::pin, sync::Arc};
 
 use futures::StreamExt;
-use sl_base::status::InstanceStatus;
+use sl_base::{StreamId, status::InstanceStatus};
 use sl_report::Snapshot;
-use sl_route::note::EngineCaches;
+use sl_route::{note::EngineCaches, stream_origin::StreamOrigin};
 use tarpc::{
     context::Context,
     server::{BaseChannel, Channel},
@@ -39,6 +39,9 @@
 
     /// Returns the instance's part of the burn-rate report.
     fn report_snapshot(&self) -> Snapshot;
+
+    /// Returns where a stream began. `None` if the instance does not know or is shutting down.
+    fn stream_origin(&self, stream: StreamId) -> impl Future<Output = Option<StreamOrigin>> + Send;
 }
 
 /// Why the control port could not be opened.
@@ -159,6 +162,10 @@
     async fn report_snapshot(self, _: Context) -> Snapshot {
         self.handler.report_snapshot()
     }
+
+    async fn stream_origin(self, _: Context, stream: StreamId) -> Option<StreamOrigin> {
+        self.handler.stream_origin(stream).await
+    }
 }
 
 /// Pause after a failed `accept`, which would fail again at once where file descriptors have
--- a/sl-peer/src/service.rs
+++ b/sl-peer/src/service.rs
@@ -1,10 +1,10 @@
 //! The remote procedures that instances call on each other.
 
 use serde::{Deserialize, Serialize};
-use sl_base::{Millis, status::InstanceStatus};
+use sl_base::{Millis, StreamId, status::InstanceStatus};
 use sl_mirror::{Change, Update, Version};
 use sl_report::Snapshot;
-use sl_route::note::EngineCaches;
+use sl_route::{note::EngineCaches, stream_origin::StreamOrigin};
 
 /// The part of an instance's copy of the platform's store that the calling peer lacks.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -46,4 +46,8 @@
 
     /// Returns the instance's part of the fleet's burn-rate report.
     async fn report_snapshot() -> Snapshot;
+
+    /// Returns where a stream began, or `None` where the called instance does not know or is
+    /// shutting down.
+    async fn stream_origin(stream: StreamId) -> Option<StreamOrigin>;
 }
--- a/sl-peer/tests/it/testbed.rs
+++ b/sl-peer/tests/it/testbed.rs
@@ -10,13 +10,16 @@
     time::Duration,
 };
 
-use sl_base::{Incarnation, InstanceId, Millis, Timestamp, status::InstanceStatus};
+use sl_base::{
+    Incarnation, InstanceId, Millis, ServiceId, StreamId, Timestamp, status::InstanceStatus,
+};
 use sl_mirror::{Update, Version};
 use sl_peer::{
     ControlHandler, Counters, HandshakeKey, Hello, KnownStore, Links, Options, Server, StoreUpdate,
     serve,
 };
 use sl_report::Snapshot;
+use sl_route::{ServerKey, stream_origin::StreamOrigin};
 use tokio::net::{TcpListener, TcpStream};
 
 pub const PEER: InstanceId = InstanceId(7);
@@ -64,6 +67,18 @@
             series: Vec::new(),
         }
     }
+
+    async fn stream_origin(&self, stream: StreamId) -> Option<StreamOrigin> {
+        (stream == KNOWN_STREAM).then(stream_origin)
+    }
+}
+
+/// The only stream of which a [`Peer`] knows where it began.
+pub const KNOWN_STREAM: StreamId = StreamId(7);
+
+/// Where [`KNOWN_STREAM`] began.
+pub fn stream_origin() -> StreamOrigin {
+    StreamOrigin { run: ServerKey(1), service: ServiceId(2), version: Some("v1".into()) }
 }
 
 /// What an instance knows that has every change up to a revision of the first era.
--- a/sl-report/src/record.rs
+++ b/sl-report/src/record.rs
@@ -63,6 +63,8 @@
             | Code::CrashesServers
             | Code::Overloaded
             | Code::InstanceFull
+            | Code::VersionGone
+            | Code::OriginUnknown
             | Code::TotalTimeout
             | Code::ConnectionLost
             | Code::CrossedAnswer => Some(Sample::Unanswered),
--- a/sl-route/src/crash_detector.rs
+++ b/sl-route/src/crash_detector.rs
@@ -91,6 +91,8 @@
     pub lost: usize,
     /// Whether an attempt of this instance is among them.
     pub is_own: bool,
+    /// Whether the run also refused a connection, so that its process was not there for a while.
+    pub was_unreachable: bool,
     /// The requests of the lost attempts in the most suspect phase. Empty if all attempts had been
     /// running for long.
     pub suspects: Vec<Suspect>,
@@ -110,6 +112,7 @@
 struct PendingCrash {
     first_lost_at: Timestamp,
     confirm_at: Timestamp,
+    was_unreachable: bool,
     losses: Vec<Loss>,
 }
 
@@ -147,6 +150,7 @@
         let pending = self.pending.entry(run).or_insert_with(|| PendingCrash {
             first_lost_at: now,
             confirm_at: now.after(CONFIRMATION_DELAY),
+            was_unreachable: false,
             losses: Vec::new(),
         });
         let is_new = pending.losses.iter().all(|it| it.attempt != loss.attempt);
@@ -167,6 +171,7 @@
     /// Records that a run refused a connection, so it need not be waited for any longer.
     pub fn record_unreachable(&mut self, run: ServerKey) {
         if let Some(pending) = self.pending.get_mut(&run) {
+            pending.was_unreachable = true;
             pending.confirm_at =
                 pending.confirm_at.min(pending.first_lost_at.after(GATHERING_DELAY));
         }
@@ -237,12 +242,14 @@
     fn into_crash(self, run: ServerKey) -> Crash {
         let lost = self.losses.len();
         let is_own = self.losses.iter().any(|it| it.is_own);
+        let was_unreachable = self.was_unreachable;
         let phase = self.losses.iter().map(|it| it.phase).min();
         let phase = phase.filter(|it| *it != LossPhase::Running);
         let requests = self.losses.iter().filter(|it| it.phase != LossPhase::Running);
         let requests = requests.map(|it| it.request).collect();
         let suspects = self.losses.into_iter().filter(|it| Some(it.phase) == phase);
         let suspects = suspects.map(Loss::into_suspect).collect();
-        Crash { run, at: self.first_lost_at, lost, is_own, suspects, requests }
+        let at = self.first_lost_at;
+        Crash { run, at, lost, is_own, was_unreachable, suspects, requests }
     }
 }
--- a/sl-route/src/directory.rs
+++ b/sl-route/src/directory.rs
@@ -21,6 +21,8 @@
     pub address: SocketAddr,
     /// The data centre in which the server runs.
     pub data_centre: Arc<str>,
+    /// The version of the server's software; `None` if the entry names none.
+    pub version: Option<Arc<str>>,
     /// The number of requests that the server runs concurrently.
     pub slots: u32,
     /// Whether the server accepts new requests.
@@ -58,14 +60,23 @@
         is_counted && self.key() == removed.key() && self.sequence <= removed.sequence
     }
 
+    /// Whether the same run wrote `later` after this record. A server that does not count its writes
+    /// is taken to write whatever is listed.
+    pub(crate) fn is_rewritten_by(&self, later: &ServerRecord) -> bool {
+        let is_later = later.sequence == 0 || self.sequence < later.sequence;
+        is_later && self.key() == later.key()
+    }
+
     /// Whether the records say the same of the server, whenever they were written.
     fn says_the_same(&self, other: &ServerRecord) -> bool {
         *self == ServerRecord { sequence: self.sequence, ..other.clone() }
     }
 
-    /// The key of this run of the server.
+    /// The key of this run of the server. Another software version is another run, even if the
+    /// entry states the same start.
     pub fn key(&self) -> ServerKey {
-        ServerKey::of(&self.id, self.started_at_ms)
+        let key = ServerKey::of(&self.id, self.started_at_ms);
+        self.version.as_ref().map_or(key, |it| key.of_version(it))
     }
 }
 
--- a/sl-route/src/effect.rs
+++ b/sl-route/src/effect.rs
@@ -92,6 +92,12 @@
     TooLate,
     /// The instance has reached its limit of requests in flight.
     InstanceFull,
+    /// The request resumes a stream, and no server of the software version that began it is ready,
+    /// or its route no longer leads to the service that did.
+    VersionGone,
+    /// The request resumes a stream, its service has servers of several software versions, and no
+    /// instance knows which one began it.
+    OriginUnknown,
 }
 
 /// Why a request failed although it may have run.
@@ -146,6 +152,15 @@
         /// The expected value of `took_ms`.
         expected_ms: f64,
     },
+    /// A request resumes a stream that an earlier attempt of the caller began.
+    StreamResumed {
+        /// The request that resumes the stream.
+        request: RequestId,
+        /// How it is known which servers the stream may go on at.
+        known: OriginKnowledge,
+        /// The software version that began the stream, if it is known and has a name.
+        version: Option<Arc<str>>,
+    },
     /// A request was refused.
     RequestRefused {
         /// The request that was refused.
@@ -240,6 +255,8 @@
         /// The listed state, `gone` if the entry was removed, or `lapsed` if it did not reappear
         /// after an outage of the platform's store.
         state: &'static str,
+        /// The version of the server's software, if its entry is listed and names one.
+        version: Option<Arc<str>>,
     },
     /// The contents of an engine's KV cache became known.
     CacheKnown {
@@ -308,6 +325,7 @@
     pub fn request(&self) -> Option<RequestId> {
         match self {
             Decision::AttemptSent { request, .. }
+            | Decision::StreamResumed { request, .. }
             | Decision::ResponseStarted { request, .. }
             | Decision::RequestRefused { request, .. }
             | Decision::AttemptFailed { request, .. }
@@ -330,6 +348,18 @@
     }
 }
 
+/// What is known of the servers at which a stream that is resumed may go on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum OriginKnowledge {
+    /// It is known where the stream began.
+    Origin,
+    /// It is not known where, but all servers of the service have the same software version.
+    OneVersion,
+    /// It is not known where, and the service has servers of several software versions.
+    Unknown,
+}
+
 /// Why a request is not sent to another server after an attempt on one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display, IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
@@ -347,6 +377,8 @@
     BudgetUsed,
     /// No other server is expected to respond before its deadline.
     NoServer,
+    /// No other server has the software version that began its stream.
+    VersionGone,
 }
 
 /// The action that follows a failed attempt.
--- a/sl-route/src/engine.rs
+++ b/sl-route/src/engine.rs
@@ -229,9 +229,14 @@
         !self.speed.is_prior
     }
 
-    /// Whether a slot is free for another request.
-    pub fn has_free_slot(&self) -> bool {
-        self.queue.len() + self.running.len() < self.slots
+    /// The number of requests that the engine runs concurrently.
+    pub fn slots(&self) -> usize {
+        self.slots
+    }
+
+    /// The number of further requests for which a slot is free.
+    pub fn free_slots(&self) -> usize {
+        self.slots.saturating_sub(self.queue.len() + self.running.len())
     }
 
     /// Milliseconds until the prefill of all requests sent so far is complete. An overdue
--- a/sl-route/src/event.rs
+++ b/sl-route/src/event.rs
@@ -3,12 +3,13 @@
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
-use sl_base::{RequestId, ServiceId, Timestamp};
+use sl_base::{RequestId, ServiceId, StreamId, Timestamp};
 use strum::{Display, IntoStaticStr};
 
 use crate::{
     Document, Notes, Prompt, PromptPart, Route, ServerKey, ServerRecord, Team, budget,
     note::EngineCaches,
+    stream_origin::{StreamOrigin, StreamRequest},
 };
 
 /// An input of [`State::step`](crate::State::step).
@@ -93,6 +94,13 @@
     },
     /// A peer sent its view of the engines' KV caches, which an instance requests at startup.
     PeerCaches(EngineCaches),
+    /// A peer knows where a stream began.
+    StreamOriginFound {
+        /// The stream.
+        stream: StreamId,
+        /// Where it began.
+        origin: StreamOrigin,
+    },
     /// A server's response carried a notice to its callers.
     ServerNotice {
         /// The server that responded.
@@ -161,6 +169,8 @@
     pub prompt: Option<Prompt>,
     /// A hash that identifies repeated requests, used to recognise those that crash servers.
     pub fingerprint: u64,
+    /// The stream that the request asks for; `None` if its route serves no resumable streams.
+    pub stream: Option<StreamRequest>,
 }
 
 impl Arrival {
@@ -170,6 +180,11 @@
         self.caller_deadline.min(self.arrived_at.after(self.route.timeout))
     }
 
+    /// Whether the caller has a part of the response already, from an earlier attempt.
+    pub fn is_resumed(&self) -> bool {
+        self.stream.is_some_and(StreamRequest::is_resumed)
+    }
+
     /// The sort key of urgency, the most urgent first: the team's priority, then the route's.
     pub fn priority(&self) -> (u8, u8) {
         (self.team.as_ref().map_or(0, |it| it.priority), self.route.priority)
--- a/sl-route/src/lib.rs
+++ b/sl-route/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod server;
 pub mod share;
 mod state;
+pub mod stream_origin;
 
 pub use directory::{Directory, ServerRecord, ServerState};
 pub use document::{Document, Limits, RetryPolicy, Route, Service, Team};
--- a/sl-route/src/note.rs
+++ b/sl-route/src/note.rs
@@ -3,7 +3,7 @@
 //! accurate but does not affect correctness.
 
 use serde::{Deserialize, Serialize};
-use sl_base::TeamId;
+use sl_base::{StreamId, TeamId};
 
 use crate::{
     PromptPart, ServerKey,
@@ -39,6 +39,8 @@
         /// The engine from which the server fetches cached parts, and the milliseconds until the
         /// transfer ends.
         fetch: Option<(ServerKey, u32)>,
+        /// The stream that the request asks for, if it may be resumed.
+        stream: Option<StreamId>,
     },
     /// The response to an attempt started.
     ResponseStarted {
@@ -119,6 +121,14 @@
         /// Requests a second; `None` if the limit has ended.
         per_second: Option<f64>,
     },
+    /// A stream began on another server than the first one that the request was sent to, or goes
+    /// on for long.
+    StreamBegan {
+        /// The stream.
+        stream: StreamId,
+        /// The server, or one with the same software version.
+        server: ServerKey,
+    },
 }
 
 /// The bar of what crashed servers.
--- a/sl-route/src/place.rs
+++ b/sl-route/src/place.rs
@@ -8,6 +8,7 @@
     admission::AdmissionLimits,
     engine::Engine,
     server::{PlainServer, Server, ServerKind},
+    stream_origin::StreamOrigin,
 };
 
 /// Constraints that a request places on the choice of a server.
@@ -25,6 +26,22 @@
     pub remaining_ms: f64,
     /// The data centre of this instance; servers elsewhere are charged the extra network time.
     pub data_centre: &'a str,
+    /// Where the stream began that the request goes on with; `None` if any server will do.
+    pub origin: Option<&'a StreamOrigin>,
+    /// Whether some slots and connections of each server are left to streams that are taken up.
+    pub keeps_room: bool,
+}
+
+impl Requirements<'_> {
+    fn allows(&self, server: &Server) -> bool {
+        let has_right_version = self.origin.is_none_or(|it| it.allows(server));
+        has_right_version && server.is_in_service() && !self.tried.contains(&server.key)
+    }
+
+    /// How many of `places` the request may not take.
+    fn kept_free(&self, places: usize) -> usize {
+        if self.keeps_room { places / ROOM_DIVISOR } else { 0 }
+    }
 }
 
 /// The selected server, with the estimates that the selection was based on.
@@ -115,6 +132,9 @@
 /// deadline exceeds `LATE_END_THRESHOLD`.
 const LATE_END_PENALTY_MS: f64 = 1_500.0;
 
+/// The part of the slots and connections of a server that is left to streams that are taken up.
+const ROOM_DIVISOR: usize = 16;
+
 /// Extra time of a request to a server in another data centre, in milliseconds.
 const CROSS_DATA_CENTRE_MS: f64 = 2.0;
 
@@ -179,8 +199,7 @@
     servers: impl Iterator<Item = &'a Server>,
     required: Requirements<'_>,
 ) -> Result<Placement, PlacementError> {
-    let eligible = |it: &&Server| it.is_in_service() && !required.tried.contains(&it.key);
-    let eligible: Vec<&Server> = servers.filter(eligible).collect();
+    let eligible: Vec<&Server> = servers.filter(|it| required.allows(it)).collect();
     let is_open = |it: &&Server| it.opens_at(now).is_due(now);
     let servers: Vec<&Server> = eligible.iter().copied().filter(is_open).collect();
     if servers.is_empty() {
@@ -259,7 +278,8 @@
     required: Requirements<'_>,
     donor: Option<Donor>,
 ) -> Option<Candidate> {
-    if server.own_in_flight >= required.connections_max {
+    let connections_max = required.connections_max;
+    if server.own_in_flight + required.kept_free(connections_max) >= connections_max {
         return None;
     }
     let mut candidate = match &server.kind {
@@ -282,7 +302,7 @@
     required: Requirements<'_>,
     donor: Option<Donor>,
 ) -> Option<Candidate> {
-    if !engine.has_free_slot() {
+    if engine.free_slots() <= required.kept_free(engine.slots()) {
         return None;
     }
     let prompt = required.prompt;
--- a/sl-route/src/request.rs
+++ b/sl-route/src/request.rs
@@ -2,7 +2,10 @@
 
 use sl_base::{TeamId, Timestamp};
 
-use crate::{Arrival, ServerKey, crash_detector::SUSPECT_PERIOD, note::AttemptKey};
+use crate::{
+    Arrival, ServerKey, crash_detector::SUSPECT_PERIOD, note::AttemptKey,
+    stream_origin::StreamOrigin,
+};
 
 /// A request from its arrival until its final effect.
 #[derive(Clone, Debug)]
@@ -17,6 +20,9 @@
     pub attempts: u32,
     /// Whether an earlier attempt may have been run by a server.
     pub may_have_run: bool,
+    /// Where the stream began, once its first event has been delivered. It goes on nowhere else but
+    /// on servers of the same software version.
+    pub origin: Option<StreamOrigin>,
     /// The current attempt, if any.
     pub current: Option<CurrentAttempt>,
     /// The team that is charged for the request, and the number of tokens. The charge is taken
@@ -57,6 +63,7 @@
             silent_server: None,
             attempts: 0,
             may_have_run: false,
+            origin: None,
             current: None,
             charged: None,
         }
--- a/sl-route/src/server.rs
+++ b/sl-route/src/server.rs
@@ -21,6 +21,11 @@
     pub fn of(id: &str, started_at_ms: u64) -> ServerKey {
         ServerKey(hash::weight(ServerId::of(id).0, started_at_ms))
     }
+
+    /// The key of the same run if the server's entry names the software version `version`.
+    pub fn of_version(self, version: &str) -> ServerKey {
+        ServerKey(hash::weight(self.0, ServerId::of(version).0))
+    }
 }
 
 impl fmt::Display for ServerKey {
@@ -50,6 +55,9 @@
     pub updated_at: Timestamp,
     /// Whether the server announced in a response that it shuts down.
     pub has_announced_drain: bool,
+    /// Whether the run crashed, was unreachable, and has not written its entry again since. What
+    /// answers now at the address may be another run under the same id, of another software version.
+    pub may_have_restarted: bool,
     /// The server asked this instance to send it no requests before this time.
     pub paused_until: Timestamp,
     /// The limit that the server names on the requests of all instances; `None` without one.
--- a/sl-route/src/state.rs
+++ b/sl-route/src/state.rs
@@ -9,6 +9,7 @@
 mod notes;
 mod notices;
 mod silence;
+mod streams;
 
 use std::{collections::HashMap, sync::Arc};
 
@@ -29,6 +30,7 @@
     request::InFlightRequest,
     server::Server,
     share::{Shares, Standing},
+    stream_origin::StreamOrigins,
 };
 
 /// Parameters of an instance, fixed at its start except for `limits`.
@@ -73,6 +75,8 @@
     peers: HashMap<u32, Timestamp>,
     started_at: Timestamp,
     demand: Demand,
+    /// Where streams began.
+    origins: StreamOrigins,
     /// The number of instances in the fleet, including this one.
     instances: usize,
     /// The number of the latest attempt.
@@ -119,6 +123,7 @@
             peers: HashMap::new(),
             started_at: now,
             demand: Demand::new(now),
+            origins: StreamOrigins::new(now),
             instances: INSTANCES_DEFAULT,
             last_attempt: 0,
             prune_at: now,
@@ -160,6 +165,9 @@
             Event::CacheListed { server, parts } => self.on_cache_listed(now, server, &parts),
             Event::CacheListFailed { server } => self.on_cache_list_failed(now, server),
             Event::PeerCaches(caches) => self.on_peer_caches(now, caches),
+            Event::StreamOriginFound { stream, origin } => {
+                self.origins.record_origin(now, stream, origin);
+            }
             Event::ServerNotice { server, notice } => self.on_server_notice(now, server, notice),
             Event::StoreRestored => self.on_store_restored(now),
             Event::Limits(limits) => {
@@ -295,5 +303,6 @@
         self.expire_limits(now);
         self.update_speed_priors();
         self.request_cache_lists(now);
+        self.refresh_streams(now);
     }
 }
--- a/sl-route/src/state/admit.rs
+++ b/sl-route/src/state/admit.rs
@@ -19,6 +19,10 @@
 /// The limit of requests in flight divided by this is left to teams within their share.
 const WITHIN_SHARE_DIVISOR: usize = 4;
 
+/// The limit of requests in flight divided by this is left to streams that are taken up, while
+/// servers of several software versions serve.
+const RESUMED_DIVISOR: usize = 32;
+
 /// Bounds on the `Retry-After` time before jitter, in milliseconds.
 const RETRY_AFTER_MS: std::ops::Range<f64> = 100.0..2_000.0;
 
@@ -41,9 +45,16 @@
             self.demand.record_own(now);
             self.queue_note(Note::TokensRequested { team, tokens });
         }
-        let in_flight = InFlightRequest::new(arrival);
+        let origin = self.locate_stream(&arrival);
+        let mut in_flight = InFlightRequest::new(arrival);
+        match origin {
+            Ok(origin) => in_flight.origin = origin,
+            Err(reason) => {
+                return self.refuse(now, &in_flight, reason, LowestEstimates::NONE, 0.0);
+            }
+        }
         let team = in_flight.arrival.team.as_ref().map(|it| it.id);
-        if self.requests.len() >= self.in_flight_max(now, team) {
+        if self.requests.len() >= self.in_flight_max(now, &in_flight.arrival) {
             self.refuse(now, &in_flight, Refusal::InstanceFull, LowestEstimates::NONE, 0.0);
             return;
         }
@@ -54,20 +65,25 @@
         self.send_or_refuse(now, in_flight, limits);
     }
 
-    /// How many requests may be in flight for another one of the team to be admitted.
-    fn in_flight_max(&mut self, now: Timestamp, team: Option<TeamId>) -> usize {
+    /// How many requests may be in flight for another one to be admitted.
+    fn in_flight_max(&mut self, now: Timestamp, arrival: &Arrival) -> usize {
         let max = self.options.limits.max_in_flight;
-        match team.map(|it| self.standing(now, it)) {
-            Some(Standing::OverShare) => max - max / WITHIN_SHARE_DIVISOR,
-            Some(Standing::WithinShare) | None => max,
-        }
+        let team = arrival.team.as_ref().map(|it| it.id);
+        let kept_free = match team.map(|it| self.standing(now, it)) {
+            _ if arrival.is_resumed() => 0,
+            Some(Standing::OverShare) => max / WITHIN_SHARE_DIVISOR,
+            _ if self.keeps_room_for_streams(arrival) => max / RESUMED_DIVISOR,
+            Some(Standing::WithinShare) | None => 0,
+        };
+        max - kept_free
     }
 
     /// The limits that apply to a new request, from where its team stands.
     fn admission_limits(&mut self, now: Timestamp, in_flight: &InFlightRequest) -> AdmissionLimits {
         let arrival = &in_flight.arrival;
         let remaining_ms = arrival.deadline().remaining(now).0 as f64;
-        if arrival.prompt.is_none() {
+        // A stream that is taken up has been admitted before, and its caller waits for the rest.
+        if arrival.prompt.is_none() || arrival.is_resumed() {
             return AdmissionLimits::until_deadline(remaining_ms);
         }
         let target_ms = arrival.route.target_latency.0 as f64;
@@ -127,6 +143,8 @@
             connections_max: self.connections_max(in_flight.arrival.service),
             remaining_ms: in_flight.arrival.deadline().remaining(now).0 as f64,
             data_centre: &self.options.data_centre,
+            origin: in_flight.origin.as_ref(),
+            keeps_room: self.keeps_room_for_streams(&in_flight.arrival),
         }
     }
 
@@ -137,6 +155,7 @@
         error: PlacementError,
     ) -> Refusal {
         match error {
+            PlacementError::NoServer if in_flight.origin.is_some() => Refusal::VersionGone,
             PlacementError::NoServer if in_flight.tried.is_empty() => Refusal::NoServer,
             PlacementError::NoServer | PlacementError::Paused { .. } => Refusal::TurnedAway,
             _ if in_flight.arrival.deadline().is_due(now) => Refusal::TooLate,
--- a/sl-route/src/state/attempt.rs
+++ b/sl-route/src/state/attempt.rs
@@ -9,7 +9,7 @@
     admission::AdmissionLimits,
     effect::{NextStep, RetryDenial, Target},
     note::{AttemptKey, Note},
-    place::{LowestEstimates, Placement},
+    place::{LowestEstimates, Placement, PlacementError},
     request::{CurrentAttempt, InFlightRequest},
     server::{Server, ServerKind},
 };
@@ -84,6 +84,7 @@
             self.shares.record_granted(now, team, tokens);
             self.record_outcome(&in_flight.arrival, TokenOutcome::Granted);
         }
+        let stream = self.recorded_stream(&in_flight.arrival, placement.server);
         self.queue_note(Note::AttemptSent {
             server: placement.server,
             attempt: key.attempt,
@@ -91,6 +92,7 @@
             charge,
             parts,
             fetch,
+            stream,
         });
         self.requests.insert(request, in_flight);
         self.effects.push(Effect::Log(decision));
@@ -118,14 +120,21 @@
     }
 
     pub(super) fn on_response_started(&mut self, now: Timestamp, request: RequestId) {
-        let Some(current) = self.requests.get_mut(&request).and_then(|it| it.current.as_mut())
-        else {
+        let Some(mut in_flight) = self.requests.remove(&request) else {
             return;
         };
-        if current.response_started_at.replace(now).is_some() {
-            return;
+        let started = in_flight.current.as_mut().filter(|it| it.response_started_at.is_none());
+        let started = started.map(|it| {
+            it.response_started_at = Some(now);
+            *it
+        });
+        if let Some(current) = started {
+            self.record_stream_start(&mut in_flight, current.server);
         }
-        let CurrentAttempt { server, key, sent_at, expected_ms, .. } = *current;
+        self.requests.insert(request, in_flight);
+        let Some(CurrentAttempt { server, key, sent_at, expected_ms, .. }) = started else {
+            return;
+        };
         let took_ms = now.millis_since(sent_at);
         self.crash_detector.record_alive(now, server);
         if let Some(server) = self.servers.get_mut(&server) {
@@ -339,7 +348,10 @@
             return Err(RetryDenial::BudgetUsed);
         }
         let limits = AdmissionLimits::until_deadline(deadline.remaining(now).0 as f64);
-        self.choose_server(now, in_flight, limits).map_err(|_| RetryDenial::NoServer)
+        self.choose_server(now, in_flight, limits).map_err(|error| match error {
+            PlacementError::NoServer if in_flight.origin.is_some() => RetryDenial::VersionGone,
+            _ => RetryDenial::NoServer,
+        })
     }
 }
 
--- a/sl-route/src/state/crashes.rs
+++ b/sl-route/src/state/crashes.rs
@@ -69,6 +69,9 @@
     pub(super) fn confirm_crashes(&mut self, now: Timestamp) {
         for crash in self.crash_detector.take_confirmed(now) {
             self.log_crash(&crash);
+            if let Some(server) = self.servers.get_mut(&crash.run) {
+                server.may_have_restarted |= crash.was_unreachable;
+            }
             self.record_survivors(now);
             let announce_at = now.after(self.draw_announcement_delay());
             for bar in self.crash_causes.record_crash(now, &crash, announce_at) {
--- a/sl-route/src/state/listing.rs
+++ b/sl-route/src/state/listing.rs
@@ -54,18 +54,25 @@
             self.effects.push(Effect::Log(Decision::ServerEntryOutdated { server: id }));
             return;
         }
+        let is_rewritten = self.directory.get(&id).is_some_and(|it| it.is_rewritten_by(&record));
         let previous = self.directory.get(&id).map(ServerRecord::key);
         let state = record.state.into();
         let key = record.key();
+        if let Some(server) = self.servers.get_mut(&key).filter(|_| is_rewritten) {
+            server.may_have_restarted = false;
+        }
         if !self.directory.put(record.clone()) {
             return;
         }
         if let Some(previous) = previous.filter(|it| *it != key) {
             self.servers.remove(&previous);
+            self.origins.record_removed(now, previous);
         }
+        self.origins.record_listed(&record);
+        let version = record.version.clone();
         self.upsert_server(now, record);
         self.pools_are_current = false;
-        self.effects.push(Effect::Log(Decision::ServerChanged { server: id, state }));
+        self.effects.push(Effect::Log(Decision::ServerChanged { server: id, state, version }));
     }
 
     pub(super) fn on_server_removed(&mut self, now: Timestamp, id: &Arc<str>) {
@@ -75,9 +82,10 @@
         }
         if let Some(key) = key {
             self.servers.remove(&key);
+            self.origins.record_removed(now, key);
         }
         self.pools_are_current = false;
-        let decision = Decision::ServerChanged { server: id.clone(), state: "gone" };
+        let decision = Decision::ServerChanged { server: id.clone(), state: "gone", version: None };
         self.effects.push(Effect::Log(decision));
     }
 
@@ -92,9 +100,13 @@
             return;
         }
         for server in expired {
-            self.effects.push(Effect::Log(Decision::ServerChanged { server, state: "lapsed" }));
+            let decision = Decision::ServerChanged { server, state: "lapsed", version: None };
+            self.effects.push(Effect::Log(decision));
         }
         let listed: HashSet<_> = self.directory.records().map(ServerRecord::key).collect();
+        for key in self.servers.keys().filter(|it| !listed.contains(it)) {
+            self.origins.record_removed(now, *key);
+        }
         self.servers.retain(|key, _| listed.contains(key));
         self.pools_are_current = false;
     }
@@ -125,6 +137,7 @@
                 own_in_flight: 0,
                 updated_at: now,
                 has_announced_drain: self.draining_runs.contains(key),
+                may_have_restarted: false,
                 paused_until: now,
                 send_limit: None,
             },
--- a/sl-route/src/state/notes.rs
+++ b/sl-route/src/state/notes.rs
@@ -37,7 +37,10 @@
     fn apply_note(&mut self, now: Timestamp, from: u32, note: Note) {
         let attempt_key = |attempt| AttemptKey { instance: from, attempt };
         match note {
-            Note::AttemptSent { server, attempt, prefill_tokens, charge, parts, fetch } => {
+            Note::AttemptSent { server, attempt, prefill_tokens, charge, parts, fetch, stream } => {
+                if let Some(stream) = stream {
+                    self.origins.record(stream, server);
+                }
                 self.record_transfer(now, server, fetch);
                 if let Some((team, tokens)) = charge {
                     self.shares.record_granted(now, team, tokens);
@@ -93,6 +96,7 @@
                 self.on_limit_named(now, server, per_second, true);
             }
             Note::ServerLimit { server, per_second: None } => self.end_limit(server, true),
+            Note::StreamBegan { stream, server } => self.origins.record(stream, server),
         }
     }
 }
--- /dev/null
+++ b/sl-route/src/stream_origin.rs
@@ -0,0 +1,202 @@
+//! Where streams began. A stream goes on only on servers of the software version that sent its
+//! first event, whichever instance the caller reaches when it takes the stream up. See
+//! docs/design.md, "Servers of several software versions".
+
+use std::{collections::HashMap, sync::Arc};
+
+use serde::{Deserialize, Serialize};
+use sl_base::{Millis, ServiceId, StreamId, Timestamp};
+
+use crate::{ServerKey, ServerRecord, server::Server};
+
+/// What a request for a resumable stream asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StreamRequest {
+    /// The stream from its first event on.
+    New(StreamId),
+    /// The rest of a stream that an earlier attempt of the caller began; `None` if the caller
+    /// does not name that attempt.
+    Resumed(Option<StreamId>),
+}
+
+impl StreamRequest {
+    /// The stream, if it is known which one it is.
+    pub fn id(self) -> Option<StreamId> {
+        match self {
+            StreamRequest::New(id) => Some(id),
+            StreamRequest::Resumed(id) => id,
+        }
+    }
+
+    /// Whether the caller has a part of the stream already.
+    pub fn is_resumed(self) -> bool {
+        matches!(self, StreamRequest::Resumed(_))
+    }
+}
+
+/// The run of a server that began a stream, with its software.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamOrigin {
+    /// The run that sent the first event.
+    pub run: ServerKey,
+    /// The service of the server.
+    pub service: ServiceId,
+    /// The version of the server's software; `None` if its entry names none. The stream then goes
+    /// on nowhere but on the same run.
+    pub version: Option<Arc<str>>,
+}
+
+impl StreamOrigin {
+    /// The origin of a stream that the server with this entry begins.
+    pub fn of(record: &ServerRecord) -> StreamOrigin {
+        StreamOrigin { run: record.key(), service: record.service, version: record.version.clone() }
+    }
+
+    /// Whether the stream may go on at the server.
+    pub fn allows(&self, server: &Server) -> bool {
+        let has_version = self.version.is_some() && server.record.version == self.version;
+        let has_software = has_version && server.record.service == self.service;
+        !server.may_have_restarted && (server.key == self.run || has_software)
+    }
+}
+
+/// The runs that began the streams of the last minute, and the software of these runs.
+#[derive(Debug)]
+pub struct StreamOrigins {
+    /// The streams recorded since the last rotation.
+    recent: HashMap<StreamId, ServerKey>,
+    /// The streams recorded in the period before.
+    older: HashMap<StreamId, ServerKey>,
+    rotate_at: Timestamp,
+    runs: HashMap<ServerKey, KnownRun>,
+    /// The number of these runs by service and software version.
+    versions: HashMap<ServiceId, HashMap<Option<Arc<str>>, usize>>,
+}
+
+#[derive(Debug)]
+struct KnownRun {
+    origin: StreamOrigin,
+    /// When the run is forgotten; [`Timestamp::NEVER`] while it is listed.
+    forget_at: Timestamp,
+}
+
+/// The period after which streams that are still running are recorded again. A stream is
+/// remembered for one to two periods after its last record.
+pub const ROTATION_PERIOD: Millis = Millis(20_000);
+
+/// How long the software of a run is remembered after its entry was removed: longer than the streams
+/// that it began.
+pub const RUN_RETENTION: Millis = Millis(3 * ROTATION_PERIOD.0);
+
+/// Bound on the streams of one period; further ones are not recorded.
+pub const STREAMS_PER_PERIOD_MAX: usize = 1 << 18;
+
+/// Bound on the runs that are remembered; further ones are not.
+const RUNS_MAX: usize = 1 << 15;
+
+impl StreamOrigins {
+    /// Remembers nothing yet.
+    pub fn new(now: Timestamp) -> StreamOrigins {
+        StreamOrigins {
+            recent: HashMap::new(),
+            older: HashMap::new(),
+            rotate_at: now.after(ROTATION_PERIOD),
+            runs: HashMap::new(),
+            versions: HashMap::new(),
+        }
+    }
+
+    /// Records that the stream was sent to the run, which begins it unless a later record names
+    /// another run.
+    pub fn record(&mut self, stream: StreamId, run: ServerKey) {
+        if self.recent.len() < STREAMS_PER_PERIOD_MAX || self.recent.contains_key(&stream) {
+            self.recent.insert(stream, run);
+        }
+    }
+
+    /// Records the entry of a server that is listed.
+    pub fn record_listed(&mut self, record: &ServerRecord) {
+        let run = KnownRun { origin: StreamOrigin::of(record), forget_at: Timestamp::NEVER };
+        self.put_run(record.key(), run);
+    }
+
+    /// Records that the entry of a run was removed or replaced.
+    pub fn record_removed(&mut self, now: Timestamp, run: ServerKey) {
+        if let Some(run) = self.runs.get_mut(&run) {
+            run.forget_at = now.after(RUN_RETENTION);
+        }
+    }
+
+    /// Records what a peer knows of a stream.
+    pub fn record_origin(&mut self, now: Timestamp, stream: StreamId, origin: StreamOrigin) {
+        let run = origin.run;
+        if !self.runs.contains_key(&run) {
+            self.put_run(run, KnownRun { origin, forget_at: now.after(RUN_RETENTION) });
+        }
+        self.record(stream, run);
+    }
+
+    fn put_run(&mut self, key: ServerKey, run: KnownRun) {
+        if self.runs.len() >= RUNS_MAX && !self.runs.contains_key(&key) {
+            return;
+        }
+        let versions = self.versions.entry(run.origin.service).or_default();
+        *versions.entry(run.origin.version.clone()).or_default() += 1;
+        if let Some(replaced) = self.runs.insert(key, run) {
+            self.uncount(&replaced.origin);
+        }
+    }
+
+    /// Takes a run out of the numbers by version.
+    fn uncount(&mut self, origin: &StreamOrigin) {
+        let Some(versions) = self.versions.get_mut(&origin.service) else {
+            return;
+        };
+        if let Some(count) = versions.get_mut(&origin.version) {
+            *count -= 1;
+        }
+        versions.retain(|_, count| *count > 0);
+    }
+
+    /// Where the stream began; `None` if that is not known here.
+    pub fn origin(&self, stream: StreamId) -> Option<&StreamOrigin> {
+        let run = self.recent.get(&stream).or_else(|| self.older.get(&stream))?;
+        self.of_run(*run)
+    }
+
+    /// The origin of the streams that the run begins.
+    pub fn of_run(&self, run: ServerKey) -> Option<&StreamOrigin> {
+        self.runs.get(&run).map(|it| &it.origin)
+    }
+
+    /// Whether all servers of the service have the same software version, as far as known: those
+    /// listed now, and those that began streams which may still be taken up. Servers whose entries
+    /// name no version count as one version.
+    pub fn has_one_version(&self, service: ServiceId) -> bool {
+        self.versions.get(&service).is_none_or(|it| it.len() <= 1)
+    }
+
+    /// Forgets what is too old to be asked for. Returns whether a period has ended, so that the
+    /// streams that are still running have to be recorded again.
+    pub fn prune(&mut self, now: Timestamp) -> bool {
+        if !self.rotate_at.is_due(now) {
+            return false;
+        }
+        self.rotate_at = now.after(ROTATION_PERIOD);
+        self.older = std::mem::take(&mut self.recent);
+        let forgotten: Vec<KnownRun> =
+            self.runs.extract_if(|_, it| it.forget_at.is_due(now)).map(|(_, it)| it).collect();
+        forgotten.iter().for_each(|it| self.uncount(&it.origin));
+        true
+    }
+
+    /// The number of streams that are remembered, for tests of the bounds.
+    pub fn len(&self) -> usize {
+        self.recent.len() + self.older.len()
+    }
+
+    /// Whether no stream is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+}
--- a/sl-route/tests/it/crash_detector.rs
+++ b/sl-route/tests/it/crash_detector.rs
@@ -62,7 +62,15 @@
     detector.record_loss(at(3), RUN, loss(LossPhase::Running, 4));
     let suspects = vec![Suspect { fingerprint: 2, parts: vec![2] }];
     let requests = vec![request(1), request(2), request(3)];
-    let crash = Crash { run: RUN, at: at(0), lost: 4, is_own: true, suspects, requests };
+    let crash = Crash {
+        run: RUN,
+        at: at(0),
+        lost: 4,
+        is_own: true,
+        was_unreachable: false,
+        suspects,
+        requests,
+    };
     assert_eq!(detector.take_confirmed(at(300)), [crash]);
 }
 
--- a/sl-route/tests/it/fairness.rs
+++ b/sl-route/tests/it/fairness.rs
@@ -72,7 +72,15 @@
     parts: Vec<PromptPart>,
     charge: Option<(TeamId, u32)>,
 ) -> Note {
-    Note::AttemptSent { server: key(engine), attempt, prefill_tokens, charge, parts, fetch: None }
+    Note::AttemptSent {
+        server: key(engine),
+        attempt,
+        prefill_tokens,
+        charge,
+        parts,
+        fetch: None,
+        stream: None,
+    }
 }
 
 fn note(state: &mut State, now: Timestamp, note: Note) {
--- a/sl-route/tests/it/main.rs
+++ b/sl-route/tests/it/main.rs
@@ -20,5 +20,6 @@
 mod share;
 mod silence;
 mod split;
+mod streams;
 mod testbed;
 mod views;
--- a/sl-route/tests/it/part_crashes.rs
+++ b/sl-route/tests/it/part_crashes.rs
@@ -107,7 +107,15 @@
     let requests = suspects.iter().map(|it| it.fingerprint);
     let requests = requests.map(|fingerprint| LostRequest { fingerprint, crashes_before: 0 });
     let requests = requests.collect();
-    Crash { run: ServerKey(run), at: at(millis), lost: 1, is_own: true, suspects, requests }
+    Crash {
+        run: ServerKey(run),
+        at: at(millis),
+        lost: 1,
+        is_own: true,
+        was_unreachable: false,
+        suspects,
+        requests,
+    }
 }
 
 /// Applies a crash of the run with the number `run` to the parts; returns those barred by it.
--- a/sl-route/tests/it/request_crashes.rs
+++ b/sl-route/tests/it/request_crashes.rs
@@ -117,7 +117,15 @@
     let lost = |fingerprint: &u64| LostRequest { fingerprint: *fingerprint, crashes_before: 0 };
     let requests = fingerprints.iter().map(lost).collect();
     let (run, at) = (ServerKey(run), at(millis));
-    let crash = Crash { run, at, lost: 1, is_own: true, suspects: Vec::new(), requests };
+    let crash = Crash {
+        run,
+        at,
+        lost: 1,
+        is_own: true,
+        was_unreachable: false,
+        suspects: Vec::new(),
+        requests,
+    };
     causes.record_crash(at, &crash, at).into_iter().map(|it| it.cause).collect()
 }
 
@@ -243,7 +251,8 @@
         let suspects = vec![Suspect { fingerprint, parts: vec![1] }];
         let requests = vec![LostRequest { fingerprint, crashes_before: 0 }];
         let (run, at) = (ServerKey(run), at(run * 1_000));
-        let crash = Crash { run, at, lost: 1, is_own: true, suspects, requests };
+        let crash =
+            Crash { run, at, lost: 1, is_own: true, was_unreachable: false, suspects, requests };
         let bars = causes.record_crash(at, &crash, at).into_iter();
         bars.map(|it| it.cause).collect::<Vec<_>>()
     };
--- a/sl-route/tests/it/testbed.rs
+++ b/sl-route/tests/it/testbed.rs
@@ -67,6 +67,7 @@
         service: ServiceId::of(service),
         address: "127.0.0.1:1".parse().unwrap(),
         data_centre: DATA_CENTRE.into(),
+        version: None,
         slots: 6,
         state: ServerState::Ready,
         sequence: 1,
@@ -116,6 +117,7 @@
         caller_deadline: now.after(Millis(8_000)),
         prompt,
         fingerprint: number,
+        stream: None,
     }
 }
 
