sl-edge: an instance tells its state every 200 ms, however many notes it sends

Cause: a heartbeat, which alone carries the sender's store version through relays, was due 200 ms after the last message of any kind. Under load notes are sent every 20 ms, so none was due, and instances learned that they were behind from the direct heartbeats alone: 16 peers a second in turn. In the logs the three watching instances have the entry after 30 ms, the last of 76 after 3.75 s.

Change: the heartbeat has a deadline of its own, which notes do not move (peers/heartbeat.rs). The new test fails with the former rule.

--- a/sl-edge/src/lib.rs
+++ b/sl-edge/src/lib.rs
@@ -40,4 +40,5 @@
 mod wire;
 
 pub use events::{EVENT_BYTES_MAX, EventSplitter, RawEvent};
+pub use peers::heartbeat;
 pub use run::{Error, run, signals};
--- a/sl-edge/src/peers.rs
+++ b/sl-edge/src/peers.rs
@@ -8,6 +8,7 @@
 //! lost or delivered twice only makes an estimate less accurate.
 
 mod datagram;
+pub mod heartbeat;
 
 use std::{
     cell::{Cell, RefCell},
@@ -28,6 +29,7 @@
 
 pub(crate) use datagram::DatagramKey;
 use datagram::{Hop, Message, PAYLOAD_BYTES_MAX, SenderState, pack_notes};
+use heartbeat::{HEARTBEAT_INTERVAL, Heartbeat};
 
 use crate::{
     core::Core,
@@ -44,10 +46,6 @@
 /// messages are fewer and larger.
 const RELAYED_INTERVAL_MIN: Millis = Millis(20);
 
-/// The longest interval without a message to peers; a heartbeat is sent if there are no
-/// notes.
-const HEARTBEAT_INTERVAL: Millis = Millis(200);
-
 /// How often an instance of a fleet with relays sends a heartbeat directly to some of the other
 /// instances, in turn, so that instances find each other again that know different relays.
 const DIRECT_HEARTBEAT_INTERVAL: Millis = Millis(1_000);
@@ -119,7 +117,7 @@
 impl Gossip {
     /// Sends notes and heartbeats to peers until the daemon stops.
     pub(crate) async fn run_sender(&self) {
-        let mut heartbeat_at = Instant::now();
+        let mut heartbeat = Heartbeat::new(self.core.now());
         let mut direct_heartbeat_at = Instant::now();
         let discovery_ends_at = Instant::now() + DISCOVERY_PERIOD.into();
         let mut roles = None;
@@ -129,15 +127,12 @@
             // A timeout is no error: a heartbeat may be due.
             let _ = timeout(max_wait.into(), self.core.notes_ready.notified()).await;
             let now = Instant::now();
-            let is_heartbeat = heartbeat_at <= now;
+            let is_heartbeat = heartbeat.take_due(self.core.now());
             let notes = self.core.with_state(|it| it.take_notes());
             if roles_expire_at <= now {
                 roles_expire_at = now + ROLES_LIFETIME.into();
                 roles = self.relay_roles();
             }
-            if is_heartbeat || !notes.notes.is_empty() {
-                heartbeat_at = now + HEARTBEAT_INTERVAL.into();
-            }
             match &roles {
                 None => self.send_to_all(notes, is_heartbeat).await,
                 Some(roles) if roles.is_relay => {
--- a/sl-edge/tests/it/main.rs
+++ b/sl-edge/tests/it/main.rs
@@ -5,6 +5,7 @@
 mod connection_share;
 mod detail;
 mod events;
+mod heartbeat;
 mod log_buffer;
 mod overload;
 mod roles;
