--- a/sl-route/src/admission.rs
+++ b/sl-route/src/admission.rs
@@ -24,6 +24,9 @@
     /// Weight of prefill that duplicates what another engine has cached, when a request is
     /// checked against `allowed_ms`.
     pub duplicate_prefill_weight: f64,
+    /// The part of the time, from 0 to 1, for which an open slot of a limited server is left to teams
+    /// that have got less.
+    pub slot_delay: f64,
 }
 
 /// Fraction of a route's target latency that the expected time to the first byte may take while
@@ -56,6 +59,14 @@
 /// How much the limit on usage falls for each shortfall of a whole share above the tolerated one.
 const USAGE_MAX_PER_SHORTFALL: f64 = 4.0;
 
+/// Ratio of usage to fair share from which a team leaves the slots of limited servers to others for
+/// as long as it does at most.
+const SLOT_USAGE_MAX: f64 = 1.5;
+
+/// The longest part of the time that a slot is open for which it is left to other teams. In the rest
+/// it is used rather than wasted.
+const SLOT_DELAY_MAX: f64 = 0.8;
+
 impl AdmissionLimits {
     /// The limits of a request with a target latency of `target_ms`, whose deadline is
     /// `remaining_ms` away. `usage` is `None` while all demand is satisfied.
@@ -71,6 +82,7 @@
             counted_prefill_weight: (fraction / TARGET_FRACTION).min(1.0),
             duplicate_prefill_weight: usage
                 .map_or(DUPLICATE_PREFILL_WEIGHT, |it| duplicate_prefill_weight(it.ratio)),
+            slot_delay: usage.map_or(0.0, |it| slot_delay(it.ratio)),
         }
     }
 
@@ -87,6 +99,7 @@
             counted_prefill_ms: 0.0,
             counted_prefill_weight: 0.0,
             duplicate_prefill_weight: DUPLICATE_PREFILL_WEIGHT,
+            slot_delay: 0.0,
         }
     }
 }
@@ -108,6 +121,11 @@
     (USAGE_MAX - lowered_by).max(USAGE_MAX_WITH_SHORTFALL)
 }
 
+/// Rises from nothing for a team whose share is used up to the most at [`SLOT_USAGE_MAX`] times it.
+fn slot_delay(usage: f64) -> f64 {
+    SLOT_DELAY_MAX * ((usage - 1.0) / (SLOT_USAGE_MAX - 1.0)).clamp(0.0, 1.0)
+}
+
 fn duplicate_prefill_weight(usage: f64) -> f64 {
     DUPLICATE_PREFILL_WEIGHT * usage.min(1.0)
 }
--- a/sl-route/src/place.rs
+++ b/sl-route/src/place.rs
@@ -200,10 +200,10 @@
     required: Requirements<'_>,
 ) -> Result<Placement, PlacementError> {
     let eligible: Vec<&Server> = servers.filter(|it| required.allows(it)).collect();
-    let is_open = |it: &&Server| it.opens_at(now).is_due(now);
+    let is_open = |it: &&Server| it.opens_at(now, required.limits.slot_delay).is_due(now);
     let servers: Vec<&Server> = eligible.iter().copied().filter(is_open).collect();
     if servers.is_empty() {
-        return Err(no_server_error(now, &eligible));
+        return Err(no_server_error(now, &eligible, required.limits.slot_delay));
     }
     let healthy: Vec<&Server> =
         servers.iter().copied().filter(|it| !it.health.is_avoided(now)).collect();
@@ -222,8 +222,8 @@
 }
 
 /// Why none of the `eligible` servers can be used now: all are paused or limited, if there are any.
-fn no_server_error(now: Timestamp, eligible: &[&Server]) -> PlacementError {
-    let earliest = eligible.iter().map(|it| it.opens_at(now)).min();
+fn no_server_error(now: Timestamp, eligible: &[&Server], slot_delay: f64) -> PlacementError {
+    let earliest = eligible.iter().map(|it| it.opens_at(now, slot_delay)).min();
     earliest.map_or(PlacementError::NoServer, |it| PlacementError::Paused {
         for_ms: it.remaining(now).0 as f64,
     })
@@ -325,6 +325,8 @@
         + eviction_cost_ms
         + DECODE_WEIGHT * decode_ms
         + LATE_END_PENALTY_MS * (time_used - LATE_END_THRESHOLD).max(0.0);
+    // A limited engine is idle because it takes little, not because nobody asks for more.
+    let is_limited = server.send_limit.is_some();
     let server = server.key;
     let placement = Placement {
         server,
@@ -335,7 +337,7 @@
         candidates: 0,
         view_age_ms: 0.0,
     };
-    let is_exempt = is_exempt(engine, expected_ms, required);
+    let is_exempt = !is_limited && is_exempt(engine, expected_ms, required);
     let duplicate_tokens = donor.map_or(0, |it| it.tokens);
     let duplicate_prefill_ms = f64::from(duplicate_tokens) / engine.tokens_per_ms();
     let prefill_ms = engine.prefill_ms(prefill_tokens);
--- a/sl-route/src/send_limit.rs
+++ b/sl-route/src/send_limit.rs
@@ -93,9 +93,11 @@
         }
     }
 
-    /// When this instance may send the next request: the past, if it may now.
-    pub fn opens_at(&self, now: Timestamp) -> Timestamp {
-        self.slot_at(now).max(self.window_opens_at())
+    /// When this instance may send the next request of a team that leaves each slot to others for
+    /// the part `slot_delay`, from 0 to 1, of the time that it is open: the past, if it may now.
+    pub fn opens_at(&self, now: Timestamp, slot_delay: f64) -> Timestamp {
+        let delay = Millis((SLOT_OPEN.0 as f64 * slot_delay) as u64);
+        self.slot_at(now).after(delay).max(self.window_opens_at())
     }
 
     /// Records that this instance sent a request.
--- a/sl-route/src/server.rs
+++ b/sl-route/src/server.rs
@@ -130,10 +130,11 @@
         !self.paused_until.is_due(now)
     }
 
-    /// When this instance may send the server a request: the past, if it may now.
-    pub fn opens_at(&self, now: Timestamp) -> Timestamp {
+    /// When this instance may send the server a request: the past, if it may now. For `slot_delay` see
+    /// [`SendLimit::opens_at`].
+    pub fn opens_at(&self, now: Timestamp, slot_delay: f64) -> Timestamp {
         let limit = self.send_limit.as_ref();
-        limit.map_or(self.paused_until, |it| it.opens_at(now).max(self.paused_until))
+        limit.map_or(self.paused_until, |it| it.opens_at(now, slot_delay).max(self.paused_until))
     }
 
     /// Records that a request was sent to the server; `tokens` is the number of prompt tokens
--- a/sl-route/src/share.rs
+++ b/sl-route/src/share.rs
@@ -50,6 +50,8 @@
 /// counted as requested slightly before it is counted as granted.
 const DEMAND_TOLERANCE: f64 = 1.05;
 
+const MILLIS_PER_SECOND: f64 = 1_000.0;
+
 /// Bound on the number of teams tracked; usage of further teams is not counted.
 const TEAMS_MAX: usize = 8_192;
 
@@ -119,6 +121,11 @@
         self.fair_share.is_finite().then_some(self.fair_share)
     }
 
+    /// The fair share in tokens a second; `None` while all demand is satisfied.
+    pub fn fair_rate(&self) -> Option<f64> {
+        self.fair_share().map(|it| it / self.window.0 as f64 * MILLIS_PER_SECOND)
+    }
+
     /// The team's usage, or `None` while all demand is satisfied.
     pub fn contended_usage(&mut self, now: Timestamp, team: TeamId) -> Option<ContendedUsage> {
         let ratio = self.share_usage(now, team);
--- a/sl-route/src/state/admit.rs
+++ b/sl-route/src/state/admit.rs
@@ -42,7 +42,7 @@
                 self.activity.record_requested(team, tokens);
             }
             self.shares.record_requested(now, team, tokens);
-            self.demand.record_own(now);
+            self.demand.record_own(now, team, tokens);
             self.queue_note(Note::TokensRequested { team, tokens });
         }
         let origin = self.locate_stream(&arrival);
--- a/sl-route/src/state/limits.rs
+++ b/sl-route/src/state/limits.rs
@@ -76,14 +76,14 @@
         1.0 / self.instances.max(1) as f64
     }
 
-    /// This instance's share of the limits of engines: its part of the demand, so that teams whose
-    /// callers all reach one instance get as much as others. An equal share, while the demand at
-    /// other instances is not known.
+    /// This instance's share of the limits of engines: its part of what the teams may get, so that
+    /// teams whose callers all reach one instance get as much as others. An equal share, while the
+    /// demand at other instances is not known.
     fn engine_limit_share(&self, now: Timestamp) -> f64 {
         let equal = self.equal_share();
         let is_informed = self.started_at.after(DEMAND_DELAY).is_due(now)
             && (self.peers.len() + 1) as f64 >= self.instances as f64 * INFORMED_FRACTION;
-        let share = self.demand.own_share().filter(|_| is_informed);
+        let share = self.demand.own_share(now, self.shares.fair_rate()).filter(|_| is_informed);
         share.map_or(equal, |it| it.clamp(equal * SHARE_MIN, 1.0))
     }
 
--- a/sl-route/src/state/notes.rs
+++ b/sl-route/src/state/notes.rs
@@ -74,7 +74,7 @@
             }
             Note::TokensRequested { team, tokens } => {
                 self.shares.record_requested(now, team, tokens);
-                self.demand.record_peer(now);
+                self.demand.record_peer(now, team, tokens);
             }
             Note::ServerAvoided { server, for_ms } => {
                 if let Some(server) = self.servers.get_mut(&server) {
--- a/sl-route/tests/it/limits.rs
+++ b/sl-route/tests/it/limits.rs
@@ -11,7 +11,7 @@
     send_limit::SendLimit,
 };
 
-use crate::testbed::{START, arrival, document, options, prompt, record, state};
+use crate::testbed::{START, arrival, document, options, prompt, record, state, team};
 
 /// A fleet before servers of which some name a limit, and the time for which they do.
 #[derive(Clone, Copy, Debug)]
@@ -27,8 +27,23 @@
     load: u64,
     /// How often an instance starts again with an empty state; `None` for never.
     restart_interval: Option<Millis>,
+    /// The teams of the callers.
+    teams: &'static [TeamLoad],
 }
 
+/// The requests of a team.
+#[derive(Clone, Copy, Debug)]
+struct TeamLoad {
+    name: &'static str,
+    /// Percent of all requests.
+    percent: u32,
+    /// Whether all of its callers reach the first instance, rather than any.
+    reaches_one_instance: bool,
+}
+
+/// One team, of whose callers a third reach one instance.
+const ONE_TEAM: &[TeamLoad] = &[];
+
 const SCENARIO: Scenario = Scenario {
     instances: 9,
     limited: 6,
@@ -37,6 +52,7 @@
     per_second: 3.6,
     load: 200,
     restart_interval: None,
+    teams: ONE_TEAM,
 };
 
 const SPAN: Millis = Millis(24_000);
@@ -83,6 +99,11 @@
     limited_sends: Vec<u32>,
     refused: u32,
     last_request: u64,
+    /// The team of each request.
+    team_of: HashMap<RequestId, &'static str>,
+    /// When requests of each team arrived, and when they were sent to servers.
+    asked: HashMap<&'static str, Vec<Timestamp>>,
+    begun: HashMap<&'static str, Vec<Timestamp>>,
 }
 
 struct Attempt {
@@ -108,6 +129,9 @@
             limited_sends: vec![0; scenario.instances],
             refused: 0,
             last_request: 0,
+            team_of: HashMap::new(),
+            asked: HashMap::new(),
+            begun: HashMap::new(),
         };
         fleet.instances = (0..scenario.instances).map(|it| fleet.new_instance(it)).collect();
         fleet
@@ -190,6 +214,9 @@
                 self.counted.entry(server).or_default().push(self.now);
             }
         }
+        if let Some(team) = self.team_of.get(&request) {
+            self.begun.entry(team).or_default().push(self.now);
+        }
         let (sent_at, ends_at) = (self.now, self.now.after(RESPONSE_TIME));
         self.attempts.insert(request, Attempt { instance, server, sent_at, ends_at });
     }
@@ -226,18 +253,55 @@
             per_step / 1_000 + u64::from(self.rng.random_range(0..1_000) < per_step % 1_000);
         for _ in 0..count {
             self.last_request += 1;
-            // The balancer spreads callers unevenly: a third of the requests reach one instance.
-            let index = match self.rng.random_range(0..3) {
-                0 => 0,
-                _ => self.rng.random_range(0..self.instances.len()),
-            };
+            let any = self.rng.random_range(0..self.instances.len());
             let own = format!("own-{}", self.last_request);
             let prompt = self.scenario.is_model.then(|| prompt("shared", 100, &own, 10));
-            let arrival = arrival(self.now, self.last_request, RetryPolicy::Idempotent, prompt);
+            let mut arrival = arrival(self.now, self.last_request, RetryPolicy::Idempotent, prompt);
+            let index = match self.draw_team() {
+                Some(load) => {
+                    arrival.team = Some(team(load.name));
+                    self.team_of.insert(arrival.request, load.name);
+                    self.asked.entry(load.name).or_default().push(self.now);
+                    if load.reaches_one_instance { 0 } else { any }
+                }
+                // The balancer spreads callers unevenly: a third of the requests reach one instance.
+                None if self.rng.random_range(0..3) == 0 => 0,
+                None => any,
+            };
             self.step(index, Event::RequestArrived(Box::new(arrival)));
         }
     }
 
+    fn draw_team(&mut self) -> Option<TeamLoad> {
+        let mut drawn = self.rng.random_range(0..100);
+        let teams = self.scenario.teams.iter();
+        teams.copied().find(|it| {
+            let is_drawn = drawn < it.percent;
+            drawn = drawn.saturating_sub(it.percent);
+            is_drawn
+        })
+    }
+
+    /// The lowest part that a team got, in any six seconds while the limits held, of what it asked
+    /// for or of what the best served team got, whichever is less, and less three requests.
+    fn worst_team(&self) -> (f64, &'static str) {
+        let begins = (LIMITED_FROM.0 + 3_000..LIMITED_UNTIL.0 - FAIR_WINDOW.0).step_by(500);
+        let windows = begins.map(|it| START.after(Millis(it)));
+        let count = |times: &HashMap<&str, Vec<Timestamp>>, team: &str, from: Timestamp| {
+            let in_window = |it: &&Timestamp| from <= **it && **it < from.after(FAIR_WINDOW);
+            times.get(team).map_or(0, |it| it.iter().filter(in_window).count()) as f64
+        };
+        let parts = windows.flat_map(|from| {
+            let names = self.scenario.teams.iter().map(|it| it.name);
+            let best = names.clone().map(|it| count(&self.begun, it, from)).fold(0.0, f64::max);
+            names.map(move |name| {
+                let due = count(&self.asked, name, from).min(best);
+                (count(&self.begun, name, from) / (due - FAIR_SLACK).max(1.0), name)
+            })
+        });
+        parts.min_by(|a, b| a.0.total_cmp(&b.0)).unwrap()
+    }
+
     fn exchange_notes(&mut self) {
         for from in 0..self.instances.len() {
             if !self.instances[from].has_notes() {
@@ -334,6 +398,37 @@
     }
 }
 
+/// The time over which what teams get is compared.
+const FAIR_WINDOW: Millis = Millis(6_000);
+
+/// Requests that a team may lack.
+const FAIR_SLACK: f64 = 3.0;
+
+/// Teams of which one asks for six times as much as the smallest, all of whose callers reach one
+/// instance.
+const UNEVEN_TEAMS: &[TeamLoad] = &[
+    TeamLoad { name: "large", percent: 60, reaches_one_instance: false },
+    TeamLoad { name: "one", percent: 15, reaches_one_instance: false },
+    TeamLoad { name: "two", percent: 15, reaches_one_instance: false },
+    TeamLoad { name: "single", percent: 10, reaches_one_instance: true },
+];
+
+const UNEVEN_SCENARIO: Scenario =
+    Scenario { is_model: true, unlimited: 0, load: 200, teams: UNEVEN_TEAMS, ..SCENARIO };
+
+// Guards against open slots that go to whoever comes first: engines far below what they could take
+// are idle, and an idle engine took requests of teams whatever they had got already.
+#[rstest]
+#[case::nine(Scenario { instances: 9, ..UNEVEN_SCENARIO })]
+#[case::twenty(Scenario { instances: 20, ..UNEVEN_SCENARIO })]
+#[case::grown(Scenario { instances: 76, limited: 24, load: 700, ..UNEVEN_SCENARIO })]
+fn a_team_gets_its_part_of_limited_engines(#[case] scenario: Scenario) {
+    for seed in 0..3 {
+        let (part, team) = Fleet::new(scenario, seed).run().worst_team();
+        assert!(part >= 0.5, "seed {seed}: {team} got {part} of its due");
+    }
+}
+
 // Guards against instances that start again and send what the whole fleet may, until they know of
 // the others.
 #[test]
@@ -395,11 +490,11 @@
 fn the_next_slot_follows_a_limit_that_changes() {
     let at = crate::testbed::at;
     let mut limit = SendLimit::new(at(0), 0.1, 0.1, 0.5);
-    assert_eq!(limit.opens_at(at(0)), at(50_000));
+    assert_eq!(limit.opens_at(at(0), 0.0), at(50_000));
     assert!(limit.renew(at(0), 10.0));
-    assert_eq!(limit.opens_at(at(0)), at(500));
+    assert_eq!(limit.opens_at(at(0), 0.0), at(500));
     limit.set_share(at(0), 0.05);
-    assert_eq!(limit.opens_at(at(0)), at(1_000));
+    assert_eq!(limit.opens_at(at(0), 0.0), at(1_000));
 }
 
 // Guards against slots that add up while nothing is sent, and are used all at once.
@@ -407,8 +502,8 @@
 fn a_slot_that_is_not_used_ends() {
     let at = crate::testbed::at;
     let mut limit = SendLimit::new(at(0), 1.0, 0.1, 0.0);
-    assert!(limit.opens_at(at(999)).is_due(at(999)));
-    assert_eq!(limit.opens_at(at(1_500)), at(10_000));
+    assert!(limit.opens_at(at(999), 0.0).is_due(at(999)));
+    assert_eq!(limit.opens_at(at(1_500), 0.0), at(10_000));
     limit.record_own_send(at(10_400));
-    assert_eq!(limit.opens_at(at(10_400)), at(20_000));
+    assert_eq!(limit.opens_at(at(10_400), 0.0), at(20_000));
 }
