--- a/sl-base/src/status.rs
+++ b/sl-base/src/status.rs
@@ -56,6 +56,10 @@
     pub data_centre: String,
     /// The listed state, which tells whether the server accepts new requests.
     pub state: String,
+    /// The version of the server's software; empty if its entry names none. Streams go on only at
+    /// servers of the version that began them.
+    #[serde(default)]
+    pub version: String,
     /// The number of requests that the server runs concurrently.
     pub slots: u32,
     /// Requests from all instances in flight on the server, as far as is known.
--- a/sl-core/src/status/table.rs
+++ b/sl-core/src/status/table.rs
@@ -48,16 +48,24 @@
 fn write_servers(fleet: &FleetStatus, out: &mut impl io::Write) -> io::Result<()> {
     writeln!(
         out,
-        "{:<20} {:<14} {:>6} {:>6} {:>11} {:>10} {:>8}  state",
-        "backend server", "data centre", "slots", "held", "backlog ms", "tokens/ms", "failing"
+        "{:<20} {:<14} {:<10} {:>6} {:>6} {:>11} {:>10} {:>8}  state",
+        "backend server",
+        "data centre",
+        "version",
+        "slots",
+        "held",
+        "backlog ms",
+        "tokens/ms",
+        "failing"
     )?;
     for server in &fleet.servers {
         let avoided = if server.avoided { ", avoided" } else { "" };
         writeln!(
             out,
-            "{:<20} {:<14} {:>6} {:>6} {:>11.0} {:>10.1} {:>8.2}  {}{avoided}",
+            "{:<20} {:<14} {:<10} {:>6} {:>6} {:>11.0} {:>10.1} {:>8.2}  {}{avoided}",
             server.id,
             server.data_centre,
+            server.version,
             server.slots,
             server.in_flight,
             server.backlog_ms,
--- a/sl-edge/src/query_handler.rs
+++ b/sl-edge/src/query_handler.rs
@@ -113,6 +113,7 @@
         id: server.record.id.to_string(),
         data_centre: server.record.data_centre.to_string(),
         state: state.to_owned(),
+        version: server.record.version.as_deref().unwrap_or_default().to_owned(),
         slots: server.record.slots,
         in_flight: server.in_flight() as u64,
         backlog_ms,
--- a/sl-edge/src/stream_locator.rs
+++ b/sl-edge/src/stream_locator.rs
@@ -1,7 +1,7 @@
 //! Asks peers where a stream began that a caller takes up here. This instance may not know, because
 //! it has just started, was cut off, or missed a note.
 
-use std::{net::SocketAddr, rc::Rc};
+use std::{collections::HashSet, net::SocketAddr, rc::Rc};
 
 use futures::{StreamExt, stream::FuturesUnordered};
 use sl_base::{InstanceId, Millis, StreamId, hash};
@@ -59,19 +59,16 @@
     /// those that sent a message lately, and listed ones while there are too few of these.
     fn peers_to_ask(&self, stream: StreamId) -> Vec<(InstanceId, SocketAddr)> {
         let active = self.peer_table.recently_active(self.core.now());
+        let active_ids: HashSet<InstanceId> = active.iter().map(|it| it.0).collect();
         let oldest = active.iter().filter(|it| it.0 != self.own_id);
         let oldest = oldest.min_by_key(|(_, info)| info.incarnation).map(|it| it.0);
-        let ranked = |peers: Vec<InstanceId>| {
-            let others = peers.into_iter().filter(|it| *it != self.own_id && Some(*it) != oldest);
-            hash::ranked_members(stream.0.into(), others, PEERS_ASKED)
-        };
-        let listed = self.peer_table.all();
-        let mut asked: Vec<InstanceId> = oldest.into_iter().collect();
-        asked.extend(ranked(active.iter().map(|it| it.0).collect()));
-        let listed_ids = ranked(listed.iter().map(|it| it.0).collect());
-        asked.extend(listed_ids.into_iter().filter(|it| active.iter().all(|(id, _)| id != it)));
-        asked.truncate(PEERS_ASKED);
-        let asked = listed.into_iter().filter(|(id, _)| asked.contains(id));
-        asked.map(|(id, addresses)| (id, addresses.control)).collect()
+        let mut peers = self.peer_table.all();
+        peers.retain(|(id, _)| *id != self.own_id);
+        peers.sort_by_key(|(id, _)| {
+            let weight = hash::weight(stream.0.into(), (*id).into());
+            (Some(*id) != oldest, !active_ids.contains(id), weight)
+        });
+        peers.truncate(PEERS_ASKED);
+        peers.into_iter().map(|(id, addresses)| (id, addresses.control)).collect()
     }
 }
