--- a/bench/src/soak/callers.rs
+++ b/bench/src/soak/callers.rs
@@ -62,11 +62,11 @@
     pub events: Vec<u64>,
     /// The software versions of the servers that sent events, in order.
     pub versions: Vec<String>,
-    /// The stream that the request takes up; `None` if it asks for one from its start.
+    /// The stream that the request resumes; `None` if it asks for one from its start.
     pub resumes: Option<Resumed>,
 }
 
-/// A stream that its caller takes up after some of its events.
+/// A stream that its caller resumes after some of its events.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Resumed {
     /// Id of the caller's attempt that brought the first event.
@@ -78,7 +78,7 @@
 }
 
 impl Record {
-    /// What the caller has of the stream, if it broke off after some events and may be taken up.
+    /// What the caller has of the stream, if it broke off after some events and may be resumed.
     fn broken_stream(&self) -> Option<Resumed> {
         let is_broken = self.kind == Kind::Sheet && self.status == 200 && !self.is_complete;
         let last_event = *self.events.last().filter(|_| is_broken)?;
--- a/sl-core/tests/it/explain.rs
+++ b/sl-core/tests/it/explain.rs
@@ -156,7 +156,7 @@
 
 // Guards against an operator who sees why a stream was cut off and not how its caller fared later.
 #[test]
-fn the_attempts_that_take_up_a_stream_belong_to_its_story() {
+fn the_attempts_that_resume_a_stream_belong_to_its_story() {
     let log = r#"
 {"msg":"server changed","level":"INFO","ts":"2026-03-08T15:25:01.000Z","instance":"edge-1","server":"i-1","now":"ready","version":"v1"}
 {"msg":"request admitted","level":"INFO","ts":"2026-03-08T15:25:05.000Z","instance":"edge-1","request":7,"id":"aa"}
--- a/sl-edge/src/caller.rs
+++ b/sl-edge/src/caller.rs
@@ -153,7 +153,7 @@
         return Err(LocalResponse::of(Code::BodyTooLarge));
     }
     let request = Request::resolve(ingress, document, head).map_err(LocalResponse::of)?;
-    // The caller of a stream that is taken up has a part of the response already.
+    // The caller of a resumed stream has a part of the response already.
     if !request.is_resumed() && ingress.core.should_reject(request.team.as_deref()) {
         return Err(request.reject_for_overload(ingress));
     }
--- a/sl-edge/src/handle.rs
+++ b/sl-edge/src/handle.rs
@@ -31,7 +31,7 @@
     StoreUpdate(KnownStore, oneshot::Sender<Option<StoreUpdate>>),
     /// The prompt parts that each model engine is estimated to cache, for a starting peer.
     EngineCaches(oneshot::Sender<EngineCaches>),
-    /// Where a stream began, for a peer at which it is taken up.
+    /// Where a stream began, for a peer at which it is resumed.
     StreamOrigin(StreamId, oneshot::Sender<Option<StreamOrigin>>),
     /// Starts a graceful shutdown with the given drain timeout, or the configured one.
     ShutDown(Option<Millis>),
--- a/sl-edge/src/stream_locator.rs
+++ b/sl-edge/src/stream_locator.rs
@@ -1,4 +1,4 @@
-//! Asks peers where a stream began that a caller takes up here. This instance may not know, because
+//! Asks peers where a stream began that a caller resumes here. This instance may not know, because
 //! it has just started, was cut off, or missed a note.
 
 use std::{collections::HashSet, net::SocketAddr, rc::Rc};
@@ -28,7 +28,7 @@
 const RESPONSE_TIMEOUT: Millis = Millis(250);
 
 impl StreamLocator {
-    /// Tells the reducer where the stream began that a request on `route` takes up, if the reducer
+    /// Tells the reducer where the stream began that a request on `route` resumes, if the reducer
     /// lacks that and a peer knows.
     pub(crate) async fn locate(&self, route: &Route, request: StreamRequest) {
         let missing = self.core.with_state(|it| it.missing_origin(route, request));
--- a/sl-route/src/place.rs
+++ b/sl-route/src/place.rs
@@ -28,7 +28,7 @@
     pub data_centre: &'a str,
     /// Where the stream began that the request goes on with; `None` if any server will do.
     pub origin: Option<&'a StreamOrigin>,
-    /// Whether some slots and connections of each server are left to streams that are taken up.
+    /// Whether some slots and connections of each server are left to resumed streams.
     pub keeps_room: bool,
 }
 
@@ -132,7 +132,7 @@
 /// deadline exceeds `LATE_END_THRESHOLD`.
 const LATE_END_PENALTY_MS: f64 = 1_500.0;
 
-/// The part of the slots and connections of a server that is left to streams that are taken up.
+/// The part of the slots and connections of a server that is left to resumed streams.
 const ROOM_DIVISOR: usize = 16;
 
 /// Extra time of a request to a server in another data centre, in milliseconds.
--- a/sl-route/src/state/admit.rs
+++ b/sl-route/src/state/admit.rs
@@ -19,7 +19,7 @@
 /// The limit of requests in flight divided by this is left to teams within their share.
 const WITHIN_SHARE_DIVISOR: usize = 4;
 
-/// The limit of requests in flight divided by this is left to streams that are taken up, while
+/// The limit of requests in flight divided by this is left to resumed streams, while
 /// servers of several software versions serve.
 const RESUMED_DIVISOR: usize = 32;
 
@@ -82,7 +82,7 @@
     fn admission_limits(&mut self, now: Timestamp, in_flight: &InFlightRequest) -> AdmissionLimits {
         let arrival = &in_flight.arrival;
         let remaining_ms = arrival.deadline().remaining(now).0 as f64;
-        // A stream that is taken up has been admitted before, and its caller waits for the rest.
+        // A resumed stream has been admitted before, and its caller waits for the rest.
         if arrival.prompt.is_none() || arrival.is_resumed() {
             return AdmissionLimits::until_deadline(remaining_ms);
         }
--- a/sl-route/src/state/streams.rs
+++ b/sl-route/src/state/streams.rs
@@ -1,4 +1,4 @@
-//! Streams that are taken up again: where they began, and where they may go on.
+//! Resumed streams: where they began, and where they may go on.
 
 use sl_base::{ServiceId, StreamId, Timestamp};
 
--- a/sl-route/src/stream_origin.rs
+++ b/sl-route/src/stream_origin.rs
@@ -170,7 +170,7 @@
     }
 
     /// Whether all servers of the service have the same software version, as far as known: those
-    /// listed now, and those that began streams which may still be taken up. Servers whose entries
+    /// listed now, and those that began streams which may still be resumed. Servers whose entries
     /// name no version count as one version.
     pub fn has_one_version(&self, service: ServiceId) -> bool {
         self.versions.get(&service).is_none_or(|it| it.len() <= 1)
--- a/sl-route/tests/it/streams.rs
+++ b/sl-route/tests/it/streams.rs
@@ -152,22 +152,22 @@
 fn a_stream_of_unknown_origin_goes_on_only_where_all_servers_have_one_version() {
     for is_named in [false, true] {
         let mut state = state_with(1, &[("a", "v1"), ("b", "v1")]);
-        let take_up = |state: &mut State, millis: u64, number: u64| {
+        let resume_at = |state: &mut State, millis: u64, number: u64| {
             let stream = is_named.then_some(StreamId(number as u32));
             let request = StreamRequest::Resumed(stream);
             arrive(state, at(millis), stream_arrival(millis, number, request))
         };
-        assert!(sent_target(&take_up(&mut state, 0, 1)).is_some(), "named: {is_named}");
+        assert!(sent_target(&resume_at(&mut state, 0, 1)).is_some(), "named: {is_named}");
         state.step(at(10), Event::ServerListed(engine("c", "v2")));
-        let refused = refusal(take_up(&mut state, 20, 2));
+        let refused = refusal(resume_at(&mut state, 20, 2));
         assert_eq!(refused, Some(Refusal::OriginUnknown), "named: {is_named}");
         // The stream may have begun at a server whose entry is gone.
         state.step(at(30), Event::ServerRemoved { id: "c".into() });
-        let refused = refusal(take_up(&mut state, 40, 3));
+        let refused = refusal(resume_at(&mut state, 40, 3));
         assert_eq!(refused, Some(Refusal::OriginUnknown), "named: {is_named}");
         let later = RUN_RETENTION.0 + ROTATION_PERIOD.0;
         state.step(at(later), Event::Tick);
-        assert!(sent_target(&take_up(&mut state, later + 10, 4)).is_some(), "named: {is_named}");
+        assert!(sent_target(&resume_at(&mut state, later + 10, 4)).is_some(), "named: {is_named}");
     }
 }
 
@@ -250,7 +250,7 @@
 // Guards against a server that crashes and comes back under its id with another version, before its
 // entry says so: nothing that is known of the former run holds for what answers there now.
 #[test]
-fn a_run_that_crashed_takes_up_no_stream_until_its_entry_is_written_again() {
+fn a_run_that_crashed_resumes_no_stream_until_its_entry_is_written_again() {
     let mut state = state_with(1, &[("a", "v1"), ("b", "v2")]);
     let mut began = 0;
     for number in 0..8 {
@@ -263,7 +263,7 @@
     for number in 0..8 {
         break_off(&mut state, 1_000, number);
     }
-    // A response that was broken off is no crash of the run: it takes up streams.
+    // A response that was broken off is no crash of the run: it resumes streams.
     let resumed = resume(&mut state, 1_010, 20, StreamId(began as u32));
     assert_eq!(sent_target(&resumed).map(|it| &*it.id), Some("a"));
     fail_attempt(&mut state, at(1_020), 20, Fault::NotConnected);
@@ -279,7 +279,7 @@
 // Guards against refusing the rest of a stream, of which the caller has a part, where a new one
 // would still be sent, or where new ones have taken the last places.
 #[test]
-fn streams_that_are_taken_up_are_not_refused_before_new_ones() {
+fn resumed_streams_are_not_refused_before_new_ones() {
     let mut state = state_with(1, &[("a", "v1"), ("b", "v2")]);
     begin(&mut state, 0, 1, STREAM);
     start(&mut state, 50, 1);
@@ -330,7 +330,7 @@
 enum Step {
     Begin { instance: usize },
     BreakOff { stream: usize },
-    TakeUp { stream: usize, instance: usize },
+    Resume { stream: usize, instance: usize },
     Restart { instance: usize },
     Replace { server: usize },
     LoseNotes { instance: usize },
@@ -341,7 +341,7 @@
     prop_oneof![
         6 => instance.clone().prop_map(|instance| Step::Begin { instance }),
         4 => stream.clone().prop_map(|stream| Step::BreakOff { stream }),
-        6 => (stream, instance.clone()).prop_map(|(stream, instance)| Step::TakeUp { stream, instance }),
+        6 => (stream, instance.clone()).prop_map(|(stream, instance)| Step::Resume { stream, instance }),
         1 => instance.clone().prop_map(|instance| Step::Restart { instance }),
         2 => server.prop_map(|server| Step::Replace { server }),
         1 => instance.prop_map(|instance| Step::LoseNotes { instance }),
@@ -407,7 +407,7 @@
                 let stream = self.streams.len() - 1;
                 self.send(stream, instance, StreamRequest::New(id))?;
             }
-            Step::TakeUp { stream, instance } if stream < self.streams.len() => {
+            Step::Resume { stream, instance } if stream < self.streams.len() => {
                 let CallerStream { id, ref version, running } = self.streams[stream];
                 if version.is_some() && running.is_none() {
                     self.locate(instance, id);
@@ -429,13 +429,13 @@
                 }
             }
             Step::LoseNotes { instance } => self.loses_notes = Some(instance),
-            Step::TakeUp { .. } | Step::BreakOff { .. } => {}
+            Step::Resume { .. } | Step::BreakOff { .. } => {}
         }
         self.exchange_notes();
         Ok(())
     }
 
-    /// Does what an instance does before it takes up a stream: it asks the others if need be.
+    /// Does what an instance does before it resumes a stream: it asks the others if need be.
     fn locate(&mut self, instance: usize, stream: StreamId) {
         let route = route(RetryPolicy::ResumableStream, "model");
         let request = StreamRequest::Resumed(Some(stream));
--- a/tests/it/versions.rs
+++ b/tests/it/versions.rs
@@ -40,7 +40,7 @@
     }
 }
 
-/// The request by which a caller takes up the stream that its attempt `began` brought.
+/// The request by which a caller resumes the stream that its attempt `began` brought.
 fn resuming(began: &str, attempt_id: &str, response: &Response) -> Call {
     let mut call = model_call("/sheet/7", attempt_id);
     let last = response.event_ids().last().copied().unwrap();
@@ -74,14 +74,14 @@
     }
 }
 
-// Guards against a stream that its caller takes up at a server of another version, at the instance
+// Guards against a stream that its caller resumes at a server of another version, at the instance
 // that began it, at another one, and at one that has just started.
 #[rstest]
 #[case::same_instance(0, false)]
 #[case::other_instance(1, false)]
 #[case::started_anew(1, true)]
 #[tokio::test(flavor = "multi_thread")]
-async fn a_stream_goes_on_at_its_own_version_when_it_is_taken_up(
+async fn a_stream_goes_on_at_its_own_version_when_it_is_resumed(
     #[case] resumed_at: usize,
     #[case] starts_anew: bool,
 ) {
@@ -103,7 +103,7 @@
     }
 }
 
-// Guards against a stream that is taken up at another version once none of its own is left, and
+// Guards against a resumed stream at another version once none of its own is left, and
 // against a caller that has to wait for that answer.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_is_refused_at_once_when_no_server_of_its_version_is_left() {
@@ -166,7 +166,7 @@
 #[case::of_another_type(json!(2))]
 #[case::empty(json!(""))]
 #[tokio::test(flavor = "multi_thread")]
-async fn a_server_without_a_version_serves_new_streams_and_takes_up_none(#[case] version: Value) {
+async fn a_server_without_a_version_serves_new_streams_and_resumes_none(#[case] version: Value) {
     let fleet = fleet(2).await;
     let first = fleet.engines().next().unwrap();
     first.set_version(version);
