--- a/sl-peer/tests/it/link.rs
+++ b/sl-peer/tests/it/link.rs
@@ -4,13 +4,14 @@
 };
 
 use rstest::rstest;
+use sl_base::StreamId;
 use sl_peer::{Counters, PeerUnreachable};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
 };
 
-use crate::testbed::{PEER, Relay, known, links, listen};
+use crate::testbed::{KNOWN_STREAM, PEER, Relay, known, links, listen, stream_origin};
 
 #[tokio::test]
 async fn calls_are_answered_by_the_peer() {
@@ -23,6 +24,10 @@
     assert_eq!(status.unwrap().name, "peer");
     let burn = links.report_snapshot(PEER, server.address).await.unwrap();
     assert_eq!(burn.instance, "peer");
+    let origin = links.stream_origin(PEER, server.address, KNOWN_STREAM).await.unwrap();
+    assert_eq!(origin, Some(stream_origin()));
+    let unknown = links.stream_origin(PEER, server.address, StreamId(8)).await.unwrap();
+    assert_eq!(unknown, None);
 }
 
 #[rstest]
