--- a/sl-route/src/server.rs
+++ b/sl-route/src/server.rs
@@ -60,6 +60,8 @@
     pub may_have_restarted: bool,
     /// The server asked this instance to send it no requests before this time.
     pub paused_until: Timestamp,
+    /// Until then the server is cold: it is slow and bears few requests.
+    pub cold_until: Timestamp,
     /// The limit that the server names on the requests of all instances; `None` without one.
     pub send_limit: Option<SendLimit>,
 }
--- a/sl-route/src/state.rs
+++ b/sl-route/src/state.rs
@@ -10,6 +10,7 @@
 mod notices;
 mod silence;
 mod streams;
+mod warmup;
 
 use std::{collections::HashMap, sync::Arc};
 
--- a/sl-route/src/state/listing.rs
+++ b/sl-route/src/state/listing.rs
@@ -139,6 +139,7 @@
                 has_announced_drain: self.draining_runs.contains(key),
                 may_have_restarted: false,
                 paused_until: now,
+                cold_until: now,
                 send_limit: None,
             },
         );
