Limit the requests that all instances together send to a cold server

Cause: nothing read what configuration, entries and responses say about warm-up.

Change: `warmup_s` and `warmup_per_s` of a service, `warmup_left_ms` of an entry, `X-Warmup-Ms` of any response, and the settings `[warmup] overshoot, allowance` are decoded. While a server is cold, only a few instances send to it, the first by rendezvous hash among the listed ones, with an interval of at least a second between two requests of each; none that has just started, does not know the list or has no contact. Other servers take the rest, or it is refused as not run. Peers are told by a note. Log messages `server cold` and `server warm`, the field `cold` in `attempt sent`, the metric `sesamelock_cold_servers`, and the time left in `sesamelock status`. Decoding and decision are one commit, since the events and the reducer's types change together.

--- a/bench/src/load/fleet.rs
+++ b/bench/src/load/fleet.rs
@@ -5,7 +5,7 @@
 use sl_base::{Millis, ServiceId, Timestamp};
 use sl_route::{
     Document, Event, Limits, RetryPolicy, Route, ServerRecord, ServerState, Service, State, budget,
-    document::EngineLimits, event,
+    document::EngineLimits, event, warmup::WarmupBound,
 };
 
 use super::{
@@ -38,7 +38,7 @@
         fetch_ms_per_token: None,
     };
     let name = SERVICE.to_owned();
-    let service = Service { name, max_connections: 1_000, engine: Some(engine) };
+    let service = Service { name, max_connections: 1_000, engine: Some(engine), warmup: None };
     let total_tokens_per_ms: f64 = (0..options.engines).map(engine_tokens_per_ms).sum();
     let limits =
         Limits { tokens_per_s: Some(total_tokens_per_ms * 1_000.0 * 0.8), ..Limits::default() };
@@ -57,6 +57,7 @@
         slots: SLOTS,
         state: ServerState::Ready,
         sequence: 1,
+        warmup_left: Millis(0),
     }
 }
 
@@ -68,7 +69,11 @@
             instance: index as u32,
             data_centre: "here".to_owned(),
             seed: options.seed ^ index as u64,
-            limits: event::InstanceLimits { budget, max_in_flight: 10_000 },
+            limits: event::InstanceLimits {
+                budget,
+                max_in_flight: 10_000,
+                warmup: WarmupBound::default(),
+            },
             share_window: Millis(4_000),
         },
         START,
--- a/sl-base/src/status.rs
+++ b/sl-base/src/status.rs
@@ -75,4 +75,7 @@
     pub failure_rate: f64,
     /// Whether other servers are currently preferred because of recent failures.
     pub avoided: bool,
+    /// Milliseconds for which the server is still cold, so that it gets few requests; 0 if it is not.
+    #[serde(default)]
+    pub cold_ms: u64,
 }
--- a/sl-config/src/settings.rs
+++ b/sl-config/src/settings.rs
@@ -42,6 +42,8 @@
     pub objectives: Objectives,
     /// Retry budget of the fleet for each service.
     pub retry_budget: RetryBudget,
+    /// Limit on requests to cold servers.
+    pub warmup: Warmup,
     /// Format and level of the log.
     pub log: Log,
 }
@@ -64,6 +66,22 @@
     }
 }
 
+/// Limit on requests to a cold server: in each second, all instances together send it no more
+/// than `overshoot` times the requests that its service states for cold servers, plus `allowance`.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Warmup {
+    /// Factor on the stated requests a second.
+    pub overshoot: Ratio,
+    /// Requests allowed in addition; may be fractional.
+    pub allowance: f64,
+}
+
+impl Default for Warmup {
+    fn default() -> Warmup {
+        Warmup { overshoot: Ratio { ppm: 1_500_000 }, allowance: 5.0 }
+    }
+}
+
 /// The addresses that an instance listens on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Listen {
--- a/sl-config/src/settings/read.rs
+++ b/sl-config/src/settings/read.rs
@@ -4,7 +4,7 @@
 
 use super::{
     Bounds, Keys, Listen, Log, Objectives, Periods, Platform, RetryBudget, SeedInstance, Settings,
-    Sharing,
+    Sharing, Warmup,
 };
 use crate::{
     fault::{Fault, Problem},
@@ -15,7 +15,7 @@
 };
 
 /// Names of all sections.
-const SECTIONS: [&str; 10] = [
+const SECTIONS: [&str; 11] = [
     "instance",
     "listen",
     "platform",
@@ -24,6 +24,7 @@
     "periods",
     "sharing",
     "retries",
+    "warmup",
     "objectives",
     "log",
 ];
@@ -99,6 +100,7 @@
     let sharing = sections.optional("sharing", read_sharing);
     let objectives = sections.optional("objectives", read_objectives);
     let retry_budget = sections.optional("retries", read_retry_budget);
+    let warmup = sections.optional("warmup", read_warmup);
     let log = sections.optional("log", read_log);
     let instance = instance?;
     Some(Settings {
@@ -114,6 +116,7 @@
         periods,
         sharing,
         retry_budget,
+        warmup,
         objectives,
         log,
     })
@@ -266,6 +269,14 @@
     }
 }
 
+fn read_warmup(reader: &mut Reader<'_, '_>) -> Warmup {
+    let defaults = Warmup::default();
+    Warmup {
+        overshoot: reader.optional("overshoot").unwrap_or(defaults.overshoot),
+        allowance: reader.optional::<Amount>("allowance").map_or(defaults.allowance, |it| it.0),
+    }
+}
+
 fn read_log(reader: &mut Reader<'_, '_>) -> Log {
     let defaults = Log::default();
     Log {
--- a/sl-config/tests/it/settings.rs
+++ b/sl-config/tests/it/settings.rs
@@ -44,6 +44,11 @@
     "stop-within-ms = 86400001",
     "`86400001` is not between 1 and 86400000"
 )]
+#[case::overshoot(
+    "overshoot = 1.5",
+    "overshoot = some",
+    "`some` is not a ratio from 0 to 10, such as 0.2"
+)]
 #[case::same_port(
     "metrics = 127.0.0.1:8103",
     "metrics = 127.0.0.1:8100",
--- a/sl-core/src/explain.rs
+++ b/sl-core/src/explain.rs
@@ -129,18 +129,25 @@
 ];
 
 /// Messages that describe the state of one backend server, named by the field `server`.
-const OF_SERVER: [&str; 6] = [
+const OF_SERVER: [&str; 8] = [
     "server changed",
     "server avoided",
     "cache contents updated",
     "request limit named by server",
     "request limit of server ended",
+    "server cold",
+    "server warm",
     // Text of older builds.
     "cache known",
 ];
 
 /// Messages that describe a limit of a server, which may have kept a request from all servers.
-const OF_LIMITS: [&str; 2] = ["request limit named by server", "request limit of server ended"];
+const OF_LIMITS: [&str; 4] = [
+    "request limit named by server",
+    "request limit of server ended",
+    "server cold",
+    "server warm",
+];
 
 /// The reason of a refusal because no server took the request, as logged.
 const TURNED_AWAY: &str = "turned_away";
--- a/sl-core/src/status/table.rs
+++ b/sl-core/src/status/table.rs
@@ -60,9 +60,13 @@
     )?;
     for server in &fleet.servers {
         let avoided = if server.avoided { ", avoided" } else { "" };
+        let cold = match server.cold_ms {
+            0 => String::new(),
+            millis => format!(", cold for {millis} ms"),
+        };
         writeln!(
             out,
-            "{:<20} {:<14} {:<10} {:>6} {:>6} {:>11.0} {:>10.1} {:>8.2}  {}{avoided}",
+            "{:<20} {:<14} {:<10} {:>6} {:>6} {:>11.0} {:>10.1} {:>8.2}  {}{avoided}{cold}",
             server.id,
             server.data_centre,
             server.version,
--- a/sl-core/tests/it/template.rs
+++ b/sl-core/tests/it/template.rs
@@ -72,6 +72,26 @@
     assert_eq!(exit, Exit::Done, "{text}");
 }
 
+// Most deployments have no bounds for cold servers. Guards against a fleet of which no instance starts,
+// because they are missing or are fractions.
+#[rstest]
+#[case::absent("", "[warmup]\n\n\n")]
+#[case::both(
+    "warmup_overshoot = 1.25\nwarmup_allowance = 7.5",
+    "overshoot = 1.25\nallowance = 7.5\n"
+)]
+#[case::one("warmup_overshoot = 2", "[warmup]\novershoot = 2\n\n")]
+fn the_deployed_template_takes_the_bounds_for_cold_servers(
+    #[case] bounds: &str,
+    #[case] section: &str,
+) {
+    let values = format!("{VALUES}{bounds}\n");
+    let (exit, text) = run_check(TEMPLATE, &values, OutputFormat::Text);
+    assert_eq!(exit, Exit::Done, "{text}");
+    let rendered = platform::template::render(TEMPLATE, &values).unwrap().text;
+    assert!(rendered.contains(section), "{rendered}");
+}
+
 #[rstest]
 #[case::no_value("max_fds = 4000", "", "no value for placeholder `limits.max_fds`")]
 #[case::wrong_type("cpu_quota = 0.25", "cpu_quota = \"a part\"", "`a part` is not")]
--- a/sl-edge/src/caller/exchange.rs
+++ b/sl-edge/src/caller/exchange.rs
@@ -292,6 +292,7 @@
 fn report_notices(core: &Core, target: &Target, sent_at: Timestamp, response: ServerResponse<'_>) {
     let server = target.server;
     report_limit(core, server, sent_at, response);
+    core.report_warmup(server, &response.0.headers);
     if response.announces_drain() {
         core.step(Event::ServerNotice { server, notice: ServerNotice::Draining });
     }
--- a/sl-edge/src/core.rs
+++ b/sl-edge/src/core.rs
@@ -14,10 +14,11 @@
 };
 
 use sl_base::{Millis, RequestId, Timestamp};
+use sl_http::Headers;
 use sl_mirror::Change;
 use sl_route::{
-    Document, Effect, Event, Failure, Refusal, Route, ServerKey, State, Team, effect::Target,
-    share::Standing,
+    Document, Effect, Event, Failure, Refusal, Route, ServerKey, ServerNotice, State, Team,
+    effect::Target, share::Standing,
 };
 use slog::Logger;
 use tokio::sync::{Notify, mpsc, watch};
@@ -308,6 +309,19 @@
         self.store_contact_at.set(self.now());
     }
 
+    /// Reports to the reducer that a server is still cold, if the head of its response says so.
+    pub(crate) fn report_warmup(&self, server: ServerKey, headers: &Headers) {
+        if let Some(left) = platform::warmup_left(headers).filter(|it| it.0 > 0) {
+            let until = self.now().after(left);
+            self.step(Event::ServerNotice { server, notice: ServerNotice::Cold { until } });
+        }
+    }
+
+    /// When the store's contents were last confirmed.
+    pub(crate) fn store_contact_at(&self) -> Timestamp {
+        self.store_contact_at.get()
+    }
+
     fn update_readiness(&self) {
         let ready = self.has_document.get() && !self.is_shedding();
         if self.ready.swap(ready, Ordering::Relaxed) != ready {
--- a/sl-edge/src/engines.rs
+++ b/sl-edge/src/engines.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, rc::Rc};
 
 use sl_base::Millis;
+use sl_http::Headers;
 use sl_route::{Event, PromptPart, ServerKey, ServerNotice};
 use slog::debug;
 use tokio::{sync::mpsc, time::Instant};
@@ -27,9 +28,12 @@
 ) {
     while let Some((server, address)) = engines.recv().await {
         let listed = fetch_list(address).await;
-        if matches!(&listed, Ok(it) if it.announces_drain) {
+        if matches!(&listed, Ok(it) if platform::announces_drain(&it.headers)) {
             core.step(Event::ServerNotice { server, notice: ServerNotice::Draining });
         }
+        if let Ok(it) = &listed {
+            core.report_warmup(server, &it.headers);
+        }
         match listed {
             Ok(CacheList { parts, .. }) => core.step(Event::CacheListed { server, parts }),
             Err(e) => {
@@ -58,8 +62,7 @@
 /// An engine's response with the list of its cached parts.
 struct CacheList {
     parts: Vec<PromptPart>,
-    /// Whether the engine announces that it shuts down.
-    announces_drain: bool,
+    headers: Headers,
 }
 
 async fn fetch_list(address: SocketAddr) -> Result<CacheList, Error> {
@@ -76,6 +79,6 @@
     if response.status != STATUS_OK {
         return Err(Error::Status(response.status));
     }
-    let announces_drain = platform::announces_drain(&response.headers);
-    Ok(CacheList { parts: platform::engine::parse_cached_parts(&response.body)?, announces_drain })
+    let parts = platform::engine::parse_cached_parts(&response.body)?;
+    Ok(CacheList { parts, headers: response.headers })
 }
--- a/sl-edge/src/log.rs
+++ b/sl-edge/src/log.rs
@@ -122,11 +122,12 @@
             fetch_tokens,
             candidates,
             view_age_ms,
+            is_cold,
         } => info!(log, "attempt sent";
             "request" => request.0, "server" => %server, "attempt" => attempt,
             "expected_ms" => expected_ms.round(), "backlog_ms" => backlog_ms.round(),
             "to_read" => prefill_tokens, "to_fetch" => fetch_tokens, "candidates" => candidates,
-            "heard_ms" => view_age_ms.round()),
+            "heard_ms" => view_age_ms.round(), "cold" => is_cold),
         Decision::StreamResumed { request, known, version } => {
             info!(log, "stream resumed by caller";
                 "request" => request.0, "known" => %known, "began_at" => version.as_deref());
@@ -165,6 +166,8 @@
         | Decision::PauseRequested { .. }
         | Decision::LimitNamed { .. }
         | Decision::LimitEnded { .. }
+        | Decision::ServerCold { .. }
+        | Decision::ServerWarm { .. }
         | Decision::ServerEntryOutdated { .. }
         | Decision::ServerChanged { .. }
         | Decision::CacheKnown { .. } => write_server_decision(log, decision),
@@ -199,6 +202,11 @@
             info!(log, "request limit of server ended";
                 "server" => %server, "by_peer" => from_peer);
         }
+        Decision::ServerCold { server, for_ms, is_sender } => {
+            info!(log, "server cold";
+                "server" => %server, "for_ms" => for_ms, "sends" => is_sender);
+        }
+        Decision::ServerWarm { server } => info!(log, "server warm"; "server" => %server),
         Decision::ServerEntryOutdated { server } => {
             info!(log, "server entry older than the one known, ignored"; "server" => %server);
         }
--- a/sl-edge/src/membership.rs
+++ b/sl-edge/src/membership.rs
@@ -134,6 +134,15 @@
         self.0.borrow().iter().map(|(&id, it)| (id, it.addresses)).collect()
     }
 
+    /// The ids of all instances that the store lists, sorted.
+    pub(crate) fn listed(&self) -> Vec<u32> {
+        let peers = self.0.borrow();
+        let listed = peers.iter().filter(|(_, it)| it.is_listed);
+        let mut ids: Vec<u32> = listed.map(|(id, _)| id.0).collect();
+        ids.sort_unstable();
+        ids
+    }
+
     pub(crate) fn addresses(&self, id: InstanceId) -> Option<Addresses> {
         self.0.borrow().get(&id).map(|it| it.addresses)
     }
--- a/sl-edge/src/metrics.rs
+++ b/sl-edge/src/metrics.rs
@@ -76,6 +76,8 @@
     pub retries_left: Family<NameLabel, FloatGauge>,
     /// Servers that name a limit on the requests of all instances.
     pub limited_servers: Gauge,
+    /// Servers that are cold, and so get few requests.
+    pub cold_servers: Gauge,
     /// Seconds since the configuration came into force here.
     pub document_age: FloatGauge,
     /// Seconds since the store's contents were last known to be current, from the store or from
@@ -139,6 +141,7 @@
             server_attempts: Family::default(),
             retries_left: Family::default(),
             limited_servers: Gauge::default(),
+            cold_servers: Gauge::default(),
             document_age: Gauge::default(),
             store_age: Gauge::default(),
             peer_age: Gauge::default(),
@@ -267,6 +270,11 @@
             "Servers that name a limit on the requests of all instances",
             self.limited_servers.clone(),
         );
+        it.register(
+            "cold_servers",
+            "Servers that are cold and get few requests",
+            self.cold_servers.clone(),
+        );
         it.register("retries_left", "Retries left by service", self.retries_left.clone());
         it.register("document_age_seconds", "Since it is in force", self.document_age.clone());
         it.register("store_age_seconds", "Since the store was heard", self.store_age.clone());
--- a/sl-edge/src/query_handler.rs
+++ b/sl-edge/src/query_handler.rs
@@ -120,5 +120,6 @@
         tokens_per_ms,
         failure_rate: server.health.failure_rate(now),
         avoided: server.health.is_avoided(now),
+        cold_ms: server.cold_for(now).0,
     }
 }
--- a/sl-edge/src/run.rs
+++ b/sl-edge/src/run.rs
@@ -12,7 +12,7 @@
 use sl_base::{Incarnation, InstanceId, Millis, ServiceId};
 use sl_config::{Settings, key::KeyError};
 use sl_peer::{HandshakeKey, Hello, Links};
-use sl_route::{Event, Options, State, budget, event::InstanceLimits};
+use sl_route::{Event, Options, State, budget, event::InstanceLimits, warmup::WarmupBound};
 use slog::{info, warn};
 use tokio::{
     net::{TcpListener, UdpSocket},
@@ -380,6 +380,7 @@
 ) {
     let clock = Clock;
     let mut total_suspended = clock.suspended();
+    let mut listed_before = Vec::new();
     loop {
         let due = Instant::now() + TICK_INTERVAL.into();
         sleep_until(due).await;
@@ -391,6 +392,12 @@
         if peer_table.len() > 0 {
             ingress.core.step(Event::InstanceCount(peer_table.len()));
         }
+        let listed = peer_table.listed();
+        if listed != listed_before {
+            ingress.core.step(Event::InstancesListed(listed.clone()));
+            listed_before = listed;
+        }
+        ingress.core.step(Event::StoreContact(ingress.core.store_contact_at()));
         ingress.core.set_largest_ratio(peer_table.largest_ratio(cores));
         let connection_share = peer_table.connection_share(own_id, cores);
         ingress.core.step(Event::ConnectionShare(connection_share));
@@ -426,5 +433,9 @@
             window: settings.retry_budget.window,
         },
         max_in_flight: settings.bounds.max_in_flight as usize,
+        warmup: WarmupBound {
+            overshoot: settings.warmup.overshoot.value(),
+            allowance: settings.warmup.allowance,
+        },
     }
 }
--- a/sl-route/src/directory.rs
+++ b/sl-route/src/directory.rs
@@ -29,6 +29,9 @@
     pub state: ServerState,
     /// Counts the server's writes of its entry within one run; 0 if it does not count them.
     pub sequence: u64,
+    /// How much longer the server is cold, from when it wrote the entry; 0 if it is not, or does not
+    /// say.
+    pub warmup_left: Millis,
 }
 
 /// Whether a server accepts new requests.
@@ -112,16 +115,31 @@
     /// Set when the entry is missing after an outage of the platform's store: the entry is
     /// dropped at this time unless it reappears before.
     expires_at: Option<Timestamp>,
+    /// Until when the server is cold by its entry.
+    cold_until: Timestamp,
 }
 
 impl Directory {
     /// Adds or replaces an entry. Returns whether the entry is new or has changed.
     pub fn put(&mut self, record: ServerRecord) -> bool {
-        let entry = ListedServer { record, expires_at: None };
+        let cold_until = self.cold_until(&record.id);
+        let entry = ListedServer { record, expires_at: None, cold_until };
         let previous = self.entries.insert(entry.record.id.clone(), entry.clone());
         previous.is_none_or(|it| !it.record.says_the_same(&entry.record))
     }
 
+    /// Records until when a server is cold by its entry.
+    pub fn set_cold_until(&mut self, id: &str, cold_until: Timestamp) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.cold_until = cold_until;
+        }
+    }
+
+    /// Until when the server `id` is cold by its entry.
+    pub fn cold_until(&self, id: &str) -> Timestamp {
+        self.entries.get(id).map_or(Timestamp::default(), |it| it.cold_until)
+    }
+
     /// Removes an entry. Returns whether it was listed.
     pub fn remove(&mut self, now: Timestamp, id: &str) -> bool {
         let Some((id, entry)) = self.entries.remove_entry(id) else {
--- a/sl-route/src/document.rs
+++ b/sl-route/src/document.rs
@@ -86,6 +86,17 @@
     pub max_connections: u32,
     /// The limits of its servers if they are model engines.
     pub engine: Option<EngineLimits>,
+    /// What its servers take while they are cold; `None` if they never are.
+    pub warmup: Option<WarmupLimits>,
+}
+
+/// What a server takes while it is cold.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct WarmupLimits {
+    /// How long a server is cold after its start; above 0.
+    pub duration: Millis,
+    /// Requests a second that a cold server takes from all instances together; above 0.
+    pub per_second: f64,
 }
 
 /// The limits of a model engine.
--- a/sl-route/src/effect.rs
+++ b/sl-route/src/effect.rs
@@ -86,7 +86,7 @@
     /// No server of the service is listed as ready.
     NoServer,
     /// Every server that was tried rejected the request without running it, or every server
-    /// asked this instance to wait or takes no more requests than it has got.
+    /// asked this instance to wait, takes no more requests than it has got, or is cold.
     TurnedAway,
     /// Too little time is left until the caller's deadline.
     TooLate,
@@ -140,6 +140,8 @@
         candidates: usize,
         /// The age of the latest information on the server's load, in milliseconds.
         view_age_ms: f64,
+        /// Whether the server is cold, so that the request used a slot of this instance.
+        is_cold: bool,
     },
     /// The first byte of a response arrived.
     ResponseStarted {
@@ -283,6 +285,20 @@
         /// Whether a peer reported it, rather than a response or the lack of any.
         from_peer: bool,
     },
+    /// A server is cold and gets few requests.
+    ServerCold {
+        /// The id of the server.
+        server: Arc<str>,
+        /// For how long as far as is known, in milliseconds.
+        for_ms: u64,
+        /// Whether this instance is one of those that send to it.
+        is_sender: bool,
+    },
+    /// A server is no longer cold.
+    ServerWarm {
+        /// The id of the server.
+        server: Arc<str>,
+    },
     /// A server crashed while it ran attempts of this instance.
     ServerCrashed(ServerCrash),
     /// Requests are no longer run because servers crashed under them.
@@ -337,6 +353,8 @@
             | Decision::PauseRequested { .. }
             | Decision::LimitNamed { .. }
             | Decision::LimitEnded { .. }
+            | Decision::ServerCold { .. }
+            | Decision::ServerWarm { .. }
             | Decision::StoreRestored
             | Decision::ServerEntryOutdated { .. }
             | Decision::ServerChanged { .. }
--- a/sl-route/src/event.rs
+++ b/sl-route/src/event.rs
@@ -10,6 +10,7 @@
     Document, Notes, Prompt, PromptPart, Route, ServerKey, ServerRecord, Team, budget,
     note::EngineCaches,
     stream_origin::{StreamOrigin, StreamRequest},
+    warmup::WarmupBound,
 };
 
 /// An input of [`State::step`](crate::State::step).
@@ -117,6 +118,11 @@
     InstanceCount(usize),
     /// The fraction of each server's connections that this instance may open.
     ConnectionShare(f64),
+    /// The ids of the instances that the platform's store lists, sorted.
+    InstancesListed(Vec<u32>),
+    /// The platform's store, or a peer on its behalf, last confirmed the store's contents at this
+    /// time.
+    StoreContact(Timestamp),
 }
 
 /// What a server asks of its callers in the head of a response.
@@ -139,6 +145,11 @@
         /// When the request was sent that the server responds to.
         sent_at: Timestamp,
     },
+    /// The server is cold.
+    Cold {
+        /// When the server will be warm.
+        until: Timestamp,
+    },
 }
 
 /// Limits that the settings impose on an instance.
@@ -148,6 +159,8 @@
     pub budget: budget::Options,
     /// The maximum number of requests in flight on the instance.
     pub max_in_flight: usize,
+    /// The limit on requests to a cold server.
+    pub warmup: WarmupBound,
 }
 
 /// A request as received from a caller, with its resolved route, service and team.
--- a/sl-route/src/note.rs
+++ b/sl-route/src/note.rs
@@ -129,6 +129,13 @@
         /// The server, or one with the same software version.
         server: ServerKey,
     },
+    /// A server is cold.
+    ServerCold {
+        /// The server.
+        server: ServerKey,
+        /// The remaining time in milliseconds.
+        for_ms: u32,
+    },
 }
 
 /// The bar of what crashed servers.
--- a/sl-route/src/place.rs
+++ b/sl-route/src/place.rs
@@ -30,6 +30,8 @@
     pub origin: Option<&'a StreamOrigin>,
     /// Whether some slots and connections of each server are left to resumed streams.
     pub keeps_room: bool,
+    /// When this instance may send to cold servers: the past, if it may now.
+    pub cold_opens_at: Timestamp,
 }
 
 impl Requirements<'_> {
@@ -38,6 +40,12 @@
         has_right_version && server.is_in_service() && !self.tried.contains(&server.key)
     }
 
+    /// When the request may be sent to the server: the past, if it may now.
+    fn opens_at(&self, now: Timestamp, server: &Server) -> Timestamp {
+        let opens_at = server.opens_at(now, self.limits.slot_delay);
+        if server.is_cold(now) { opens_at.max(self.cold_opens_at) } else { opens_at }
+    }
+
     /// How many of `places` the request may not take.
     fn kept_free(&self, places: usize) -> usize {
         if self.keeps_room { places / ROOM_DIVISOR } else { 0 }
@@ -83,8 +91,8 @@
     TooLate(LowestEstimates),
     /// No engine has a free slot, or this instance has no connection left to any server.
     NoSlot,
-    /// Every server asked this instance to send no requests for now, or has named a limit of which
-    /// this instance has used its part.
+    /// Every server asked this instance to send no requests for now, has named a limit of which
+    /// this instance has used its part, or is cold and takes no request of this instance now.
     Paused {
         /// Milliseconds until the first of them may get requests again.
         for_ms: f64,
@@ -200,10 +208,10 @@
     required: Requirements<'_>,
 ) -> Result<Placement, PlacementError> {
     let eligible: Vec<&Server> = servers.filter(|it| required.allows(it)).collect();
-    let is_open = |it: &&Server| it.opens_at(now, required.limits.slot_delay).is_due(now);
+    let is_open = |it: &&Server| required.opens_at(now, it).is_due(now);
     let servers: Vec<&Server> = eligible.iter().copied().filter(is_open).collect();
     if servers.is_empty() {
-        return Err(no_server_error(now, &eligible, required.limits.slot_delay));
+        return Err(no_server_error(now, &eligible, required));
     }
     let healthy: Vec<&Server> =
         servers.iter().copied().filter(|it| !it.health.is_avoided(now)).collect();
@@ -221,9 +229,14 @@
     }
 }
 
-/// Why none of the `eligible` servers can be used now: all are paused or limited, if there are any.
-fn no_server_error(now: Timestamp, eligible: &[&Server], slot_delay: f64) -> PlacementError {
-    let earliest = eligible.iter().map(|it| it.opens_at(now, slot_delay)).min();
+/// Why none of the `eligible` servers can be used now: all are paused, limited or cold, if there are
+/// any.
+fn no_server_error(
+    now: Timestamp,
+    eligible: &[&Server],
+    required: Requirements<'_>,
+) -> PlacementError {
+    let earliest = eligible.iter().map(|it| required.opens_at(now, it)).min();
     earliest.map_or(PlacementError::NoServer, |it| PlacementError::Paused {
         for_ms: it.remaining(now).0 as f64,
     })
--- a/sl-route/src/server.rs
+++ b/sl-route/src/server.rs
@@ -3,11 +3,11 @@
 use std::fmt;
 
 use serde::{Deserialize, Serialize};
-use sl_base::{ServerId, Timestamp, hash};
+use sl_base::{Millis, ServerId, Timestamp, hash};
 
 use crate::{
-    PromptPart, ServerRecord, ServerState, engine::Engine, health::Health, note::AttemptKey,
-    send_limit::SendLimit,
+    PromptPart, ServerRecord, ServerState, document::WarmupLimits, engine::Engine, health::Health,
+    note::AttemptKey, send_limit::SendLimit, warmup::ColdSlots,
 };
 
 /// Identifies one run of a backend server.
@@ -62,6 +62,15 @@
     pub paused_until: Timestamp,
     /// Until then the server is cold: it is slow and bears few requests.
     pub cold_until: Timestamp,
+    /// Until when the peers were told that the server is cold.
+    pub cold_announced_until: Timestamp,
+    /// From then on an entry that states no warm-up ends it. An earlier one may have been written
+    /// before the server turned cold.
+    pub warm_entries_from: Timestamp,
+    /// What the server takes while it is cold; `None` if it never is.
+    pub warmup: Option<WarmupLimits>,
+    /// When this instance may send to the server while it is cold.
+    pub cold_slots: ColdSlots,
     /// The limit that the server names on the requests of all instances; `None` without one.
     pub send_limit: Option<SendLimit>,
 }
@@ -136,7 +145,30 @@
     /// [`SendLimit::opens_at`].
     pub fn opens_at(&self, now: Timestamp, slot_delay: f64) -> Timestamp {
         let limit = self.send_limit.as_ref();
-        limit.map_or(self.paused_until, |it| it.opens_at(now, slot_delay).max(self.paused_until))
+        let limit_opens_at = limit.map_or(self.paused_until, |it| it.opens_at(now, slot_delay));
+        limit_opens_at.max(self.paused_until).max(self.cold_opens_at(now))
+    }
+
+    /// Whether the server is cold, or may be because it may have restarted.
+    pub fn is_cold(&self, now: Timestamp) -> bool {
+        self.warmup.is_some() && (self.may_have_restarted || !self.cold_until.is_due(now))
+    }
+
+    /// For how long the server is still cold. One that may have restarted is assumed to have done so
+    /// just now.
+    pub fn cold_for(&self, now: Timestamp) -> Millis {
+        let Some(warmup) = self.warmup else {
+            return Millis(0);
+        };
+        let restarted = if self.may_have_restarted { warmup.duration } else { Millis(0) };
+        restarted.max(self.cold_until.remaining(now))
+    }
+
+    fn cold_opens_at(&self, now: Timestamp) -> Timestamp {
+        if !self.is_cold(now) {
+            return Timestamp::default();
+        }
+        self.cold_slots.opens_at(now.after(self.cold_for(now)))
     }
 
     /// Records that a request was sent to the server; `tokens` is the number of prompt tokens
@@ -152,6 +184,17 @@
         }
     }
 
+    /// Records that this instance sent a request to the server.
+    pub fn record_own_send(&mut self, now: Timestamp) {
+        if let Some(limit) = &mut self.send_limit {
+            limit.record_own_send(now);
+        }
+        if self.is_cold(now) {
+            self.cold_slots.record_send(now);
+        }
+        self.own_in_flight += 1;
+    }
+
     /// Records that an engine was sent a prompt with `parts` and will cache them.
     pub fn record_cached_parts(&mut self, now: Timestamp, parts: &[PromptPart]) {
         if let ServerKind::Engine(engine) = &mut self.kind {
--- a/sl-route/src/state.rs
+++ b/sl-route/src/state.rs
@@ -33,6 +33,7 @@
     share::{Shares, Standing},
     stream_origin::StreamOrigins,
 };
+use warmup::ColdChange;
 
 /// Parameters of an instance, fixed at its start except for `limits`.
 #[derive(Clone, Debug)]
@@ -80,6 +81,14 @@
     origins: StreamOrigins,
     /// The number of instances in the fleet, including this one.
     instances: usize,
+    /// The ids of the instances that the platform's store lists, sorted.
+    listed_instances: Vec<u32>,
+    /// When this instance last heard from the platform's store or from a peer.
+    contact_at: Timestamp,
+    /// Servers that turned cold or warm, or may have, in the current step.
+    cold_changes: Vec<ColdChange>,
+    /// When peers are told of cold servers again.
+    announce_cold_at: Timestamp,
     /// The number of the latest attempt.
     last_attempt: u64,
     prune_at: Timestamp,
@@ -126,6 +135,10 @@
             demand: Demand::new(now),
             origins: StreamOrigins::new(now),
             instances: INSTANCES_DEFAULT,
+            listed_instances: Vec::new(),
+            contact_at: now,
+            cold_changes: Vec::new(),
+            announce_cold_at: now,
             last_attempt: 0,
             prune_at: now,
             pools_are_current: true,
@@ -174,10 +187,14 @@
             Event::Limits(limits) => {
                 self.options.limits = limits;
                 self.budget.set_options(limits.budget);
+                self.update_cold_slots(now);
             }
             Event::ConnectionShare(share) => self.connection_share = share,
             Event::InstanceCount(instances) => self.on_instance_count(now, instances),
+            Event::InstancesListed(instances) => self.on_instances_listed(now, instances),
+            Event::StoreContact(at) => self.contact_at = self.contact_at.max(at),
         }
+        self.apply_cold_changes(now);
         if self.prune_at.is_due(now) {
             self.prune(now);
             self.prune_at = now.after(PRUNE_INTERVAL);
@@ -279,6 +296,7 @@
 
     fn on_tick(&mut self, now: Timestamp) {
         self.update_limit_shares(now);
+        self.update_cold_servers(now);
         std::mem::take(&mut self.repeated_notes).into_iter().for_each(|it| self.queue_note(it));
         self.report_activity(now);
         self.announce_bars(now);
--- a/sl-route/src/state/admit.rs
+++ b/sl-route/src/state/admit.rs
@@ -145,6 +145,7 @@
             data_centre: &self.options.data_centre,
             origin: in_flight.origin.as_ref(),
             keeps_room: self.keeps_room_for_streams(&in_flight.arrival),
+            cold_opens_at: self.cold_opens_at(now),
         }
     }
 
--- a/sl-route/src/state/attempt.rs
+++ b/sl-route/src/state/attempt.rs
@@ -40,10 +40,8 @@
             return;
         };
         server.record_sent(now, key, placement.prefill_tokens);
-        if let Some(limit) = &mut server.send_limit {
-            limit.record_own_send(now);
-        }
-        server.own_in_flight += 1;
+        let is_cold = server.is_cold(now);
+        server.record_own_send(now);
         let fetch = placement.fetch.map(|it| (it.from, it.duration_ms.round() as u32));
         self.record_transfer(now, placement.server, fetch);
         let Some(server) = self.servers.get_mut(&placement.server) else {
@@ -79,6 +77,7 @@
             fetch_tokens: placement.fetch.map_or(0, |it| it.tokens),
             candidates: placement.candidates,
             view_age_ms: placement.view_age_ms,
+            is_cold,
         };
         if let Some((team, tokens)) = charge {
             self.shares.record_granted(now, team, tokens);
--- a/sl-route/src/state/cache.rs
+++ b/sl-route/src/state/cache.rs
@@ -43,7 +43,10 @@
     pub(super) fn request_cache_lists(&mut self, now: Timestamp) {
         let may_ask = |server: &Server| {
             let is_engine = matches!(server.kind, ServerKind::Engine(_));
-            let is_asked = is_engine && !server.has_announced_drain && !server.is_paused(now);
+            let is_asked = is_engine
+                && !server.has_announced_drain
+                && !server.is_paused(now)
+                && !server.is_cold(now);
             is_asked && server.list_cache_at.is_due(now) && self.is_responsible_for(server.key.0)
         };
         let asked = self.servers.values().filter(|it| may_ask(it)).map(|it| it.key);
--- a/sl-route/src/state/crashes.rs
+++ b/sl-route/src/state/crashes.rs
@@ -71,6 +71,7 @@
             self.log_crash(&crash);
             if let Some(server) = self.servers.get_mut(&crash.run) {
                 server.may_have_restarted |= crash.was_unreachable;
+                self.on_may_have_restarted(crash.run);
             }
             self.record_survivors(now);
             let announce_at = now.after(self.draw_announcement_delay());
--- a/sl-route/src/state/listing.rs
+++ b/sl-route/src/state/listing.rs
@@ -7,12 +7,13 @@
 
 use sl_base::{Millis, ServiceId, Timestamp};
 
-use super::State;
+use super::{State, warmup::ColdChange};
 use crate::{
     Decision, Document, Effect, ServerKey, ServerRecord,
     engine::{Engine, SPEEDUP_MAX, SpeedPrior},
     health::Health,
     server::{PlainServer, Server, ServerKind},
+    warmup::ColdSlots,
 };
 
 /// Speed prior in a pool without measured engines. Its low weight and unlimited speed-up let
@@ -41,6 +42,11 @@
             return;
         }
         self.document = document;
+        for server in self.servers.values_mut() {
+            let service = self.document.services.get(&server.record.service);
+            server.warmup = service.and_then(|it| it.warmup);
+            self.cold_changes.push(ColdChange::of_entry(server.key));
+        }
         // Servers listed before their service was configured can be added now.
         let records: Vec<ServerRecord> = self.directory.records().cloned().collect();
         for record in records {
@@ -48,7 +54,7 @@
         }
     }
 
-    pub(super) fn on_server_listed(&mut self, now: Timestamp, record: ServerRecord) {
+    pub(super) fn on_server_listed(&mut self, now: Timestamp, mut record: ServerRecord) {
         let id = record.id.clone();
         if self.directory.is_outdated(now, &record) {
             self.effects.push(Effect::Log(Decision::ServerEntryOutdated { server: id }));
@@ -56,23 +62,46 @@
         }
         let is_rewritten = self.directory.get(&id).is_some_and(|it| it.is_rewritten_by(&record));
         let previous = self.directory.get(&id).map(ServerRecord::key);
-        let state = record.state.into();
+        let (state, version) = (record.state.into(), record.version.clone());
         let key = record.key();
         if let Some(server) = self.servers.get_mut(&key).filter(|_| is_rewritten) {
             server.may_have_restarted = false;
         }
-        if !self.directory.put(record.clone()) {
-            return;
+        // The time that is left becomes a deadline, and is not a change of the entry.
+        let warmup_left = std::mem::take(&mut record.warmup_left);
+        if self.directory.put(record.clone()) {
+            self.on_server_changed(now, record, previous.filter(|it| *it != key));
+            self.effects.push(Effect::Log(Decision::ServerChanged {
+                server: id.clone(),
+                state,
+                version,
+            }));
+        }
+        if is_rewritten || previous != Some(key) {
+            self.directory.set_cold_until(&id, now.after(warmup_left));
+            self.on_warmup_stated(now, key, warmup_left);
         }
-        if let Some(previous) = previous.filter(|it| *it != key) {
-            self.servers.remove(&previous);
+    }
+
+    /// Applies a changed entry. `previous` is the run that it replaces, if it is of another one.
+    fn on_server_changed(
+        &mut self,
+        now: Timestamp,
+        record: ServerRecord,
+        previous: Option<ServerKey>,
+    ) {
+        let key = record.key();
+        let replaced = previous.and_then(|it| self.servers.remove(&it));
+        if let Some(previous) = previous {
             self.origins.record_removed(now, previous);
         }
         self.origins.record_listed(&record);
-        let version = record.version.clone();
         self.upsert_server(now, record);
+        // The new run may get a request only when the former one could have got one.
+        if let (Some(replaced), Some(server)) = (replaced, self.servers.get_mut(&key)) {
+            server.cold_slots = replaced.cold_slots.of_next_run();
+        }
         self.pools_are_current = false;
-        self.effects.push(Effect::Log(Decision::ServerChanged { server: id, state, version }));
     }
 
     pub(super) fn on_server_removed(&mut self, now: Timestamp, id: &Arc<str>) {
@@ -120,6 +149,7 @@
         let Some(service) = self.document.services.get(&record.service) else {
             return;
         };
+        let cold_until = self.directory.cold_until(&record.id);
         let kind = match service.engine {
             Some(limits) => {
                 ServerKind::Engine(Box::new(Engine::new(now, limits, SPEED_PRIOR_DEFAULT)))
@@ -139,10 +169,15 @@
                 has_announced_drain: self.draining_runs.contains(key),
                 may_have_restarted: false,
                 paused_until: now,
-                cold_until: now,
+                cold_until: now.max(cold_until),
+                cold_announced_until: now,
+                warm_entries_from: now,
+                warmup: service.warmup,
+                cold_slots: ColdSlots::WARM,
                 send_limit: None,
             },
         );
+        self.cold_changes.push(ColdChange::of_entry(key));
         self.pools_are_current = false;
     }
 
--- a/sl-route/src/state/notes.rs
+++ b/sl-route/src/state/notes.rs
@@ -29,6 +29,7 @@
 
     pub(super) fn on_notes_received(&mut self, now: Timestamp, from: u32, notes: Notes) {
         self.peers.insert(from, now);
+        self.contact_at = self.contact_at.max(now);
         for note in notes.notes {
             self.apply_note(now, from, note);
         }
@@ -96,6 +97,7 @@
                 self.on_limit_named(now, server, per_second, true);
             }
             Note::ServerLimit { server, per_second: None } => self.end_limit(server, true),
+            Note::ServerCold { server, for_ms } => self.on_peer_cold(now, server, for_ms),
             Note::StreamBegan { stream, server } => self.origins.record(stream, server),
         }
     }
--- a/sl-route/src/state/notices.rs
+++ b/sl-route/src/state/notices.rs
@@ -23,6 +23,7 @@
                 self.on_limit_named(now, server, per_second, false);
             }
             ServerNotice::NoLimit { sent_at } => self.on_no_limit(server, sent_at),
+            ServerNotice::Cold { until } => self.mark_cold(server, until),
         }
     }
 
--- a/sl-route/tests/it/main.rs
+++ b/sl-route/tests/it/main.rs
@@ -23,3 +23,4 @@
 mod streams;
 mod testbed;
 mod views;
+mod warmup;
--- a/sl-route/tests/it/testbed.rs
+++ b/sl-route/tests/it/testbed.rs
@@ -6,7 +6,7 @@
 use sl_route::{
     Arrival, AttemptEnd, Document, Effect, Event, Fault, Limits, Options, Prompt, PromptPart,
     RetryPolicy, Route, ServerRecord, ServerState, Service, State, Team, budget,
-    document::EngineLimits, effect::Target, event,
+    document::EngineLimits, effect::Target, event, warmup::WarmupBound,
 };
 
 pub const START: Timestamp = Timestamp::from_micros(1_000_000_000);
@@ -22,7 +22,11 @@
         instance,
         data_centre: DATA_CENTRE.to_owned(),
         seed: 7,
-        limits: event::InstanceLimits { budget, max_in_flight: 100 },
+        limits: event::InstanceLimits {
+            budget,
+            max_in_flight: 100,
+            warmup: WarmupBound::default(),
+        },
         share_window: Millis(4_000),
     }
 }
@@ -55,6 +59,7 @@
         name: name.to_owned(),
         max_connections: 100,
         engine,
+        warmup: None,
     });
     let limits = Limits { tokens_per_s: Some(120_000.0), ..Limits::default() };
     Arc::new(Document::new(version, [], services, limits, []))
@@ -71,6 +76,7 @@
         slots: 6,
         state: ServerState::Ready,
         sequence: 1,
+        warmup_left: Millis(0),
     }
 }
 
