--- a/bench/src/soak.rs
+++ b/bench/src/soak.rs
@@ -207,10 +207,15 @@
     }
 }
 
+/// What the configuration states of cold servers.
+const WARMUP_S: f64 = 3.0;
+const WARMUP_PER_S: f64 = 6.6;
+
 /// A configuration with a route that is named after its version, so that callers can tell
 /// whether the version is in force.
 pub(crate) fn configuration(config_version: u64) -> serde_json::Value {
     let mut document = document::standard(config_version);
+    document = document::with_warmup(document, WARMUP_S, WARMUP_PER_S);
     let version_route =
         document::route(&format!("v{config_version}"), "idempotent", "app", 2, 2_000);
     if let Some(routes) = document["routes"].as_array_mut() {
--- a/bench/src/soak/plan.rs
+++ b/bench/src/soak/plan.rs
@@ -39,6 +39,10 @@
     Server(usize, server::Fault),
     /// Makes the server name a limit, in requests in ten seconds; `None` for none.
     Limit(usize, Option<u32>),
+    /// Makes the server cold for as long, in milliseconds.
+    Warmup(usize, u64),
+    /// Makes all servers write their entries again, as they do every now and then.
+    WriteEntries,
     /// Registers the server as draining, and starts another one in its place.
     Replace(usize),
     /// Replaces the server by one of another software version.
@@ -105,6 +109,15 @@
 /// The mean interval between two changes of the limits that servers name, in milliseconds.
 const LIMIT_MEAN_INTERVAL_MS: u64 = 3_000;
 
+/// The mean interval between two servers that turn cold, in milliseconds.
+const WARMUP_MEAN_INTERVAL_MS: u64 = 1_500;
+
+/// For how long servers are cold, in milliseconds.
+const WARMUP_MS: std::ops::Range<u64> = 500..3_000;
+
+/// The mean interval between two writes of all servers' entries, in milliseconds.
+const WRITE_MEAN_INTERVAL_MS: u64 = 1_200;
+
 /// The mean interval between two servers that are replaced by ones of another software version, in
 /// milliseconds.
 const RELEASE_MEAN_INTERVAL_MS: u64 = 1_500;
@@ -142,6 +155,10 @@
     faults.extend(draw_schedule(rng, duration, RELEASE_MEAN_INTERVAL_MS, |rng| {
         Fault::Release(rng.random_range(0..SERVER_COUNT))
     }));
+    faults.extend(draw_schedule(rng, duration, WARMUP_MEAN_INTERVAL_MS, |rng| {
+        Fault::Warmup(rng.random_range(0..SERVER_COUNT), rng.random_range(WARMUP_MS))
+    }));
+    faults.extend(draw_schedule(rng, duration, WRITE_MEAN_INTERVAL_MS, |_| Fault::WriteEntries));
     faults.sort_by_key(|it| it.0);
     faults
 }
@@ -294,6 +311,13 @@
                 let per_second = limit.map(|it| f64::from(it) / LIMIT_TIME_S);
                 self.fleet.servers[index].set_request_limit(per_second);
             }
+            Fault::Warmup(index, millis) => {
+                let server = &self.fleet.servers[index];
+                server.set_warmup(Duration::from_millis(millis));
+                let address = self.server_relays[index].address();
+                server.register_at(&self.fleet.store, address, "ready");
+            }
+            Fault::WriteEntries => self.write_entries(),
             Fault::Replace(index) => self.replace_server(index).await?,
             Fault::Release(index) => {
                 let version = self.fleet.servers[index].version();
@@ -325,6 +349,11 @@
         store.restore(backup);
         tokio::time::sleep(REWRITE_DELAY).await;
         store.put(document::CONFIG_KEY, &configuration(self.config_version));
+        self.write_entries();
+    }
+
+    fn write_entries(&self) {
+        let store = &self.fleet.store;
         let (relays, replaced_relays) = self.server_relays.split_at(self.fleet.servers.len());
         for (server, relay) in self.fleet.servers.iter().zip(relays) {
             server.register_at(store, relay.address(), "ready");
@@ -345,6 +374,7 @@
             server.set_fault(server::Fault::None);
             server.set_request_limit(None);
         }
+        self.write_entries();
         for index in 0..self.fleet.instances.len() {
             self.resume(index);
         }
--- a/sl-core/tests/it/explain.rs
+++ b/sl-core/tests/it/explain.rs
@@ -154,6 +154,29 @@
     assert_eq!(known("bb"), [""; 0]);
 }
 
+// Guards against an operator who sees that a warm server was passed over, or that none took the request,
+// and not that the others were cold.
+#[test]
+fn cold_servers_explain_a_request_that_one_got_or_none_took() {
+    let log = r#"
+{"msg":"server cold","level":"INFO","ts":"2026-03-08T15:25:04.000Z","instance":"edge-1","server":"i-1","for_ms":3000,"sends":false}
+{"msg":"request admitted","level":"INFO","ts":"2026-03-08T15:25:05.000Z","instance":"edge-1","request":7,"id":"aa"}
+{"msg":"request refused","level":"WARN","ts":"2026-03-08T15:25:05.000Z","instance":"edge-1","request":7,"why":"turned_away"}
+{"msg":"request admitted","level":"INFO","ts":"2026-03-08T15:25:06.000Z","instance":"edge-1","request":8,"id":"bb"}
+{"msg":"attempt sent","level":"INFO","ts":"2026-03-08T15:25:06.000Z","instance":"edge-1","request":8,"server":"i-1","cold":true}
+{"msg":"request admitted","level":"INFO","ts":"2026-03-08T15:25:06.500Z","instance":"edge-1","request":9,"id":"cc"}
+{"msg":"attempt sent","level":"INFO","ts":"2026-03-08T15:25:06.500Z","instance":"edge-1","request":9,"server":"i-2","cold":false}
+"#;
+    let known = |id| {
+        let outcome = explain(&options(id, OutputFormat::Text), log.as_bytes()).unwrap();
+        let known_state = outcome.traces[0].known_state.iter();
+        known_state.map(|it| it.line.msg.clone()).collect::<Vec<_>>()
+    };
+    assert_eq!(known("aa"), ["server cold"]);
+    assert_eq!(known("bb"), ["server cold"]);
+    assert_eq!(known("cc"), [""; 0]);
+}
+
 // Guards against an operator who sees why a stream was cut off and not how its caller fared later.
 #[test]
 fn the_attempts_that_resume_a_stream_belong_to_its_story() {
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -20,3 +20,4 @@
 mod testbed;
 mod unframed;
 mod versions;
+mod warmup;
--- a/tests/it/operators.rs
+++ b/tests/it/operators.rs
@@ -6,7 +6,7 @@
 
 use crate::testbed::{call, fleet, metrics, model_call};
 
-fn run_command(fleet: &Fleet, args: &[&str]) -> Output {
+pub fn run_command(fleet: &Fleet, args: &[&str]) -> Output {
     Command::new(env!("CARGO_BIN_EXE_sesamelock"))
         .args(args)
         .env("SESAMELOCK_OPERATOR_KEY", OPERATOR_KEY)
@@ -15,7 +15,7 @@
         .unwrap()
 }
 
-fn stdout_text(output: &Output) -> String {
+pub fn stdout_text(output: &Output) -> String {
     String::from_utf8_lossy(&output.stdout).into_owned()
 }
 
