Leave the slots of a cold engine to prompts that are asked for often

What callers saw: a cold engine takes few requests, and which ones decides what its cache is warm for; chance decided.

Change: each instance counts the shared parts of the prompts that it is asked for, if their service may have cold engines. A prompt whose parts are asked for less often than the mean leaves each slot to others for 300 ms.

Measured: a test of the reducer (a rare prompt is refused in the first 300 ms of a slot, a popular one is not). The effect on the caches of a fleet is not measured.

--- a/sl-route/src/place.rs
+++ b/sl-route/src/place.rs
@@ -1,7 +1,7 @@
 //! Placement: selects the server for a request, and rejects requests that no server is
 //! expected to respond in time.
 
-use sl_base::Timestamp;
+use sl_base::{Millis, Timestamp};
 
 use crate::{
     Prompt, ServerKey,
@@ -32,6 +32,8 @@
     pub keeps_room: bool,
     /// When this instance may send to cold servers: the past, if it may now.
     pub cold_opens_at: Timestamp,
+    /// How long the request leaves each slot of a cold server to others.
+    pub cold_slot_delay: Millis,
 }
 
 impl Requirements<'_> {
@@ -43,7 +45,10 @@
     /// When the request may be sent to the server: the past, if it may now.
     fn opens_at(&self, now: Timestamp, server: &Server) -> Timestamp {
         let opens_at = server.opens_at(now, self.limits.slot_delay);
-        if server.is_cold(now) { opens_at.max(self.cold_opens_at) } else { opens_at }
+        if !server.is_cold(now) {
+            return opens_at;
+        }
+        opens_at.after(self.cold_slot_delay).max(self.cold_opens_at)
     }
 
     /// How many of `places` the request may not take.
--- a/sl-route/src/state.rs
+++ b/sl-route/src/state.rs
@@ -28,6 +28,7 @@
     draining::DrainingRuns,
     event::InstanceLimits,
     note::Note,
+    part_demand::PartDemand,
     request::InFlightRequest,
     server::Server,
     share::{Shares, Standing},
@@ -87,6 +88,7 @@
     contact_at: Timestamp,
     /// Servers that turned cold or warm, or may have, in the current step.
     cold_changes: Vec<ColdChange>,
+    part_demand: PartDemand,
     /// When peers are told of cold servers again.
     announce_cold_at: Timestamp,
     /// The number of the latest attempt.
@@ -138,6 +140,7 @@
             listed_instances: Vec::new(),
             contact_at: now,
             cold_changes: Vec::new(),
+            part_demand: PartDemand::new(now),
             announce_cold_at: now,
             last_attempt: 0,
             prune_at: now,
--- a/sl-route/src/state/admit.rs
+++ b/sl-route/src/state/admit.rs
@@ -45,6 +45,7 @@
             self.demand.record_own(now, team, tokens);
             self.queue_note(Note::TokensRequested { team, tokens });
         }
+        self.record_part_demand(now, &arrival);
         let origin = self.locate_stream(&arrival);
         let mut in_flight = InFlightRequest::new(arrival);
         match origin {
@@ -146,6 +147,7 @@
             origin: in_flight.origin.as_ref(),
             keeps_room: self.keeps_room_for_streams(&in_flight.arrival),
             cold_opens_at: self.cold_opens_at(now),
+            cold_slot_delay: self.cold_slot_delay(&in_flight.arrival),
         }
     }
 
--- a/sl-route/src/state/warmup.rs
+++ b/sl-route/src/state/warmup.rs
@@ -6,7 +6,7 @@
 
 use super::State;
 use crate::{
-    Decision, Effect, ServerKey,
+    Arrival, Decision, Effect, Prompt, ServerKey,
     note::Note,
     warmup::{self, SendPlan},
 };
@@ -40,6 +40,10 @@
     is_own: bool,
 }
 
+/// How long a request whose prompt is asked for rarely leaves each slot of a cold engine to others. The
+/// cache is warmed by the requests that it gets.
+const RARE_PROMPT_DELAY: Millis = Millis(300);
+
 impl ColdChange {
     /// A change that all instances learn from the platform's store.
     pub(super) fn of_entry(server: ServerKey) -> ColdChange {
@@ -127,6 +131,21 @@
         if is_listed && is_in_contact { started } else { started.max(now.after(NO_CONTACT_DELAY)) }
     }
 
+    /// Counts the prompt of a request, if its service may have cold engines.
+    pub(super) fn record_part_demand(&mut self, now: Timestamp, arrival: &Arrival) {
+        let service = self.document.services.get(&arrival.service);
+        let may_be_cold = service.is_some_and(|it| it.warmup.is_some());
+        if let Some(prompt) = arrival.prompt.as_ref().filter(|_| may_be_cold) {
+            self.part_demand.record(now, prompt);
+        }
+    }
+
+    /// How long the request leaves each slot of a cold server to others.
+    pub(super) fn cold_slot_delay(&self, arrival: &Arrival) -> Millis {
+        let rare = |it: &&Prompt| !arrival.is_resumed() && !self.part_demand.is_popular(it);
+        arrival.prompt.as_ref().filter(rare).map_or(Millis(0), |_| RARE_PROMPT_DELAY)
+    }
+
     /// Applies the changes of the current step.
     pub(super) fn apply_cold_changes(&mut self, now: Timestamp) {
         for ColdChange { server, is_own } in std::mem::take(&mut self.cold_changes) {
--- a/sl-route/tests/it/warmup.rs
+++ b/sl-route/tests/it/warmup.rs
@@ -10,15 +10,15 @@
 use rstest::rstest;
 use sl_base::{Millis, RequestId, Timestamp};
 use sl_route::{
-    AttemptEnd, Decision, Document, Effect, Event, Fault, Limits, Notes, RetryPolicy, ServerKey,
-    ServerNotice, ServerRecord, Service, State,
+    AttemptEnd, Decision, Document, Effect, Event, Fault, Limits, Notes, Refusal, RetryPolicy,
+    ServerKey, ServerNotice, ServerRecord, Service, State,
     document::WarmupLimits,
     effect::Target,
     note::Note,
     warmup::{SendPlan, WarmupBound, is_sender},
 };
 
-use crate::testbed::{ENGINE, START, arrival, at, options, prompt, record, sent_target};
+use crate::testbed::{ENGINE, START, arrival, at, complete, options, prompt, record, sent_target};
 
 /// The users' rule for each second: one and a half times the stated requests, and 5.
 const ALLOWED_FACTOR: f64 = 1.5;
@@ -660,7 +660,7 @@
         _ => None,
     });
     let (reason, retry_after) = refused.unwrap();
-    assert_eq!(reason, sl_route::Refusal::TurnedAway);
+    assert_eq!(reason, Refusal::TurnedAway);
     assert!(retry_after >= Millis(100), "{retry_after}");
 }
 
@@ -780,6 +780,50 @@
     assert!(sent_target(&effects).is_none());
 }
 
+// Guards against a cold cache that fills with what is never asked for again.
+#[test]
+fn a_slot_of_a_cold_engine_goes_to_a_prompt_that_is_asked_for_often() {
+    let mut state = lone_instance();
+    state.step(START, Event::ServerListed(record("warm", "model")));
+    let model = |now, number, shared: &str| {
+        let own = format!("own-{number}");
+        arrival(now, number, RetryPolicy::Stream, Some(prompt(shared, 100, &own, 10)))
+    };
+    for number in 0..20 {
+        let arrival = model(at(2_000), number, "often");
+        state.step(at(2_000), Event::RequestArrived(Box::new(arrival)));
+    }
+    state.step(at(2_000), Event::ServerRemoved { id: "warm".into() });
+    let cold = ServerRecord { warmup_left: Millis(600_000), ..record("cold", "model") };
+    state.step(at(2_000), Event::ServerListed(cold));
+    // Why the request is refused; `None` if it was sent, and has ended.
+    let mut refusal = |millis: u64, number: u64, shared: &str| {
+        state.step(at(millis), Event::StoreContact(at(millis)));
+        let arrival = model(at(millis), number, shared);
+        let effects = state.step(at(millis), Event::RequestArrived(Box::new(arrival)));
+        complete(&mut state, at(millis), number);
+        effects.iter().find_map(|it| match it {
+            Effect::Refuse { reason, .. } => Some(*reason),
+            _ => None,
+        })
+    };
+    // The first slot opens within the interval.
+    let opens_at = (2_000..3_000).step_by(10).find(|it| refusal(*it, *it, "often").is_none());
+    let interval = SendPlan::new(
+        WarmupLimits { duration: WARMUP, per_second: 6.6 },
+        WarmupBound::default(),
+        1,
+    )
+    .interval;
+    let next = opens_at.unwrap() + interval.0;
+    let turned_away = Some(Refusal::TurnedAway);
+    assert_eq!(refusal(next + 10, 100_000, "rare"), turned_away, "the slot is left to others");
+    assert_eq!(refusal(next + 20, 100_001, "often"), None);
+    let next = next + 20 + interval.0;
+    assert_eq!(refusal(next, 100_002, "rare"), turned_away);
+    assert_eq!(refusal(next + 300, 100_003, "rare"), None, "nobody else wants the slot");
+}
+
 // The bound must hold for any numbers of a configuration and of the settings, with two senders more.
 #[rstest]
 fn the_senders_and_two_more_keep_the_bound(
