--- a/sl-route/src/lib.rs
+++ b/sl-route/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod event;
 pub mod health;
 pub mod note;
+pub mod part_demand;
 pub mod place;
 pub mod prompt;
 pub mod request;
@@ -26,6 +27,7 @@
 pub mod share;
 mod state;
 pub mod stream_origin;
+pub mod warmup;
 
 pub use directory::{Directory, ServerRecord, ServerState};
 pub use document::{Document, Limits, RetryPolicy, Route, Service, Team};
