sl-route: evacuation of a data centre

Callers saw requests go to a data centre whose power was about to be cut, since the operator's key op/evacuate/ZONE was neither mirrored nor decoded.

The key is mirrored beside the servers' entries, so that instances which get the store's entries from peers have it too, and becomes two events of the reducer. Requirements::allows excludes the servers of evacuated data centres, which covers first attempts, retries, moves, returns to a silent server, resumed streams and both ends of a fetch. Cache listings, and connections whose request is not sent yet, are checked too. A restored store that lacks the key ends the evacuation 5 s after the restore at the earliest. Afterwards the servers are marked cold for warmup_span, which is 0 until the service's field is decoded, and the caches of engines are listed again.

--- a/sl-edge/src/change_handler.rs
+++ b/sl-edge/src/change_handler.rs
@@ -38,6 +38,14 @@
                 self.core.step(Event::ServerRemoved { id: id.into() });
             }
             Entry::Server { id, record: None } => self.remove_server(id, origin),
+            Entry::Evacuation { data_centre, is_demanded } => {
+                let data_centre = data_centre.into();
+                self.core.step(if is_demanded {
+                    Event::EvacuationRequested { data_centre }
+                } else {
+                    Event::EvacuationLifted { data_centre }
+                });
+            }
             Entry::Instance { name, addresses } => self.apply_instance(name, addresses),
             Entry::Other => {}
         }
--- a/sl-edge/src/engines.rs
+++ b/sl-edge/src/engines.rs
@@ -26,6 +26,11 @@
     mut engines: mpsc::UnboundedReceiver<(ServerKey, SocketAddr)>,
 ) {
     while let Some((server, address)) = engines.recv().await {
+        // The data centre may have been evacuated while other engines were asked.
+        if core.with_state(|it| it.is_evacuated(server)) {
+            core.step(Event::CacheListFailed { server });
+            continue;
+        }
         let listed = fetch_list(address).await;
         if matches!(&listed, Ok(it) if it.announces_drain) {
             core.step(Event::ServerNotice { server, notice: ServerNotice::Draining });
--- a/sl-edge/src/log.rs
+++ b/sl-edge/src/log.rs
@@ -168,6 +168,12 @@
         | Decision::ServerEntryOutdated { .. }
         | Decision::ServerChanged { .. }
         | Decision::CacheKnown { .. } => write_server_decision(log, decision),
+        Decision::DataCentreEvacuated { data_centre, servers } => {
+            warn!(log, "data centre evacuated"; "data_centre" => %data_centre, "servers" => servers);
+        }
+        Decision::DataCentreReturned { data_centre, servers } => {
+            warn!(log, "data centre returned"; "data_centre" => %data_centre, "servers" => servers);
+        }
         Decision::StoreRestored => {
             info!(log, "entries older than those known are ignored for a while");
         }
--- a/sl-route/src/directory.rs
+++ b/sl-route/src/directory.rs
@@ -98,7 +98,7 @@
 
 /// How long entries are listed from a restored store that their servers may not have written
 /// again.
-const RESTORE_PERIOD: Millis = Millis(5_000);
+pub(crate) const RESTORE_PERIOD: Millis = Millis(5_000);
 
 /// How long a removed entry is remembered.
 const REMOVED_RETENTION: Millis = Millis(60_000);
--- a/sl-route/src/effect.rs
+++ b/sl-route/src/effect.rs
@@ -241,6 +241,20 @@
         /// For how long, in milliseconds.
         for_ms: u64,
     },
+    /// The operator has evacuated a data centre: nothing more is sent to its servers.
+    DataCentreEvacuated {
+        /// The name of the data centre.
+        data_centre: Arc<str>,
+        /// The number of its servers that are listed.
+        servers: usize,
+    },
+    /// The evacuation of a data centre has ended.
+    DataCentreReturned {
+        /// The name of the data centre.
+        data_centre: Arc<str>,
+        /// The number of its servers that are listed.
+        servers: usize,
+    },
     /// The platform's store was restored from an older copy.
     StoreRestored,
     /// A server's entry in a restored store was older than the one known before, and was ignored.
@@ -337,6 +351,8 @@
             | Decision::PauseRequested { .. }
             | Decision::LimitNamed { .. }
             | Decision::LimitEnded { .. }
+            | Decision::DataCentreEvacuated { .. }
+            | Decision::DataCentreReturned { .. }
             | Decision::StoreRestored
             | Decision::ServerEntryOutdated { .. }
             | Decision::ServerChanged { .. }
--- a/sl-route/src/event.rs
+++ b/sl-route/src/event.rs
@@ -108,6 +108,16 @@
         /// What it asks for.
         notice: ServerNotice,
     },
+    /// The operator demands that nothing more is sent to the servers of a data centre.
+    EvacuationRequested {
+        /// The name of the data centre.
+        data_centre: Arc<str>,
+    },
+    /// The operator no longer demands the evacuation of a data centre.
+    EvacuationLifted {
+        /// The name of the data centre.
+        data_centre: Arc<str>,
+    },
     /// The platform's store was restored from an older copy. What is listed next may be older
     /// than what was listed before.
     StoreRestored,
--- a/sl-route/src/place.rs
+++ b/sl-route/src/place.rs
@@ -7,6 +7,7 @@
     Prompt, ServerKey,
     admission::AdmissionLimits,
     engine::Engine,
+    evacuation::Evacuations,
     server::{PlainServer, Server, ServerKind},
     stream_origin::StreamOrigin,
 };
@@ -26,6 +27,8 @@
     pub remaining_ms: f64,
     /// The data centre of this instance; servers elsewhere are charged the extra network time.
     pub data_centre: &'a str,
+    /// The data centres whose servers get nothing.
+    pub evacuations: &'a Evacuations,
     /// Where the stream began that the request goes on with; `None` if any server will do.
     pub origin: Option<&'a StreamOrigin>,
     /// Whether some slots and connections of each server are left to resumed streams.
@@ -35,7 +38,11 @@
 impl Requirements<'_> {
     fn allows(&self, server: &Server) -> bool {
         let has_right_version = self.origin.is_none_or(|it| it.allows(server));
-        has_right_version && server.is_in_service() && !self.tried.contains(&server.key)
+        let is_evacuated = self.evacuations.contains(&server.record.data_centre);
+        has_right_version
+            && !is_evacuated
+            && server.is_in_service()
+            && !self.tried.contains(&server.key)
     }
 
     /// How many of `places` the request may not take.
--- a/sl-route/src/state.rs
+++ b/sl-route/src/state.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod cache;
 mod crashes;
+mod evacuation;
 mod limits;
 mod listing;
 mod notes;
@@ -26,6 +27,7 @@
     crash_detector::CrashDetector,
     demand::Demand,
     draining::DrainingRuns,
+    evacuation::Evacuations,
     event::InstanceLimits,
     note::Note,
     request::InFlightRequest,
@@ -59,6 +61,8 @@
     directory: Directory,
     servers: HashMap<ServerKey, Server>,
     draining_runs: DrainingRuns,
+    /// Data centres to whose servers nothing is sent.
+    evacuations: Evacuations,
     /// Servers by service, sorted; rebuilt from `servers` when out of date.
     pools: HashMap<ServiceId, Vec<ServerKey>>,
     /// Requests in flight.
@@ -112,6 +116,7 @@
             directory: Directory::default(),
             servers: HashMap::new(),
             draining_runs: DrainingRuns::default(),
+            evacuations: Evacuations::default(),
             pools: HashMap::new(),
             requests: HashMap::new(),
             budget: Budget::new(options.limits.budget),
@@ -170,6 +175,8 @@
                 self.origins.record_origin(now, stream, origin);
             }
             Event::ServerNotice { server, notice } => self.on_server_notice(now, server, notice),
+            Event::EvacuationRequested { data_centre } => self.on_evacuation_requested(data_centre),
+            Event::EvacuationLifted { data_centre } => self.on_evacuation_lifted(now, &data_centre),
             Event::StoreRestored => self.on_store_restored(now),
             Event::Limits(limits) => {
                 self.options.limits = limits;
@@ -205,11 +212,12 @@
         self.servers.values()
     }
 
-    /// Whether the server may get a request of this instance at `now`: it is listed as ready, and
-    /// has not asked for anything else.
+    /// Whether the server may get a request of this instance at `now`: it is listed as ready, has
+    /// not asked for anything else, and is not evacuated.
     pub fn is_accepting(&self, now: Timestamp, server: ServerKey) -> bool {
+        let is_evacuated = self.is_evacuated(server);
         let server = self.servers.get(&server);
-        server.is_some_and(|it| it.is_in_service() && !it.is_paused(now))
+        server.is_some_and(|it| it.is_in_service() && !it.is_paused(now)) && !is_evacuated
     }
 
     /// Whether the server has named a limit on the requests of all instances.
@@ -285,6 +293,7 @@
     }
 
     fn prune(&mut self, now: Timestamp) {
+        self.end_evacuations(now);
         self.record_survivors(now);
         let inactive: Vec<u32> = self
             .peers
--- a/sl-route/src/state/admit.rs
+++ b/sl-route/src/state/admit.rs
@@ -143,6 +143,7 @@
             connections_max: self.connections_max(in_flight.arrival.service),
             remaining_ms: in_flight.arrival.deadline().remaining(now).0 as f64,
             data_centre: &self.options.data_centre,
+            evacuations: &self.evacuations,
             origin: in_flight.origin.as_ref(),
             keeps_room: self.keeps_room_for_streams(&in_flight.arrival),
         }
--- a/sl-route/src/state/cache.rs
+++ b/sl-route/src/state/cache.rs
@@ -43,7 +43,9 @@
     pub(super) fn request_cache_lists(&mut self, now: Timestamp) {
         let may_ask = |server: &Server| {
             let is_engine = matches!(server.kind, ServerKind::Engine(_));
+            let is_evacuated = self.evacuations.contains(&server.record.data_centre);
             let is_asked = is_engine && !server.has_announced_drain && !server.is_paused(now);
+            let is_asked = is_asked && !is_evacuated;
             is_asked && server.list_cache_at.is_due(now) && self.is_responsible_for(server.key.0)
         };
         let asked = self.servers.values().filter(|it| may_ask(it)).map(|it| it.key);
--- a/sl-route/src/state/listing.rs
+++ b/sl-route/src/state/listing.rs
@@ -31,7 +31,7 @@
 
 /// Delay before a new engine is asked for its cache contents. A peer may send them before
 /// that, at a lower cost.
-const FIRST_LIST_DELAY: Millis = Millis(350);
+pub(super) const FIRST_LIST_DELAY: Millis = Millis(350);
 
 const MILLIS_PER_SECOND: f64 = 1_000.0;
 
--- a/sl-route/src/state/notices.rs
+++ b/sl-route/src/state/notices.rs
@@ -62,6 +62,7 @@
 
     pub(super) fn on_store_restored(&mut self, now: Timestamp) {
         self.directory.begin_restore(now);
+        self.evacuations.begin_restore(now);
         self.effects.push(Effect::Log(Decision::StoreRestored));
     }
 }
--- a/sl-route/tests/it/main.rs
+++ b/sl-route/tests/it/main.rs
@@ -7,6 +7,7 @@
 mod connections;
 mod crash_detector;
 mod engine;
+mod evacuation;
 mod fairness;
 mod fleet;
 mod health;
