--- a/bench/src/soak.rs
+++ b/bench/src/soak.rs
@@ -64,6 +64,10 @@
 /// How long the fleet may take to recover once the faults have ended.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(12);
 
+/// How long after the demand requests may still arrive in an evacuated data centre: `evacuate_ms` of
+/// docs/work-2026-12-04.md.
+const EVACUATION_BOUND: Duration = Duration::from_secs(5);
+
 /// Number of requests that are sent once the faults have ended, and that all have to succeed.
 const FINAL_REQUESTS: usize = 24;
 
@@ -128,7 +132,9 @@
         task.await.map_err(io::Error::other)?;
     }
     testbed.end_all_faults().await?;
-    outcome.violations.extend(check_recovery(&testbed, &caller_addresses, &record_log).await);
+    let recovered = check_recovery(&testbed, &caller_addresses, &record_log, "last").await;
+    outcome.violations.extend(recovered);
+    outcome.violations.extend(check_evacuation(&mut testbed, &caller_addresses, &record_log).await);
     outcome.violations.extend(check::exited_instances(&mut testbed));
     let records = record_log.all();
     let servers: Vec<&Server> = testbed.all_servers().collect();
@@ -143,12 +149,37 @@
     Ok(outcome)
 }
 
+/// Checks that nothing is sent to an evacuated data centre once the bound has passed, and that the
+/// other servers serve every kind of request meanwhile.
+async fn check_evacuation(
+    testbed: &mut Testbed,
+    caller_addresses: &[SocketAddr],
+    record_log: &RecordLog,
+) -> Vec<Violation> {
+    testbed.set_evacuated(true);
+    tokio::time::sleep(EVACUATION_BOUND).await;
+    let since = std::time::Instant::now();
+    let mut violations = check_recovery(testbed, caller_addresses, record_log, "evacuated").await;
+    let evacuated =
+        testbed.all_servers().filter(|it| it.spec.data_centre == plan::EVACUATED_DATA_CENTRE);
+    for server in evacuated {
+        let arrivals = server.arrivals().into_iter().chain(server.cache_lists());
+        let requests = arrivals.filter(|it| *it >= since).count();
+        if requests > 0 {
+            let server = server.spec.id.clone();
+            violations.push(Violation::SentToEvacuated { server, requests });
+        }
+    }
+    violations
+}
+
 /// Checks that every instance serves every kind of request under the latest configuration
-/// once all faults have ended.
+/// once all faults have ended. The ids of the attempts begin with `prefix`.
 async fn check_recovery(
     testbed: &Testbed,
     caller_addresses: &[SocketAddr],
     record_log: &RecordLog,
+    prefix: &str,
 ) -> Vec<Violation> {
     let deadline = Instant::now() + RECOVERY_TIMEOUT;
     let mut violations = Vec::new();
@@ -158,7 +189,7 @@
         let mut tries = 0;
         loop {
             tries += 1;
-            let attempt_id = format!("last-{i}-{tries}");
+            let attempt_id = format!("{prefix}-{i}-{tries}");
             let record =
                 callers::call_once(caller, kind, attempt_id, testbed.config_version()).await;
             let is_served = record.status == 200 && record.is_complete;
@@ -177,8 +208,11 @@
 }
 
 impl Testbed {
-    async fn new(fleet: Fleet) -> io::Result<Testbed> {
+    async fn new(mut fleet: Fleet) -> io::Result<Testbed> {
         let mut server_relays = Vec::new();
+        for server in fleet.servers.iter_mut().skip(1).step_by(2) {
+            server.spec.data_centre = plan::EVACUATED_DATA_CENTRE.to_owned();
+        }
         for server in &fleet.servers {
             let relay = Relay::start(ANY_PORT, server.address()).await?;
             server.register_at(&fleet.store, relay.address(), "ready");
@@ -190,6 +224,7 @@
             replaced_servers: Vec::new(),
             config_version: 1,
             paused: Vec::new(),
+            is_evacuated: false,
             backup: None,
         };
         // Gives the instances time to replace the server addresses that they already know by
--- a/bench/src/soak/check.rs
+++ b/bench/src/soak/check.rs
@@ -53,6 +53,13 @@
         /// The executed request.
         request: Box<ExecutedRequest>,
     },
+    /// Requests were sent to a server of an evacuated data centre after the bound.
+    SentToEvacuated {
+        /// Id of the server.
+        server: String,
+        /// Number of requests, cache listings among them.
+        requests: usize,
+    },
     /// The process of an instance exited without a signal from the soak.
     UnexpectedExit {
         /// Name of the instance.
--- a/bench/src/soak/plan.rs
+++ b/bench/src/soak/plan.rs
@@ -50,6 +50,8 @@
     RestoreStore,
     /// Makes the server announce its shutdown in its responses, and then replaces it.
     AnnounceDrain(usize),
+    /// Demands the evacuation of [`EVACUATED_DATA_CENTRE`], or lifts it.
+    Evacuate(bool),
 }
 
 /// A fault of a network link.
@@ -83,6 +85,8 @@
     pub(crate) config_version: u64,
     /// Indexes of the suspended instances.
     pub(crate) paused: Vec<usize>,
+    /// Whether an evacuation is demanded.
+    pub(crate) is_evacuated: bool,
     /// The copy of the store from which it is restored next.
     pub(crate) backup: Option<store::Backup>,
 }
@@ -109,6 +113,12 @@
 /// milliseconds.
 const RELEASE_MEAN_INTERVAL_MS: u64 = 1_500;
 
+/// The mean interval between two changes of the evacuation, in milliseconds.
+const EVACUATION_MEAN_INTERVAL_MS: u64 = 1_500;
+
+/// The data centre that is evacuated, in which every second server is.
+pub(crate) const EVACUATED_DATA_CENTRE: &str = "there";
+
 /// The limits that servers name, in requests in ten seconds.
 const LIMITS: std::ops::Range<u32> = 20..200;
 
@@ -142,6 +152,9 @@
     faults.extend(draw_schedule(rng, duration, RELEASE_MEAN_INTERVAL_MS, |rng| {
         Fault::Release(rng.random_range(0..SERVER_COUNT))
     }));
+    faults.extend(draw_schedule(rng, duration, EVACUATION_MEAN_INTERVAL_MS, |rng| {
+        Fault::Evacuate(rng.random_bool(0.5))
+    }));
     faults.sort_by_key(|it| it.0);
     faults
 }
@@ -306,6 +319,7 @@
                 let document = configuration(self.config_version);
                 self.fleet.store.put(document::CONFIG_KEY, &document);
             }
+            Fault::Evacuate(is_evacuated) => self.set_evacuated(is_evacuated),
             Fault::RestoreStore => self.copy_or_restore_store().await,
             Fault::AnnounceDrain(index) => {
                 self.fleet.servers[index].set_fault(server::Fault::AnnouncesDrain);
@@ -316,6 +330,17 @@
         Ok(())
     }
 
+    /// Demands the evacuation in the store, or lifts it.
+    pub(crate) fn set_evacuated(&mut self, is_evacuated: bool) {
+        self.is_evacuated = is_evacuated;
+        let key = document::evacuation_key(EVACUATED_DATA_CENTRE);
+        if is_evacuated {
+            self.fleet.store.put(&key, &serde_json::json!({}));
+        } else {
+            self.fleet.store.remove(&key);
+        }
+    }
+
     async fn copy_or_restore_store(&mut self) {
         let store = &self.fleet.store;
         let Some(backup) = self.backup.take() else {
@@ -325,6 +350,8 @@
         store.restore(backup);
         tokio::time::sleep(REWRITE_DELAY).await;
         store.put(document::CONFIG_KEY, &configuration(self.config_version));
+        self.set_evacuated(self.is_evacuated);
+        let store = &self.fleet.store;
         let (relays, replaced_relays) = self.server_relays.split_at(self.fleet.servers.len());
         for (server, relay) in self.fleet.servers.iter().zip(relays) {
             server.register_at(store, relay.address(), "ready");
@@ -345,6 +372,7 @@
             server.set_fault(server::Fault::None);
             server.set_request_limit(None);
         }
+        self.set_evacuated(false);
         for index in 0..self.fleet.instances.len() {
             self.resume(index);
         }
--- a/sl-base/src/status.rs
+++ b/sl-base/src/status.rs
@@ -16,6 +16,10 @@
     /// The ids of known instances that did not respond.
     #[serde(rename = "silent")]
     pub unreachable: Vec<String>,
+    /// The data centres that the operator has evacuated, as seen by the instance that serves the
+    /// report, sorted by name.
+    #[serde(default)]
+    pub evacuated: Vec<String>,
     /// The backend servers as seen by the instance that serves the report.
     pub servers: Vec<ServerStatus>,
 }
--- a/sl-core/src/cli/args.rs
+++ b/sl-core/src/cli/args.rs
@@ -142,7 +142,10 @@
     operator_command(address, options)
         .map(Command::Drain)
         .to_options()
-        .descr("Start a graceful shutdown of one instance.")
+        .descr(
+            "Start a graceful shutdown of one instance. This does not evacuate a data centre: that is \
+             done by the entry `op/evacuate/DATA_CENTRE` of the platform's store.",
+        )
         .footer("Example:\n  sesamelock drain http://127.0.0.1:8102 --wait-ms 60000")
         .command("drain")
 }
--- a/sl-core/src/status/table.rs
+++ b/sl-core/src/status/table.rs
@@ -6,6 +6,9 @@
 
 pub(super) fn write(fleet: &FleetStatus, out: &mut impl io::Write) -> io::Result<()> {
     writeln!(out, "configuration version {}\n", fleet.document_version)?;
+    for data_centre in &fleet.evacuated {
+        writeln!(out, "evacuated: data centre {data_centre}")?;
+    }
     write_instances(fleet, out)?;
     writeln!(out)?;
     write_servers(fleet, out)
--- a/sl-edge/src/handle.rs
+++ b/sl-edge/src/handle.rs
@@ -41,6 +41,8 @@
 pub(crate) struct FleetView {
     pub(crate) own_status: InstanceStatus,
     pub(crate) peers: Vec<(InstanceId, SocketAddr)>,
+    /// The evacuated data centres, sorted by name.
+    pub(crate) evacuated: Vec<String>,
     pub(crate) servers: Vec<ServerStatus>,
     /// The service level objectives of each route, by route name.
     pub(crate) objectives: std::collections::HashMap<String, Objective>,
@@ -83,7 +85,8 @@
         instances.sort_by(|a, b| a.name.cmp(&b.name));
         let document_version =
             instances.iter().map(|it| it.document_version).max().unwrap_or_default();
-        Some(FleetStatus { document_version, instances, unreachable, servers: fleet.servers })
+        let FleetView { evacuated, servers, .. } = fleet;
+        Some(FleetStatus { document_version, instances, unreachable, evacuated, servers })
     }
 
     async fn fleet_report(&self) -> Option<Report> {
--- a/sl-edge/src/metrics.rs
+++ b/sl-edge/src/metrics.rs
@@ -29,6 +29,12 @@
     name: String,
 }
 
+/// The label of an evacuated data centre.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct DataCentreLabel {
+    data_centre: String,
+}
+
 /// The labels of requests counted by route.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct RouteOutcomeLabels {
@@ -74,6 +80,8 @@
     pub server_attempts: Family<NameOutcomeLabels, Counter>,
     /// Retries left in this instance's budget, by service.
     pub retries_left: Family<NameLabel, FloatGauge>,
+    /// 1 while the operator has evacuated a data centre, and 0 afterwards.
+    pub evacuated: Family<DataCentreLabel, Gauge>,
     /// Servers that name a limit on the requests of all instances.
     pub limited_servers: Gauge,
     /// Seconds since the configuration came into force here.
@@ -138,6 +146,7 @@
             team_tokens: Family::default(),
             server_attempts: Family::default(),
             retries_left: Family::default(),
+            evacuated: Family::default(),
             limited_servers: Gauge::default(),
             document_age: Gauge::default(),
             store_age: Gauge::default(),
@@ -222,6 +231,8 @@
                 self.record_attempt(server, "begun");
                 self.first_byte_delay.observe((took_ms - expected_ms).max(0.0));
             }
+            Decision::DataCentreEvacuated { data_centre, .. } => self.set_evacuated(data_centre, 1),
+            Decision::DataCentreReturned { data_centre, .. } => self.set_evacuated(data_centre, 0),
             Decision::TeamActivity { tokens, .. } => self.record_team_tokens(tokens),
             Decision::StreamResumed { known, .. } => {
                 self.streams_resumed.get_or_create(&name_label(known.to_string())).inc();
@@ -230,6 +241,11 @@
         }
     }
 
+    fn set_evacuated(&self, data_centre: &str, value: i64) {
+        let label = DataCentreLabel { data_centre: data_centre.to_owned() };
+        self.evacuated.get_or_create(&label).set(value);
+    }
+
     fn record_team_tokens(&self, tokens: &TeamTokens) {
         let count = |outcome: &str, tokens_count: u64| {
             let labels = self.name_outcome_labels(&tokens.team.name, outcome);
@@ -262,6 +278,7 @@
             "Attempts by server and outcome",
             self.server_attempts.clone(),
         );
+        it.register("evacuated", "Whether the data centre is evacuated", self.evacuated.clone());
         it.register(
             "limited_servers",
             "Servers that name a limit on the requests of all instances",
--- a/sl-edge/src/query_handler.rs
+++ b/sl-edge/src/query_handler.rs
@@ -78,10 +78,13 @@
         let others = self.peer_table.all().into_iter().filter(|(id, _)| *id != own_id);
         let mut servers: Vec<ServerStatus> =
             self.core.with_state(|it| it.servers().map(|it| server_status(now, it)).collect());
+        let evacuated =
+            self.core.with_state(|it| it.evacuations().names().map(ToString::to_string).collect());
         servers.sort_by(|a, b| a.id.cmp(&b.id));
         FleetView {
             own_status: self.status(),
             peers: others.map(|(id, it)| (id, it.control)).collect(),
+            evacuated,
             servers,
             objectives: self.objectives(),
         }
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -4,6 +4,7 @@
 mod callers;
 mod crashes;
 mod endless;
+mod evacuation;
 mod failure;
 mod late_copies;
 mod limits;
