Allowed regions of routes and teams

Requests of a team that may be served in one region only went to servers of any data centre, since allowed_regions was not decoded.

allowed_regions of routes and tenants are decoded, and Requirements::allows compares them with the region of the server's data centre, so that they bind for retries, moves, resumed streams and fetches as well. The regions come from the settings, section [regions], which deploy/settings.ini renders from the platform's table zones; they may change while the instance runs. Region names may be any text, so that none keeps an instance from starting. Without the fields and the section nothing changes.

The load model gets a load in which the data centre of half of the engines is evacuated; every kind is still served, with the bounds of half_lost.

--- a/bench/src/load/fleet.rs
+++ b/bench/src/load/fleet.rs
@@ -4,14 +4,14 @@
 
 use sl_base::{Millis, ServiceId, Timestamp};
 use sl_route::{
-    Document, Event, Limits, RetryPolicy, Route, ServerRecord, ServerState, Service, State, budget,
-    document::EngineLimits, event,
+    AllowedRegions, Document, Event, Limits, Regions, RetryPolicy, Route, ServerRecord,
+    ServerState, Service, State, budget, document::EngineLimits, event,
 };
 
 use super::{
     engine::{KV_CAPACITY_TOKENS, SLOTS, TOKENS_PER_EVENT},
     play::Options,
-    traffic::KINDS,
+    traffic::{KINDS, Load},
 };
 
 /// Name of the service to which the engines belong.
@@ -60,6 +60,14 @@
     }
 }
 
+/// The data centre that is evacuated in the load [`Load::Evacuated`].
+pub(super) const EVACUATED_DATA_CENTRE: &str = "there";
+
+fn data_centre(options: Options, engine: usize) -> Arc<str> {
+    let is_evacuated = options.load == Load::Evacuated && engine.is_multiple_of(2);
+    if is_evacuated { EVACUATED_DATA_CENTRE.into() } else { "here".into() }
+}
+
 /// An instance that knows all engines.
 pub(super) fn instance(options: Options, index: usize) -> State {
     let budget = budget::Options { ratio: 0.2, allowance: 160.0, window: Millis(10_000) };
@@ -67,6 +75,7 @@
         sl_route::Options {
             instance: index as u32,
             data_centre: "here".to_owned(),
+            regions: Regions::default(),
             seed: options.seed ^ index as u64,
             limits: event::InstanceLimits { budget, max_in_flight: 10_000 },
             share_window: Millis(4_000),
@@ -75,7 +84,8 @@
     );
     state.step(START, Event::Document(Arc::new(document(options))));
     for engine in 0..options.engines {
-        state.step(START, Event::ServerListed(record(engine)));
+        let record = ServerRecord { data_centre: data_centre(options, engine), ..record(engine) };
+        state.step(START, Event::ServerListed(record));
     }
     state.step(START, Event::InstanceCount(options.instances));
     state
@@ -96,5 +106,6 @@
         priority: 1,
         allows_anonymous: false,
         target_gap: None,
+        allowed_regions: AllowedRegions::default(),
     })
 }
--- a/bench/src/load/play.rs
+++ b/bench/src/load/play.rs
@@ -9,7 +9,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use sl_base::{Millis, RequestId, ServiceId, TeamId, Timestamp};
-use sl_route::{Arrival, AttemptEnd, Effect, Event, Fault, ServerKey, State, Team};
+use sl_route::{AllowedRegions, Arrival, AttemptEnd, Effect, Event, Fault, ServerKey, State, Team};
 
 use super::{
     engine::{Engine, Job, ProcessedParts},
@@ -137,6 +137,11 @@
             );
         }
         self.schedule_at(START, SimEvent::Tick);
+        if load == Load::Evacuated {
+            let [start, end] = [Load::DISTURBANCE_MS.start, Load::DISTURBANCE_MS.end];
+            self.schedule_at(START.after(Millis(start)), SimEvent::Evacuate);
+            self.schedule_at(START.after(Millis(end)), SimEvent::EndEvacuation);
+        }
         if load == Load::HalfLost {
             self.schedule_at(
                 START.after(Millis(Load::DISTURBANCE_MS.start)),
@@ -166,6 +171,12 @@
                 self.step(instance, Event::NotesReceived { from: from as u32, notes });
             }
             SimEvent::Tick => self.tick(),
+            SimEvent::Evacuate => {
+                self.step_all(|data_centre| Event::EvacuationRequested { data_centre })
+            }
+            SimEvent::EndEvacuation => {
+                self.step_all(|data_centre| Event::EvacuationLifted { data_centre });
+            }
             SimEvent::EnginesFail => self.fail_engines(),
             SimEvent::EnginesRecover => self.restore_engines(),
         }
@@ -192,7 +203,8 @@
         }
         let caller_request = self.calls[call].caller_request.clone();
         let name = format!("team-{}", caller_request.team);
-        let team = Team { id: TeamId::of(&name), name, priority: 1 };
+        let allowed_regions = AllowedRegions::default();
+        let team = Team { id: TeamId::of(&name), name, priority: 1, allowed_regions };
         let deadline = START
             .after(Millis(caller_request.sent_at_ms))
             .after(KINDS[caller_request.kind].timeout);
@@ -369,6 +381,13 @@
         self.schedule_after(TICK_INTERVAL, SimEvent::Tick);
     }
 
+    /// Passes an event about the evacuated data centre to all instances.
+    fn step_all(&mut self, event: impl Fn(Arc<str>) -> Event) {
+        for instance in 0..self.options.instances {
+            self.step(instance, event(fleet::EVACUATED_DATA_CENTRE.into()));
+        }
+    }
+
     fn fail_engines(&mut self) {
         for engine in (0..self.options.engines).step_by(2) {
             for job in self.engines[engine].fail() {
--- a/bench/src/load/queue.rs
+++ b/bench/src/load/queue.rs
@@ -45,6 +45,8 @@
     },
     Tick,
     /// Every second engine fails.
+    Evacuate,
+    EndEvacuation,
     EnginesFail,
     /// The failed engines are available again, as new incarnations.
     EnginesRecover,
--- a/bench/src/load/traffic.rs
+++ b/bench/src/load/traffic.rs
@@ -81,6 +81,8 @@
     GreedyTeam,
     /// Half of the engines are down.
     HalfLost,
+    /// The data centre of half of the engines is evacuated; their requests in flight go on.
+    Evacuated,
     /// Three times as many requests all the time, with prompts whose lengths differ by far more
     /// than usual.
     LongTail,
--- a/bench/tests/it/loads.rs
+++ b/bench/tests/it/loads.rs
@@ -36,11 +36,12 @@
     assert!(tally.credit_disturbed >= 0.9 * calm.credit_disturbed, "{tally:?}");
 }
 
-/// Under far more requests than the engines can serve, and with half of the engines down, the
+/// Under far more requests than the engines can serve, and with half of the engines down or evacuated, the
 /// fleet refuses the rest, and serves more than half of the requests of every kind in time.
 #[rstest]
 #[case::flood(Load::Flood)]
 #[case::half_lost(Load::HalfLost)]
+#[case::half_evacuated(Load::Evacuated)]
 fn excess_requests_are_refused_and_every_kind_is_served(#[case] load: Load) {
     let tally = simulate_30_s(load, Policy::Notes);
     for kind in &tally.kinds {
--- a/sl-config/src/raw.rs
+++ b/sl-config/src/raw.rs
@@ -55,6 +55,18 @@
     }
 }
 
+/// Name of a region: any text, as the platform chooses it and it is only compared. May be empty.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct RegionName(pub(crate) String);
+
+impl TryFrom<RawValue<'_>> for RegionName {
+    type Error = Expected;
+
+    fn try_from(RawValue(text): RawValue<'_>) -> Result<RegionName, Expected> {
+        Ok(RegionName(text.to_owned()))
+    }
+}
+
 /// Base URL of an HTTP service, without trailing slashes.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct BaseUrl(pub(crate) String);
--- a/sl-config/src/reader.rs
+++ b/sl-config/src/reader.rs
@@ -20,7 +20,7 @@
 pub(crate) struct Reader<'a, 'f> {
     section: &'a Section<'a>,
     faults: &'f mut Vec<Fault>,
-    known_keys: Vec<&'static str>,
+    known_keys: Vec<&'a str>,
 }
 
 impl<'a, 'f> Reader<'a, 'f> {
@@ -55,6 +55,23 @@
         self.optional(key)
     }
 
+    /// Returns the keys of a section that may have any keys, with their values; adds a fault for
+    /// each invalid value.
+    pub(crate) fn all<T>(&mut self) -> Vec<(&'a str, T)>
+    where
+        T: TryFrom<RawValue<'a>, Error = Expected>,
+    {
+        let mut values = Vec::new();
+        for entry in &self.section.entries {
+            self.known_keys.push(entry.key.text);
+            match T::try_from(RawValue(entry.value.text)) {
+                Ok(value) => values.push((entry.key.text, value)),
+                Err(Expected(expected)) => self.invalid_value(*entry, expected),
+            }
+        }
+        values
+    }
+
     /// Returns an integer within `range`, or `default` if the key is absent or, with a fault, if
     /// the value is invalid.
     pub(crate) fn number<N>(
--- a/sl-config/src/settings.rs
+++ b/sl-config/src/settings.rs
@@ -38,6 +38,8 @@
     pub periods: Periods,
     /// Accounting of the teams' shares of engine capacity.
     pub sharing: Sharing,
+    /// Data centres with their regions.
+    pub regions: Vec<(String, String)>,
     /// Service-level objectives of the burn report.
     pub objectives: Objectives,
     /// Retry budget of the fleet for each service.
--- a/sl-config/src/settings/read.rs
+++ b/sl-config/src/settings/read.rs
@@ -10,12 +10,15 @@
     fault::{Fault, Problem},
     ini::{self, Section},
     key::KeySource,
-    raw::{Amount, BaseUrl, Expected, Hashes, Name, Percent, Ratio, RawValue, SeedInstances},
+    raw::{
+        Amount, BaseUrl, Expected, Hashes, Name, Percent, Ratio, RawValue, RegionName,
+        SeedInstances,
+    },
     reader::Reader,
 };
 
 /// Names of all sections.
-const SECTIONS: [&str; 10] = [
+const SECTIONS: [&str; 11] = [
     "instance",
     "listen",
     "platform",
@@ -24,6 +27,7 @@
     "periods",
     "sharing",
     "retries",
+    "regions",
     "objectives",
     "log",
 ];
@@ -99,6 +103,7 @@
     let sharing = sections.optional("sharing", read_sharing);
     let objectives = sections.optional("objectives", read_objectives);
     let retry_budget = sections.optional("retries", read_retry_budget);
+    let regions = sections.optional("regions", read_regions);
     let log = sections.optional("log", read_log);
     let instance = instance?;
     Some(Settings {
@@ -114,6 +119,7 @@
         periods,
         sharing,
         retry_budget,
+        regions,
         objectives,
         log,
     })
@@ -266,6 +272,13 @@
     }
 }
 
+fn read_regions(reader: &mut Reader<'_, '_>) -> Vec<(String, String)> {
+    let regions = reader.all::<RegionName>().into_iter();
+    // A data centre without a region is one whose region is unknown.
+    let regions = regions.filter(|(_, region)| !region.0.is_empty());
+    regions.map(|(data_centre, region)| (data_centre.to_owned(), region.0)).collect()
+}
+
 fn read_log(reader: &mut Reader<'_, '_>) -> Log {
     let defaults = Log::default();
     Log {
--- a/sl-config/tests/it/settings.rs
+++ b/sl-config/tests/it/settings.rs
@@ -13,6 +13,30 @@
     faults.faults().iter().map(|it| faults.line(it)).collect()
 }
 
+// Guards against a section without data centres, or with names that the platform chooses freely, that
+// keeps an instance from starting, and against a region that is lost.
+#[test]
+fn regions_may_have_any_names_and_none_is_needed() {
+    let start = VALID.find("[regions]").unwrap();
+    let end = start + VALID[start..].find("[objectives]").unwrap();
+    let parse = |section: &str| {
+        let text = format!("{}{section}{}", &VALID[..start], &VALID[end..]);
+        Settings::parse("settings.ini", &text).unwrap().regions
+    };
+    assert_eq!(parse(""), []);
+    assert_eq!(parse("[regions]\n"), []);
+    let named = |data_centre: &str, region: &str| (data_centre.to_owned(), region.to_owned());
+    let expected = [named("caerdydd", "Cymru (south)"), named("b-2", "gogledd")];
+    assert_eq!(parse("[regions]\ncaerdydd = Cymru (south)\nc =\nb-2 = gogledd\n"), expected);
+}
+
+// Guards against one of two regions of a data centre that counts without notice.
+#[test]
+fn a_data_centre_with_two_regions_is_a_fault() {
+    let text = VALID.replace("[regions]\n", "[regions]\nbangor = cymru\nbangor = lloegr\n");
+    assert_eq!(faults(&text).faults().len(), 1);
+}
+
 #[test]
 fn all_faults_are_reported_with_their_lines() {
     let text = VALID
--- a/sl-core/tests/it/template.rs
+++ b/sl-core/tests/it/template.rs
@@ -53,6 +53,14 @@
     (outcome.exit(), String::from_utf8(out).unwrap())
 }
 
+// Guards against instances that do not start where the platform names regions.
+#[test]
+fn the_deployed_template_is_valid_with_regions() {
+    let values = format!("{VALUES}\n[zones]\nz1 = \"Cymru\"\nz-2 = \"Y Gogledd (2)\"\n");
+    let (exit, text) = run_check(TEMPLATE, &values, OutputFormat::Text);
+    assert_eq!(exit, Exit::Done, "{text}");
+}
+
 #[test]
 fn the_deployed_template_is_valid() {
     let (exit, text) = run_check(TEMPLATE, VALUES, OutputFormat::Text);
--- a/sl-edge/src/run.rs
+++ b/sl-edge/src/run.rs
@@ -12,7 +12,7 @@
 use sl_base::{Incarnation, InstanceId, Millis, ServiceId};
 use sl_config::{Settings, key::KeyError};
 use sl_peer::{HandshakeKey, Hello, Links};
-use sl_route::{Event, Options, State, budget, event::InstanceLimits};
+use sl_route::{Event, Options, Regions, State, budget, event::InstanceLimits};
 use slog::{info, warn};
 use tokio::{
     net::{TcpListener, UdpSocket},
@@ -411,12 +411,18 @@
     Ok(Options {
         instance: settings.id().0,
         data_centre: settings.data_centre.clone(),
+        regions: regions(settings),
         seed,
         limits: limits(settings),
         share_window: settings.sharing.window,
     })
 }
 
+/// The region of each data centre.
+pub(crate) fn regions(settings: &Settings) -> Regions {
+    settings.regions.iter().cloned().collect()
+}
+
 /// The limits that the settings impose on the reducer.
 pub(crate) fn limits(settings: &Settings) -> InstanceLimits {
     InstanceLimits {
--- a/sl-route/src/document.rs
+++ b/sl-route/src/document.rs
@@ -5,6 +5,8 @@
 use sl_base::{Millis, ServiceId, TeamId};
 use strum::{Display, IntoStaticStr};
 
+use crate::AllowedRegions;
+
 /// One version of the operators' configuration. The version in force only increases while the
 /// process runs.
 #[derive(Clone, Debug, Default)]
@@ -48,6 +50,8 @@
     pub allows_anonymous: bool,
     /// The target for the longest interval between two events of a stream.
     pub target_gap: Option<Millis>,
+    /// The regions in which the route's requests may be served.
+    pub allowed_regions: AllowedRegions,
 }
 
 /// Whether a request that may have run may be run again.
@@ -140,6 +144,8 @@
     /// The priority of the team's requests, which takes precedence over that of the route; 0 is
     /// the most urgent.
     pub priority: u8,
+    /// The regions in which the team's requests may be served.
+    pub allowed_regions: AllowedRegions,
 }
 
 impl Document {
--- a/sl-route/src/event.rs
+++ b/sl-route/src/event.rs
@@ -7,7 +7,7 @@
 use strum::{Display, IntoStaticStr};
 
 use crate::{
-    Document, Notes, Prompt, PromptPart, Route, ServerKey, ServerRecord, Team, budget,
+    Document, Notes, Prompt, PromptPart, Regions, Route, ServerKey, ServerRecord, Team, budget,
     note::EngineCaches,
     stream_origin::{StreamOrigin, StreamRequest},
 };
@@ -123,6 +123,8 @@
     StoreRestored,
     /// The limits in the settings changed.
     Limits(InstanceLimits),
+    /// The regions of the data centres in the settings changed.
+    Regions(Regions),
     /// The number of instances in the fleet, including this one.
     InstanceCount(usize),
     /// The fraction of each server's connections that this instance may open.
--- a/sl-route/src/place.rs
+++ b/sl-route/src/place.rs
@@ -8,6 +8,7 @@
     admission::AdmissionLimits,
     engine::Engine,
     evacuation::Evacuations,
+    region::RegionLimits,
     server::{PlainServer, Server, ServerKind},
     stream_origin::StreamOrigin,
 };
@@ -29,6 +30,8 @@
     pub data_centre: &'a str,
     /// The data centres whose servers get nothing.
     pub evacuations: &'a Evacuations,
+    /// The regions in which the request may be served.
+    pub regions: RegionLimits<'a>,
     /// Where the stream began that the request goes on with; `None` if any server will do.
     pub origin: Option<&'a StreamOrigin>,
     /// Whether some slots and connections of each server are left to resumed streams.
@@ -38,9 +41,11 @@
 impl Requirements<'_> {
     fn allows(&self, server: &Server) -> bool {
         let has_right_version = self.origin.is_none_or(|it| it.allows(server));
-        let is_evacuated = self.evacuations.contains(&server.record.data_centre);
+        let data_centre = &server.record.data_centre;
+        let is_allowed_there =
+            !self.evacuations.contains(data_centre) && self.regions.allows(data_centre);
         has_right_version
-            && !is_evacuated
+            && is_allowed_there
             && server.is_in_service()
             && !self.tried.contains(&server.key)
     }
--- a/sl-route/src/state.rs
+++ b/sl-route/src/state.rs
@@ -20,7 +20,7 @@
 use sl_base::{Millis, RequestId, ServiceId, TeamId, Timestamp};
 
 use crate::{
-    Decision, Directory, Document, Effect, Event, Notes, ServerKey,
+    Decision, Directory, Document, Effect, Event, Notes, Regions, ServerKey,
     activity::Activity,
     budget::Budget,
     crash_causes::CrashCauses,
@@ -36,13 +36,15 @@
     stream_origin::StreamOrigins,
 };
 
-/// Parameters of an instance, fixed at its start except for `limits`.
+/// Parameters of an instance, fixed at its start except for `limits` and `regions`.
 #[derive(Clone, Debug)]
 pub struct Options {
     /// This instance's id, unique among its peers.
     pub instance: u32,
     /// The data centre in which the instance runs.
     pub data_centre: String,
+    /// The region of each data centre from settings; replaced on `Event::Regions`.
+    pub regions: Regions,
     /// Seed of the random number generator.
     pub seed: u64,
     /// Limits from settings; replaced on `Event::Limits`.
@@ -182,6 +184,7 @@
                 self.options.limits = limits;
                 self.budget.set_options(limits.budget);
             }
+            Event::Regions(regions) => self.options.regions = regions,
             Event::ConnectionShare(share) => self.connection_share = share,
             Event::InstanceCount(instances) => self.on_instance_count(now, instances),
         }
--- a/sl-route/src/state/admit.rs
+++ b/sl-route/src/state/admit.rs
@@ -12,6 +12,7 @@
     admission::AdmissionLimits,
     note::Note,
     place::{self, LowestEstimates, PlacementError, Requirements},
+    region::RegionLimits,
     request::InFlightRequest,
     share::Standing,
 };
@@ -144,6 +145,11 @@
             remaining_ms: in_flight.arrival.deadline().remaining(now).0 as f64,
             data_centre: &self.options.data_centre,
             evacuations: &self.evacuations,
+            regions: RegionLimits {
+                regions: &self.options.regions,
+                route: &in_flight.arrival.route.allowed_regions,
+                team: in_flight.arrival.team.as_ref().map(|it| &it.allowed_regions),
+            },
             origin: in_flight.origin.as_ref(),
             keeps_room: self.keeps_room_for_streams(&in_flight.arrival),
         }
--- a/sl-route/tests/it/main.rs
+++ b/sl-route/tests/it/main.rs
@@ -15,6 +15,7 @@
 mod notices;
 mod part_crashes;
 mod place;
+mod region;
 mod request_crashes;
 mod restore;
 mod retry;
--- a/sl-route/tests/it/testbed.rs
+++ b/sl-route/tests/it/testbed.rs
@@ -4,9 +4,9 @@
 
 use sl_base::{Millis, RequestId, ServiceId, TeamId, Timestamp};
 use sl_route::{
-    Arrival, AttemptEnd, Document, Effect, Event, Fault, Limits, Options, Prompt, PromptPart,
-    RetryPolicy, Route, ServerRecord, ServerState, Service, State, Team, budget,
-    document::EngineLimits, effect::Target, event,
+    AllowedRegions, Arrival, AttemptEnd, Document, Effect, Event, Fault, Limits, Options, Prompt,
+    PromptPart, Regions, RetryPolicy, Route, ServerRecord, ServerState, Service, State, Team,
+    budget, document::EngineLimits, effect::Target, event,
 };
 
 pub const START: Timestamp = Timestamp::from_micros(1_000_000_000);
@@ -21,6 +21,7 @@
     Options {
         instance,
         data_centre: DATA_CENTRE.to_owned(),
+        regions: Regions::default(),
         seed: 7,
         limits: event::InstanceLimits { budget, max_in_flight: 100 },
         share_window: Millis(4_000),
@@ -40,6 +41,7 @@
         priority: 1,
         allows_anonymous: false,
         target_gap: None,
+        allowed_regions: AllowedRegions::default(),
     })
 }
 
@@ -85,7 +87,8 @@
 }
 
 pub fn team(name: &str) -> Arc<Team> {
-    Arc::new(Team { name: name.to_owned(), id: TeamId::of(name), priority: 1 })
+    let allowed_regions = AllowedRegions::default();
+    Arc::new(Team { name: name.to_owned(), id: TeamId::of(name), priority: 1, allowed_regions })
 }
 
 /// A prompt with one part that other prompts may share and one part of its own.
