bench: the load with an evacuation counts attempts that reach the data centre

The bounds on what is served hold also for instances that ignore the evacuation, since the load then equals the calm one.

--- a/bench/src/load/fleet.rs
+++ b/bench/src/load/fleet.rs
@@ -63,8 +63,13 @@
 /// The data centre that is evacuated in the load [`Load::Evacuated`].
 pub(super) const EVACUATED_DATA_CENTRE: &str = "there";
 
+/// Whether the engine is in that data centre.
+pub(super) fn is_in_evacuated_data_centre(engine: usize) -> bool {
+    engine.is_multiple_of(2)
+}
+
 fn data_centre(options: Options, engine: usize) -> Arc<str> {
-    let is_evacuated = options.load == Load::Evacuated && engine.is_multiple_of(2);
+    let is_evacuated = options.load == Load::Evacuated && is_in_evacuated_data_centre(engine);
     if is_evacuated { EVACUATED_DATA_CENTRE.into() } else { "here".into() }
 }
 
--- a/bench/src/load/play.rs
+++ b/bench/src/load/play.rs
@@ -59,6 +59,7 @@
     engine_by_key: HashMap<ServerKey, usize>,
     processed_parts: ProcessedParts,
     calls: Vec<Call>,
+    is_evacuated: bool,
     tally: Tally,
 }
 
@@ -102,6 +103,7 @@
             engine_by_key: (0..options.engines).map(|it| (fleet::record(it).key(), it)).collect(),
             processed_parts: ProcessedParts::default(),
             calls: Vec::new(),
+            is_evacuated: false,
             tally: Tally::new(),
         }
     }
@@ -172,9 +174,11 @@
             }
             SimEvent::Tick => self.tick(),
             SimEvent::Evacuate => {
-                self.step_all(|data_centre| Event::EvacuationRequested { data_centre })
+                self.is_evacuated = true;
+                self.step_all(|data_centre| Event::EvacuationRequested { data_centre });
             }
             SimEvent::EndEvacuation => {
+                self.is_evacuated = false;
                 self.step_all(|data_centre| Event::EvacuationLifted { data_centre });
             }
             SimEvent::EnginesFail => self.fail_engines(),
@@ -277,6 +281,8 @@
         let call = &self.calls[request.0 as usize];
         let job = Job { instance, request: request.0, prompt: call.caller_request.prompt.clone() };
         if let Some(&engine) = self.engine_by_key.get(&server) {
+            let is_evacuated = self.is_evacuated && fleet::is_in_evacuated_data_centre(engine);
+            self.tally.sent_to_evacuated += u32::from(is_evacuated);
             self.schedule_after(NETWORK_DELAY, SimEvent::AttemptArrives { engine, job });
         }
     }
--- a/bench/src/load/tally.rs
+++ b/bench/src/load/tally.rs
@@ -55,6 +55,8 @@
     pub credit_disturbed: f64,
     /// The same for the team with the lowest share.
     pub worst_team: f64,
+    /// Number of attempts that were sent to engines of an evacuated data centre.
+    pub sent_to_evacuated: u32,
     /// Number of refusals, including those of requests that were retried.
     pub refusals: u32,
     /// Time to the first token in milliseconds: the median, the 95th and the 99th percentile.
--- a/bench/tests/it/loads.rs
+++ b/bench/tests/it/loads.rs
@@ -44,6 +44,7 @@
 #[case::half_evacuated(Load::Evacuated)]
 fn excess_requests_are_refused_and_every_kind_is_served(#[case] load: Load) {
     let tally = simulate_30_s(load, Policy::Notes);
+    assert_eq!(tally.sent_to_evacuated, 0);
     for kind in &tally.kinds {
         let served = f64::from(kind.in_time) / f64::from(kind.requests);
         assert!(served > 0.5, "{kind:?}");
