--- a/bench/src/soak/plan.rs
+++ b/bench/src/soak/plan.rs
@@ -54,6 +54,8 @@
     RestoreStore,
     /// Makes the server announce its shutdown in its responses, and then replaces it.
     AnnounceDrain(usize),
+    /// Demands the evacuation of [`EVACUATED_DATA_CENTRE`], or lifts it.
+    Evacuate(bool),
 }
 
 /// A fault of a network link.
@@ -87,6 +89,8 @@
     pub(crate) config_version: u64,
     /// Indexes of the suspended instances.
     pub(crate) paused: Vec<usize>,
+    /// Whether an evacuation is demanded.
+    pub(crate) is_evacuated: bool,
     /// The copy of the store from which it is restored next.
     pub(crate) backup: Option<store::Backup>,
 }
@@ -122,6 +126,12 @@
 /// milliseconds.
 const RELEASE_MEAN_INTERVAL_MS: u64 = 1_500;
 
+/// The mean interval between two changes of the evacuation, in milliseconds.
+const EVACUATION_MEAN_INTERVAL_MS: u64 = 1_500;
+
+/// The data centre that is evacuated, in which every second server is.
+pub(crate) const EVACUATED_DATA_CENTRE: &str = "there";
+
 /// The limits that servers name, in requests in ten seconds.
 const LIMITS: std::ops::Range<u32> = 20..200;
 
@@ -159,6 +169,9 @@
         Fault::Warmup(rng.random_range(0..SERVER_COUNT), rng.random_range(WARMUP_MS))
     }));
     faults.extend(draw_schedule(rng, duration, WRITE_MEAN_INTERVAL_MS, |_| Fault::WriteEntries));
+    faults.extend(draw_schedule(rng, duration, EVACUATION_MEAN_INTERVAL_MS, |rng| {
+        Fault::Evacuate(rng.random_bool(0.5))
+    }));
     faults.sort_by_key(|it| it.0);
     faults
 }
@@ -330,6 +343,7 @@
                 let document = configuration(self.config_version);
                 self.fleet.store.put(document::CONFIG_KEY, &document);
             }
+            Fault::Evacuate(is_evacuated) => self.set_evacuated(is_evacuated),
             Fault::RestoreStore => self.copy_or_restore_store().await,
             Fault::AnnounceDrain(index) => {
                 self.fleet.servers[index].set_fault(server::Fault::AnnouncesDrain);
@@ -340,6 +354,17 @@
         Ok(())
     }
 
+    /// Demands the evacuation in the store, or lifts it.
+    pub(crate) fn set_evacuated(&mut self, is_evacuated: bool) {
+        self.is_evacuated = is_evacuated;
+        let key = document::evacuation_key(EVACUATED_DATA_CENTRE);
+        if is_evacuated {
+            self.fleet.store.put(&key, &serde_json::json!({}));
+        } else {
+            self.fleet.store.remove(&key);
+        }
+    }
+
     async fn copy_or_restore_store(&mut self) {
         let store = &self.fleet.store;
         let Some(backup) = self.backup.take() else {
@@ -350,6 +375,7 @@
         tokio::time::sleep(REWRITE_DELAY).await;
         store.put(document::CONFIG_KEY, &configuration(self.config_version));
         self.write_entries();
+        self.set_evacuated(self.is_evacuated);
     }
 
     fn write_entries(&self) {
@@ -375,6 +401,7 @@
             server.set_request_limit(None);
         }
         self.write_entries();
+        self.set_evacuated(false);
         for index in 0..self.fleet.instances.len() {
             self.resume(index);
         }
--- a/sl-edge/src/log.rs
+++ b/sl-edge/src/log.rs
@@ -171,12 +171,29 @@
         | Decision::ServerEntryOutdated { .. }
         | Decision::ServerChanged { .. }
         | Decision::CacheKnown { .. } => write_server_decision(log, decision),
+        Decision::DataCentreEvacuated { .. }
+        | Decision::DataCentreReturned { .. }
+        | Decision::StoreRestored
+        | Decision::PeerSilent { .. } => write_fleet_decision(log, decision),
+        Decision::Barred(bar) => write_bar(log, bar),
+        Decision::ServerCrashed(crash) => write_server_crash(log, crash),
+    }
+}
+
+/// Logs a decision on data centres, the store or peers; other decisions are ignored.
+fn write_fleet_decision(log: &Logger, decision: &Decision) {
+    match decision {
+        Decision::DataCentreEvacuated { data_centre, servers } => {
+            warn!(log, "data centre evacuated"; "data_centre" => %data_centre, "servers" => servers);
+        }
+        Decision::DataCentreReturned { data_centre, servers } => {
+            warn!(log, "data centre returned"; "data_centre" => %data_centre, "servers" => servers);
+        }
         Decision::StoreRestored => {
             info!(log, "entries older than those known are ignored for a while");
         }
-        Decision::Barred(bar) => write_bar(log, bar),
-        Decision::ServerCrashed(crash) => write_server_crash(log, crash),
         Decision::PeerSilent { peer } => debug!(log, "peer silent"; "peer" => peer),
+        _ => {}
     }
 }
 
--- a/sl-route/src/event.rs
+++ b/sl-route/src/event.rs
@@ -7,7 +7,7 @@
 use strum::{Display, IntoStaticStr};
 
 use crate::{
-    Document, Notes, Prompt, PromptPart, Route, ServerKey, ServerRecord, Team, budget,
+    Document, Notes, Prompt, PromptPart, Regions, Route, ServerKey, ServerRecord, Team, budget,
     note::EngineCaches,
     stream_origin::{StreamOrigin, StreamRequest},
     warmup::WarmupBound,
@@ -109,11 +109,23 @@
         /// What it asks for.
         notice: ServerNotice,
     },
+    /// The operator demands that nothing more is sent to the servers of a data centre.
+    EvacuationRequested {
+        /// The name of the data centre.
+        data_centre: Arc<str>,
+    },
+    /// The operator no longer demands the evacuation of a data centre.
+    EvacuationLifted {
+        /// The name of the data centre.
+        data_centre: Arc<str>,
+    },
     /// The platform's store was restored from an older copy. What is listed next may be older
     /// than what was listed before.
     StoreRestored,
     /// The limits in the settings changed.
     Limits(InstanceLimits),
+    /// The regions of the data centres in the settings changed.
+    Regions(Regions),
     /// The number of instances in the fleet, including this one.
     InstanceCount(usize),
     /// The fraction of each server's connections that this instance may open.
--- a/sl-route/src/place.rs
+++ b/sl-route/src/place.rs
@@ -7,6 +7,8 @@
     Prompt, ServerKey,
     admission::AdmissionLimits,
     engine::Engine,
+    evacuation::Evacuations,
+    region::RegionLimits,
     server::{PlainServer, Server, ServerKind},
     stream_origin::StreamOrigin,
 };
@@ -26,6 +28,10 @@
     pub remaining_ms: f64,
     /// The data centre of this instance; servers elsewhere are charged the extra network time.
     pub data_centre: &'a str,
+    /// The data centres whose servers get nothing.
+    pub evacuations: &'a Evacuations,
+    /// The regions in which the request may be served.
+    pub regions: RegionLimits<'a>,
     /// Where the stream began that the request goes on with; `None` if any server will do.
     pub origin: Option<&'a StreamOrigin>,
     /// Whether some slots and connections of each server are left to resumed streams.
@@ -39,7 +45,13 @@
 impl Requirements<'_> {
     fn allows(&self, server: &Server) -> bool {
         let has_right_version = self.origin.is_none_or(|it| it.allows(server));
-        has_right_version && server.is_in_service() && !self.tried.contains(&server.key)
+        let data_centre = &server.record.data_centre;
+        let is_allowed_there =
+            !self.evacuations.contains(data_centre) && self.regions.allows(data_centre);
+        has_right_version
+            && is_allowed_there
+            && server.is_in_service()
+            && !self.tried.contains(&server.key)
     }
 
     /// When the request may be sent to the server: the past, if it may now.
--- a/sl-route/src/state.rs
+++ b/sl-route/src/state.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod cache;
 mod crashes;
+mod evacuation;
 mod limits;
 mod listing;
 mod notes;
@@ -19,13 +20,14 @@
 use sl_base::{Millis, RequestId, ServiceId, TeamId, Timestamp};
 
 use crate::{
-    Decision, Directory, Document, Effect, Event, Notes, ServerKey,
+    Decision, Directory, Document, Effect, Event, Notes, Regions, ServerKey,
     activity::Activity,
     budget::Budget,
     crash_causes::CrashCauses,
     crash_detector::CrashDetector,
     demand::Demand,
     draining::DrainingRuns,
+    evacuation::Evacuations,
     event::InstanceLimits,
     note::Note,
     part_demand::PartDemand,
@@ -36,13 +38,15 @@
 };
 use warmup::ColdChange;
 
-/// Parameters of an instance, fixed at its start except for `limits`.
+/// Parameters of an instance, fixed at its start except for `limits` and `regions`.
 #[derive(Clone, Debug)]
 pub struct Options {
     /// This instance's id, unique among its peers.
     pub instance: u32,
     /// The data centre in which the instance runs.
     pub data_centre: String,
+    /// The region of each data centre from settings; replaced on `Event::Regions`.
+    pub regions: Regions,
     /// Seed of the random number generator.
     pub seed: u64,
     /// Limits from settings; replaced on `Event::Limits`.
@@ -61,6 +65,8 @@
     directory: Directory,
     servers: HashMap<ServerKey, Server>,
     draining_runs: DrainingRuns,
+    /// Data centres to whose servers nothing is sent.
+    evacuations: Evacuations,
     /// Servers by service, sorted; rebuilt from `servers` when out of date.
     pools: HashMap<ServiceId, Vec<ServerKey>>,
     /// Requests in flight.
@@ -123,6 +129,7 @@
             directory: Directory::default(),
             servers: HashMap::new(),
             draining_runs: DrainingRuns::default(),
+            evacuations: Evacuations::default(),
             pools: HashMap::new(),
             requests: HashMap::new(),
             budget: Budget::new(options.limits.budget),
@@ -186,12 +193,15 @@
                 self.origins.record_origin(now, stream, origin);
             }
             Event::ServerNotice { server, notice } => self.on_server_notice(now, server, notice),
+            Event::EvacuationRequested { data_centre } => self.on_evacuation_requested(data_centre),
+            Event::EvacuationLifted { data_centre } => self.on_evacuation_lifted(now, &data_centre),
             Event::StoreRestored => self.on_store_restored(now),
             Event::Limits(limits) => {
                 self.options.limits = limits;
                 self.budget.set_options(limits.budget);
                 self.update_cold_slots(now);
             }
+            Event::Regions(regions) => self.options.regions = regions,
             Event::ConnectionShare(share) => self.connection_share = share,
             Event::InstanceCount(instances) => self.on_instance_count(now, instances),
             Event::InstancesListed(instances) => self.on_instances_listed(now, instances),
@@ -225,11 +235,12 @@
         self.servers.values()
     }
 
-    /// Whether the server may get a request of this instance at `now`: it is listed as ready, and
-    /// has not asked for anything else.
+    /// Whether the server may get a request of this instance at `now`: it is listed as ready, has
+    /// not asked for anything else, and is not evacuated.
     pub fn is_accepting(&self, now: Timestamp, server: ServerKey) -> bool {
+        let is_evacuated = self.is_evacuated(server);
         let server = self.servers.get(&server);
-        server.is_some_and(|it| it.is_in_service() && !it.is_paused(now))
+        server.is_some_and(|it| it.is_in_service() && !it.is_paused(now)) && !is_evacuated
     }
 
     /// Whether the server has named a limit on the requests of all instances.
@@ -306,6 +317,7 @@
     }
 
     fn prune(&mut self, now: Timestamp) {
+        self.end_evacuations(now);
         self.record_survivors(now);
         let inactive: Vec<u32> = self
             .peers
--- a/sl-route/src/state/cache.rs
+++ b/sl-route/src/state/cache.rs
@@ -43,7 +43,9 @@
     pub(super) fn request_cache_lists(&mut self, now: Timestamp) {
         let may_ask = |server: &Server| {
             let is_engine = matches!(server.kind, ServerKind::Engine(_));
+            let is_evacuated = self.evacuations.contains(&server.record.data_centre);
             let is_asked = is_engine
+                && !is_evacuated
                 && !server.has_announced_drain
                 && !server.is_paused(now)
                 && !server.is_cold(now);
--- a/sl-route/tests/it/testbed.rs
+++ b/sl-route/tests/it/testbed.rs
@@ -4,9 +4,13 @@
 
 use sl_base::{Millis, RequestId, ServiceId, TeamId, Timestamp};
 use sl_route::{
-    Arrival, AttemptEnd, Document, Effect, Event, Fault, Limits, Options, Prompt, PromptPart,
-    RetryPolicy, Route, ServerRecord, ServerState, Service, State, Team, budget,
-    document::EngineLimits, effect::Target, event, warmup::WarmupBound,
+    AllowedRegions, Arrival, AttemptEnd, Document, Effect, Event, Fault, Limits, Options, Prompt,
+    PromptPart, Regions, RetryPolicy, Route, ServerRecord, ServerState, Service, State, Team,
+    budget,
+    document::{EngineLimits, WarmupLimits},
+    effect::Target,
+    event,
+    warmup::WarmupBound,
 };
 
 pub const START: Timestamp = Timestamp::from_micros(1_000_000_000);
@@ -21,6 +25,7 @@
     Options {
         instance,
         data_centre: DATA_CENTRE.to_owned(),
+        regions: Regions::default(),
         seed: 7,
         limits: event::InstanceLimits {
             budget,
@@ -44,6 +49,7 @@
         priority: 1,
         allows_anonymous: false,
         target_gap: None,
+        allowed_regions: AllowedRegions::default(),
     })
 }
 
@@ -55,11 +61,16 @@
 };
 
 pub fn document(version: u64) -> Arc<Document> {
+    document_with_warmup(version, None)
+}
+
+/// The same configuration, but servers of all services may be cold.
+pub fn document_with_warmup(version: u64, warmup: Option<WarmupLimits>) -> Arc<Document> {
     let services = [("app", None), ("model", Some(ENGINE))].map(|(name, engine)| Service {
         name: name.to_owned(),
         max_connections: 100,
         engine,
-        warmup: None,
+        warmup,
     });
     let limits = Limits { tokens_per_s: Some(120_000.0), ..Limits::default() };
     Arc::new(Document::new(version, [], services, limits, []))
@@ -91,7 +102,8 @@
 }
 
 pub fn team(name: &str) -> Arc<Team> {
-    Arc::new(Team { name: name.to_owned(), id: TeamId::of(name), priority: 1 })
+    let allowed_regions = AllowedRegions::default();
+    Arc::new(Team { name: name.to_owned(), id: TeamId::of(name), priority: 1, allowed_regions })
 }
 
 /// A prompt with one part that other prompts may share and one part of its own.
