--- a/sl-route/src/event.rs
+++ b/sl-route/src/event.rs
@@ -9,7 +9,8 @@
 use crate::{
     Document, Notes, Prompt, PromptPart, Route, ServerKey, ServerRecord, Team, budget,
     note::EngineCaches,
-    stream_origin::{StreamOrigin, StreamRequest},
+    stream_origin::{OriginBatch, StreamOrigin, StreamRequest},
+    version_record::VersionRecord,
 };
 
 /// An input of [`State::step`](crate::State::step).
@@ -101,6 +102,20 @@
         /// Where it began.
         origin: StreamOrigin,
     },
+    /// The store is in this era, as the store or a peer states it.
+    StoreEra(u64),
+    /// The version record in the store was read or changed; `None` if it was removed.
+    VersionRecordListed(Option<VersionRecord>),
+    /// Batches of origins were read from the store, the last written ones last.
+    StoredOriginsRead(Vec<OriginBatch>),
+    /// A stream is to be resumed, of which neither peers nor the batches in the store, read after
+    /// the request arrived, know where it began.
+    StreamNotStored {
+        /// The stream.
+        stream: StreamId,
+        /// The only service to which the route leads.
+        service: ServiceId,
+    },
     /// A server's response carried a notice to its callers.
     ServerNotice {
         /// The server that responded.
--- a/sl-route/src/lib.rs
+++ b/sl-route/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod share;
 mod state;
 pub mod stream_origin;
+pub mod version_record;
 
 pub use directory::{Directory, ServerRecord, ServerState};
 pub use document::{Document, Limits, RetryPolicy, Route, Service, Team};
--- a/sl-route/src/state.rs
+++ b/sl-route/src/state.rs
@@ -8,6 +8,7 @@
 mod listing;
 mod notes;
 mod notices;
+mod origins;
 mod silence;
 mod streams;
 mod warmup;
@@ -169,6 +170,12 @@
             Event::StreamOriginFound { stream, origin } => {
                 self.origins.record_origin(now, stream, origin);
             }
+            Event::StoreEra(era) => self.on_store_era(era),
+            Event::VersionRecordListed(record) => self.on_version_record(now, record),
+            Event::StoredOriginsRead(batches) => self.on_stored_origins(now, &batches),
+            Event::StreamNotStored { stream, service } => {
+                self.on_stream_not_stored(now, stream, service);
+            }
             Event::ServerNotice { server, notice } => self.on_server_notice(now, server, notice),
             Event::StoreRestored => self.on_store_restored(now),
             Event::Limits(limits) => {
--- a/sl-route/src/stream_origin.rs
+++ b/sl-route/src/stream_origin.rs
@@ -60,6 +60,15 @@
     }
 }
 
+/// Where a number of streams began, as written in the store.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct OriginBatch {
+    /// The runs that began the streams.
+    pub runs: Vec<StreamOrigin>,
+    /// The streams, each with the index of its run. Of several entries of a stream the last counts.
+    pub streams: Vec<(StreamId, u32)>,
+}
+
 /// The runs that began the streams of the last minute, and the software of these runs.
 #[derive(Debug)]
 pub struct StreamOrigins {
--- a/sl-route/tests/it/main.rs
+++ b/sl-route/tests/it/main.rs
@@ -12,6 +12,7 @@
 mod health;
 mod limits;
 mod notices;
+mod origins;
 mod part_crashes;
 mod place;
 mod request_crashes;
--- /dev/null
+++ b/sl-route/tests/it/origins.rs
@@ -0,0 +1,299 @@
+//! Origins of streams outlast the loss of all instances: the version record and the batches that
+//! the store keeps.
+
+use rstest::rstest;
+use sl_base::{Millis, ServiceId, StreamId};
+use sl_route::{
+    Arrival, Effect, Event, Refusal, RetryPolicy, ServerRecord, State,
+    stream_origin::{RUN_RETENTION, StreamRequest},
+    version_record::{RECORD_TIMEOUT, VersionRecord},
+};
+
+use crate::testbed::{
+    START, arrival, arrive, at, prompt, record, request_effects, route, sent_target, state,
+};
+
+const ERA: u64 = 1;
+
+fn model() -> ServiceId {
+    ServiceId::of("model")
+}
+
+fn engine(id: &str, version: &str) -> ServerRecord {
+    ServerRecord { version: Some(version.into()), ..record(id, "model") }
+}
+
+fn versions(era: u64, names: &[&str]) -> VersionRecord {
+    let names = names.iter().map(|it| Some((*it).into())).collect();
+    VersionRecord { era, complete_at: START, services: [(model(), names)].into() }
+}
+
+/// A state that has just started and found a record and engines in the store.
+fn started(record: Option<VersionRecord>, engines: &[(&str, &str)]) -> State {
+    let mut state = state(1, &[]);
+    state.step(START, Event::StoreEra(ERA));
+    if record.is_some() {
+        state.step(START, Event::VersionRecordListed(record));
+    }
+    for (id, version) in engines {
+        state.step(START, Event::ServerListed(engine(id, version)));
+    }
+    state
+}
+
+fn send(state: &mut State, millis: u64, number: u64, stream: StreamRequest) -> Vec<Effect> {
+    let prompt = prompt(&format!("shared-{number}"), 1_000, &format!("own-{number}"), 400);
+    let arrival = arrival(at(millis), number, RetryPolicy::ResumableStream, Some(prompt));
+    arrive(state, at(millis), Arrival { stream: Some(stream), ..arrival })
+}
+
+fn begin(state: &mut State, millis: u64, number: u64) -> Vec<Effect> {
+    send(state, millis, number, StreamRequest::New(StreamId(number as u32)))
+}
+
+/// Resumes a stream as an instance does that asks the store if the origin is missing.
+fn resume(state: &mut State, millis: u64, number: u64, stream: u32) -> Vec<Effect> {
+    let request = StreamRequest::Resumed(Some(StreamId(stream)));
+    let route = route(RetryPolicy::ResumableStream, "model");
+    if let Some(stream) = state.missing_origin(&route, request) {
+        state.step(at(millis), Event::StreamNotStored { stream, service: model() });
+    }
+    send(state, millis, number, request)
+}
+
+fn refusal(effects: Vec<Effect>) -> Option<Refusal> {
+    request_effects(effects).into_iter().find_map(|it| match it {
+        Effect::Refuse { reason, .. } => Some(reason),
+        _ => None,
+    })
+}
+
+fn sent_version(state: &State, effects: &[Effect]) -> Option<String> {
+    let target = sent_target(effects)?;
+    let server = state.servers().find(|it| it.key == target.server)?;
+    server.record.version.as_deref().map(str::to_owned)
+}
+
+// Guards against text joined from two versions: an instance that starts after the last server of the
+// former version has left sees one version.
+#[test]
+fn a_stream_is_refused_while_the_record_has_a_version_that_is_not_listed() {
+    let mut state = started(Some(versions(ERA, &["v1", "v2"])), &[("a", "v2"), ("b", "v2")]);
+    assert_eq!(refusal(resume(&mut state, 10, 1, 7)), Some(Refusal::OriginUnknown));
+    let unnamed = send(&mut state, 20, 2, StreamRequest::Resumed(None));
+    assert_eq!(refusal(unnamed), Some(Refusal::OriginUnknown));
+    assert!(sent_target(&begin(&mut state, 30, 3)).is_some());
+}
+
+// Guards against an instance that forgets a version as soon as another one removes it from the
+// record: it has started in between, and does not know when the version's servers left.
+#[test]
+fn a_version_that_was_found_in_the_record_is_remembered_for_a_minute() {
+    let mut state = started(Some(versions(ERA, &["v1", "v2"])), &[("a", "v2")]);
+    state.step(at(1_000), Event::VersionRecordListed(Some(versions(ERA, &["v2"]))));
+    state.step(at(30_000), Event::Tick);
+    assert_eq!(refusal(resume(&mut state, 30_010, 1, 7)), Some(Refusal::OriginUnknown));
+    let later = 2 * RUN_RETENTION.0;
+    state.step(at(later), Event::Tick);
+    state.step(at(later), Event::ServerListed(ServerRecord { sequence: 2, ..engine("a", "v2") }));
+    assert!(sent_target(&resume(&mut state, later + 10, 2, 7)).is_some());
+}
+
+// Guards against the refusal of all streams when a release begins while all instances are dead: the
+// record that they left has the only version at which a stream can have begun.
+#[test]
+fn a_stream_goes_on_at_the_only_version_of_the_record_found_at_the_start() {
+    let mut state = started(Some(versions(ERA, &["v1"])), &[("a", "v1"), ("b", "v2"), ("c", "v2")]);
+    for number in 0..4 {
+        let resumed = resume(&mut state, 10 + number, number, 100 + number as u32);
+        assert_eq!(sent_version(&state, &resumed).as_deref(), Some("v1"), "{resumed:?}");
+    }
+    // The second version is recorded now, which changes nothing about the streams of before.
+    state.step(at(200), Event::VersionRecordListed(Some(versions(ERA, &["v1", "v2"]))));
+    let resumed = resume(&mut state, 210, 10, 200);
+    assert_eq!(sent_version(&state, &resumed).as_deref(), Some("v1"), "{resumed:?}");
+}
+
+// Guards against a proof from a record that a restore of the store has brought back, that its writer
+// could not complete, or that appeared after the start.
+#[rstest]
+#[case::earlier_era(Some(versions(ERA - 1, &["v1"])), false)]
+#[case::incomplete(Some(VersionRecord { complete_at: at(60_000), ..versions(ERA, &["v1"]) }), false)]
+#[case::later_record(None, false)]
+#[case::restored_since(Some(versions(ERA, &["v1"])), true)]
+fn a_record_that_may_lack_versions_proves_nothing(
+    #[case] found: Option<VersionRecord>,
+    #[case] is_restored: bool,
+) {
+    let mut state = started(found, &[("a", "v1"), ("b", "v2")]);
+    state.step(at(1), Event::VersionRecordListed(Some(versions(ERA, &["v1"]))));
+    if is_restored {
+        state.step(at(2), Event::StoreEra(ERA + 1));
+        state.step(at(2), Event::StoreRestored);
+    }
+    assert_eq!(refusal(resume(&mut state, 10, 1, 7)), Some(Refusal::OriginUnknown));
+}
+
+// Guards against text joined from two versions when a store is restored from a copy that lacks the
+// former version, and all instances have started since.
+#[test]
+fn one_listed_version_proves_nothing_while_the_record_is_of_an_earlier_era() {
+    let mut state = started(Some(versions(ERA - 1, &["v2"])), &[("a", "v2")]);
+    assert_eq!(refusal(resume(&mut state, 10, 1, 7)), Some(Refusal::OriginUnknown));
+    let wanted = state.wanted_version_record(at(20)).unwrap();
+    assert_eq!(wanted.era, ERA);
+    assert!(!wanted.complete_at.is_due(at(59_000)), "{wanted:?}");
+    // An instance that starts later is told by the record.
+    let mut later = started(Some(wanted), &[("a", "v2")]);
+    assert_eq!(refusal(resume(&mut later, 10, 1, 7)), Some(Refusal::OriginUnknown));
+    let after = 2 * RUN_RETENTION.0;
+    state.step(at(after), Event::Tick);
+    state.step(at(after), Event::ServerListed(ServerRecord { sequence: 2, ..engine("a", "v2") }));
+    assert!(sent_target(&resume(&mut state, after + 10, 2, 7)).is_some());
+}
+
+// Guards against streams that begin at a version which the record lacks: if all instances were lost
+// then, nobody would know of it.
+#[test]
+fn a_new_stream_waits_for_the_record_of_its_version_if_another_server_can_take_it() {
+    let mut state = started(Some(versions(ERA, &["v1"])), &[("a", "v1")]);
+    state.step(at(100), Event::ServerListed(engine("b", "v2")));
+    for number in 0..5 {
+        let began = begin(&mut state, 110 + number, number);
+        assert_eq!(sent_version(&state, &began).as_deref(), Some("v1"), "{began:?}");
+    }
+    state.step(at(200), Event::VersionRecordListed(Some(versions(ERA, &["v1", "v2"]))));
+    let began = begin(&mut state, 210, 10);
+    assert_eq!(sent_version(&state, &began).as_deref(), Some("v2"), "the idle engine: {began:?}");
+}
+
+// Guards against a store that is down, or a release that replaces all servers, and keeps the servers
+// of the new version from all work; and against holds in a fleet without a record.
+#[rstest]
+#[case::timeout(Some(versions(ERA, &["v1"])), true, RECORD_TIMEOUT)]
+#[case::no_other_server(Some(versions(ERA, &["v1"])), false, Millis(0))]
+#[case::no_record(None, true, Millis(0))]
+fn the_wait_for_the_record_is_bounded(
+    #[case] found: Option<VersionRecord>,
+    #[case] has_other: bool,
+    #[case] until: Millis,
+) {
+    let mut state = started(found, &[("a", "v1")]);
+    state.step(at(100), Event::ServerListed(engine("b", "v2")));
+    if !has_other {
+        state.step(at(100), Event::ServerRemoved { id: "a".into() });
+    }
+    let millis = 100 + until.0;
+    let mut used = Vec::new();
+    for number in 0..6 {
+        let began = begin(&mut state, millis + number, number);
+        used.extend(sent_version(&state, &began));
+    }
+    assert!(used.iter().any(|it| it == "v2"), "{used:?}");
+}
+
+// Guards against writes of the record that change nothing, and against a version that is removed from
+// it while streams of it may still be resumed.
+#[test]
+fn the_record_has_the_versions_of_the_last_minute_and_is_written_once_for_each_change() {
+    let mut state = started(None, &[("a", "v1"), ("b", "v1")]);
+    let first = state.wanted_version_record(at(10)).unwrap();
+    assert_eq!(first.services, versions(ERA, &["v1"]).services);
+    state.step(at(20), Event::VersionRecordListed(Some(first)));
+    assert_eq!(state.wanted_version_record(at(30)), None);
+    state.step(at(100), Event::ServerListed(engine("c", "v2")));
+    let second = state.wanted_version_record(at(110)).unwrap();
+    assert_eq!(second.services, versions(ERA, &["v1", "v2"]).services);
+    state.step(at(120), Event::VersionRecordListed(Some(second)));
+    state.step(at(200), Event::ServerRemoved { id: "a".into() });
+    state.step(at(200), Event::ServerRemoved { id: "b".into() });
+    for millis in (250..200 + RUN_RETENTION.0).step_by(250) {
+        state.step(at(millis), Event::Tick);
+        assert_eq!(state.wanted_version_record(at(millis)), None, "at {millis}");
+    }
+    let after = 200 + RUN_RETENTION.0;
+    let third = state.wanted_version_record(at(after + 10)).unwrap();
+    assert_eq!(third.services, versions(ERA, &["v2"]).services);
+}
+
+// Guards against a follower that removes versions of which another one knows that they have served
+// lately, or that takes them back for the record of a former era.
+#[test]
+fn a_version_in_the_record_is_kept_by_an_instance_that_has_not_seen_it() {
+    let mut state = started(Some(versions(ERA, &["v1", "v2"])), &[("a", "v2")]);
+    assert_eq!(state.wanted_version_record(at(RUN_RETENTION.0 - 1_000)), None);
+    let later = state.wanted_version_record(at(RUN_RETENTION.0 + 1_000)).unwrap();
+    assert_eq!(later.services, versions(ERA, &["v2"]).services);
+    state.step(at(2_000), Event::StoreEra(ERA + 1));
+    state.step(at(2_000), Event::StoreRestored);
+    state.step(at(2_010), Event::VersionRecordListed(Some(versions(ERA, &["v2"]))));
+    let restored = state.wanted_version_record(at(2_020)).unwrap();
+    assert_eq!(restored.era, ERA + 1);
+    assert_eq!(restored.services, versions(ERA, &["v1", "v2"]).services);
+    assert!(restored.complete_at.is_due(at(2_020)));
+}
+
+// Guards against the loss of what only instances knew: an instance without memory resumes the streams
+// in the batches at their versions.
+#[test]
+fn a_stream_goes_on_at_the_version_in_a_batch() {
+    let both = Some(versions(ERA, &["v1", "v2"]));
+    let engines = [("a", "v1"), ("b", "v2")];
+    let mut before = started(both.clone(), &engines);
+    before.step(at(1), Event::Tick);
+    let mut began = Vec::new();
+    for number in 0..4 {
+        let effects = begin(&mut before, 10, number);
+        began.push(sent_version(&before, &effects).unwrap());
+    }
+    assert!(before.should_save_origins());
+    before.collect_unsaved_origins(true);
+    let mut batches = Vec::new();
+    let unsaved = before.take_unsaved_origins();
+    assert_eq!(unsaved.len(), 4, "the first batch has all that is known");
+    batches.push(before.origin_batch(&unsaved));
+    assert!(before.take_unsaved_origins().is_empty());
+    for number in 4..8 {
+        let effects = begin(&mut before, 20, number);
+        began.push(sent_version(&before, &effects).unwrap());
+    }
+    let unsaved = before.take_unsaved_origins();
+    assert_eq!(unsaved.len(), 4);
+    batches.push(before.origin_batch(&unsaved));
+
+    let mut after = started(both, &engines);
+    after.step(at(1_000), Event::StoredOriginsRead(batches));
+    for (number, version) in began.iter().enumerate() {
+        let resumed = resume(&mut after, 1_010, 100 + number as u64, number as u32);
+        assert_eq!(sent_version(&after, &resumed).as_ref(), Some(version), "stream {number}");
+    }
+    assert_eq!(refusal(resume(&mut after, 1_020, 200, 99)), Some(Refusal::OriginUnknown));
+}
+
+// Guards against an older batch that replaces what a later note or batch says.
+#[test]
+fn the_last_batch_counts_and_a_batch_replaces_no_note() {
+    let both = Some(versions(ERA, &["v1", "v2"]));
+    let engines = [("a", "v1"), ("b", "v2")];
+    let runs = engines.map(|(id, version)| engine(id, version).key());
+    let mut state = started(both.clone(), &engines);
+    let noted = begin(&mut state, 10, 0);
+    let noted = sent_version(&state, &noted).unwrap();
+    let other = if noted == "v1" { runs[1] } else { runs[0] };
+    let stale = state.origin_batch(&[(StreamId(0), other), (StreamId(1), runs[0])]);
+    let last = state.origin_batch(&[(StreamId(1), runs[1])]);
+    state.step(at(20), Event::StoredOriginsRead(vec![stale, last]));
+    let resumed = resume(&mut state, 30, 10, 0);
+    assert_eq!(sent_version(&state, &resumed), Some(noted));
+    let resumed = resume(&mut state, 30, 11, 1);
+    assert_eq!(sent_version(&state, &resumed).as_deref(), Some("v2"));
+}
+
+// Guards against writes for streams that any server may go on with.
+#[test]
+fn origins_are_saved_only_while_a_service_has_several_versions() {
+    let mut state = started(Some(versions(ERA, &["v1"])), &[("a", "v1"), ("b", "v1")]);
+    assert!(!state.should_save_origins());
+    state.step(at(10), Event::ServerListed(engine("c", "v2")));
+    assert!(state.should_save_origins());
+}
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -11,6 +11,7 @@
 mod notices;
 mod operators;
 mod refusals;
+mod rejoin;
 mod responses;
 mod restore;
 mod shutdown;
--- a/tests/it/versions.rs
+++ b/tests/it/versions.rs
@@ -1,69 +1,13 @@
 //! A stream holds events of servers of one software version only, in one response and over the
 //! tries of its caller.
 
-use bench::{Fleet, fleet::eventually};
 use rstest::rstest;
 use serde_json::{Value, json};
-use stand_ins::{
-    Call, Response,
-    server::{FIRST_VERSION, Fault},
-};
-
-use crate::testbed::{fleet, metrics, model_call};
-
-/// Streams that are begun in a test; enough for both engines to get some.
-const STREAMS: usize = 8;
-
-/// A fleet with one engine of each of two versions. The first breaks off its streams.
-async fn fleet_of_two_versions(instances: usize) -> Fleet {
-    let fleet = fleet(instances).await;
-    let second = fleet.engines().nth(1).unwrap();
-    second.set_version(json!("v2"));
-    second.register(&fleet.store, "ready");
-    settle(&fleet).await;
-    fleet.engines().next().unwrap().set_fault(Fault::TruncatesResponse);
-    fleet
-}
+use stand_ins::server::{FIRST_VERSION, Fault};
 
-/// Waits until all instances have the store's entries.
-async fn settle(fleet: &Fleet) {
-    let revision = fleet.store.revision();
-    for instance in &fleet.instances {
-        eventually("the instance has the entries", async || {
-            let mut probe = stand_ins::Caller::connect(instance.metrics).await.unwrap();
-            probe.send(b"GET /metrics HTTP/1.1\r\nHost: probe\r\n\r\n").await.unwrap();
-            let text = probe.read_response("GET").await.unwrap().text().to_owned();
-            let value = text.lines().find_map(|it| it.strip_prefix("sesamelock_store_revision "));
-            value.and_then(|it| it.parse::<u64>().ok()).is_some_and(|it| it >= revision)
-        })
-        .await;
-    }
-}
-
-/// The request by which a caller resumes the stream that its attempt `began` brought.
-fn resuming(began: &str, attempt_id: &str, response: &Response) -> Call {
-    let mut call = model_call("/sheet/7", attempt_id);
-    let last = response.event_ids().last().copied().unwrap();
-    call.headers.push(("Last-Event-Id", last.to_string()));
-    call.headers.push(("Resumes", began.to_owned()));
-    call
-}
-
-/// Begins streams at the instance with `index`; returns the ids and the responses of those that
-/// were cut off after their first events.
-async fn cut_streams(fleet: &Fleet, index: usize) -> Vec<(String, Response)> {
-    let mut cut = Vec::new();
-    for number in 0..STREAMS {
-        let id = format!("began-{index}-{number}");
-        let mut caller = fleet.caller(index).await.unwrap();
-        let response = caller.call(&model_call("/sheet/7", &id)).await.unwrap();
-        if response.status() == 200 && !response.is_complete {
-            cut.push((id, response));
-        }
-    }
-    assert!(!cut.is_empty(), "no stream was sent to the engine that breaks off");
-    cut
-}
+use crate::testbed::{
+    cut_streams, fleet, fleet_of_two_versions, metrics, model_call, resuming, settle,
+};
 
 // Guards against a stream that goes on within one response at a server of another version.
 #[tokio::test(flavor = "multi_thread")]
