--- a/sl-edge/src/change_handler.rs
+++ b/sl-edge/src/change_handler.rs
@@ -2,9 +2,9 @@
 
 use std::rc::Rc;
 
-use platform::{Addresses, Entry};
+use platform::{Addresses, Entry, Malformed, stream_origins::VERSION_RECORD_KEY};
 use sl_mirror::Change;
-use sl_route::Event;
+use sl_route::{Event, version_record::VersionRecord};
 use slog::{info, warn};
 
 use crate::{core::Core, membership::PeerTable, store::Origin};
@@ -16,9 +16,12 @@
 }
 
 impl ChangeHandler {
-    /// Applies changes in order; `origin` decides what a removal means.
+    /// Applies changes in order; `origin` decides what a removal means. The version record goes
+    /// first: an instance that starts has to know it before it sees the first server.
     pub(crate) fn apply(&self, changes: Vec<Change>, origin: Origin) {
-        for change in &changes {
+        let is_record = |it: &&Change| it.key == VERSION_RECORD_KEY;
+        let (records, others): (Vec<_>, Vec<_>) = changes.iter().partition(is_record);
+        for change in records.into_iter().chain(others) {
             self.apply_one(change, origin);
         }
     }
@@ -39,6 +42,7 @@
             }
             Entry::Server { id, record: None } => self.remove_server(id, origin),
             Entry::Instance { name, addresses } => self.apply_instance(name, addresses),
+            Entry::VersionRecord(record) => self.apply_version_record(record),
             Entry::Other => {}
         }
     }
@@ -58,6 +62,16 @@
             "version" => version, "before" => before, "routes" => routes);
     }
 
+    fn apply_version_record(&self, record: Option<Result<VersionRecord, Malformed>>) {
+        let record = record.and_then(|it| {
+            it.inspect_err(|e| {
+                warn!(self.core.log, "malformed version record treated as removed"; "reason" => %e);
+            })
+            .ok()
+        });
+        self.core.step(Event::VersionRecordListed(record));
+    }
+
     fn remove_server(&self, id: &str, origin: Origin) {
         let id = id.into();
         self.core.step(match origin {
@@ -68,11 +82,7 @@
         });
     }
 
-    fn apply_instance(
-        &self,
-        name: &str,
-        addresses: Option<Result<Addresses, platform::Malformed>>,
-    ) {
+    fn apply_instance(&self, name: &str, addresses: Option<Result<Addresses, Malformed>>) {
         let addresses = addresses.and_then(|it| {
             it.inspect_err(|e| {
                 info!(self.core.log, "malformed instance entry treated as removed";
--- a/sl-edge/src/lib.rs
+++ b/sl-edge/src/lib.rs
@@ -23,6 +23,8 @@
 pub mod log_buffer;
 mod membership;
 pub mod metrics;
+mod origin_reader;
+mod origin_writer;
 pub mod overload;
 mod peers;
 mod pool;
--- a/sl-edge/src/metrics.rs
+++ b/sl-edge/src/metrics.rs
@@ -96,6 +96,10 @@
     pub refusals: Family<NameLabel, Counter>,
     /// Streams that callers took up again, by what is known of where they began.
     pub streams_resumed: Family<NameLabel, Counter>,
+    /// Batches of stream origins that the instance has written to the store.
+    pub stream_origin_batches: Counter,
+    /// Streams in the batches that the instance has read from the store.
+    pub stream_origins_read: Counter,
     /// Calls to the platform's store, by kind and result: the status or `unanswered`.
     pub store_calls: Family<NameLabel, Counter>,
     /// New connections to backend servers.
@@ -152,6 +156,8 @@
             faults: Family::default(),
             refusals: Family::default(),
             streams_resumed: Family::default(),
+            stream_origin_batches: Counter::default(),
+            stream_origins_read: Counter::default(),
             store_calls: Family::default(),
             server_connections: Counter::default(),
             peer_messages: Family::default(),
@@ -281,6 +287,16 @@
             "Streams resumed by callers, by what is known of where they began",
             self.streams_resumed.clone(),
         );
+        it.register(
+            "stream_origin_batches",
+            "Batches of stream origins written to the store",
+            self.stream_origin_batches.clone(),
+        );
+        it.register(
+            "stream_origins_read",
+            "Streams in the batches read from the store",
+            self.stream_origins_read.clone(),
+        );
         it.register("store_calls", "Calls by kind and answer", self.store_calls.clone());
         it.register("connections", "New connections to servers", self.server_connections.clone());
         it.register("lines_left_out", "Log lines left out", self.log_lines_dropped.clone());
--- a/sl-edge/src/run.rs
+++ b/sl-edge/src/run.rs
@@ -35,6 +35,8 @@
     log_buffer::LogWriter,
     membership::{Membership, PeerTable},
     metrics::Metrics,
+    origin_reader::OriginReader,
+    origin_writer::OriginWriter,
     peers::{DatagramKey, Gossip, RelayQueue},
     pool::Pool,
     query_handler::QueryHandler,
@@ -290,12 +292,7 @@
         let pool = Pool::new(self.core.metrics.clone());
         let connections = self.connections.clone();
         let body_memory = BodyMemory::default();
-        let stream_locator = StreamLocator {
-            core: self.core.clone(),
-            peer_table: self.peer_table.clone(),
-            links: self.links.clone(),
-            own_id: settings.id(),
-        };
+        let stream_locator = self.spawn_origins(settings.id());
         let core = self.core.clone();
         let ingress = Rc::new(Ingress { core, pool, connections, body_memory, stream_locator });
         spawn_local(caller::accept_loop(ingress.clone(), caller_listener));
@@ -316,6 +313,20 @@
         });
         membership
     }
+
+    /// Spawns the tasks that keep origins of streams in the store, and returns what finds them there.
+    fn spawn_origins(&self, own_id: InstanceId) -> StreamLocator {
+        let (core, store) = (self.core.clone(), self.store.clone());
+        let writer = OriginWriter::new(core.clone(), store.clone(), own_id, self.incarnation);
+        spawn_local(writer.run());
+        let reader = Rc::new(OriginReader::new(core.clone(), store));
+        spawn_local({
+            let reader = reader.clone();
+            async move { reader.run().await }
+        });
+        let (peer_table, links) = (self.peer_table.clone(), self.links.clone());
+        StreamLocator { core, peer_table, links, own_id, reader }
+    }
 }
 
 /// The incarnation number of this process: its start in wall-clock microseconds, so that a
--- a/sl-edge/src/store.rs
+++ b/sl-edge/src/store.rs
@@ -29,6 +29,10 @@
     core: Rc<Core>,
     address: SocketAddr,
     mirror: RefCell<Mirror>,
+    /// Up to where this instance has watched the store itself. It is ahead of the copy's version while
+    /// only keys change that are not mirrored; so the peers, which compare versions, do not ask for
+    /// these changes.
+    watched: Cell<Version>,
     eras: EraTracker,
     /// When the first call failed in the current outage; `None` while the store responds.
     unavailable_since: Cell<Option<Timestamp>>,
@@ -83,6 +87,7 @@
             core,
             address,
             mirror: RefCell::default(),
+            watched: Cell::default(),
             eras: EraTracker::default(),
             has_unconfirmed_removals: Cell::new(false),
             unavailable_since: Cell::new(None),
@@ -137,6 +142,7 @@
         }
         self.mirror.borrow_mut().begin_era(era);
         self.core.metrics.store_era.set(era as i64);
+        self.core.step(Event::StoreEra(era));
         if is_first {
             return;
         }
@@ -151,6 +157,17 @@
         self.following.get()
     }
 
+    /// Whether this instance may write for the fleet: it follows the store, the store responds, and
+    /// its entries are known.
+    pub(crate) fn can_write(&self) -> bool {
+        self.is_following() && self.is_reachable() && !self.version().is_unknown()
+    }
+
+    /// The revision at which a mirrored key was last written in this era; `None` if it does not exist.
+    pub(crate) fn revision_of(&self, key: &str) -> Option<u64> {
+        self.mirror.borrow().revision_of(key)
+    }
+
     /// Whether no call to list or watch the store has failed since the last success. Always
     /// true on standby.
     pub(crate) fn is_reachable(&self) -> bool {
@@ -250,7 +267,8 @@
     }
 
     fn publish(&self, changes: Vec<Change>, origin: Origin) {
-        self.core.metrics.store_revision.set(self.version().revision as i64);
+        let version = self.version().max(self.watched.get());
+        self.core.metrics.store_revision.set(version.revision as i64);
         if !changes.is_empty() {
             (self.on_change)(changes, origin);
         }
--- a/sl-edge/src/store/follow.rs
+++ b/sl-edge/src/store/follow.rs
@@ -4,7 +4,8 @@
 use sl_base::{Millis, hash};
 use sl_http::Conn;
 use sl_mirror::{Item, Version};
-use slog::{info, warn};
+use sl_route::{Event, stream_origin::OriginBatch};
+use slog::{debug, info, warn};
 use tokio::time::sleep;
 
 use super::{CALL_TIMEOUT, StoreClient};
@@ -12,11 +13,11 @@
     backoff::Backoff,
     wire::{CallError, Response},
 };
-use platform::{Malformed, store};
+use platform::{Malformed, store, stream_origins};
 
 /// Why following the store was interrupted.
 #[derive(Debug, thiserror::Error)]
-enum FollowError {
+pub(crate) enum FollowError {
     /// A call got no valid response.
     #[error("{0}")]
     Call(#[from] CallError),
@@ -68,13 +69,21 @@
     /// Whether this instance has to follow the store itself: it does unless [`FOLLOWERS`] peers
     /// that rank before it in the rendezvous hash report that they do and reach the store.
     fn should_follow(&self) -> bool {
-        let now = self.core.now();
-        let is_starting = !self.started_at.after(STARTUP_PERIOD).is_due(now);
+        let is_starting = !self.started_at.after(STARTUP_PERIOD).is_due(self.core.now());
+        self.followers_ahead(is_starting) < FOLLOWERS
+    }
+
+    /// Whether this instance is the first of those that follow the store, which writes for the fleet.
+    pub(crate) fn is_first_follower(&self) -> bool {
+        self.followers_ahead(false) == 0
+    }
+
+    /// The number of peers that follow the store and rank before this instance.
+    fn followers_ahead(&self, include_unseen: bool) -> usize {
         let own_weight = hash::weight(FOLLOWER_HASH_KEY, self.own_id.into());
-        let ahead = self.peer_table.store_followers(now, is_starting);
+        let ahead = self.peer_table.store_followers(self.core.now(), include_unseen);
         let ahead = ahead.into_iter().filter(|it| *it != self.own_id);
-        let ahead = ahead.filter(|it| hash::weight(FOLLOWER_HASH_KEY, (*it).into()) > own_weight);
-        ahead.count() < FOLLOWERS
+        ahead.filter(|it| hash::weight(FOLLOWER_HASH_KEY, (*it).into()) > own_weight).count()
     }
 
     /// Follows the store, or stands by, until the daemon stops.
@@ -133,13 +142,61 @@
     }
 
     async fn list(&self, conn: &mut Option<Conn>) -> Result<(), FollowError> {
+        let (version, items) = self.read_range(conn, "range", "").await?;
+        let (batches, items): (Vec<_>, Vec<_>) =
+            items.into_iter().partition(|it| stream_origins::is_batch(&it.key));
+        let origin = self.origin();
+        let items = items.into_iter().filter_map(to_mirror_item).collect();
+        let changes = self.mirror.borrow_mut().replace(version, items);
+        self.watched.set(version);
+        self.mark_available();
+        self.publish(changes, origin);
+        self.apply_batches(batches);
+        Ok(())
+    }
+
+    /// Reads all batches of stream origins, and gives them to the reducer.
+    pub(crate) async fn read_batches(&self, conn: &mut Option<Conn>) -> Result<(), FollowError> {
+        let prefix = stream_origins::BATCHES_PREFIX;
+        let (_, items) = self.read_range(conn, "origins-range", prefix).await?;
+        self.apply_batches(items);
+        Ok(())
+    }
+
+    fn apply_batches(&self, mut items: Vec<store::Item>) {
+        items.sort_by_key(|it| it.revision);
+        let values = items.iter().filter_map(|it| it.value.as_deref());
+        let batches = values.filter_map(|it| self.parse_batch(it));
+        let batches: Vec<OriginBatch> = batches.collect();
+        if batches.is_empty() {
+            return;
+        }
+        let streams: usize = batches.iter().map(|it| it.streams.len()).sum();
+        debug!(self.core.log, "stream origins read from the store";
+            "batches" => batches.len(), "streams" => streams);
+        self.core.metrics.stream_origins_read.inc_by(streams as u64);
+        self.core.step(Event::StoredOriginsRead(batches));
+    }
+
+    fn parse_batch(&self, value: &[u8]) -> Option<OriginBatch> {
+        let batch = stream_origins::parse_batch(value);
+        batch.inspect_err(|e| self.core.warn_malformed("stream origins", e)).ok()
+    }
+
+    /// Reads all items whose keys start with `prefix`. `kind` is the metric label.
+    async fn read_range(
+        &self,
+        conn: &mut Option<Conn>,
+        kind: &str,
+        prefix: &str,
+    ) -> Result<(Version, Vec<store::Item>), FollowError> {
         let mut items = Vec::new();
         let mut revision = None;
         let mut era = None;
         let mut after: Option<String> = None;
         loop {
-            let call = store::range(after.as_deref());
-            let response = self.call(conn, "range", &call, CALL_TIMEOUT).await?;
+            let call = store::range_under(prefix, after.as_deref());
+            let response = self.call(conn, kind, &call, CALL_TIMEOUT).await?;
             // All pages have to be of the latest era.
             let era = *era.get_or_insert(self.version().era);
             self.check_era(&response, era)?;
@@ -153,23 +210,17 @@
                 return Err(FollowError::PageRepeated);
             }
             after = last;
-            items.extend(page.items.into_iter().filter_map(to_mirror_item));
+            items.extend(page.items);
             if !page.has_more {
-                break;
+                return Ok((Version::new(era, revision.unwrap_or_default()), items));
             }
         }
-        let origin = self.origin();
-        let version = Version::new(self.version().era, revision.unwrap_or_default());
-        let changes = self.mirror.borrow_mut().replace(version, items);
-        self.mark_available();
-        self.publish(changes, origin);
-        Ok(())
     }
 
     async fn watch(&self, conn: &mut Option<Conn>) -> Result<(), FollowError> {
         // After a failure, a watch returns at once to show whether the store responds again.
         let wait = if self.is_reachable() { WATCH_WAIT } else { Millis(1) };
-        let from = self.version();
+        let from = self.version().max(self.watched.get());
         let call = store::watch(from.revision, wait);
         let timeout = Millis(wait.0 + WATCH_MARGIN.0);
         let response = tokio::select! {
@@ -181,11 +232,17 @@
             return Err(FollowError::HistoryCompacted);
         }
         let page = store::parse_items(&expect_ok(&response)?.body)?;
-        let items = page.items.into_iter().filter_map(to_mirror_item).collect();
+        let items: Vec<Item> = page.items.into_iter().filter_map(to_mirror_item).collect();
         self.mark_available();
         let origin = self.origin();
-        let version = Version::new(from.era, page.revision);
-        let changes = self.mirror.borrow_mut().apply_changes(version, items);
+        self.watched.set(Version::new(from.era, page.revision));
+        let changes = match items.iter().map(|it| it.revision).max() {
+            Some(last) => {
+                let version = Version::new(from.era, last);
+                self.mirror.borrow_mut().apply_changes(version, items)
+            }
+            None => Vec::new(),
+        };
         self.publish(changes, origin);
         Ok(())
     }
--- a/sl-edge/src/stream_locator.rs
+++ b/sl-edge/src/stream_locator.rs
@@ -1,7 +1,7 @@
-//! Asks peers where a stream began that a caller resumes here. This instance may not know, because
-//! it has just started, was cut off, or missed a note.
+//! Asks peers and the store where a stream began that a caller resumes here. This instance may not
+//! know, because it has just started, was cut off, or missed a note.
 
-use std::{collections::HashSet, net::SocketAddr, rc::Rc};
+use std::{collections::HashSet, net::SocketAddr, pin::pin, rc::Rc};
 
 use futures::{StreamExt, stream::FuturesUnordered};
 use sl_base::{InstanceId, Millis, StreamId, hash};
@@ -11,34 +11,53 @@
     stream_origin::{StreamOrigin, StreamRequest},
 };
 
-use crate::{core::Core, membership::PeerTable};
+use crate::{core::Core, membership::PeerTable, origin_reader::OriginReader};
 
-/// Finds out from peers where streams began.
+/// Finds out from peers and from the store where streams began.
 pub(crate) struct StreamLocator {
     pub(crate) core: Rc<Core>,
     pub(crate) peer_table: Rc<PeerTable>,
     pub(crate) links: Links,
     pub(crate) own_id: InstanceId,
+    pub(crate) reader: Rc<OriginReader>,
 }
 
 /// The number of peers that are asked about one stream, at the same time. Nearly all know of it.
 const PEERS_ASKED: usize = 3;
 
-/// How long their responses are waited for. The caller waits as long, and is refused afterwards.
+/// How long their responses are waited for.
 const RESPONSE_TIMEOUT: Millis = Millis(250);
 
 impl StreamLocator {
     /// Tells the reducer where the stream began that a request on `route` resumes, if the reducer
-    /// lacks that and a peer knows.
+    /// lacks that and a peer or the store knows. Both are asked at the same time.
     pub(crate) async fn locate(&self, route: &Route, request: StreamRequest) {
         let missing = self.core.with_state(|it| it.missing_origin(route, request));
         let Some(stream) = missing else {
             return;
         };
-        let asking = self.ask(stream);
-        let found = tokio::time::timeout(RESPONSE_TIMEOUT.into(), asking).await;
-        if let Ok(Some(origin)) = found {
-            self.core.step(Event::StreamOriginFound { stream, origin });
+        let mut asking = pin!(tokio::time::timeout(RESPONSE_TIMEOUT.into(), self.ask(stream)));
+        let mut reading = pin!(self.reader.read());
+        let mut is_asked = false;
+        let mut is_read = None;
+        while !is_asked || is_read.is_none() {
+            tokio::select! {
+                found = &mut asking, if !is_asked => {
+                    is_asked = true;
+                    if let Ok(Some(origin)) = found {
+                        return self.core.step(Event::StreamOriginFound { stream, origin });
+                    }
+                }
+                is_complete = &mut reading, if is_read.is_none() => {
+                    is_read = Some(is_complete);
+                    if self.core.with_state(|it| it.stream_origin(stream).is_some()) {
+                        return;
+                    }
+                }
+            }
+        }
+        if let (Some(true), [(service, _)]) = (is_read, &route.services[..]) {
+            self.core.step(Event::StreamNotStored { stream, service: *service });
         }
     }
 
--- a/sl-mirror/src/mirror.rs
+++ b/sl-mirror/src/mirror.rs
@@ -99,6 +99,13 @@
         self.version
     }
 
+    /// The revision at which the key was last written, in the era of the copy; `None` if it does not
+    /// exist, or if nothing is known of the era yet.
+    pub fn revision_of(&self, key: &str) -> Option<u64> {
+        let item = self.items.get(key)?;
+        (item.version.era == self.version.era).then_some(item.version.revision)
+    }
+
     /// Records that the store is in a later era, of which nothing is known yet. The items stay
     /// until the next listing. Returns whether the era is later than the copy's.
     pub fn begin_era(&mut self, era: u64) -> bool {
--- a/sl-route/src/place.rs
+++ b/sl-route/src/place.rs
@@ -30,12 +30,19 @@
     pub origin: Option<&'a StreamOrigin>,
     /// Whether some slots and connections of each server are left to resumed streams.
     pub keeps_room: bool,
+    /// When the request begins a stream that other servers can begin than those whose software
+    /// version is not recorded; `None` for all other requests.
+    pub recorded_at: Option<Timestamp>,
 }
 
 impl Requirements<'_> {
     fn allows(&self, server: &Server) -> bool {
         let has_right_version = self.origin.is_none_or(|it| it.allows(server));
-        has_right_version && server.is_in_service() && !self.tried.contains(&server.key)
+        let is_recorded = self.recorded_at.is_none_or(|it| server.unrecorded_until.is_due(it));
+        has_right_version
+            && is_recorded
+            && server.is_in_service()
+            && !self.tried.contains(&server.key)
     }
 
     /// How many of `places` the request may not take.
--- a/sl-route/src/server.rs
+++ b/sl-route/src/server.rs
@@ -55,6 +55,9 @@
     pub updated_at: Timestamp,
     /// Whether the server announced in a response that it shuts down.
     pub has_announced_drain: bool,
+    /// Until then, the server begins no streams that another one can begin, because the version
+    /// record lacks its version.
+    pub unrecorded_until: Timestamp,
     /// Whether the run crashed, was unreachable, and has not written its entry again since. What
     /// answers now at the address may be another run under the same id, of another software version.
     pub may_have_restarted: bool,
--- a/sl-route/src/state/admit.rs
+++ b/sl-route/src/state/admit.rs
@@ -125,8 +125,16 @@
         limits: AdmissionLimits,
     ) -> Result<place::Placement, PlacementError> {
         let keys = self.pools.get(&in_flight.arrival.service).ok_or(PlacementError::NoServer)?;
-        let servers = keys.iter().filter_map(|it| self.servers.get(it));
-        place::choose(now, servers, self.requirements(now, in_flight, limits))
+        let servers = || keys.iter().filter_map(|it| self.servers.get(it));
+        let required = self.requirements(now, in_flight, limits);
+        let begins_stream = State::begins_stream(&in_flight.arrival, required.origin);
+        if begins_stream && servers().any(|it| !it.unrecorded_until.is_due(now)) {
+            let required = Requirements { recorded_at: Some(now), ..required };
+            if let Ok(placement) = place::choose(now, servers(), required) {
+                return Ok(placement);
+            }
+        }
+        place::choose(now, servers(), required)
     }
 
     /// What a request requires of a server that it was not sent to before.
@@ -145,6 +153,7 @@
             data_centre: &self.options.data_centre,
             origin: in_flight.origin.as_ref(),
             keeps_room: self.keeps_room_for_streams(&in_flight.arrival),
+            recorded_at: None,
         }
     }
 
--- a/sl-route/src/state/listing.rs
+++ b/sl-route/src/state/listing.rs
@@ -126,10 +126,12 @@
             }
             None => ServerKind::Plain(PlainServer::default()),
         };
+        let unrecorded_until = self.unrecorded_until(now, &record);
         self.servers.insert(
             key,
             Server {
                 key,
+                unrecorded_until,
                 record,
                 health: Health::new(now),
                 kind,
--- a/sl-route/src/state/origins.rs
+++ b/sl-route/src/state/origins.rs
@@ -4,45 +4,87 @@
 use sl_base::{ServiceId, StreamId, Timestamp};
 
 use super::State;
-use crate::{ServerKey, stream_origin::OriginBatch, version_record::VersionRecord};
+use crate::{
+    Arrival, ServerKey, ServerRecord,
+    stream_origin::{OriginBatch, StreamOrigin, StreamRequest},
+    version_record::{RECORD_TIMEOUT, VersionRecord},
+};
 
 impl State {
-    pub(super) fn on_store_era(&mut self, _era: u64) {}
+    pub(super) fn on_store_era(&mut self, era: u64) {
+        self.origins.known_versions.set_store_era(era);
+    }
 
-    pub(super) fn on_version_record(&mut self, _now: Timestamp, _record: Option<VersionRecord>) {}
+    pub(super) fn on_version_record(&mut self, now: Timestamp, record: Option<VersionRecord>) {
+        self.origins.apply_record(now, record);
+        for server in self.servers.values_mut() {
+            let record = &server.record;
+            if self.origins.known_versions.is_recorded(record.service, &record.version) {
+                server.unrecorded_until = server.unrecorded_until.min(now);
+            }
+        }
+    }
 
-    pub(super) fn on_stored_origins(&mut self, _now: Timestamp, _batches: &[OriginBatch]) {}
+    pub(super) fn on_stored_origins(&mut self, now: Timestamp, batches: &[OriginBatch]) {
+        self.origins.record_batches(now, batches);
+    }
 
+    /// Records where a stream began that nobody knows of, if the record that this instance found at
+    /// its start leaves a single version for it.
     pub(super) fn on_stream_not_stored(
         &mut self,
-        _now: Timestamp,
-        _stream: StreamId,
-        _service: ServiceId,
+        now: Timestamp,
+        stream: StreamId,
+        service: ServiceId,
     ) {
+        if self.origins.origin(stream).is_some() {
+            return;
+        }
+        let version = self.origins.known_versions.only_version_found(now, service);
+        if let Some(version) = version.cloned() {
+            // The run is unknown; this key stands for all runs of the version.
+            let run = ServerKey::of("", service.0.into()).of_version(&version);
+            let origin = StreamOrigin { run, service, version: Some(version) };
+            self.origins.record_origin(now, stream, origin);
+        }
+    }
+
+    /// Until when a server that is listed now begins no streams which another one can begin,
+    /// because the version record lacks its version.
+    pub(super) fn unrecorded_until(&self, now: Timestamp, record: &ServerRecord) -> Timestamp {
+        let is_recorded = self.origins.known_versions.is_recorded(record.service, &record.version);
+        if is_recorded { now } else { now.after(RECORD_TIMEOUT) }
+    }
+
+    /// Whether the request begins a stream at its next server.
+    pub(super) fn begins_stream(arrival: &Arrival, origin: Option<&StreamOrigin>) -> bool {
+        origin.is_none() && matches!(arrival.stream, Some(StreamRequest::New(_)))
     }
 
     /// The version record that the store should have; `None` if it has that.
-    pub fn wanted_version_record(&self, _now: Timestamp) -> Option<VersionRecord> {
-        None
+    pub fn wanted_version_record(&self, now: Timestamp) -> Option<VersionRecord> {
+        self.origins.wanted_record(now)
     }
 
-    /// Whether the origins of streams are to be saved in the store: servers of several versions
-    /// serve some service.
+    /// Whether the origins of streams are to be saved in the store: some service has servers of
+    /// several versions.
     pub fn should_save_origins(&self) -> bool {
-        false
+        self.origins.has_several_versions()
     }
 
     /// Starts to collect the origins that are not saved in the store, from all known ones on, or
     /// ends it.
-    pub fn collect_unsaved_origins(&mut self, _is_collecting: bool) {}
+    pub fn collect_unsaved_origins(&mut self, is_collecting: bool) {
+        self.origins.collect_unsaved(is_collecting);
+    }
 
     /// Takes the origins that were recorded since the last call, oldest first.
     pub fn take_unsaved_origins(&mut self) -> Vec<(StreamId, ServerKey)> {
-        Vec::new()
+        self.origins.take_unsaved()
     }
 
     /// The batch of these streams, as far as the software of their runs is known.
-    pub fn origin_batch(&self, _streams: &[(StreamId, ServerKey)]) -> OriginBatch {
-        OriginBatch::default()
+    pub fn origin_batch(&self, streams: &[(StreamId, ServerKey)]) -> OriginBatch {
+        self.origins.batch(streams)
     }
 }
--- a/sl-route/src/state/streams.rs
+++ b/sl-route/src/state/streams.rs
@@ -34,12 +34,14 @@
     }
 
     /// The only service of the route, if all of its servers have one software version. Any stream
-    /// of the route may go on at any of them.
+    /// of the route may go on at any of them. `None` as long as this instance may lack versions that
+    /// have left before it started.
     fn sole_service(&self, route: &Route) -> Option<ServiceId> {
         let [(service, _)] = route.services[..] else {
             return None;
         };
-        self.origins.has_one_version(service).then_some(service)
+        let is_complete = self.origins.known_versions.is_complete();
+        (is_complete && self.origins.has_one_version(service)).then_some(service)
     }
 
     /// Finds out where a stream began that the request resumes; `None` if it may go on anywhere.
@@ -126,6 +128,7 @@
     /// Records the streams that are still running again, here and at the peers, so that their
     /// origins are remembered for as long as they run.
     pub(super) fn refresh_streams(&mut self, now: Timestamp) {
+        self.origins.known_versions.prune(now);
         if !self.origins.prune(now) {
             return;
         }
--- a/sl-route/src/stream_origin.rs
+++ b/sl-route/src/stream_origin.rs
@@ -2,12 +2,19 @@
 //! first event, whichever instance the caller reaches when it takes the stream up. See
 //! docs/design.md, "Servers of several software versions".
 
-use std::{collections::HashMap, sync::Arc};
+use std::{
+    collections::{HashMap, HashSet},
+    sync::Arc,
+};
 
 use serde::{Deserialize, Serialize};
 use sl_base::{Millis, ServiceId, StreamId, Timestamp};
 
-use crate::{ServerKey, ServerRecord, server::Server};
+use crate::{
+    ServerKey, ServerRecord,
+    server::Server,
+    version_record::{KnownVersions, VersionRecord},
+};
 
 /// What a request for a resumable stream asks for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -80,6 +87,10 @@
     runs: HashMap<ServerKey, KnownRun>,
     /// The number of these runs by service and software version.
     versions: HashMap<ServiceId, HashMap<Option<Arc<str>>, usize>>,
+    /// The software versions of servers that this instance may not have seen.
+    pub(crate) known_versions: KnownVersions,
+    /// Streams that are not saved in the store, oldest first; `None` while this instance saves none.
+    unsaved: Option<Vec<(StreamId, ServerKey)>>,
 }
 
 #[derive(Debug)]
@@ -87,6 +98,8 @@
     origin: StreamOrigin,
     /// When the run is forgotten; [`Timestamp::NEVER`] while it is listed.
     forget_at: Timestamp,
+    /// Whether this instance has seen the server's entry itself.
+    was_listed: bool,
 }
 
 /// The period after which streams that are still running are recorded again. A stream is
@@ -100,6 +113,10 @@
 /// Bound on the streams of one period; further ones are not recorded.
 pub const STREAMS_PER_PERIOD_MAX: usize = 1 << 18;
 
+/// Bound on the streams that wait to be saved; further ones are not saved. As many fit into one value
+/// of the store, of 1,048,576 bytes, with the table of their runs.
+pub const UNSAVED_MAX: usize = 100_000;
+
 /// Bound on the runs that are remembered; further ones are not.
 const RUNS_MAX: usize = 1 << 15;
 
@@ -112,20 +129,71 @@
             rotate_at: now.after(ROTATION_PERIOD),
             runs: HashMap::new(),
             versions: HashMap::new(),
+            known_versions: KnownVersions::new(now),
+            unsaved: None,
         }
     }
 
     /// Records that the stream was sent to the run, which begins it unless a later record names
     /// another run.
     pub fn record(&mut self, stream: StreamId, run: ServerKey) {
-        if self.recent.len() < STREAMS_PER_PERIOD_MAX || self.recent.contains_key(&stream) {
-            self.recent.insert(stream, run);
+        if self.recent.len() >= STREAMS_PER_PERIOD_MAX && !self.recent.contains_key(&stream) {
+            return;
+        }
+        let is_new = self.recent.insert(stream, run) != Some(run);
+        if let Some(unsaved) = self.unsaved.as_mut().filter(|it| is_new && it.len() < UNSAVED_MAX) {
+            unsaved.push((stream, run));
+        }
+    }
+
+    /// Starts to collect the streams that are to be saved, from all known ones on, or ends it.
+    pub fn collect_unsaved(&mut self, is_collecting: bool) {
+        let known = self.older.iter().chain(&self.recent).map(|(&stream, &run)| (stream, run));
+        self.unsaved = is_collecting.then(|| known.take(UNSAVED_MAX).collect());
+    }
+
+    /// Takes the streams that were recorded since the last call, oldest first.
+    pub fn take_unsaved(&mut self) -> Vec<(StreamId, ServerKey)> {
+        self.unsaved.as_mut().map(std::mem::take).unwrap_or_default()
+    }
+
+    /// The batch of these streams. A stream whose run is unknown is left out.
+    pub fn batch(&self, streams: &[(StreamId, ServerKey)]) -> OriginBatch {
+        let mut batch = OriginBatch::default();
+        let mut indexes: HashMap<ServerKey, u32> = HashMap::new();
+        for &(stream, run) in streams {
+            let Some(origin) = self.of_run(run) else {
+                continue;
+            };
+            let index = *indexes.entry(run).or_insert_with(|| {
+                batch.runs.push(origin.clone());
+                batch.runs.len() as u32 - 1
+            });
+            batch.streams.push((stream, index));
+        }
+        batch
+    }
+
+    /// Records the streams of batches, the last written ones last, except those that are known here.
+    pub fn record_batches(&mut self, now: Timestamp, batches: &[OriginBatch]) {
+        let entries = batches.iter().flat_map(|batch| {
+            let run_of = |index: u32| batch.runs.get(index as usize);
+            batch.streams.iter().filter_map(move |&(stream, index)| Some((stream, run_of(index)?)))
+        });
+        let last: HashMap<StreamId, &StreamOrigin> = entries.collect();
+        for (stream, origin) in last {
+            match self.run_of(stream) {
+                None => self.record_origin(now, stream, origin.clone()),
+                Some(run) if run == origin.run => self.put_unlisted_run(now, origin.clone()),
+                Some(_) => {}
+            }
         }
     }
 
     /// Records the entry of a server that is listed.
     pub fn record_listed(&mut self, record: &ServerRecord) {
-        let run = KnownRun { origin: StreamOrigin::of(record), forget_at: Timestamp::NEVER };
+        let origin = StreamOrigin::of(record);
+        let run = KnownRun { origin, forget_at: Timestamp::NEVER, was_listed: true };
         self.put_run(record.key(), run);
     }
 
@@ -138,11 +206,17 @@
 
     /// Records what a peer knows of a stream.
     pub fn record_origin(&mut self, now: Timestamp, stream: StreamId, origin: StreamOrigin) {
+        let run = origin.run;
+        self.put_unlisted_run(now, origin);
+        self.record(stream, run);
+    }
+
+    fn put_unlisted_run(&mut self, now: Timestamp, origin: StreamOrigin) {
         let run = origin.run;
         if !self.runs.contains_key(&run) {
-            self.put_run(run, KnownRun { origin, forget_at: now.after(RUN_RETENTION) });
+            let forget_at = now.after(RUN_RETENTION);
+            self.put_run(run, KnownRun { origin, forget_at, was_listed: false });
         }
-        self.record(stream, run);
     }
 
     fn put_run(&mut self, key: ServerKey, run: KnownRun) {
@@ -169,8 +243,11 @@
 
     /// Where the stream began; `None` if that is not known here.
     pub fn origin(&self, stream: StreamId) -> Option<&StreamOrigin> {
-        let run = self.recent.get(&stream).or_else(|| self.older.get(&stream))?;
-        self.of_run(*run)
+        self.of_run(self.run_of(stream)?)
+    }
+
+    fn run_of(&self, stream: StreamId) -> Option<ServerKey> {
+        self.recent.get(&stream).or_else(|| self.older.get(&stream)).copied()
     }
 
     /// The origin of the streams that the run begins.
@@ -179,10 +256,33 @@
     }
 
     /// Whether all servers of the service have the same software version, as far as known: those
-    /// listed now, and those that began streams which may still be resumed. Servers whose entries
-    /// name no version count as one version.
+    /// listed now, those that began streams which may still be resumed, and those of the version
+    /// record. Servers whose entries name no version count as one version.
     pub fn has_one_version(&self, service: ServiceId) -> bool {
-        self.versions.get(&service).is_none_or(|it| it.len() <= 1)
+        let seen = self.versions.get(&service).into_iter().flat_map(HashMap::keys);
+        let mut versions = seen.chain(self.known_versions.versions(service));
+        let first = versions.next();
+        versions.all(|it| Some(it) == first)
+    }
+
+    /// Whether some service has several software versions.
+    pub fn has_several_versions(&self) -> bool {
+        let services: HashSet<ServiceId> =
+            self.versions.keys().copied().chain(self.known_versions.services()).collect();
+        services.into_iter().any(|it| !self.has_one_version(it))
+    }
+
+    /// Applies the version record that the store has.
+    pub fn apply_record(&mut self, now: Timestamp, record: Option<VersionRecord>) {
+        let is_first = self.runs.is_empty();
+        self.known_versions.apply(now, record, is_first);
+    }
+
+    /// The version record that the store should have; `None` if it has that.
+    pub fn wanted_record(&self, now: Timestamp) -> Option<VersionRecord> {
+        let served = self.runs.values().filter(|it| it.was_listed && !it.forget_at.is_due(now));
+        let served = served.map(|it| (it.origin.service, &it.origin.version));
+        self.known_versions.wanted_record(now, served)
     }
 
     /// Forgets what is too old to be asked for. Returns whether a period has ended, so that the
