--- a/bench/src/soak/plan.rs
+++ b/bench/src/soak/plan.rs
@@ -43,6 +43,9 @@
     Replace(usize),
     /// Replaces the server by one of another software version.
     Release(usize),
+    /// Replaces all engines by ones of another software version, removes the entries of the former
+    /// ones, and kills all instances, which start again.
+    ReleaseAndKillAll,
     /// Puts a configuration with a new version into the store.
     Configure,
     /// Copies the store or, every second time, restores it from that copy. Servers and operator
@@ -109,6 +112,14 @@
 /// milliseconds.
 const RELEASE_MEAN_INTERVAL_MS: u64 = 1_500;
 
+/// The mean interval between two releases of all engines that end with the loss of all instances, in
+/// milliseconds.
+const LOST_RELEASE_MEAN_INTERVAL_MS: u64 = 4_000;
+
+/// The time between the end of such a release and the loss of all instances: several intervals at
+/// which the version record and the origins of streams are written.
+const RELEASE_SETTLE_TIME: Duration = Duration::from_millis(500);
+
 /// The limits that servers name, in requests in ten seconds.
 const LIMITS: std::ops::Range<u32> = 20..200;
 
@@ -142,6 +153,9 @@
     faults.extend(draw_schedule(rng, duration, RELEASE_MEAN_INTERVAL_MS, |rng| {
         Fault::Release(rng.random_range(0..SERVER_COUNT))
     }));
+    faults.extend(draw_schedule(rng, duration, LOST_RELEASE_MEAN_INTERVAL_MS, |_| {
+        Fault::ReleaseAndKillAll
+    }));
     faults.sort_by_key(|it| it.0);
     faults
 }
@@ -270,11 +284,7 @@
     pub(crate) async fn inject(&mut self, fault: Fault) -> io::Result<()> {
         match fault {
             Fault::Kill(index) => self.kill_and_restart(index)?,
-            Fault::KillAll => {
-                for index in 0..self.fleet.instances.len() {
-                    self.kill_and_restart(index)?;
-                }
-            }
+            Fault::KillAll => self.kill_and_restart_all()?,
             Fault::Terminate(index) => self.stop_and_restart(index).await?,
             Fault::Pause(index) => {
                 self.paused.push(index);
@@ -296,11 +306,9 @@
             }
             Fault::Replace(index) => self.replace_server(index).await?,
             Fault::Release(index) => {
-                let version = self.fleet.servers[index].version();
-                let is_first = version == server::FIRST_VERSION;
-                let next = if is_first { SECOND_VERSION } else { server::FIRST_VERSION };
-                self.replace_server_by(index, next.into()).await?;
+                self.replace_server_by(index, self.next_version(index).into()).await?;
             }
+            Fault::ReleaseAndKillAll => self.release_and_kill_all().await?,
             Fault::Configure => {
                 self.config_version += 1;
                 let document = configuration(self.config_version);
@@ -316,6 +324,37 @@
         Ok(())
     }
 
+    /// The software version that follows that of the server.
+    fn next_version(&self, index: usize) -> &'static str {
+        let is_first = self.fleet.servers[index].version() == server::FIRST_VERSION;
+        if is_first { SECOND_VERSION } else { server::FIRST_VERSION }
+    }
+
+    async fn release_and_kill_all(&mut self) -> io::Result<()> {
+        let servers = self.fleet.servers.iter().enumerate();
+        let engines = servers.filter(|(_, it)| it.spec.service == "model").map(|it| it.0);
+        let engines: Vec<usize> = engines.collect();
+        let Some(version) = engines.first().map(|it| self.next_version(*it)) else {
+            return Ok(());
+        };
+        for index in engines {
+            let key = self.fleet.servers[index].key();
+            self.replace_server_by(index, version.into()).await?;
+            self.fleet.store.remove(&key);
+        }
+        tokio::time::sleep(RELEASE_SETTLE_TIME).await;
+        self.kill_and_restart_all()
+    }
+
+    /// Kills all instances before it starts the first one again, so that none remembers anything.
+    fn kill_and_restart_all(&mut self) -> io::Result<()> {
+        for index in 0..self.fleet.instances.len() {
+            self.resume(index);
+            self.fleet.instances[index].kill();
+        }
+        self.fleet.instances.iter_mut().try_for_each(|it| it.start())
+    }
+
     async fn copy_or_restore_store(&mut self) {
         let store = &self.fleet.store;
         let Some(backup) = self.backup.take() else {
