--- a/sl-route/src/lib.rs
+++ b/sl-route/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod share;
 mod state;
 pub mod stream_origin;
+pub mod version_record;
 pub mod warmup;
 
 pub use directory::{Directory, ServerRecord, ServerState};
--- a/sl-route/src/place.rs
+++ b/sl-route/src/place.rs
@@ -40,6 +40,9 @@
     pub cold_opens_at: Timestamp,
     /// How long the request leaves each slot of a cold server to others.
     pub cold_slot_delay: Millis,
+    /// When the request begins a stream that other servers can begin than those whose software
+    /// version is not recorded; `None` for all other requests.
+    pub recorded_at: Option<Timestamp>,
 }
 
 impl Requirements<'_> {
@@ -48,8 +51,10 @@
         let data_centre = &server.record.data_centre;
         let is_allowed_there =
             !self.evacuations.contains(data_centre) && self.regions.allows(data_centre);
+        let is_recorded = self.recorded_at.is_none_or(|it| server.unrecorded_until.is_due(it));
         has_right_version
             && is_allowed_there
+            && is_recorded
             && server.is_in_service()
             && !self.tried.contains(&server.key)
     }
