--- a/sl-route/src/version_record.rs
+++ b/sl-route/src/version_record.rs
@@ -20,9 +20,9 @@
     /// The era of the store in which the record was written. In a later era, the record comes from
     /// an older copy of the store and may lack versions.
     pub era: u64,
-    /// From when on the record has all versions of streams that may be resumed. Before, it may lack
-    /// versions that its writer could not know.
-    pub complete_at: Timestamp,
+    /// Whether the record has all versions of streams that may be resumed. Not a time, since
+    /// instances have no clock in common.
+    pub is_complete: bool,
     /// The versions that serve now or did within [`RUN_RETENTION`].
     pub services: BTreeMap<ServiceId, BTreeSet<VersionName>>,
 }
@@ -116,10 +116,8 @@
     }
 
     fn apply_first(&mut self, now: Timestamp, record: &VersionRecord) {
-        let latest = now.after(RUN_RETENTION);
-        let is_current = record.era == self.store_era;
-        self.complete_at = if is_current { record.complete_at.min(latest) } else { latest };
-        self.is_complete = self.complete_at.is_due(now);
+        self.is_complete = record.is_complete && record.era == self.store_era;
+        self.complete_at = if self.is_complete { now } else { now.after(RUN_RETENTION) };
         self.found = Some(record.clone()).filter(|_| self.is_complete);
     }
 
@@ -171,10 +169,8 @@
         for (service, version) in served.chain(remembered) {
             services.entry(service).or_default().insert(version.clone());
         }
-        let is_wanted = |it: &VersionRecord| it.era == self.store_era && it.services == services;
-        if services.is_empty() || self.record.as_ref().is_some_and(is_wanted) {
-            return None;
-        }
-        Some(VersionRecord { era: self.store_era, complete_at: self.complete_at, services })
+        let wanted = VersionRecord { era: self.store_era, is_complete: self.is_complete, services };
+        let is_written = wanted.services.is_empty() || self.record.as_ref() == Some(&wanted);
+        (!is_written).then_some(wanted)
     }
 }
--- a/sl-route/tests/it/origins.rs
+++ b/sl-route/tests/it/origins.rs
@@ -25,7 +25,7 @@
 
 fn versions(era: u64, names: &[&str]) -> VersionRecord {
     let names = names.iter().map(|it| Some((*it).into())).collect();
-    VersionRecord { era, complete_at: START, services: [(model(), names)].into() }
+    VersionRecord { era, is_complete: true, services: [(model(), names)].into() }
 }
 
 /// A state that has just started and found a record and engines in the store.
@@ -114,11 +114,25 @@
     assert_eq!(sent_version(&state, &resumed).as_deref(), Some("v1"), "{resumed:?}");
 }
 
+// Guards against a record that counts as incomplete because its writer's clock, which starts with its
+// machine, is ahead of the reader's.
+#[test]
+fn a_record_is_trusted_whatever_the_clock_of_its_writer() {
+    let mut writer = state(1, &[]);
+    let late = at(1_000_000_000);
+    writer.step(late, Event::StoreEra(ERA));
+    writer.step(late, Event::ServerListed(engine("a", "v1")));
+    let record = writer.wanted_version_record(late).unwrap();
+    let mut state = started(Some(record), &[("a", "v1"), ("b", "v2")]);
+    let resumed = resume(&mut state, 10, 1, 7);
+    assert_eq!(sent_version(&state, &resumed).as_deref(), Some("v1"), "{resumed:?}");
+}
+
 // Guards against a proof from a record that a restore of the store has brought back, that its writer
 // could not complete, or that appeared after the start.
 #[rstest]
 #[case::earlier_era(Some(versions(ERA - 1, &["v1"])), false)]
-#[case::incomplete(Some(VersionRecord { complete_at: at(60_000), ..versions(ERA, &["v1"]) }), false)]
+#[case::incomplete(Some(VersionRecord { is_complete: false, ..versions(ERA, &["v1"]) }), false)]
 #[case::later_record(None, false)]
 #[case::restored_since(Some(versions(ERA, &["v1"])), true)]
 fn a_record_that_may_lack_versions_proves_nothing(
@@ -142,7 +156,9 @@
     assert_eq!(refusal(resume(&mut state, 10, 1, 7)), Some(Refusal::OriginUnknown));
     let wanted = state.wanted_version_record(at(20)).unwrap();
     assert_eq!(wanted.era, ERA);
-    assert!(!wanted.complete_at.is_due(at(59_000)), "{wanted:?}");
+    assert!(!wanted.is_complete, "{wanted:?}");
+    state.step(at(30_000), Event::VersionRecordListed(Some(wanted.clone())));
+    assert_eq!(state.wanted_version_record(at(59_000)), None);
     // An instance that starts later is told by the record.
     let mut later = started(Some(wanted), &[("a", "v2")]);
     assert_eq!(refusal(resume(&mut later, 10, 1, 7)), Some(Refusal::OriginUnknown));
@@ -230,7 +246,7 @@
     let restored = state.wanted_version_record(at(2_020)).unwrap();
     assert_eq!(restored.era, ERA + 1);
     assert_eq!(restored.services, versions(ERA, &["v1", "v2"]).services);
-    assert!(restored.complete_at.is_due(at(2_020)));
+    assert!(restored.is_complete);
 }
 
 // Guards against the loss of what only instances knew: an instance without memory resumes the streams
