bench: a load in which slots are scarce, with engines that work in steps

What callers saw: on a deployment of 140 engines large requests were refused far more often than small ones, and streams reached their deadline. The load model had no engine whose time between tokens follows the batch and the prefill, counted a request as answered with its first token, and told the reducers no intervals between events.

`attempt sent` states the expected end (`end_ms`). Found on the way: callers of all loads left at their deadline only if they sent at a whole millisecond, because the time of sending was compared with its rounded value; and all streams now report the interval between events, as those of sl-edge do.

--- a/bench/src/load.rs
+++ b/bench/src/load.rs
@@ -3,15 +3,17 @@
 //! of a policy or a change on a load can be measured within a second. docs/design.md has a
 //! table of its results and says how far they are off.
 
+mod cache;
 mod engine;
 mod fleet;
 mod play;
 mod policy;
 mod queue;
+mod step_engine;
 mod tally;
 mod traffic;
 
 pub use play::{Options, simulate};
 pub use policy::Policy;
 pub use tally::{KindTally, Tally};
-pub use traffic::{KINDS, Kind, Load};
+pub use traffic::{Kind, Load};
--- a/bench/src/load/fleet.rs
+++ b/bench/src/load/fleet.rs
@@ -9,9 +9,11 @@
 };
 
 use super::{
-    engine::{KV_CAPACITY_TOKENS, SLOTS, TOKENS_PER_EVENT},
+    cache::KV_CAPACITY_TOKENS,
+    engine::{SLOTS, TOKENS_PER_EVENT},
     play::Options,
-    traffic::KINDS,
+    step_engine,
+    traffic::Load,
 };
 
 /// Name of the service to which the engines belong.
@@ -25,21 +27,28 @@
 pub(super) const START: Timestamp = Timestamp::from_micros(1_000_000);
 
 /// Prompt tokens that the engine processes per millisecond.
-pub(super) fn engine_tokens_per_ms(engine: usize) -> f64 {
+pub(super) fn engine_tokens_per_ms(load: Load, engine: usize) -> f64 {
+    if load.has_step_engines() {
+        return step_engine::TOKENS_PER_MS;
+    }
     ENGINE_TOKENS_PER_MS[engine % ENGINE_TOKENS_PER_MS.len()]
 }
 
 fn document(options: Options) -> Document {
     let slots = options.policy.slot_limit(SLOTS, options.instances as u32);
+    let has_step_engines = options.load.has_step_engines();
+    let tokens_per_event =
+        if has_step_engines { step_engine::TOKENS_PER_EVENT } else { TOKENS_PER_EVENT };
     let engine = EngineLimits {
         slots,
         kv_capacity_tokens: KV_CAPACITY_TOKENS,
-        tokens_per_event: f64::from(TOKENS_PER_EVENT),
+        tokens_per_event: f64::from(tokens_per_event),
         fetch_ms_per_token: None,
     };
     let name = SERVICE.to_owned();
     let service = Service { name, max_connections: 1_000, engine: Some(engine) };
-    let total_tokens_per_ms: f64 = (0..options.engines).map(engine_tokens_per_ms).sum();
+    let total_tokens_per_ms: f64 =
+        (0..options.engines).map(|it| engine_tokens_per_ms(options.load, it)).sum();
     let limits =
         Limits { tokens_per_s: Some(total_tokens_per_ms * 1_000.0 * 0.8), ..Limits::default() };
     Document::new(1, [], [service], limits, [])
@@ -82,8 +91,8 @@
 }
 
 /// The route of a kind of request.
-pub(super) fn route(kind: usize) -> Arc<Route> {
-    let kind = KINDS[kind];
+pub(super) fn route(load: Load, kind: usize) -> Arc<Route> {
+    let kind = load.kinds()[kind];
     Arc::new(Route {
         name: kind.name.to_owned(),
         host: "h".to_owned(),
--- a/bench/src/load/play.rs
+++ b/bench/src/load/play.rs
@@ -9,15 +9,17 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use sl_base::{Millis, RequestId, ServiceId, TeamId, Timestamp};
-use sl_route::{Arrival, AttemptEnd, Effect, Event, Fault, ServerKey, State, Team};
+use sl_route::{Arrival, AttemptEnd, Decision, Effect, Event, Fault, ServerKey, State, Team};
 
 use super::{
-    engine::{Engine, Job, ProcessedParts},
+    cache::ProcessedParts,
+    engine::{Engine, Job},
     fleet::{self, SERVICE, START},
     policy::Policy,
     queue::{ScheduledEvent, SimEvent},
+    step_engine::{self, StepEngine, Stream},
     tally::{Outcome, Tally},
-    traffic::{self, CallerRequest, KINDS, Load},
+    traffic::{self, CallerRequest, Load},
 };
 
 /// Options of a simulation.
@@ -43,6 +45,12 @@
     /// The instance to which the request was sent last.
     instance: usize,
     is_finished: bool,
+    /// How long after the request was sent first its first token arrived, in milliseconds; kept
+    /// until the stream ends where its end counts.
+    first_token_after_ms: Option<u64>,
+    /// The time between two tokens that was expected when the request was sent to an engine last,
+    /// in milliseconds.
+    expected_token_interval_ms: f64,
 }
 
 struct Simulation {
@@ -54,7 +62,10 @@
     instances: Vec<State>,
     /// For each instance, whether the sending of its notes is scheduled.
     is_send_scheduled: Vec<bool>,
+    /// Empty if the engines work in steps.
     engines: Vec<Engine>,
+    /// Empty if the engines do not work in steps.
+    step_engines: Vec<StepEngine>,
     /// Indexes of the engines by the keys of all their incarnations.
     engine_by_key: HashMap<ServerKey, usize>,
     processed_parts: ProcessedParts,
@@ -71,11 +82,16 @@
 /// Interval of [`Event::Tick`].
 const TICK_INTERVAL: Millis = Millis(100);
 
+/// How long a simulation goes on after the last deadline of a request.
+const DRAIN_MARGIN: Millis = Millis(2_000);
+
 /// Runs a simulation.
 pub fn simulate(options: Options) -> Tally {
     let mut simulation = Simulation::new(options);
     simulation.schedule_load();
-    let end = START.after(options.duration).after(Millis(10_000));
+    let timeouts = options.load.kinds().iter().map(|it| it.timeout.0);
+    let drain = Millis(timeouts.max().unwrap_or_default() + DRAIN_MARGIN.0);
+    let end = START.after(options.duration).after(drain);
     while let Some(Reverse(scheduled)) = simulation.queue.pop() {
         if scheduled.at > end {
             break;
@@ -88,6 +104,9 @@
 
 impl Simulation {
     fn new(options: Options) -> Simulation {
+        let Options { load, engines, .. } = options;
+        let (engines, step_engines) =
+            if load.has_step_engines() { (0, engines) } else { (engines, 0) };
         Simulation {
             options,
             rng: ChaCha8Rng::seed_from_u64(options.seed),
@@ -96,13 +115,14 @@
             queue: BinaryHeap::new(),
             instances: (0..options.instances).map(|it| fleet::instance(options, it)).collect(),
             is_send_scheduled: vec![false; options.instances],
-            engines: (0..options.engines)
-                .map(|it| Engine::new(fleet::engine_tokens_per_ms(it)))
+            engines: (0..engines)
+                .map(|it| Engine::new(fleet::engine_tokens_per_ms(load, it)))
                 .collect(),
+            step_engines: (0..step_engines).map(|_| StepEngine::default()).collect(),
             engine_by_key: (0..options.engines).map(|it| (fleet::record(it).key(), it)).collect(),
             processed_parts: ProcessedParts::default(),
             calls: Vec::new(),
-            tally: Tally::new(),
+            tally: Tally::new(load),
         }
     }
 
@@ -130,7 +150,13 @@
             let caller_request =
                 traffic::draw_request(&mut self.rng, load, micros / MICROS_PER_MILLI, engines);
             let call = self.calls.len();
-            self.calls.push(Call { caller_request, instance: 0, is_finished: false });
+            self.calls.push(Call {
+                caller_request,
+                instance: 0,
+                is_finished: false,
+                first_token_after_ms: None,
+                expected_token_interval_ms: 0.0,
+            });
             self.schedule_at(
                 Timestamp::from_micros(START.as_micros() + micros),
                 SimEvent::SendRequest { call },
@@ -157,9 +183,19 @@
             SimEvent::PromptProcessed { engine, generation } => {
                 self.finish_prompt(engine, generation)
             }
-            SimEvent::StreamEnds { engine, generation, instance, request } => {
-                self.finish_stream(engine, generation, instance, request);
+            SimEvent::StreamEnds {
+                engine,
+                generation,
+                instance,
+                request,
+                event_interval_micros,
+            } => {
+                if self.engines[engine].generation == generation {
+                    self.engines[engine].finish_stream();
+                }
+                self.finish_stream(instance, request, Some(event_interval_micros));
             }
+            SimEvent::StepEnds { engine } => self.finish_step(engine),
             SimEvent::CallerDisconnects { call } => self.disconnect_caller(call),
             SimEvent::SendNotes { instance } => self.send_notes(instance),
             SimEvent::NotesArrive { instance, from, notes } => {
@@ -173,9 +209,11 @@
 
     fn send_request(&mut self, call: usize) {
         let instance = self.rng.random_range(0..self.options.instances);
-        let kind = &KINDS[self.calls[call].caller_request.kind];
-        let sent_at = START.after(Millis(self.calls[call].caller_request.sent_at_ms));
-        if sent_at >= self.now {
+        let kind = &self.options.load.kinds()[self.calls[call].caller_request.kind];
+        let is_first_try =
+            self.calls[call].caller_request.retries_left == self.options.load.retries();
+        if is_first_try {
+            let sent_at = START.after(Millis(self.calls[call].caller_request.sent_at_ms));
             self.schedule_at(sent_at.after(kind.timeout), SimEvent::CallerDisconnects { call });
         }
         self.calls[call].instance = instance;
@@ -195,12 +233,12 @@
         let team = Team { id: TeamId::of(&name), name, priority: 1 };
         let deadline = START
             .after(Millis(caller_request.sent_at_ms))
-            .after(KINDS[caller_request.kind].timeout);
+            .after(self.options.load.kinds()[caller_request.kind].timeout);
         self.tally.shared_tokens +=
             caller_request.prompt.shared_parts().iter().map(|it| u64::from(it.tokens)).sum::<u64>();
         let arrival = Arrival {
             request: RequestId(call as u64),
-            route: fleet::route(caller_request.kind),
+            route: fleet::route(self.options.load, caller_request.kind),
             service: ServiceId::of(SERVICE),
             team: Some(Arc::new(team)),
             arrived_at: self.now,
@@ -226,12 +264,22 @@
                 Effect::Fail { request, .. } | Effect::ForwardServerError { request } => {
                     self.finish_call(request.0 as usize, Outcome::Failed);
                 }
-                Effect::KeepWaiting { .. } | Effect::ListCache { .. } | Effect::Log(_) => {}
+                Effect::Log(decision) => self.record_expected_end(&decision),
+                Effect::KeepWaiting { .. } | Effect::ListCache { .. } => {}
             }
         }
         self.schedule_notes(instance);
     }
 
+    fn record_expected_end(&mut self, decision: &Decision) {
+        if let Decision::AttemptSent { request, expected_ms, expected_end_ms, .. } = decision {
+            let call = &mut self.calls[request.0 as usize];
+            let tokens = call.caller_request.prompt.likely_output_tokens();
+            call.expected_token_interval_ms =
+                (expected_end_ms - expected_ms) / f64::from(tokens.max(1));
+        }
+    }
+
     fn schedule_notes(&mut self, instance: usize) {
         if !self.instances[instance].has_notes() {
             return;
@@ -276,7 +324,7 @@
         let call = &mut self.calls[request.0 as usize];
         let disconnects_at = START
             .after(Millis(call.caller_request.sent_at_ms))
-            .after(KINDS[call.caller_request.kind].timeout);
+            .after(self.options.load.kinds()[call.caller_request.kind].timeout);
         if call.caller_request.retries_left == 0 || self.now.after(wait) >= disconnects_at {
             return self.finish_call(request.0 as usize, Outcome::Refused);
         }
@@ -295,6 +343,9 @@
         if self.calls[job.request as usize].is_finished {
             return;
         }
+        if self.options.load.has_step_engines() {
+            return self.receive_step_attempt(engine, job);
+        }
         if self.engines[engine].is_down {
             return self.fail_attempt(&job, Fault::NotConnected);
         }
@@ -305,6 +356,57 @@
         self.schedule_prompt_end(engine, processed_at);
     }
 
+    fn receive_step_attempt(&mut self, engine: usize, job: Job) {
+        if !self.step_engines[engine].has_slot() {
+            return self.fail_attempt(&job, Fault::Full);
+        }
+        let output_tokens = self.calls[job.request as usize].caller_request.output_tokens;
+        self.step_engines[engine].enqueue(job, output_tokens);
+        self.start_step(engine);
+    }
+
+    fn start_step(&mut self, engine: usize) {
+        let ends_at = self.step_engines[engine].start_step(self.now, &self.processed_parts);
+        if let Some(ends_at) = ends_at {
+            self.schedule_at(ends_at, SimEvent::StepEnds { engine });
+        }
+    }
+
+    fn finish_step(&mut self, engine: usize) {
+        let result = self.step_engines[engine].finish_step(self.now);
+        for job in result.started {
+            self.processed_parts.0.extend(job.prompt.shared_parts().iter().map(|it| it.key));
+            let call = &mut self.calls[job.request as usize];
+            let sent_at = START.after(Millis(call.caller_request.sent_at_ms));
+            let after_ms = self.now.after(NETWORK_DELAY).millis_since(sent_at) as u64;
+            call.first_token_after_ms = Some(after_ms);
+            self.step(job.instance, Event::ResponseStarted { request: RequestId(job.request) });
+        }
+        for stream in result.ended {
+            self.finish_step_stream(&stream);
+        }
+        self.start_step(engine);
+    }
+
+    fn finish_step_stream(&mut self, stream: &Stream) {
+        let call = stream.job.request as usize;
+        self.record_pace_error(stream);
+        let interval_ms = stream.token_interval_ms(self.now);
+        let interval_micros =
+            interval_ms.map(|it| (it * f64::from(step_engine::TOKENS_PER_EVENT * 1_000)) as u32);
+        if let Some(after_ms) = self.calls[call].first_token_after_ms {
+            self.finish_call(call, Outcome::FirstToken { after_ms });
+        }
+        self.finish_stream(stream.job.instance, stream.job.request, interval_micros);
+    }
+
+    fn record_pace_error(&mut self, stream: &Stream) {
+        let expected_ms = self.calls[stream.job.request as usize].expected_token_interval_ms;
+        if let Some(actual_ms) = stream.token_interval_ms(self.now) {
+            self.tally.pace_errors.push((expected_ms - actual_ms).abs() / actual_ms);
+        }
+    }
+
     fn schedule_prompt_end(&mut self, engine: usize, processed_at: Option<Timestamp>) {
         if let Some(processed_at) = processed_at {
             let generation = self.engines[engine].generation;
@@ -322,7 +424,9 @@
         if self.engines[engine].generation != generation {
             return;
         }
-        let Some((job, stream_duration)) = self.engines[engine].finish_prompt() else {
+        let Some((job, stream_duration, event_interval_micros)) =
+            self.engines[engine].finish_prompt()
+        else {
             return;
         };
         self.processed_parts.0.extend(job.prompt.shared_parts().iter().map(|it| it.key));
@@ -336,17 +440,14 @@
         let Job { instance, request, .. } = job;
         self.schedule_after(
             stream_duration,
-            SimEvent::StreamEnds { engine, generation, instance, request },
+            SimEvent::StreamEnds { engine, generation, instance, request, event_interval_micros },
         );
         let processed_at = self.engines[engine].process_next(self.now, &self.processed_parts);
         self.schedule_prompt_end(engine, processed_at);
     }
 
-    fn finish_stream(&mut self, engine: usize, generation: u64, instance: usize, request: u64) {
-        if self.engines[engine].generation == generation {
-            self.engines[engine].finish_stream();
-        }
-        let end = AttemptEnd::Completed { status: 200, event_interval_micros: None };
+    fn finish_stream(&mut self, instance: usize, request: u64, event_interval_micros: Option<u32>) {
+        let end = AttemptEnd::Completed { status: 200, event_interval_micros };
         self.step(instance, Event::AttemptEnded { request: RequestId(request), end });
     }
 
@@ -355,10 +456,20 @@
             return;
         }
         let instance = self.calls[call].instance;
-        self.finish_call(call, Outcome::Failed);
+        let has_started = self.calls[call].first_token_after_ms.is_some();
+        let outcome = if has_started { Outcome::Unfinished } else { Outcome::Failed };
+        self.finish_call(call, outcome);
         for engine in &mut self.engines {
             engine.cancel_queued(instance, call as u64);
         }
+        let cancelled: Vec<Stream> = self
+            .step_engines
+            .iter_mut()
+            .filter_map(|it| it.cancel(instance, call as u64))
+            .collect();
+        for stream in cancelled {
+            self.record_pace_error(&stream);
+        }
         self.step(instance, Event::CallerDisconnected { request: RequestId(call as u64) });
     }
 
@@ -393,8 +504,12 @@
     }
 
     fn into_tally(self) -> Tally {
-        let reprocessed_tokens = self.engines.iter().map(|it| it.reprocessed_tokens).sum();
-        let processing_ms: f64 = self.engines.iter().map(|it| it.processing_ms).sum();
+        let caches = self.engines.iter().map(|it| &it.cache);
+        let caches = caches.chain(self.step_engines.iter().map(|it| &it.cache));
+        let reprocessed_tokens = caches.map(|it| it.reprocessed_tokens).sum();
+        let processing_ms = self.engines.iter().map(|it| it.processing_ms);
+        let processing_ms: f64 =
+            processing_ms.chain(self.step_engines.iter().map(|it| it.processing_ms)).sum();
         let available_ms = self.options.duration.0 as f64 * self.options.engines as f64;
         self.tally.finish(reprocessed_tokens, processing_ms / available_ms)
     }
--- a/bench/src/load/queue.rs
+++ b/bench/src/load/queue.rs
@@ -31,6 +31,11 @@
         generation: u64,
         instance: usize,
         request: u64,
+        event_interval_micros: u32,
+    },
+    /// An engine that works in steps has completed one.
+    StepEnds {
+        engine: usize,
     },
     CallerDisconnects {
         call: usize,
--- a/bench/src/load/tally.rs
+++ b/bench/src/load/tally.rs
@@ -2,7 +2,7 @@
 
 use serde::Serialize;
 
-use super::traffic::{CallerRequest, KINDS, Load, TEAM_COUNT};
+use super::traffic::{CallerRequest, Load, TEAM_COUNT};
 
 /// Results for one kind of request.
 #[derive(Clone, Debug, Default, Serialize)]
@@ -18,8 +18,10 @@
     pub late: u32,
     /// Number of requests that were refused and not retried again.
     pub refused: u32,
-    /// Number of requests that failed, or whose callers disconnected.
+    /// Number of requests that failed, or whose callers disconnected before the first token.
     pub failed: u32,
+    /// Number of streams that began and did not end before the deadline, where this counts.
+    pub unfinished: u32,
     /// The share of the tenth with the longest prompts that was served.
     pub largest_served: f64,
     /// Length of each prompt, and whether its request was served.
@@ -66,6 +68,13 @@
     /// The share of the time in which engines processed prompts.
     #[serde(rename = "busy")]
     pub utilization: f64,
+    /// Error of the expected time between tokens relative to the actual one: the median and the
+    /// 95th percentile. Only for engines that work in steps.
+    pub pace_error: [f64; 2],
+    #[serde(skip)]
+    pub(super) load: Load,
+    #[serde(skip)]
+    pub(super) pace_errors: Vec<f64>,
     #[serde(skip)]
     pub(super) all: Credit,
     #[serde(skip)]
@@ -88,9 +97,13 @@
 /// The outcome of a request for its caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Outcome {
-    FirstToken { after_ms: u64 },
+    FirstToken {
+        after_ms: u64,
+    },
     Refused,
     Failed,
+    /// The stream began and did not end before the deadline.
+    Unfinished,
 }
 
 /// How long after its end the disturbance still counts, in milliseconds.
@@ -108,10 +121,11 @@
 }
 
 impl Tally {
-    pub(super) fn new() -> Tally {
+    pub(super) fn new(load: Load) -> Tally {
         let kind = |name| KindTally { kind: name, ..KindTally::default() };
         Tally {
-            kinds: KINDS.iter().map(|it| kind(it.name)).collect(),
+            load,
+            kinds: load.kinds().iter().map(|it| kind(it.name)).collect(),
             teams: vec![Credit::default(); TEAM_COUNT],
             ..Tally::default()
         }
@@ -119,7 +133,7 @@
 
     pub(super) fn record(&mut self, request: &CallerRequest, outcome: Outcome) {
         let CallerRequest { kind, team, sent_at_ms, .. } = *request;
-        let spec = KINDS[kind];
+        let spec = self.load.kinds()[kind];
         let tally = &mut self.kinds[kind];
         tally.requests += 1;
         let is_served = matches!(outcome, Outcome::FirstToken { .. });
@@ -141,6 +155,10 @@
                 tally.failed += 1;
                 0.0
             }
+            Outcome::Unfinished => {
+                tally.unfinished += 1;
+                0.0
+            }
         };
         if let Outcome::FirstToken { after_ms } = outcome {
             self.first_tokens.push(after_ms);
@@ -162,6 +180,12 @@
             self.first_tokens.get((last as f64 * quantile) as usize).copied().unwrap_or_default()
         };
         self.first_token_ms = [percentile(0.5), percentile(0.95), percentile(0.99)];
+        self.pace_errors.sort_unstable_by(f64::total_cmp);
+        let pace_error = |quantile: f64| {
+            let last = self.pace_errors.len().saturating_sub(1);
+            self.pace_errors.get((last as f64 * quantile) as usize).copied().unwrap_or_default()
+        };
+        self.pace_error = [pace_error(0.5), pace_error(0.95)];
         self.credit = self.all.ratio();
         self.credit_disturbed = self.disturbed.ratio();
         self.worst_team = self.teams.iter().map(|it| it.ratio()).fold(1.0, f64::min);
--- a/bench/src/load/traffic.rs
+++ b/bench/src/load/traffic.rs
@@ -28,8 +28,8 @@
     pub late_value: f64,
 }
 
-/// All kinds of requests.
-pub const KINDS: [Kind; 3] = [
+/// The kinds of requests of all loads but [`Load::ScarceSlots`].
+const KINDS: [Kind; KIND_COUNT] = [
     Kind {
         name: "long",
         request_share: 0.33,
@@ -65,11 +65,53 @@
     },
 ];
 
+/// The kinds of requests of [`Load::ScarceSlots`], as measured on a deployment of 140 engines
+/// (docs/work-2026-12-04.md, part 5).
+const SCARCE_SLOTS_KINDS: [Kind; KIND_COUNT] = [
+    Kind {
+        name: "large",
+        request_share: 399.0 / 1_125.0,
+        shared_tokens: 13_300,
+        own_tokens: 3_720,
+        max_output_tokens: 240,
+        target_latency: Millis(1_200),
+        timeout: Millis(12_000),
+        value: 4.0,
+        late_value: 1.2,
+    },
+    Kind {
+        name: "medium",
+        request_share: 278.0 / 1_125.0,
+        shared_tokens: 6_300,
+        own_tokens: 2_890,
+        max_output_tokens: 104,
+        target_latency: Millis(2_000),
+        timeout: Millis(6_000),
+        value: 1.6,
+        late_value: 0.48,
+    },
+    Kind {
+        name: "small",
+        request_share: 448.0 / 1_125.0,
+        shared_tokens: 350,
+        own_tokens: 1_110,
+        max_output_tokens: 344,
+        target_latency: Millis(2_500),
+        timeout: Millis(12_000),
+        value: 0.36,
+        late_value: 0.108,
+    },
+];
+
+/// The number of kinds in each load.
+const KIND_COUNT: usize = 3;
+
 /// A named load, which disturbs the calm load during [`Load::DISTURBANCE_MS`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, EnumIter, EnumString)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Display, EnumIter, EnumString)]
 #[strum(serialize_all = "kebab-case")]
 pub enum Load {
     /// The usual load.
+    #[default]
     Calm,
     /// 1.7 times as many requests.
     Burst,
@@ -87,11 +129,25 @@
     /// 1.7 times as many requests, and callers retry up to four times without waiting as long as
     /// the refusals ask for.
     Impatient,
+    /// Waves between 0.6 and 2 times what the engines can begin, in which long streams take up the
+    /// slots. Engines work in steps, and callers leave at the deadline of a stream that has begun.
+    ScarceSlots,
 }
 
 /// Requests per second and engine in the calm load.
 const REQUESTS_PER_S_AND_ENGINE: f64 = 10.8;
 
+/// Requests per second and engine that the engines can just begin in [`Load::ScarceSlots`]: at a
+/// constant 10 a second, a fifteenth of the requests is refused, at 11 a sixth.
+const SCARCE_SLOTS_CAPACITY_PER_S: f64 = 10.0;
+
+/// Period of the waves of [`Load::ScarceSlots`], in milliseconds.
+const WAVE_MS: f64 = 17_000.0;
+
+/// Mean and amplitude of the waves, relative to what the engines can begin.
+const WAVE_MEAN: f64 = 1.3;
+const WAVE_AMPLITUDE: f64 = 0.7;
+
 /// Number of subjects of the requests of one kind, per engine. Requests of one kind with the
 /// same subject share a prompt part.
 const SUBJECTS_PER_ENGINE: usize = 9;
@@ -112,6 +168,11 @@
 
     /// Requests per second at `elapsed_ms` after the start.
     pub(super) fn requests_per_s(self, elapsed_ms: u64, engines: usize) -> f64 {
+        if self == Load::ScarceSlots {
+            let phase = elapsed_ms as f64 / WAVE_MS * std::f64::consts::TAU;
+            let wave = WAVE_MEAN - WAVE_AMPLITUDE * phase.cos();
+            return SCARCE_SLOTS_CAPACITY_PER_S * engines as f64 * wave;
+        }
         let factor = match self {
             Load::Burst | Load::Impatient if self.is_disturbed_at(elapsed_ms) => 1.7,
             Load::Flood if self.is_disturbed_at(elapsed_ms) => 2.5,
@@ -125,6 +186,17 @@
         REQUESTS_PER_S_AND_ENGINE * engines as f64 * factor
     }
 
+    /// The kinds of requests.
+    pub fn kinds(self) -> &'static [Kind; KIND_COUNT] {
+        if self.has_step_engines() { &SCARCE_SLOTS_KINDS } else { &KINDS }
+    }
+
+    /// Whether the engines work in steps, and callers leave at the deadline of a stream that has
+    /// begun.
+    pub(super) fn has_step_engines(self) -> bool {
+        self == Load::ScarceSlots
+    }
+
     /// How many times a caller retries a refused request.
     pub(super) fn retries(self) -> u32 {
         if self == Load::Impatient { 4 } else { 1 }
@@ -147,10 +219,12 @@
 /// A caller's request, as drawn from a load.
 #[derive(Clone, Debug)]
 pub(super) struct CallerRequest {
-    /// Index into [`KINDS`].
+    /// Index into [`Load::kinds`].
     pub(super) kind: usize,
     pub(super) team: usize,
     pub(super) prompt: Prompt,
+    /// Length of the response in tokens.
+    pub(super) output_tokens: u32,
     /// Time at which the request is sent first, in milliseconds from the start.
     pub(super) sent_at_ms: u64,
     pub(super) retries_left: u32,
@@ -163,7 +237,7 @@
     elapsed_ms: u64,
     engines: usize,
 ) -> CallerRequest {
-    let kind = draw_weighted(rng, KINDS.iter().map(|it| it.request_share));
+    let kind = draw_weighted(rng, load.kinds().iter().map(|it| it.request_share));
     let team_factor = |team: usize| {
         let is_greedy =
             load == Load::GreedyTeam && load.is_disturbed_at(elapsed_ms) && team == GREEDY_TEAM;
@@ -178,12 +252,12 @@
     let subject =
         draw_weighted(rng, (0..subject_count).map(|it| ((it + 1) as f64).powf(-SUBJECT_SKEW)));
     let subject = if is_hot { 0 } else { subject };
-    let Kind { shared_tokens, own_tokens, max_output_tokens, name, .. } = KINDS[kind];
+    let Kind { shared_tokens, own_tokens, max_output_tokens, name, .. } = load.kinds()[kind];
     let own_tokens = match load {
         Load::LongTail => vary_widely(rng, own_tokens),
         _ => vary(rng, own_tokens),
     };
-    let prompt = Prompt {
+    let mut prompt = Prompt {
         parts: vec![
             PromptPart::new("m", &format!("{name}-{subject}"), shared_tokens),
             PromptPart::new("m", &format!("own-{}", rng.random::<u64>()), own_tokens),
@@ -192,7 +266,14 @@
         max_output_tokens: vary(rng, max_output_tokens),
         expected_output_tokens: None,
     };
-    CallerRequest { kind, team, prompt, sent_at_ms: elapsed_ms, retries_left: load.retries() }
+    let mut output_tokens = prompt.max_output_tokens;
+    if load.has_step_engines() {
+        // The usual length is half of the maximum that callers state.
+        output_tokens /= 2;
+        prompt.max_output_tokens = max_output_tokens;
+    }
+    let retries_left = load.retries();
+    CallerRequest { kind, team, prompt, output_tokens, sent_at_ms: elapsed_ms, retries_left }
 }
 
 /// Draws a size between half and one and a half times the usual one.
--- a/sl-edge/src/log.rs
+++ b/sl-edge/src/log.rs
@@ -117,6 +117,7 @@
             server,
             attempt,
             expected_ms,
+            expected_end_ms,
             backlog_ms,
             prefill_tokens,
             fetch_tokens,
@@ -124,7 +125,8 @@
             view_age_ms,
         } => info!(log, "attempt sent";
             "request" => request.0, "server" => %server, "attempt" => attempt,
-            "expected_ms" => expected_ms.round(), "backlog_ms" => backlog_ms.round(),
+            "expected_ms" => expected_ms.round(), "end_ms" => expected_end_ms.round(),
+            "backlog_ms" => backlog_ms.round(),
             "to_read" => prefill_tokens, "to_fetch" => fetch_tokens, "candidates" => candidates,
             "heard_ms" => view_age_ms.round()),
         Decision::StreamResumed { request, known, version } => {
--- a/sl-route/src/effect.rs
+++ b/sl-route/src/effect.rs
@@ -130,6 +130,9 @@
         attempt: u32,
         /// Expected milliseconds to the first byte.
         expected_ms: f64,
+        /// Expected milliseconds to the end of the response, at the length that the caller
+        /// announces. The same as `expected_ms` for a server that is no engine.
+        expected_end_ms: f64,
         /// Estimated milliseconds of queued work ahead of the request.
         backlog_ms: f64,
         /// Prompt tokens that the engine has to prefill.
--- a/sl-route/src/place.rs
+++ b/sl-route/src/place.rs
@@ -51,6 +51,8 @@
     pub server: ServerKey,
     /// Expected milliseconds to the first byte, including any fetch from another engine.
     pub expected_ms: f64,
+    /// Expected milliseconds from the first byte to the end, for a request to an engine.
+    pub decode_ms: f64,
     /// Milliseconds of work queued at the server ahead of this request.
     pub backlog_ms: f64,
     /// Prompt tokens that the engine has to prefill, after any fetch.
@@ -331,6 +333,7 @@
     let placement = Placement {
         server,
         expected_ms,
+        decode_ms,
         backlog_ms,
         prefill_tokens,
         fetch,
@@ -379,6 +382,7 @@
     let placement = Placement {
         server: server.key,
         expected_ms,
+        decode_ms: 0.0,
         backlog_ms: response_ms * overcommit,
         prefill_tokens: 0,
         fetch: None,
--- a/sl-route/src/state/attempt.rs
+++ b/sl-route/src/state/attempt.rs
@@ -69,17 +69,7 @@
             silent_at: silent_at(now, &in_flight, &placement, may_retry),
             may_retry,
         };
-        let decision = Decision::AttemptSent {
-            request,
-            server: target.id.clone(),
-            attempt: in_flight.attempts,
-            expected_ms: placement.expected_ms,
-            backlog_ms: placement.backlog_ms,
-            prefill_tokens: placement.prefill_tokens,
-            fetch_tokens: placement.fetch.map_or(0, |it| it.tokens),
-            candidates: placement.candidates,
-            view_age_ms: placement.view_age_ms,
-        };
+        let decision = sent_decision(&in_flight, &target, &placement);
         if let Some((team, tokens)) = charge {
             self.shares.record_granted(now, team, tokens);
             self.record_outcome(&in_flight.arrival, TokenOutcome::Granted);
@@ -362,3 +352,19 @@
         _ => Failure::ConnectionLost,
     }
 }
+
+/// The log entry of an attempt that is sent to `target`.
+fn sent_decision(in_flight: &InFlightRequest, target: &Target, placement: &Placement) -> Decision {
+    Decision::AttemptSent {
+        request: in_flight.arrival.request,
+        server: target.id.clone(),
+        attempt: in_flight.attempts,
+        expected_ms: placement.expected_ms,
+        expected_end_ms: placement.expected_ms + placement.decode_ms,
+        backlog_ms: placement.backlog_ms,
+        prefill_tokens: placement.prefill_tokens,
+        fetch_tokens: placement.fetch.map_or(0, |it| it.tokens),
+        candidates: placement.candidates,
+        view_age_ms: placement.view_age_ms,
+    }
+}
