sl-route: the time between tokens follows the batch and the prefill of the last 0.7 s

Cause: the estimate knew nothing of the number of running streams, set each interval against the prefill at the stream's end, not over its life, and followed the prefill of the last 2.5 s, so that it was half of the actual one while demand rose and twice while it fell.

Change: sl-route/src/pace.rs fits the interval without prefill as a linear function of the running streams, to samples with the means over the stream's life; the prefill is that of the last 0.7 s; a request's own prefill no longer counts, since it is over when its stream begins. 24 bytes more for each running request of an engine.

--- a/sl-route/src/engine.rs
+++ b/sl-route/src/engine.rs
@@ -9,7 +9,13 @@
 
 use sl_base::{Millis, Timestamp};
 
-use crate::{Prompt, cache::Cache, document::EngineLimits, note::AttemptKey};
+use crate::{
+    Prompt,
+    cache::Cache,
+    document::EngineLimits,
+    note::AttemptKey,
+    pace::{Pace, WorkTotals},
+};
 
 /// Estimated state of one engine.
 #[derive(Clone, Debug)]
@@ -25,7 +31,7 @@
     shift_micros: i64,
     last_first_token_at: Timestamp,
     /// Attempts whose first token has arrived.
-    running: Vec<AttemptKey>,
+    running: Vec<RunningRequest>,
     slots: usize,
     fetch_ms_per_token: Option<f64>,
     /// When the transfers to and from the engine are expected to be complete. They run one at
@@ -33,8 +39,15 @@
     transfers_done_at: Timestamp,
     tokens_per_event: f64,
     load: PrefillLoad,
-    /// Milliseconds between two events of a stream while no prefill runs.
-    event_interval_ms: f64,
+    pace: Pace,
+}
+
+/// A request that has produced its first token and has not ended.
+#[derive(Clone, Copy, Debug)]
+struct RunningRequest {
+    key: AttemptKey,
+    /// The engine's work when the first token arrived.
+    since: WorkTotals,
 }
 
 /// Fraction of its time that an engine spends on prefill, as a decaying average.
@@ -91,25 +104,9 @@
 /// Time per fetch from another engine that is independent of its tokens, in milliseconds.
 const FETCH_OVERHEAD_MS: f64 = 8.0;
 
-/// Initial estimate of the time between two events of a stream, in milliseconds.
-const EVENT_INTERVAL_MS_DEFAULT: f64 = 40.0;
-
-/// Bounds on the estimated time between two events, in milliseconds.
-const EVENT_INTERVAL_MS_MIN: f64 = 1.0;
-const EVENT_INTERVAL_MS_MAX: f64 = 1_000.0;
-
-/// Weight of one stream in the average time between events.
-const EVENT_INTERVAL_WEIGHT: f64 = 0.05;
-
-/// Time constant of the prefill load, in milliseconds.
-const LOAD_WINDOW_MS: f64 = 2_500.0;
-
-/// Upper bound on the prefill load that estimates use.
-const LOAD_FRACTION_MAX: f64 = 0.95;
-
-/// The prefill load at which decoding would stall. Slightly above 1, because a token is also
-/// generated with each prefilled chunk.
-const DECODE_STALL_LOAD: f64 = 1.05;
+/// Time constant of the prefill load, in milliseconds. Demand may triple or fall to a third within 8 s,
+/// and with 2,500 ms the expected time between tokens was twice the actual one while it fell.
+const LOAD_WINDOW_MS: f64 = 700.0;
 
 /// Fraction of an observed deviation from the expected time by which later expected times
 /// shift.
@@ -182,7 +179,7 @@
             transfers_done_at: now,
             tokens_per_event: limits.tokens_per_event,
             load: PrefillLoad { busy_ms: 0.0, updated_at: now },
-            event_interval_ms: EVENT_INTERVAL_MS_DEFAULT,
+            pace: Pace::new(now),
         }
     }
 
@@ -274,21 +271,28 @@
         f64::from(tokens) / self.tokens_per_ms() + REQUEST_OVERHEAD_MS
     }
 
-    /// Milliseconds from the first token to the end of an output of `output_tokens`, given
-    /// `prefill_tokens` more to prefill. Decoding pauses while a prompt is prefilled.
-    pub fn decode_ms(&self, now: Timestamp, prefill_tokens: u32, output_tokens: u32) -> f64 {
-        let load = self.load.fraction(now) + self.prefill_ms(prefill_tokens) / LOAD_WINDOW_MS;
+    /// Milliseconds from the first token to the end of an output of `output_tokens`, at the pace that
+    /// follows from the requests sent so far and the prefill of the last seconds.
+    pub fn decode_ms(&self, now: Timestamp, output_tokens: u32) -> f64 {
+        let batch = self.queue.len() + self.running.len() + 1;
+        let events = f64::from(output_tokens) / self.tokens_per_event;
+        events * self.pace.interval_ms(batch, self.load.fraction(now))
+    }
+
+    /// Milliseconds from the first token to the end of an output of `output_tokens` if the engine had
+    /// nothing else to do; `None` if the pace has not been measured.
+    pub fn undisturbed_decode_ms(&self, output_tokens: u32) -> Option<f64> {
         let events = f64::from(output_tokens) / self.tokens_per_event;
-        events * self.event_interval_ms / (DECODE_STALL_LOAD - load.min(LOAD_FRACTION_MAX))
+        self.pace.is_measured().then(|| events * self.pace.interval_ms(1, 0.0))
     }
 
-    /// Records the mean interval between the events of a complete stream, in milliseconds.
-    pub fn record_event_interval(&mut self, now: Timestamp, millis: f64) {
-        let decode_fraction = DECODE_STALL_LOAD - self.load.fraction(now).min(LOAD_FRACTION_MAX);
-        let event_interval_ms =
-            (millis * decode_fraction).clamp(EVENT_INTERVAL_MS_MIN, EVENT_INTERVAL_MS_MAX);
-        self.event_interval_ms +=
-            (event_interval_ms - self.event_interval_ms) * EVENT_INTERVAL_WEIGHT;
+    /// Records the mean interval between the events of a stream that has just completed, in
+    /// milliseconds. To be called before the end of the request is recorded.
+    pub fn record_event_interval(&mut self, now: Timestamp, key: AttemptKey, millis: f64) {
+        self.pace.advance(now, self.running.len());
+        if let Some(request) = self.running.iter().find(|it| it.key == key) {
+            self.pace.record_interval(request.since, millis);
+        }
     }
 
     /// Records that a request with `tokens` to prefill was sent to the engine.
@@ -331,12 +335,15 @@
             self.speed.observe(request.tokens, now.millis_since(since));
         }
         self.last_first_token_at = now;
-        self.running.push(key);
+        self.pace.record_prefill(self.prefill_ms(request.tokens));
+        let since = self.pace.advance(now, self.running.len());
+        self.running.push(RunningRequest { key, since });
     }
 
     /// Records the end of a request, with or without a first token.
     pub fn record_end(&mut self, now: Timestamp, key: AttemptKey) {
-        if let Some(index) = self.running.iter().position(|it| *it == key) {
+        if let Some(index) = self.running.iter().position(|it| it.key == key) {
+            self.pace.advance(now, self.running.len());
             self.running.swap_remove(index);
             return;
         }
@@ -350,7 +357,8 @@
     /// Drops requests that are long overdue, and those sent by instances for which `is_removed`
     /// returns true.
     pub fn prune(&mut self, now: Timestamp, is_removed: impl Fn(u32) -> bool) {
-        self.running.retain(|it| !is_removed(it.instance));
+        self.pace.advance(now, self.running.len());
+        self.running.retain(|it| !is_removed(it.key.instance));
         let mut dropped_tokens = 0;
         let shift_micros = self.shift_micros;
         self.queue.retain(|it| {
--- a/sl-route/src/lib.rs
+++ b/sl-route/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod event;
 pub mod health;
 pub mod note;
+pub mod pace;
 pub mod place;
 pub mod prompt;
 pub mod request;
--- a/sl-route/src/place.rs
+++ b/sl-route/src/place.rs
@@ -320,7 +320,7 @@
     let backlog_ms = engine.backlog_ms(now);
     let eviction_cost_ms = eviction_cost_factor(now, engine) * engine.prefill_ms(uncached_tokens);
     let output_tokens = prompt.map_or(0, Prompt::likely_output_tokens);
-    let decode_ms = engine.decode_ms(now, prefill_tokens, output_tokens);
+    let decode_ms = engine.decode_ms(now, output_tokens);
     let time_used = (expected_ms + decode_ms) / required.remaining_ms.max(1.0);
     let score = engine.first_token_ms(now, uncached_tokens)
         + SHARED_PREFILL_WEIGHT * shared_prefill_ms
--- a/sl-route/src/server.rs
+++ b/sl-route/src/server.rs
@@ -176,11 +176,17 @@
         }
     }
 
-    /// Records the mean interval between the events of a completed stream.
-    pub fn record_event_interval(&mut self, now: Timestamp, event_interval_micros: Option<u32>) {
+    /// Records the mean interval between the events of a stream that has just completed. To be
+    /// called before the end of the attempt is recorded.
+    pub fn record_event_interval(
+        &mut self,
+        now: Timestamp,
+        key: AttemptKey,
+        event_interval_micros: Option<u32>,
+    ) {
         if let (ServerKind::Engine(engine), Some(micros)) = (&mut self.kind, event_interval_micros)
         {
-            engine.record_event_interval(now, f64::from(micros) / MICROS_PER_MILLI);
+            engine.record_event_interval(now, key, f64::from(micros) / MICROS_PER_MILLI);
         }
     }
 
--- a/sl-route/src/state/attempt.rs
+++ b/sl-route/src/state/attempt.rs
@@ -182,10 +182,10 @@
             self.record_outcome(&in_flight.arrival, TokenOutcome::Lost);
         }
         if let Some(server) = self.servers.get_mut(&server) {
+            server.record_event_interval(now, key, event_interval_micros);
             server.record_end(now, key);
             // The entry may have been removed and listed again while the attempt ran.
             server.own_in_flight = server.own_in_flight.saturating_sub(1);
-            server.record_event_interval(now, event_interval_micros);
         }
         self.queue_note(Note::AttemptEnded {
             server,
--- a/sl-route/src/state/notes.rs
+++ b/sl-route/src/state/notes.rs
@@ -68,8 +68,9 @@
                     self.crash_detector.record_alive(now, server);
                 }
                 if let Some(server) = self.servers.get_mut(&server) {
-                    server.record_end(now, attempt_key(attempt));
-                    server.record_event_interval(now, event_interval_micros);
+                    let attempt = attempt_key(attempt);
+                    server.record_event_interval(now, attempt, event_interval_micros);
+                    server.record_end(now, attempt);
                 }
             }
             Note::TokensRequested { team, tokens } => {
