sl-route: under contention a request must end before its deadline, and routes are balanced

What callers saw: with twice as much asked as the engines begin, half of the large requests were refused, and a tenth of the small ones; streams were begun that reached their deadline.

Cause: requests with a longer target may wait longer for the same engines, and fill them up to a wait that requests with a shorter target cannot meet. The expected end was a penalty only.

Change: while more than a quarter of a service's requests is refused here for lack of time or slots (moving average, 4 s), a request whose expected end is after its deadline is refused at once or goes to an engine where it ends in time; and the time that it may wait follows from the admitted fraction of its route against the mean of its service and priority (sl-route/src/route_balance.rs). Less urgent priorities yield to more urgent ones that are short. Teams over their share and resumed streams keep their limits. `request refused` states `end_ms` and `route_admitted`.

--- a/sl-edge/src/log.rs
+++ b/sl-edge/src/log.rs
@@ -143,12 +143,15 @@
             reason,
             cost_ms,
             expected_ms,
+            end_ms,
             allowed_ms,
             share_usage,
+            route_admitted,
         } => info!(log, "request refused";
             "request" => request.0, "why" => %reason, "counted_ms" => cost_ms.round(),
-            "expected_ms" => expected_ms.round(), "allowed_ms" => allowed_ms.round(),
-            "team_share" => rounded(*share_usage)),
+            "expected_ms" => expected_ms.round(), "end_ms" => end_ms.round(),
+            "allowed_ms" => allowed_ms.round(), "team_share" => rounded(*share_usage),
+            "route_admitted" => rounded(*route_admitted)),
         Decision::TeamActivity { tokens, share_usage, fair_share } => {
             write_team_activity(log, tokens, *share_usage, *fair_share);
         }
--- a/sl-route/src/admission.rs
+++ b/sl-route/src/admission.rs
@@ -7,7 +7,7 @@
 //! What is limited is the time that a request waits for others, not the time that its own prompt
 //! takes: a limit on both refuses the longest prompts first.
 
-use crate::share::ContendedUsage;
+use crate::{route_balance::RouteStanding, share::ContendedUsage};
 
 /// Limits on the server that a request is sent to.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -27,6 +27,9 @@
     /// The part of the time, from 0 to 1, for which an open slot of a limited server is left to teams
     /// that have got less.
     pub slot_delay: f64,
+    /// Longest expected time to the end of the response, in milliseconds; infinite where the end does
+    /// not matter.
+    pub ends_within_ms: f64,
 }
 
 /// Fraction of a route's target latency that the expected time to the first byte may take while
@@ -83,9 +86,35 @@
             duplicate_prefill_weight: usage
                 .map_or(DUPLICATE_PREFILL_WEIGHT, |it| duplicate_prefill_weight(it.ratio)),
             slot_delay: usage.map_or(0.0, |it| slot_delay(it.ratio)),
+            ends_within_ms: f64::INFINITY,
         }
     }
 
+    /// The limits of a request under contention, whose route stands at `standing`. A route that is
+    /// behind the others may wait longer, up to the time of a team that has used nothing of its
+    /// share, and one that is ahead less long, down to nothing. Repeated prefill weighs the same for
+    /// all, since it takes more from the others than the request gains. A team over its share
+    /// keeps its limits.
+    pub fn under_contention(
+        target_ms: f64,
+        remaining_ms: f64,
+        usage: Option<ContendedUsage>,
+        standing: RouteStanding,
+    ) -> AdmissionLimits {
+        let limits = AdmissionLimits::new(target_ms, remaining_ms, usage);
+        let limits = AdmissionLimits { ends_within_ms: remaining_ms, ..limits };
+        if usage.is_some_and(|it| it.ratio >= 1.0) {
+            return limits;
+        }
+        let bound_ms = if standing.lead < 0.0 {
+            (target_ms * TARGET_FRACTION_WITHIN_SHARE).min(remaining_ms)
+        } else {
+            0.0
+        };
+        let allowed_ms = limits.allowed_ms + (bound_ms - limits.allowed_ms) * standing.lead.abs();
+        AdmissionLimits { allowed_ms, ..limits }
+    }
+
     /// What to add to an expected time with `prefill_ms` of the request's own prefill, so that the
     /// prefill is counted as these limits say: negative for long prompts.
     pub fn prefill_adjustment_ms(self, prefill_ms: f64) -> f64 {
@@ -100,6 +129,7 @@
             counted_prefill_weight: 0.0,
             duplicate_prefill_weight: DUPLICATE_PREFILL_WEIGHT,
             slot_delay: 0.0,
+            ends_within_ms: f64::INFINITY,
         }
     }
 }
--- a/sl-route/src/effect.rs
+++ b/sl-route/src/effect.rs
@@ -175,10 +175,16 @@
         cost_ms: f64,
         /// The lowest expected time to the first byte of any server, in milliseconds.
         expected_ms: f64,
-        /// The longest acceptable time to the first byte, in milliseconds.
+        /// The lowest expected time to the end of the response of any server, in milliseconds.
+        end_ms: f64,
+        /// The limit on `cost_ms`, in milliseconds: the longest acceptable time to the first byte, or
+        /// the time to the deadline if the response would begin in time and end late.
         allowed_ms: f64,
         /// The part of its share that the team has used; 1 is the whole share.
         share_usage: f64,
+        /// The fraction of the requests of the route that was admitted here in the last seconds; 1
+        /// without contention.
+        route_admitted: f64,
     },
     /// What a team asked for at this instance in the last second, and what it got.
     TeamActivity {
--- a/sl-route/src/lib.rs
+++ b/sl-route/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod place;
 pub mod prompt;
 pub mod request;
+pub mod route_balance;
 pub mod send_limit;
 pub mod server;
 pub mod share;
--- a/sl-route/src/place.rs
+++ b/sl-route/src/place.rs
@@ -83,6 +83,8 @@
     NoServer,
     /// No server is expected to send the first byte in time.
     TooLate(LowestEstimates),
+    /// A server would send the first byte in time, but none is expected to end before the deadline.
+    EndsLate(LowestEstimates),
     /// No engine has a free slot, or this instance has no connection left to any server.
     NoSlot,
     /// Every server asked this instance to send no requests for now, or has named a limit of which
@@ -100,12 +102,17 @@
     pub cost_ms: f64,
     /// Milliseconds to the first byte.
     pub expected_ms: f64,
+    /// Milliseconds to the end of the response.
+    pub end_ms: f64,
 }
 
 impl LowestEstimates {
     /// The estimates without a server.
-    pub const NONE: LowestEstimates =
-        LowestEstimates { cost_ms: f64::INFINITY, expected_ms: f64::INFINITY };
+    pub const NONE: LowestEstimates = LowestEstimates {
+        cost_ms: f64::INFINITY,
+        expected_ms: f64::INFINITY,
+        end_ms: f64::INFINITY,
+    };
 }
 
 /// Weight of the prefill time of uncached shared parts. That prefill also delays the requests
@@ -172,6 +179,8 @@
     duplicate_prefill_ms: f64,
     /// Whether the time limit does not apply; see [`is_exempt`].
     is_exempt: bool,
+    /// Whether the response is expected to end in time; see [`ends_in_time`].
+    ends_in_time: bool,
 }
 
 impl Candidate {
@@ -183,10 +192,15 @@
             + limits.prefill_adjustment_ms(self.prefill_ms)
     }
 
+    /// Whether the response is expected to begin and to end in time.
     fn is_in_time(&self, required: Requirements<'_>) -> bool {
+        self.is_exempt || self.ends_in_time && self.begins_in_time(required)
+    }
+
+    fn begins_in_time(&self, required: Requirements<'_>) -> bool {
         let is_before_deadline = self.placement.expected_ms <= required.remaining_ms;
         let is_within_limits = self.cost_ms(required.limits) <= required.limits.allowed_ms;
-        self.is_exempt || is_before_deadline && is_within_limits
+        is_before_deadline && is_within_limits
     }
 }
 
@@ -219,7 +233,13 @@
     match in_time {
         Some(found) => Ok(Placement { candidates: considered, ..found.placement.clone() }),
         None if candidates.is_empty() => Err(PlacementError::NoSlot),
-        None => Err(PlacementError::TooLate(lowest_estimates(&candidates, required.limits))),
+        None => {
+            let lowest = lowest_estimates(&candidates, required.limits);
+            let begins_in_time = candidates.iter().any(|it| it.begins_in_time(required));
+            let error =
+                if begins_in_time { PlacementError::EndsLate } else { PlacementError::TooLate };
+            Err(error(lowest))
+        }
     }
 }
 
@@ -235,6 +255,7 @@
     candidates.iter().fold(LowestEstimates::NONE, |lowest, it| LowestEstimates {
         cost_ms: lowest.cost_ms.min(it.cost_ms(limits)),
         expected_ms: lowest.expected_ms.min(it.placement.expected_ms),
+        end_ms: lowest.end_ms.min(it.placement.expected_ms + it.placement.decode_ms),
     })
 }
 
@@ -344,7 +365,22 @@
     let duplicate_tokens = donor.map_or(0, |it| it.tokens);
     let duplicate_prefill_ms = f64::from(duplicate_tokens) / engine.tokens_per_ms();
     let prefill_ms = engine.prefill_ms(prefill_tokens);
-    Some(Candidate { placement, score, prefill_ms, duplicate_prefill_ms, is_exempt })
+    let ends_in_time = ends_in_time(engine, expected_ms + decode_ms, output_tokens, required);
+    Some(Candidate { placement, score, prefill_ms, duplicate_prefill_ms, is_exempt, ends_in_time })
+}
+
+/// Whether a response that is expected to end after `end_ms` ends in time. If even an engine without
+/// other work would be too slow for it, or the pace has not been measured, the end is no reason to
+/// refuse the request: the announced length is not right, or no engine helps.
+fn ends_in_time(
+    engine: &Engine,
+    end_ms: f64,
+    output_tokens: u32,
+    required: Requirements<'_>,
+) -> bool {
+    let ends_within_ms = required.limits.ends_within_ms;
+    let undisturbed_ms = engine.undisturbed_decode_ms(output_tokens);
+    end_ms <= ends_within_ms || undisturbed_ms.is_none_or(|it| it > ends_within_ms)
 }
 
 /// Whether the time limit does not apply, because a refusal would help no other request: the
@@ -397,5 +433,6 @@
         prefill_ms: 0.0,
         duplicate_prefill_ms: 0.0,
         is_exempt: false,
+        ends_in_time: true,
     }
 }
--- /dev/null
+++ b/sl-route/src/route_balance.rs
@@ -0,0 +1,162 @@
+//! How much of what each route asks for is admitted at this instance.
+//!
+//! Under contention the limits on the server take different parts of the requests of different routes,
+//! because their requests are larger or their targets shorter. A route that is refused much more
+//! than the others of its service and priority gets looser limits, and one that is refused less
+//! gets stricter ones (docs/design/admission-balance.md).
+
+use std::collections::{BTreeMap, HashMap};
+
+use sl_base::{ServiceId, Timestamp};
+
+use crate::Arrival;
+
+/// Requests asked for and admitted by service, priority and route, as decaying counts.
+#[derive(Clone, Debug, Default)]
+pub struct RouteBalance {
+    services: HashMap<ServiceId, ServiceCounts>,
+}
+
+/// Where a route stands under contention.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RouteStanding {
+    /// From -1, for a route whose admitted fraction is a quarter or more below the mean, over 0 at the
+    /// mean to 1 for a quarter or more above it.
+    pub lead: f64,
+    /// The fraction of the route's requests that was admitted.
+    pub admitted_fraction: f64,
+}
+
+/// How a request ended at the decision on its admission.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// The request was sent to an engine.
+    Admitted,
+    /// It was refused because no engine has a slot, or begins it in time.
+    Short,
+    /// It was refused because it would end after its deadline. That is no sign of contention, since the
+    /// length that callers announce may be far off.
+    EndsLate,
+}
+
+#[derive(Clone, Debug, Default)]
+struct ServiceCounts {
+    all: Counts,
+    /// By the sort key of urgency, the most urgent first.
+    priorities: BTreeMap<(u8, u8), PriorityCounts>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct PriorityCounts {
+    all: Counts,
+    routes: HashMap<Box<str>, Counts>,
+}
+
+/// Numbers of requests, decayed to `updated_at`.
+#[derive(Clone, Copy, Debug)]
+struct Counts {
+    asked: f64,
+    admitted: f64,
+    short: f64,
+    updated_at: Timestamp,
+}
+
+/// Time constant of the counts, in milliseconds.
+const WINDOW_MS: f64 = 4_000.0;
+
+/// Fraction of refused requests up to which there is no contention: the shortfall that is tolerated for
+/// teams as well. Requests are also refused where an instance has just started, and with a twentieth
+/// impatient callers got 1.6% less.
+const REFUSED_TOLERANCE: f64 = 0.25;
+
+/// The lead of a route for each part of the mean by which its admitted fraction differs. A quarter is
+/// the shortfall that is tolerated for teams as well.
+const LEAD_PER_DEVIATION: f64 = 4.0;
+
+/// Number of requests at the mean fraction that are added to each route, so that a few requests say
+/// little.
+const PRIOR_REQUESTS: f64 = 4.0;
+
+/// Routes with fewer requests in the window are dropped.
+const ASKED_MIN: f64 = 0.01;
+
+impl RouteBalance {
+    /// Records the decision on a new request to an engine.
+    pub fn record(&mut self, now: Timestamp, arrival: &Arrival, admission: Admission) {
+        let service = self.services.entry(arrival.service).or_default();
+        service.all.record(now, admission);
+        let priority = service.priorities.entry(arrival.priority()).or_default();
+        priority.all.record(now, admission);
+        let name = arrival.route.name.as_str();
+        if let Some(counts) = priority.routes.get_mut(name) {
+            return counts.record(now, admission);
+        }
+        priority.routes.retain(|_, it| it.decayed(now).asked >= ASKED_MIN);
+        priority.routes.entry(name.into()).or_default().record(now, admission);
+    }
+
+    /// Where the route of a request stands; `None` without contention.
+    pub fn standing(&self, now: Timestamp, arrival: &Arrival) -> Option<RouteStanding> {
+        let service = self.services.get(&arrival.service)?;
+        if !service.all.decayed(now).is_contended() {
+            return None;
+        }
+        let key = arrival.priority();
+        let priority = service.priorities.get(&key)?;
+        let mean = priority.all.admitted / priority.all.asked.max(f64::MIN_POSITIVE);
+        let route = priority.routes.get(arrival.route.name.as_str()).copied().unwrap_or_default();
+        let admitted_fraction = route.decayed(now).admitted_fraction(mean);
+        let deviation = if mean > 0.0 { admitted_fraction / mean - 1.0 } else { 0.0 };
+        let more_urgent = service.priorities.range(..key).map(|(_, it)| it.all.decayed(now));
+        let yielding = more_urgent.map(Counts::shortage).fold(-1.0, f64::max);
+        let lead = (deviation * LEAD_PER_DEVIATION).max(yielding).clamp(-1.0, 1.0);
+        Some(RouteStanding { lead, admitted_fraction })
+    }
+}
+
+impl Counts {
+    fn decayed(self, now: Timestamp) -> Counts {
+        let factor = (-now.millis_since(self.updated_at) / WINDOW_MS).exp();
+        Counts {
+            asked: self.asked * factor,
+            admitted: self.admitted * factor,
+            short: self.short * factor,
+            updated_at: self.updated_at.max(now),
+        }
+    }
+
+    fn record(&mut self, now: Timestamp, admission: Admission) {
+        *self = self.decayed(now);
+        self.asked += 1.0;
+        match admission {
+            Admission::Admitted => self.admitted += 1.0,
+            Admission::Short => self.short += 1.0,
+            Admission::EndsLate => {}
+        }
+    }
+
+    /// Whether requests are refused for lack of time or slots.
+    fn is_contended(self) -> bool {
+        self.asked >= 1.0 && self.short > self.asked * REFUSED_TOLERANCE
+    }
+
+    fn admitted_fraction(self, mean: f64) -> f64 {
+        (self.admitted + PRIOR_REQUESTS * mean) / (self.asked + PRIOR_REQUESTS)
+    }
+
+    /// How far less urgent requests have to yield to these, on the scale of [`RouteStanding::lead`]; -1
+    /// if these lack nothing.
+    fn shortage(self) -> f64 {
+        if !self.is_contended() {
+            return -1.0;
+        }
+        (self.short / self.asked * LEAD_PER_DEVIATION).min(1.0)
+    }
+}
+
+impl Default for Counts {
+    fn default() -> Counts {
+        let updated_at = Timestamp::from_micros(0);
+        Counts { asked: 0.0, admitted: 0.0, short: 0.0, updated_at }
+    }
+}
--- a/sl-route/src/state.rs
+++ b/sl-route/src/state.rs
@@ -29,6 +29,7 @@
     event::InstanceLimits,
     note::Note,
     request::InFlightRequest,
+    route_balance::RouteBalance,
     server::Server,
     share::{Shares, Standing},
     stream_origin::StreamOrigins,
@@ -69,6 +70,8 @@
     shares: Shares,
     /// Requests of each team at this instance, asked for and admitted.
     local_requests: Shares,
+    /// Requests to engines of each route at this instance, asked for and admitted.
+    route_balance: RouteBalance,
     activity: Activity,
     /// Fraction of each server's connections that this instance may open.
     connection_share: f64,
@@ -117,6 +120,7 @@
             budget: Budget::new(options.limits.budget),
             crash_detector: CrashDetector::default(),
             crash_causes: CrashCauses::default(),
+            route_balance: RouteBalance::default(),
             shares: Shares::new(now, options.share_window),
             local_requests: Shares::new(now, options.share_window),
             activity: Activity::new(now),
--- a/sl-route/src/state/admit.rs
+++ b/sl-route/src/state/admit.rs
@@ -13,6 +13,7 @@
     note::Note,
     place::{self, LowestEstimates, PlacementError, Requirements},
     request::InFlightRequest,
+    route_balance::Admission,
     share::Standing,
 };
 
@@ -88,7 +89,12 @@
         }
         let target_ms = arrival.route.target_latency.0 as f64;
         let usage = arrival.team.as_ref().and_then(|it| self.shares.contended_usage(now, it.id));
-        AdmissionLimits::new(target_ms, remaining_ms, usage)
+        match self.route_balance.standing(now, arrival) {
+            Some(standing) => {
+                AdmissionLimits::under_contention(target_ms, remaining_ms, usage, standing)
+            }
+            None => AdmissionLimits::new(target_ms, remaining_ms, usage),
+        }
     }
 
     /// Ratio of the team's usage to its fair share; 1 means that the share is used up.
@@ -102,22 +108,54 @@
         in_flight: InFlightRequest,
         limits: AdmissionLimits,
     ) {
-        match self.choose_server(now, &in_flight, limits) {
+        let placement = self.choose_server(now, &in_flight, limits);
+        self.record_admission(now, &in_flight.arrival, placement.as_ref().err().copied());
+        match placement {
             Ok(placement) => self.send(now, in_flight, placement),
             Err(error) => {
                 let reason = self.refusal_reason(now, &in_flight, error);
                 let lowest = match error {
                     PlacementError::TooLate(lowest) => lowest,
-                    PlacementError::Paused { for_ms } => {
-                        LowestEstimates { cost_ms: for_ms, expected_ms: for_ms }
+                    // The excess of the end over the deadline tells when to try again.
+                    PlacementError::EndsLate(lowest) => {
+                        LowestEstimates { cost_ms: lowest.end_ms, ..lowest }
                     }
+                    PlacementError::Paused { for_ms } => LowestEstimates {
+                        cost_ms: for_ms,
+                        expected_ms: for_ms,
+                        ..LowestEstimates::NONE
+                    },
                     PlacementError::NoServer | PlacementError::NoSlot => LowestEstimates::NONE,
                 };
-                self.refuse(now, &in_flight, reason, lowest, limits.allowed_ms);
+                let allowed_ms = match error {
+                    PlacementError::EndsLate(_) => limits.ends_within_ms,
+                    _ => limits.allowed_ms,
+                };
+                self.refuse(now, &in_flight, reason, lowest, allowed_ms);
             }
         }
     }
 
+    /// Counts the decision on a request to an engine for the balance between routes. Resumed streams
+    /// are admitted by other limits.
+    fn record_admission(
+        &mut self,
+        now: Timestamp,
+        arrival: &Arrival,
+        error: Option<PlacementError>,
+    ) {
+        if arrival.prompt.is_none() || arrival.is_resumed() {
+            return;
+        }
+        let admission = match error {
+            None => Admission::Admitted,
+            Some(PlacementError::TooLate(_) | PlacementError::NoSlot) => Admission::Short,
+            Some(PlacementError::EndsLate(_)) => Admission::EndsLate,
+            Some(PlacementError::NoServer | PlacementError::Paused { .. }) => return,
+        };
+        self.route_balance.record(now, arrival, admission);
+    }
+
     pub(super) fn choose_server(
         &self,
         now: Timestamp,
@@ -173,7 +211,9 @@
         allowed_ms: f64,
     ) {
         let request = in_flight.arrival.request;
-        let LowestEstimates { cost_ms, expected_ms } = lowest;
+        let LowestEstimates { cost_ms, expected_ms, end_ms } = lowest;
+        let standing = self.route_balance.standing(now, &in_flight.arrival);
+        let route_admitted = standing.map_or(1.0, |it| it.admitted_fraction);
         self.record_outcome(&in_flight.arrival, TokenOutcome::Refused);
         let share_usage = self.share_usage(now, &in_flight.arrival);
         let excess_ms = (cost_ms - allowed_ms).clamp(RETRY_AFTER_MS.start, RETRY_AFTER_MS.end);
@@ -184,8 +224,10 @@
             reason,
             cost_ms,
             expected_ms,
+            end_ms,
             allowed_ms,
             share_usage,
+            route_admitted,
         };
         self.effects.push(Effect::Log(decision));
         self.effects.push(Effect::Refuse { request, reason, retry_after });
--- a/sl-route/tests/it/main.rs
+++ b/sl-route/tests/it/main.rs
@@ -17,6 +17,7 @@
 mod request_crashes;
 mod restore;
 mod retry;
+mod route_balance;
 mod share;
 mod silence;
 mod split;
--- /dev/null
+++ b/sl-route/tests/it/route_balance.rs
@@ -0,0 +1,191 @@
+//! The balance between routes under contention, and the fit of requests to their deadline.
+
+use std::sync::Arc;
+
+use rstest::rstest;
+use sl_base::Millis;
+use sl_route::{
+    Arrival, Effect, Event, Notes, RetryPolicy, Route, State,
+    admission::AdmissionLimits,
+    note::Note,
+    route_balance::{Admission, RouteBalance, RouteStanding},
+    share::ContendedUsage,
+};
+
+use crate::testbed::{arrival, arrive, at, prompt, record, route, sent_target, state, team};
+
+/// A request of the route `name` with a priority.
+fn request(millis: u64, number: u64, name: &str, priority: u8) -> Arrival {
+    let prompt = prompt(name, 1_000, &format!("own{number}"), 1_000);
+    let route = Route {
+        name: name.to_owned(),
+        priority,
+        ..Route::clone(&route(RetryPolicy::Stream, "model"))
+    };
+    let arrival = arrival(at(millis), number, RetryPolicy::Stream, Some(prompt));
+    Arrival { route: Arc::new(route), ..arrival }
+}
+
+/// Counts in which of ten requests of each route the given number were admitted.
+fn balance(routes: &[(&str, u8, u64)], refusal: Admission) -> RouteBalance {
+    let mut balance = RouteBalance::default();
+    for step in 0..100 {
+        for &(name, priority, admitted) in routes {
+            let admission = if step % 10 < admitted { Admission::Admitted } else { refusal };
+            balance.record(at(step * 20), &request(step * 20, step, name, priority), admission);
+        }
+    }
+    balance
+}
+
+fn lead(balance: &RouteBalance, name: &str, priority: u8) -> Option<f64> {
+    balance.standing(at(2_000), &request(2_000, 1, name, priority)).map(|it| it.lead)
+}
+
+/// Guards against limits that change while demand is satisfied, or because callers announce lengths that
+/// end after their deadline.
+#[rstest]
+#[case::all_admitted(10, Admission::Short, false)]
+#[case::a_tenth_refused(8, Admission::Short, false)]
+#[case::two_fifths_refused(2, Admission::Short, true)]
+#[case::two_fifths_that_end_late(2, Admission::EndsLate, false)]
+fn only_a_lack_of_time_or_slots_is_contention(
+    #[case] admitted: u64,
+    #[case] refusal: Admission,
+    #[case] is_contended: bool,
+) {
+    let balance = balance(&[("a", 1, admitted), ("b", 1, 10)], refusal);
+    assert_eq!(lead(&balance, "a", 1).is_some(), is_contended);
+    assert_eq!(lead(&balance, "b", 1).is_some(), is_contended);
+}
+
+#[test]
+fn contention_ends_with_the_refusals() {
+    let mut balance = balance(&[("a", 1, 2)], Admission::Short);
+    assert!(lead(&balance, "a", 1).is_some());
+    for step in 0..1_000 {
+        let now = 2_000 + step * 20;
+        balance.record(at(now), &request(now, step, "a", 1), Admission::Admitted);
+    }
+    assert_eq!(balance.standing(at(22_000), &request(22_000, 1, "a", 1)), None);
+}
+
+/// Guards against a route that is refused much more than the others of its priority: large requests were
+/// refused five times as often as small ones.
+#[test]
+fn a_route_below_the_mean_is_behind_and_one_above_it_ahead() {
+    let balance = balance(&[("large", 1, 4), ("small", 1, 9)], Admission::Short);
+    assert!(lead(&balance, "large", 1).unwrap() <= -0.9);
+    assert!(lead(&balance, "small", 1).unwrap() >= 0.9);
+    // A route without requests has no lead and no lag.
+    assert_eq!(lead(&balance, "new", 1), Some(0.0));
+}
+
+/// Guards against less urgent routes that take what more urgent ones lack.
+#[test]
+fn less_urgent_routes_yield_to_more_urgent_ones_only() {
+    let balance = balance(&[("urgent", 0, 5), ("other", 1, 5)], Admission::Short);
+    assert!(lead(&balance, "other", 1).unwrap() >= 0.9);
+    assert!(lead(&balance, "urgent", 0).unwrap().abs() < 0.1);
+}
+
+#[rstest]
+#[case::far_behind(-1.0, None, 950.0)]
+#[case::at_the_mean(0.0, None, 850.0)]
+#[case::far_ahead(1.0, None, 0.0)]
+#[case::behind_in_a_team_within_its_share(-1.0, Some(0.5), 950.0)]
+#[case::ahead_in_a_team_within_its_share(1.0, Some(0.5), 0.0)]
+#[case::behind_in_a_team_over_its_share(-1.0, Some(1.5), 233.3)]
+#[case::ahead_in_a_team_over_its_share(1.0, Some(1.5), 233.3)]
+fn the_time_to_wait_follows_the_lead_unless_the_team_is_over_its_share(
+    #[case] lead: f64,
+    #[case] ratio: Option<f64>,
+    #[case] allowed_ms: f64,
+) {
+    let usage = ratio.map(|ratio| ContendedUsage { ratio, shortfall: 0.0 });
+    let standing = RouteStanding { lead, admitted_fraction: 0.5 };
+    let limits = AdmissionLimits::under_contention(1_000.0, 8_000.0, usage, standing);
+    assert!((limits.allowed_ms - allowed_ms).abs() < 0.1, "{limits:?}");
+    let unbalanced = AdmissionLimits::new(1_000.0, 8_000.0, usage);
+    assert_eq!(limits.duplicate_prefill_weight, unbalanced.duplicate_prefill_weight);
+    assert_eq!((limits.ends_within_ms, unbalanced.ends_within_ms), (8_000.0, f64::INFINITY));
+}
+
+/// An instance with one engine whose streams take 100 ms for each event, beside other requests.
+fn slow_engine() -> State {
+    let mut state = state(0, &[("engine", "model")]);
+    let server = record("engine", "model").key();
+    for attempt in 0..20 {
+        let start = at(attempt * 100);
+        note(&mut state, start, sent(attempt));
+        note(&mut state, start.after(Millis(60)), Note::ResponseStarted { server, attempt });
+        let end = Note::AttemptEnded {
+            server,
+            attempt,
+            event_interval_micros: Some(100_000),
+            refunded: None,
+        };
+        note(&mut state, start.after(Millis(90)), end);
+    }
+    note(&mut state, at(2_000), sent(100));
+    state
+}
+
+fn sent(attempt: u64) -> Note {
+    Note::AttemptSent {
+        server: record("engine", "model").key(),
+        attempt,
+        prefill_tokens: 1_000,
+        charge: None,
+        parts: Vec::new(),
+        fetch: None,
+        stream: None,
+    }
+}
+
+fn note(state: &mut State, now: sl_base::Timestamp, note: Note) {
+    state.step(now, Event::NotesReceived { from: 9, notes: Notes { notes: vec![note] } });
+}
+
+/// A request that announces `output_tokens` and has eight seconds.
+fn long_request(millis: u64, number: u64, output_tokens: u32) -> Arrival {
+    let mut arrival = request(millis, number, "long", 1);
+    arrival.team = Some(team(&format!("t{number}")));
+    let prompt = arrival.prompt.as_mut().unwrap();
+    prompt.max_output_tokens = 2 * output_tokens;
+    prompt.expected_output_tokens = Some(output_tokens);
+    arrival
+}
+
+/// Requests that are refused for lack of time: they have had too little of it on their way.
+fn refuse_some(state: &mut State) {
+    for number in 1_000..1_020 {
+        let mut late = request(2_000, number, "late", 1);
+        late.caller_deadline = at(2_005);
+        let effects = arrive(state, at(2_000), late);
+        assert!(sent_target(&effects).is_none());
+    }
+}
+
+/// Guards against streams that are begun, take a slot and reach their deadline: 2,400 to 4,600 a day. A
+/// request that no engine could end in time says nothing true about its length, and without
+/// contention nobody else needs the slot.
+#[rstest]
+#[case::ends_in_time(true, 120, true)]
+#[case::ends_late(true, 450, false)]
+#[case::ends_late_without_contention(false, 450, true)]
+#[case::no_engine_could_end_it_in_time(true, 4_000, true)]
+fn a_request_that_would_end_after_its_deadline_is_not_begun(
+    #[case] is_contended: bool,
+    #[case] output_tokens: u32,
+    #[case] is_sent: bool,
+) {
+    let mut state = slow_engine();
+    if is_contended {
+        refuse_some(&mut state);
+    }
+    let effects = arrive(&mut state, at(2_000), long_request(2_000, 1, output_tokens));
+    assert_eq!(sent_target(&effects).is_some(), is_sent, "{effects:?}");
+    let is_refused = effects.iter().any(|it| matches!(it, Effect::Refuse { .. }));
+    assert_eq!(is_refused, !is_sent);
+}
