--- a/bench/src/load/traffic.rs
+++ b/bench/src/load/traffic.rs
@@ -138,7 +138,7 @@
 const REQUESTS_PER_S_AND_ENGINE: f64 = 10.8;
 
 /// Requests per second and engine that the engines can just begin in [`Load::ScarceSlots`]: at a
-/// constant 10 a second, a fifteenth of the requests is refused, at 11 a sixth.
+/// constant 10 a second, a fifteenth of the requests is refused, at 11 an eighth.
 const SCARCE_SLOTS_CAPACITY_PER_S: f64 = 10.0;
 
 /// Period of the waves of [`Load::ScarceSlots`], in milliseconds.
