--- a/sl-edge/src/log.rs
+++ b/sl-edge/src/log.rs
@@ -112,22 +112,9 @@
 /// Logs a decision with the values that it was based on.
 pub(crate) fn write_decision(log: &Logger, decision: &Decision) {
     match decision {
-        Decision::AttemptSent {
-            request,
-            server,
-            attempt,
-            expected_ms,
-            backlog_ms,
-            prefill_tokens,
-            fetch_tokens,
-            candidates,
-            view_age_ms,
-            is_cold,
-        } => info!(log, "attempt sent";
-            "request" => request.0, "server" => %server, "attempt" => attempt,
-            "expected_ms" => expected_ms.round(), "backlog_ms" => backlog_ms.round(),
-            "to_read" => prefill_tokens, "to_fetch" => fetch_tokens, "candidates" => candidates,
-            "heard_ms" => view_age_ms.round(), "cold" => is_cold),
+        Decision::AttemptSent { .. } | Decision::RequestRefused { .. } => {
+            write_placement(log, decision);
+        }
         Decision::StreamResumed { request, known, version } => {
             info!(log, "stream resumed by caller";
                 "request" => request.0, "known" => %known, "began_at" => version.as_deref());
@@ -137,17 +124,6 @@
                 "request" => request.0, "server" => %server, "took_ms" => took_ms.round(),
                 "expected_ms" => expected_ms.round());
         }
-        Decision::RequestRefused {
-            request,
-            reason,
-            cost_ms,
-            expected_ms,
-            allowed_ms,
-            share_usage,
-        } => info!(log, "request refused";
-            "request" => request.0, "why" => %reason, "counted_ms" => cost_ms.round(),
-            "expected_ms" => expected_ms.round(), "allowed_ms" => allowed_ms.round(),
-            "team_share" => rounded(*share_usage)),
         Decision::TeamActivity { tokens, share_usage, fair_share } => {
             write_team_activity(log, tokens, *share_usage, *fair_share);
         }
@@ -180,6 +156,45 @@
     }
 }
 
+/// Logs which server a request is sent to, or why it is refused; other decisions are ignored.
+fn write_placement(log: &Logger, decision: &Decision) {
+    match decision {
+        Decision::AttemptSent {
+            request,
+            server,
+            attempt,
+            expected_ms,
+            expected_end_ms,
+            backlog_ms,
+            prefill_tokens,
+            fetch_tokens,
+            candidates,
+            view_age_ms,
+            is_cold,
+        } => info!(log, "attempt sent";
+            "request" => request.0, "server" => %server, "attempt" => attempt,
+            "expected_ms" => expected_ms.round(), "end_ms" => expected_end_ms.round(),
+            "backlog_ms" => backlog_ms.round(),
+            "to_read" => prefill_tokens, "to_fetch" => fetch_tokens, "candidates" => candidates,
+            "heard_ms" => view_age_ms.round(), "cold" => is_cold),
+        Decision::RequestRefused {
+            request,
+            reason,
+            cost_ms,
+            expected_ms,
+            end_ms,
+            allowed_ms,
+            share_usage,
+            route_admitted,
+        } => info!(log, "request refused";
+            "request" => request.0, "why" => %reason, "counted_ms" => cost_ms.round(),
+            "expected_ms" => expected_ms.round(), "end_ms" => end_ms.round(),
+            "allowed_ms" => allowed_ms.round(), "team_share" => rounded(*share_usage),
+            "route_admitted" => rounded(*route_admitted)),
+        _ => {}
+    }
+}
+
 /// Logs a decision on data centres, the store or peers; other decisions are ignored.
 fn write_fleet_decision(log: &Logger, decision: &Decision) {
     match decision {
--- a/sl-route/src/effect.rs
+++ b/sl-route/src/effect.rs
@@ -130,6 +130,9 @@
         attempt: u32,
         /// Expected milliseconds to the first byte.
         expected_ms: f64,
+        /// Expected milliseconds to the end of the response, at the length that the caller
+        /// announces. The same as `expected_ms` for a server that is no engine.
+        expected_end_ms: f64,
         /// Estimated milliseconds of queued work ahead of the request.
         backlog_ms: f64,
         /// Prompt tokens that the engine has to prefill.
@@ -174,10 +177,16 @@
         cost_ms: f64,
         /// The lowest expected time to the first byte of any server, in milliseconds.
         expected_ms: f64,
-        /// The longest acceptable time to the first byte, in milliseconds.
+        /// The lowest expected time to the end of the response of any server, in milliseconds.
+        end_ms: f64,
+        /// The limit on `cost_ms`, in milliseconds: the longest acceptable time to the first byte, or
+        /// the time to the deadline if the response would begin in time and end late.
         allowed_ms: f64,
         /// The part of its share that the team has used; 1 is the whole share.
         share_usage: f64,
+        /// The fraction of the requests of the route that was admitted here in the last seconds; 1
+        /// without contention.
+        route_admitted: f64,
     },
     /// What a team asked for at this instance in the last second, and what it got.
     TeamActivity {
--- a/sl-route/src/state/attempt.rs
+++ b/sl-route/src/state/attempt.rs
@@ -67,18 +67,7 @@
             silent_at: silent_at(now, &in_flight, &placement, may_retry),
             may_retry,
         };
-        let decision = Decision::AttemptSent {
-            request,
-            server: target.id.clone(),
-            attempt: in_flight.attempts,
-            expected_ms: placement.expected_ms,
-            backlog_ms: placement.backlog_ms,
-            prefill_tokens: placement.prefill_tokens,
-            fetch_tokens: placement.fetch.map_or(0, |it| it.tokens),
-            candidates: placement.candidates,
-            view_age_ms: placement.view_age_ms,
-            is_cold,
-        };
+        let decision = sent_decision(&in_flight, &target, &placement, is_cold);
         if let Some((team, tokens)) = charge {
             self.shares.record_granted(now, team, tokens);
             self.record_outcome(&in_flight.arrival, TokenOutcome::Granted);
@@ -191,10 +180,10 @@
             self.record_outcome(&in_flight.arrival, TokenOutcome::Lost);
         }
         if let Some(server) = self.servers.get_mut(&server) {
+            server.record_event_interval(now, key, event_interval_micros);
             server.record_end(now, key);
             // The entry may have been removed and listed again while the attempt ran.
             server.own_in_flight = server.own_in_flight.saturating_sub(1);
-            server.record_event_interval(now, event_interval_micros);
         }
         self.queue_note(Note::AttemptEnded {
             server,
@@ -361,3 +350,25 @@
         _ => Failure::ConnectionLost,
     }
 }
+
+/// The log entry of an attempt that is sent to `target`.
+fn sent_decision(
+    in_flight: &InFlightRequest,
+    target: &Target,
+    placement: &Placement,
+    is_cold: bool,
+) -> Decision {
+    Decision::AttemptSent {
+        request: in_flight.arrival.request,
+        server: target.id.clone(),
+        attempt: in_flight.attempts,
+        expected_ms: placement.expected_ms,
+        expected_end_ms: placement.expected_ms + placement.decode_ms,
+        backlog_ms: placement.backlog_ms,
+        prefill_tokens: placement.prefill_tokens,
+        fetch_tokens: placement.fetch.map_or(0, |it| it.tokens),
+        candidates: placement.candidates,
+        view_age_ms: placement.view_age_ms,
+        is_cold,
+    }
+}
--- a/sl-route/tests/it/main.rs
+++ b/sl-route/tests/it/main.rs
@@ -20,6 +20,7 @@
 mod request_crashes;
 mod restore;
 mod retry;
+mod route_balance;
 mod share;
 mod silence;
 mod split;
