--- a/bench/src/load/fleet.rs
+++ b/bench/src/load/fleet.rs
@@ -96,6 +96,7 @@
                 budget,
                 max_in_flight: 10_000,
                 warmup: WarmupBound::default(),
+                balances_routes: true,
             },
             share_window: Millis(4_000),
         },
--- a/sl-config/src/settings.rs
+++ b/sl-config/src/settings.rs
@@ -136,6 +136,20 @@
 pub struct Sharing {
     /// Window over which the teams' use of engines is counted.
     pub window: Millis,
+    /// How the routes of a service share engines that are too few for all.
+    pub routes: RouteSharing,
+}
+
+/// How the routes of a service share engines that are too few for all requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display, EnumString, VariantNames)]
+#[strum(serialize_all = "kebab-case")]
+pub enum RouteSharing {
+    /// Each request is judged by itself, so that routes with large requests or short targets are
+    /// refused most.
+    Independent,
+    /// No route is refused much more than the others of its priority. See
+    /// docs/design/admission-balance.md.
+    Balanced,
 }
 
 /// Service-level objectives of the burn report. The latency target is set for each route in
@@ -196,7 +210,7 @@
 
 impl Default for Sharing {
     fn default() -> Sharing {
-        Sharing { window: Millis(4_000) }
+        Sharing { window: Millis(4_000), routes: RouteSharing::Independent }
     }
 }
 
--- a/sl-config/src/settings/read.rs
+++ b/sl-config/src/settings/read.rs
@@ -254,7 +254,10 @@
 
 fn read_sharing(reader: &mut Reader<'_, '_>) -> Sharing {
     let defaults = Sharing::default();
-    Sharing { window: reader.duration("window-ms", "window-s", defaults.window) }
+    Sharing {
+        window: reader.duration("window-ms", "window-s", defaults.window),
+        routes: reader.variant("routes", defaults.routes),
+    }
 }
 
 fn read_objectives(reader: &mut Reader<'_, '_>) -> Objectives {
--- a/sl-edge/src/run.rs
+++ b/sl-edge/src/run.rs
@@ -10,7 +10,7 @@
 use futures::{Stream, StreamExt};
 use platform::Addresses;
 use sl_base::{Incarnation, InstanceId, Millis, ServiceId};
-use sl_config::{Settings, key::KeyError};
+use sl_config::{Settings, key::KeyError, settings::RouteSharing};
 use sl_peer::{HandshakeKey, Hello, Links};
 use sl_route::{
     Event, Options, Regions, State, budget, event::InstanceLimits, warmup::WarmupBound,
@@ -456,5 +456,6 @@
             overshoot: settings.warmup.overshoot.value(),
             allowance: settings.warmup.allowance,
         },
+        balances_routes: settings.sharing.routes == RouteSharing::Balanced,
     }
 }
--- a/sl-route/src/event.rs
+++ b/sl-route/src/event.rs
@@ -188,6 +188,8 @@
     pub max_in_flight: usize,
     /// The limit on requests to a cold server.
     pub warmup: WarmupBound,
+    /// Whether no route is refused much more than the others of its priority under contention.
+    pub balances_routes: bool,
 }
 
 /// A request as received from a caller, with its resolved route, service and team.
--- a/sl-route/src/route_balance.rs
+++ b/sl-route/src/route_balance.rs
@@ -65,8 +65,7 @@
 const WINDOW_MS: f64 = 4_000.0;
 
 /// Fraction of refused requests up to which there is no contention: the shortfall that is tolerated for
-/// teams as well. Requests are also refused where an instance has just started, and with a twentieth
-/// impatient callers got 1.6% less.
+/// teams as well. Some requests are also refused where an instance or an engine has just started.
 const REFUSED_TOLERANCE: f64 = 0.25;
 
 /// The lead of a route for each part of the mean by which its admitted fraction differs. A quarter is
--- a/sl-route/src/state/admit.rs
+++ b/sl-route/src/state/admit.rs
@@ -14,7 +14,7 @@
     place::{self, LowestEstimates, PlacementError, Requirements},
     region::RegionLimits,
     request::InFlightRequest,
-    route_balance::Admission,
+    route_balance::{Admission, RouteStanding},
     share::Standing,
 };
 
@@ -91,7 +91,7 @@
         }
         let target_ms = arrival.route.target_latency.0 as f64;
         let usage = arrival.team.as_ref().and_then(|it| self.shares.contended_usage(now, it.id));
-        match self.route_balance.standing(now, arrival) {
+        match self.route_standing(now, arrival) {
             Some(standing) => {
                 AdmissionLimits::under_contention(target_ms, remaining_ms, usage, standing)
             }
@@ -99,6 +99,12 @@
         }
     }
 
+    /// Where the route of a request stands; `None` without contention, or if routes are not balanced.
+    fn route_standing(&self, now: Timestamp, arrival: &Arrival) -> Option<RouteStanding> {
+        let balances_routes = self.options.limits.balances_routes;
+        balances_routes.then(|| self.route_balance.standing(now, arrival)).flatten()
+    }
+
     /// Ratio of the team's usage to its fair share; 1 means that the share is used up.
     fn share_usage(&mut self, now: Timestamp, arrival: &Arrival) -> f64 {
         arrival.team.as_ref().map_or(0.0, |it| self.shares.share_usage(now, it.id))
@@ -231,7 +237,7 @@
     ) {
         let request = in_flight.arrival.request;
         let LowestEstimates { cost_ms, expected_ms, end_ms } = lowest;
-        let standing = self.route_balance.standing(now, &in_flight.arrival);
+        let standing = self.route_standing(now, &in_flight.arrival);
         let route_admitted = standing.map_or(1.0, |it| it.admitted_fraction);
         self.record_outcome(&in_flight.arrival, TokenOutcome::Refused);
         let share_usage = self.share_usage(now, &in_flight.arrival);
--- a/sl-route/tests/it/testbed.rs
+++ b/sl-route/tests/it/testbed.rs
@@ -31,6 +31,7 @@
             budget,
             max_in_flight: 100,
             warmup: WarmupBound::default(),
+            balances_routes: true,
         },
         share_window: Millis(4_000),
     }
