sl-route: refusals that the balance between routes causes are no sign of contention

Cause: a route ahead of the others gets limits down to nothing; its refusals counted as lack of room, so contention kept itself up, with idle engines. Refusals of teams over their share counted, too. Now a refusal counts only if the request finds no room by its usual limits, and teams over their share are not counted.

--- a/sl-route/src/route_balance.rs
+++ b/sl-route/src/route_balance.rs
@@ -34,6 +34,8 @@
     Admitted,
     /// It was refused because no engine has a slot, or begins it in time.
     Short,
+    /// It was refused in favour of routes that are behind, though an engine has room for it.
+    Yields,
     /// It was refused because it would end after its deadline. That is no sign of contention, since the
     /// length that callers announce may be far off.
     EndsLate,
@@ -130,7 +132,7 @@
         match admission {
             Admission::Admitted => self.admitted += 1.0,
             Admission::Short => self.short += 1.0,
-            Admission::EndsLate => {}
+            Admission::Yields | Admission::EndsLate => {}
         }
     }
 
--- a/sl-route/src/state/admit.rs
+++ b/sl-route/src/state/admit.rs
@@ -15,7 +15,7 @@
     region::RegionLimits,
     request::InFlightRequest,
     route_balance::{Admission, RouteStanding},
-    share::Standing,
+    share::{ContendedUsage, Standing},
 };
 
 /// The limit of requests in flight divided by this is left to teams within their share.
@@ -90,7 +90,7 @@
             return AdmissionLimits::until_deadline(remaining_ms);
         }
         let target_ms = arrival.route.target_latency.0 as f64;
-        let usage = arrival.team.as_ref().and_then(|it| self.shares.contended_usage(now, it.id));
+        let usage = self.contended_usage(now, arrival);
         match self.route_standing(now, arrival) {
             Some(standing) => {
                 AdmissionLimits::under_contention(target_ms, remaining_ms, usage, standing)
@@ -99,6 +99,10 @@
         }
     }
 
+    fn contended_usage(&mut self, now: Timestamp, arrival: &Arrival) -> Option<ContendedUsage> {
+        arrival.team.as_ref().and_then(|it| self.shares.contended_usage(now, it.id))
+    }
+
     /// Where the route of a request stands; `None` without contention, or if routes are not balanced.
     fn route_standing(&self, now: Timestamp, arrival: &Arrival) -> Option<RouteStanding> {
         let balances_routes = self.options.limits.balances_routes;
@@ -117,7 +121,7 @@
         limits: AdmissionLimits,
     ) {
         let placement = self.choose_server(now, &in_flight, limits);
-        self.record_admission(now, &in_flight.arrival, placement.as_ref().err().copied());
+        self.record_admission(now, &in_flight, placement.as_ref().err().copied());
         match placement {
             Ok(placement) => self.send(now, in_flight, placement),
             Err(error) => {
@@ -144,26 +148,52 @@
         }
     }
 
-    /// Counts the decision on a request to an engine for the balance between routes. Resumed streams
-    /// are admitted by other limits.
+    /// Counts the decision on a request to an engine for the balance between routes. Resumed streams and
+    /// teams over their share are admitted by other limits.
     fn record_admission(
         &mut self,
         now: Timestamp,
-        arrival: &Arrival,
+        in_flight: &InFlightRequest,
         error: Option<PlacementError>,
     ) {
+        let arrival = &in_flight.arrival;
         if arrival.prompt.is_none() || arrival.is_resumed() {
             return;
         }
+        let usage = self.contended_usage(now, arrival);
+        if usage.is_some_and(|it| it.ratio >= 1.0) {
+            return;
+        }
         let admission = match error {
             None => Admission::Admitted,
-            Some(PlacementError::TooLate(_) | PlacementError::NoSlot) => Admission::Short,
+            Some(PlacementError::TooLate(_) | PlacementError::NoSlot) => {
+                self.refused_admission(now, in_flight, usage)
+            }
             Some(PlacementError::EndsLate(_)) => Admission::EndsLate,
             Some(PlacementError::NoServer | PlacementError::Paused { .. }) => return,
         };
         self.route_balance.record(now, arrival, admission);
     }
 
+    /// Whether a refused request lacks room, or only yields to other routes. A refusal that the balance
+    /// itself has caused must not count as contention, or it would never end.
+    fn refused_admission(
+        &self,
+        now: Timestamp,
+        in_flight: &InFlightRequest,
+        usage: Option<ContendedUsage>,
+    ) -> Admission {
+        let arrival = &in_flight.arrival;
+        if self.route_standing(now, arrival).is_none_or(|it| it.lead <= 0.0) {
+            return Admission::Short;
+        }
+        let target_ms = arrival.route.target_latency.0 as f64;
+        let remaining_ms = arrival.deadline().remaining(now).0 as f64;
+        let limits = AdmissionLimits::new(target_ms, remaining_ms, usage);
+        let has_room = self.choose_server(now, in_flight, limits).is_ok();
+        if has_room { Admission::Yields } else { Admission::Short }
+    }
+
     pub(super) fn choose_server(
         &self,
         now: Timestamp,
