check configuration: check the operator's configuration before it is written

`sesamelock check configuration FILE [--against FILE] [--json]` reports what the store or the instances would not do as written (errors, exit code 3), what is suspicious (warnings, exit code 0), and the differences from the version in force.

The types of the configuration implement `Serialize`, by which two versions are compared field by field.

--- a/sl-core/src/check.rs
+++ b/sl-core/src/check.rs
@@ -1,5 +1,7 @@
 //! `sesamelock check`: validates settings files and reports all faults in one run.
 
+pub mod configuration;
+
 use std::{io, path::PathBuf};
 
 use miette::{Diagnostic, GraphicalReportHandler, GraphicalTheme};
--- a/sl-core/src/cli.rs
+++ b/sl-core/src/cli.rs
@@ -29,6 +29,8 @@
     Check(check::Options),
     /// `check template`: render a settings template and validate the result.
     Template(template::Options),
+    /// `check configuration`: check the operator's configuration.
+    Configuration(check::configuration::Options),
     /// `hash`: hash a secret from standard input.
     Hash(OutputFormat),
     /// `explain`: trace a request through the logs of the instances.
@@ -105,6 +107,11 @@
             outcome.write(options.format, out)?;
             Ok(outcome.exit())
         }
+        Command::Configuration(options) => {
+            let outcome = check::configuration::check(options)?;
+            outcome.write(options.format, out)?;
+            Ok(outcome.exit())
+        }
         Command::Hash(format) => {
             hash::hash(io::stdin().lock())?.write(*format, out)?;
             Ok(Exit::Done)
--- a/sl-core/src/cli/args.rs
+++ b/sl-core/src/cli/args.rs
@@ -78,9 +78,10 @@
         .descr("Validate settings files.")
         .command("settings");
     let template = template();
-    construct!([settings, template])
+    let configuration = configuration();
+    construct!([settings, template, configuration])
         .to_options()
-        .descr("Validate settings and report all faults in one run.")
+        .descr("Validate settings or a configuration and report all faults in one run.")
         .footer("Example:\n  sesamelock check settings --json settings.ini")
         .command("check")
 }
@@ -102,6 +103,24 @@
         .command("template")
 }
 
+fn configuration() -> impl Parser<Command> {
+    let format = format();
+    let in_force = long("against")
+        .help("The version in force; the differences from it are shown")
+        .argument::<PathBuf>("FILE")
+        .complete_shell(json_files())
+        .optional();
+    let file = positional::<PathBuf>("FILE")
+        .help("The configuration as it is written to the store, in JSON")
+        .complete_shell(json_files());
+    construct!(check::configuration::Options { format, in_force, file })
+        .map(Command::Configuration)
+        .to_options()
+        .descr("Check the operator's configuration before it is written to the store.")
+        .footer("Example:\n  sesamelock check configuration --against in-force.json next.json")
+        .command("configuration")
+}
+
 fn explain() -> impl Parser<Command> {
     let format = format();
     let id = positional::<String>("ID").help("Attempt id of the request, as sent by the caller");
@@ -208,3 +227,7 @@
 fn ini_files() -> ShellComp {
     ShellComp::File { mask: Some("*.ini") }
 }
+
+fn json_files() -> ShellComp {
+    ShellComp::File { mask: Some("*.json") }
+}
--- a/sl-core/src/error.rs
+++ b/sl-core/src/error.rs
@@ -8,7 +8,7 @@
 /// Error of a command.
 #[derive(Debug, Error, Diagnostic)]
 pub enum Error {
-    /// `check settings` failed.
+    /// `check settings` or `check configuration` failed.
     #[error(transparent)]
     #[diagnostic(transparent)]
     Check(#[from] check::Error),
--- a/sl-core/src/exit.rs
+++ b/sl-core/src/exit.rs
@@ -15,7 +15,7 @@
     Failed = 1,
     /// The command line is invalid.
     Usage = 2,
-    /// A settings file or template has faults.
+    /// A settings file, template or configuration has faults.
     Faults = 3,
     /// The instance did not respond, or responded that it is stopping.
     Unreachable = 5,
@@ -37,7 +37,7 @@
             Exit::Done => "done",
             Exit::Failed => "failure without a code of its own",
             Exit::Usage => "invalid command line",
-            Exit::Faults => "the settings have faults",
+            Exit::Faults => "the settings or the configuration have faults",
             Exit::Unreachable => "the instance did not respond",
             Exit::Refused => "the instance rejected the operator key",
             Exit::NotFound => "no log line mentions the request",
--- a/sl-core/tests/it/cli.rs
+++ b/sl-core/tests/it/cli.rs
@@ -23,6 +23,8 @@
 #[case(&["run"])]
 #[case(&["check", "settings"])]
 #[case(&["check", "page", "a"])]
+#[case(&["check", "configuration"])]
+#[case(&["check", "configuration", "a", "b"])]
 #[case(&["rnu"])]
 fn an_invalid_command_line_is_rejected(#[case] args: &[&str]) {
     assert!(cli::options().run_inner(args).is_err());
--- a/sl-core/tests/it/main.rs
+++ b/sl-core/tests/it/main.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod cli;
+mod configuration;
 mod explain;
 mod hash;
 mod instance;
--- a/sl-route/src/document.rs
+++ b/sl-route/src/document.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::HashMap, sync::Arc};
 
+use serde::Serialize;
 use sl_base::{Millis, ServiceId, TeamId};
 use strum::{Display, IntoStaticStr};
 
@@ -26,7 +27,7 @@
 }
 
 /// A route: the requests that it matches and how they are handled.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Route {
     /// The route's name in logs and metrics.
     pub name: String,
@@ -55,12 +56,14 @@
 }
 
 /// Whether a request that may have run may be run again.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr, Serialize)]
+#[serde(rename_all = "snake_case")]
 #[strum(serialize_all = "snake_case")]
 pub enum RetryPolicy {
     /// The request may run any number of times.
     Idempotent,
     /// The request may run only once.
+    #[serde(rename = "once")]
     #[strum(serialize = "once")]
     NonIdempotent,
     /// The response is a stream of events, and the request may run only once.
@@ -82,7 +85,7 @@
 }
 
 /// A service: backend servers that run the same requests.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Service {
     /// The service's name, from which its [`ServiceId`] is derived.
     pub name: String,
@@ -95,7 +98,7 @@
 }
 
 /// What a server takes while it is cold.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
 pub struct WarmupLimits {
     /// How long a server is cold after its start; above 0.
     pub duration: Millis,
@@ -104,7 +107,7 @@
 }
 
 /// The limits of a model engine.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
 pub struct EngineLimits {
     /// The number of requests that the engine runs concurrently.
     pub slots: u32,
@@ -118,7 +121,7 @@
 }
 
 /// Limits on callers' requests and connections, and the capacity of the engines.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
 pub struct Limits {
     /// The maximum size of a request head in bytes.
     pub max_header_bytes: usize,
@@ -146,7 +149,7 @@
 }
 
 /// A team and its priority.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct Team {
     /// The team's name, which is sent to backend servers.
     pub name: String,
--- a/sl-route/src/region.rs
+++ b/sl-route/src/region.rs
@@ -2,6 +2,8 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
+use serde::Serialize;
+
 /// The region of each data centre, as far as it is known.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Regions {
@@ -17,7 +19,8 @@
 
 /// The names of the regions in which a route or a team may be served; without any it may be served
 /// everywhere. Shared, as every request refers to them.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+#[serde(transparent)]
 pub struct AllowedRegions(Arc<[String]>);
 
 impl FromIterator<String> for AllowedRegions {
