sl-route: requests leave their data centre for a gain above what their bytes cost

Cause: place.rs charged a constant of 2 ms, whatever was sent.

Change: `[placement] data-centre-cost-ms-per-mb` prices the body and the expected events of a request (sl-route/src/locality.rs, one call in place.rs; the arrival states the size of its body). A request that no own server can take in time always leaves. How many are not charged follows the measured shortage of own servers as a moving average over 2 s. Prefill that another engine has cached counts several times against the limit of an own engine only while others wait for it.

--- a/bench/src/load/fleet.rs
+++ b/bench/src/load/fleet.rs
@@ -68,7 +68,11 @@
             instance: index as u32,
             data_centre: "here".to_owned(),
             seed: options.seed ^ index as u64,
-            limits: event::InstanceLimits { budget, max_in_flight: 10_000 },
+            limits: event::InstanceLimits {
+                budget,
+                max_in_flight: 10_000,
+                data_centre_cost_ms_per_mb: 0.0,
+            },
             share_window: Millis(4_000),
         },
         START,
--- a/bench/src/load/play.rs
+++ b/bench/src/load/play.rs
@@ -206,6 +206,7 @@
             arrived_at: self.now,
             caller_deadline: deadline,
             prompt: Some(caller_request.prompt),
+            body_bytes: 0,
             fingerprint: call as u64,
             stream: None,
         };
--- a/sl-config/src/settings.rs
+++ b/sl-config/src/settings.rs
@@ -38,6 +38,8 @@
     pub periods: Periods,
     /// Accounting of the teams' shares of engine capacity.
     pub sharing: Sharing,
+    /// How servers are selected.
+    pub placement: Placement,
     /// Service-level objectives of the burn report.
     pub objectives: Objectives,
     /// Retry budget of the fleet for each service.
@@ -118,6 +120,14 @@
     pub window: Millis,
 }
 
+/// How servers are selected.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Placement {
+    /// Milliseconds of a caller's waiting time that one megabyte between data centres is worth. With
+    /// 0 bytes cost nothing, and other data centres are charged the network time only.
+    pub data_centre_cost_ms_per_mb: f64,
+}
+
 /// Service-level objectives of the burn report. The latency target is set for each route in
 /// the configuration document.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/sl-config/src/settings/read.rs
+++ b/sl-config/src/settings/read.rs
@@ -3,8 +3,8 @@
 use std::path::PathBuf;
 
 use super::{
-    Bounds, Keys, Listen, Log, Objectives, Periods, Platform, RetryBudget, SeedInstance, Settings,
-    Sharing,
+    Bounds, Keys, Listen, Log, Objectives, Periods, Placement, Platform, RetryBudget, SeedInstance,
+    Settings, Sharing,
 };
 use crate::{
     fault::{Fault, Problem},
@@ -15,7 +15,7 @@
 };
 
 /// Names of all sections.
-const SECTIONS: [&str; 10] = [
+const SECTIONS: [&str; 11] = [
     "instance",
     "listen",
     "platform",
@@ -23,6 +23,7 @@
     "bounds",
     "periods",
     "sharing",
+    "placement",
     "retries",
     "objectives",
     "log",
@@ -97,6 +98,7 @@
     let bounds = sections.optional("bounds", read_bounds);
     let periods = sections.optional("periods", read_periods);
     let sharing = sections.optional("sharing", read_sharing);
+    let placement = sections.optional("placement", read_placement);
     let objectives = sections.optional("objectives", read_objectives);
     let retry_budget = sections.optional("retries", read_retry_budget);
     let log = sections.optional("log", read_log);
@@ -113,6 +115,7 @@
         bounds,
         periods,
         sharing,
+        placement,
         retry_budget,
         objectives,
         log,
@@ -248,6 +251,11 @@
     Sharing { window: reader.duration("window-ms", "window-s", defaults.window) }
 }
 
+fn read_placement(reader: &mut Reader<'_, '_>) -> Placement {
+    let cost = reader.optional::<Amount>("data-centre-cost-ms-per-mb");
+    Placement { data_centre_cost_ms_per_mb: cost.map_or(0.0, |it| it.0) }
+}
+
 fn read_objectives(reader: &mut Reader<'_, '_>) -> Objectives {
     let defaults = Objectives::default();
     let ppm = |it: Option<Percent>, default: u32| it.map_or(default, |it| it.ppm);
--- a/sl-config/tests/it/examples.rs
+++ b/sl-config/tests/it/examples.rs
@@ -17,6 +17,7 @@
     assert_eq!(example.log, settings::Log::default());
     assert_eq!(example.retry_budget, settings::RetryBudget::default());
     assert_eq!(example.sharing, settings::Sharing::default());
+    assert_eq!(example.placement, settings::Placement::default());
     assert_eq!(example.objectives, settings::Objectives::default());
     assert_eq!(example.keys.operator_key_hashes, [hash("example-operator-key")]);
 }
--- a/sl-config/tests/it/settings.rs
+++ b/sl-config/tests/it/settings.rs
@@ -90,6 +90,21 @@
     "ratio = -0.1",
     "`-0.1` is not a ratio from 0 to 10, such as 0.2"
 )]
+#[case::data_centre_cost_below_zero(
+    "data-centre-cost-ms-per-mb = 0",
+    "data-centre-cost-ms-per-mb = -1",
+    "`-1` is not a number from 0 to 1000000, such as 33.5"
+)]
+#[case::data_centre_cost_too_high(
+    "data-centre-cost-ms-per-mb = 0",
+    "data-centre-cost-ms-per-mb = 1000001",
+    "`1000001` is not a number from 0 to 1000000, such as 33.5"
+)]
+#[case::data_centre_cost_not_a_number(
+    "data-centre-cost-ms-per-mb = 0",
+    "data-centre-cost-ms-per-mb = NaN",
+    "`NaN` is not a number from 0 to 1000000, such as 33.5"
+)]
 #[case::allowance_below_zero(
     "allowance = 10",
     "allowance = -1.5",
--- a/sl-core/src/explain.rs
+++ b/sl-core/src/explain.rs
@@ -264,6 +264,16 @@
     known_state
 }
 
+/// Explains a value of the field `left_data_centre`.
+fn leave_reason(logged: &str) -> &str {
+    match logged {
+        "no_own_server" => "no server of its own could respond in time",
+        "better" => "the server was better by more than the bytes cost",
+        "share" => "drawn as part of the share that leaves while own servers are too few",
+        other => other,
+    }
+}
+
 impl Line {
     fn field(&self, name: &str) -> Option<&str> {
         self.fields.get(name)?.as_str()
@@ -303,6 +313,9 @@
             writeln!(out, "{} on {}", trace.id, trace.instance)?;
             for step in &trace.steps {
                 writeln!(out, "  {}  {}", step.ts, step.text())?;
+                if let Some(reason) = step.field("left_data_centre") {
+                    writeln!(out, "    left its data centre: {}", leave_reason(reason))?;
+                }
             }
             writeln!(out, "  state known when the request arrived:")?;
             for state in &trace.known_state {
--- a/sl-core/tests/it/explain.rs
+++ b/sl-core/tests/it/explain.rs
@@ -175,3 +175,17 @@
     assert!(text.contains("bb on edge-2"), "{text}");
     assert!(text.contains("version=v1") && text.contains("began_at=v1"), "{text}");
 }
+
+/// Guards against an operator who sees that a request crossed to another data centre and not why.
+#[test]
+fn the_reason_is_given_for_which_a_request_left_its_data_centre() {
+    let log = r#"
+{"msg":"request admitted","level":"INFO","ts":"2026-03-08T15:25:05.000Z","instance":"edge-1","request":7,"id":"aa"}
+{"msg":"attempt sent","level":"INFO","ts":"2026-03-08T15:25:05.001Z","instance":"edge-1","request":7,"server":"i-1","left_data_centre":"no_own_server","data_centre_share":0.31}
+"#;
+    let outcome = explain(&options("aa", OutputFormat::Text), log.as_bytes()).unwrap();
+    let mut out = Vec::new();
+    outcome.write(OutputFormat::Text, &mut out).unwrap();
+    let text = String::from_utf8(out).unwrap();
+    assert!(text.contains("no server of its own could respond in time"), "{text}");
+}
--- a/sl-edge/src/caller/request.rs
+++ b/sl-edge/src/caller/request.rs
@@ -167,6 +167,7 @@
             arrived_at: self.arrived_at,
             caller_deadline: self.arrived_at.after(timeout),
             prompt: self.metadata.prompt.clone(),
+            body_bytes: body.len() as u64,
             fingerprint: self.fingerprint(body),
             stream: self.stream,
         }
--- a/sl-edge/src/log.rs
+++ b/sl-edge/src/log.rs
@@ -122,11 +122,16 @@
             fetch_tokens,
             candidates,
             view_age_ms,
+            data_centre_share,
+            left_data_centre,
+            body_bytes: _,
         } => info!(log, "attempt sent";
             "request" => request.0, "server" => %server, "attempt" => attempt,
             "expected_ms" => expected_ms.round(), "backlog_ms" => backlog_ms.round(),
             "to_read" => prefill_tokens, "to_fetch" => fetch_tokens, "candidates" => candidates,
-            "heard_ms" => view_age_ms.round()),
+            "heard_ms" => view_age_ms.round(),
+            "data_centre_share" => (*data_centre_share > 0.0).then(|| rounded(*data_centre_share)),
+            "left_data_centre" => left_data_centre.map(<&str>::from)),
         Decision::StreamResumed { request, known, version } => {
             info!(log, "stream resumed by caller";
                 "request" => request.0, "known" => %known, "began_at" => version.as_deref());
--- a/sl-edge/src/metrics.rs
+++ b/sl-edge/src/metrics.rs
@@ -72,6 +72,10 @@
     pub team_tokens: Family<NameOutcomeLabels, Counter>,
     /// Attempts by server and outcome.
     pub server_attempts: Family<NameOutcomeLabels, Counter>,
+    /// Attempts that stayed in the data centre of the instance (`stay`) or left it (`leave`).
+    pub data_centre_requests: Family<NameLabel, Counter>,
+    /// Bytes of the bodies sent to other data centres.
+    pub data_centre_bytes: Counter,
     /// Retries left in this instance's budget, by service.
     pub retries_left: Family<NameLabel, FloatGauge>,
     /// Servers that name a limit on the requests of all instances.
@@ -137,6 +141,8 @@
             team_requests: Family::default(),
             team_tokens: Family::default(),
             server_attempts: Family::default(),
+            data_centre_requests: Family::default(),
+            data_centre_bytes: Counter::default(),
             retries_left: Family::default(),
             limited_servers: Gauge::default(),
             document_age: Gauge::default(),
@@ -208,9 +214,12 @@
         NameOutcomeLabels { name: name.to_owned(), outcome: outcome.to_owned() }
     }
 
-    /// Counts refusals, failed attempts and started responses.
+    /// Counts refusals, sent and failed attempts, and started responses.
     pub(crate) fn record_decision(&self, decision: &Decision) {
         match decision {
+            Decision::AttemptSent { left_data_centre, body_bytes, .. } => {
+                self.record_data_centre(left_data_centre.is_some(), *body_bytes);
+            }
             Decision::RequestRefused { reason, .. } => {
                 self.refusals.get_or_create(&name_label(reason.to_string())).inc();
             }
@@ -230,6 +239,14 @@
         }
     }
 
+    fn record_data_centre(&self, has_left: bool, body_bytes: u64) {
+        let name = if has_left { "leave" } else { "stay" };
+        self.data_centre_requests.get_or_create(&name_label(name)).inc();
+        if has_left {
+            self.data_centre_bytes.inc_by(body_bytes);
+        }
+    }
+
     fn record_team_tokens(&self, tokens: &TeamTokens) {
         let count = |outcome: &str, tokens_count: u64| {
             let labels = self.name_outcome_labels(&tokens.team.name, outcome);
@@ -267,6 +284,16 @@
             "Servers that name a limit on the requests of all instances",
             self.limited_servers.clone(),
         );
+        it.register(
+            "data_centre_requests",
+            "Attempts that stayed in the data centre or left it",
+            self.data_centre_requests.clone(),
+        );
+        it.register(
+            "data_centre_bytes",
+            "Bytes of bodies sent to other data centres",
+            self.data_centre_bytes.clone(),
+        );
         it.register("retries_left", "Retries left by service", self.retries_left.clone());
         it.register("document_age_seconds", "Since it is in force", self.document_age.clone());
         it.register("store_age_seconds", "Since the store was heard", self.store_age.clone());
--- a/sl-edge/src/run.rs
+++ b/sl-edge/src/run.rs
@@ -426,5 +426,6 @@
             window: settings.retry_budget.window,
         },
         max_in_flight: settings.bounds.max_in_flight as usize,
+        data_centre_cost_ms_per_mb: settings.placement.data_centre_cost_ms_per_mb,
     }
 }
--- a/sl-route/src/effect.rs
+++ b/sl-route/src/effect.rs
@@ -5,7 +5,7 @@
 use sl_base::{Millis, RequestId, Timestamp};
 use strum::{Display, IntoStaticStr};
 
-use crate::{Fault, ServerKey, activity::TeamTokens, crash_causes::Cause};
+use crate::{Fault, ServerKey, activity::TeamTokens, crash_causes::Cause, locality::LeaveReason};
 
 /// An action that the caller of [`State::step`](crate::State::step) has to perform.
 #[derive(Clone, Debug, PartialEq)]
@@ -140,6 +140,12 @@
         candidates: usize,
         /// The age of the latest information on the server's load, in milliseconds.
         view_age_ms: f64,
+        /// The part of the service's requests that leave because own servers are too few.
+        data_centre_share: f64,
+        /// Why the server is in another data centre; `None` if it is not.
+        left_data_centre: Option<LeaveReason>,
+        /// The length of the request's body.
+        body_bytes: u64,
     },
     /// The first byte of a response arrived.
     ResponseStarted {
--- a/sl-route/src/engine.rs
+++ b/sl-route/src/engine.rs
@@ -282,6 +282,11 @@
         events * self.event_interval_ms / (DECODE_STALL_LOAD - load.min(LOAD_FRACTION_MAX))
     }
 
+    /// The number of events in which the engine sends `output_tokens`.
+    pub fn events(&self, output_tokens: u32) -> f64 {
+        f64::from(output_tokens) / self.tokens_per_event
+    }
+
     /// Records the mean interval between the events of a complete stream, in milliseconds.
     pub fn record_event_interval(&mut self, now: Timestamp, millis: f64) {
         let decode_fraction = DECODE_STALL_LOAD - self.load.fraction(now).min(LOAD_FRACTION_MAX);
--- a/sl-route/src/event.rs
+++ b/sl-route/src/event.rs
@@ -148,6 +148,9 @@
     pub budget: budget::Options,
     /// The maximum number of requests in flight on the instance.
     pub max_in_flight: usize,
+    /// Milliseconds of a caller's waiting time that one megabyte between data centres is worth;
+    /// 0 if bytes between data centres cost nothing.
+    pub data_centre_cost_ms_per_mb: f64,
 }
 
 /// A request as received from a caller, with its resolved route, service and team.
@@ -167,6 +170,8 @@
     pub caller_deadline: Timestamp,
     /// The prompt; `None` if the request is not a model request.
     pub prompt: Option<Prompt>,
+    /// The length of the request's body.
+    pub body_bytes: u64,
     /// A hash that identifies repeated requests, used to recognise those that crash servers.
     pub fingerprint: u64,
     /// The stream that the request asks for; `None` if its route serves no resumable streams.
--- a/sl-route/src/lib.rs
+++ b/sl-route/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod engine;
 pub mod event;
 pub mod health;
+pub mod locality;
 pub mod note;
 pub mod place;
 pub mod prompt;
--- a/sl-route/src/place.rs
+++ b/sl-route/src/place.rs
@@ -7,6 +7,7 @@
     Prompt, ServerKey,
     admission::AdmissionLimits,
     engine::Engine,
+    locality::{LeaveReason, Load, Locality},
     server::{PlainServer, Server, ServerKind},
     stream_origin::StreamOrigin,
 };
@@ -24,8 +25,8 @@
     pub connections_max: usize,
     /// Milliseconds until the request's deadline.
     pub remaining_ms: f64,
-    /// The data centre of this instance; servers elsewhere are charged the extra network time.
-    pub data_centre: &'a str,
+    /// What servers in other data centres are charged.
+    pub locality: Locality<'a>,
     /// Where the stream began that the request goes on with; `None` if any server will do.
     pub origin: Option<&'a StreamOrigin>,
     /// Whether some slots and connections of each server are left to resumed streams.
@@ -61,6 +62,11 @@
     pub candidates: usize,
     /// Age of the latest information on the server's work, in milliseconds.
     pub view_age_ms: f64,
+    /// Whether a server of the own data centre would have been in time, if prefill that another
+    /// engine has cached counted like any other.
+    pub own_has_time: bool,
+    /// Why the server is in another data centre; `None` if it is not.
+    pub left_data_centre: Option<LeaveReason>,
 }
 
 /// A planned transfer of cached prompt parts from one engine to another.
@@ -135,9 +141,6 @@
 /// The part of the slots and connections of a server that is left to resumed streams.
 const ROOM_DIVISOR: usize = 16;
 
-/// Extra time of a request to a server in another data centre, in milliseconds.
-const CROSS_DATA_CENTRE_MS: f64 = 2.0;
-
 /// Penalty for a server whose failure rate is 1, in milliseconds; scales with the failure
 /// rate.
 const FAILURE_PENALTY_MS: f64 = 600.0;
@@ -160,19 +163,20 @@
 const UNMEASURED_SPEEDUP_MAX: f64 = 50.0;
 
 /// A server with its estimates for one request.
-struct Candidate {
+struct Candidate<'a> {
     placement: Placement,
+    data_centre: &'a str,
     /// Ranks the candidates; lower is better. In milliseconds.
     score: f64,
     /// Milliseconds in which the server prefills the prompt.
     prefill_ms: f64,
-    /// Milliseconds of prefill that another engine has cached already.
+    /// Milliseconds of prefill that another engine has cached already, as far as it counts.
     duplicate_prefill_ms: f64,
     /// Whether the time limit does not apply; see [`is_exempt`].
     is_exempt: bool,
 }
 
-impl Candidate {
+impl Candidate<'_> {
     /// Milliseconds to the first byte plus the weighted cost to other requests, with the prefill
     /// of the request itself as it is counted.
     fn cost_ms(&self, limits: AdmissionLimits) -> f64 {
@@ -181,6 +185,12 @@
             + limits.prefill_adjustment_ms(self.prefill_ms)
     }
 
+    /// Whether the server is in time if prefill that another engine has cached counts once.
+    fn has_time(&self, required: Requirements<'_>) -> bool {
+        let limits = AdmissionLimits { duplicate_prefill_weight: 0.0, ..required.limits };
+        self.is_in_time(Requirements { limits, ..required })
+    }
+
     fn is_in_time(&self, required: Requirements<'_>) -> bool {
         let is_before_deadline = self.placement.expected_ms <= required.remaining_ms;
         let is_within_limits = self.cost_ms(required.limits) <= required.limits.allowed_ms;
@@ -210,17 +220,33 @@
     let servers = if healthy.is_empty() { servers } else { healthy };
     let considered = servers.len();
     let donor = find_donor(now, &servers, required.prompt);
-    let candidates: Vec<Candidate> =
+    let candidates: Vec<Candidate<'_>> =
         servers.into_iter().filter_map(|it| evaluate(now, it, required, donor)).collect();
     let in_time = candidates.iter().filter(|it| it.is_in_time(required));
     let in_time = in_time.min_by(|a, b| a.score.total_cmp(&b.score));
     match in_time {
-        Some(found) => Ok(Placement { candidates: considered, ..found.placement.clone() }),
+        Some(found) => {
+            let found = with_locality(found, &candidates, required);
+            Ok(Placement { candidates: considered, ..found })
+        }
         None if candidates.is_empty() => Err(PlacementError::NoSlot),
         None => Err(PlacementError::TooLate(lowest_estimates(&candidates, required.limits))),
     }
 }
 
+/// The placement on the `found` server, with what the servers of the own data centre could do.
+fn with_locality(
+    found: &Candidate<'_>,
+    candidates: &[Candidate<'_>],
+    required: Requirements<'_>,
+) -> Placement {
+    let mut own = candidates.iter().filter(|it| required.locality.is_own(it.data_centre));
+    let own_has_time = own.clone().any(|it| it.has_time(required));
+    let own_is_in_time = own.any(|it| it.is_in_time(required));
+    let left_data_centre = required.locality.leave_reason(found.data_centre, own_is_in_time);
+    Placement { own_has_time, left_data_centre, ..found.placement.clone() }
+}
+
 /// Why none of the `eligible` servers can be used now: all are paused or limited, if there are any.
 fn no_server_error(now: Timestamp, eligible: &[&Server], slot_delay: f64) -> PlacementError {
     let earliest = eligible.iter().map(|it| it.opens_at(now, slot_delay)).min();
@@ -229,7 +255,7 @@
     })
 }
 
-fn lowest_estimates(candidates: &[Candidate], limits: AdmissionLimits) -> LowestEstimates {
+fn lowest_estimates(candidates: &[Candidate<'_>], limits: AdmissionLimits) -> LowestEstimates {
     candidates.iter().fold(LowestEstimates::NONE, |lowest, it| LowestEstimates {
         cost_ms: lowest.cost_ms.min(it.cost_ms(limits)),
         expected_ms: lowest.expected_ms.min(it.placement.expected_ms),
@@ -272,12 +298,12 @@
 
 /// Estimates how well a server suits a request; `None` if the server is an engine without a
 /// free slot, or all connections to it are in use.
-fn evaluate(
+fn evaluate<'a>(
     now: Timestamp,
-    server: &Server,
+    server: &'a Server,
     required: Requirements<'_>,
     donor: Option<Donor>,
-) -> Option<Candidate> {
+) -> Option<Candidate<'a>> {
     let connections_max = required.connections_max;
     if server.own_in_flight + required.kept_free(connections_max) >= connections_max {
         return None;
@@ -286,22 +312,34 @@
         ServerKind::Engine(engine) => evaluate_engine(now, server, engine, required, donor)?,
         ServerKind::Plain(plain) => evaluate_plain(now, server, plain),
     };
-    if *server.record.data_centre != *required.data_centre {
-        candidate.placement.expected_ms += CROSS_DATA_CENTRE_MS;
-        candidate.score += CROSS_DATA_CENTRE_MS;
+    let charge = required.locality.charge(Load {
+        data_centre: candidate.data_centre,
+        events: expected_events(server, required.prompt),
+        has_backlog: candidate.placement.backlog_ms > 0.0,
+    });
+    candidate.placement.expected_ms += charge.delay_ms;
+    candidate.score += charge.delay_ms + charge.cost_ms;
+    if !charge.counts_duplicates {
+        candidate.duplicate_prefill_ms = 0.0;
     }
     candidate.score += server.health.failure_rate(now) * FAILURE_PENALTY_MS;
     candidate.placement.view_age_ms = now.millis_since(server.updated_at);
     Some(candidate)
 }
 
-fn evaluate_engine(
+/// Events of the response, if the server is an engine.
+fn expected_events(server: &Server, prompt: Option<&Prompt>) -> f64 {
+    let output_tokens = prompt.map_or(0, Prompt::likely_output_tokens);
+    server.kind.engine().map_or(0.0, |it| it.events(output_tokens))
+}
+
+fn evaluate_engine<'a>(
     now: Timestamp,
-    server: &Server,
+    server: &'a Server,
     engine: &Engine,
     required: Requirements<'_>,
     donor: Option<Donor>,
-) -> Option<Candidate> {
+) -> Option<Candidate<'a>> {
     if engine.free_slots() <= required.kept_free(engine.slots()) {
         return None;
     }
@@ -327,21 +365,23 @@
         + LATE_END_PENALTY_MS * (time_used - LATE_END_THRESHOLD).max(0.0);
     // A limited engine is idle because it takes little, not because nobody asks for more.
     let is_limited = server.send_limit.is_some();
-    let server = server.key;
+    let data_centre = &server.record.data_centre;
     let placement = Placement {
-        server,
+        server: server.key,
         expected_ms,
         backlog_ms,
         prefill_tokens,
         fetch,
         candidates: 0,
         view_age_ms: 0.0,
+        own_has_time: false,
+        left_data_centre: None,
     };
     let is_exempt = !is_limited && is_exempt(engine, expected_ms, required);
     let duplicate_tokens = donor.map_or(0, |it| it.tokens);
     let duplicate_prefill_ms = f64::from(duplicate_tokens) / engine.tokens_per_ms();
     let prefill_ms = engine.prefill_ms(prefill_tokens);
-    Some(Candidate { placement, score, prefill_ms, duplicate_prefill_ms, is_exempt })
+    Some(Candidate { placement, data_centre, score, prefill_ms, duplicate_prefill_ms, is_exempt })
 }
 
 /// Whether the time limit does not apply, because a refusal would help no other request: the
@@ -370,7 +410,7 @@
     (tokens >= FETCH_TOKENS_MIN && is_cheaper).then_some(Fetch { from, tokens, duration_ms })
 }
 
-fn evaluate_plain(now: Timestamp, server: &Server, plain: &PlainServer) -> Candidate {
+fn evaluate_plain<'a>(now: Timestamp, server: &'a Server, plain: &PlainServer) -> Candidate<'a> {
     let slots = f64::from(server.record.slots.max(1));
     let load_factor = 1.0 + SLOT_LOAD_FACTOR * plain.in_flight() as f64 / slots;
     let response_ms = plain.response_ms().max(RESPONSE_MS_MIN);
@@ -384,11 +424,14 @@
         fetch: None,
         candidates: 0,
         view_age_ms: 0.0,
+        own_has_time: false,
+        left_data_centre: None,
     };
     let idle_ms = now.millis_since(plain.last_sent_at());
     let idle_bonus = IDLE_BONUS_MS * (idle_ms / IDLE_BONUS_FULL_MS).min(1.0);
     Candidate {
         placement,
+        data_centre: &server.record.data_centre,
         score: response_ms * load_factor - idle_bonus,
         prefill_ms: 0.0,
         duplicate_prefill_ms: 0.0,
--- a/sl-route/src/request.rs
+++ b/sl-route/src/request.rs
@@ -20,6 +20,9 @@
     pub attempts: u32,
     /// Whether an earlier attempt may have been run by a server.
     pub may_have_run: bool,
+    /// Whether the request was drawn to be one of the share that leaves the data centre because
+    /// own servers are too few.
+    pub is_drawn_to_leave: bool,
     /// Where the stream began, once its first event has been delivered. It goes on nowhere else but
     /// on servers of the same software version.
     pub origin: Option<StreamOrigin>,
@@ -63,6 +66,7 @@
             silent_server: None,
             attempts: 0,
             may_have_run: false,
+            is_drawn_to_leave: false,
             origin: None,
             current: None,
             charged: None,
--- a/sl-route/src/state.rs
+++ b/sl-route/src/state.rs
@@ -6,6 +6,7 @@
 mod crashes;
 mod limits;
 mod listing;
+mod locality;
 mod notes;
 mod notices;
 mod silence;
@@ -27,6 +28,7 @@
     demand::Demand,
     draining::DrainingRuns,
     event::InstanceLimits,
+    locality::Shortage,
     note::Note,
     request::InFlightRequest,
     server::Server,
@@ -76,6 +78,8 @@
     peers: HashMap<u32, Timestamp>,
     started_at: Timestamp,
     demand: Demand,
+    /// For each service, how many requests the servers of the own data centre could not take.
+    shortages: HashMap<ServiceId, Shortage>,
     /// Where streams began.
     origins: StreamOrigins,
     /// The number of instances in the fleet, including this one.
@@ -124,6 +128,7 @@
             peers: HashMap::new(),
             started_at: now,
             demand: Demand::new(now),
+            shortages: HashMap::new(),
             origins: StreamOrigins::new(now),
             instances: INSTANCES_DEFAULT,
             last_attempt: 0,
--- a/sl-route/src/state/admit.rs
+++ b/sl-route/src/state/admit.rs
@@ -99,10 +99,15 @@
     fn send_or_refuse(
         &mut self,
         now: Timestamp,
-        in_flight: InFlightRequest,
+        mut in_flight: InFlightRequest,
         limits: AdmissionLimits,
     ) {
-        match self.choose_server(now, &in_flight, limits) {
+        self.draw_leave(&mut in_flight);
+        let placement = self.choose_server(now, &in_flight, limits);
+        self.record_shortage(now, &in_flight, &placement);
+        // A retry is charged, so that it stays near.
+        in_flight.is_drawn_to_leave = false;
+        match placement {
             Ok(placement) => self.send(now, in_flight, placement),
             Err(error) => {
                 let reason = self.refusal_reason(now, &in_flight, error);
@@ -142,7 +147,7 @@
             limits,
             connections_max: self.connections_max(in_flight.arrival.service),
             remaining_ms: in_flight.arrival.deadline().remaining(now).0 as f64,
-            data_centre: &self.options.data_centre,
+            locality: self.locality(in_flight),
             origin: in_flight.origin.as_ref(),
             keeps_room: self.keeps_room_for_streams(&in_flight.arrival),
         }
--- a/sl-route/src/state/attempt.rs
+++ b/sl-route/src/state/attempt.rs
@@ -1,5 +1,7 @@
 //! Attempts: sending a request to a server, handling the outcome, retrying.
 
+use std::sync::Arc;
+
 use sl_base::{Millis, RequestId, Timestamp};
 
 use super::{State, silence::silent_at};
@@ -69,17 +71,7 @@
             silent_at: silent_at(now, &in_flight, &placement, may_retry),
             may_retry,
         };
-        let decision = Decision::AttemptSent {
-            request,
-            server: target.id.clone(),
-            attempt: in_flight.attempts,
-            expected_ms: placement.expected_ms,
-            backlog_ms: placement.backlog_ms,
-            prefill_tokens: placement.prefill_tokens,
-            fetch_tokens: placement.fetch.map_or(0, |it| it.tokens),
-            candidates: placement.candidates,
-            view_age_ms: placement.view_age_ms,
-        };
+        let decision = self.sent_decision(&in_flight, &placement, target.id.clone());
         if let Some((team, tokens)) = charge {
             self.shares.record_granted(now, team, tokens);
             self.record_outcome(&in_flight.arrival, TokenOutcome::Granted);
@@ -99,6 +91,28 @@
         self.effects.push(Effect::Send { request, target });
     }
 
+    fn sent_decision(
+        &self,
+        in_flight: &InFlightRequest,
+        placement: &Placement,
+        server: Arc<str>,
+    ) -> Decision {
+        Decision::AttemptSent {
+            request: in_flight.arrival.request,
+            server,
+            attempt: in_flight.attempts,
+            expected_ms: placement.expected_ms,
+            backlog_ms: placement.backlog_ms,
+            prefill_tokens: placement.prefill_tokens,
+            fetch_tokens: placement.fetch.map_or(0, |it| it.tokens),
+            candidates: placement.candidates,
+            view_age_ms: placement.view_age_ms,
+            data_centre_share: self.data_centre_share(in_flight.arrival.service),
+            left_data_centre: placement.left_data_centre,
+            body_bytes: in_flight.arrival.body_bytes,
+        }
+    }
+
     /// Records the transfer from another engine to `to`, given as the source and the
     /// milliseconds until it is complete.
     pub(super) fn record_transfer(
--- a/sl-route/tests/it/testbed.rs
+++ b/sl-route/tests/it/testbed.rs
@@ -22,7 +22,11 @@
         instance,
         data_centre: DATA_CENTRE.to_owned(),
         seed: 7,
-        limits: event::InstanceLimits { budget, max_in_flight: 100 },
+        limits: event::InstanceLimits {
+            budget,
+            max_in_flight: 100,
+            data_centre_cost_ms_per_mb: 0.0,
+        },
         share_window: Millis(4_000),
     }
 }
@@ -116,6 +120,7 @@
         arrived_at: now,
         caller_deadline: now.after(Millis(8_000)),
         prompt,
+        body_bytes: 2_000,
         fingerprint: number,
         stream: None,
     }
