sl-route: only the first copy of a part in a data centre is exempt from its weight

Callers saw: with a cost of bytes, a request could repeat the prefill of a part that another engine of its own data centre had cached, which saves no bytes.

Cause: the weight of duplicate prefill was lifted for each engine without a backlog.

Change: it is lifted only where no engine of the own data centre has cached as much of the prompt. With one data centre a cost changes nothing.

--- a/sl-route/src/locality.rs
+++ b/sl-route/src/locality.rs
@@ -40,6 +40,8 @@
     pub events: f64,
     /// Whether other requests wait for the server's prefill.
     pub has_backlog: bool,
+    /// Whether an engine of the own data centre has cached as much of the prompt as any other.
+    pub has_own_copy: bool,
 }
 
 /// What a server is charged for its data centre, in milliseconds.
@@ -74,7 +76,7 @@
     /// What a server is charged for its data centre.
     pub fn charge(&self, load: Load<'_>) -> Charge {
         if self.is_own(load.data_centre) {
-            let counts_duplicates = self.counts_duplicate_prefill(load.has_backlog);
+            let counts_duplicates = self.counts_duplicate_prefill(load);
             return Charge { delay_ms: 0.0, cost_ms: 0.0, counts_duplicates };
         }
         let bytes = self.body_bytes as f64 + load.events * EVENT_BYTES;
@@ -86,10 +88,10 @@
         }
     }
 
-    /// With a cost of bytes, a data centre may have its own copy of prompt parts, and the prefill of
-    /// the copy is no reason to refuse a request while nobody else waits for the engine.
-    fn counts_duplicate_prefill(&self, has_backlog: bool) -> bool {
-        self.cost_ms_per_mb <= 0.0 || has_backlog
+    /// With a cost of bytes, a data centre may have its own copy of prompt parts. The prefill of the
+    /// first one is no reason to refuse a request while nobody else waits for the engine.
+    fn counts_duplicate_prefill(&self, load: Load<'_>) -> bool {
+        self.cost_ms_per_mb <= 0.0 || load.has_backlog || load.has_own_copy
     }
 
     /// Why a request leaves for a server in `data_centre`; `None` if it stays.
--- a/sl-route/src/place.rs
+++ b/sl-route/src/place.rs
@@ -219,7 +219,7 @@
         servers.iter().copied().filter(|it| !it.health.is_avoided(now)).collect();
     let servers = if healthy.is_empty() { servers } else { healthy };
     let considered = servers.len();
-    let donor = find_donor(now, &servers, required.prompt);
+    let donor = find_donor(now, &servers, required);
     let candidates: Vec<Candidate<'_>> =
         servers.into_iter().filter_map(|it| evaluate(now, it, required, donor)).collect();
     let in_time = candidates.iter().filter(|it| it.is_in_time(required));
@@ -268,6 +268,8 @@
     server: ServerKey,
     /// Cached tokens of the prompt that it can transfer.
     tokens: u32,
+    /// Cached tokens of the prompt at the engine of the own data centre that has the most.
+    own_tokens: u32,
     /// Milliseconds until its pending transfers are complete.
     transfer_backlog_ms: f64,
 }
@@ -282,18 +284,23 @@
 }
 
 /// Finds the engine with the longest cached prefix; ties go to the shortest transfer backlog.
-fn find_donor(now: Timestamp, servers: &[&Server], prompt: Option<&Prompt>) -> Option<Donor> {
-    let prompt = prompt?;
+fn find_donor(now: Timestamp, servers: &[&Server], required: Requirements<'_>) -> Option<Donor> {
+    let prompt = required.prompt?;
+    let mut own_tokens = 0;
     let donors = servers.iter().filter_map(|it| {
         let engine = it.kind.engine()?;
         let tokens = engine.cache.cached_prefix_tokens(prompt).min(prompt.input_tokens);
+        if required.locality.is_own(&it.record.data_centre) {
+            own_tokens = own_tokens.max(tokens);
+        }
         let transfer_backlog_ms = engine.transfer_backlog_ms(now);
-        Some(Donor { server: it.key, tokens, transfer_backlog_ms })
+        Some(Donor { server: it.key, tokens, own_tokens: 0, transfer_backlog_ms })
     });
     let by_prefix = |a: &Donor, b: &Donor| {
         a.tokens.cmp(&b.tokens).then(b.transfer_backlog_ms.total_cmp(&a.transfer_backlog_ms))
     };
-    donors.max_by(by_prefix)
+    let donor = donors.max_by(by_prefix)?;
+    Some(Donor { own_tokens, ..donor })
 }
 
 /// Estimates how well a server suits a request; `None` if the server is an engine without a
@@ -316,6 +323,7 @@
         data_centre: candidate.data_centre,
         events: expected_events(server, required.prompt),
         has_backlog: candidate.placement.backlog_ms > 0.0,
+        has_own_copy: donor.is_some_and(|it| it.own_tokens >= it.tokens),
     });
     candidate.placement.expected_ms += charge.delay_ms;
     candidate.score += charge.delay_ms + charge.cost_ms;
@@ -403,7 +411,7 @@
 
 /// Plans a transfer of the donor's tokens, if that takes less time than prefilling them.
 fn plan_fetch(now: Timestamp, engine: &Engine, donor: Option<Donor>) -> Option<Fetch> {
-    let Donor { server: from, tokens, transfer_backlog_ms } = donor?;
+    let Donor { server: from, tokens, transfer_backlog_ms, .. } = donor?;
     let queue_ms = transfer_backlog_ms.max(engine.transfer_backlog_ms(now));
     let duration_ms = queue_ms + engine.fetch_ms(tokens)?;
     let is_cheaper = duration_ms < engine.prefill_ms(tokens);
