--- a/sl-route/src/event.rs
+++ b/sl-route/src/event.rs
@@ -191,6 +191,8 @@
     pub data_centre_cost_ms_per_mb: f64,
     /// The limit on requests to a cold server.
     pub warmup: WarmupBound,
+    /// Whether no route is refused much more than the others of its priority under contention.
+    pub balances_routes: bool,
 }
 
 /// A request as received from a caller, with its resolved route, service and team.
--- a/sl-route/tests/it/testbed.rs
+++ b/sl-route/tests/it/testbed.rs
@@ -32,6 +32,7 @@
             max_in_flight: 100,
             data_centre_cost_ms_per_mb: 0.0,
             warmup: WarmupBound::default(),
+            balances_routes: true,
         },
         share_window: Millis(4_000),
     }
