--- a/bench/src/load/fleet.rs
+++ b/bench/src/load/fleet.rs
@@ -34,15 +34,17 @@
     ENGINE_TOKENS_PER_MS[engine % ENGINE_TOKENS_PER_MS.len()]
 }
 
+/// The number of tokens in each event of a stream.
+pub(super) fn tokens_per_event(load: Load) -> u32 {
+    if load.has_step_engines() { step_engine::TOKENS_PER_EVENT } else { TOKENS_PER_EVENT }
+}
+
 fn document(options: Options) -> Document {
     let slots = options.policy.slot_limit(SLOTS, options.instances as u32);
-    let has_step_engines = options.load.has_step_engines();
-    let tokens_per_event =
-        if has_step_engines { step_engine::TOKENS_PER_EVENT } else { TOKENS_PER_EVENT };
     let engine = EngineLimits {
         slots,
         kv_capacity_tokens: KV_CAPACITY_TOKENS,
-        tokens_per_event: f64::from(tokens_per_event),
+        tokens_per_event: f64::from(tokens_per_event(options.load)),
         fetch_ms_per_token: None,
     };
     let name = SERVICE.to_owned();
@@ -54,14 +56,22 @@
     Document::new(1, [], [service], limits, [])
 }
 
+/// Index of the data centre that is evacuated in the load [`Load::Evacuated`].
+pub(super) const EVACUATED_DATA_CENTRE: usize = 0;
+
+/// The name of the data centre with this index.
+pub(super) fn data_centre_name(data_centre: usize) -> Arc<str> {
+    format!("dc-{data_centre}").into()
+}
+
 /// The entry of an engine.
-pub(super) fn record(engine: usize) -> ServerRecord {
+pub(super) fn record(options: Options, engine: usize) -> ServerRecord {
     ServerRecord {
         id: format!("e{engine}").into(),
         started_at_ms: 1,
         service: ServiceId::of(SERVICE),
         address: ([10, 0, 0, 1], engine as u16 + 1).into(),
-        data_centre: "here".into(),
+        data_centre: data_centre_name(options.data_centre(engine)),
         version: None,
         slots: SLOTS,
         state: ServerState::Ready,
@@ -70,31 +80,19 @@
     }
 }
 
-/// The data centre that is evacuated in the load [`Load::Evacuated`].
-pub(super) const EVACUATED_DATA_CENTRE: &str = "there";
-
-/// Whether the engine is in that data centre.
-pub(super) fn is_in_evacuated_data_centre(engine: usize) -> bool {
-    engine.is_multiple_of(2)
-}
-
-fn data_centre(options: Options, engine: usize) -> Arc<str> {
-    let is_evacuated = options.load == Load::Evacuated && is_in_evacuated_data_centre(engine);
-    if is_evacuated { EVACUATED_DATA_CENTRE.into() } else { "here".into() }
-}
-
 /// An instance that knows all engines.
 pub(super) fn instance(options: Options, index: usize) -> State {
     let budget = budget::Options { ratio: 0.2, allowance: 160.0, window: Millis(10_000) };
     let mut state = State::new(
         sl_route::Options {
             instance: index as u32,
-            data_centre: "here".to_owned(),
+            data_centre: data_centre_name(options.data_centre(index)).to_string(),
             regions: Regions::default(),
             seed: options.seed ^ index as u64,
             limits: event::InstanceLimits {
                 budget,
                 max_in_flight: 10_000,
+                data_centre_cost_ms_per_mb: options.data_centre_cost_ms_per_mb,
                 warmup: WarmupBound::default(),
                 balances_routes: true,
             },
@@ -104,8 +102,7 @@
     );
     state.step(START, Event::Document(Arc::new(document(options))));
     for engine in 0..options.engines {
-        let record = ServerRecord { data_centre: data_centre(options, engine), ..record(engine) };
-        state.step(START, Event::ServerListed(record));
+        state.step(START, Event::ServerListed(record(options, engine)));
     }
     state.step(START, Event::InstanceCount(options.instances));
     state
--- a/bench/src/load/play.rs
+++ b/bench/src/load/play.rs
@@ -16,7 +16,7 @@
 use super::{
     cache::ProcessedParts,
     engine::{Engine, Job},
-    fleet::{self, SERVICE, START},
+    fleet::{self, EVACUATED_DATA_CENTRE, SERVICE, START},
     policy::Policy,
     queue::{ScheduledEvent, SimEvent},
     step_engine::{self, StepEngine, Stream},
@@ -37,13 +37,25 @@
     pub instances: usize,
     /// Number of engines.
     pub engines: usize,
+    /// Number of data centres, each with an equal part of the instances and engines.
+    pub data_centres: usize,
+    /// Milliseconds of waiting time that one megabyte between data centres is worth.
+    pub data_centre_cost_ms_per_mb: f64,
     /// How long callers send new requests.
     pub duration: Millis,
 }
 
+impl Options {
+    /// Index of the data centre of an instance or engine with this index.
+    pub(super) fn data_centre(self, index: usize) -> usize {
+        index % self.data_centres
+    }
+}
+
 /// A caller's request with its state over all retries.
 struct Call {
     caller_request: CallerRequest,
+    data_centre: usize,
     /// The instance to which the request was sent last.
     instance: usize,
     is_finished: bool,
@@ -79,12 +91,23 @@
 /// Network delay between any two processes.
 const NETWORK_DELAY: Millis = Millis(1);
 
+/// Further delay between two data centres, one way.
+const DATA_CENTRE_DELAY_MICROS: u64 = 500;
+
+/// Bytes of one event of a stream, as observed on a deployment of three data centres.
+const EVENT_BYTES: u64 = 65;
+
 /// The delay after which a caller retries if it does not honour `Retry-After`.
 const IMPATIENT_RETRY_DELAY: Millis = Millis(50);
 
 /// Interval of [`Event::Tick`].
 const TICK_INTERVAL: Millis = Millis(100);
 
+/// When what would arrive at `at` arrives in another data centre.
+fn across(at: Timestamp) -> Timestamp {
+    Timestamp::from_micros(at.as_micros() + DATA_CENTRE_DELAY_MICROS)
+}
+
 /// How long a simulation goes on after the last deadline of a request.
 const DRAIN_MARGIN: Millis = Millis(2_000);
 
@@ -122,7 +145,9 @@
                 .map(|it| Engine::new(fleet::engine_tokens_per_ms(load, it)))
                 .collect(),
             step_engines: (0..step_engines).map(|_| StepEngine::default()).collect(),
-            engine_by_key: (0..options.engines).map(|it| (fleet::record(it).key(), it)).collect(),
+            engine_by_key: (0..options.engines)
+                .map(|it| (fleet::record(options, it).key(), it))
+                .collect(),
             processed_parts: ProcessedParts::default(),
             calls: Vec::new(),
             is_evacuated: false,
@@ -154,8 +179,10 @@
             let caller_request =
                 traffic::draw_request(&mut self.rng, load, micros / MICROS_PER_MILLI, engines);
             let call = self.calls.len();
+            let data_centre = load.draw_data_centre(&mut self.rng, self.options.data_centres);
             self.calls.push(Call {
                 caller_request,
+                data_centre,
                 instance: 0,
                 is_finished: false,
                 first_token_after_ms: None,
@@ -225,7 +252,7 @@
     }
 
     fn send_request(&mut self, call: usize) {
-        let instance = self.rng.random_range(0..self.options.instances);
+        let instance = self.draw_instance(self.calls[call].data_centre);
         let kind = &self.options.load.kinds()[self.calls[call].caller_request.kind];
         let is_first_try =
             self.calls[call].caller_request.retries_left == self.options.load.retries();
@@ -241,6 +268,13 @@
         );
     }
 
+    /// Draws one of the instances of a data centre.
+    fn draw_instance(&mut self, data_centre: usize) -> usize {
+        let Options { instances, data_centres, .. } = self.options;
+        let count = (instances - data_centre).div_ceil(data_centres);
+        data_centre + data_centres * self.rng.random_range(0..count)
+    }
+
     fn receive_request(&mut self, call: usize, instance: usize) {
         if self.calls[call].is_finished {
             return;
@@ -262,6 +296,7 @@
             arrived_at: self.now,
             caller_deadline: deadline,
             prompt: Some(caller_request.prompt),
+            body_bytes: self.options.load.kinds()[caller_request.kind].body_bytes,
             fingerprint: call as u64,
             stream: None,
         };
@@ -330,11 +365,37 @@
     fn send_attempt(&mut self, instance: usize, request: RequestId, server: ServerKey) {
         let call = &self.calls[request.0 as usize];
         let job = Job { instance, request: request.0, prompt: call.caller_request.prompt.clone() };
-        if let Some(&engine) = self.engine_by_key.get(&server) {
-            let is_evacuated = self.is_evacuated && fleet::is_in_evacuated_data_centre(engine);
-            self.tally.sent_to_evacuated += u32::from(is_evacuated);
-            self.schedule_after(NETWORK_DELAY, SimEvent::AttemptArrives { engine, job });
+        let Some(&engine) = self.engine_by_key.get(&server) else {
+            return;
+        };
+        let is_evacuated =
+            self.is_evacuated && self.options.data_centre(engine) == EVACUATED_DATA_CENTRE;
+        self.tally.sent_to_evacuated += u32::from(is_evacuated);
+        let mut arrives_at = self.now.after(NETWORK_DELAY);
+        if self.is_across(instance, engine) {
+            arrives_at = across(arrives_at);
+            let kind = call.caller_request.kind;
+            self.tally.bytes_across += self.options.load.kinds()[kind].body_bytes;
+        }
+        self.schedule_at(arrives_at, SimEvent::AttemptArrives { engine, job });
+    }
+
+    /// Whether an instance and an engine are in different data centres.
+    fn is_across(&self, instance: usize, engine: usize) -> bool {
+        self.options.data_centre(instance) != self.options.data_centre(engine)
+    }
+
+    /// When the first event that an engine sends now arrives at the instance of the job. Counts the
+    /// bytes of all events of the response if the two are in different data centres.
+    fn first_event_arrives_at(&mut self, engine: usize, job: &Job) -> Timestamp {
+        let arrives_at = self.now.after(NETWORK_DELAY);
+        if !self.is_across(job.instance, engine) {
+            return arrives_at;
         }
+        let output_tokens = self.calls[job.request as usize].caller_request.output_tokens;
+        let events = output_tokens / fleet::tokens_per_event(self.options.load);
+        self.tally.bytes_across += u64::from(events) * EVENT_BYTES;
+        across(arrives_at)
     }
 
     fn handle_refusal(&mut self, request: RequestId, retry_after: Millis) {
@@ -396,9 +457,10 @@
         let result = self.step_engines[engine].finish_step(self.now);
         for job in result.started {
             self.processed_parts.0.extend(job.prompt.shared_parts().iter().map(|it| it.key));
+            let arrives_at = self.first_event_arrives_at(engine, &job);
             let call = &mut self.calls[job.request as usize];
             let sent_at = START.after(Millis(call.caller_request.sent_at_ms));
-            let after_ms = self.now.after(NETWORK_DELAY).millis_since(sent_at) as u64;
+            let after_ms = arrives_at.millis_since(sent_at) as u64;
             call.first_token_after_ms = Some(after_ms);
             self.step(job.instance, Event::ResponseStarted { request: RequestId(job.request) });
         }
@@ -451,9 +513,10 @@
         };
         self.processed_parts.0.extend(job.prompt.shared_parts().iter().map(|it| it.key));
         let call = job.request as usize;
+        let arrives_at = self.first_event_arrives_at(engine, &job);
         if !self.calls[call].is_finished {
             let sent_at = START.after(Millis(self.calls[call].caller_request.sent_at_ms));
-            let after_ms = self.now.after(NETWORK_DELAY).millis_since(sent_at) as u64;
+            let after_ms = arrives_at.millis_since(sent_at) as u64;
             self.finish_call(call, Outcome::FirstToken { after_ms });
             self.step(job.instance, Event::ResponseStarted { request: RequestId(job.request) });
         }
@@ -502,8 +565,9 @@
 
     /// Passes an event about the evacuated data centre to all instances.
     fn step_all(&mut self, event: impl Fn(Arc<str>) -> Event) {
+        let data_centre = fleet::data_centre_name(EVACUATED_DATA_CENTRE);
         for instance in 0..self.options.instances {
-            self.step(instance, event(fleet::EVACUATED_DATA_CENTRE.into()));
+            self.step(instance, event(data_centre.clone()));
         }
     }
 
@@ -513,7 +577,10 @@
                 self.fail_attempt(&job, Fault::ConnectionLost);
             }
             for instance in 0..self.options.instances {
-                self.step(instance, Event::ServerRemoved { id: fleet::record(engine).id });
+                self.step(
+                    instance,
+                    Event::ServerRemoved { id: fleet::record(self.options, engine).id },
+                );
             }
         }
     }
@@ -522,7 +589,7 @@
         for engine in (0..self.options.engines).step_by(2) {
             self.engines[engine].is_down = false;
             for instance in 0..self.options.instances {
-                let mut record = fleet::record(engine);
+                let mut record = fleet::record(self.options, engine);
                 record.started_at_ms = 2;
                 self.engine_by_key.insert(record.key(), engine);
                 self.step(instance, Event::ServerListed(record));
--- a/bench/src/load/traffic.rs
+++ b/bench/src/load/traffic.rs
@@ -18,6 +18,8 @@
     pub own_tokens: u32,
     /// Usual maximum length of the response, in tokens.
     pub max_output_tokens: u32,
+    /// Length of the request's body, as observed on a deployment of three data centres.
+    pub body_bytes: u64,
     /// Time within which the first token should arrive.
     pub target_latency: Millis,
     /// Time after which the caller disconnects if no token has arrived.
@@ -36,6 +38,7 @@
         shared_tokens: 12_000,
         own_tokens: 3_500,
         max_output_tokens: 120,
+        body_bytes: 17_000,
         target_latency: Millis(1_000),
         timeout: Millis(8_000),
         value: 3.0,
@@ -47,6 +50,7 @@
         shared_tokens: 6_000,
         own_tokens: 2_500,
         max_output_tokens: 60,
+        body_bytes: 9_200,
         target_latency: Millis(800),
         timeout: Millis(5_000),
         value: 2.5,
@@ -58,6 +62,7 @@
         shared_tokens: 400,
         own_tokens: 1_000,
         max_output_tokens: 160,
+        body_bytes: 1_500,
         target_latency: Millis(800),
         timeout: Millis(8_000),
         value: 0.4,
@@ -74,6 +79,7 @@
         shared_tokens: 13_300,
         own_tokens: 3_720,
         max_output_tokens: 240,
+        body_bytes: 17_000,
         target_latency: Millis(1_200),
         timeout: Millis(12_000),
         value: 4.0,
@@ -85,6 +91,7 @@
         shared_tokens: 6_300,
         own_tokens: 2_890,
         max_output_tokens: 104,
+        body_bytes: 9_200,
         target_latency: Millis(2_000),
         timeout: Millis(6_000),
         value: 1.6,
@@ -96,6 +103,7 @@
         shared_tokens: 350,
         own_tokens: 1_110,
         max_output_tokens: 344,
+        body_bytes: 1_500,
         target_latency: Millis(2_500),
         timeout: Millis(12_000),
         value: 0.36,
@@ -123,11 +131,14 @@
     GreedyTeam,
     /// Half of the engines are down.
     HalfLost,
-    /// The data centre of half of the engines is evacuated; their requests in flight go on.
+    /// The first data centre is evacuated, by default with half of the engines; their requests in
+    /// flight go on.
     Evacuated,
     /// Three times as many requests all the time, with prompts whose lengths differ by far more
     /// than usual.
     LongTail,
+    /// The usual load, with three quarters of the callers in one data centre.
+    Uneven,
     /// 1.7 times as many requests, and callers retry up to four times without waiting as long as
     /// the refusals ask for.
     Impatient,
@@ -188,6 +199,26 @@
         REQUESTS_PER_S_AND_ENGINE * engines as f64 * factor
     }
 
+    /// The number of data centres if none is stated.
+    pub fn data_centres(self) -> usize {
+        match self {
+            Load::Uneven => 3,
+            Load::Evacuated => 2,
+            _ => 1,
+        }
+    }
+
+    /// Draws the data centre of a caller.
+    pub(super) fn draw_data_centre(self, rng: &mut impl Rng, data_centres: usize) -> usize {
+        match data_centres {
+            // Nothing is drawn, so that the other draws do not depend on data centres.
+            1 => 0,
+            _ if self == Load::Uneven && rng.random_bool(UNEVEN_SHARE) => 0,
+            _ if self == Load::Uneven => rng.random_range(1..data_centres),
+            _ => rng.random_range(0..data_centres),
+        }
+    }
+
     /// The kinds of requests.
     pub fn kinds(self) -> &'static [Kind; KIND_COUNT] {
         if self.has_step_engines() { &SCARCE_SLOTS_KINDS } else { &KINDS }
@@ -210,6 +241,9 @@
     }
 }
 
+/// The share of the callers in the first data centre in the load [`Load::Uneven`].
+const UNEVEN_SHARE: f64 = 0.75;
+
 /// The team with more requests in the load [`Load::GreedyTeam`].
 const GREEDY_TEAM: usize = 2;
 
--- a/sl-config/src/settings/read.rs
+++ b/sl-config/src/settings/read.rs
@@ -3,8 +3,8 @@
 use std::path::PathBuf;
 
 use super::{
-    Bounds, Keys, Listen, Log, Objectives, Periods, Platform, RetryBudget, SeedInstance, Settings,
-    Sharing, Warmup,
+    Bounds, Keys, Listen, Log, Objectives, Periods, Placement, Platform, RetryBudget, SeedInstance,
+    Settings, Sharing, Warmup,
 };
 use crate::{
     fault::{Fault, Problem},
@@ -18,7 +18,7 @@
 };
 
 /// Names of all sections.
-const SECTIONS: [&str; 12] = [
+const SECTIONS: [&str; 13] = [
     "instance",
     "listen",
     "platform",
@@ -26,6 +26,7 @@
     "bounds",
     "periods",
     "sharing",
+    "placement",
     "retries",
     "warmup",
     "regions",
@@ -102,6 +103,7 @@
     let bounds = sections.optional("bounds", read_bounds);
     let periods = sections.optional("periods", read_periods);
     let sharing = sections.optional("sharing", read_sharing);
+    let placement = sections.optional("placement", read_placement);
     let objectives = sections.optional("objectives", read_objectives);
     let retry_budget = sections.optional("retries", read_retry_budget);
     let warmup = sections.optional("warmup", read_warmup);
@@ -120,6 +122,7 @@
         bounds,
         periods,
         sharing,
+        placement,
         retry_budget,
         warmup,
         regions,
@@ -260,6 +263,11 @@
     }
 }
 
+fn read_placement(reader: &mut Reader<'_, '_>) -> Placement {
+    let cost = reader.optional::<Amount>("data-centre-cost-ms-per-mb");
+    Placement { data_centre_cost_ms_per_mb: cost.map_or(0.0, |it| it.0) }
+}
+
 fn read_objectives(reader: &mut Reader<'_, '_>) -> Objectives {
     let defaults = Objectives::default();
     let ppm = |it: Option<Percent>, default: u32| it.map_or(default, |it| it.ppm);
--- a/sl-edge/src/log.rs
+++ b/sl-edge/src/log.rs
@@ -171,12 +171,17 @@
             candidates,
             view_age_ms,
             is_cold,
+            data_centre_share,
+            left_data_centre,
+            body_bytes: _,
         } => info!(log, "attempt sent";
             "request" => request.0, "server" => %server, "attempt" => attempt,
             "expected_ms" => expected_ms.round(), "end_ms" => expected_end_ms.round(),
             "backlog_ms" => backlog_ms.round(),
             "to_read" => prefill_tokens, "to_fetch" => fetch_tokens, "candidates" => candidates,
-            "heard_ms" => view_age_ms.round(), "cold" => is_cold),
+            "heard_ms" => view_age_ms.round(), "cold" => is_cold,
+            "data_centre_share" => (*data_centre_share > 0.0).then(|| rounded(*data_centre_share)),
+            "left_data_centre" => left_data_centre.map(<&str>::from)),
         Decision::RequestRefused {
             request,
             reason,
--- a/sl-route/src/effect.rs
+++ b/sl-route/src/effect.rs
@@ -5,7 +5,7 @@
 use sl_base::{Millis, RequestId, Timestamp};
 use strum::{Display, IntoStaticStr};
 
-use crate::{Fault, ServerKey, activity::TeamTokens, crash_causes::Cause};
+use crate::{Fault, ServerKey, activity::TeamTokens, crash_causes::Cause, locality::LeaveReason};
 
 /// An action that the caller of [`State::step`](crate::State::step) has to perform.
 #[derive(Clone, Debug, PartialEq)]
@@ -145,6 +145,12 @@
         view_age_ms: f64,
         /// Whether the server is cold, so that the request used a slot of this instance.
         is_cold: bool,
+        /// The part of the service's requests that leave because own servers are too few.
+        data_centre_share: f64,
+        /// Why the server is in another data centre; `None` if it is not.
+        left_data_centre: Option<LeaveReason>,
+        /// The length of the request's body.
+        body_bytes: u64,
     },
     /// The first byte of a response arrived.
     ResponseStarted {
--- a/sl-route/src/engine.rs
+++ b/sl-route/src/engine.rs
@@ -279,6 +279,11 @@
         events * self.pace.interval_ms(batch, self.load.fraction(now))
     }
 
+    /// The number of events in which the engine sends `output_tokens`.
+    pub fn events(&self, output_tokens: u32) -> f64 {
+        f64::from(output_tokens) / self.tokens_per_event
+    }
+
     /// Milliseconds from the first token to the end of an output of `output_tokens` if the engine had
     /// nothing else to do; `None` if the pace has not been measured.
     pub fn undisturbed_decode_ms(&self, output_tokens: u32) -> Option<f64> {
--- a/sl-route/src/lib.rs
+++ b/sl-route/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod evacuation;
 pub mod event;
 pub mod health;
+pub mod locality;
 pub mod note;
 pub mod pace;
 pub mod part_demand;
--- a/sl-route/src/place.rs
+++ b/sl-route/src/place.rs
@@ -8,6 +8,7 @@
     admission::AdmissionLimits,
     engine::Engine,
     evacuation::Evacuations,
+    locality::{LeaveReason, Load, Locality},
     region::RegionLimits,
     server::{PlainServer, Server, ServerKind},
     stream_origin::StreamOrigin,
@@ -26,8 +27,8 @@
     pub connections_max: usize,
     /// Milliseconds until the request's deadline.
     pub remaining_ms: f64,
-    /// The data centre of this instance; servers elsewhere are charged the extra network time.
-    pub data_centre: &'a str,
+    /// What servers in other data centres are charged.
+    pub locality: Locality<'a>,
     /// The data centres whose servers get nothing.
     pub evacuations: &'a Evacuations,
     /// The regions in which the request may be served.
@@ -93,6 +94,11 @@
     pub candidates: usize,
     /// Age of the latest information on the server's work, in milliseconds.
     pub view_age_ms: f64,
+    /// Whether a server of the own data centre would have been in time, if prefill that another
+    /// engine has cached counted like any other.
+    pub own_has_time: bool,
+    /// Why the server is in another data centre; `None` if it is not.
+    pub left_data_centre: Option<LeaveReason>,
 }
 
 /// A planned transfer of cached prompt parts from one engine to another.
@@ -174,9 +180,6 @@
 /// The part of the slots and connections of a server that is left to resumed streams.
 const ROOM_DIVISOR: usize = 16;
 
-/// Extra time of a request to a server in another data centre, in milliseconds.
-const CROSS_DATA_CENTRE_MS: f64 = 2.0;
-
 /// Penalty for a server whose failure rate is 1, in milliseconds; scales with the failure
 /// rate.
 const FAILURE_PENALTY_MS: f64 = 600.0;
@@ -199,13 +202,14 @@
 const UNMEASURED_SPEEDUP_MAX: f64 = 50.0;
 
 /// A server with its estimates for one request.
-struct Candidate {
+struct Candidate<'a> {
     placement: Placement,
+    data_centre: &'a str,
     /// Ranks the candidates; lower is better. In milliseconds.
     score: f64,
     /// Milliseconds in which the server prefills the prompt.
     prefill_ms: f64,
-    /// Milliseconds of prefill that another engine has cached already.
+    /// Milliseconds of prefill that another engine has cached already, as far as it counts.
     duplicate_prefill_ms: f64,
     /// Whether the time limit does not apply; see [`is_exempt`].
     is_exempt: bool,
@@ -213,7 +217,7 @@
     ends_in_time: bool,
 }
 
-impl Candidate {
+impl Candidate<'_> {
     /// Milliseconds to the first byte plus the weighted cost to other requests, with the prefill
     /// of the request itself as it is counted.
     fn cost_ms(&self, limits: AdmissionLimits) -> f64 {
@@ -222,6 +226,12 @@
             + limits.prefill_adjustment_ms(self.prefill_ms)
     }
 
+    /// Whether the server is in time if prefill that another engine has cached counts once.
+    fn has_time(&self, required: Requirements<'_>) -> bool {
+        let limits = AdmissionLimits { duplicate_prefill_weight: 0.0, ..required.limits };
+        self.is_in_time(Requirements { limits, ..required })
+    }
+
     /// Whether the response is expected to begin and to end in time.
     fn is_in_time(&self, required: Requirements<'_>) -> bool {
         self.is_exempt || self.ends_in_time && self.begins_in_time(required)
@@ -255,13 +265,16 @@
         servers.iter().copied().filter(|it| !it.health.is_avoided(now)).collect();
     let servers = if healthy.is_empty() { servers } else { healthy };
     let considered = servers.len();
-    let donor = find_donor(now, &servers, required.prompt);
-    let candidates: Vec<Candidate> =
+    let donor = find_donor(now, &servers, required);
+    let candidates: Vec<Candidate<'_>> =
         servers.into_iter().filter_map(|it| evaluate(now, it, required, donor)).collect();
     let in_time = candidates.iter().filter(|it| it.is_in_time(required));
     let in_time = in_time.min_by(|a, b| a.score.total_cmp(&b.score));
     match in_time {
-        Some(found) => Ok(Placement { candidates: considered, ..found.placement.clone() }),
+        Some(found) => {
+            let found = with_locality(found, &candidates, required);
+            Ok(Placement { candidates: considered, ..found })
+        }
         None if candidates.is_empty() => Err(PlacementError::NoSlot),
         None => {
             let lowest = lowest_estimates(&candidates, required.limits);
@@ -273,6 +286,19 @@
     }
 }
 
+/// The placement on the `found` server, with what the servers of the own data centre could do.
+fn with_locality(
+    found: &Candidate<'_>,
+    candidates: &[Candidate<'_>],
+    required: Requirements<'_>,
+) -> Placement {
+    let mut own = candidates.iter().filter(|it| required.locality.is_own(it.data_centre));
+    let own_has_time = own.clone().any(|it| it.has_time(required));
+    let own_is_in_time = own.any(|it| it.is_in_time(required));
+    let left_data_centre = required.locality.leave_reason(found.data_centre, own_is_in_time);
+    Placement { own_has_time, left_data_centre, ..found.placement.clone() }
+}
+
 /// Why none of the `eligible` servers can be used now: all are paused, limited or cold, if there are
 /// any.
 fn no_server_error(
@@ -286,7 +312,7 @@
     })
 }
 
-fn lowest_estimates(candidates: &[Candidate], limits: AdmissionLimits) -> LowestEstimates {
+fn lowest_estimates(candidates: &[Candidate<'_>], limits: AdmissionLimits) -> LowestEstimates {
     candidates.iter().fold(LowestEstimates::NONE, |lowest, it| LowestEstimates {
         cost_ms: lowest.cost_ms.min(it.cost_ms(limits)),
         expected_ms: lowest.expected_ms.min(it.placement.expected_ms),
@@ -300,6 +326,8 @@
     server: ServerKey,
     /// Cached tokens of the prompt that it can transfer.
     tokens: u32,
+    /// Cached tokens of the prompt at the engine of the own data centre that has the most.
+    own_tokens: u32,
     /// Milliseconds until its pending transfers are complete.
     transfer_backlog_ms: f64,
 }
@@ -314,28 +342,33 @@
 }
 
 /// Finds the engine with the longest cached prefix; ties go to the shortest transfer backlog.
-fn find_donor(now: Timestamp, servers: &[&Server], prompt: Option<&Prompt>) -> Option<Donor> {
-    let prompt = prompt?;
+fn find_donor(now: Timestamp, servers: &[&Server], required: Requirements<'_>) -> Option<Donor> {
+    let prompt = required.prompt?;
+    let mut own_tokens = 0;
     let donors = servers.iter().filter_map(|it| {
         let engine = it.kind.engine()?;
         let tokens = engine.cache.cached_prefix_tokens(prompt).min(prompt.input_tokens);
+        if required.locality.is_own(&it.record.data_centre) {
+            own_tokens = own_tokens.max(tokens);
+        }
         let transfer_backlog_ms = engine.transfer_backlog_ms(now);
-        Some(Donor { server: it.key, tokens, transfer_backlog_ms })
+        Some(Donor { server: it.key, tokens, own_tokens: 0, transfer_backlog_ms })
     });
     let by_prefix = |a: &Donor, b: &Donor| {
         a.tokens.cmp(&b.tokens).then(b.transfer_backlog_ms.total_cmp(&a.transfer_backlog_ms))
     };
-    donors.max_by(by_prefix)
+    let donor = donors.max_by(by_prefix)?;
+    Some(Donor { own_tokens, ..donor })
 }
 
 /// Estimates how well a server suits a request; `None` if the server is an engine without a
 /// free slot, or all connections to it are in use.
-fn evaluate(
+fn evaluate<'a>(
     now: Timestamp,
-    server: &Server,
+    server: &'a Server,
     required: Requirements<'_>,
     donor: Option<Donor>,
-) -> Option<Candidate> {
+) -> Option<Candidate<'a>> {
     let connections_max = required.connections_max;
     if server.own_in_flight + required.kept_free(connections_max) >= connections_max {
         return None;
@@ -344,22 +377,35 @@
         ServerKind::Engine(engine) => evaluate_engine(now, server, engine, required, donor)?,
         ServerKind::Plain(plain) => evaluate_plain(now, server, plain),
     };
-    if *server.record.data_centre != *required.data_centre {
-        candidate.placement.expected_ms += CROSS_DATA_CENTRE_MS;
-        candidate.score += CROSS_DATA_CENTRE_MS;
+    let charge = required.locality.charge(Load {
+        data_centre: candidate.data_centre,
+        events: expected_events(server, required.prompt),
+        has_backlog: candidate.placement.backlog_ms > 0.0,
+        has_own_copy: donor.is_some_and(|it| it.own_tokens >= it.tokens),
+    });
+    candidate.placement.expected_ms += charge.delay_ms;
+    candidate.score += charge.delay_ms + charge.cost_ms;
+    if !charge.counts_duplicates {
+        candidate.duplicate_prefill_ms = 0.0;
     }
     candidate.score += server.health.failure_rate(now) * FAILURE_PENALTY_MS;
     candidate.placement.view_age_ms = now.millis_since(server.updated_at);
     Some(candidate)
 }
 
-fn evaluate_engine(
+/// Events of the response, if the server is an engine.
+fn expected_events(server: &Server, prompt: Option<&Prompt>) -> f64 {
+    let output_tokens = prompt.map_or(0, Prompt::likely_output_tokens);
+    server.kind.engine().map_or(0.0, |it| it.events(output_tokens))
+}
+
+fn evaluate_engine<'a>(
     now: Timestamp,
-    server: &Server,
+    server: &'a Server,
     engine: &Engine,
     required: Requirements<'_>,
     donor: Option<Donor>,
-) -> Option<Candidate> {
+) -> Option<Candidate<'a>> {
     if engine.free_slots() <= required.kept_free(engine.slots()) {
         return None;
     }
@@ -385,9 +431,9 @@
         + LATE_END_PENALTY_MS * (time_used - LATE_END_THRESHOLD).max(0.0);
     // A limited engine is idle because it takes little, not because nobody asks for more.
     let is_limited = server.send_limit.is_some();
-    let server = server.key;
+    let data_centre = &server.record.data_centre;
     let placement = Placement {
-        server,
+        server: server.key,
         expected_ms,
         decode_ms,
         backlog_ms,
@@ -395,13 +441,23 @@
         fetch,
         candidates: 0,
         view_age_ms: 0.0,
+        own_has_time: false,
+        left_data_centre: None,
     };
     let is_exempt = !is_limited && is_exempt(engine, expected_ms, required);
     let duplicate_tokens = donor.map_or(0, |it| it.tokens);
     let duplicate_prefill_ms = f64::from(duplicate_tokens) / engine.tokens_per_ms();
     let prefill_ms = engine.prefill_ms(prefill_tokens);
     let ends_in_time = ends_in_time(engine, expected_ms + decode_ms, output_tokens, required);
-    Some(Candidate { placement, score, prefill_ms, duplicate_prefill_ms, is_exempt, ends_in_time })
+    Some(Candidate {
+        placement,
+        data_centre,
+        score,
+        prefill_ms,
+        duplicate_prefill_ms,
+        is_exempt,
+        ends_in_time,
+    })
 }
 
 /// Whether a response that is expected to end after `end_ms` ends in time. If even an engine without
@@ -437,14 +493,14 @@
 
 /// Plans a transfer of the donor's tokens, if that takes less time than prefilling them.
 fn plan_fetch(now: Timestamp, engine: &Engine, donor: Option<Donor>) -> Option<Fetch> {
-    let Donor { server: from, tokens, transfer_backlog_ms } = donor?;
+    let Donor { server: from, tokens, transfer_backlog_ms, .. } = donor?;
     let queue_ms = transfer_backlog_ms.max(engine.transfer_backlog_ms(now));
     let duration_ms = queue_ms + engine.fetch_ms(tokens)?;
     let is_cheaper = duration_ms < engine.prefill_ms(tokens);
     (tokens >= FETCH_TOKENS_MIN && is_cheaper).then_some(Fetch { from, tokens, duration_ms })
 }
 
-fn evaluate_plain(now: Timestamp, server: &Server, plain: &PlainServer) -> Candidate {
+fn evaluate_plain<'a>(now: Timestamp, server: &'a Server, plain: &PlainServer) -> Candidate<'a> {
     let slots = f64::from(server.record.slots.max(1));
     let load_factor = 1.0 + SLOT_LOAD_FACTOR * plain.in_flight() as f64 / slots;
     let response_ms = plain.response_ms().max(RESPONSE_MS_MIN);
@@ -459,11 +515,14 @@
         fetch: None,
         candidates: 0,
         view_age_ms: 0.0,
+        own_has_time: false,
+        left_data_centre: None,
     };
     let idle_ms = now.millis_since(plain.last_sent_at());
     let idle_bonus = IDLE_BONUS_MS * (idle_ms / IDLE_BONUS_FULL_MS).min(1.0);
     Candidate {
         placement,
+        data_centre: &server.record.data_centre,
         score: response_ms * load_factor - idle_bonus,
         prefill_ms: 0.0,
         duplicate_prefill_ms: 0.0,
--- a/sl-route/src/state.rs
+++ b/sl-route/src/state.rs
@@ -7,6 +7,7 @@
 mod evacuation;
 mod limits;
 mod listing;
+mod locality;
 mod notes;
 mod notices;
 mod origins;
@@ -30,6 +31,7 @@
     draining::DrainingRuns,
     evacuation::Evacuations,
     event::InstanceLimits,
+    locality::Shortage,
     note::Note,
     part_demand::PartDemand,
     request::InFlightRequest,
@@ -88,6 +90,8 @@
     peers: HashMap<u32, Timestamp>,
     started_at: Timestamp,
     demand: Demand,
+    /// For each service, how many requests the servers of the own data centre could not take.
+    shortages: HashMap<ServiceId, Shortage>,
     /// Where streams began.
     origins: StreamOrigins,
     /// The number of instances in the fleet, including this one.
@@ -147,6 +151,7 @@
             peers: HashMap::new(),
             started_at: now,
             demand: Demand::new(now),
+            shortages: HashMap::new(),
             origins: StreamOrigins::new(now),
             instances: INSTANCES_DEFAULT,
             listed_instances: Vec::new(),
--- a/sl-route/src/state/admit.rs
+++ b/sl-route/src/state/admit.rs
@@ -117,10 +117,14 @@
     fn send_or_refuse(
         &mut self,
         now: Timestamp,
-        in_flight: InFlightRequest,
+        mut in_flight: InFlightRequest,
         limits: AdmissionLimits,
     ) {
+        self.draw_leave(&mut in_flight);
         let placement = self.choose_server(now, &in_flight, limits);
+        self.record_shortage(now, &in_flight, &placement);
+        // A retry is charged, so that it stays near.
+        in_flight.is_drawn_to_leave = false;
         self.record_admission(now, &in_flight, placement.as_ref().err().copied());
         match placement {
             Ok(placement) => self.send(now, in_flight, placement),
@@ -226,13 +230,9 @@
             limits,
             connections_max: self.connections_max(in_flight.arrival.service),
             remaining_ms: in_flight.arrival.deadline().remaining(now).0 as f64,
-            data_centre: &self.options.data_centre,
+            locality: self.locality(in_flight),
             evacuations: &self.evacuations,
-            regions: RegionLimits {
-                regions: &self.options.regions,
-                route: &in_flight.arrival.route.allowed_regions,
-                team: in_flight.arrival.team.as_ref().map(|it| &it.allowed_regions),
-            },
+            regions: self.region_limits(in_flight),
             origin: in_flight.origin.as_ref(),
             keeps_room: self.keeps_room_for_streams(&in_flight.arrival),
             cold_opens_at: self.cold_opens_at(now),
@@ -241,6 +241,15 @@
         }
     }
 
+    /// The regions in which a request may be served.
+    pub(super) fn region_limits<'a>(&'a self, in_flight: &'a InFlightRequest) -> RegionLimits<'a> {
+        RegionLimits {
+            regions: &self.options.regions,
+            route: &in_flight.arrival.route.allowed_regions,
+            team: in_flight.arrival.team.as_ref().map(|it| &it.allowed_regions),
+        }
+    }
+
     fn refusal_reason(
         &mut self,
         now: Timestamp,
--- a/sl-route/src/state/attempt.rs
+++ b/sl-route/src/state/attempt.rs
@@ -67,7 +67,7 @@
             silent_at: silent_at(now, &in_flight, &placement, may_retry),
             may_retry,
         };
-        let decision = sent_decision(&in_flight, &target, &placement, is_cold);
+        let decision = self.sent_decision(&in_flight, &target, &placement, is_cold);
         if let Some((team, tokens)) = charge {
             self.shares.record_granted(now, team, tokens);
             self.record_outcome(&in_flight.arrival, TokenOutcome::Granted);
@@ -87,6 +87,32 @@
         self.effects.push(Effect::Send { request, target });
     }
 
+    /// The log entry of an attempt that is sent to `target`.
+    fn sent_decision(
+        &self,
+        in_flight: &InFlightRequest,
+        target: &Target,
+        placement: &Placement,
+        is_cold: bool,
+    ) -> Decision {
+        Decision::AttemptSent {
+            request: in_flight.arrival.request,
+            server: target.id.clone(),
+            attempt: in_flight.attempts,
+            expected_ms: placement.expected_ms,
+            expected_end_ms: placement.expected_ms + placement.decode_ms,
+            backlog_ms: placement.backlog_ms,
+            prefill_tokens: placement.prefill_tokens,
+            fetch_tokens: placement.fetch.map_or(0, |it| it.tokens),
+            candidates: placement.candidates,
+            view_age_ms: placement.view_age_ms,
+            is_cold,
+            data_centre_share: self.data_centre_share(in_flight.arrival.service),
+            left_data_centre: placement.left_data_centre,
+            body_bytes: in_flight.arrival.body_bytes,
+        }
+    }
+
     /// Records the transfer from another engine to `to`, given as the source and the
     /// milliseconds until it is complete.
     pub(super) fn record_transfer(
@@ -350,25 +376,3 @@
         _ => Failure::ConnectionLost,
     }
 }
-
-/// The log entry of an attempt that is sent to `target`.
-fn sent_decision(
-    in_flight: &InFlightRequest,
-    target: &Target,
-    placement: &Placement,
-    is_cold: bool,
-) -> Decision {
-    Decision::AttemptSent {
-        request: in_flight.arrival.request,
-        server: target.id.clone(),
-        attempt: in_flight.attempts,
-        expected_ms: placement.expected_ms,
-        expected_end_ms: placement.expected_ms + placement.decode_ms,
-        backlog_ms: placement.backlog_ms,
-        prefill_tokens: placement.prefill_tokens,
-        fetch_tokens: placement.fetch.map_or(0, |it| it.tokens),
-        candidates: placement.candidates,
-        view_age_ms: placement.view_age_ms,
-        is_cold,
-    }
-}
--- a/sl-route/tests/it/route_balance.rs
+++ b/sl-route/tests/it/route_balance.rs
@@ -5,14 +5,20 @@
 use rstest::rstest;
 use sl_base::Millis;
 use sl_route::{
-    Arrival, Effect, Event, Notes, RetryPolicy, Route, State,
+    Arrival, Decision, Effect, Event, Notes, RetryPolicy, Route, ServerRecord, State,
     admission::AdmissionLimits,
+    locality::LeaveReason,
     note::Note,
     route_balance::{Admission, RouteBalance, RouteStanding},
     share::ContendedUsage,
 };
 
-use crate::testbed::{arrival, arrive, at, prompt, record, route, sent_target, state, team};
+use crate::testbed::{
+    DATA_CENTRE, START, arrival, arrive, at, document, options, prompt, record, route, sent_target,
+    team,
+};
+
+const ELSEWHERE: &str = "elsewhere";
 
 /// A request of the route `name` with a priority.
 fn request(millis: u64, number: u64, name: &str, priority: u8) -> Arrival {
@@ -111,9 +117,14 @@
     assert_eq!((limits.ends_within_ms, unbalanced.ends_within_ms), (8_000.0, f64::INFINITY));
 }
 
-/// An instance with one engine whose streams take 100 ms for each event, beside other requests.
-fn slow_engine() -> State {
-    let mut state = state(0, &[("engine", "model")]);
+/// An instance with one engine in a data centre whose streams take 100 ms for each event, beside other
+/// requests.
+fn slow_engine(data_centre: &str, cost_ms_per_mb: f64) -> State {
+    let mut options = options(0);
+    options.limits.data_centre_cost_ms_per_mb = cost_ms_per_mb;
+    let mut state = State::new(options, START);
+    state.step(START, Event::Document(document(1)));
+    state.step(START, Event::ServerListed(engine("engine", data_centre)));
     let server = record("engine", "model").key();
     for attempt in 0..20 {
         let start = at(attempt * 100);
@@ -131,6 +142,10 @@
     state
 }
 
+fn engine(id: &str, data_centre: &str) -> ServerRecord {
+    ServerRecord { data_centre: data_centre.into(), ..record(id, "model") }
+}
+
 fn sent(attempt: u64) -> Note {
     Note::AttemptSent {
         server: record("engine", "model").key(),
@@ -169,7 +184,8 @@
 
 /// Guards against streams that are begun, take a slot and reach their deadline: 2,400 to 4,600 a day. A
 /// request that no engine could end in time says nothing true about its length, and without
-/// contention nobody else needs the slot.
+/// contention nobody else needs the slot. The data centre of the engine and the cost of bytes make no
+/// difference.
 #[rstest]
 #[case::ends_in_time(true, 120, true)]
 #[case::ends_late(true, 450, false)]
@@ -179,8 +195,10 @@
     #[case] is_contended: bool,
     #[case] output_tokens: u32,
     #[case] is_sent: bool,
+    #[values(DATA_CENTRE, ELSEWHERE)] data_centre: &str,
+    #[values(0.0, 10_000.0)] cost_ms_per_mb: f64,
 ) {
-    let mut state = slow_engine();
+    let mut state = slow_engine(data_centre, cost_ms_per_mb);
     if is_contended {
         refuse_some(&mut state);
     }
@@ -189,3 +207,19 @@
     let is_refused = effects.iter().any(|it| matches!(it, Effect::Refuse { .. }));
     assert_eq!(is_refused, !is_sent);
 }
+
+/// Guards against a cost of bytes that keeps a request at an engine where it would end late, while an
+/// engine elsewhere ends it in time.
+#[test]
+fn a_request_that_would_end_late_in_its_data_centre_leaves_at_any_cost() {
+    let mut state = slow_engine(DATA_CENTRE, 1_000_000.0);
+    refuse_some(&mut state);
+    state.step(at(2_000), Event::ServerListed(engine(ELSEWHERE, ELSEWHERE)));
+    let effects = arrive(&mut state, at(2_000), long_request(2_000, 1, 450));
+    assert_eq!(sent_target(&effects).map(|it| &*it.id), Some(ELSEWHERE));
+    let left = effects.iter().find_map(|it| match it {
+        Effect::Log(Decision::AttemptSent { left_data_centre, .. }) => *left_data_centre,
+        _ => None,
+    });
+    assert_eq!(left, Some(LeaveReason::NoOwnServer));
+}
--- a/sl-route/tests/it/testbed.rs
+++ b/sl-route/tests/it/testbed.rs
@@ -30,6 +30,7 @@
         limits: event::InstanceLimits {
             budget,
             max_in_flight: 100,
+            data_centre_cost_ms_per_mb: 0.0,
             warmup: WarmupBound::default(),
             balances_routes: true,
         },
@@ -135,6 +136,7 @@
         arrived_at: now,
         caller_deadline: now.after(Millis(8_000)),
         prompt,
+        body_bytes: 2_000,
         fingerprint: number,
         stream: None,
     }
