Space out writes of the version record that the store refuses

What callers saw: nothing yet. Each refused write costs a call of the store, 412 and 429 too, and a store that refuses for load gets more of it. Cause: up to three followers repeated the write on their own, each 100 to 400 ms after the last answer. Change: the followers take turns of 1,200 ms, in each of which writes begin in the first 600 ms, at least 400 ms apart and with a timeout of 500 ms; a write that the watch shows ends the wait. The decision is a module without I/O. The turns count from when each follower has found that the record has to change; differences of up to 200 ms keep the interval. The second follower now writes 1,200 ms after the first instead of 500 ms, within the 2,000 ms for which new streams wait for the record.

--- a/sl-edge/src/lib.rs
+++ b/sl-edge/src/lib.rs
@@ -29,6 +29,7 @@
 mod peers;
 mod pool;
 mod query_handler;
+pub mod record_schedule;
 mod refusal;
 mod relay;
 mod reload;
--- a/sl-edge/src/origin_writer.rs
+++ b/sl-edge/src/origin_writer.rs
@@ -17,6 +17,7 @@
 
 use crate::{
     core::Core,
+    record_schedule::{RECORD_WRITE_TIMEOUT, RecordSchedule},
     store::{CALL_TIMEOUT, StoreClient},
     wire::{CallError, Response},
 };
@@ -31,8 +32,7 @@
     lease: Option<Lease>,
     /// The streams of the batch that is written now; `None` while this instance saves none.
     batch: Option<PendingBatch>,
-    /// Since when the record in the store has not been the wanted one.
-    record_wanted_since: Option<Timestamp>,
+    record_schedule: RecordSchedule,
     /// No call is made before this time, because the last one failed.
     retry_at: Timestamp,
 }
@@ -70,9 +70,6 @@
 /// The longest random part of that delay.
 const RETRY_SPREAD: Millis = Millis(300);
 
-/// How long the other followers leave the version record to the first one.
-const RECORD_HEAD_START: Millis = Millis(500);
-
 const MILLIS_PER_SECOND: u64 = 1_000;
 
 impl PendingBatch {
@@ -112,7 +109,7 @@
             conn: None,
             lease: None,
             batch: None,
-            record_wanted_since: None,
+            record_schedule: RecordSchedule::default(),
         }
     }
 
@@ -128,7 +125,7 @@
                 continue;
             }
             let is_first = self.store.is_first_follower();
-            self.update_record(is_first).await;
+            self.update_record().await;
             if is_first && self.core.with_state(|it| it.should_save_origins()) {
                 self.save_origins().await;
             } else {
@@ -137,16 +134,15 @@
         }
     }
 
-    /// Writes the version record if it has to change. The other followers do so only if the first
-    /// one does not.
-    async fn update_record(&mut self, is_first: bool) {
+    /// Writes the version record if it has to change and this follower has its turn.
+    async fn update_record(&mut self) {
         let now = self.core.now();
         let Some(record) = self.core.with_state(|it| it.wanted_version_record(now)) else {
-            self.record_wanted_since = None;
+            self.record_schedule.reset();
             return;
         };
-        let since = *self.record_wanted_since.get_or_insert(now);
-        if is_first || since.after(RECORD_HEAD_START).is_due(now) {
+        if self.record_schedule.is_due(now, self.store.follower_rank()) {
+            self.record_schedule.write_started(now);
             self.write_record(&record).await;
         }
     }
@@ -155,7 +151,8 @@
         let revision = self.store.revision_of(VERSION_RECORD_KEY);
         let value = version_record_value(record);
         let call = store::put_if_unchanged(VERSION_RECORD_KEY, &value, revision);
-        let response = self.store.call(&mut self.conn, "versions", &call, CALL_TIMEOUT).await;
+        let response =
+            self.store.call(&mut self.conn, "versions", &call, RECORD_WRITE_TIMEOUT).await;
         if self.successful("versions", response).is_some() {
             let versions = record.iter().filter_map(|it| it.1.as_deref()).collect::<Vec<_>>();
             info!(self.core.log, "version record written"; "era" => record.era,
--- a/sl-edge/src/store/follow.rs
+++ b/sl-edge/src/store/follow.rs
@@ -11,6 +11,7 @@
 use super::{CALL_TIMEOUT, StoreClient};
 use crate::{
     backoff::Backoff,
+    record_schedule::FollowerRank,
     wire::{CallError, Response},
 };
 use platform::{Malformed, store, stream_origins};
@@ -78,6 +79,14 @@
         self.followers_ahead(false) == 0
     }
 
+    /// The place of this instance among those that follow the store.
+    pub(crate) fn follower_rank(&self) -> FollowerRank {
+        let all = self.peer_table.store_followers(self.core.now(), false);
+        let others = all.iter().filter(|it| **it != self.own_id).count();
+        let ahead = self.followers_ahead(false);
+        FollowerRank { ahead: ahead as u64, followers: others as u64 + 1 }
+    }
+
     /// The number of peers that follow the store and rank before this instance.
     fn followers_ahead(&self, include_unseen: bool) -> usize {
         let own_weight = hash::weight(FOLLOWER_HASH_KEY, self.own_id.into());
--- a/sl-edge/tests/it/main.rs
+++ b/sl-edge/tests/it/main.rs
@@ -8,5 +8,6 @@
 mod heartbeat;
 mod log_buffer;
 mod overload;
+mod record_schedule;
 mod roles;
 mod unused;
