Log origins of streams that were deduced from the version record

What callers saw: no change. An operator could not tell a stream that went on because the version record found at the start leaves a single version from one whose origin was known. Cause: a deduced origin is recorded like a known one. Change: OriginKnowledge::Deduced (`known: deduced` in the log and the metric), and the message `stream origin deduced from version record` with the request's number, so that `explain` shows it. The key that stands for the run marks the origin, so that it stays marked when a peer or a batch passes it on; once the stream has gone on at a server, later requests see that server's run as its origin.

The whole of -p sl-route was run once before the last change of the new test, and the end of its output was not kept.

--- a/sl-core/tests/it/explain.rs
+++ b/sl-core/tests/it/explain.rs
@@ -177,6 +177,22 @@
     assert_eq!(known("cc"), [""; 0]);
 }
 
+// Guards against an operator who cannot tell a stream that goes on by the version record alone.
+#[test]
+fn an_origin_deduced_from_the_version_record_has_its_own_line() {
+    let log = r#"
+{"msg":"request admitted","level":"INFO","ts":"2026-03-08T15:25:05.000Z","instance":"edge-1","request":7,"id":"aa","resumes":"zz"}
+{"msg":"stream origin deduced from version record","level":"INFO","ts":"2026-03-08T15:25:05.001Z","instance":"edge-1","request":7,"version":"v1"}
+{"msg":"stream resumed by caller","level":"INFO","ts":"2026-03-08T15:25:05.001Z","instance":"edge-1","request":7,"known":"deduced","began_at":"v1"}
+"#;
+    let outcome = explain(&options("aa", OutputFormat::Text), log.as_bytes()).unwrap();
+    let mut out = Vec::new();
+    outcome.write(OutputFormat::Text, &mut out).unwrap();
+    let text = String::from_utf8(out).unwrap();
+    let line = text.lines().find(|it| it.contains("stream origin deduced from version record"));
+    assert!(line.is_some_and(|it| it.contains("version=v1")), "{text}");
+}
+
 // Guards against an operator who sees why a stream was cut off and not how its caller fared later.
 #[test]
 fn the_attempts_that_resume_a_stream_belong_to_its_story() {
--- a/sl-edge/src/log.rs
+++ b/sl-edge/src/log.rs
@@ -119,6 +119,10 @@
             info!(log, "stream resumed by caller";
                 "request" => request.0, "known" => %known, "began_at" => version.as_deref());
         }
+        Decision::StreamOriginDeduced { request, version } => {
+            info!(log, "stream origin deduced from version record";
+                "request" => request.0, "version" => version.as_ref());
+        }
         Decision::ResponseStarted { request, server, took_ms, expected_ms } => {
             info!(log, "response started";
                 "request" => request.0, "server" => %server, "took_ms" => took_ms.round(),
--- a/sl-route/src/effect.rs
+++ b/sl-route/src/effect.rs
@@ -166,6 +166,13 @@
         /// The software version that began the stream, if it is known and has a name.
         version: Option<Arc<str>>,
     },
+    /// Where a stream began that a request resumes was deduced from the version record.
+    StreamOriginDeduced {
+        /// The request that resumes the stream.
+        request: RequestId,
+        /// The only version of the service in the record.
+        version: Arc<str>,
+    },
     /// A request was refused.
     RequestRefused {
         /// The request that was refused.
@@ -365,6 +372,7 @@
         match self {
             Decision::AttemptSent { request, .. }
             | Decision::StreamResumed { request, .. }
+            | Decision::StreamOriginDeduced { request, .. }
             | Decision::ResponseStarted { request, .. }
             | Decision::RequestRefused { request, .. }
             | Decision::AttemptFailed { request, .. }
@@ -397,6 +405,9 @@
 pub enum OriginKnowledge {
     /// It is known where the stream began.
     Origin,
+    /// Nobody knows of the stream; where it began follows from the version record that the instance
+    /// found at its start.
+    Deduced,
     /// It is not known where, but all servers of the service have the same software version.
     OneVersion,
     /// It is not known where, and the service has servers of several software versions.
--- a/sl-route/src/state/origins.rs
+++ b/sl-route/src/state/origins.rs
@@ -42,10 +42,7 @@
         }
         let version = self.origins.known_versions.only_version_found(now, service);
         if let Some(version) = version.cloned() {
-            // The run is unknown; this key stands for all runs of the version.
-            let run = ServerKey::of("", service.0.into()).of_version(&version);
-            let origin = StreamOrigin { run, service, version: Some(version) };
-            self.origins.record_origin(now, stream, origin);
+            self.origins.record_origin(now, stream, StreamOrigin::deduced(service, version));
         }
     }
 
--- a/sl-route/src/state/streams.rs
+++ b/sl-route/src/state/streams.rs
@@ -60,12 +60,16 @@
         let origin = stream.id().and_then(|it| self.origins.origin(it)).cloned();
         let has_one_version = self.sole_service(&arrival.route).is_some();
         let known = match &origin {
+            Some(it) if it.is_deduced() => OriginKnowledge::Deduced,
             Some(_) => OriginKnowledge::Origin,
             None if has_one_version => OriginKnowledge::OneVersion,
             None => OriginKnowledge::Unknown,
         };
         let version = origin.as_ref().and_then(|it| it.version.clone());
         let request = arrival.request;
+        if let (OriginKnowledge::Deduced, Some(version)) = (known, version.clone()) {
+            self.effects.push(Effect::Log(Decision::StreamOriginDeduced { request, version }));
+        }
         self.effects.push(Effect::Log(Decision::StreamResumed { request, known, version }));
         match (origin, known) {
             (Some(origin), _) if origin.service != arrival.service => Err(Refusal::VersionGone),
--- a/sl-route/src/stream_origin.rs
+++ b/sl-route/src/stream_origin.rs
@@ -59,6 +59,18 @@
         StreamOrigin { run: record.key(), service: record.service, version: record.version.clone() }
     }
 
+    /// The origin of a stream that began at some run of this version. A key of its own stands for the
+    /// run.
+    pub fn deduced(service: ServiceId, version: Arc<str>) -> StreamOrigin {
+        StreamOrigin { run: deduced_run(service, &version), service, version: Some(version) }
+    }
+
+    /// Whether the origin was deduced from the version record, here or at a peer.
+    pub fn is_deduced(&self) -> bool {
+        let version = self.version.as_deref();
+        version.is_some_and(|it| self.run == deduced_run(self.service, it))
+    }
+
     /// Whether the stream may go on at the server.
     pub fn allows(&self, server: &Server) -> bool {
         let has_version = self.version.is_some() && server.record.version == self.version;
@@ -67,6 +79,10 @@
     }
 }
 
+fn deduced_run(service: ServiceId, version: &str) -> ServerKey {
+    ServerKey::of("", service.0.into()).of_version(version)
+}
+
 /// Where a number of streams began, as written in the store.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct OriginBatch {
--- a/sl-route/tests/it/origins.rs
+++ b/sl-route/tests/it/origins.rs
@@ -4,7 +4,8 @@
 use rstest::rstest;
 use sl_base::{Millis, ServiceId, StreamId};
 use sl_route::{
-    Arrival, Effect, Event, Refusal, RetryPolicy, ServerRecord, State,
+    Arrival, Decision, Effect, Event, Refusal, RetryPolicy, ServerRecord, State,
+    effect::OriginKnowledge,
     stream_origin::{RUN_RETENTION, StreamRequest},
     version_record::{RECORD_TIMEOUT, VersionRecord},
 };
@@ -68,6 +69,13 @@
     })
 }
 
+fn known_origin(effects: &[Effect]) -> Option<OriginKnowledge> {
+    effects.iter().find_map(|it| match it {
+        Effect::Log(Decision::StreamResumed { known, .. }) => Some(*known),
+        _ => None,
+    })
+}
+
 fn sent_version(state: &State, effects: &[Effect]) -> Option<String> {
     let target = sent_target(effects)?;
     let server = state.servers().find(|it| it.key == target.server)?;
@@ -114,6 +122,32 @@
     assert_eq!(sent_version(&state, &resumed).as_deref(), Some("v1"), "{resumed:?}");
 }
 
+// Guards against an operator who cannot tell a stream whose origin was deduced from one whose origin
+// an instance or a batch knew.
+#[test]
+fn an_origin_that_was_deduced_is_logged_as_such() {
+    let mut state = started(Some(versions(ERA, &["v1"])), &[("a", "v1"), ("b", "v2")]);
+    let noted = state.origin_batch(&[(StreamId(8), engine("a", "v1").key())]);
+    state.step(at(5), Event::StoredOriginsRead(vec![noted]));
+    for (number, stream, known) in
+        [(1, 7, OriginKnowledge::Deduced), (2, 8, OriginKnowledge::Origin)]
+    {
+        let effects = resume(&mut state, 10, number, stream);
+        assert_eq!(known_origin(&effects), Some(known), "{effects:?}");
+        let deduced = effects.iter().any(|it| {
+            matches!(it, Effect::Log(Decision::StreamOriginDeduced { version, .. }) if &**version == "v1")
+        });
+        assert_eq!(deduced, known == OriginKnowledge::Deduced, "{effects:?}");
+    }
+    // A peer or a batch that passes the origin on does not turn it into a known one.
+    state.step(at(20), Event::StreamNotStored { stream: StreamId(9), service: model() });
+    let origin = state.stream_origin(StreamId(9)).cloned().unwrap();
+    let mut other = started(Some(versions(ERA, &["v1", "v2"])), &[("a", "v1"), ("b", "v2")]);
+    other.step(at(5), Event::StreamOriginFound { stream: StreamId(9), origin });
+    let effects = resume(&mut other, 10, 1, 9);
+    assert_eq!(known_origin(&effects), Some(OriginKnowledge::Deduced), "{effects:?}");
+}
+
 // Guards against a record that counts as incomplete because its writer's clock, which starts with its
 // machine, is ahead of the reader's.
 #[test]
