Save all origins that a writer knows at 3,000 streams a second

What callers saw: no case was seen in the field. Under 3,000 streams a second for 40 s, a writer of the batches that takes over at the end left 20,000 of 120,000 streams in no batch; after the loss of all instances they would be refused with 1026. Cause: the first write of a writer had at most UNSAVED_MAX = 100,000 of the streams that it knew. Change: the first two writes have them, those of the former period and those of the present one, in slots of their own. While a batch of known streams is not saved, others are added only as far as it has room for all of them.

--- a/sl-edge/src/origin_writer.rs
+++ b/sl-edge/src/origin_writer.rs
@@ -6,7 +6,7 @@
 use platform::{
     store,
     stream_origins::{
-        ALL_SLOT, SLOTS, VERSION_RECORD_KEY, batch_key, batch_value, version_record_value,
+        KNOWN_SLOTS, SLOTS, VERSION_RECORD_KEY, batch_key, batch_value, version_record_value,
     },
 };
 use sl_base::{Incarnation, InstanceId, Millis, StreamId, Timestamp};
@@ -73,17 +73,24 @@
 const MILLIS_PER_SECOND: u64 = 1_000;
 
 impl PendingBatch {
-    /// The first batch of a writer, with all streams that it knows. Its slot is not in the ring, so
-    /// that it is not written again each time that the batch of the second grows.
-    fn of_all() -> PendingBatch {
-        PendingBatch { slot: ALL_SLOT, ..PendingBatch::default() }
+    /// The first of the two batches with all streams that a writer knows. Their slots are not in the
+    /// ring, so that they are not written again each time that the batch of the second grows.
+    fn of_known() -> PendingBatch {
+        PendingBatch { slot: KNOWN_SLOTS[0], ..PendingBatch::default() }
+    }
+
+    /// Whether `count` more streams may be added: of a batch of known ones, none may be dropped.
+    fn takes(&self, count: usize) -> bool {
+        let has_room = self.streams.len() + count <= UNSAVED_MAX;
+        self.is_saved || has_room || !KNOWN_SLOTS.contains(&self.slot)
     }
 
     /// Adds new streams. A batch that is not saved is kept together with those of the next slot.
     fn add(&mut self, slot: u64, new: Vec<(StreamId, ServerKey)>) {
+        let slot = if self.slot == KNOWN_SLOTS[0] { KNOWN_SLOTS[1] } else { slot };
         if self.is_saved && self.slot != slot {
             *self = PendingBatch { slot, streams: Vec::new(), is_saved: true };
-        } else if self.slot != ALL_SLOT {
+        } else if !KNOWN_SLOTS.contains(&self.slot) {
             self.slot = slot;
         }
         self.is_saved &= new.is_empty();
@@ -170,9 +177,10 @@
             return;
         };
         let slot = self.core.now().as_micros() / MICROS_PER_MILLI / MILLIS_PER_SECOND % SLOTS;
-        let new = self.core.with_state(|it| it.take_unsaved_origins());
         let batch = self.batch.get_or_insert_default();
-        batch.add(slot, new);
+        if batch.takes(self.core.with_state(|it| it.unsaved_origin_count())) {
+            batch.add(slot, self.core.with_state(|it| it.take_unsaved_origins()));
+        }
         if !batch.is_saved {
             self.write_batch(lease).await;
         }
@@ -198,7 +206,7 @@
     /// Starts anew with all streams that are known.
     fn collect_all(&mut self) {
         self.core.with_state(|it| it.collect_unsaved_origins(true));
-        self.batch = Some(PendingBatch::of_all());
+        self.batch = Some(PendingBatch::of_known());
     }
 
     /// Ends the collection of streams. The lease is no longer renewed, so that the batches vanish.
--- a/sl-route/src/state/origins.rs
+++ b/sl-route/src/state/origins.rs
@@ -75,6 +75,11 @@
         self.origins.collect_unsaved(is_collecting);
     }
 
+    /// The number of origins that the next [`State::take_unsaved_origins`] returns.
+    pub fn unsaved_origin_count(&self) -> usize {
+        self.origins.unsaved_count()
+    }
+
     /// Takes the origins that were recorded since the last call, oldest first.
     pub fn take_unsaved_origins(&mut self) -> Vec<(StreamId, ServerKey)> {
         self.origins.take_unsaved()
--- a/sl-route/src/stream_origin.rs
+++ b/sl-route/src/stream_origin.rs
@@ -79,6 +79,11 @@
     }
 }
 
+/// The streams of a period, as many as may wait to be saved.
+fn bounded(streams: &HashMap<StreamId, ServerKey>) -> Vec<(StreamId, ServerKey)> {
+    streams.iter().map(|(&stream, &run)| (stream, run)).take(UNSAVED_MAX).collect()
+}
+
 fn deduced_run(service: ServiceId, version: &str) -> ServerKey {
     ServerKey::of("", service.0.into()).of_version(version)
 }
@@ -107,6 +112,8 @@
     pub(crate) known_versions: KnownVersions,
     /// Streams that are not saved in the store, oldest first; `None` while this instance saves none.
     unsaved: Option<Vec<(StreamId, ServerKey)>>,
+    /// Whether the streams of the present period have yet to be added to `unsaved`.
+    has_backlog: bool,
 }
 
 #[derive(Debug)]
@@ -147,6 +154,7 @@
             versions: HashMap::new(),
             known_versions: KnownVersions::new(now),
             unsaved: None,
+            has_backlog: false,
         }
     }
 
@@ -157,20 +165,35 @@
             return;
         }
         let is_new = self.recent.insert(stream, run) != Some(run);
-        if let Some(unsaved) = self.unsaved.as_mut().filter(|it| is_new && it.len() < UNSAVED_MAX) {
+        let is_wanted = is_new && !self.has_backlog;
+        if let Some(unsaved) =
+            self.unsaved.as_mut().filter(|it| is_wanted && it.len() < UNSAVED_MAX)
+        {
             unsaved.push((stream, run));
         }
     }
 
-    /// Starts to collect the streams that are to be saved, from all known ones on, or ends it.
+    /// Starts to collect the streams that are to be saved, from all known ones on, or ends it. Those of
+    /// the former period are taken first, and then those of the present one: at 3,000 a second both
+    /// together are 120,000, more than [`UNSAVED_MAX`].
     pub fn collect_unsaved(&mut self, is_collecting: bool) {
-        let known = self.older.iter().chain(&self.recent).map(|(&stream, &run)| (stream, run));
-        self.unsaved = is_collecting.then(|| known.take(UNSAVED_MAX).collect());
+        self.has_backlog = is_collecting && !self.older.is_empty();
+        let first = if self.has_backlog { &self.older } else { &self.recent };
+        self.unsaved = is_collecting.then(|| bounded(first));
+    }
+
+    /// The number of streams that the next [`StreamOrigins::take_unsaved`] returns.
+    pub fn unsaved_count(&self) -> usize {
+        self.unsaved.as_ref().map_or(0, Vec::len)
     }
 
     /// Takes the streams that were recorded since the last call, oldest first.
     pub fn take_unsaved(&mut self) -> Vec<(StreamId, ServerKey)> {
-        self.unsaved.as_mut().map(std::mem::take).unwrap_or_default()
+        let taken = self.unsaved.as_mut().map(std::mem::take).unwrap_or_default();
+        if std::mem::take(&mut self.has_backlog) {
+            self.unsaved = Some(bounded(&self.recent));
+        }
+        taken
     }
 
     /// The batch of these streams. A stream whose run is unknown is left out.
@@ -309,6 +332,9 @@
         }
         self.rotate_at = now.after(ROTATION_PERIOD);
         self.older = std::mem::take(&mut self.recent);
+        if self.has_backlog {
+            self.collect_unsaved(true);
+        }
         let forgotten: Vec<KnownRun> =
             self.runs.extract_if(|_, it| it.forget_at.is_due(now)).map(|(_, it)| it).collect();
         forgotten.iter().for_each(|it| self.uncount(&it.origin));
--- a/sl-route/tests/it/origins.rs
+++ b/sl-route/tests/it/origins.rs
@@ -1,12 +1,15 @@
 //! Origins of streams outlast the loss of all instances: the version record and the batches that
 //! the store keeps.
 
+use std::collections::HashSet;
+
 use rstest::rstest;
 use sl_base::{Millis, ServiceId, StreamId};
 use sl_route::{
-    Arrival, Decision, Effect, Event, Refusal, RetryPolicy, ServerRecord, State,
+    Arrival, Decision, Effect, Event, Refusal, RetryPolicy, ServerKey, ServerRecord, State,
     effect::OriginKnowledge,
-    stream_origin::{RUN_RETENTION, StreamRequest},
+    note::{Note, Notes},
+    stream_origin::{OriginBatch, RUN_RETENTION, StreamRequest, UNSAVED_MAX},
     version_record::{RECORD_TIMEOUT, VersionRecord},
 };
 
@@ -339,6 +342,117 @@
     assert_eq!(sent_version(&state, &resumed).as_deref(), Some("v2"));
 }
 
+/// The load of part 1 of docs/work-2026-12-04.md: 295 instances begin 3,000 streams a second, all of
+/// which one instance learns of by notes, and writes every 100 ms.
+const STREAMS_PER_WRITE: u32 = 300;
+const WRITE_INTERVAL_MS: u64 = 100;
+
+/// The time for which streams are remembered, and slots are kept.
+const LOAD_MS: u64 = 40_000;
+
+/// Engines of two versions, several for each instance.
+const LOAD_RUNS: u32 = 2_000;
+
+/// Bytes of the largest value of the store.
+const VALUE_BYTES_MAX: usize = 1_048_576;
+
+/// Bytes of a stream in a batch, and of a run in its table: its key, service and version's index.
+const STREAM_BYTES: usize = 8;
+const RUN_BYTES: usize = 50;
+
+/// A state with [`LOAD_RUNS`] engines, of which every other one has the second version.
+fn under_load() -> (State, Vec<ServerKey>) {
+    let mut state = started(Some(versions(ERA, &["v1", "v2"])), &[]);
+    let engines = (0..LOAD_RUNS).map(|it| engine(&format!("e{it}"), ["v1", "v2"][it as usize % 2]));
+    let engines: Vec<ServerRecord> = engines.collect();
+    let runs = engines.iter().map(ServerRecord::key).collect();
+    for engine in engines {
+        state.step(START, Event::ServerListed(engine));
+    }
+    (state, runs)
+}
+
+/// The notes of the streams that begin in the interval which ends at `millis`.
+fn note_streams(state: &mut State, runs: &[ServerKey], millis: u64) {
+    let first = (millis / WRITE_INTERVAL_MS) as u32 * STREAMS_PER_WRITE;
+    let streams = (first..first + STREAMS_PER_WRITE).map(StreamId);
+    let notes = streams.map(|stream| {
+        let server = runs[(stream.0 % LOAD_RUNS) as usize];
+        Note::StreamBegan { stream, server }
+    });
+    state.step(at(millis), Event::Tick);
+    let notes = Notes { notes: notes.collect() };
+    state.step(at(millis), Event::NotesReceived { from: 2, notes });
+}
+
+fn batch_bytes(batch: &OriginBatch) -> usize {
+    batch.streams.len() * STREAM_BYTES + batch.runs.len() * RUN_BYTES
+}
+
+// Guards against batches that the store rejects for their size, and streams that are in none, under
+// 3,000 streams a second for 40 s: once for a writer that saves from the start, and once for one that
+// takes over at the end and saves all that it knows.
+#[rstest]
+#[case::from_the_start(0)]
+#[case::from_the_middle(LOAD_MS / 2)]
+#[case::taking_over_at_the_end(LOAD_MS - WRITE_INTERVAL_MS)]
+fn every_stream_is_in_a_batch_that_the_store_takes(#[case] saves_from_ms: u64) {
+    let (mut state, runs) = under_load();
+    let mut saved: HashSet<StreamId> = HashSet::new();
+    let mut slot: (u64, Vec<(StreamId, ServerKey)>) = Default::default();
+    // The last write follows the last stream.
+    for millis in (0..=LOAD_MS).step_by(WRITE_INTERVAL_MS as usize) {
+        if millis < LOAD_MS {
+            note_streams(&mut state, &runs, millis);
+        }
+        if millis < saves_from_ms {
+            continue;
+        }
+        let is_first = millis == saves_from_ms;
+        let is_second = millis == saves_from_ms + WRITE_INTERVAL_MS;
+        if is_first {
+            state.collect_unsaved_origins(true);
+        }
+        let new = state.take_unsaved_origins();
+        assert!(new.len() <= UNSAVED_MAX, "{} at {millis}", new.len());
+        // The first two writes, of all that is known, have slots of their own; the others grow with
+        // their second.
+        let follows_known = millis == saves_from_ms + 2 * WRITE_INTERVAL_MS;
+        if is_first || is_second || follows_known || slot.0 != millis / 1_000 {
+            slot = (millis / 1_000, Vec::new());
+        }
+        slot.1.extend(new);
+        let batch = state.origin_batch(&slot.1);
+        let bytes = batch_bytes(&batch);
+        assert!(bytes <= VALUE_BYTES_MAX, "{bytes} bytes at {millis}");
+        saved.extend(batch.streams.iter().map(|it| it.0));
+    }
+    let begun = (LOAD_MS / WRITE_INTERVAL_MS) as u32 * STREAMS_PER_WRITE;
+    let missing = (0..begun).filter(|it| !saved.contains(&StreamId(*it))).count();
+    assert_eq!(missing, 0, "of {begun} streams are in no batch");
+}
+
+// Guards against memory that grows with an outage of the store: 3,000 streams a second for 40 s are
+// more than may wait to be saved.
+#[rstest]
+#[case::before_the_first_batch(false)]
+#[case::after_the_first_batches(true)]
+fn what_is_not_saved_is_bounded_while_the_store_is_down(#[case] has_begun: bool) {
+    let (mut state, runs) = under_load();
+    state.collect_unsaved_origins(true);
+    if has_begun {
+        (0..2).for_each(|_| drop(state.take_unsaved_origins()));
+    }
+    for millis in (0..LOAD_MS).step_by(WRITE_INTERVAL_MS as usize) {
+        note_streams(&mut state, &runs, millis);
+    }
+    for _ in 0..2 {
+        let unsaved = state.take_unsaved_origins();
+        assert!(unsaved.len() <= UNSAVED_MAX, "{}", unsaved.len());
+        assert!(batch_bytes(&state.origin_batch(&unsaved)) <= VALUE_BYTES_MAX);
+    }
+}
+
 // Guards against writes for streams that any server may go on with.
 #[test]
 fn origins_are_saved_only_while_a_service_has_several_versions() {
