Test streams at instances that come back after the release is recorded

What callers saw: a stream that began before a release is refused (1026) although its version serves, if the release begins while all instances are dead and the caller reaches an instance that comes back 800 ms after the first one. Cause: the first one adds the new version to the record, and the later ones find two versions, from which nothing follows.

--- a/tests/it/rejoin.rs
+++ b/tests/it/rejoin.rs
@@ -323,3 +323,21 @@
     assert!(writes.len() > 3, "{} writes", writes.len());
     assert!(intervals <= 10.0 * seconds, "{} writes in {seconds} s", writes.len());
 }
+
+// Guards against the loss of streams at instances that come back later than the one which writes the
+// release into the record: they find both versions there.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_goes_on_at_instances_that_come_back_after_the_first() {
+    let mut fleet = fleet(3).await;
+    set_engine_faults(&fleet, Fault::TruncatesResponse);
+    let cut = cut_streams(&fleet, 0).await;
+    tokio::time::sleep(SAVED_AFTER).await;
+    fleet.instances.iter_mut().for_each(|it| it.kill());
+    set_engine_faults(&fleet, Fault::None);
+    release(&fleet, 1, "v2");
+    fleet.instances[0].start().unwrap();
+    tokio::time::sleep(Duration::from_millis(800)).await;
+    fleet.instances[1..].iter_mut().for_each(|it| it.start().unwrap());
+    fleet.wait_until_ready().await;
+    assert_all_go_on(&fleet, &cut).await;
+}
