--- a/sl-edge/src/origin_writer.rs
+++ b/sl-edge/src/origin_writer.rs
@@ -6,7 +6,7 @@
 use platform::{
     store,
     stream_origins::{
-        ALL_SLOT, SLOTS, VERSION_RECORD_KEY, batch_key, batch_value, version_record_value,
+        KNOWN_SLOTS, SLOTS, VERSION_RECORD_KEY, batch_key, batch_value, version_record_value,
     },
 };
 use sl_base::{Incarnation, InstanceId, Millis, StreamId, Timestamp};
@@ -17,6 +17,7 @@
 
 use crate::{
     core::Core,
+    record_schedule::{RECORD_WRITE_TIMEOUT, RecordSchedule},
     store::{CALL_TIMEOUT, StoreClient},
     wire::{CallError, Response},
 };
@@ -31,8 +32,7 @@
     lease: Option<Lease>,
     /// The streams of the batch that is written now; `None` while this instance saves none.
     batch: Option<PendingBatch>,
-    /// Since when the record in the store has not been the wanted one.
-    record_wanted_since: Option<Timestamp>,
+    record_schedule: RecordSchedule,
     /// No call is made before this time, because the last one failed.
     retry_at: Timestamp,
 }
@@ -70,23 +70,27 @@
 /// The longest random part of that delay.
 const RETRY_SPREAD: Millis = Millis(300);
 
-/// How long the other followers leave the version record to the first one.
-const RECORD_HEAD_START: Millis = Millis(500);
-
 const MILLIS_PER_SECOND: u64 = 1_000;
 
 impl PendingBatch {
-    /// The first batch of a writer, with all streams that it knows. Its slot is not in the ring, so
-    /// that it is not written again each time that the batch of the second grows.
-    fn of_all() -> PendingBatch {
-        PendingBatch { slot: ALL_SLOT, ..PendingBatch::default() }
+    /// The first of the two batches with all streams that a writer knows. Their slots are not in the
+    /// ring, so that they are not written again each time that the batch of the second grows.
+    fn of_known() -> PendingBatch {
+        PendingBatch { slot: KNOWN_SLOTS[0], ..PendingBatch::default() }
+    }
+
+    /// Whether `count` more streams may be added: of a batch of known ones, none may be dropped.
+    fn takes(&self, count: usize) -> bool {
+        let has_room = self.streams.len() + count <= UNSAVED_MAX;
+        self.is_saved || has_room || !KNOWN_SLOTS.contains(&self.slot)
     }
 
     /// Adds new streams. A batch that is not saved is kept together with those of the next slot.
     fn add(&mut self, slot: u64, new: Vec<(StreamId, ServerKey)>) {
+        let slot = if self.slot == KNOWN_SLOTS[0] { KNOWN_SLOTS[1] } else { slot };
         if self.is_saved && self.slot != slot {
             *self = PendingBatch { slot, streams: Vec::new(), is_saved: true };
-        } else if self.slot != ALL_SLOT {
+        } else if !KNOWN_SLOTS.contains(&self.slot) {
             self.slot = slot;
         }
         self.is_saved &= new.is_empty();
@@ -112,7 +116,7 @@
             conn: None,
             lease: None,
             batch: None,
-            record_wanted_since: None,
+            record_schedule: RecordSchedule::default(),
         }
     }
 
@@ -128,7 +132,7 @@
                 continue;
             }
             let is_first = self.store.is_first_follower();
-            self.update_record(is_first).await;
+            self.update_record().await;
             if is_first && self.core.with_state(|it| it.should_save_origins()) {
                 self.save_origins().await;
             } else {
@@ -137,16 +141,15 @@
         }
     }
 
-    /// Writes the version record if it has to change. The other followers do so only if the first
-    /// one does not.
-    async fn update_record(&mut self, is_first: bool) {
+    /// Writes the version record if it has to change and this follower has its turn.
+    async fn update_record(&mut self) {
         let now = self.core.now();
         let Some(record) = self.core.with_state(|it| it.wanted_version_record(now)) else {
-            self.record_wanted_since = None;
+            self.record_schedule.reset();
             return;
         };
-        let since = *self.record_wanted_since.get_or_insert(now);
-        if is_first || since.after(RECORD_HEAD_START).is_due(now) {
+        if self.record_schedule.is_due(now, self.store.follower_rank()) {
+            self.record_schedule.write_started(now);
             self.write_record(&record).await;
         }
     }
@@ -155,7 +158,8 @@
         let revision = self.store.revision_of(VERSION_RECORD_KEY);
         let value = version_record_value(record);
         let call = store::put_if_unchanged(VERSION_RECORD_KEY, &value, revision);
-        let response = self.store.call(&mut self.conn, "versions", &call, CALL_TIMEOUT).await;
+        let response =
+            self.store.call(&mut self.conn, "versions", &call, RECORD_WRITE_TIMEOUT).await;
         if self.successful("versions", response).is_some() {
             let versions = record.iter().filter_map(|it| it.1.as_deref()).collect::<Vec<_>>();
             info!(self.core.log, "version record written"; "era" => record.era,
@@ -173,9 +177,10 @@
             return;
         };
         let slot = self.core.now().as_micros() / MICROS_PER_MILLI / MILLIS_PER_SECOND % SLOTS;
-        let new = self.core.with_state(|it| it.take_unsaved_origins());
         let batch = self.batch.get_or_insert_default();
-        batch.add(slot, new);
+        if batch.takes(self.core.with_state(|it| it.unsaved_origin_count())) {
+            batch.add(slot, self.core.with_state(|it| it.take_unsaved_origins()));
+        }
         if !batch.is_saved {
             self.write_batch(lease).await;
         }
@@ -201,7 +206,7 @@
     /// Starts anew with all streams that are known.
     fn collect_all(&mut self) {
         self.core.with_state(|it| it.collect_unsaved_origins(true));
-        self.batch = Some(PendingBatch::of_all());
+        self.batch = Some(PendingBatch::of_known());
     }
 
     /// Ends the collection of streams. The lease is no longer renewed, so that the batches vanish.
--- a/sl-route/src/state/origins.rs
+++ b/sl-route/src/state/origins.rs
@@ -42,10 +42,7 @@
         }
         let version = self.origins.known_versions.only_version_found(now, service);
         if let Some(version) = version.cloned() {
-            // The run is unknown; this key stands for all runs of the version.
-            let run = ServerKey::of("", service.0.into()).of_version(&version);
-            let origin = StreamOrigin { run, service, version: Some(version) };
-            self.origins.record_origin(now, stream, origin);
+            self.origins.record_origin(now, stream, StreamOrigin::deduced(service, version));
         }
     }
 
@@ -78,6 +75,11 @@
         self.origins.collect_unsaved(is_collecting);
     }
 
+    /// The number of origins that the next [`State::take_unsaved_origins`] returns.
+    pub fn unsaved_origin_count(&self) -> usize {
+        self.origins.unsaved_count()
+    }
+
     /// Takes the origins that were recorded since the last call, oldest first.
     pub fn take_unsaved_origins(&mut self) -> Vec<(StreamId, ServerKey)> {
         self.origins.take_unsaved()
