--- a/bench/src/load/play.rs
+++ b/bench/src/load/play.rs
@@ -94,7 +94,7 @@
 /// Further delay between two data centres, one way.
 const DATA_CENTRE_DELAY_MICROS: u64 = 500;
 
-/// Bytes of one event of a stream, as observed on a deployment of three data centres.
+/// Bytes of one event of a stream, as placement assumes them.
 const EVENT_BYTES: u64 = 65;
 
 /// The delay after which a caller retries if it does not honour `Retry-After`.
--- a/bench/tests/it/loads.rs
+++ b/bench/tests/it/loads.rs
@@ -31,8 +31,8 @@
     assert!(tally.reprocessed_share < 0.12, "{}", tally.reprocessed_share);
 }
 
-/// Guards against limits that change with demand below capacity, where the balance between routes took 0.001
-/// to 0.004 of the credit: the first refusals of instances with empty caches were taken for contention.
+/// Guards against balancing routes while the engines have room: the first refusals of instances with
+/// empty caches are no contention.
 #[rstest]
 #[case::calm(Load::Calm)]
 #[case::hot_part(Load::HotPart)]
--- a/sl-core/tests/it/configuration.rs
+++ b/sl-core/tests/it/configuration.rs
@@ -131,6 +131,7 @@
     assert_eq!(found.first().map(String::as_str), expected);
 }
 
+// Guards against an error that the operator has to search for in a long document.
 #[rstest]
 #[case::syntax("{\"version\": 1,\n \"routes\" []}", "error malformed line 2, column 11")]
 #[case::value("{\"version\":\n  -1}", "error malformed line 2, column 4")]
@@ -229,6 +230,7 @@
     assert!(!text.contains("valid\n"), "{text}");
 }
 
+// Guards against a change of the output that scripts read.
 #[test]
 fn json_output_has_findings_and_differences() {
     let text = valid_but("/limits/max_body_bytes", json!(0));
--- a/sl-edge/src/origin_reader.rs
+++ b/sl-edge/src/origin_reader.rs
@@ -35,8 +35,8 @@
 /// How long a request waits for a read.
 const READ_TIMEOUT: Millis = Millis(1_000);
 
-/// The shortest pause between two reads: with 295 instances that all read, 1,180 ranges a second,
-/// where the store accepts 6,000 read calls.
+/// The shortest pause between two reads, so that a fleet which starts at once does not exceed the store's
+/// rate of read calls (docs/design/stream-origins.md).
 const READ_INTERVAL: Millis = Millis(250);
 
 /// How long the store is not asked after a read has failed.
--- a/sl-edge/src/origin_writer.rs
+++ b/sl-edge/src/origin_writer.rs
@@ -213,7 +213,7 @@
             self.core.metrics.stream_origin_batches.inc();
             self.batch.iter_mut().for_each(|it| it.is_saved = true);
         } else if is_lost {
-            self.drop_lease();
+            self.restart_without_lease();
         }
     }
 
@@ -236,7 +236,7 @@
         let era = self.store.eras().latest();
         match self.lease {
             Some(lease) if lease.era != era => {
-                self.drop_lease();
+                self.restart_without_lease();
                 self.grant_lease(era).await
             }
             Some(lease) if lease.renew_at.is_due(self.core.now()) => self.renew_lease(lease).await,
@@ -263,7 +263,7 @@
         let call = store::renew_lease(lease.id);
         let response = self.store.call(&mut self.conn, "origins-keep", &call, CALL_TIMEOUT).await;
         if is_lease_lost(&response) {
-            self.drop_lease();
+            self.restart_without_lease();
             return None;
         }
         self.successful("origins-keep", response)?;
@@ -272,8 +272,8 @@
         Some(lease.id)
     }
 
-    /// Forgets a lease that has ended, and with it the batches.
-    fn drop_lease(&mut self) {
+    /// Forgets a lease that has ended, and collects all streams anew, as their batches are gone.
+    fn restart_without_lease(&mut self) {
         self.lease = None;
         self.collect_all();
     }
--- a/sl-edge/src/record_schedule.rs
+++ b/sl-edge/src/record_schedule.rs
@@ -39,7 +39,7 @@
 
 /// The number of followers that take turns. Further instances follow the store just after their
 /// start only.
-pub const RECORD_WRITERS: u64 = 3;
+pub const RECORD_WRITERS: u64 = crate::store::FOLLOWERS as u64;
 
 impl RecordSchedule {
     /// Whether the record may be written now. It has to change, as it has since the first of these
--- a/sl-edge/src/store.rs
+++ b/sl-edge/src/store.rs
@@ -2,6 +2,8 @@
 
 mod follow;
 
+pub(crate) use follow::FOLLOWERS;
+
 use std::{
     cell::{Cell, RefCell},
     net::SocketAddr,
--- a/sl-edge/src/store/follow.rs
+++ b/sl-edge/src/store/follow.rs
@@ -42,7 +42,7 @@
 }
 
 /// How many instances follow the store at a time; the others receive changes from them.
-const FOLLOWERS: usize = 3;
+pub(crate) const FOLLOWERS: usize = 3;
 
 /// The key of the rendezvous hash that selects the instances that follow the store.
 const FOLLOWER_HASH_KEY: u64 = 0x666f_6c6c_6f77;
--- a/sl-route/src/engine.rs
+++ b/sl-route/src/engine.rs
@@ -104,8 +104,8 @@
 /// Time per fetch from another engine that is independent of its tokens, in milliseconds.
 const FETCH_OVERHEAD_MS: f64 = 8.0;
 
-/// Time constant of the prefill load, in milliseconds. Demand may triple or fall to a third within 8 s,
-/// and with 2,500 ms the expected time between tokens was twice the actual one while it fell.
+/// Time constant of the prefill load, in milliseconds. Short, since demand may triple or fall to a third
+/// within seconds, and the expected time between tokens has to follow it.
 const LOAD_WINDOW_MS: f64 = 700.0;
 
 /// Fraction of an observed deviation from the expected time by which later expected times
@@ -272,11 +272,10 @@
     }
 
     /// Milliseconds from the first token to the end of an output of `output_tokens`, at the pace that
-    /// follows from the requests sent so far and the prefill of the last seconds.
+    /// follows from the requests sent so far and the prefill within [`LOAD_WINDOW_MS`].
     pub fn decode_ms(&self, now: Timestamp, output_tokens: u32) -> f64 {
         let batch = self.queue.len() + self.running.len() + 1;
-        let events = f64::from(output_tokens) / self.tokens_per_event;
-        events * self.pace.interval_ms(batch, self.load.fraction(now))
+        self.events(output_tokens) * self.pace.interval_ms(batch, self.load.fraction(now))
     }
 
     /// The number of events in which the engine sends `output_tokens`.
@@ -287,8 +286,7 @@
     /// Milliseconds from the first token to the end of an output of `output_tokens` if the engine had
     /// nothing else to do; `None` if the pace has not been measured.
     pub fn undisturbed_decode_ms(&self, output_tokens: u32) -> Option<f64> {
-        let events = f64::from(output_tokens) / self.tokens_per_event;
-        self.pace.is_measured().then(|| events * self.pace.interval_ms(1, 0.0))
+        self.pace.is_measured().then(|| self.events(output_tokens) * self.pace.interval_ms(1, 0.0))
     }
 
     /// Records the mean interval between the events of a stream that has just completed, in
--- a/sl-route/src/locality.rs
+++ b/sl-route/src/locality.rs
@@ -8,7 +8,7 @@
 /// Extra time of a request to a server in another data centre, in milliseconds.
 const CROSS_DATA_CENTRE_MS: f64 = 2.0;
 
-/// Bytes of one event of a response, as observed on a deployment of three data centres.
+/// Typical bytes of one event of a response.
 const EVENT_BYTES: f64 = 65.0;
 
 const BYTES_PER_MB: f64 = 1_000_000.0;
@@ -63,7 +63,8 @@
     NoOwnServer,
     /// The server is better than those of the own data centre by more than the bytes cost.
     Better,
-    /// The request was drawn to be one of the share that leaves, and the server is better.
+    /// The request was drawn to be one of the share that leaves, so its bytes cost nothing, and the
+    /// server is better. It might have left as [`LeaveReason::Better`] as well.
     Share,
 }
 
--- a/sl-route/src/pace.rs
+++ b/sl-route/src/pace.rs
@@ -80,7 +80,7 @@
         }
     }
 
-    /// The engine's work up to `now`, with `running` streams since the last call.
+    /// Counts `running` streams from the last call to `now`, and returns the totals.
     pub fn advance(&mut self, now: Timestamp, running: usize) -> WorkTotals {
         let totals = &mut self.totals;
         totals.stream_ms += now.millis_since(totals.at) * running as f64;
--- a/sl-route/src/place.rs
+++ b/sl-route/src/place.rs
@@ -41,18 +41,17 @@
     pub cold_opens_at: Timestamp,
     /// How long the request leaves each slot of a cold server to others.
     pub cold_slot_delay: Millis,
-    /// When the request begins a stream that other servers can begin than those whose software
-    /// version is not recorded; `None` for all other requests.
-    pub recorded_at: Option<Timestamp>,
+    /// Whether servers are excluded whose software version the version record lacks.
+    pub needs_recorded_version: bool,
 }
 
 impl Requirements<'_> {
-    fn allows(&self, server: &Server) -> bool {
+    fn allows(&self, now: Timestamp, server: &Server) -> bool {
         let has_right_version = self.origin.is_none_or(|it| it.allows(server));
         let data_centre = &server.record.data_centre;
         let is_allowed_there =
             !self.evacuations.contains(data_centre) && self.regions.allows(data_centre);
-        let is_recorded = self.recorded_at.is_none_or(|it| server.unrecorded_until.is_due(it));
+        let is_recorded = !self.needs_recorded_version || server.unrecorded_until.is_due(now);
         has_right_version
             && is_allowed_there
             && is_recorded
@@ -255,7 +254,7 @@
     servers: impl Iterator<Item = &'a Server>,
     required: Requirements<'_>,
 ) -> Result<Placement, PlacementError> {
-    let eligible: Vec<&Server> = servers.filter(|it| required.allows(it)).collect();
+    let eligible: Vec<&Server> = servers.filter(|it| required.allows(now, it)).collect();
     let is_open = |it: &&Server| required.opens_at(now, it).is_due(now);
     let servers: Vec<&Server> = eligible.iter().copied().filter(is_open).collect();
     if servers.is_empty() {
--- a/sl-route/src/route_balance.rs
+++ b/sl-route/src/route_balance.rs
@@ -1,7 +1,6 @@
 //! How much of what each route asks for is admitted at this instance.
 //!
-//! Under contention the limits on the server take different parts of the requests of different routes,
-//! because their requests are larger or their targets shorter. A route that is refused much more
+//! Under contention, routes with large requests or short targets are refused more often. A route that is refused much more
 //! than the others of its service and priority gets looser limits, and one that is refused less
 //! gets stricter ones (docs/design/admission-balance.md).
 
@@ -35,7 +34,8 @@
     /// From -1, for a route whose admitted fraction is a quarter or more below the mean, over 0 at the
     /// mean to 1 for a quarter or more above it.
     pub lead: f64,
-    /// The fraction of the route's requests that was admitted.
+    /// The fraction of the route's requests that was admitted, drawn towards the mean while there are
+    /// few.
     pub admitted_fraction: f64,
 }
 
@@ -45,7 +45,7 @@
     /// The request was sent to an engine.
     Admitted,
     /// It was refused because no engine has a slot, or begins it in time.
-    Short,
+    NoCapacity,
     /// It was refused only because its route has to leave the engines to others, and would have been sent
     /// with the usual limits. If that were contention, the balance would keep itself going.
     Yields,
@@ -186,14 +186,13 @@
         self.asked += 1.0;
         match admission {
             Admission::Admitted => self.admitted += 1.0,
-            Admission::Short => self.short += 1.0,
+            Admission::NoCapacity => self.short += 1.0,
             Admission::Yields | Admission::EndsLate => {}
         }
     }
 
     /// Whether requests are refused for lack of time or slots. Time in which no requests were counted
-    /// counts as time without refusals: while caches were still empty, the first few refusals after the
-    /// start were taken for contention, which lasted five seconds under the load `calm`.
+    /// counts as time without refusals, so that the first few refusals after a start are no contention.
     fn is_contended(self) -> bool {
         self.asked >= 1.0 && self.short * self.observed > self.asked * REFUSED_TOLERANCE
     }
--- a/sl-route/src/state/admit.rs
+++ b/sl-route/src/state/admit.rs
@@ -123,7 +123,7 @@
         self.draw_leave(&mut in_flight);
         let placement = self.choose_server(now, &in_flight, limits);
         self.record_shortage(now, &in_flight, &placement);
-        // A retry is charged, so that it stays near.
+        // Retries pay for their bytes, so that they prefer the own data centre.
         in_flight.is_drawn_to_leave = false;
         self.record_admission(now, &in_flight.arrival, limits, placement.as_ref().err().copied());
         match placement {
@@ -169,7 +169,7 @@
             Some(PlacementError::TooLate(lowest)) if lowest.cost_ms <= limits.unbalanced_ms => {
                 Admission::Yields
             }
-            Some(PlacementError::TooLate(_) | PlacementError::NoSlot) => Admission::Short,
+            Some(PlacementError::TooLate(_) | PlacementError::NoSlot) => Admission::NoCapacity,
             Some(PlacementError::EndsLate(_)) => Admission::EndsLate,
             Some(PlacementError::NoServer | PlacementError::Paused { .. }) => return,
         };
@@ -187,7 +187,7 @@
         let required = self.requirements(now, in_flight, limits);
         let begins_stream = State::begins_stream(&in_flight.arrival, required.origin);
         if begins_stream && servers().any(|it| !it.unrecorded_until.is_due(now)) {
-            let required = Requirements { recorded_at: Some(now), ..required };
+            let required = Requirements { needs_recorded_version: true, ..required };
             if let Ok(placement) = place::choose(now, servers(), required) {
                 return Ok(placement);
             }
@@ -215,7 +215,7 @@
             keeps_room: self.keeps_room_for_streams(&in_flight.arrival),
             cold_opens_at: self.cold_opens_at(now),
             cold_slot_delay: self.cold_slot_delay(&in_flight.arrival),
-            recorded_at: None,
+            needs_recorded_version: false,
         }
     }
 
--- a/sl-route/src/state/origins.rs
+++ b/sl-route/src/state/origins.rs
@@ -80,7 +80,8 @@
         self.origins.unsaved_count()
     }
 
-    /// Takes the origins that were recorded since the last call, oldest first.
+    /// Takes the origins that were recorded since the last call, in their order, or a backlog in any
+    /// order.
     pub fn take_unsaved_origins(&mut self) -> Vec<(StreamId, ServerKey)> {
         self.origins.take_unsaved()
     }
--- a/sl-route/src/stream_origin.rs
+++ b/sl-route/src/stream_origin.rs
@@ -79,7 +79,7 @@
     }
 }
 
-/// The streams of a period, as many as may wait to be saved.
+/// Any [`UNSAVED_MAX`] of the streams of a period, in any order.
 fn bounded(streams: &HashMap<StreamId, ServerKey>) -> Vec<(StreamId, ServerKey)> {
     streams.iter().map(|(&stream, &run)| (stream, run)).take(UNSAVED_MAX).collect()
 }
@@ -97,7 +97,7 @@
     pub streams: Vec<(StreamId, u32)>,
 }
 
-/// The runs that began the streams of the last minute, and the software of these runs.
+/// The runs that began the streams of the last 20 to 40 s, and the software of the runs of the last minute.
 #[derive(Debug)]
 pub struct StreamOrigins {
     /// The streams recorded since the last rotation.
@@ -110,7 +110,7 @@
     versions: HashMap<ServiceId, HashMap<Option<Arc<str>>, usize>>,
     /// The software versions of servers that this instance may not have seen.
     pub(crate) known_versions: KnownVersions,
-    /// Streams that are not saved in the store, oldest first; `None` while this instance saves none.
+    /// Streams that are not saved in the store, a backlog first; `None` while this instance saves none.
     unsaved: Option<Vec<(StreamId, ServerKey)>>,
     /// Whether the streams of the present period have yet to be added to `unsaved`.
     has_backlog: bool,
@@ -187,7 +187,8 @@
         self.unsaved.as_ref().map_or(0, Vec::len)
     }
 
-    /// Takes the streams that were recorded since the last call, oldest first.
+    /// Takes the streams that were recorded since the last call, in their order, or a backlog in any
+    /// order.
     pub fn take_unsaved(&mut self) -> Vec<(StreamId, ServerKey)> {
         let taken = self.unsaved.as_mut().map(std::mem::take).unwrap_or_default();
         if std::mem::take(&mut self.has_backlog) {
@@ -243,7 +244,7 @@
         }
     }
 
-    /// Records what a peer knows of a stream.
+    /// Records where a stream began, as learned from a peer, a batch or the version record.
     pub fn record_origin(&mut self, now: Timestamp, stream: StreamId, origin: StreamOrigin) {
         let run = origin.run;
         self.put_unlisted_run(now, origin);
--- a/sl-route/tests/it/route_balance.rs
+++ b/sl-route/tests/it/route_balance.rs
@@ -58,9 +58,9 @@
 /// Guards against limits that change while demand is satisfied, or because callers announce lengths that
 /// end after their deadline.
 #[rstest]
-#[case::all_admitted(10, Admission::Short, false)]
-#[case::a_tenth_refused(8, Admission::Short, false)]
-#[case::two_fifths_refused(2, Admission::Short, true)]
+#[case::all_admitted(10, Admission::NoCapacity, false)]
+#[case::a_tenth_refused(8, Admission::NoCapacity, false)]
+#[case::two_fifths_refused(2, Admission::NoCapacity, true)]
 #[case::two_fifths_that_end_late(2, Admission::EndsLate, false)]
 fn only_a_lack_of_time_or_slots_is_contention(
     #[case] admitted: u64,
@@ -72,9 +72,10 @@
     assert_eq!(lead(&balance, "b", 1).is_some(), is_contended);
 }
 
+/// Guards against a balance that goes on after the engines have room again.
 #[test]
 fn contention_ends_with_the_refusals() {
-    let mut balance = balance(&[("a", 1, 2)], Admission::Short);
+    let mut balance = balance(&[("a", 1, 2)], Admission::NoCapacity);
     assert!(lead(&balance, "a", 1).is_some());
     for step in 0..1_000 {
         let now = BALANCE_END_MS + step * 20;
@@ -88,7 +89,7 @@
 /// well, though the engines would begin it in time.
 #[test]
 fn refusals_for_the_balance_do_not_prolong_the_contention() {
-    let mut balance = balance(&[("a", 1, 2)], Admission::Short);
+    let mut balance = balance(&[("a", 1, 2)], Admission::NoCapacity);
     for step in 0..500 {
         let now = BALANCE_END_MS + step * 20;
         balance.record(at(now), &request(now, step, "a", 1), Admission::Yields);
@@ -109,7 +110,7 @@
     }
     for step in 0..50 {
         let now = begins_at_ms + step * 20;
-        let admission = if step % 2 == 0 { Admission::Admitted } else { Admission::Short };
+        let admission = if step % 2 == 0 { Admission::Admitted } else { Admission::NoCapacity };
         balance.record(at(now), &request(now, step, "a", 1), admission);
         assert_eq!(balance.standing(at(now), &request(now, step, "a", 1)), None, "{step}");
     }
@@ -118,7 +119,7 @@
 /// Guards against metrics whose number of label values grows with the routes that were ever seen.
 #[test]
 fn the_busiest_routes_are_reported_up_to_a_bound() {
-    let mut balance = balance(&[("large", 1, 4), ("small", 1, 9)], Admission::Short);
+    let mut balance = balance(&[("large", 1, 4), ("small", 1, 9)], Admission::NoCapacity);
     let now = at(BALANCE_END_MS);
     // Of both routes together a third was refused for lack of time.
     assert_eq!(balance.contended_services(now), 1);
@@ -142,10 +143,10 @@
     let mut balance = RouteBalance::default();
     for step in 0..200 {
         let now = step * 20;
-        let admission = if step % 10 < 4 { Admission::Admitted } else { Admission::Short };
+        let admission = if step % 10 < 4 { Admission::Admitted } else { Admission::NoCapacity };
         balance.record(at(now), &request(now, step, "large", 1), admission);
         balance.record(at(now), &request(now, step, "small", 1), Admission::Admitted);
-        balance.record(at(now), &request(now, step, "other", 1), Admission::Short);
+        balance.record(at(now), &request(now, step, "other", 1), Admission::NoCapacity);
     }
     let standing = |name: &str| balance.standing(at(4_000), &request(4_000, 1, name, 1)).unwrap();
     assert!(standing("other").lead < -0.9);
@@ -156,7 +157,7 @@
 /// refused five times as often as small ones.
 #[test]
 fn a_route_below_the_mean_is_behind_and_one_above_it_ahead() {
-    let balance = balance(&[("large", 1, 4), ("small", 1, 9)], Admission::Short);
+    let balance = balance(&[("large", 1, 4), ("small", 1, 9)], Admission::NoCapacity);
     assert!(lead(&balance, "large", 1).unwrap() <= -0.9);
     assert!(lead(&balance, "small", 1).unwrap() >= 0.9);
     // A route without requests has no lead and no lag.
@@ -166,11 +167,12 @@
 /// Guards against less urgent routes that take what more urgent ones lack.
 #[test]
 fn less_urgent_routes_yield_to_more_urgent_ones_only() {
-    let balance = balance(&[("urgent", 0, 5), ("other", 1, 5)], Admission::Short);
+    let balance = balance(&[("urgent", 0, 5), ("other", 1, 5)], Admission::NoCapacity);
     assert!(lead(&balance, "other", 1).unwrap() >= 0.9);
     assert!(lead(&balance, "urgent", 0).unwrap().abs() < 0.1);
 }
 
+/// Guards against a balance between routes that overrides the shares of teams.
 #[rstest]
 #[case::far_behind(-1.0, None, 950.0)]
 #[case::at_the_mean(0.0, None, 850.0)]
@@ -259,7 +261,7 @@
     assert!(sent_target(&effects).is_none());
 }
 
-/// Guards against streams that are begun, take a slot and reach their deadline: 2,400 to 4,600 a day. A
+/// Guards against streams that are begun, take a slot and reach their deadline. A
 /// request that no engine could end in time says nothing true about its length, and without
 /// contention nobody else needs the slot. The data centre of the engine and the cost of bytes make no
 /// difference.
--- a/sl-route/tests/it/warmup.rs
+++ b/sl-route/tests/it/warmup.rs
@@ -841,6 +841,7 @@
     assert!(most as f64 <= allowed, "{plan:?}: {most} of {allowed}");
 }
 
+// Guards against more senders than planned because instances rank each other differently.
 #[test]
 fn all_instances_agree_on_the_senders() {
     let listed: Vec<u32> = (0..295).collect();
