tests: two samples of the cost of bytes are what they were before they failed

Cause: the test on the uneven load of sl-loads failed with 3 seeds of 30 s, and its sample was then changed to 20 seeds of 40 s; the reducer's test of uneven demand had come to count from 6 s on, after more refusals over the whole run. No trace showed that either case is allowed. Change: both are as first written, bounds untouched.

--- a/bench/src/load/traffic.rs
+++ b/bench/src/load/traffic.rs
@@ -18,7 +18,7 @@
     pub own_tokens: u32,
     /// Usual maximum length of the response, in tokens.
     pub max_output_tokens: u32,
-    /// Length of the request's body, as observed on a deployment of three data centres.
+    /// Length of the request's body in bytes.
     pub body_bytes: u64,
     /// Time within which the first token should arrive.
     pub target_latency: Millis,
@@ -70,7 +70,7 @@
     },
 ];
 
-/// The kinds of requests of [`Load::ScarceSlots`], as measured on a deployment of 140 engines
+/// The kinds of requests of [`Load::ScarceSlots`]
 /// (docs/work-2026-12-04.md, part 5).
 const SCARCE_SLOTS_KINDS: [Kind; KIND_COUNT] = [
     Kind {
--- a/bench/tests/it/loads.rs
+++ b/bench/tests/it/loads.rs
@@ -120,9 +120,8 @@
     assert!(notes.reprocessed_share < other.reprocessed_share);
 }
 
-/// Seeds that are averaged. With 20, the standard error of a difference in credit is 0.0005
-/// (docs/design/locality.md).
-const SEEDS: std::ops::RangeInclusive<u64> = 1..=20;
+/// Seeds that are averaged.
+const SEEDS: std::ops::RangeInclusive<u64> = 1..=3;
 
 /// Guards against a cost of bytes that has no effect on them, or that gets requests refused, where
 /// three quarters of the callers have a third of the engines.
@@ -138,7 +137,7 @@
                 engines: 12,
                 data_centres: 3,
                 data_centre_cost_ms_per_mb,
-                duration: Millis(40_000),
+                duration: Millis(30_000),
             })
         });
         tallies.fold((0, 0.0), |(bytes, served), it| {
--- a/sl-route/tests/it/locality.rs
+++ b/sl-route/tests/it/locality.rs
@@ -51,9 +51,6 @@
     assert_eq!(run_at_cost(half_lost(seed), 0.0).digest, lost);
 }
 
-/// From when on the caches are filled. Before, demand exceeds the capacity of the whole fleet.
-const WARM_MS: u64 = 6_000;
-
 const SEEDS: std::ops::RangeInclusive<u64> = 1..=6;
 
 /// Load: uneven demand. Guards against a decision that keeps requests where their callers wait
@@ -66,9 +63,9 @@
         let outcomes: Vec<Outcome> = SEEDS
             .map(|it| run_at_cost(Scenario { duration_ms: 30_000, ..uneven(it) }, cost))
             .collect();
-        let refused: usize = outcomes.iter().map(|it| it.refused(WARM_MS)).sum();
-        let bytes: u64 = outcomes.iter().map(|it| it.bytes_across(WARM_MS)).sum();
-        let waited: u64 = outcomes.iter().map(|it| it.waited_ms(WARM_MS)).sum();
+        let refused: usize = outcomes.iter().map(|it| it.refused(0)).sum();
+        let bytes: u64 = outcomes.iter().map(|it| it.bytes_across(0)).sum();
+        let waited: u64 = outcomes.iter().map(|it| it.waited_ms(0)).sum();
         (refused, bytes as f64, waited as f64)
     };
     let (refused_before, bytes_before, waited_before) = total(0.0);
