--- a/bench/src/instance.rs
+++ b/bench/src/instance.rs
@@ -56,6 +56,9 @@
     pub seeds: &'a [SocketAddr],
 }
 
+/// Time within which a graceful shutdown ends, unless another one is set.
+const STOP_WITHIN: Duration = Duration::from_millis(6_000);
+
 /// How often a child process is checked for its exit.
 const CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -106,6 +109,18 @@
         Ok(())
     }
 
+    /// Replaces the time within which a graceful shutdown ends in the settings, which the next
+    /// process of the instance reads.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the settings cannot be read or written.
+    pub fn set_stop_within(&self, stop_within: Duration) -> io::Result<()> {
+        let text = std::fs::read_to_string(&self.settings)?;
+        let text = text.replace(&stop_setting(STOP_WITHIN), &stop_setting(stop_within));
+        std::fs::write(&self.settings, text)
+    }
+
     /// Path of the settings file.
     pub fn settings(&self) -> &Path {
         &self.settings
@@ -181,7 +196,7 @@
              [listen]\ncaller = {}\ncontrol = {}\noperator = {}\nmetrics = {}\n\n\
              [platform]\naddress = http://{}\n\n\
              [keys]\ncontrol-key-file = {}\noperator-key-hash = {hash}\n\n\
-             [periods]\nstop-within-ms = 6000\n\n[retries]\nratio = 0.2\nallowance = 58\n",
+             [periods]\n{}\n\n[retries]\nratio = 0.2\nallowance = 58\n",
             self.name,
             options.data_centre,
             self.caller,
@@ -190,10 +205,16 @@
             self.metrics,
             options.store,
             key.display(),
+            stop_setting(STOP_WITHIN),
         )
     }
 }
 
+/// The line of the settings that limits the time of a graceful shutdown.
+fn stop_setting(stop_within: Duration) -> String {
+    format!("stop-within-ms = {}", stop_within.as_millis())
+}
+
 impl Drop for Instance {
     fn drop(&mut self) {
         self.kill();
--- a/tests/it/testbed.rs
+++ b/tests/it/testbed.rs
@@ -1,6 +1,6 @@
 //! Starts fleets and builds requests for the tests.
 
-use std::path::Path;
+use std::{path::Path, time::Duration};
 
 use bench::{
     Fleet,
@@ -15,6 +15,17 @@
     Fleet::start(Options { binary, instances, apps: 2, engines: 2 }).await.unwrap()
 }
 
+/// Starts a fleet with one instance whose graceful shutdown ends within `stop_within`.
+pub async fn fleet_stopping_within(stop_within: Duration) -> Fleet {
+    let mut fleet = fleet(1).await;
+    let instance = &mut fleet.instances[0];
+    instance.kill();
+    instance.set_stop_within(stop_within).unwrap();
+    instance.start().unwrap();
+    fleet.wait_until_ready().await;
+    fleet
+}
+
 /// A request of the team `brewers`.
 pub fn call(method: &'static str, target: &str, attempt_id: &str) -> Call {
     let call = Call::new(method, document::HOST, target, attempt_id);
