tests: a further SIGTERM, a drain and a reload leave a shutdown as it is

Callers would see: a server runs their request, and their connection is closed without an answer, because the instance that is stopping gets SIGTERM again (the platform sends signals in series and promises each process its time). Run: a POST that takes 0.7 s is at a server when the instance gets a further SIGTERM, two, one between two SIGHUP; SIGTERM during an operator's drain of 60 s; a drain of 60 s after SIGTERM; three more SIGTERM, 0.7 s apart; SIGINT twice.

--- a/tests/it/stops.rs
+++ b/tests/it/stops.rs
@@ -12,11 +12,14 @@
 use stand_ins::{Call, Caller, Response, server::Fault};
 use tokio::{task::JoinHandle, time::sleep};
 
-use crate::testbed::{call, fleet_stopping_within, model_call};
+use crate::testbed::{call, drain, fleet_stopping_within, model_call};
 
 /// Time from SIGTERM to the last response.
 const STOP_WITHIN: Duration = Duration::from_millis(4_000);
 
+/// Time from the last response to the exit.
+const EXIT_DELAY_MAX: Duration = Duration::from_millis(600);
+
 /// Requests that were sent this long before the time of the last response are answered or refused.
 /// Later ones may come when the port is closed already.
 const IN_TRANSIT_MAX: Duration = Duration::from_millis(200);
@@ -265,3 +268,101 @@
     assert_eq!(violations(&fleet, &[sent]), Vec::<String>::new());
     assert!(stopped_at.elapsed() < STOP_WITHIN + IN_TRANSIT_MAX, "{:?}", stopped_at.elapsed());
 }
+
+/// Stops the instance by `signals`, sent while a request is in flight that takes 0.7 s, and
+/// returns the response to the request.
+async fn response_beside(signals: &[Signal]) -> Sent {
+    let mut fleet = fleet_stopping_within(STOP_WITHIN).await;
+    make_slow(&fleet);
+    let stopped_at = stop(&fleet);
+    sleep(Duration::from_millis(300)).await;
+    let caller = fleet.caller(0).await.unwrap();
+    let sending = tokio::spawn(send(caller, late_call("POST", "/book/7", "beside"), stopped_at));
+    eventually("the request is executed", async || fleet.execution_count("beside") > 0).await;
+    for signal in signals {
+        fleet.instances[0].signal(*signal);
+        sleep(Duration::from_millis(100)).await;
+    }
+    let sent = sending.await.unwrap();
+    let exit_status = fleet.instances[0].wait_for_exit(STOP_WITHIN + EXIT_DELAY_MAX).await.unwrap();
+    assert!(exit_status.success(), "{exit_status:?}");
+    sent
+}
+
+// Guards against a shutdown that a further SIGTERM aborts, with all requests in flight: the
+// platform sends signals in series, and grants each process its time.
+#[rstest]
+#[case::once(&[Signal::SIGTERM])]
+#[case::twice(&[Signal::SIGTERM, Signal::SIGTERM])]
+#[case::with_a_reload(&[Signal::SIGHUP, Signal::SIGTERM, Signal::SIGHUP])]
+#[case::only_a_reload(&[Signal::SIGHUP, Signal::SIGHUP])]
+#[tokio::test(flavor = "multi_thread")]
+async fn signals_during_a_shutdown_cut_off_no_request(#[case] signals: &[Signal]) {
+    let sent = response_beside(signals).await;
+    assert_eq!(sent.status_and_code(), Some((200, "")), "{sent:?}");
+}
+
+// Guards against a further SIGTERM that begins the time of the shutdown anew, or shortens it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_further_sigterm_does_not_change_the_time_of_the_exit() {
+    let (mut fleet, _streaming) = fleet_with_endless_stream().await;
+    let stopped_at = stop(&fleet);
+    for _ in 0..3 {
+        sleep(Duration::from_millis(700)).await;
+        stop(&fleet);
+    }
+    assert_exits_after(&mut fleet, stopped_at, STOP_WITHIN).await;
+}
+
+// Guards against a terminal on which an operator can't end the process.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_second_sigint_ends_the_process_at_once() {
+    let (mut fleet, _streaming) = fleet_with_endless_stream().await;
+    fleet.instances[0].signal(Signal::SIGINT);
+    sleep(Duration::from_millis(300)).await;
+    assert!(fleet.instances[0].is_running());
+    fleet.instances[0].signal(Signal::SIGINT);
+    let exit_status = fleet.instances[0].wait_for_exit(Duration::from_secs(2)).await.unwrap();
+    assert!(exit_status.success());
+}
+
+/// Asserts that the first instance exits in order, `expected` after SIGTERM.
+async fn assert_exits_after(fleet: &mut Fleet, stopped_at: Instant, expected: Duration) {
+    let exit_status = fleet.instances[0].wait_for_exit(Duration::from_secs(20)).await.unwrap();
+    let after = stopped_at.elapsed();
+    assert!(exit_status.success());
+    assert!(after + IN_TRANSIT_MAX > expected, "exited early, {after:?} after SIGTERM");
+    assert!(after < expected + EXIT_DELAY_MAX, "exited late, {after:?} after SIGTERM");
+}
+
+/// Much longer than the setting.
+const LONG_DRAIN: Duration = Duration::from_secs(60);
+
+// Guards against a drain request that keeps the process beyond what the platform grants it after
+// SIGTERM.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_drain_after_a_sigterm_does_not_lengthen_the_shutdown() {
+    let (mut fleet, _streaming) = fleet_with_endless_stream().await;
+    let stopped_at = stop(&fleet);
+    sleep(Duration::from_millis(300)).await;
+    drain(&fleet, LONG_DRAIN).await;
+    assert_exits_after(&mut fleet, stopped_at, STOP_WITHIN).await;
+}
+
+// Guards against a drain that SIGTERM aborts, with all requests in flight, or that takes longer than
+// the platform grants after SIGTERM.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_sigterm_during_a_longer_drain_leaves_the_time_of_a_shutdown() {
+    let (mut fleet, _streaming) = fleet_with_endless_stream().await;
+    drain(&fleet, LONG_DRAIN).await;
+    sleep(Duration::from_millis(300)).await;
+    make_slow(&fleet);
+    let caller = fleet.caller(0).await.unwrap();
+    let book = late_call("POST", "/book/7", "beside");
+    let sending = tokio::spawn(send(caller, book, Instant::now()));
+    eventually("the request is executed", async || fleet.execution_count("beside") > 0).await;
+    let stopped_at = stop(&fleet);
+    let sent = sending.await.unwrap();
+    assert_eq!(sent.status_and_code(), Some((200, "")), "{sent:?}");
+    assert_exits_after(&mut fleet, stopped_at, STOP_WITHIN).await;
+}
