--- a/tests/it/stops.rs
+++ b/tests/it/stops.rs
@@ -1,6 +1,8 @@
 //! What an instance accepts while it stops, it answers before it exits; the rest it refuses as not
 //! run.
 
+mod incomplete;
+
 use std::{
     net::SocketAddr,
     time::{Duration, Instant},
