tests: a process that stops is gone in time, whatever clients of its ports do

Callers would see requests cut off because the platform kills the process, grace_s after SIGTERM. Run: a client has a connection to each of the metrics port and the operator port, unused, kept, with half a request, or with one request after the other; the time from SIGTERM to the exit is at most stop-within-ms + 600 ms, which the deployed setting leaves until the kill.

--- a/tests/it/stops.rs
+++ b/tests/it/stops.rs
@@ -1,6 +1,7 @@
 //! What an instance accepts while it stops, it answers before it exits; the rest it refuses as not
 //! run.
 
+mod exit;
 mod incomplete;
 
 use std::{
