tests: a request that resumes a stream late in a shutdown is answered or refused as not run

Callers would see: they resume a stream at an instance that is stopping, and the connection is closed without an answer. Run, with stop-within-ms = 4000: a stream that never ends keeps the process; streams are resumed every 80 ms from 2.2 s after SIGTERM, at engines that respond after 2 s or at sound ones. And without another request: the resumed stream is unknown, two versions serve, and the store takes 0.6 s for a call.

--- a/tests/it/stops.rs
+++ b/tests/it/stops.rs
@@ -3,6 +3,7 @@
 
 mod exit;
 mod incomplete;
+mod resumed;
 
 use std::{
     net::SocketAddr,
