tests: reload, configuration, store and a frozen process cut off no request in flight during a shutdown

Run: a POST, a GET and two streams are in flight after SIGTERM when the settings change with a SIGHUP, the configuration loses their routes or goes away, all servers leave or drain, the store is silent or unavailable; and POSTs and GETs are in flight when the process is frozen by SIGSTOP, up to 0.6 s beyond stop-within-ms, while their servers respond.

They stay as guards: a limit of the shutdown by wall time must not cut off responses that have come while the process was frozen.

--- a/tests/it/stops.rs
+++ b/tests/it/stops.rs
@@ -1,6 +1,7 @@
 //! What an instance accepts while it stops, it answers before it exits; the rest it refuses as not
 //! run.
 
+mod disruptions;
 mod exit;
 mod incomplete;
 mod resumed;
