tests: a process that gets SIGTERM while it starts exits in order and leaves no entry

Run: SIGTERM 0 to 300 ms after the start of seven processes; and between the grant of an instance's lease and the write of its entry, with a store that takes 0.2 s for a call.

--- a/tests/it/stops.rs
+++ b/tests/it/stops.rs
@@ -5,6 +5,7 @@
 mod exit;
 mod incomplete;
 mod resumed;
+mod starts;
 mod unread;
 
 use std::{
