tests: requests in flight when a shutdown is over, and those of a short one, get a response

Callers would see a closed connection for a request that a server runs. Run: a POST on a route of 8 s, idempotent or not, is at a silent server before SIGTERM, with stop-within-ms = 4000; and with stop-within-ms = 500, or an operator's drain of 500 ms, a request every 80 ms, POST and GET by turns, to servers that respond after 0.7 s.

The POST ends with Err(Closed).

--- a/tests/it/stops.rs
+++ b/tests/it/stops.rs
@@ -2,6 +2,7 @@
 //! run.
 
 mod disruptions;
+mod ends;
 mod exit;
 mod incomplete;
 mod resumed;
--- /dev/null
+++ b/tests/it/stops/ends.rs
@@ -0,0 +1,69 @@
+//! Requests that are in flight when the time of a shutdown is over.
+
+use stand_ins::document;
+
+use super::*;
+
+/// Adds the route `/upload/`, whose requests may take longer than a shutdown.
+async fn add_upload_route(fleet: &Fleet, kind: &str) {
+    let mut config = document::standard(2);
+    let route = document::route("upload", kind, "app", 2, 8_000);
+    config["routes"].as_array_mut().unwrap().push(route);
+    fleet.store.put(document::CONFIG_KEY, &config);
+    eventually("the new route is served", async || {
+        let mut caller = fleet.caller(0).await.unwrap();
+        caller.call(&call("POST", "/upload/7", "probe")).await.unwrap().status() == 200
+    })
+    .await;
+}
+
+// Guards against a request, accepted before SIGTERM, whose connection is closed without a response
+// because its server is silent until the exit.
+#[rstest]
+#[case::non_idempotent("non_idempotent")]
+#[case::idempotent("idempotent")]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_cannot_end_before_the_exit_gets_a_response(#[case] kind: &str) {
+    let fleet = fleet_stopping_within(STOP_WITHIN).await;
+    add_upload_route(&fleet, kind).await;
+    make_silent(&fleet);
+    let mut caller = fleet.caller(0).await.unwrap();
+    caller.send(&call("POST", "/upload/7", "endless").to_bytes()).await.unwrap();
+    eventually("the request is executed", async || fleet.execution_count("endless") > 0).await;
+    let stopped_at = stop(&fleet);
+    let response = caller.read_response("POST").await.unwrap();
+    assert_eq!((response.status(), response.is_complete), (504, true));
+    assert_eq!(response.header("x-sesamelock-outcome"), Some("unknown"));
+    assert!(stopped_at.elapsed() < STOP_WITHIN + IN_TRANSIT_MAX, "{:?}", stopped_at.elapsed());
+}
+
+/// Shorter than the time in which the balancer still sends requests.
+const SHORT_STOP: Duration = Duration::from_millis(500);
+
+/// Stops the first instance by SIGTERM or by an operator's request.
+async fn stop_shortly(fleet: &Fleet, is_drain: bool) -> Instant {
+    match is_drain {
+        true => drain(fleet, SHORT_STOP).await,
+        false => fleet.instances[0].signal(Signal::SIGTERM),
+    }
+    Instant::now()
+}
+
+// Guards against requests that are accepted until the end of a shutdown which takes only as long as the
+// balancer needs, and are cut off then.
+#[rstest]
+#[case::by_the_settings(SHORT_STOP, false)]
+#[case::by_a_drain(STOP_WITHIN, true)]
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_during_a_short_shutdown_are_answered_or_not_run(
+    #[case] stop_within: Duration,
+    #[case] is_drain: bool,
+) {
+    let fleet = fleet_stopping_within(stop_within).await;
+    make_slow(&fleet);
+    let stopped_at = stop_shortly(&fleet, is_drain).await;
+    let mut sent = send_on_new_connections(fleet.instances[0].caller, stopped_at).await;
+    // When the port is closed is not part of the rule.
+    sent.retain(|it| fleet.execution_count(&it.attempt_id) > 0);
+    assert_eq!(violations(&fleet, &sent), Vec::<String>::new());
+}
