tests: a stream that is cut off at the exit does not seem complete

Callers would see half of a stream that looks whole. Run: an engine sends half of its events and then single bytes until the exit; the caller speaks HTTP/1.1 (chunks) or HTTP/1.0 (the end of the connection ends the stream).

--- a/tests/it/stops/ends.rs
+++ b/tests/it/stops/ends.rs
@@ -1,6 +1,10 @@
 //! Requests that are in flight when the time of a shutdown is over.
 
 use stand_ins::document;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
 
 use super::*;
 
@@ -37,6 +41,43 @@
     assert!(stopped_at.elapsed() < STOP_WITHIN + IN_TRANSIT_MAX, "{:?}", stopped_at.elapsed());
 }
 
+/// Starts a fleet with a stream in flight that has begun and does not end. `version` is the caller's
+/// version of HTTP.
+async fn fleet_with_begun_stream(version: &str) -> (Fleet, TcpStream) {
+    let fleet = fleet_stopping_within(STOP_WITHIN).await;
+    fleet.engines().for_each(|it| it.set_fault(Fault::TricklesEvent));
+    let text = String::from_utf8(model_call("/chat/7", "begun").to_bytes()).unwrap();
+    let mut stream = TcpStream::connect(fleet.instances[0].caller).await.unwrap();
+    stream.write_all(text.replace("HTTP/1.1", version).as_bytes()).await.unwrap();
+    eventually("the stream is executed", async || fleet.execution_count("begun") > 0).await;
+    (fleet, stream)
+}
+
+/// The last chunk of a body.
+const LAST_CHUNK: &[u8] = b"\r\n0\r\n\r\n";
+
+// Guards against a stream that is cut off at the exit and seems complete: one in chunks by its last
+// chunk, one without by an orderly close.
+#[rstest]
+#[case::in_chunks("HTTP/1.1")]
+#[case::without_chunks("HTTP/1.0")]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_is_cut_off_at_the_exit_does_not_seem_complete(#[case] version: &str) {
+    let (fleet, mut stream) = fleet_with_begun_stream(version).await;
+    stop(&fleet);
+    let mut received = Vec::new();
+    let end = stream.read_to_end(&mut received).await;
+    let text = String::from_utf8_lossy(&received);
+    assert!(text.starts_with("HTTP/1.1 200") && text.contains("id: 5"), "{text}");
+    let is_chunked = text.to_ascii_lowercase().contains("transfer-encoding: chunked");
+    assert_eq!(is_chunked, version == "HTTP/1.1", "{text}");
+    let seems_complete = match is_chunked {
+        true => received.ends_with(LAST_CHUNK),
+        false => end.is_ok(),
+    };
+    assert!(!seems_complete, "{end:?} after {text}");
+}
+
 /// Shorter than the time in which the balancer still sends requests.
 const SHORT_STOP: Duration = Duration::from_millis(500);
 
