--- a/sl-edge/src/caller.rs
+++ b/sl-edge/src/caller.rs
@@ -59,7 +59,7 @@
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            () = ingress.core.termination_started() => return,
+            () = ingress.core.shutdown.termination_started() => return,
         };
         match accepted {
             Ok((stream, _)) => {
@@ -116,7 +116,7 @@
         let first = tokio::select! {
             biased;
             first = timeout(limits.idle_timeout.into(), conn.fill()) => first,
-            () = core.idle_close_started(), if is_reused => return Err(None),
+            () = core.shutdown.idle_close_started(), if is_reused => return Err(None),
             () = idle.evicted() => {
                 slog::debug!(core.log, "idle connection closed";
                     "reason" => "connection limit reached",
@@ -161,11 +161,11 @@
     let body = tokio::select! {
         biased;
         body = read_body(document, conn, framing, &request.head) => body,
-        () = ingress.core.termination_started() => return Err(request.reject_for_shutdown(ingress)),
+        () = ingress.core.shutdown.termination_started() => return Err(request.reject_for_shutdown(ingress)),
     };
     drop(receiving);
     let body = body.map_err(LocalResponse::of)?;
-    if !ingress.core.accepts(&request.route) {
+    if !ingress.core.shutdown.accepts(&request.route) {
         return Err(request.reject_for_shutdown(ingress));
     }
     Ok(request.run(ingress, conn, body).await)
--- a/sl-edge/src/caller/request.rs
+++ b/sl-edge/src/caller/request.rs
@@ -89,6 +89,7 @@
     /// exits.
     pub(super) fn reject_for_shutdown(&self, ingress: &Ingress) -> LocalResponse {
         let code = Code::Draining;
+        ingress.core.shutdown.record_refused();
         self.record_end(ingress, None, code.into(), code.status());
         LocalResponse { code, retry_after: Some(RETRY_ELSEWHERE_AFTER) }
     }
@@ -153,6 +154,7 @@
             input_tokens: arrival.prompt.as_ref().map(|it| it.input_tokens),
             last_event_id: self.metadata.last_event_id,
             resumes: self.metadata.resumes.clone(),
+            shutdown_ms: ingress.core.shutdown.record_accepted(ingress.core.now()),
         });
         ingress.core.log_request_line(guard.request, line);
     }
--- a/sl-edge/src/core.rs
+++ b/sl-edge/src/core.rs
@@ -17,15 +17,15 @@
 use sl_http::Headers;
 use sl_mirror::Change;
 use sl_route::{
-    Document, Effect, Event, Failure, Refusal, Route, ServerKey, ServerNotice, State, Team,
+    Document, Effect, Event, Failure, Refusal, ServerKey, ServerNotice, State, Team,
     effect::Target, share::Standing,
 };
 use slog::Logger;
-use tokio::sync::{Notify, mpsc, watch};
+use tokio::sync::{Notify, mpsc};
 
 use crate::{
     clock::Clock, detail::TailSampler, handle::SharedRecorder, log::Line, metrics::Metrics,
-    overload::LoadShedder, peers::PeerArrival,
+    overload::LoadShedder, peers::PeerArrival, shutdown::Shutdown,
 };
 
 /// What the reducer decided to do next with one request.
@@ -54,7 +54,7 @@
     /// Where to send the actions of each registered request.
     in_flight: RefCell<HashMap<RequestId, mpsc::UnboundedSender<Action>>>,
     last_request: Cell<u64>,
-    phase: watch::Sender<ShutdownPhase>,
+    pub(crate) shutdown: Shutdown,
     load_shedder: Cell<LoadShedder>,
     request_log: RefCell<TailSampler<Line>>,
     peer_counts: Cell<PeerCounts>,
@@ -83,20 +83,6 @@
     repeated: u64,
 }
 
-/// Phases of a graceful shutdown, in order.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) enum ShutdownPhase {
-    /// No shutdown is in progress.
-    Serving,
-    /// Connections are closed after their next response.
-    Stopping,
-    /// Idle connections are closed, too, unless they wait for their first request. Streaming
-    /// requests are rejected, as they may outlast this instance.
-    RefusingStreams,
-    /// Every request is rejected and the process is about to exit.
-    Terminating,
-}
-
 /// Registration of a request with the core. Dropping it before [`RequestGuard::finish`] or
 /// [`RequestGuard::mark_finished`] reports to the reducer that the caller has disconnected.
 pub(crate) struct RequestGuard {
@@ -129,7 +115,7 @@
             state: RefCell::new(state),
             in_flight: RefCell::default(),
             last_request: Cell::new(0),
-            phase: watch::Sender::new(ShutdownPhase::Serving),
+            shutdown: Shutdown::new(),
             load_shedder: Cell::new(LoadShedder::new(Clock.now())),
             request_log: RefCell::new(TailSampler::new(Clock.now())),
             peer_counts: Cell::default(),
@@ -181,15 +167,11 @@
         RequestGuard { core: self.clone(), request, actions, is_finished: false }
     }
 
-    pub(crate) fn is_stopping(&self) -> bool {
-        *self.phase.borrow() > ShutdownPhase::Serving
-    }
-
-    pub(crate) fn set_phase(&self, phase: ShutdownPhase) {
-        self.phase.send_replace(phase);
-        if phase > ShutdownPhase::Serving {
-            self.update_readiness();
-        }
+    /// The requests that are registered.
+    pub(crate) fn requests_in_flight(&self) -> Vec<RequestId> {
+        let mut requests: Vec<RequestId> = self.in_flight.borrow().keys().copied().collect();
+        requests.sort_unstable();
+        requests
     }
 
     /// Records how late the last tick ran, which drives load shedding, and updates the gauges
@@ -235,7 +217,7 @@
     /// Whether connections are closed after their request, so that callers reconnect, possibly
     /// to another instance.
     pub(crate) fn is_shedding(&self) -> bool {
-        self.is_stopping() || self.load_shedder.get().is_shedding(self.now())
+        self.shutdown.is_in_progress() || self.load_shedder.get().is_shedding(self.now())
     }
 
     /// Whether the request that has just arrived is rejected because tasks run late. Each call
@@ -264,28 +246,6 @@
         self.load_shedder.get().is_lagging()
     }
 
-    /// Waits until a graceful shutdown closes idle connections.
-    pub(crate) async fn idle_close_started(&self) {
-        // Cannot fail: the sender lives as long as the core.
-        let _ = self.phase.subscribe().wait_for(|it| *it > ShutdownPhase::Stopping).await;
-    }
-
-    /// Waits until no further connections are to be accepted.
-    pub(crate) async fn termination_started(&self) {
-        // Cannot fail: the sender lives as long as the core.
-        let _ = self.phase.subscribe().wait_for(|it| *it == ShutdownPhase::Terminating).await;
-    }
-
-    /// Whether a request on `route` that arrives now can be expected to complete before this
-    /// instance exits.
-    pub(crate) fn accepts(&self, route: &Route) -> bool {
-        match *self.phase.borrow() {
-            ShutdownPhase::Serving | ShutdownPhase::Stopping => true,
-            ShutdownPhase::RefusingStreams => !route.retry_policy.is_stream(),
-            ShutdownPhase::Terminating => false,
-        }
-    }
-
     /// The readiness flag that the balancer polls.
     pub(crate) fn ready(&self) -> &Arc<AtomicBool> {
         &self.ready
@@ -322,7 +282,8 @@
         self.store_contact_at.get()
     }
 
-    fn update_readiness(&self) {
+    /// Sets the readiness flag, and logs a change of it.
+    pub(crate) fn update_readiness(&self) {
         let ready = self.has_document.get() && !self.is_shedding();
         if self.ready.swap(ready, Ordering::Relaxed) != ready {
             slog::info!(self.log, "readiness changed"; "ready" => ready);
--- a/sl-edge/src/core/reporting.rs
+++ b/sl-edge/src/core/reporting.rs
@@ -36,6 +36,20 @@
         }
     }
 
+    /// Logs the lines that were buffered for a request, whatever the rate limit is.
+    pub(crate) fn flush_request_lines(&self, request: RequestId) {
+        let buffered = self.request_log.borrow_mut().take(request);
+        self.write_buffered(buffered);
+    }
+
+    fn write_buffered(&self, lines: Vec<BufferedLine<Line>>) {
+        let now = self.now();
+        for BufferedLine { at, line } in lines {
+            let log = self.log.new(o!("ago_ms" => now.millis_since(at).round()));
+            log::write_line(&log, &line);
+        }
+    }
+
     /// Logs the end of a request, preceded by the lines that were buffered for it.
     pub(crate) fn log_request_end(&self, request: Option<RequestId>, end: &log::RequestEnd<'_>) {
         let now = self.now();
@@ -43,10 +57,7 @@
         let Some(buffered) = buffered else {
             return;
         };
-        for BufferedLine { at, line } in buffered {
-            let log = self.log.new(o!("ago_ms" => now.millis_since(at).round()));
-            log::write_line(&log, &line);
-        }
+        self.write_buffered(buffered);
         log::write_end(&self.log, end);
     }
 
--- a/sl-edge/src/lib.rs
+++ b/sl-edge/src/lib.rs
@@ -36,7 +36,7 @@
 pub mod roles;
 mod run;
 mod sent_requests;
-mod stop;
+mod shutdown;
 mod store;
 mod stream_locator;
 pub mod unused;
--- a/sl-edge/src/log.rs
+++ b/sl-edge/src/log.rs
@@ -76,6 +76,8 @@
     pub(crate) last_event_id: Option<u64>,
     /// The id of the caller's attempt that began the stream, if the caller names it.
     pub(crate) resumes: Option<String>,
+    /// How long a graceful shutdown has been in progress; `None` before it.
+    pub(crate) shutdown_ms: Option<u64>,
 }
 
 /// The outcome of a request, for its last log line.
@@ -97,7 +99,8 @@
             "request" => it.request.0, "id" => &it.attempt_id, "route" => &it.route.name,
             "team" => it.team.as_ref().map(|it| it.name.as_str()), "version" => it.document_version,
             "within_ms" => it.remaining_ms, "tokens" => it.input_tokens,
-            "resumes_after" => it.last_event_id, "resumes" => it.resumes.as_deref()),
+            "resumes_after" => it.last_event_id, "resumes" => it.resumes.as_deref(),
+            "shutdown_ms" => it.shutdown_ms),
         Line::Decided(it) => write_decision(log, it),
     }
 }
--- a/sl-edge/src/membership.rs
+++ b/sl-edge/src/membership.rs
@@ -228,7 +228,7 @@
     pub(crate) async fn run(&self) {
         let mut conn = None;
         let mut backoff = Backoff::new(RETRY_DELAY, RETRY_DELAY_MAX);
-        while !self.core.is_stopping() {
+        while !self.core.shutdown.is_in_progress() {
             let ttl = match self.current_lease() {
                 Some(lease) => self.renew(&mut conn, lease.id).await,
                 None => self.register(&mut conn).await,
--- a/sl-edge/src/query_handler.rs
+++ b/sl-edge/src/query_handler.rs
@@ -65,7 +65,7 @@
             document_version: self.core.document().version,
             revision: self.store.version().revision,
             ready: self.core.ready().load(std::sync::atomic::Ordering::Relaxed),
-            stopping: self.core.is_stopping(),
+            stopping: self.core.shutdown.is_in_progress(),
             store_answers: self.store.is_reachable(),
             in_flight,
             peers,
--- a/sl-edge/src/run.rs
+++ b/sl-edge/src/run.rs
@@ -42,7 +42,7 @@
     peers::{DatagramKey, Gossip, RelayQueue},
     pool::Pool,
     query_handler::QueryHandler,
-    reload, stop,
+    reload, shutdown,
     store::StoreClient,
     stream_locator::StreamLocator,
     unused::ConnectionTracker,
@@ -367,10 +367,11 @@
     // The store entry is removed at once, so that peers see the removal while requests in
     // flight are completed.
     spawn_local(async move { membership.deregister().await });
-    tokio::select! {
-        () = stop::shut_down(&core, connections, drain_timeout) => {}
-        Some(()) = signals.next() => warn!(core.log, "graceful shutdown aborted by a signal"),
-    }
+    let is_aborted = tokio::select! {
+        () = shutdown::shut_down(&core, connections, drain_timeout) => false,
+        Some(()) = signals.next() => true,
+    };
+    shutdown::log_end(&core, is_aborted);
 }
 
 async fn bind(address: SocketAddr) -> Result<TcpListener, Error> {
