Shutdown: a request is accepted only if it will be answered before the exit

Cause: until the last phase of a shutdown a plain request was accepted whatever its timeout and whatever time was left. A stream in flight keeps an instance in that phase up to stop-within-ms, and a server that falls silent answers after the exit. The class: an acceptance that does not compare the request's deadline with the deadline of the one who accepts. Found of the same class and changed with it: requests in flight at the end got a closed connection (now 504, code 3008, unless their response has begun); a request that resumes a stream was neither in flight nor being received while its origin was looked up, so the exit did not wait for it, and what was decided before the look-up was not asked again; the exit did not wait for connections that were closing, whose unread bytes then reset the last response; a stream was refused late in a shutdown although it was due before the end.

Change: sl-route::shutdown decides, without network or clock, what is accepted, and docs/design/shutdown.md says why; what cannot be answered is refused at once as not run, before its body is read.

Without the change the decision tests do not compile; the rule before accepts the cases late, just_before_the_end and long, which are to be refused.

--- a/sl-base/src/code.rs
+++ b/sl-base/src/code.rs
@@ -99,6 +99,8 @@
     ConnectionLost = 3006,
     /// The response belonged to another request or was invalid.
     CrossedAnswer = 3007,
+    /// The instance shut down before a response arrived.
+    InstanceStopped = 3008,
 }
 
 impl Code {
@@ -127,7 +129,7 @@
             Code::HeadersLate => 408,
             Code::OverShare => 429,
             Code::CallerGone => 499,
-            Code::TotalTimeout => 504,
+            Code::TotalTimeout | Code::InstanceStopped => 504,
             Code::ConnectionLost | Code::CrossedAnswer | Code::CrashesServers => 502,
             Code::TooLate
             | Code::NoServer
--- a/sl-edge/src/caller.rs
+++ b/sl-edge/src/caller.rs
@@ -84,16 +84,18 @@
         let head = match read_head(&ingress, &mut conn, is_reused).await {
             Ok(head) => head,
             Err(None) => return conn.close().await,
-            Err(Some(code)) => return respond_and_close(conn, LocalResponse::of(code)).await,
+            Err(Some(code)) => {
+                return respond_and_close(&ingress, conn, LocalResponse::of(code)).await;
+            }
         };
         is_reused = true;
         // Not read earlier: the configuration may have changed while the connection was idle.
         let document = ingress.core.document();
         match handle_request(&ingress, &document, &mut conn, head).await {
             Ok(Disposition::KeepAlive) => {}
-            Ok(Disposition::Close) => return lingering_close(conn).await,
+            Ok(Disposition::Close) => return lingering_close(&ingress, conn).await,
             Ok(Disposition::Reset) => return conn.reset(),
-            Err(response) => return respond_and_close(conn, response).await,
+            Err(response) => return respond_and_close(&ingress, conn, response).await,
         }
     }
 }
@@ -157,18 +159,24 @@
     if !request.is_resumed() && ingress.core.should_reject(request.team.as_deref()) {
         return Err(request.reject_for_overload(ingress));
     }
+    // Refused before the body is received, which may take long.
+    if !request.is_accepted(ingress) {
+        return Err(request.reject_for_shutdown(ingress));
+    }
     let receiving = ingress.connections.mark_receiving();
     let body = tokio::select! {
         biased;
         body = read_body(document, conn, framing, &request.head) => body,
         () = ingress.core.shutdown.termination_started() => return Err(request.reject_for_shutdown(ingress)),
     };
-    drop(receiving);
     let body = body.map_err(LocalResponse::of)?;
-    if !ingress.core.shutdown.accepts(&request.route) {
+    let request = request.locate_stream(ingress).await;
+    if !request.is_accepted(ingress) {
         return Err(request.reject_for_shutdown(ingress));
     }
-    Ok(request.run(ingress, conn, body).await)
+    let guard = ingress.core.register_request();
+    drop(receiving);
+    Ok(request.run(ingress, conn, guard, body).await)
 }
 
 async fn read_body(
@@ -194,17 +202,19 @@
 }
 
 /// Sends a response to a request that was not run, and closes the connection.
-async fn respond_and_close(mut conn: Conn, response: LocalResponse) {
+async fn respond_and_close(ingress: &Ingress, mut conn: Conn, response: LocalResponse) {
+    let _closing = ingress.connections.mark_closing();
     // A write error means that the caller has disconnected.
     if response.write(&mut conn, None, false).await.is_ok() {
-        lingering_close(conn).await;
+        lingering_close(ingress, conn).await;
     }
 }
 
 /// Closes a connection gracefully. Closing with unread bytes sends a reset, which may destroy
 /// the response before the caller reads it, so incoming bytes are discarded for a moment
 /// first.
-async fn lingering_close(mut conn: Conn) {
+async fn lingering_close(ingress: &Ingress, mut conn: Conn) {
+    let _closing = ingress.connections.mark_closing();
     conn.shutdown_write().await;
     let reading = async {
         let mut read = 0;
--- a/sl-edge/src/caller/exchange.rs
+++ b/sl-edge/src/caller/exchange.rs
@@ -32,6 +32,8 @@
     Failed { fault: Fault, response: Option<FullResponse> },
     /// The caller closed its connection, or writing to it failed.
     CallerDisconnected,
+    /// The graceful shutdown has ended before the response.
+    CutOff,
     /// The server was silent, and the reducer decided on something else than waiting for it.
     Superseded { next: Option<Action> },
 }
@@ -53,6 +55,8 @@
     body: &'a Bytes,
     deadline: Timestamp,
     stream: StreamRelay,
+    /// Whether a response that is no stream may have been sent in part.
+    is_response_begun: bool,
     /// The error response of the last attempt, withheld because another server may be tried.
     server_error: Option<FullResponse>,
 }
@@ -70,11 +74,22 @@
         let is_http_11 = request.head.is_http_11;
         let stream =
             StreamRelay::new(request.metadata.last_event_id, is_http_11, request.keeps_alive);
-        Exchange { request, ingress, conn, guard, body, deadline, stream, server_error: None }
+        Exchange {
+            request,
+            ingress,
+            conn,
+            guard,
+            body,
+            deadline,
+            stream,
+            is_response_begun: false,
+            server_error: None,
+        }
     }
 
     /// Runs the request, with retries on other servers as the reducer decides, and responds.
     pub(super) async fn run(mut self, arrival: Arrival) -> Disposition {
+        let shutdown = &self.ingress.core.shutdown;
         let mut next = self.guard.next_action(Event::RequestArrived(Box::new(arrival))).await;
         loop {
             let target = match next {
@@ -85,7 +100,13 @@
                 }
                 None => return Disposition::Reset,
             };
-            next = match self.attempt(&target).await {
+            let outcome = tokio::select! {
+                biased;
+                outcome = self.attempt(&target) => outcome,
+                () = shutdown.termination_started() => AttemptOutcome::CutOff,
+            };
+            next = match outcome {
+                AttemptOutcome::CutOff => return self.finish_for_shutdown().await,
                 AttemptOutcome::Superseded { next } => next,
                 AttemptOutcome::Delivered { status } => return self.complete(status),
                 AttemptOutcome::CallerDisconnected => {
@@ -209,6 +230,7 @@
         {
             return AttemptOutcome::Failed { fault: Fault::ServerError, response: Some(response) };
         }
+        self.is_response_begun = true;
         match self.request.write_response(self.conn, &response).await {
             Ok(()) => AttemptOutcome::Delivered { status: response.head.status },
             Err(_) => AttemptOutcome::CallerDisconnected,
@@ -276,15 +298,30 @@
             },
             Action::Send(_) | Action::KeepWaiting { .. } => return Disposition::Reset,
         };
-        self.request.record_end(
-            self.ingress,
-            Some(&self.guard),
-            local.code.into(),
-            local.code.status(),
-        );
+        let keeps_alive = self.request.keeps_alive;
+        self.respond(local, keeps_alive).await
+    }
+
+    /// Responds to a request whose attempt the end of a graceful shutdown has broken off.
+    async fn finish_for_shutdown(self) -> Disposition {
+        self.ingress.core.shutdown.tally.record_cut();
+        if self.stream.is_head_sent || self.is_response_begun {
+            self.request.record_end(self.ingress, Some(&self.guard), "cut_off", 0);
+            return Disposition::Reset;
+        }
+        self.respond(LocalResponse::of(Code::InstanceStopped), false).await
+    }
+
+    /// Sends a response of this instance's own.
+    async fn respond(self, local: LocalResponse, keeps_alive: bool) -> Disposition {
+        let (code, status) = (local.code.into(), local.code.status());
+        self.request.record_end(self.ingress, Some(&self.guard), code, status);
         let attempt_id = Some(&self.request.metadata.attempt_id);
-        let written = local.write(self.conn, attempt_id, self.request.keeps_alive).await;
-        self.request.disposition(written)
+        match local.write(self.conn, attempt_id, keeps_alive).await {
+            Ok(()) if keeps_alive => Disposition::KeepAlive,
+            Ok(()) => Disposition::Close,
+            Err(_) => Disposition::Reset,
+        }
     }
 }
 
--- a/sl-edge/src/caller/request.rs
+++ b/sl-edge/src/caller/request.rs
@@ -7,7 +7,8 @@
 use sl_http::{Conn, RequestHead};
 use sl_report::Sample;
 use sl_route::{
-    Arrival, Document, Event, Prompt, RetryPolicy, Route, Team, stream_origin::StreamRequest,
+    Arrival, Document, Event, Prompt, RetryPolicy, Route, Team, shutdown::Candidate,
+    stream_origin::StreamRequest,
 };
 use slog::warn;
 
@@ -89,7 +90,7 @@
     /// exits.
     pub(super) fn reject_for_shutdown(&self, ingress: &Ingress) -> LocalResponse {
         let code = Code::Draining;
-        ingress.core.shutdown.record_refused();
+        ingress.core.shutdown.tally.record_refused();
         self.record_end(ingress, None, code.into(), code.status());
         LocalResponse { code, retry_after: Some(RETRY_ELSEWHERE_AFTER) }
     }
@@ -105,18 +106,27 @@
         LocalResponse { code, retry_after: Some(ingress.core.rejection_retry_delay()) }
     }
 
+    /// Whether the request will be answered before this instance exits.
+    pub(super) fn is_accepted(&self, ingress: &Ingress) -> bool {
+        let candidate = Candidate {
+            arrived_at: self.arrived_at,
+            deadline: self.caller_deadline().min(self.arrived_at.after(self.route.timeout)),
+            is_resumable: self.stream.is_some(),
+        };
+        ingress.core.shutdown.accepts(ingress.core.now(), candidate)
+    }
+
     /// Runs the request and responds to it.
     pub(super) async fn run(
         mut self,
         ingress: &Ingress,
         conn: &mut Conn,
+        guard: RequestGuard,
         body: Bytes,
     ) -> Disposition {
         // Not decided earlier: a shutdown may have started while the body was received.
         self.keeps_alive &= !ingress.core.is_shedding();
-        self.locate_stream(ingress).await;
-        let guard = ingress.core.register_request();
-        let arrival = self.arrival(&guard, &body);
+        let arrival = self.arrival(ingress, &guard, &body);
         self.log_admitted(ingress, &guard, &arrival);
         let deadline = arrival.deadline();
         let exchange = Exchange::new(&self, ingress, conn, guard, &body, deadline);
@@ -129,13 +139,18 @@
     }
 
     /// Finds out where the stream began that the request resumes, and goes on at that service.
-    async fn locate_stream(&mut self, ingress: &Ingress) {
+    pub(super) async fn locate_stream(mut self, ingress: &Ingress) -> Request {
         let Some(stream) = self.stream.filter(|it| it.is_resumed()) else {
-            return;
+            return self;
         };
         ingress.stream_locator.locate(&self.route, stream).await;
         let service = ingress.core.with_state(|it| it.service_of_stream(&self.route, stream));
         self.service = service.unwrap_or(self.service);
+        self
+    }
+
+    fn caller_deadline(&self) -> Timestamp {
+        self.arrived_at.after(self.metadata.timeout.unwrap_or(CALLER_TIMEOUT_DEFAULT))
     }
 
     /// Connections that this instance may have open to one server of the request's service.
@@ -144,6 +159,11 @@
     }
 
     fn log_admitted(&self, ingress: &Ingress, guard: &RequestGuard, arrival: &Arrival) {
+        let shutdown = &ingress.core.shutdown;
+        let shutdown_ms = shutdown.age_ms(ingress.core.now());
+        if shutdown_ms.is_some() {
+            shutdown.tally.record_accepted(ingress.core.now());
+        }
         let line = Line::Admitted(Admitted {
             request: guard.request,
             attempt_id: lossy_text(&self.metadata.attempt_id),
@@ -154,20 +174,19 @@
             input_tokens: arrival.prompt.as_ref().map(|it| it.input_tokens),
             last_event_id: self.metadata.last_event_id,
             resumes: self.metadata.resumes.clone(),
-            shutdown_ms: ingress.core.shutdown.record_accepted(ingress.core.now()),
+            shutdown_ms,
         });
         ingress.core.log_request_line(guard.request, line);
     }
 
-    fn arrival(&self, guard: &RequestGuard, body: &Bytes) -> Arrival {
-        let timeout = self.metadata.timeout.unwrap_or(CALLER_TIMEOUT_DEFAULT);
+    fn arrival(&self, ingress: &Ingress, guard: &RequestGuard, body: &Bytes) -> Arrival {
         Arrival {
             request: guard.request,
             route: self.route.clone(),
             service: self.service,
             team: self.team.clone(),
             arrived_at: self.arrived_at,
-            caller_deadline: self.arrived_at.after(timeout),
+            caller_deadline: ingress.core.shutdown.cap(self.caller_deadline()),
             prompt: self.metadata.prompt.clone(),
             body_bytes: body.len() as u64,
             fingerprint: self.fingerprint(body),
--- a/sl-edge/src/core.rs
+++ b/sl-edge/src/core.rs
@@ -25,7 +25,7 @@
 
 use crate::{
     clock::Clock, detail::TailSampler, handle::SharedRecorder, log::Line, metrics::Metrics,
-    overload::LoadShedder, peers::PeerArrival, shutdown::Shutdown,
+    overload::LoadShedder, peers::PeerArrival, shutdown::ShutdownControl,
 };
 
 /// What the reducer decided to do next with one request.
@@ -54,7 +54,7 @@
     /// Where to send the actions of each registered request.
     in_flight: RefCell<HashMap<RequestId, mpsc::UnboundedSender<Action>>>,
     last_request: Cell<u64>,
-    pub(crate) shutdown: Shutdown,
+    pub(crate) shutdown: ShutdownControl,
     load_shedder: Cell<LoadShedder>,
     request_log: RefCell<TailSampler<Line>>,
     peer_counts: Cell<PeerCounts>,
@@ -99,13 +99,15 @@
 const GAUGE_INTERVAL: Millis = Millis(1_000);
 
 impl Core {
-    /// `cache_list_tx` receives the engines whose cache contents are to be listed.
+    /// `cache_list_tx` receives the engines whose cache contents are to be listed; a graceful
+    /// shutdown ends within `drain_timeout`.
     pub(crate) fn new(
         state: State,
         log: Logger,
         metrics: Metrics,
         recorder: SharedRecorder,
         cache_list_tx: mpsc::UnboundedSender<(ServerKey, SocketAddr)>,
+        drain_timeout: Millis,
     ) -> Core {
         Core {
             clock: Clock,
@@ -115,7 +117,7 @@
             state: RefCell::new(state),
             in_flight: RefCell::default(),
             last_request: Cell::new(0),
-            shutdown: Shutdown::new(),
+            shutdown: ShutdownControl::new(drain_timeout),
             load_shedder: Cell::new(LoadShedder::new(Clock.now())),
             request_log: RefCell::new(TailSampler::new(Clock.now())),
             peer_counts: Cell::default(),
@@ -167,13 +169,6 @@
         RequestGuard { core: self.clone(), request, actions, is_finished: false }
     }
 
-    /// The requests that are registered.
-    pub(crate) fn requests_in_flight(&self) -> Vec<RequestId> {
-        let mut requests: Vec<RequestId> = self.in_flight.borrow().keys().copied().collect();
-        requests.sort_unstable();
-        requests
-    }
-
     /// Records how late the last tick ran, which drives load shedding, and updates the gauges
     /// when they are due.
     pub(crate) fn record_tick(&self, late_ms: f64) {
--- a/sl-edge/src/core/reporting.rs
+++ b/sl-edge/src/core/reporting.rs
@@ -36,12 +36,6 @@
         }
     }
 
-    /// Logs the lines that were buffered for a request, whatever the rate limit is.
-    pub(crate) fn flush_request_lines(&self, request: RequestId) {
-        let buffered = self.request_log.borrow_mut().take(request);
-        self.write_buffered(buffered);
-    }
-
     fn write_buffered(&self, lines: Vec<BufferedLine<Line>>) {
         let now = self.now();
         for BufferedLine { at, line } in lines {
--- a/sl-edge/src/detail.rs
+++ b/sl-edge/src/detail.rs
@@ -76,11 +76,6 @@
         Some(buffered)
     }
 
-    /// Takes the buffered lines of a request, to log them whatever the limits are.
-    pub fn take(&mut self, request: RequestId) -> Vec<BufferedLine<L>> {
-        self.buffered.remove(&request).unwrap_or_default()
-    }
-
     /// Drops the buffered lines of a request whose end is not logged.
     pub fn discard(&mut self, request: RequestId) {
         self.dropped += self.buffered.remove(&request).map_or(0, |it| it.len() as u64);
--- a/sl-edge/src/lib.rs
+++ b/sl-edge/src/lib.rs
@@ -37,6 +37,7 @@
 mod run;
 mod sent_requests;
 mod shutdown;
+mod signals;
 mod store;
 mod stream_locator;
 pub mod unused;
@@ -44,4 +45,5 @@
 
 pub use events::{EVENT_BYTES_MAX, EventSplitter, RawEvent};
 pub use peers::heartbeat;
-pub use run::{Error, run, signals};
+pub use run::{Error, run};
+pub use signals::{StopSignal, signals};
--- a/sl-edge/src/reload.rs
+++ b/sl-edge/src/reload.rs
@@ -14,7 +14,7 @@
 const POLL_INTERVAL: Millis = Millis(2_000);
 
 /// Reads the settings again at every SIGHUP and every [`POLL_INTERVAL`], and applies changed
-/// limits and regions. Changes of other settings take effect at the next start.
+/// limits, regions and periods. Changes of other settings take effect at the next start.
 pub(crate) async fn watch(
     core: Rc<Core>,
     mut settings: Settings,
@@ -38,6 +38,7 @@
                     "signal" => has_signal, "part_at_next_start" => needs_restart);
                 let limits = run::limits(&read);
                 core.step(Event::Limits(limits));
+                core.shutdown.drain_timeout.set(read.periods.drain_timeout);
                 core.step(Event::Regions(run::regions(&read)));
                 settings = read;
             }
--- a/sl-edge/src/run.rs
+++ b/sl-edge/src/run.rs
@@ -42,7 +42,9 @@
     peers::{DatagramKey, Gossip, RelayQueue},
     pool::Pool,
     query_handler::QueryHandler,
-    reload, shutdown,
+    reload,
+    shutdown::{self, StopRequest},
+    signals::StopSignal,
     store::StoreClient,
     stream_locator::StreamLocator,
     unused::ConnectionTracker,
@@ -82,32 +84,15 @@
     Random(#[from] getrandom::Error),
 }
 
-/// Yields an item for each SIGTERM or SIGINT that this process receives.
-///
-/// # Errors
-///
-/// [`Error::Signals`] if the handlers cannot be installed.
-pub fn signals() -> Result<impl Stream<Item = ()>, Error> {
-    let term = signal(SignalKind::terminate()).map_err(Error::Signals)?;
-    let int = signal(SignalKind::interrupt()).map_err(Error::Signals)?;
-    Ok(futures::stream::unfold((term, int), |(mut term, mut int)| async move {
-        tokio::select! {
-            _ = term.recv() => {}
-            _ = int.recv() => {}
-        }
-        Some(((), (term, int)))
-    }))
-}
-
-/// Runs the daemon until a graceful shutdown completes. The first of `signals` starts the
-/// shutdown, the second ends the daemon at once. `reload_settings` reads the settings anew.
+/// Runs the daemon until a graceful shutdown completes, which the first of `signals` starts.
+/// `reload_settings` reads the settings anew.
 ///
 /// # Errors
 ///
 /// If the daemon cannot start; no request has been accepted in that case.
 pub async fn run(
     settings: Settings,
-    signals: impl Stream<Item = ()>,
+    signals: impl Stream<Item = StopSignal>,
     reload_settings: impl Fn() -> Result<Settings, String> + 'static,
 ) -> Result<(), Error> {
     LocalSet::new().run_until(run_local(settings, signals, reload_settings)).await
@@ -118,7 +103,7 @@
 
 async fn run_local(
     settings: Settings,
-    signals: impl Stream<Item = ()>,
+    signals: impl Stream<Item = StopSignal>,
     reload_settings: impl Fn() -> Result<Settings, String> + 'static,
 ) -> Result<(), Error> {
     // Installed first: without a handler, SIGHUP terminates the process.
@@ -150,20 +135,17 @@
         "operator" => %ports.operator, "metrics" => %ports.metrics,
         "incarnation" => components.incarnation.0);
 
-    let (shutdown_tx, shutdown_requests) = mpsc::channel(1);
-    spawn_local(components.query_handler(&settings).run(query_rx, shutdown_tx));
+    let (drain_tx, mut drain_rx) = mpsc::channel(1);
+    spawn_local(components.query_handler(&settings).run(query_rx, drain_tx));
     let membership = components.spawn(&settings, caller_listener, notes_socket);
-    let drain_timeout = settings.periods.drain_timeout;
     spawn_local(reload::watch(components.core.clone(), settings, hangups, reload_settings));
-    wait_for_shutdown(
-        components.core.clone(),
-        &components.connections,
-        membership,
-        signals,
-        shutdown_requests,
-        drain_timeout,
-    )
-    .await;
+    let drains = futures::stream::poll_fn(move |cx| drain_rx.poll_recv(cx));
+    let requests =
+        futures::stream::select(signals.map(StopRequest::from), drains.map(StopRequest::Drain));
+    // The store entry is removed at once, so that peers see the removal while requests in
+    // flight are completed.
+    let deregister = || drop(spawn_local(async move { membership.deregister().await }));
+    shutdown::run(&components.core, &components.connections, requests, deregister).await;
     ports.close().await;
     drop(components.log_writer);
     Ok(())
@@ -208,7 +190,14 @@
         let connections = Rc::new(ConnectionTracker::new(max_callers));
         let recorder = SharedRecorder::new(&settings.name);
         let (cache_list_tx, cache_list_rx) = mpsc::unbounded_channel();
-        let core = Rc::new(Core::new(state, log, Metrics::default(), recorder, cache_list_tx));
+        let core = Rc::new(Core::new(
+            state,
+            log,
+            Metrics::default(),
+            recorder,
+            cache_list_tx,
+            settings.periods.drain_timeout,
+        ));
         spawn_local(engines::list_caches(core.clone(), cache_list_rx));
         let peer_table = Rc::new(PeerTable::default());
         let change_handler = ChangeHandler { core: core.clone(), peer_table: peer_table.clone() };
@@ -346,34 +335,6 @@
     settings.keys.operator_key_hashes.iter().map(hash).collect()
 }
 
-/// Waits for a stop signal or an operator's drain request, then shuts down gracefully; a signal
-/// received meanwhile aborts the shutdown.
-async fn wait_for_shutdown(
-    core: Rc<Core>,
-    connections: &ConnectionTracker,
-    membership: Rc<Membership>,
-    signals: impl Stream<Item = ()>,
-    mut shutdown_requests: mpsc::Receiver<Option<Millis>>,
-    drain_timeout: Millis,
-) {
-    let mut signals = std::pin::pin!(signals.fuse());
-    let drain_timeout = tokio::select! {
-        signal = signals.next() => match signal {
-            Some(()) => drain_timeout,
-            None => return,
-        },
-        Some(requested) = shutdown_requests.recv() => requested.unwrap_or(drain_timeout),
-    };
-    // The store entry is removed at once, so that peers see the removal while requests in
-    // flight are completed.
-    spawn_local(async move { membership.deregister().await });
-    let is_aborted = tokio::select! {
-        () = shutdown::shut_down(&core, connections, drain_timeout) => false,
-        Some(()) = signals.next() => true,
-    };
-    shutdown::log_end(&core, is_aborted);
-}
-
 async fn bind(address: SocketAddr) -> Result<TcpListener, Error> {
     TcpListener::bind(address).await.map_err(|source| Error::Listen { address, source })
 }
--- a/sl-edge/src/shutdown.rs
+++ b/sl-edge/src/shutdown.rs
@@ -1,93 +1,150 @@
 //! Graceful shutdown: the balancer and callers with open connections get time to move to other
-//! instances, and requests in flight are completed.
+//! instances, and every request that was accepted gets a response. The decisions are those of
+//! [`sl_route::shutdown`]; see docs/design/shutdown.md.
 
 use std::cell::Cell;
 
-use sl_base::{Millis, RequestId, Timestamp};
-use sl_route::Route;
-use slog::{info, warn};
+use futures::{Stream, StreamExt};
+use sl_base::{Millis, Timestamp};
+use sl_route::shutdown::{self, Candidate, Phase};
+use slog::info;
 use tokio::{sync::watch, time::sleep};
 
 use crate::{core::Core, overload::BALANCER_DELAY, unused::ConnectionTracker};
 
-/// Phases of a graceful shutdown, in order.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) enum ShutdownPhase {
-    /// No shutdown is in progress.
-    Serving,
-    /// Connections are closed after their next response.
-    Stopping,
-    /// Idle connections are closed, too, unless they wait for their first request. Streaming
-    /// requests are rejected, as they may outlast this instance.
-    RefusingStreams,
-    /// Every request is rejected and the process is about to exit.
-    Terminating,
+/// What starts a graceful shutdown, or changes the one in progress.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub(crate) enum StopRequest {
+    /// SIGTERM.
+    Terminate,
+    /// SIGINT.
+    Interrupt,
+    /// An operator's call, with a drain timeout of its own or the configured one.
+    Drain(Option<Millis>),
 }
 
 /// The state of the shutdown, and counts of the requests that arrive during it.
-pub(crate) struct Shutdown {
-    phase: watch::Sender<ShutdownPhase>,
-    started_at: Cell<Option<Timestamp>>,
+pub(crate) struct ShutdownControl {
+    /// The shutdown in progress; `None` before it.
+    current: Cell<Option<shutdown::Shutdown>>,
+    /// Wakes those that wait for a phase; `None` before the shutdown.
+    phase: watch::Sender<Option<Phase>>,
+    /// The drain timeout of the settings.
+    pub(crate) drain_timeout: Cell<Millis>,
+    pub(crate) tally: Tally,
+}
+
+/// Counts of the requests that arrive during a shutdown.
+#[derive(Default)]
+pub(crate) struct Tally {
     accepted: Cell<u64>,
     last_accepted_at: Cell<Option<Timestamp>>,
     refused: Cell<u64>,
+    /// Requests that the end of the shutdown leaves without a server's response.
+    cut: Cell<u64>,
 }
 
-/// Time that a request may be in transit to a connection that is being closed.
-const IN_TRANSIT_DELAY: Millis = Millis(100);
+/// Shortest time to send the last responses and to refuse requests in transit.
+const FINAL_RESPONSES_MIN: Millis = Millis(150);
 
-/// Time to send the last responses and to reject requests still in transit.
-const FINAL_RESPONSES_DELAY: Millis = Millis(150);
+/// Longest time for it, while responses are being written.
+const FINAL_RESPONSES_MAX: Millis = Millis(350);
 
 /// How often it is checked whether there are requests.
 const POLL_INTERVAL: Millis = Millis(20);
 
-impl Shutdown {
+impl ShutdownControl {
     /// The state while no shutdown is in progress.
-    pub(crate) fn new() -> Shutdown {
-        Shutdown {
-            phase: watch::Sender::new(ShutdownPhase::Serving),
-            started_at: Cell::new(None),
-            accepted: Cell::default(),
-            last_accepted_at: Cell::new(None),
-            refused: Cell::default(),
+    pub(crate) fn new(drain_timeout: Millis) -> ShutdownControl {
+        ShutdownControl {
+            current: Cell::new(None),
+            phase: watch::Sender::new(None),
+            drain_timeout: Cell::new(drain_timeout),
+            tally: Tally::default(),
         }
     }
 
     /// Whether a shutdown is in progress.
     pub(crate) fn is_in_progress(&self) -> bool {
-        *self.phase.borrow() > ShutdownPhase::Serving
+        self.current.get().is_some()
     }
 
     /// Waits until idle connections are closed.
     pub(crate) async fn idle_close_started(&self) {
-        // Cannot fail: the sender lives as long as `self`.
-        let _ = self.phase.subscribe().wait_for(|it| *it > ShutdownPhase::Stopping).await;
+        self.reached(Phase::ClosingIdle).await;
     }
 
-    /// Waits until no further connections are to be accepted.
+    /// Waits until no request is accepted any more, and those in flight have to end.
     pub(crate) async fn termination_started(&self) {
+        self.reached(Phase::Terminating).await;
+    }
+
+    async fn reached(&self, phase: Phase) {
         // Cannot fail: the sender lives as long as `self`.
-        let _ = self.phase.subscribe().wait_for(|it| *it == ShutdownPhase::Terminating).await;
+        let _ = self.phase.subscribe().wait_for(|it| *it >= Some(phase)).await;
     }
 
-    /// Whether a request on `route` that arrives now can be expected to complete before this
-    /// instance exits.
-    pub(crate) fn accepts(&self, route: &Route) -> bool {
-        match *self.phase.borrow() {
-            ShutdownPhase::Serving | ShutdownPhase::Stopping => true,
-            ShutdownPhase::RefusingStreams => !route.retry_policy.is_stream(),
-            ShutdownPhase::Terminating => false,
-        }
+    /// Whether a request is accepted at `now`: it will be answered before this instance exits.
+    pub(crate) fn accepts(&self, now: Timestamp, candidate: Candidate) -> bool {
+        self.current.get().is_none_or(|it| it.accepts(now, candidate))
+    }
+
+    /// The deadline of a request that is due at `deadline`, cut to the end of the shutdown.
+    pub(crate) fn cap(&self, deadline: Timestamp) -> Timestamp {
+        self.current.get().map_or(deadline, |it| it.cap(deadline))
     }
 
-    /// Counts a request that is passed to the reducer at `now`. Returns how long the shutdown has
-    /// been in progress, in milliseconds.
-    pub(crate) fn record_accepted(&self, now: Timestamp) -> Option<u64> {
-        let age = self.age_ms(now)?;
+    /// How long the shutdown has been in progress at `at`, in milliseconds; `None` before it.
+    pub(crate) fn age_ms(&self, at: Timestamp) -> Option<u64> {
+        let started_at = self.current.get()?.started_at();
+        Some(at.micros_since(started_at) / MICROS_PER_MILLI)
+    }
+
+    /// Starts the shutdown, or changes the one in progress.
+    fn apply(&self, now: Timestamp, request: StopRequest) {
+        let drain_timeout = match request {
+            StopRequest::Drain(Some(requested)) => requested,
+            _ => self.drain_timeout.get(),
+        };
+        // A platform ends the process itself when it takes longer, an operator does not.
+        let balancer_delay = match request {
+            StopRequest::Drain(_) => BALANCER_DELAY,
+            _ => BALANCER_DELAY.min(drain_timeout),
+        };
+        let options = shutdown::Options { drain_timeout, balancer_delay };
+        let next = match self.current.get() {
+            None => shutdown::Shutdown::begin(now, options),
+            Some(mut current) => {
+                if !matches!(request, StopRequest::Drain(_)) {
+                    current.abort(now);
+                }
+                current
+            }
+        };
+        self.current.set(Some(next));
+    }
+
+    /// Moves to the phase that is due, and wakes those that wait for it.
+    fn advance(&self, now: Timestamp, is_busy: bool) -> Option<Phase> {
+        let mut current = self.current.get()?;
+        let phase = current.advance(now, is_busy);
+        self.current.set(Some(current));
+        self.phase.send_if_modified(|it| it.replace(phase) != Some(phase));
+        Some(phase)
+    }
+
+    /// When the shutdown is to be advanced next.
+    fn next_check(&self, now: Timestamp) -> Timestamp {
+        self.current.get().map_or(now, |it| it.next_check(now, POLL_INTERVAL))
+    }
+}
+
+impl Tally {
+    /// Counts a request that is passed to the reducer at `now`, during the shutdown.
+    pub(crate) fn record_accepted(&self, now: Timestamp) {
         self.accepted.set(self.accepted.get() + 1);
         self.last_accepted_at.set(Some(now));
-        Some(age)
     }
 
     /// Counts a request that is refused because of the shutdown.
@@ -95,59 +152,77 @@
         self.refused.set(self.refused.get() + 1);
     }
 
-    /// How long the shutdown has been in progress at `at`, in milliseconds; `None` before it.
-    fn age_ms(&self, at: Timestamp) -> Option<u64> {
-        let started_at = self.started_at.get()?;
-        Some(at.micros_since(started_at) / MICROS_PER_MILLI)
+    /// Counts a request that the end of the shutdown leaves without a server's response.
+    pub(crate) fn record_cut(&self) {
+        self.cut.set(self.cut.get() + 1);
     }
 }
 
 const MICROS_PER_MILLI: u64 = 1_000;
 
-/// Runs the phases of a graceful shutdown, waiting up to `drain_timeout` for requests in flight
-/// and for those that are still being received. Requests still in flight when this returns are
-/// cut off. The fixed delays apply even if `drain_timeout` is shorter.
-pub(crate) async fn shut_down(core: &Core, connections: &ConnectionTracker, drain_timeout: Millis) {
-    let started_at = core.now();
-    let deadline = started_at.after(drain_timeout);
-    info!(core.log, "graceful shutdown started";
-        "within_ms" => drain_timeout.0, "held" => in_flight(core));
-    core.shutdown.started_at.set(Some(started_at));
-    set_phase(core, ShutdownPhase::Stopping);
-    sleep(BALANCER_DELAY.into()).await;
-    set_phase(core, ShutdownPhase::RefusingStreams);
-    // A request sent just before the caller saw its connection close still gets a response.
-    sleep(IN_TRANSIT_DELAY.into()).await;
-    while is_busy(core, connections) && !deadline.is_due(core.now()) {
-        sleep(POLL_INTERVAL.into()).await;
+/// Waits for the first of `requests`, calls `on_start`, and runs the shutdown to its end. Further
+/// requests may shorten it. When this returns, all responses are written, but for those whose
+/// callers do not read them.
+pub(crate) async fn run(
+    core: &Core,
+    connections: &ConnectionTracker,
+    requests: impl Stream<Item = StopRequest>,
+    on_start: impl FnOnce(),
+) {
+    let mut requests = std::pin::pin!(requests.fuse());
+    let Some(first) = requests.next().await else {
+        return;
+    };
+    apply(core, first);
+    on_start();
+    loop {
+        let phase = core.shutdown.advance(core.now(), is_busy(core, connections));
+        core.update_readiness();
+        if phase == Some(Phase::Terminating) {
+            break;
+        }
+        tokio::select! {
+            () = core.clock.reached(core.shutdown.next_check(core.now())) => {}
+            Some(request) = requests.next() => apply(core, request),
+        }
     }
-    set_phase(core, ShutdownPhase::Terminating);
-    // Requests read by now still get a response.
-    sleep(FINAL_RESPONSES_DELAY.into()).await;
+    finish_responses(core, connections).await;
+    log_end(core);
 }
 
-/// Logs how the shutdown ended, and each request that is cut off by the exit.
-pub(crate) fn log_end(core: &Core, is_aborted: bool) {
+fn apply(core: &Core, request: StopRequest) {
     let now = core.now();
-    let shutdown = &core.shutdown;
-    let cut = core.requests_in_flight();
-    for RequestId(request) in &cut {
-        core.flush_request_lines(RequestId(*request));
-        warn!(core.log, "request cut off by shutdown"; "request" => request);
-    }
-    let last_accepted_ms = shutdown.last_accepted_at.get().and_then(|it| shutdown.age_ms(it));
-    let msg = match is_aborted {
-        true => "graceful shutdown aborted by a signal",
-        false => "graceful shutdown finished",
+    let is_first = !core.shutdown.is_in_progress();
+    core.shutdown.apply(now, request);
+    let within_ms = core.shutdown.current.get().map(|it| it.ends_at().remaining(now).0);
+    let request: &str = request.into();
+    let msg = match is_first {
+        true => "graceful shutdown started",
+        false => "graceful shutdown requested again",
     };
-    info!(core.log, "{}", msg; "cut" => cut.len(), "took_ms" => shutdown.age_ms(now),
-        "accepted" => shutdown.accepted.get(), "last_accepted_ms" => last_accepted_ms,
-        "refused" => shutdown.refused.get());
+    info!(core.log, "{}", msg;
+        "by" => request, "within_ms" => within_ms, "held" => in_flight(core));
+}
+
+/// Gives the last responses time to be written.
+async fn finish_responses(core: &Core, connections: &ConnectionTracker) {
+    let deadline = core.now().after(FINAL_RESPONSES_MAX);
+    sleep(FINAL_RESPONSES_MIN.into()).await;
+    let is_writing = || is_busy(core, connections) || connections.closing_count() > 0;
+    while is_writing() && !deadline.is_due(core.now()) {
+        sleep(POLL_INTERVAL.into()).await;
+    }
 }
 
-fn set_phase(core: &Core, phase: ShutdownPhase) {
-    core.shutdown.phase.send_replace(phase);
-    core.update_readiness();
+/// Logs how the shutdown ended.
+fn log_end(core: &Core) {
+    let control = &core.shutdown;
+    let tally = &control.tally;
+    let last_accepted_ms = tally.last_accepted_at.get().and_then(|it| control.age_ms(it));
+    info!(core.log, "graceful shutdown finished";
+        "cut" => tally.cut.get(), "took_ms" => control.age_ms(core.now()),
+        "accepted" => tally.accepted.get(), "last_accepted_ms" => last_accepted_ms,
+        "refused" => tally.refused.get());
 }
 
 /// Whether requests are in flight or being received.
--- a/sl-edge/src/unused.rs
+++ b/sl-edge/src/unused.rs
@@ -18,6 +18,7 @@
     max_open: usize,
     open: Cell<usize>,
     receiving: Cell<usize>,
+    closing: Cell<usize>,
     /// The number given to the latest idle period; numbers increase with time.
     last_number: Cell<u64>,
     /// Wakes each idle connection for its eviction, longest idle first.
@@ -30,6 +31,9 @@
 /// Counts a request as being received until dropped.
 pub struct ReceivingGuard<'a>(&'a ConnectionTracker);
 
+/// Counts a connection as closing until dropped.
+pub struct ClosingGuard<'a>(&'a ConnectionTracker);
+
 /// Marks a connection as idle until dropped.
 pub struct IdleGuard<'a> {
     tracker: &'a ConnectionTracker,
@@ -45,6 +49,7 @@
             max_open,
             open: Cell::new(0),
             receiving: Cell::new(0),
+            closing: Cell::new(0),
             last_number: Cell::new(0),
             idle,
         }
@@ -81,6 +86,18 @@
         self.receiving.get()
     }
 
+    /// Counts a connection as closing from now on: its last response may not have reached the
+    /// caller.
+    pub fn mark_closing(&self) -> ClosingGuard<'_> {
+        self.closing.set(self.closing.get() + 1);
+        ClosingGuard(self)
+    }
+
+    /// The number of connections that are closing.
+    pub fn closing_count(&self) -> usize {
+        self.closing.get()
+    }
+
     /// The number of open connections.
     pub fn open_count(&self) -> usize {
         self.open.get()
@@ -106,6 +123,12 @@
     }
 }
 
+impl Drop for ClosingGuard<'_> {
+    fn drop(&mut self) {
+        self.0.closing.set(self.0.closing.get() - 1);
+    }
+}
+
 impl Drop for IdleGuard<'_> {
     fn drop(&mut self) {
         self.tracker.idle.borrow_mut().remove(&self.number);
--- a/sl-report/src/record.rs
+++ b/sl-report/src/record.rs
@@ -67,7 +67,8 @@
             | Code::OriginUnknown
             | Code::TotalTimeout
             | Code::ConnectionLost
-            | Code::CrossedAnswer => Some(Sample::Unanswered),
+            | Code::CrossedAnswer
+            | Code::InstanceStopped => Some(Sample::Unanswered),
         }
     }
 }
--- a/sl-route/src/lib.rs
+++ b/sl-route/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod send_limit;
 pub mod server;
 pub mod share;
+pub mod shutdown;
 mod state;
 pub mod stream_origin;
 pub mod version_record;
--- a/sl-route/tests/it/main.rs
+++ b/sl-route/tests/it/main.rs
@@ -24,6 +24,7 @@
 mod retry;
 mod route_balance;
 mod share;
+mod shutdown;
 mod silence;
 mod split;
 mod streams;
