tests: requests of the tests of a shutdown are in flight before the signal

it::shutdown sent a request and SIGTERM at once, so that either could come first. They wait until a server has the stream, or 300 ms for a head to be read.

--- a/tests/it/shutdown.rs
+++ b/tests/it/shutdown.rs
@@ -13,6 +13,7 @@
     let mut fleet = fleet(1).await;
     let mut streaming = fleet.caller(0).await.unwrap();
     streaming.send(&model_call("/chat/7", "during").to_bytes()).await.unwrap();
+    eventually("the stream is executed", async || fleet.execution_count("during") == 1).await;
     let mut idle = fleet.caller(0).await.unwrap();
     assert_eq!(idle.call(&call("GET", "/status/7", "before")).await.unwrap().status(), 200);
     fleet.instances[0].signal(Signal::SIGTERM);
@@ -37,6 +38,7 @@
     }
     let mut hanging = fleet.caller(0).await.unwrap();
     hanging.send(&model_call("/chat/7", "held").to_bytes()).await.unwrap();
+    eventually("the stream is executed", async || fleet.execution_count("held") == 1).await;
     fleet.instances[0].signal(Signal::SIGTERM);
     tokio::time::sleep(Duration::from_millis(3_000)).await;
     let mut late = fleet.caller(0).await.unwrap();
@@ -96,6 +98,9 @@
     .await;
 }
 
+/// Time in which the instance has read the head of a request: one whose head comes later may be refused.
+const HEAD_READ_TIME: Duration = Duration::from_millis(300);
+
 /// The start of a request with a body of ten bytes, five of which are missing.
 fn half_request(attempt_id: &str) -> Vec<u8> {
     let whole = Call { body: "0123456789".into(), ..call("POST", "/upload/7", attempt_id) };
@@ -112,6 +117,7 @@
     add_upload_route(&fleet).await;
     let mut caller = fleet.caller(0).await.unwrap();
     caller.send(&half_request("slow")).await.unwrap();
+    tokio::time::sleep(HEAD_READ_TIME).await;
     fleet.instances[0].signal(Signal::SIGTERM);
     // Longer than a shutdown takes without requests.
     tokio::time::sleep(Duration::from_millis(3_500)).await;
@@ -129,6 +135,7 @@
     add_upload_route(&fleet).await;
     let mut caller = fleet.caller(0).await.unwrap();
     caller.send(&half_request("incomplete")).await.unwrap();
+    tokio::time::sleep(HEAD_READ_TIME).await;
     fleet.instances[0].signal(Signal::SIGTERM);
     let response = caller.read_response("POST").await.unwrap();
     assert_eq!((response.status(), response.header("x-sesamelock-code")), (503, Some("1014")));
