Shutdown: a further SIGTERM does not abort it

Callers saw their connection closed without an answer, while a server ran their request, when an instance that was stopping got SIGTERM again: signals come in series, and the platform promises each process grace_s.

Cause: any second signal aborted the shutdown, meant for an operator at a terminal; and SIGTERM aborted an operator's drain in the same way. The class: one event with two meanings, told apart by order alone.

--- a/sl-edge/src/shutdown.rs
+++ b/sl-edge/src/shutdown.rs
@@ -16,9 +16,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
 pub(crate) enum StopRequest {
-    /// SIGTERM.
+    /// SIGTERM. Platforms and supervisors may send it repeatedly, and end the process themselves
+    /// when it takes too long.
     Terminate,
-    /// SIGINT.
+    /// SIGINT, from an operator at a terminal. During a shutdown it ends the process at once.
     Interrupt,
     /// An operator's call, with a drain timeout of its own or the configured one.
     Drain(Option<Millis>),
@@ -116,8 +117,9 @@
         let next = match self.current.get() {
             None => shutdown::Shutdown::begin(now, options),
             Some(mut current) => {
-                if !matches!(request, StopRequest::Drain(_)) {
-                    current.abort(now);
+                match request {
+                    StopRequest::Interrupt => current.abort(now),
+                    _ => current.shorten(now, drain_timeout),
                 }
                 current
             }
--- a/sl-route/src/shutdown.rs
+++ b/sl-route/src/shutdown.rs
@@ -76,6 +76,13 @@
         }
     }
 
+    /// Ends the shutdown within `drain_timeout` from `now`, unless it ends sooner. A request for a
+    /// shutdown that is in progress never lengthens it.
+    pub fn shorten(&mut self, now: Timestamp, drain_timeout: Millis) {
+        let ends_at = now.after(drain_timeout).max(self.transit_ends_at);
+        self.ends_at = self.ends_at.min(ends_at);
+    }
+
     /// Ends the shutdown `now`.
     pub fn abort(&mut self, now: Timestamp) {
         self.ends_at = self.ends_at.min(now);
--- a/sl-route/tests/it/shutdown.rs
+++ b/sl-route/tests/it/shutdown.rs
@@ -69,6 +69,24 @@
     assert_eq!(busy_shutdown(now_ms).accepts(at(now_ms), upload), expected);
 }
 
+// A second SIGTERM ended the process at once, with all requests in flight.
+#[test]
+fn a_further_request_for_a_shutdown_never_lengthens_it() {
+    let mut shutdown = busy_shutdown(1_000);
+    shutdown.shorten(at(1_000), OPTIONS.drain_timeout);
+    assert_eq!(shutdown.ends_at(), at(7_400));
+    assert_eq!(shutdown.advance(at(7_399), true), Phase::ClosingIdle);
+    assert_eq!(shutdown.advance(at(7_400), true), Phase::Terminating);
+}
+
+#[test]
+fn sigterm_shortens_the_drain_of_an_operator() {
+    let options = Options { drain_timeout: Millis(60_000), ..OPTIONS };
+    let mut shutdown = Shutdown::begin(start(), options);
+    shutdown.shorten(at(10_000), OPTIONS.drain_timeout);
+    assert_eq!(shutdown.ends_at(), at(17_400));
+}
+
 #[test]
 fn callers_get_time_to_move_even_if_the_drain_timeout_is_shorter() {
     let options = Options { drain_timeout: Millis(500), ..OPTIONS };
@@ -94,18 +112,22 @@
 }
 
 proptest! {
-    /// Whatever the times are, no response is due after the end.
+    /// Whatever comes after the acceptance, short of an abort, the deadline is before the end.
     #[test]
     fn an_accepted_request_is_due_before_the_end_or_capped(
         drain_ms in 0_u64..20_000,
         arrival_ms in 0_u64..20_000,
         timeout_ms in 1_u64..15_000,
+        repeats in proptest::collection::vec(0_u64..20_000, 0..4),
     ) {
         let options = Options { drain_timeout: Millis(drain_ms), ..OPTIONS };
         let mut shutdown = Shutdown::begin(start(), options);
         shutdown.advance(at(arrival_ms), true);
         let request = candidate(arrival_ms, timeout_ms);
         let is_accepted = shutdown.accepts(at(arrival_ms), request);
+        for repeat in repeats {
+            shutdown.shorten(at(arrival_ms + repeat), options.drain_timeout);
+        }
         if is_accepted {
             prop_assert!(request.deadline < shutdown.ends_at());
         }
