--- a/tests/it/stops.rs
+++ b/tests/it/stops.rs
@@ -1,6 +1,13 @@
 //! What an instance accepts while it stops, it answers before it exits; the rest it refuses as not
 //! run.
 
+mod disruptions;
+mod exit;
+mod incomplete;
+mod resumed;
+mod starts;
+mod unread;
+
 use std::{
     net::SocketAddr,
     time::{Duration, Instant},
