--- a/tests/it/stops/incomplete.rs
+++ b/tests/it/stops/incomplete.rs
@@ -47,7 +47,8 @@
         Ok(()) => caller.read_response(call.method).await,
         Err(e) => Err(e),
     };
-    Some(Sent { attempt_id: call.attempt_id, after, response })
+    let took = stopped_at.elapsed() - after;
+    Some(Sent { attempt_id: call.attempt_id, after, took, response })
 }
 
 // Guards against requests that are executed, or read and not answered, because their last byte comes
--- a/tests/it/stops/unread.rs
+++ b/tests/it/stops/unread.rs
@@ -51,7 +51,8 @@
         written = caller.send(&[b'x'; PIECE_BYTES]).await;
     }
     let response = caller.read_response("POST").await;
-    Sent { attempt_id, after, response }
+    let took = stopped_at.elapsed() - after;
+    Sent { attempt_id, after, took, response }
 }
 
 // Guards against a response that is lost because the connection is closed, or the process exits, with
