Shutdown: the process exits before the platform ends it

Callers would see their requests cut off when the platform kills the process, grace_s after SIGTERM. The process exited 1.2 to 2.2 s after stop-within-ms while anyone kept a connection to the metrics or operator port, and the deployment leaves 0.6 s. stop-within-ms was fixed at 7,400 in deploy/settings.ini, whatever grace_s a deployment has.

Cause: the ports waited up to 2 s for their clients, after the deadline of the shutdown; and a limit of the platform stood in our settings as a number. Both are deadlines that were not compared with the one that binds them.

--- a/sl-config/src/settings.rs
+++ b/sl-config/src/settings.rs
@@ -129,10 +129,26 @@
 /// Timeouts of an instance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Periods {
-    /// How long a graceful shutdown waits for requests in flight before it cuts them off.
+    /// How long a graceful shutdown waits for the last response.
     pub drain_timeout: Millis,
 }
 
+/// Time between the last response and the end of the process: the response is sent, the ports are
+/// closed and the log is written.
+const EXIT_TIME: Millis = Millis(600);
+
+impl Periods {
+    /// Periods for a platform that ends the process when `grace` has passed since SIGTERM.
+    pub fn from_grace(grace: Millis) -> Periods {
+        Periods { drain_timeout: Millis(grace.0.saturating_sub(EXIT_TIME.0)) }
+    }
+
+    /// The time between SIGTERM and the end of the process.
+    pub fn grace(&self) -> Millis {
+        Millis(self.drain_timeout.0 + EXIT_TIME.0)
+    }
+}
+
 /// Accounting of the teams' shares of engine capacity.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Sharing {
--- a/sl-config/src/settings/read.rs
+++ b/sl-config/src/settings/read.rs
@@ -251,8 +251,13 @@
 }
 
 fn read_periods(reader: &mut Reader<'_, '_>) -> Periods {
-    let defaults = Periods::default();
-    Periods { drain_timeout: reader.millis("stop-within-ms", defaults.drain_timeout) }
+    let has_grace = reader.contains("grace-ms") || reader.contains("grace-s");
+    if has_grace && reader.contains("stop-within-ms") {
+        reader.conflict("stop-within-ms", "`stop-within-ms` follows from the grace period");
+    }
+    let grace = reader.duration("grace-ms", "grace-s", Periods::default().grace());
+    let drain_timeout = reader.millis("stop-within-ms", Periods::from_grace(grace).drain_timeout);
+    Periods { drain_timeout }
 }
 
 fn read_sharing(reader: &mut Reader<'_, '_>) -> Sharing {
--- a/sl-config/tests/it/settings.rs
+++ b/sl-config/tests/it/settings.rs
@@ -1,6 +1,7 @@
 //! Faults of a settings file, each with its line, and defaults.
 
 use rstest::rstest;
+use sl_base::Millis;
 use sl_config::{Faults, KeySource, Settings, settings::LogFormat};
 
 const VALID: &str = include_str!("../../../examples/settings.ini");
@@ -37,6 +38,19 @@
     assert_eq!(faults(&text).faults().len(), 1);
 }
 
+// Guards against a process that still shuts down when the platform ends it, on a platform with
+// another grace period than the one that the settings were written for.
+#[rstest]
+#[case::seconds("grace-s = 8", 7_400)]
+#[case::milliseconds("grace-ms = 2500", 1_900)]
+#[case::less_than_the_exit_takes("grace-ms = 100", 0)]
+#[case::the_shutdown_itself("stop-within-ms = 5000", 5_000)]
+fn a_shutdown_ends_before_the_grace_period(#[case] line: &str, #[case] expected_ms: u64) {
+    let text = VALID.replace("stop-within-ms = 30000", line);
+    let settings = Settings::parse("settings.ini", &text).unwrap();
+    assert_eq!(settings.periods.drain_timeout, Millis(expected_ms));
+}
+
 #[test]
 fn all_faults_are_reported_with_their_lines() {
     let text = VALID
@@ -68,6 +82,11 @@
     "stop-within-ms = 86400001",
     "`86400001` is not between 1 and 86400000"
 )]
+#[case::two_ends_of_a_shutdown(
+    "stop-within-ms = 30000",
+    "stop-within-ms = 30000\ngrace-s = 8",
+    "`stop-within-ms` follows from the grace period"
+)]
 #[case::overshoot(
     "overshoot = 1.5",
     "overshoot = some",
--- a/sl-core/tests/it/template.rs
+++ b/sl-core/tests/it/template.rs
@@ -32,6 +32,7 @@
 max_fds = 4000
 
 [bounds]
+grace_s = 8
 retry_budget_ratio = 0.2
 retry_allowance = 50
 budget_window_s = 10
@@ -61,6 +62,14 @@
     assert_eq!(exit, Exit::Done, "{text}");
 }
 
+// Guards against instances that do not start where the platform names no grace period.
+#[test]
+fn the_deployed_template_is_valid_without_a_grace_period() {
+    let values = VALUES.replace("grace_s = 8\n", "");
+    let (exit, text) = run_check(TEMPLATE, &values, OutputFormat::Text);
+    assert_eq!(exit, Exit::Done, "{text}");
+}
+
 #[test]
 fn the_deployed_template_is_valid() {
     let (exit, text) = run_check(TEMPLATE, VALUES, OutputFormat::Text);
--- a/sl-edge/src/run.rs
+++ b/sl-edge/src/run.rs
@@ -21,7 +21,7 @@
     signal::unix::{SignalKind, signal},
     sync::{Notify, mpsc},
     task::{LocalSet, spawn_local},
-    time::{Instant, sleep_until},
+    time::{Instant, sleep_until, timeout},
 };
 
 use crate::{
@@ -146,11 +146,15 @@
     // flight are completed.
     let deregister = || drop(spawn_local(async move { membership.deregister().await }));
     shutdown::run(&components.core, &components.connections, requests, deregister).await;
-    ports.close().await;
+    // A request for metrics need not be answered: the process is about to exit.
+    let _ = timeout(PORTS_CLOSE_TIMEOUT.into(), ports.close()).await;
     drop(components.log_writer);
     Ok(())
 }
 
+/// How long the operator and metrics ports may take to close while clients keep connections open.
+const PORTS_CLOSE_TIMEOUT: Millis = Millis(50);
+
 /// Options of the links to peer instances.
 const PEER_OPTIONS: sl_peer::Options = sl_peer::Options {
     connect_timeout: Millis(500),
