sl-edge: an instance that stops while it registers ends the registration

Peers counted an instance that had gone as a member for up to 12 s (its lease), and sent notes to it. Cause: SIGTERM between the grant of the lease and the write of the entry: the registration went on after the shutdown had ended it. It now ends its own lease.

--- a/sl-edge/src/membership.rs
+++ b/sl-edge/src/membership.rs
@@ -301,6 +301,10 @@
             return None;
         }
         self.lease.set(Some(Lease { id: lease, era }));
+        if self.core.shutdown.is_in_progress() {
+            self.deregister().await;
+            return None;
+        }
         info!(self.core.log, "instance registered in the store";
             "lease" => lease, "lease_ms" => ttl.0);
         Some(ttl)
