A refusal proves that a request has not run only if it belongs to the request

What callers saw: a faulty server writes an earlier refusal once more (503, 429 or 400 with X-Not-Executed, or 421) on a connection that is in use again, without an attempt id. The request that was sent there, which the server runs, was answered 503 "not-run", or ran on a second server although its route allows one run.

Cause: `ServerResponse::classify` compared an attempt id only where the response had one. A rejection without an id counted for the request whose response was due, whatever the connection had carried before.

Change: a rejection proves that the request has not run if it has the request's attempt id, or if it is the first response on a connection that has carried nothing else, where no earlier one can be repeated. After a response to another request has been discarded, only the id counts, on a new connection too.

--- a/sl-edge/src/attempt.rs
+++ b/sl-edge/src/attempt.rs
@@ -9,7 +9,7 @@
     clock::Clock,
     pool::{Pool, PoolError, PooledConn},
 };
-use platform::{ForwardedRequest, ResponseClass, ServerResponse};
+use platform::{ConnectionUse, ForwardedRequest, ResponseClass, ServerResponse};
 
 /// The request as one attempt sends it.
 #[derive(Clone, Copy, Debug)]
@@ -132,10 +132,14 @@
     on_response: impl Fn(ServerResponse<'_>),
 ) -> Result<MatchingHead, Fault> {
     let mut unsent = request;
+    let mut connection_use = match pooled.is_reused {
+        true => ConnectionUse::Reused,
+        false => ConnectionUse::First,
+    };
     for _ in 0..=STRAY_RESPONSES_MAX {
         let head = send_until_final_head(pooled, &mut unsent, lost_fault).await?;
         let response = ServerResponse(&head);
-        let class = response.classify(outgoing.attempt_id);
+        let class = response.classify(outgoing.attempt_id, connection_use);
         if class.is_by_target() {
             on_response(response);
         }
@@ -145,9 +149,11 @@
             ResponseClass::ServerError => return Err(Fault::UnprovenRejection),
             ResponseClass::NotRun => return Err(Fault::Full),
             ResponseClass::Misdirected => return Err(Fault::WrongServer),
+            ResponseClass::UnmatchedRejection => return Err(Fault::UnmatchedRejection),
             ResponseClass::Invalid => return Err(Fault::InvalidResponse),
             ResponseClass::OtherRequest => {
                 discard_response(pooled, &head, outgoing).await?;
+                connection_use = ConnectionUse::Reused;
                 continue;
             }
         };
--- a/sl-route/src/event.rs
+++ b/sl-route/src/event.rs
@@ -298,6 +298,9 @@
     /// The request's deadline passed.
     #[strum(serialize = "expired")]
     DeadlineExceeded,
+    /// The server responded that it did not run a request, and nothing shows that the response
+    /// belongs to this request, which may therefore have run.
+    UnmatchedRejection,
 }
 
 impl Fault {
--- a/sl-route/src/state/attempt.rs
+++ b/sl-route/src/state/attempt.rs
@@ -372,7 +372,7 @@
 fn failure_reason(fault: Fault) -> Failure {
     match fault {
         Fault::ResponseTimeout | Fault::DeadlineExceeded => Failure::Timeout,
-        Fault::InvalidResponse => Failure::InvalidResponse,
+        Fault::InvalidResponse | Fault::UnmatchedRejection => Failure::InvalidResponse,
         _ => Failure::ConnectionLost,
     }
 }
--- a/sl-route/tests/it/retry.rs
+++ b/sl-route/tests/it/retry.rs
@@ -38,6 +38,7 @@
 #[case::invalid_response(Fault::InvalidResponse, Reaction::Retried, Reaction::Failed)]
 #[case::response_timeout(Fault::ResponseTimeout, Reaction::Retried, Reaction::Failed)]
 #[case::unproven_rejection(Fault::UnprovenRejection, Reaction::Retried, Reaction::Failed)]
+#[case::unmatched_rejection(Fault::UnmatchedRejection, Reaction::Retried, Reaction::Failed)]
 #[case::server_error(Fault::ServerError, Reaction::Retried, Reaction::ServerErrorForwarded)]
 fn reaction_to_the_first_fault(
     #[case] fault: Fault,
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -7,6 +7,7 @@
 mod evacuation;
 mod failure;
 mod late_copies;
+mod late_refusals;
 mod limits;
 mod membership;
 mod notices;
