sl-http: whether a connection is idle is asked of the operating system

What callers saw: a connection on which a server had just written stray bytes, or which it had just closed, was used for the next request. A request that may run once was then answered 502, since its outcome was unknown, although the connection could have been left alone before anything was sent.

Cause: `Conn::is_idle` read through the runtime, which remembers that nothing can be read until it has processed the event. Events wait while other tasks of the thread run.

Change: `is_idle` peeks at the socket, as `is_closed_by_peer` does, and consumes nothing any more.

Measured: both cases of `a_connection_is_not_idle_once_anything_has_arrived` fail before the change and pass with it. What arrives between the check and the sending is still read as a response, whose id then decides.

--- a/sl-edge/src/pool.rs
+++ b/sl-edge/src/pool.rs
@@ -161,7 +161,7 @@
         let mut idle = server.idle.borrow_mut();
         // The most recently used connection is the least likely to have been closed.
         while let Some(index) = idle.iter().rposition(|it| !it.sent.contains(attempt_id)) {
-            let mut newest = idle.remove(index);
+            let newest = idle.remove(index);
             if newest.expires_at.is_due(now) || !newest.conn.is_idle() {
                 continue;
             }
--- a/sl-http/src/conn.rs
+++ b/sl-http/src/conn.rs
@@ -53,31 +53,28 @@
     }
 
     /// Whether the connection can be reused for another request: no unconsumed bytes have
-    /// arrived, and the peer has not closed it. The check may discard a received byte, so the
-    /// connection must not be used after `false`.
-    pub fn is_idle(&mut self) -> bool {
-        if !self.buf.is_empty() {
-            return false;
-        }
-        let mut byte = [0];
-        match self.stream.try_read(&mut byte) {
-            Err(e) => e.kind() == io::ErrorKind::WouldBlock,
-            Ok(_) => false,
-        }
+    /// arrived, and the peer has not closed it. Consumes no bytes.
+    pub fn is_idle(&self) -> bool {
+        let is_waiting = |e: &io::Error| e.kind() == io::ErrorKind::WouldBlock;
+        self.buf.is_empty() && self.peek().is_err_and(|e| is_waiting(&e))
     }
 
-    /// Whether the peer has closed the connection or the connection failed. Asks the operating
-    /// system directly, since the runtime may not have processed the event yet. Consumes no
-    /// bytes.
+    /// Whether the peer has closed the connection or the connection failed. Consumes no bytes.
     pub fn is_closed_by_peer(&self) -> bool {
-        let mut byte = [MaybeUninit::uninit()];
-        let peeked = socket2::SockRef::from(&self.stream).peek(&mut byte);
-        match peeked {
+        match self.peek() {
             Ok(read) => read == 0,
             Err(e) => e.kind() != io::ErrorKind::WouldBlock,
         }
     }
 
+    /// Number of bytes that can be read, at most one; 0 if the peer has closed the connection.
+    /// Asks the operating system directly, since the runtime may not have processed the event
+    /// yet.
+    fn peek(&self) -> io::Result<usize> {
+        let mut byte = [MaybeUninit::uninit()];
+        socket2::SockRef::from(&self.stream).peek(&mut byte)
+    }
+
     /// Reads a head of at most `limit` bytes. Cancel safe: no bytes are lost if the returned
     /// future is dropped.
     ///
--- a/sl-http/tests/it/body.rs
+++ b/sl-http/tests/it/body.rs
@@ -83,12 +83,12 @@
 
 #[tokio::test]
 async fn only_an_open_connection_without_received_bytes_is_idle() {
-    let (mut peer, mut conn) = connected_pair().await;
+    let (mut peer, conn) = connected_pair().await;
     assert!(conn.is_idle());
     peer.write_all(b"x").await.unwrap();
     tokio::time::sleep(Duration::from_millis(50)).await;
     assert!(!conn.is_idle());
-    let (peer, mut conn) = connected_pair().await;
+    let (peer, conn) = connected_pair().await;
     drop(peer);
     tokio::time::sleep(Duration::from_millis(50)).await;
     assert!(!conn.is_idle());
--- a/sl-http/tests/it/conn.rs
+++ b/sl-http/tests/it/conn.rs
@@ -1,4 +1,4 @@
-use std::time::Duration;
+use std::{io::Write, time::Duration};
 
 use rstest::rstest;
 use sl_http::{Conn, HeadError, RequestHead};
@@ -42,3 +42,23 @@
     assert_eq!(read.is_ok(), fits, "{read:?}");
     assert!(fits || matches!(read, Err(HeadError::TooLarge)));
 }
+
+/// Guards against a connection that is used again although bytes or the close have arrived since
+/// the runtime last looked, which happens while a task of the same thread runs for long.
+#[rstest]
+#[case::bytes(b"x")]
+#[case::close(b"")]
+#[tokio::test]
+async fn a_connection_is_not_idle_once_anything_has_arrived(#[case] bytes: &[u8]) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let peer = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+    let mut conn = Conn::new(listener.accept().await.unwrap().0);
+    timeout(Duration::from_millis(20), conn.fill()).await.unwrap_err();
+    assert!(conn.is_idle());
+    let mut peer = peer.into_std().unwrap();
+    peer.write_all(bytes).unwrap();
+    peer.shutdown(std::net::Shutdown::Write).unwrap();
+    // Blocks the thread, so that the runtime sees no events.
+    std::thread::sleep(Duration::from_millis(20));
+    assert!(!conn.is_idle());
+}
