sl-edge: a connection knows the ids of all requests that it has carried

What callers saw: a request had the attempt id of an earlier one, with four or more others between them on the connection to the server. A late refusal of the earlier one was taken for a refusal of the later one: 503 "not-run" for a request that the server ran, or a second run.

Cause: a connection remembered its last four ids, and was used again for an id that it had forgotten. A response with that id then looked like one to the later request.

--- a/sl-edge/src/attempt.rs
+++ b/sl-edge/src/attempt.rs
@@ -189,7 +189,7 @@
 }
 
 /// Reads and drops the body of a response to another request. Whether the response has a body
-/// depends on the method of that request; if the connection no longer knows it, the method is
+/// depends on the method of that request; if the connection has not carried it, the method is
 /// taken to be that of the current one.
 async fn discard_response(
     pooled: &mut PooledConn,
@@ -197,7 +197,7 @@
     outgoing: OutgoingRequest<'_>,
 ) -> Result<(), Fault> {
     let other_method = ServerResponse(head).attempt_id().and_then(|it| pooled.sent.method(it));
-    let method = other_method.unwrap_or(&outgoing.head.method);
+    let method = other_method.map_or(&outgoing.head.method[..], |it| it.as_bytes());
     let framing = Framing::of_response(method, head).map_err(|_| Fault::InvalidResponse)?;
     if framing == Framing::UntilClose {
         return Err(Fault::InvalidResponse);
--- a/sl-edge/src/lib.rs
+++ b/sl-edge/src/lib.rs
@@ -35,7 +35,7 @@
 mod reload;
 pub mod roles;
 mod run;
-mod sent_requests;
+pub mod sent_requests;
 mod stop;
 mod store;
 mod stream_locator;
--- a/sl-edge/src/pool.rs
+++ b/sl-edge/src/pool.rs
@@ -38,7 +38,7 @@
 /// A connection in use by one request.
 pub(crate) struct PooledConn {
     pub(crate) conn: Conn,
-    /// The requests that it has carried last.
+    /// The requests that it has carried.
     pub(crate) sent: SentRequests,
     /// Whether it has carried a request before.
     pub(crate) is_reused: bool,
@@ -95,8 +95,7 @@
     }
 
     /// Takes an idle connection to `address` or opens one, with at most `max_connections` open
-    /// to that address. Connections that have lately carried a request with `attempt_id` are not
-    /// used. With `only_fresh`, connections idle for longer than [`FRESH_IDLE_MAX`] are not used.
+    /// to that address. Connections that have carried a request with `attempt_id` are not used. With `only_fresh`, connections idle for longer than [`FRESH_IDLE_MAX`] are not used.
     pub(crate) async fn acquire(
         &self,
         address: SocketAddr,
@@ -124,8 +123,8 @@
         Ok(PooledConn { conn, sent, is_reused: false, _guard: guard })
     }
 
-    /// Returns a connection for reuse; `keep_alive` is the server's idle timeout, if
-    /// announced.
+    /// Returns a connection for reuse, or closes it if it has carried too many requests;
+    /// `keep_alive` is the server's idle timeout, if announced.
     pub(crate) fn release(
         &self,
         address: SocketAddr,
@@ -137,6 +136,9 @@
         let keep_alive = Millis(keep_alive.unwrap_or(IDLE_TIMEOUT).0.saturating_sub(IDLE_MARGIN.0));
         let expires_at = now.after(keep_alive.min(IDLE_TIMEOUT));
         let PooledConn { conn, sent, .. } = pooled;
+        if sent.is_full() {
+            return;
+        }
         server.idle.borrow_mut().push(IdleConn { conn, sent, idle_since: now, expires_at });
     }
 
--- a/sl-edge/tests/it/main.rs
+++ b/sl-edge/tests/it/main.rs
@@ -10,4 +10,5 @@
 mod overload;
 mod record_schedule;
 mod roles;
+mod sent_requests;
 mod unused;
--- a/tests/it/late_refusals.rs
+++ b/tests/it/late_refusals.rs
@@ -6,7 +6,7 @@
 use stand_ins::{
     Call, Response, document,
     late_copy::DELAY,
-    late_refusal::{LateRefusal, Moment, RefusalKind},
+    late_refusal::{LateRefusal, Moment, RefusalId, RefusalKind},
     server::Fault,
 };
 
@@ -82,7 +82,7 @@
 }
 
 const WITHOUT_ID: LateRefusal =
-    LateRefusal { moment: Moment::AfterNext, kind: RefusalKind::Full, has_attempt_id: false };
+    LateRefusal { moment: Moment::AfterNext, kind: RefusalKind::Full, id: RefusalId::None };
 
 // The server runs the request while its earlier refusal is read: the caller was told that its
 // request had not run, or the request ran on a second server.
@@ -168,12 +168,33 @@
     kind: RefusalKind,
 ) {
     let fleet = fleet_with_retries().await;
-    let refusal = LateRefusal { moment, kind, has_attempt_id: true };
+    let refusal = LateRefusal { moment, kind, id: RefusalId::Previous };
     set_faults(&fleet, Fault::RepeatsRefusal(refusal));
     let calls = (0..REQUESTS).map(|it| numbered("POST", "book", it));
     assert_eq!(check(&fleet, "book", &call_in_turn(&fleet, calls).await), 0);
 }
 
+// Callers choose attempt ids, so two requests may have the same one, with many others between them on
+// the same connection.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_late_refusal_of_a_request_with_the_same_attempt_id_is_no_proof() {
+    let fleet = fleet_with_retries().await;
+    let same = || call("POST", "/book/7", "same");
+    bench::eventually("both servers have executed the first request", async || {
+        fleet.caller(0).await.unwrap().call(&same()).await.unwrap();
+        fleet.apps().all(|it| !it.executed_requests().is_empty())
+    })
+    .await;
+    set_faults(&fleet, Fault::RepeatsRefusal(LateRefusal { id: RefusalId::First, ..WITHOUT_ID }));
+    let others = (0..REQUESTS * 3).map(|it| numbered("POST", "book", it));
+    assert_eq!(check(&fleet, "book", &call_in_turn(&fleet, others).await), 0);
+    let before = fleet.execution_count("same");
+    for response in call_in_turn(&fleet, (0..4).map(|_| same())).await {
+        assert_eq!(response.status(), 200, "{response:?}");
+    }
+    assert_eq!(fleet.execution_count("same"), before + 4);
+}
+
 // The sending of a long body stops at bytes that arrive meanwhile, so the server has read a part
 // of the request when the refusal is judged.
 #[tokio::test(flavor = "multi_thread")]
