--- a/tests/it/late_refusals.rs
+++ b/tests/it/late_refusals.rs
@@ -215,6 +215,7 @@
 #[case::with_its_id_on_a_new_connection(Fault::Full, false, 503, "not-run")]
 #[case::without_id_on_a_new_connection(Fault::FullWithoutId, false, 503, "not-run")]
 #[case::without_id_on_a_reused_connection(Fault::FullWithoutId, true, 502, "unknown")]
+#[case::without_id_behind_a_stray_response(Fault::FullAfterStray, false, 502, "unknown")]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_refusal_is_passed_on_as_not_run_where_it_is_certain(
     #[case] fault: Fault,
