Streams: bytes that are no event of the stream reach no caller

What callers saw: after a stream had broken off, a second server that answered 200 with a text, a JSON body or an event without an id put that text into the stream; an empty body of any type ended the stream as if it were complete; events that leave some out, or start again from the first, were joined to what was there. A server that itself wrote an error or a whole response after its events got both through, if they ended with an empty line (also with CRLF). Answers with an error's status were never relayed after the first event.

Cause: each 200 on a streaming route was read as events, and each block that an empty line ends was taken for an event of the stream. Only an id that was too low was noticed, and then left out. Class: bytes are taken for part of a message by their place, without a look at whether they belong to it.

Change: a response is a stream only if it says so (`text/event-stream`); another one is relayed whole with a length, or fails the attempt if the caller has events already. `EventSequence` holds what makes events one stream, over all servers: ids that are there and rise; after a server broke off, the next one where they were consecutive; no line of a response head. What breaks it ends the attempt, after the events before it were written. Comments need no id; before the first event they wait for it, so that a failure can still be answered with a status.

--- a/sl-edge/src/caller/exchange.rs
+++ b/sl-edge/src/caller/exchange.rs
@@ -12,6 +12,7 @@
 use crate::{
     attempt::{self, OutgoingRequest, Upstream},
     core::{Action, Core, RequestGuard},
+    event_sequence::{EventSequence, IdRule},
     refusal::LocalResponse,
     relay::{
         self, CollectError, FullResponse, PIPELINED_BYTES_MAX, RelayDeadlines, RelayError,
@@ -67,9 +68,12 @@
         body: &'a Bytes,
         deadline: Timestamp,
     ) -> Exchange<'a> {
-        let is_http_11 = request.head.is_http_11;
-        let stream =
-            StreamRelay::new(request.metadata.last_event_id, is_http_11, request.keeps_alive);
+        let id_rule = match request.route.retry_policy {
+            RetryPolicy::ResumableStream => IdRule::Required,
+            _ => IdRule::AsFirst,
+        };
+        let events = EventSequence::new(id_rule, request.metadata.last_event_id);
+        let stream = StreamRelay::new(events, request.head.is_http_11, request.keeps_alive);
         Exchange { request, ingress, conn, guard, body, deadline, stream, server_error: None }
     }
 
@@ -136,7 +140,7 @@
             attempt_id: &request.metadata.attempt_id,
             team: request.team.as_ref().map(|it| it.name.as_str()),
             deadline: self.deadline,
-            last_event_id: self.stream.last_event_id.filter(|_| self.stream.has_sent_events),
+            last_event_id: self.stream.last_event_id(),
             only_fresh: !request.route.retry_policy.allows_rerun(),
             max_connections: request.max_connections(self.ingress),
         };
@@ -167,12 +171,17 @@
             Ok(upstream) => upstream,
             Err(fault) => return AttemptOutcome::Failed { fault, response: None },
         };
-        let is_stream =
-            self.request.route.retry_policy.is_stream() && upstream.head.status == STATUS_OK;
+        let is_ok = upstream.head.status == STATUS_OK;
+        let is_stream = self.request.route.retry_policy.is_stream()
+            && is_ok
+            && ServerResponse(&upstream.head).is_event_stream();
         match (self.stream.is_head_sent, is_stream) {
             (_, true) => self.relay_stream(target, upstream, silent_at).await,
             (false, false) => self.relay_full(target, upstream).await,
-            (true, false) => AttemptOutcome::Failed { fault: Fault::ServerError, response: None },
+            (true, false) => {
+                let fault = if is_ok { Fault::InvalidResponse } else { Fault::ServerError };
+                AttemptOutcome::Failed { fault, response: None }
+            }
         }
     }
 
--- a/sl-edge/src/events.rs
+++ b/sl-edge/src/events.rs
@@ -16,15 +16,28 @@
 /// end at the same time, and an instance has little memory.
 pub const EVENT_BYTES_MAX: usize = 128 * 1_024;
 
-/// A complete event, unparsed except for its id.
+/// A complete event, unparsed except for its kind and its id.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RawEvent {
     /// The event's bytes, including the empty line that ends it.
     pub bytes: Bytes,
-    /// The event's id, if it has one that is a number.
+    /// What the lines before the empty line are.
+    pub kind: EventKind,
+    /// The event's id, if it has exactly one, and that is a number.
     pub id: Option<u64>,
 }
 
+/// What the lines are that an empty line ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EventKind {
+    /// An event.
+    Event,
+    /// Comments, or no lines at all. They need no id.
+    Comment,
+    /// Lines of a response head. The server stopped in its stream and began another response.
+    ResponseHead,
+}
+
 impl EventSplitter {
     /// Appends bytes of the stream.
     pub fn push(&mut self, bytes: &[u8]) {
@@ -50,8 +63,8 @@
         };
         self.searched = 0;
         let bytes = self.partial.split_to(end).freeze();
-        let id = event_id(&bytes);
-        Some(RawEvent { bytes, id })
+        let (kind, id) = (event_kind(&bytes), event_id(&bytes));
+        Some(RawEvent { bytes, kind, id })
     }
 }
 
@@ -76,8 +89,23 @@
     None
 }
 
+/// The lines of an event without their ends.
+fn lines(event: &[u8]) -> impl Iterator<Item = &[u8]> {
+    event.split(|&it| it == b'\n').map(|it| it.strip_suffix(b"\r").unwrap_or(it))
+}
+
+fn event_kind(event: &[u8]) -> EventKind {
+    if lines(event).any(platform::is_response_head_line) {
+        return EventKind::ResponseHead;
+    }
+    match lines(event).all(|it| it.is_empty() || it.starts_with(b":")) {
+        true => EventKind::Comment,
+        false => EventKind::Event,
+    }
+}
+
 fn event_id(event: &[u8]) -> Option<u64> {
-    let lines = event.split(|&it| it == b'\n');
-    let mut ids = lines.filter_map(|it| it.strip_prefix(b"id:"));
-    std::str::from_utf8(ids.next()?).ok()?.trim().parse().ok()
+    let mut ids = lines(event).filter_map(|it| it.strip_prefix(b"id:"));
+    let id = std::str::from_utf8(ids.next()?).ok()?.trim().parse().ok()?;
+    if ids.next().is_some() { None } else { Some(id) }
 }
--- a/sl-edge/src/lib.rs
+++ b/sl-edge/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod detail;
 mod engines;
 mod era;
+pub mod event_sequence;
 mod events;
 mod handle;
 mod log;
@@ -42,6 +43,6 @@
 pub mod unused;
 mod wire;
 
-pub use events::{EVENT_BYTES_MAX, EventSplitter, RawEvent};
+pub use events::{EVENT_BYTES_MAX, EventKind, EventSplitter, RawEvent};
 pub use peers::heartbeat;
 pub use run::{Error, run, signals};
--- a/sl-edge/src/relay.rs
+++ b/sl-edge/src/relay.rs
@@ -5,7 +5,9 @@
 use sl_http::{BodyError, Conn, Ending, Headers, ResponseHead};
 use sl_route::Fault;
 
-use crate::{attempt::Upstream, body_memory::BodyShare, clock::Clock, events::EventSplitter};
+use crate::{
+    attempt::Upstream, body_memory::BodyShare, clock::Clock, event_sequence::EventSequence,
+};
 use platform::ServerResponse;
 
 /// Bytes of the largest response body that is buffered as a whole.
@@ -110,19 +112,9 @@
 pub(crate) struct StreamRelay {
     /// Whether the response head has been sent to the caller, with the first event.
     pub(crate) is_head_sent: bool,
-    /// Whether any event has been sent to the caller.
-    pub(crate) has_sent_events: bool,
-    /// Id of the last event that the caller has received.
-    pub(crate) last_event_id: Option<u64>,
     is_chunked: bool,
     keeps_alive: bool,
-    splitter: EventSplitter,
-    /// Whether the current server has sent no complete event yet.
-    awaits_first_event: bool,
-    /// Bytes of the current server since its last event that was new to the caller.
-    bytes_without_event: usize,
-    /// Events relayed so far.
-    event_count: u32,
+    events: EventSequence,
     /// When the first events of the stream were received.
     first_event_at: Option<Timestamp>,
     /// When the latest events were received.
@@ -144,10 +136,6 @@
     pub(crate) event_gap: Option<sl_base::Millis>,
 }
 
-/// Bytes of a stream that may follow one another without a new event, for instance because they
-/// repeat events that the caller has.
-const BYTES_WITHOUT_EVENT_MAX: usize = 1 << 20;
-
 impl RelayDeadlines {
     /// Why an attempt whose next event is overdue at `now` is not relayed further.
     fn timeout_error(&self, now: Timestamp) -> RelayError {
@@ -161,31 +149,27 @@
 impl StreamRelay {
     /// A stream of which nothing has been relayed yet. Without `is_chunked`, for callers that
     /// do not support chunked encoding, the end of the connection marks the end of the stream.
-    pub(crate) fn new(
-        last_event_id: Option<u64>,
-        is_chunked: bool,
-        keeps_alive: bool,
-    ) -> StreamRelay {
+    pub(crate) fn new(events: EventSequence, is_chunked: bool, keeps_alive: bool) -> StreamRelay {
         StreamRelay {
             is_head_sent: false,
-            has_sent_events: false,
-            last_event_id,
             is_chunked,
             keeps_alive: keeps_alive && is_chunked,
-            splitter: EventSplitter::default(),
-            awaits_first_event: true,
-            bytes_without_event: 0,
-            event_count: 0,
+            events,
             first_event_at: None,
             last_event_at: None,
         }
     }
 
+    /// Id of the last event that was sent to the caller, if any was.
+    pub(crate) fn last_event_id(&self) -> Option<u64> {
+        self.events.last_id().filter(|_| self.events.event_count() > 0)
+    }
+
     /// Mean time between two events in microseconds; `None` if there were too few events.
     pub(crate) fn event_interval_micros(&self) -> Option<u32> {
         let span = self.last_event_at?.micros_since(self.first_event_at?);
-        let gaps =
-            self.event_count.checked_sub(1).filter(|_| self.event_count >= INTERVAL_EVENTS_MIN)?;
+        let event_count = self.events.event_count();
+        let gaps = event_count.checked_sub(1).filter(|_| event_count >= INTERVAL_EVENTS_MIN)?;
         u32::try_from(span / u64::from(gaps)).ok()
     }
 
@@ -196,9 +180,7 @@
 
     /// Prepares for the response of another server.
     pub(crate) fn begin_response(&mut self) {
-        self.splitter = EventSplitter::default();
-        self.awaits_first_event = true;
-        self.bytes_without_event = 0;
+        self.events.begin_response();
     }
 
     /// Relays the events of `upstream` until its end; calls `on_first_event` when its first event
@@ -225,63 +207,37 @@
             let Some(piece) = next.map_err(|e| RelayError::Fault(fault(&e)))? else {
                 return self.finish(clock, caller, upstream, deadlines.stream_deadline).await;
             };
-            let complete = self.push(&piece)?;
-            // Bytes that complete no new event may come without a pause, and the timeout above
-            // elapses only during a pause.
-            if complete.is_empty() && due.is_due(clock.now()) {
-                return Err(deadlines.timeout_error(clock.now()));
+            let awaited_first_event = self.events.awaits_first_event();
+            let taken = self.events.push(&piece);
+            if taken.event_count > 0 {
+                if awaited_first_event {
+                    on_first_event();
+                }
+                let now = clock.now();
+                self.first_event_at.get_or_insert(now);
+                self.last_event_at = Some(now);
             }
-            if complete.is_empty() {
-                continue;
+            // Events count as delivered once they are taken, so they are written before a failure
+            // is reported.
+            if !taken.bytes.is_empty() {
+                let mut buf = self.take_head(&upstream.head);
+                self.frame(&taken.bytes, &mut buf);
+                self.write(clock, caller, deadlines.stream_deadline, &buf).await?;
             }
-            if std::mem::take(&mut self.awaits_first_event) {
-                on_first_event();
+            if taken.error.is_some() {
+                return Err(RelayError::Fault(Fault::InvalidResponse));
             }
-            self.has_sent_events = true;
-            let now = clock.now();
-            self.first_event_at.get_or_insert(now);
-            self.last_event_at = Some(now);
-            let mut buf = self.take_head(&upstream.head);
-            self.frame(&complete, &mut buf);
-            self.write(clock, caller, deadlines.stream_deadline, &buf).await?;
-            deadlines.silent_at = match deadlines.event_gap {
-                Some(gap) => clock.now().after(gap),
-                None => deadlines.stream_deadline,
-            };
-        }
-    }
-
-    /// Adds a piece of the response, and returns the complete events that the caller does not have
-    /// yet. Fails if too many bytes have completed no event; complete events are returned first,
-    /// as they count as delivered from now on.
-    fn push(&mut self, piece: &[u8]) -> Result<BytesMut, RelayError> {
-        self.splitter.push(piece);
-        let complete = self.take_complete_events();
-        if !complete.is_empty() {
-            self.bytes_without_event = 0;
-            return Ok(complete);
-        }
-        self.bytes_without_event += piece.len();
-        if self.splitter.is_oversized() || self.bytes_without_event > BYTES_WITHOUT_EVENT_MAX {
-            return Err(RelayError::Fault(Fault::InvalidResponse));
-        }
-        Ok(complete)
-    }
-
-    /// Takes the complete events received so far that the caller does not have yet.
-    fn take_complete_events(&mut self) -> BytesMut {
-        let mut complete = BytesMut::new();
-        while let Some(event) = self.splitter.next_event() {
-            let is_duplicate =
-                matches!((event.id, self.last_event_id), (Some(id), Some(last)) if id <= last);
-            if is_duplicate {
-                continue;
+            if taken.event_count > 0 {
+                deadlines.silent_at = match deadlines.event_gap {
+                    Some(gap) => clock.now().after(gap),
+                    None => deadlines.stream_deadline,
+                };
+            } else if due.is_due(clock.now()) {
+                // Bytes that complete no event may come without a pause, and the timeout above
+                // elapses only during a pause.
+                return Err(deadlines.timeout_error(clock.now()));
             }
-            self.last_event_id = event.id.or(self.last_event_id);
-            self.event_count += 1;
-            complete.put_slice(&event.bytes);
         }
-        complete
     }
 
     /// Ends the stream after the last byte of a server, which must be at an event boundary.
@@ -292,14 +248,18 @@
         upstream: &Upstream,
         deadline: Timestamp,
     ) -> Result<(), RelayError> {
-        if self.splitter.is_partial() {
+        if self.events.is_partial() {
             return Err(RelayError::Fault(Fault::TruncatedResponse));
         }
         // A close before the first event of this server is no proof that the stream has ended.
-        if upstream.body.ending() == Some(Ending::Closed) && self.awaits_first_event {
+        if upstream.body.ending() == Some(Ending::Closed) && self.events.awaits_first_event() {
             return Err(RelayError::Fault(Fault::TruncatedResponse));
         }
         let mut buf = self.take_head(&upstream.head);
+        let withheld = self.events.take_withheld();
+        if !withheld.is_empty() {
+            self.frame(&withheld, &mut buf);
+        }
         if self.is_chunked {
             buf.put_slice(LAST_CHUNK);
         }
--- a/sl-edge/tests/it/main.rs
+++ b/sl-edge/tests/it/main.rs
@@ -4,6 +4,7 @@
 mod body_memory;
 mod connection_share;
 mod detail;
+mod event_sequence;
 mod events;
 mod heartbeat;
 mod log_buffer;
