Streams that are not resumable are relayed whole, whatever event the caller names

Cause: the caller's last event was compared with the events of any stream. Only on routes whose streams are resumable does a server promise to go on after it.

Change: elsewhere the caller's last event does not count; the header is forwarded as before.

--- a/sl-edge/src/caller/exchange.rs
+++ b/sl-edge/src/caller/exchange.rs
@@ -68,11 +68,13 @@
         body: &'a Bytes,
         deadline: Timestamp,
     ) -> Exchange<'a> {
-        let id_rule = match request.route.retry_policy {
-            RetryPolicy::ResumableStream => IdRule::Required,
-            _ => IdRule::AsFirst,
+        // Elsewhere the caller's last event says nothing about the server's response.
+        let events = match request.route.retry_policy {
+            RetryPolicy::ResumableStream => {
+                EventSequence::new(IdRule::Required, request.metadata.last_event_id)
+            }
+            _ => EventSequence::new(IdRule::AsFirst, None),
         };
-        let events = EventSequence::new(id_rule, request.metadata.last_event_id);
         let stream = StreamRelay::new(events, request.head.is_http_11, request.keeps_alive);
         Exchange { request, ingress, conn, guard, body, deadline, stream, server_error: None }
     }
--- a/tests/it/broken_streams.rs
+++ b/tests/it/broken_streams.rs
@@ -243,6 +243,19 @@
     assert!(status.starts_with(&response.status().to_string()));
 }
 
+/// Guards against events that are left out of a stream whose server knows no resumption.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_is_not_resumable_is_relayed_whole_whatever_event_the_caller_names() {
+    let fleet = fleet(1).await;
+    let stream = head("200 OK", EVENT_STREAM, CHUNKED) + &last_chunks(&events(1..=10));
+    let stream = script(stream, ScriptEnd::KeepOpen);
+    set_fault(&fleet, stream, stream);
+    let mut call = own_call("chat", "named");
+    call.headers.push(("Last-Event-Id", "7".to_owned()));
+    let response = fleet.caller(0).await.unwrap().call(&call).await.unwrap();
+    assert_eq!((response.text(), response.is_complete), (&*events(1..=10), true));
+}
+
 /// The body that a caller of HTTP/1.0 gets, and whether its connection was closed in order.
 async fn call_with_http_10(fleet: &Fleet, call: &Call) -> (String, bool) {
     let mut stream = TcpStream::connect(fleet.instances[0].caller).await.unwrap();
