Responses to HEAD are nothing but a head

What callers saw: HEAD on a streaming route got the last chunk "0\r\n\r\n" after the head, and HEAD requests that this instance refused, failed or did not know got the JSON body.

Cause: whether a response has a body was decided where servers' plain responses are written, and not in the two other places that write responses to callers. Class: bytes after a head that a caller has. Looked at: `FullResponse::write` (sound), `StreamRelay`, `LocalResponse` after an attempt, and `respond_and_close`, which is why three lines of caller.rs change.

Change: a 200 to HEAD is relayed whole on every route; `LocalResponse` keeps its length and leaves out its body.

Measured: `it::a_response_to_head_is_nothing_but_a_head`, 5 of 7 cases fail before, for instance with "0\r\n\r\n" after the head; all pass now.

--- a/sl-edge/src/caller.rs
+++ b/sl-edge/src/caller.rs
@@ -84,16 +84,19 @@
         let head = match read_head(&ingress, &mut conn, is_reused).await {
             Ok(head) => head,
             Err(None) => return conn.close().await,
-            Err(Some(code)) => return respond_and_close(conn, LocalResponse::of(code)).await,
+            Err(Some(code)) => {
+                return respond_and_close(conn, LocalResponse::of(code), false).await;
+            }
         };
         is_reused = true;
+        let is_head = head.is_head();
         // Not read earlier: the configuration may have changed while the connection was idle.
         let document = ingress.core.document();
         match handle_request(&ingress, &document, &mut conn, head).await {
             Ok(Disposition::KeepAlive) => {}
             Ok(Disposition::Close) => return lingering_close(conn).await,
             Ok(Disposition::Reset) => return conn.reset(),
-            Err(response) => return respond_and_close(conn, response).await,
+            Err(response) => return respond_and_close(conn, response, is_head).await,
         }
     }
 }
@@ -194,9 +197,9 @@
 }
 
 /// Sends a response to a request that was not run, and closes the connection.
-async fn respond_and_close(mut conn: Conn, response: LocalResponse) {
+async fn respond_and_close(mut conn: Conn, response: LocalResponse, is_head: bool) {
     // A write error means that the caller has disconnected.
-    if response.write(&mut conn, None, false).await.is_ok() {
+    if response.write(&mut conn, None, is_head, false).await.is_ok() {
         lingering_close(conn).await;
     }
 }
--- a/sl-edge/src/caller/exchange.rs
+++ b/sl-edge/src/caller/exchange.rs
@@ -174,8 +174,10 @@
             Err(fault) => return AttemptOutcome::Failed { fault, response: None },
         };
         let is_ok = upstream.head.status == STATUS_OK;
+        // A response to HEAD has no body, so it has no events either.
         let is_stream = self.request.route.retry_policy.is_stream()
             && is_ok
+            && !self.request.head.is_head()
             && ServerResponse(&upstream.head).is_event_stream();
         match (self.stream.is_head_sent, is_stream) {
             (_, true) => self.relay_stream(target, upstream, silent_at).await,
@@ -293,8 +295,10 @@
             local.code.into(),
             local.code.status(),
         );
-        let attempt_id = Some(&self.request.metadata.attempt_id);
-        let written = local.write(self.conn, attempt_id, self.request.keeps_alive).await;
+        let request = self.request;
+        let attempt_id = Some(&request.metadata.attempt_id);
+        let is_head = request.head.is_head();
+        let written = local.write(self.conn, attempt_id, is_head, request.keeps_alive).await;
         self.request.disposition(written)
     }
 }
--- a/sl-edge/src/refusal.rs
+++ b/sl-edge/src/refusal.rs
@@ -55,11 +55,13 @@
     }
 
     /// Writes the response. `attempt_id` is absent if the request was rejected before it was
-    /// registered; without `keeps_alive` the response announces that the connection closes.
+    /// registered; `is_head` if the request's method was HEAD, so that no body is sent; without
+    /// `keeps_alive` the response announces that the connection closes.
     pub(crate) async fn write(
         self,
         conn: &mut Conn,
         attempt_id: Option<&Bytes>,
+        is_head: bool,
         keeps_alive: bool,
     ) -> std::io::Result<()> {
         let reason: &'static str = self.code.into();
@@ -82,7 +84,9 @@
         };
         let mut buf = BytesMut::new();
         head.write(&mut buf);
-        buf.extend_from_slice(&body);
+        if !is_head {
+            buf.extend_from_slice(&body);
+        }
         conn.write(&buf).await
     }
 }
--- a/sl-http/src/head.rs
+++ b/sl-http/src/head.rs
@@ -102,6 +102,11 @@
         self.headers.write(buf);
     }
 
+    /// Whether the response has no body, whatever length it states.
+    pub fn is_head(&self) -> bool {
+        &self.method[..] == b"HEAD"
+    }
+
     /// Whether the request lets the connection stay open after the exchange.
     pub fn keeps_alive(&self) -> bool {
         keeps_alive(&self.headers, self.is_http_11)
--- a/tests/it/responses.rs
+++ b/tests/it/responses.rs
@@ -1,7 +1,11 @@
 //! Responses reach the caller complete and unchanged, or not at all.
 
 use rstest::rstest;
-use stand_ins::{Call, document, server::Fault};
+use stand_ins::{
+    Call, document,
+    script::{Script, ScriptEnd},
+    server::Fault,
+};
 
 use crate::testbed::{call, fleet, model_call};
 
@@ -148,3 +152,43 @@
     let named = Call { host, ..call("GET", "/status/7", "h-1") };
     assert_eq!(caller.call(&named).await.unwrap().status(), 200);
 }
+
+/// Guards against bytes after the head of a response to HEAD, which are read as the beginning of the
+/// next response: a length, or a last chunk, promises a body that HEAD never gets.
+#[rstest]
+#[case::plain("/status/7", Fault::None, 200)]
+#[case::stream("/chat/7", Fault::None, 200)]
+#[case::resumable_stream("/sheet/7", Fault::None, 200)]
+#[case::refused("/status/7", Fault::Full, 503)]
+#[case::failed("/status/7", Fault::DropsResponse, 502)]
+#[case::error("/status/7", Fault::ServerError, 500)]
+#[case::unknown_route("/none/7", Fault::None, 404)]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_response_to_head_is_nothing_but_a_head(
+    #[case] target: &str,
+    #[case] fault: Fault,
+    #[case] status: u16,
+) {
+    let fleet = fleet(1).await;
+    for server in &fleet.servers {
+        server.set_fault(answering_head(fault));
+    }
+    let mut caller = fleet.caller(0).await.unwrap();
+    let response = caller.call(&call("HEAD", target, "head")).await.unwrap();
+    assert_eq!(response.status(), status);
+    // Bytes after the head would be here by then.
+    tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+    let excess = caller.received().await.unwrap();
+    assert_eq!(String::from_utf8_lossy(&excess), "");
+}
+
+/// The fault; without one, a sound response to HEAD, which has a length and no body.
+fn answering_head(fault: Fault) -> Fault {
+    if fault != Fault::None {
+        return fault;
+    }
+    let bytes = "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Server-Seal: s\r\n\
+        Content-Type: text/event-stream\r\nContent-Length: 900\r\n\r\n";
+    let script = Script { bytes, end: ScriptEnd::KeepOpen };
+    Fault::Scripted { first: script, resumed: script }
+}
