A response without a body needs a valid length too

What callers saw: the response to HEAD carried a server's `Content-Length: 12x`, or the first of two different ones, as success; no body shows that the length is wrong.

Cause: the framing of responses to HEAD, 204 and 304 was taken as empty before the fields were read.

Change: the fields are checked first; a malformed length fails the attempt as for other responses.

Measured: `sl-http` framing `a_response_without_a_body_has_a_valid_length` (6 cases) fails before and passes now.

--- a/sl-http/src/framing.rs
+++ b/sl-http/src/framing.rs
@@ -52,11 +52,13 @@
     ///
     /// [`FramingError`] if the headers do not determine one length.
     pub fn of_response(method: &[u8], head: &ResponseHead) -> Result<Framing, FramingError> {
+        // Without a body the length still reaches the caller, so it has to be valid.
+        let declared = declared_framing(&head.headers)?;
         let has_no_body = method == b"HEAD" || matches!(head.status, 100..=199 | 204 | 304);
         if has_no_body {
             return Ok(Framing::Empty);
         }
-        Ok(declared_framing(&head.headers)?.unwrap_or(Framing::UntilClose))
+        Ok(declared.unwrap_or(Framing::UntilClose))
     }
 }
 
--- a/sl-http/tests/it/framing.rs
+++ b/sl-http/tests/it/framing.rs
@@ -62,6 +62,20 @@
     assert_eq!(Framing::of_response(method, &response(status, fields)), Ok(expected));
 }
 
+/// Guards against a malformed length that reaches the caller of HEAD, as no body shows that it is
+/// wrong.
+#[rstest]
+#[case::malformed("Content-Length: 12x\r\n", FramingError::InvalidLength)]
+#[case::two("Content-Length: 1\r\nContent-Length: 2\r\n", FramingError::ConflictingLengths)]
+fn a_response_without_a_body_has_a_valid_length(
+    #[case] fields: &str,
+    #[case] error: FramingError,
+    #[values((200, "HEAD"), (304, "GET"), (204, "GET"))] (status, method): (u16, &str),
+) {
+    let head = response(status, fields);
+    assert_eq!(Framing::of_response(method.as_bytes(), &head), Err(error));
+}
+
 #[rstest]
 #[case("GET / HTTP/1.1\r\n\r\n", true)]
 #[case("GET / HTTP/1.1\r\nConnection: x, Close\r\n\r\n", false)]
