A stream for a caller without chunks is reset if the instance ends first

What callers saw: a caller of HTTP/1.0 gets no chunks, so the end of its connection ends the stream. A server that broke off was reported by a reset before, too.

Cause: the reset was set at the moment of the failure, by a process that may be gone by then. Class: the end of bytes is taken for the end of a message. Other responses to callers have a length or chunks, so that any end is seen.

Change: the connection is set to be reset at its end when the head is sent, and to close in order once the stream is whole.

Measured: `it::a_stream_is_reset_for_callers_without_chunks_when_the_instance_is_killed` sees an orderly close before, and a reset now; `sl-http` conn has the same without an instance.

--- a/sl-edge/src/relay.rs
+++ b/sl-edge/src/relay.rs
@@ -220,7 +220,7 @@
             // Events count as delivered once they are taken, so they are written before a failure
             // is reported.
             if !taken.bytes.is_empty() {
-                let mut buf = self.take_head(&upstream.head);
+                let mut buf = self.take_head(&upstream.head, caller);
                 self.frame(&taken.bytes, &mut buf);
                 self.write(clock, caller, deadlines.stream_deadline, &buf).await?;
             }
@@ -255,7 +255,7 @@
         if upstream.body.ending() == Some(Ending::Closed) && self.events.awaits_first_event() {
             return Err(RelayError::Fault(Fault::TruncatedResponse));
         }
-        let mut buf = self.take_head(&upstream.head);
+        let mut buf = self.take_head(&upstream.head, caller);
         let withheld = self.events.take_withheld();
         if !withheld.is_empty() {
             self.frame(&withheld, &mut buf);
@@ -263,18 +263,25 @@
         if self.is_chunked {
             buf.put_slice(LAST_CHUNK);
         }
-        self.write(clock, caller, deadline, &buf).await
+        self.write(clock, caller, deadline, &buf).await?;
+        if !self.is_chunked {
+            caller.set_reset_on_end(false);
+        }
+        Ok(())
     }
 
     /// The encoded head, unless it was taken before. It is sent together with the first event:
     /// once the caller has it, a failure can only be reported by a reset.
-    fn take_head(&mut self, head: &ResponseHead) -> BytesMut {
+    /// From then on a connection whose end would complete the stream is reset when it ends early,
+    /// also if this process does.
+    fn take_head(&mut self, head: &ResponseHead, caller: &Conn) -> BytesMut {
         if std::mem::replace(&mut self.is_head_sent, true) {
             return BytesMut::new();
         }
         let mut headers = ServerResponse(head).forwarded_headers();
-        if self.is_chunked {
-            headers.push("Transfer-Encoding", "chunked");
+        match self.is_chunked {
+            true => headers.push("Transfer-Encoding", "chunked"),
+            false => caller.set_reset_on_end(true),
         }
         let mut buf = BytesMut::with_capacity(HEAD_CAPACITY);
         write_head(head, headers, self.keeps_alive, &mut buf);
--- a/sl-http/src/conn.rs
+++ b/sl-http/src/conn.rs
@@ -206,11 +206,18 @@
         let _ = self.stream.shutdown().await;
     }
 
+    /// Sets whether the connection is reset when it ends, also by the end of this process. Where
+    /// the end of the connection is the end of a message, an orderly end would complete it.
+    pub fn set_reset_on_end(&self, is_reset: bool) {
+        let linger = is_reset.then_some(std::time::Duration::ZERO);
+        // If the option is rejected, the connection ends as without it.
+        let _ = socket2::SockRef::from(&self.stream).set_linger(linger);
+    }
+
     /// Resets the connection, so that the peer sees an error instead of an orderly close.
     pub fn reset(self) {
-        let socket = socket2::SockRef::from(&self.stream);
-        // If the option is rejected, the drop closes the connection in order. In the middle of
-        // a framed body the peer detects that as a truncation.
-        let _ = socket.set_linger(Some(std::time::Duration::ZERO));
+        // If the drop closes the connection in order nevertheless, the peer detects that in the
+        // middle of a framed body as a truncation.
+        self.set_reset_on_end(true);
     }
 }
--- a/sl-http/tests/it/conn.rs
+++ b/sl-http/tests/it/conn.rs
@@ -3,7 +3,7 @@
 use rstest::rstest;
 use sl_http::{Conn, HeadError, RequestHead};
 use tokio::{
-    io::AsyncWriteExt,
+    io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
     time::timeout,
 };
@@ -42,3 +42,24 @@
     assert_eq!(read.is_ok(), fits, "{read:?}");
     assert!(fits || matches!(read, Err(HeadError::TooLarge)));
 }
+
+/// Guards against an orderly close that completes a message which ends with its connection.
+#[rstest]
+#[case::reset(&[true], true)]
+#[case::closed(&[true, false], false)]
+#[case::never_set(&[], false)]
+#[tokio::test]
+async fn a_connection_ends_in_order_unless_it_is_to_be_reset(
+    #[case] settings: &[bool],
+    #[case] is_reset: bool,
+) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let mut peer = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+    let mut conn = Conn::new(listener.accept().await.unwrap().0);
+    settings.iter().for_each(|it| conn.set_reset_on_end(*it));
+    conn.write(b"part").await.unwrap();
+    let mut received = [0; 4];
+    peer.read_exact(&mut received).await.unwrap();
+    drop(conn);
+    assert_eq!(peer.read(&mut received).await.is_err(), is_reset);
+}
--- a/tests/it/broken_streams.rs
+++ b/tests/it/broken_streams.rs
@@ -285,3 +285,21 @@
     let (body, is_closed) = call_with_http_10(&fleet, &own_call(route, "old")).await;
     assert_eq!((&*body, is_closed), (&*events(1..=event_count), event_count == EVENTS));
 }
+
+/// Guards against an instance that is killed in the middle of a stream: the system then closes the
+/// connection in order, which would end the stream as if it were whole.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_is_reset_for_callers_without_chunks_when_the_instance_is_killed() {
+    let mut fleet = fleet(1).await;
+    let stalled = script(begun(CHUNKED, ""), ScriptEnd::Stall);
+    set_fault(&fleet, stalled, stalled);
+    let mut stream = TcpStream::connect(fleet.instances[0].caller).await.unwrap();
+    let bytes = String::from_utf8(own_call("chat", "killed").to_bytes()).unwrap();
+    stream.write_all(bytes.replace("HTTP/1.1", "HTTP/1.0").as_bytes()).await.unwrap();
+    let mut received = Vec::new();
+    while !received.ends_with(event(FIRST_EVENTS).as_bytes()) {
+        assert!(stream.read_buf(&mut received).await.unwrap() > 0);
+    }
+    fleet.instances[0].kill();
+    assert!(stream.read_buf(&mut received).await.is_err(), "the connection was closed in order");
+}
