A response that stops and goes on with another one is no success

What callers saw: a server that stopped in the value of a header, or in the reason phrase, and went on with an error on the same connection: "HTTP/1.1 200 OKHTTP/1.1 500 Failed" was a success with the fields and the body of the error (MIXED). After the last chunk's size the error's head was read as trailers.

Cause: a value and a reason may hold any text, and trailer lines were dropped unread. Class: where a message ends is taken from what comes next.

Change: a status line in a value or a reason makes a head malformed; a trailer has to be a field.

--- a/sl-http/src/chunk.rs
+++ b/sl-http/src/chunk.rs
@@ -2,7 +2,7 @@
 
 use bytes::{Buf, Bytes, BytesMut};
 
-use crate::BodyError;
+use crate::{BodyError, head::has_status_line};
 
 /// Incremental decoder of the chunked transfer coding. Chunk extensions and trailer fields are
 /// discarded; their total size is limited, because they may come without end from a server in
@@ -92,6 +92,8 @@
                     };
                     if line.is_empty() {
                         self.state = State::Done;
+                    } else if !is_field(&line) {
+                        return Err(BodyError::Malformed);
                     } else {
                         self.discard(line.len() + CRLF.len())?;
                     }
@@ -119,6 +121,19 @@
     Ok(Some(line))
 }
 
+/// Whether a trailer line is a field, and not the status line of another response.
+fn is_field(line: &[u8]) -> bool {
+    let Some(colon) = line.iter().position(|&it| it == b':') else {
+        return false;
+    };
+    let is_name_byte = |it: &u8| it.is_ascii_alphanumeric() || NAME_SIGNS.contains(it);
+    let (name, value) = line.split_at(colon);
+    !name.is_empty() && name.iter().all(is_name_byte) && !has_status_line(value)
+}
+
+/// Bytes of field names besides letters and digits.
+const NAME_SIGNS: &[u8] = b"!#$%&'*+-.^_`|~";
+
 /// Splits a chunk-size line before the semicolon that starts its extensions.
 fn split_extension(line: &[u8]) -> (&[u8], &[u8]) {
     let semicolon = line.iter().position(|&it| it == b';');
--- a/sl-http/src/head.rs
+++ b/sl-http/src/head.rs
@@ -82,6 +82,10 @@
         let status = parsed.code.ok_or(MalformedHead)?;
         let is_http_11 = parsed.version == Some(1);
         let fields = spans(buf, parsed.headers);
+        let is_joined = |it: &Span| has_status_line(&buf[it.clone()]);
+        if is_joined(&reason) || fields.iter().any(|(_, value)| is_joined(value)) {
+            return Err(MalformedHead);
+        }
         let bytes = buf.split_to(len).freeze();
         Ok(Some(ResponseHead {
             status,
@@ -92,6 +96,21 @@
     }
 }
 
+/// Whether a status line begins in `value`: the server stopped in a head and began another one, whose
+/// fields and body must not be read as those of the first.
+pub(crate) fn has_status_line(value: &[u8]) -> bool {
+    value.windows(STATUS_LINE_START.len()).any(|it| {
+        let mut pairs = it.iter().zip(STATUS_LINE_START);
+        pairs.all(|(byte, expected)| match expected {
+            b'0' => byte.is_ascii_digit(),
+            _ => byte == expected,
+        })
+    })
+}
+
+/// The start of a status line, with 0 for any digit.
+const STATUS_LINE_START: &[u8] = b"HTTP/0.0 000";
+
 impl RequestHead {
     /// Appends the encoded head to `buf`, always as HTTP/1.1.
     pub fn write(&self, buf: &mut BytesMut) {
--- a/sl-http/tests/it/main.rs
+++ b/sl-http/tests/it/main.rs
@@ -1,6 +1,7 @@
 //! Tests of message parsing, framing, and connections over real sockets.
 
 mod body;
+mod broken_off;
 mod conn;
 mod endless;
 mod framing;
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -1,6 +1,7 @@
 //! End-to-end tests: real `sesamelock` processes with stand-ins for callers, backend servers
 //! and the store.
 
+mod broken_responses;
 mod broken_streams;
 mod callers;
 mod crashes;
