--- a/sl-edge/src/caller/exchange.rs
+++ b/sl-edge/src/caller/exchange.rs
@@ -12,6 +12,7 @@
 use crate::{
     attempt::{self, OutgoingRequest, Upstream},
     core::{Action, Core, RequestGuard},
+    event_sequence::{EventSequence, IdRule},
     refusal::LocalResponse,
     relay::{
         self, CollectError, FullResponse, PIPELINED_BYTES_MAX, RelayDeadlines, RelayError,
@@ -71,9 +72,14 @@
         body: &'a Bytes,
         deadline: Timestamp,
     ) -> Exchange<'a> {
-        let is_http_11 = request.head.is_http_11;
-        let stream =
-            StreamRelay::new(request.metadata.last_event_id, is_http_11, request.keeps_alive);
+        // Elsewhere the caller's last event says nothing about the server's response.
+        let events = match request.route.retry_policy {
+            RetryPolicy::ResumableStream => {
+                EventSequence::new(IdRule::Required, request.metadata.last_event_id)
+            }
+            _ => EventSequence::new(IdRule::AsFirst, None),
+        };
+        let stream = StreamRelay::new(events, request.head.is_http_11, request.keeps_alive);
         Exchange {
             request,
             ingress,
@@ -157,7 +163,7 @@
             attempt_id: &request.metadata.attempt_id,
             team: request.team.as_ref().map(|it| it.name.as_str()),
             deadline: self.deadline,
-            last_event_id: self.stream.last_event_id.filter(|_| self.stream.has_sent_events),
+            last_event_id: self.stream.last_event_id(),
             only_fresh: !request.route.retry_policy.allows_rerun(),
             max_connections: request.max_connections(self.ingress),
         };
@@ -188,12 +194,19 @@
             Ok(upstream) => upstream,
             Err(fault) => return AttemptOutcome::Failed { fault, response: None },
         };
-        let is_stream =
-            self.request.route.retry_policy.is_stream() && upstream.head.status == STATUS_OK;
+        let is_ok = upstream.head.status == STATUS_OK;
+        // A response to HEAD has no body, so it has no events either.
+        let is_stream = self.request.route.retry_policy.is_stream()
+            && is_ok
+            && !self.request.head.is_head()
+            && ServerResponse(&upstream.head).is_event_stream();
         match (self.stream.is_head_sent, is_stream) {
             (_, true) => self.relay_stream(target, upstream, silent_at).await,
             (false, false) => self.relay_full(target, upstream).await,
-            (true, false) => AttemptOutcome::Failed { fault: Fault::ServerError, response: None },
+            (true, false) => {
+                let fault = if is_ok { Fault::InvalidResponse } else { Fault::ServerError };
+                AttemptOutcome::Failed { fault, response: None }
+            }
         }
     }
 
@@ -317,7 +330,8 @@
         let (code, status) = (local.code.into(), local.code.status());
         self.request.record_end(self.ingress, Some(&self.guard), code, status);
         let attempt_id = Some(&self.request.metadata.attempt_id);
-        match local.write(self.conn, attempt_id, keeps_alive).await {
+        let is_head = self.request.head.is_head();
+        match local.write(self.conn, attempt_id, is_head, keeps_alive).await {
             Ok(()) if keeps_alive => Disposition::KeepAlive,
             Ok(()) => Disposition::Close,
             Err(_) => Disposition::Reset,
