--- a/sl-edge/src/caller.rs
+++ b/sl-edge/src/caller.rs
@@ -85,17 +85,18 @@
             Ok(head) => head,
             Err(None) => return conn.close().await,
             Err(Some(code)) => {
-                return respond_and_close(&ingress, conn, LocalResponse::of(code)).await;
+                return respond_and_close(&ingress, conn, LocalResponse::of(code), false).await;
             }
         };
         is_reused = true;
+        let is_head = head.is_head();
         // Not read earlier: the configuration may have changed while the connection was idle.
         let document = ingress.core.document();
         match handle_request(&ingress, &document, &mut conn, head).await {
             Ok(Disposition::KeepAlive) => {}
             Ok(Disposition::Close) => return lingering_close(&ingress, conn).await,
             Ok(Disposition::Reset) => return conn.reset(),
-            Err(response) => return respond_and_close(&ingress, conn, response).await,
+            Err(response) => return respond_and_close(&ingress, conn, response, is_head).await,
         }
     }
 }
@@ -202,10 +203,15 @@
 }
 
 /// Sends a response to a request that was not run, and closes the connection.
-async fn respond_and_close(ingress: &Ingress, mut conn: Conn, response: LocalResponse) {
+async fn respond_and_close(
+    ingress: &Ingress,
+    mut conn: Conn,
+    response: LocalResponse,
+    is_head: bool,
+) {
     let _closing = ingress.connections.mark_closing();
     // A write error means that the caller has disconnected.
-    if response.write(&mut conn, None, false).await.is_ok() {
+    if response.write(&mut conn, None, is_head, false).await.is_ok() {
         lingering_close(ingress, conn).await;
     }
 }
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -1,12 +1,15 @@
 //! End-to-end tests: real `sesamelock` processes with stand-ins for callers, backend servers
 //! and the store.
 
+mod broken_responses;
+mod broken_streams;
 mod callers;
 mod crashes;
 mod endless;
 mod evacuation;
 mod failure;
 mod late_copies;
+mod late_refusals;
 mod limits;
 mod membership;
 mod notices;
--- a/tests/it/stops/disruptions.rs
+++ b/tests/it/stops/disruptions.rs
@@ -1,5 +1,6 @@
 //! What happens beside a shutdown cuts off no request in flight.
 
+use bench::fleet::is_ready;
 use stand_ins::{document, store};
 
 use super::*;
@@ -66,7 +67,7 @@
         eventually("the request is executed", async || fleet.execution_count(&id) > 0).await;
     }
     stop(&fleet);
-    sleep(Duration::from_millis(100)).await;
+    eventually("the instance stops", async || !is_ready(&fleet.instances[0]).await).await;
     disrupt(&fleet);
     for sent in all(sending).await {
         assert_eq!(sent.status_and_code(), Some((200, "")), "{sent:?}");
