--- a/tests/it/stops/ends.rs
+++ b/tests/it/stops/ends.rs
@@ -41,6 +41,28 @@
     assert!(stopped_at.elapsed() < STOP_WITHIN + IN_TRANSIT_MAX, "{:?}", stopped_at.elapsed());
 }
 
+/// Requests that are in flight at the end; the engines take them all.
+const IN_FLIGHT: usize = 100;
+
+// Guards against responses that are not written because very many requests end with the shutdown.
+#[tokio::test(flavor = "multi_thread")]
+async fn each_of_many_requests_that_cannot_end_before_the_exit_gets_a_response() {
+    let fleet = fleet_stopping_within(STOP_WITHIN).await;
+    fleet.engines().for_each(|it| it.set_fault(Fault::Hangs));
+    let mut sending = Vec::new();
+    for number in 0..IN_FLIGHT {
+        let call = model_call("/chat/7", &format!("many-{number}"));
+        sending.push(tokio::spawn(send(fleet.caller(0).await.unwrap(), call, Instant::now())));
+    }
+    let in_flight = || fleet.engines().map(|it| it.in_flight()).sum::<usize>();
+    eventually("all are in flight", async || in_flight() == IN_FLIGHT).await;
+    stop(&fleet);
+    for sent in all(sending).await {
+        assert_eq!(sent.status_and_code(), Some((504, "3008")), "{sent:?}");
+        assert!(sent.is_answered(), "{sent:?}");
+    }
+}
+
 /// Starts a fleet with a stream in flight that has begun and does not end. `version` is the caller's
 /// version of HTTP.
 async fn fleet_with_begun_stream(version: &str) -> (Fleet, TcpStream) {
