--- a/tests/it/stops/ends.rs
+++ b/tests/it/stops/ends.rs
@@ -122,11 +122,16 @@
     #[case] stop_within: Duration,
     #[case] is_drain: bool,
 ) {
-    let fleet = fleet_stopping_within(stop_within).await;
+    let mut fleet = fleet_stopping_within(stop_within).await;
     make_slow(&fleet);
     let stopped_at = stop_shortly(&fleet, is_drain).await;
     let mut sent = send_on_new_connections(fleet.instances[0].caller, stopped_at).await;
     // When the port is closed is not part of the rule.
     sent.retain(|it| fleet.execution_count(&it.attempt_id) > 0);
     assert_eq!(violations(&fleet, &sent), Vec::<String>::new());
+    if !is_drain {
+        fleet.instances[0].wait_for_exit(EXIT_DELAY_MAX).await.unwrap();
+        let after = stopped_at.elapsed();
+        assert!(after < SHORT_STOP + EXIT_DELAY_MAX, "exited late, {after:?} after SIGTERM");
+    }
 }
