--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -81,6 +81,15 @@
     /// Returns an error if a port cannot be bound, a file cannot be written, or the binary
     /// cannot be run.
     pub async fn start(options: Options) -> io::Result<Fleet> {
+        Fleet::start_in(&["here", "there"], options).await
+    }
+
+    /// Starts a fleet whose instances are in the data centres by turns.
+    ///
+    /// # Errors
+    ///
+    /// The same as of [`Fleet::start`].
+    pub async fn start_in(data_centres: &[&'static str], options: Options) -> io::Result<Fleet> {
         let store = Store::start(ANY_PORT).await?;
         store.put(document::CONFIG_KEY, &document::standard(1));
         let mut servers = Vec::new();
@@ -111,20 +120,25 @@
             dir: tempfile::tempdir()?,
         };
         for index in 0..options.instances {
-            fleet.add_instance(&options.binary, index).await?;
+            fleet.add_instance(&options.binary, data_centres, index).await?;
         }
         fleet.wait_until_ready().await;
         Ok(fleet)
     }
 
-    async fn add_instance(&mut self, binary: &std::path::Path, index: usize) -> io::Result<()> {
+    async fn add_instance(
+        &mut self,
+        binary: &std::path::Path,
+        data_centres: &[&'static str],
+        index: usize,
+    ) -> io::Result<()> {
         let relay = Relay::start(ANY_PORT, self.store.address()).await?;
         let seeds: Vec<SocketAddr> = self.instances.iter().map(|it| it.control).take(3).collect();
         let options = instance::Options {
             binary,
             dir: self.dir.path(),
             name: &format!("instance-{index}"),
-            data_centre: ["here", "there"][index % 2],
+            data_centre: data_centres[index % data_centres.len()],
             store: relay.address(),
             seeds: &seeds,
         };
@@ -177,7 +191,8 @@
     }
 }
 
-async fn start_server(
+/// Starts a server that is not registered in the store, in the data centre `here`.
+pub(crate) async fn start_server(
     id: &str,
     service: &str,
     slots: usize,
@@ -195,8 +210,13 @@
 
 /// Whether the instance reports itself as ready, so that the load balancer sends it callers.
 pub async fn is_ready(instance: &Instance) -> bool {
+    is_ready_at(instance.metrics).await
+}
+
+/// Whether the instance whose port for metrics is at `address` reports itself as ready.
+pub(crate) async fn is_ready_at(address: SocketAddr) -> bool {
     let response_is_ok = async {
-        let mut caller = Caller::connect(instance.metrics).await.ok()?;
+        let mut caller = Caller::connect(address).await.ok()?;
         caller.send(b"GET /ready HTTP/1.1\r\nHost: probe\r\n\r\n").await.ok()?;
         Some(caller.read_response("GET").await.ok()?.status() == 200)
     };
--- a/bench/src/instance.rs
+++ b/bench/src/instance.rs
@@ -57,7 +57,7 @@
 }
 
 /// Time within which a graceful shutdown ends, unless another one is set.
-const STOP_WITHIN: Duration = Duration::from_millis(6_000);
+pub const STOP_WITHIN: Duration = Duration::from_millis(6_000);
 
 /// How often a child process is checked for its exit.
 const CHECK_INTERVAL: Duration = Duration::from_millis(10);
