--- a/bench/src/soak.rs
+++ b/bench/src/soak.rs
@@ -4,9 +4,9 @@
 //!
 //! A seed determines the faults and the requests, but not the scheduling of the processes.
 
-mod callers;
-mod check;
-mod plan;
+pub(crate) mod callers;
+pub(crate) mod check;
+pub(crate) mod plan;
 
 use std::{
     io,
@@ -209,10 +209,15 @@
 
 impl Testbed {
     async fn new(mut fleet: Fleet) -> io::Result<Testbed> {
-        let mut server_relays = Vec::new();
         for server in fleet.servers.iter_mut().skip(1).step_by(2) {
             server.spec.data_centre = plan::EVACUATED_DATA_CENTRE.to_owned();
         }
+        Testbed::with_relays(fleet).await
+    }
+
+    /// Registers all servers of the fleet under the addresses of relays to them.
+    pub(crate) async fn with_relays(fleet: Fleet) -> io::Result<Testbed> {
+        let mut server_relays = Vec::new();
         for server in &fleet.servers {
             let relay = Relay::start(ANY_PORT, server.address()).await?;
             server.register_at(&fleet.store, relay.address(), "ready");
@@ -237,7 +242,7 @@
         self.config_version
     }
 
-    fn all_servers(&self) -> impl Iterator<Item = &Server> {
+    pub(crate) fn all_servers(&self) -> impl Iterator<Item = &Server> {
         self.fleet.servers.iter().chain(&self.replaced_servers)
     }
 }
@@ -253,8 +258,16 @@
     document = document::with_warmup(document, WARMUP_S, WARMUP_PER_S);
     let version_route =
         document::route(&format!("v{config_version}"), "idempotent", "app", 2, 2_000);
+    let talk_route = document::route("talk", "streaming", "long", 1, 12_000);
     if let Some(routes) = document["routes"].as_array_mut() {
-        routes.push(version_route);
+        routes.extend([version_route, talk_route]);
+    }
+    if let Some(services) = document["services"].as_array_mut() {
+        let long = services.iter().find(|it| it["name"] == "model").cloned();
+        services.extend(long.map(|mut it| {
+            it["name"] = "long".into();
+            it
+        }));
     }
     document
 }
--- a/bench/src/soak/callers.rs
+++ b/bench/src/soak/callers.rs
@@ -20,22 +20,32 @@
     Chat,
     /// A request for a stream that may be resumed.
     Sheet,
+    /// A request for a stream of several seconds, which may run only once.
+    Talk,
     /// An idempotent request for the route that the latest configuration added.
     Newest,
 }
 
 impl Kind {
-    /// All kinds.
+    /// The kinds that are served by a fleet without engines for long streams.
     pub const ALL: [Kind; 5] = [Kind::Status, Kind::Book, Kind::Chat, Kind::Sheet, Kind::Newest];
 
     /// Whether a request may run only once.
     pub fn may_run_only_once(self) -> bool {
-        matches!(self, Kind::Book | Kind::Chat)
+        matches!(self, Kind::Book | Kind::Chat | Kind::Talk)
     }
 
     /// Whether the response is an event stream.
     pub fn is_stream(self) -> bool {
-        matches!(self, Kind::Chat | Kind::Sheet)
+        matches!(self, Kind::Chat | Kind::Sheet | Kind::Talk)
+    }
+
+    /// Number of events in a complete stream.
+    pub(crate) const fn event_count(self) -> u64 {
+        match self {
+            Kind::Talk => 50,
+            _ => 10,
+        }
     }
 }
 
@@ -155,13 +165,20 @@
     record(kind, &call, None, response.await)
 }
 
-fn request(kind: Kind, attempt_id: &str, config_version: u64, resumes: Option<&Resumed>) -> Call {
+/// The request of a kind. `config_version` is that of the newest route.
+pub(crate) fn request(
+    kind: Kind,
+    attempt_id: &str,
+    config_version: u64,
+    resumes: Option<&Resumed>,
+) -> Call {
     let newest_target = format!("/v{config_version}/{attempt_id}");
     let (method, target) = match kind {
         Kind::Status => ("GET", format!("/status/{attempt_id}")),
         Kind::Book => ("POST", format!("/book/{attempt_id}")),
         Kind::Chat => ("POST", format!("/chat/{attempt_id}")),
         Kind::Sheet => ("POST", format!("/sheet/{attempt_id}")),
+        Kind::Talk => ("POST", format!("/talk/{attempt_id}")),
         Kind::Newest => ("GET", newest_target),
     };
     let mut call = Call::new(method, document::HOST, &target, attempt_id);
@@ -178,7 +195,13 @@
     call
 }
 
-fn record(kind: Kind, call: &Call, resumes: Option<Resumed>, response: Option<Response>) -> Record {
+/// The record of a request and its response, if there was one.
+pub(crate) fn record(
+    kind: Kind,
+    call: &Call,
+    resumes: Option<Resumed>,
+    response: Option<Response>,
+) -> Record {
     let request_line = format!("{} {}", call.method, call.target);
     let attempt_id = call.attempt_id.clone();
     match response {
--- a/bench/src/soak/check.rs
+++ b/bench/src/soak/check.rs
@@ -74,8 +74,20 @@
     },
 }
 
-/// Number of events in a complete stream.
-const EVENT_COUNT: u64 = 10;
+impl Violation {
+    /// Id of the attempt that the violation is about.
+    pub(crate) fn attempt_id(&self) -> Option<&str> {
+        match self {
+            Violation::ExecutedRepeatedly { attempt_id, .. }
+            | Violation::WronglyReportedNotRun { attempt_id, .. }
+            | Violation::WrongResponse { attempt_id, .. }
+            | Violation::WrongEvents { attempt_id, .. }
+            | Violation::MixedVersions { attempt_id, .. } => Some(attempt_id),
+            Violation::UnrequestedExecution { request } => Some(&request.attempt_id),
+            _ => None,
+        }
+    }
+}
 
 /// Finds the instances that are not running. Every instance that the soak has stopped or
 /// killed was started again, so each of these exited unexpectedly.
@@ -147,7 +159,7 @@
     let before = record.resumes.as_ref().map_or(0, |it| it.last_event);
     let received = before + record.events.len() as u64;
     let is_prefix = record.events.iter().copied().eq(before + 1..=received);
-    let is_valid = is_prefix && (!record.is_complete || received == EVENT_COUNT);
+    let is_valid = is_prefix && (!record.is_complete || received == record.kind.event_count());
     let (attempt_id, events) = (record.attempt_id.clone(), record.events.clone());
     (!is_valid).then_some(Violation::WrongEvents { attempt_id, events })
 }
--- a/bench/src/soak/plan.rs
+++ b/bench/src/soak/plan.rs
@@ -209,12 +209,12 @@
 }
 
 /// Draws faults at random intervals with a mean of `mean_interval_ms`.
-fn draw_schedule<R: Rng>(
+pub(crate) fn draw_schedule<R: Rng, F>(
     rng: &mut R,
     duration: Duration,
     mean_interval_ms: u64,
-    draw: impl Fn(&mut R) -> Fault,
-) -> Vec<(Duration, Fault)> {
+    draw: impl Fn(&mut R) -> F,
+) -> Vec<(Duration, F)> {
     let mut at = Duration::ZERO;
     let mut faults = Vec::new();
     loop {
@@ -496,7 +496,8 @@
         let old = &self.fleet.servers[index];
         old.register_at(&self.fleet.store, self.server_relays[index].address(), "draining");
         let mut spec = old.spec.clone();
-        spec.id = format!("{}-{}", spec.service, self.replaced_servers.len() + SERVER_COUNT);
+        spec.id =
+            format!("{}-{}", spec.service, self.replaced_servers.len() + self.fleet.servers.len());
         let new = Server::start(fleet::ANY_PORT, spec).await?;
         new.set_version(version);
         let relay = Relay::start(fleet::ANY_PORT, new.address()).await?;
