bench: a soak of planned stops, in series and overlapping

The users lost requests around SIGTERM that no soak of ours could see: the existing one stops one instance at a time, waits for its exit, and its checks allow a response that never comes.

--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod load;
 pub mod ports;
 pub mod soak;
+pub mod stops;
 
 pub use fleet::{Fleet, eventually};
 pub use instance::Instance;
