--- a/bench/src/stops.rs
+++ b/bench/src/stops.rs
@@ -81,7 +81,7 @@
 };
 
 /// Number of callers for each instance.
-const CALLERS: usize = 4;
+const CALLERS: usize = callers::HABITS.len();
 
 /// How long an operator waits for the response to a drain.
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(2);
--- a/bench/src/stops/callers.rs
+++ b/bench/src/stops/callers.rs
@@ -39,7 +39,7 @@
 
 /// How callers use connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Habit {
+pub(crate) enum Habit {
     /// Sends requests on one connection as long as it is open.
     Reuses,
     /// Opens connections some time before they carry their first request.
@@ -48,6 +48,18 @@
     Streams,
 }
 
+/// The habits of callers, by turns.
+pub(crate) const HABITS: [Habit; 8] = [
+    Habit::Reuses,
+    Habit::Streams,
+    Habit::ConnectsAhead,
+    Habit::Streams,
+    Habit::Reuses,
+    Habit::Streams,
+    Habit::ConnectsAhead,
+    Habit::Reuses,
+];
+
 /// How long connections wait for their first request, in milliseconds.
 const AHEAD_MS: std::ops::Range<u64> = 200..4_000;
 
@@ -74,8 +86,7 @@
     deadline: Instant,
 ) -> Vec<Trace> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let habits = [Habit::Reuses, Habit::ConnectsAhead, Habit::Streams, Habit::Reuses];
-    let habit = habits[number as usize / DATA_CENTRES.len() % habits.len()];
+    let habit = HABITS[number as usize / DATA_CENTRES.len() % HABITS.len()];
     let data_centre = number as usize % DATA_CENTRES.len();
     let mut open: Option<(Caller, usize, Instant)> = None;
     let mut traces = Vec::new();
