--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -18,6 +18,7 @@
 mod shutdown;
 mod silence;
 mod soak;
+mod stop_series;
 mod stops;
 mod streams;
 mod testbed;
