--- a/bench/src/instance.rs
+++ b/bench/src/instance.rs
@@ -13,6 +13,7 @@
     sys::signal::{self, Signal},
     unistd::Pid,
 };
+use stand_ins::Caller;
 
 use crate::ports::free_port;
 
@@ -121,6 +122,25 @@
         std::fs::write(&self.settings, text)
     }
 
+    /// Asks the instance to drain, as `sesamelock drain` does, within `within` if that is given.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the operator port does not accept the call.
+    pub async fn drain(&self, within: Option<Duration>) -> io::Result<()> {
+        let query = within.map(|it| format!("?within_ms={}", it.as_millis())).unwrap_or_default();
+        let call = format!(
+            "POST /drain{query} HTTP/1.1\r\nHost: operator\r\n\
+             Authorization: Bearer {OPERATOR_KEY}\r\nContent-Length: 0\r\n\r\n"
+        );
+        let mut operator = Caller::connect(self.operator).await?;
+        operator.send(call.as_bytes()).await?;
+        match operator.read_response("POST").await?.status() {
+            202 => Ok(()),
+            status => Err(io::Error::other(format!("the drain got status {status}"))),
+        }
+    }
+
     /// Path of the settings file.
     pub fn settings(&self) -> &Path {
         &self.settings
--- a/bench/src/stops.rs
+++ b/bench/src/stops.rs
@@ -16,15 +16,14 @@
 use nix::sys::signal::Signal;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use stand_ins::{Caller, Server, server::Workload};
+use stand_ins::{Server, server::Workload};
 use tokio::time::{sleep, timeout};
 
 pub use check::{Rule, Violation};
 pub use plan::Action;
 
 use crate::{
-    Fleet, fleet,
-    instance::{self, OPERATOR_KEY},
+    Fleet, fleet, instance,
     soak::{Fault, Kind, plan::Testbed},
 };
 use balancer::Balancer;
@@ -216,20 +215,11 @@
         if self.balancer.ready_at(index).is_none() {
             return;
         }
-        let operator = self.testbed.fleet.instances[index].operator;
         self.notices[index].push((Notice::Drain, Instant::now()));
-        let call = format!(
-            "POST /drain HTTP/1.1\r\nHost: operator\r\nAuthorization: Bearer {OPERATOR_KEY}\r\n\
-             Content-Length: 0\r\n\r\n"
-        );
-        let response = async {
-            let mut caller = Caller::connect(operator).await?;
-            caller.send(call.as_bytes()).await?;
-            caller.read_response("POST").await
-        };
-        let response = timeout(DRAIN_TIMEOUT, response).await;
+        let drain = self.testbed.fleet.instances[index].drain(None);
+        let drained = timeout(DRAIN_TIMEOUT, drain).await;
         let is_first = self.notices[index].len() == 1;
-        if is_first && !matches!(response, Ok(Ok(it)) if it.status() == 202) {
+        if is_first && !matches!(drained, Ok(Ok(()))) {
             self.notices[index].clear();
         }
     }
--- a/tests/it/testbed.rs
+++ b/tests/it/testbed.rs
@@ -5,7 +5,6 @@
 use bench::{
     Fleet,
     fleet::{Options, eventually},
-    instance::OPERATOR_KEY,
 };
 use serde_json::json;
 use stand_ins::{Call, Response, document, server::Fault};
@@ -29,14 +28,7 @@
 
 /// Has an operator stop the first instance within `within`.
 pub async fn drain(fleet: &Fleet, within: Duration) {
-    let mut operator = stand_ins::Caller::connect(fleet.instances[0].operator).await.unwrap();
-    let target = format!("/drain?within_ms={}", within.as_millis());
-    let head = format!(
-        "POST {target} HTTP/1.1\r\nHost: operator\r\nAuthorization: Bearer {OPERATOR_KEY}\r\n\
-         Content-Length: 0\r\n\r\n"
-    );
-    operator.send(head.as_bytes()).await.unwrap();
-    assert_eq!(operator.read_response("POST").await.unwrap().status(), 202);
+    fleet.instances[0].drain(Some(within)).await.unwrap();
 }
 
 /// A request of the team `brewers`.
