--- a/bench/src/stops/callers.rs
+++ b/bench/src/stops/callers.rs
@@ -101,9 +101,10 @@
                 sleep(Duration::from_millis(rng.random_range(AHEAD_MS))).await;
             }
         }
-        let Some((mut caller, instance, connected_at)) = open.take().filter_idle() else {
+        let Some((mut caller, instance, connected_at)) = open.take() else { continue };
+        if !caller.is_idle() {
             continue;
-        };
+        }
         let kind = draw_kind(&mut rng, habit);
         let call = draw_call(&mut rng, kind, &format!("stops-{number}-{}", traces.len()));
         let started_at = Instant::now();
@@ -132,17 +133,6 @@
     traces
 }
 
-/// Keeps a connection that is idle and open.
-trait FilterIdle {
-    fn filter_idle(self) -> Self;
-}
-
-impl FilterIdle for Option<(Caller, usize, Instant)> {
-    fn filter_idle(self) -> Self {
-        self.and_then(|mut it| it.0.is_idle().then_some(it))
-    }
-}
-
 fn draw_kind(rng: &mut impl Rng, habit: Habit) -> Kind {
     match rng.random_range(0..8) {
         _ if habit == Habit::Streams => Kind::Talk,
