A server that resumes a stream with no event does not end it

What callers saw: a stream broke off after five of ten events; the next server answered 200 with an empty stream of events, with a length of 0 or nothing but a last chunk.

Cause: only a close without a length was refused as an end before the first event of the server that goes on. That the body is framed shows that it is whole, not that the stream is.

Change: such a response fails its attempt, as one that is broken off. If the stream was complete, and only its end was lost, the caller is cut off and gets the empty rest when it resumes the stream itself; a test shows that. Comments of a server that goes on wait for its first event too.

Weighed: taking an empty stream for the end, since the server said so. A server that knows nothing of the stream says the same.

--- a/sl-edge/src/event_sequence.rs
+++ b/sl-edge/src/event_sequence.rs
@@ -30,7 +30,7 @@
     awaits_first_event: bool,
     /// Bytes of the current server since its last event.
     bytes_without_event: usize,
-    /// Comments before the first event of the stream.
+    /// Comments of the current server before its first event.
     withheld: BytesMut,
 }
 
@@ -93,9 +93,15 @@
         self.event_count
     }
 
-    /// Whether an incomplete event of the current server is buffered.
-    pub fn is_partial(&self) -> bool {
-        self.splitter.is_partial()
+    /// Whether the stream may end after the current server's last byte; `is_closed` if that is the
+    /// end of the connection and not of a length or of chunks.
+    ///
+    /// A server that was to go on, and has sent no event, may know nothing of the stream. If the
+    /// stream was complete, the caller learns that when it resumes the stream itself.
+    pub fn may_end(&self, is_closed: bool) -> bool {
+        let is_resumed = self.event_count > 0;
+        let is_empty = self.awaits_first_event && (is_closed || is_resumed);
+        !self.splitter.is_partial() && !is_empty
     }
 
     /// Whether the current server has sent no complete event yet.
@@ -116,9 +122,8 @@
         self.withheld.clear();
     }
 
-    /// Adds a piece of the current server's response. Comments before the first event of the
-    /// stream are withheld until then: once the caller has the head, a failure can only be
-    /// reported by a reset.
+    /// Adds a piece of the current server's response. Comments before its first event are withheld
+    /// until then: once the caller has the head, a failure can only be reported by a reset.
     pub fn push(&mut self, piece: &[u8]) -> Taken {
         let count_before = self.event_count;
         self.splitter.push(piece);
@@ -140,7 +145,7 @@
         if self.splitter.is_oversized() || self.bytes_without_event > BYTES_WITHOUT_EVENT_MAX {
             error = error.or(Some(SequenceError::NoEvent));
         }
-        if self.event_count == 0 {
+        if self.awaits_first_event {
             self.withheld = std::mem::take(&mut bytes);
         }
         Taken { bytes, event_count, error }
--- a/sl-edge/src/relay.rs
+++ b/sl-edge/src/relay.rs
@@ -240,7 +240,7 @@
         }
     }
 
-    /// Ends the stream after the last byte of a server, which must be at an event boundary.
+    /// Ends the stream after the last byte of a server, if the stream may end there.
     async fn finish(
         &mut self,
         clock: Clock,
@@ -248,11 +248,8 @@
         upstream: &Upstream,
         deadline: Timestamp,
     ) -> Result<(), RelayError> {
-        if self.events.is_partial() {
-            return Err(RelayError::Fault(Fault::TruncatedResponse));
-        }
-        // A close before the first event of this server is no proof that the stream has ended.
-        if upstream.body.ending() == Some(Ending::Closed) && self.events.awaits_first_event() {
+        let is_closed = upstream.body.ending() == Some(Ending::Closed);
+        if !self.events.may_end(is_closed) {
             return Err(RelayError::Fault(Fault::TruncatedResponse));
         }
         let mut buf = self.take_head(&upstream.head, caller);
--- a/sl-edge/tests/it/event_sequence.rs
+++ b/sl-edge/tests/it/event_sequence.rs
@@ -79,7 +79,7 @@
     assert!(pieces.iter().all(|it| it.error.is_none()), "{pieces:?}");
     let relayed: Vec<u8> = pieces.iter().flat_map(|it| it.bytes.to_vec()).collect();
     assert_eq!(String::from_utf8(relayed).unwrap(), stream);
-    assert_eq!((sequence.event_count(), sequence.is_partial()), (event_count, false));
+    assert_eq!((sequence.event_count(), sequence.may_end(false)), (event_count, true));
 }
 
 /// Guards against a head that is sent before any event, after which a failure can only be
@@ -93,6 +93,8 @@
     assert!(sequence.awaits_first_event());
     assert_eq!(&sequence.push(b"id: 1\n\n").bytes[..], b": busy\n\nid: 1\n\n");
     assert_eq!(&sequence.push(b": on\n\n").bytes[..], b": on\n\n");
+    sequence.begin_response();
+    assert!(sequence.push(b": failed\n\n").bytes.is_empty());
 }
 
 /// Guards against the first event of a stream that its caller resumes: the caller has it already.
@@ -107,3 +109,25 @@
     let mut sequence = EventSequence::new(IdRule::Required, Some(7));
     assert_eq!(sequence.push(event(id).as_bytes()).error, error);
 }
+
+/// Guards against a stream that ends early and looks complete.
+#[rstest]
+#[case::whole("", "id: 1\n\n", true, true)]
+#[case::partial("", "id: 1\n\nid: 2\n", false, false)]
+#[case::empty("", "", true, false)]
+#[case::comments("", ": busy\n\n", true, false)]
+#[case::resumed("id: 1\n\n", "id: 2\n\n", true, true)]
+#[case::resumed_without_an_event("id: 1\n\n", "", false, false)]
+#[case::resumed_with_comments("id: 1\n\n", ": busy\n\n", false, false)]
+fn a_stream_ends_only_after_an_event_of_the_server_that_ends_it(
+    #[case] before: &str,
+    #[case] last: &str,
+    #[case] may_end: bool,
+    #[case] may_end_closed: bool,
+) {
+    let mut sequence = EventSequence::new(IdRule::Required, None);
+    sequence.push(before.as_bytes());
+    sequence.begin_response();
+    sequence.push(last.as_bytes());
+    assert_eq!((sequence.may_end(false), sequence.may_end(true)), (may_end, may_end_closed));
+}
--- a/tests/it/broken_streams.rs
+++ b/tests/it/broken_streams.rs
@@ -91,6 +91,9 @@
         ("events from the start", stream(&events(1..=10))),
         ("a response in the stream", stream(&(event(6) + ERROR))),
         ("no event", head("200 OK", EVENT_STREAM, UNFRAMED)),
+        ("an empty stream", whole("200 OK", EVENT_STREAM, "")),
+        ("an empty stream in chunks", head("200 OK", EVENT_STREAM, CHUNKED) + "0\r\n\r\n"),
+        ("a comment", stream(": busy\n\n")),
         ("a part of an event", stream("id: 6\ndata: pi")),
         ("some events", begun(&events(6..=7))),
         ("a part of a head", ERROR[..60].to_owned()),
@@ -303,3 +306,21 @@
     fleet.instances[0].kill();
     assert!(stream.read_buf(&mut received).await.is_err(), "the connection was closed in order");
 }
+
+/// Guards against callers that never learn that a stream was complete, as the server broke off after
+/// its last event.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_has_all_events_gets_the_end_when_it_resumes_the_stream() {
+    let fleet = fleet(1).await;
+    let first = script(begun(CHUNKED, &chunk(&events(6..=10))), ScriptEnd::Reset);
+    let empty = head("200 OK", EVENT_STREAM, CHUNKED) + "0\r\n\r\n";
+    set_fault(&fleet, first, script(empty, ScriptEnd::KeepOpen));
+    let mut caller = fleet.caller(0).await.unwrap();
+    let response = caller.call(&own_call("sheet", "whole")).await.unwrap();
+    assert_eq!((response.text(), response.is_complete), (&*events(1..=10), false));
+    let mut call = own_call("sheet", "resumed");
+    call.headers.push(("Last-Event-Id", EVENTS.to_string()));
+    call.headers.push(("Resumes", "whole".to_owned()));
+    let response = fleet.caller(0).await.unwrap().call(&call).await.unwrap();
+    assert_eq!((response.status(), response.text(), response.is_complete), (200, "", true));
+}
