--- a/sl-edge/tests/it/event_sequence.rs
+++ b/sl-edge/tests/it/event_sequence.rs
@@ -1,5 +1,6 @@
 //! Which bytes of a response are part of a stream.
 
+use proptest::{collection::vec, prelude::*, sample::select, test_runner::RngSeed};
 use rstest::rstest;
 use sl_edge::event_sequence::{EventSequence, IdRule, SequenceError, Taken};
 
@@ -131,3 +132,68 @@
     sequence.push(last.as_bytes());
     assert_eq!((sequence.may_end(false), sequence.may_end(true)), (may_end, may_end_closed));
 }
+
+/// What a caller gets of the responses of several servers, each in pieces of `piece_bytes`, and why
+/// each response was given up.
+fn relayed(
+    id_rule: IdRule,
+    responses: &[String],
+    piece_bytes: usize,
+) -> (String, Vec<Option<SequenceError>>) {
+    let mut sequence = EventSequence::new(id_rule, None);
+    let (mut bytes, mut errors) = (Vec::new(), Vec::new());
+    for response in responses {
+        sequence.begin_response();
+        let mut error = None;
+        for piece in response.as_bytes().chunks(piece_bytes) {
+            let taken = sequence.push(piece);
+            bytes.extend_from_slice(&taken.bytes);
+            error = taken.error;
+            if error.is_some() {
+                break;
+            }
+        }
+        errors.push(error);
+    }
+    (String::from_utf8(bytes).unwrap(), errors)
+}
+
+const BLOCKS: [&str; 9] = [
+    "id: 1\n\n",
+    "id: 2\r\ndata: b\r\n\r\n",
+    "id: 3\n\n",
+    "id: 4\n\n",
+    "data: failed\n\n",
+    ": busy\n\n",
+    "id: 5\nda",
+    "HTTP/1.1 500 Failed\r\nContent-Length: 6\r\n\r\n",
+    "failed",
+];
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(0x5e5a_0008),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against bytes that are relayed, or not, by the pieces in which they arrive, and against
+    /// any order of failures that brings an event twice or bytes that are no event.
+    #[test]
+    fn no_order_of_servers_brings_anything_but_rising_events(
+        blocks in vec(vec(select(&BLOCKS[..]), 0..6), 1..4),
+        piece_bytes in 1_usize..40,
+    ) {
+        let responses: Vec<String> = blocks.iter().map(|it| it.concat()).collect();
+        let (text, errors) = relayed(IdRule::Required, &responses, piece_bytes);
+        let whole = relayed(IdRule::Required, &responses, 1_000);
+        prop_assert_eq!((&text, &errors), (&whole.0, &whole.1));
+        prop_assert!(!text.contains("HTTP/"), "{}", text);
+        prop_assert!(text.is_empty() || text.ends_with("\n\n") || text.ends_with("\n\r\n"));
+        let text = text.replace('\r', "");
+        let events: Vec<&str> = text.split_terminator("\n\n").filter(|it| *it != ": busy").collect();
+        // Text that follows a part of an event cannot be told from the rest of that event.
+        let ids: Option<Vec<&str>> = events.iter().map(|it| it.strip_prefix("id: ")).collect();
+        prop_assert!(ids.is_some_and(|it| it.is_sorted_by(|a, b| a[..1] < b[..1])), "{}", text);
+    }
+}
