--- a/sl-edge/src/pool.rs
+++ b/sl-edge/src/pool.rs
@@ -95,7 +95,8 @@
     }
 
     /// Takes an idle connection to `address` or opens one, with at most `max_connections` open
-    /// to that address. Connections that have carried a request with `attempt_id` are not used. With `only_fresh`, connections idle for longer than [`FRESH_IDLE_MAX`] are not used.
+    /// to that address. Connections that have carried a request with `attempt_id` are not used.
+    /// With `only_fresh`, connections idle for longer than [`FRESH_IDLE_MAX`] are not used.
     pub(crate) async fn acquire(
         &self,
         address: SocketAddr,
--- a/tests/it/late_refusals.rs
+++ b/tests/it/late_refusals.rs
@@ -174,8 +174,8 @@
     assert_eq!(check(&fleet, "book", &call_in_turn(&fleet, calls).await), 0);
 }
 
-// Callers choose attempt ids, so two requests may have the same one, with many others between them on
-// the same connection.
+// Callers choose attempt ids, so two requests may have the same one, with many others between them
+// on the same connection. A connection that had forgotten the first id was used for the second.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_late_refusal_of_a_request_with_the_same_attempt_id_is_no_proof() {
     let fleet = fleet_with_retries().await;
