bench: some callers of the soak of stops open a connection for each request

Callers that keep their connections gather at the instance that does not stop, so that hardly any request came in the last second of a shutdown.

--- a/bench/src/stops/callers.rs
+++ b/bench/src/stops/callers.rs
@@ -42,6 +42,8 @@
 pub(crate) enum Habit {
     /// Sends requests on one connection as long as it is open.
     Reuses,
+    /// Opens a connection for each request.
+    ConnectsAnew,
     /// Opens connections some time before they carry their first request.
     ConnectsAhead,
     /// Keeps a stream of several seconds running.
@@ -54,17 +56,17 @@
     Habit::Streams,
     Habit::ConnectsAhead,
     Habit::Streams,
-    Habit::Reuses,
+    Habit::ConnectsAnew,
     Habit::Streams,
     Habit::ConnectsAhead,
-    Habit::Reuses,
+    Habit::ConnectsAnew,
 ];
 
 /// How long connections wait for their first request, in milliseconds.
 const AHEAD_MS: std::ops::Range<u64> = 200..4_000;
 
 /// Pauses between two requests of a caller, in milliseconds.
-const PAUSE_MS: std::ops::Range<u64> = 0..80;
+const PAUSE_MS: std::ops::Range<u64> = 0..40;
 
 /// Pauses between two pieces of a request, in milliseconds.
 const PIECE_PAUSE_MS: std::ops::Range<u64> = 0..200;
@@ -114,7 +116,10 @@
         let (gave_up, response) = (response.is_err(), response.ok().and_then(Result::ok));
         let ended_at = Instant::now();
         let is_kept = response.as_ref().is_some_and(|it| {
-            it.is_complete && it.header("connection") != Some("close") && it.status() < 500
+            habit != Habit::ConnectsAnew
+                && it.is_complete
+                && it.header("connection") != Some("close")
+                && it.status() < 500
         });
         let retry_delay = response.as_ref().and_then(|it| retry_delay(it, call.timeout / 3));
         traces.push(Trace {
--- a/bench/src/stops/plan.rs
+++ b/bench/src/stops/plan.rs
@@ -35,7 +35,7 @@
 const REPEAT_MS: std::ops::Range<u64> = 50..5_800;
 
 /// The mean interval between two changes of one server, in milliseconds.
-const SERVER_MEAN_INTERVAL_MS: u64 = 4_000;
+const SERVER_MEAN_INTERVAL_MS: u64 = 2_000;
 
 /// The mean interval between two configurations or two replaced servers, in milliseconds.
 const FLEET_MEAN_INTERVAL_MS: u64 = 2_500;
@@ -55,8 +55,8 @@
     let mean_interval_ms = (SERVER_MEAN_INTERVAL_MS / servers as u64).max(1);
     actions.extend(draw_schedule(rng, duration, mean_interval_ms, |rng| {
         let server = rng.random_range(0..servers);
-        match rng.random_range(0..3) {
-            0 => Action::Silence(server, rng.random_range(200..1_000)),
+        match rng.random_range(0..4) {
+            0 => Action::Silence(server, rng.random_range(400..1_000)),
             1 => Action::Fleet(Fault::Server(server, server::Fault::None)),
             _ => {
                 let slow = server::Fault::Slow(rng.random_range(100..700));
