tests: the changed settings of a test of a shutdown are changed

Instance::set_stop_within replaced only the first setting of its time, so after fleet_stopping_within it did nothing, and stops::disruptions case_1_changed_settings sent a SIGHUP for unchanged settings.

--- a/bench/src/instance.rs
+++ b/bench/src/instance.rs
@@ -109,16 +109,20 @@
         Ok(())
     }
 
-    /// Replaces the time within which a graceful shutdown ends in the settings, which the next
-    /// process of the instance reads.
+    /// Replaces the time within which a graceful shutdown ends in the settings, which the
+    /// process of the instance reads when it starts or reloads them.
     ///
     /// # Errors
     ///
     /// Returns an error if the settings cannot be read or written.
     pub fn set_stop_within(&self, stop_within: Duration) -> io::Result<()> {
         let text = std::fs::read_to_string(&self.settings)?;
-        let text = text.replace(&stop_setting(STOP_WITHIN), &stop_setting(stop_within));
-        std::fs::write(&self.settings, text)
+        let lines = text.lines().map(|it| match it.starts_with(STOP_SETTING) {
+            true => stop_setting(stop_within),
+            false => it.to_owned(),
+        });
+        let lines: Vec<String> = lines.collect();
+        std::fs::write(&self.settings, lines.join("\n") + "\n")
     }
 
     /// Path of the settings file.
@@ -211,8 +215,11 @@
 }
 
 /// The line of the settings that limits the time of a graceful shutdown.
+/// Name of the setting for the time within which a graceful shutdown ends.
+const STOP_SETTING: &str = "stop-within-ms";
+
 fn stop_setting(stop_within: Duration) -> String {
-    format!("stop-within-ms = {}", stop_within.as_millis())
+    format!("{STOP_SETTING} = {}", stop_within.as_millis())
 }
 
 impl Drop for Instance {
--- a/tests/it/stops/disruptions.rs
+++ b/tests/it/stops/disruptions.rs
@@ -5,7 +5,7 @@
 
 use super::*;
 
-/// Changes the settings and has them read; the new ones are in force at the next start.
+/// Changes the settings and has them read; the time of a shutdown in progress stays.
 fn reload_settings(fleet: &Fleet) {
     fleet.instances[0].set_stop_within(Duration::from_millis(500)).unwrap();
     fleet.instances[0].signal(Signal::SIGHUP);
@@ -42,15 +42,18 @@
 
 // Guards against requests that are cut off because something else happens during a shutdown.
 #[rstest]
-#[case::changed_settings(reload_settings)]
-#[case::removed_routes(remove_routes)]
-#[case::removed_configuration(remove_configuration)]
-#[case::removed_servers(remove_servers)]
-#[case::draining_servers(drain_servers)]
-#[case::silent_store(silence_store)]
-#[case::unavailable_store(refuse_at_store)]
+#[case::changed_settings(reload_settings, true)]
+#[case::removed_routes(remove_routes, false)]
+#[case::removed_configuration(remove_configuration, false)]
+#[case::removed_servers(remove_servers, false)]
+#[case::draining_servers(drain_servers, false)]
+#[case::silent_store(silence_store, false)]
+#[case::unavailable_store(refuse_at_store, false)]
 #[tokio::test(flavor = "multi_thread")]
-async fn requests_in_flight_are_answered(#[case] disrupt: fn(&Fleet)) {
+async fn requests_in_flight_are_answered(
+    #[case] disrupt: fn(&Fleet),
+    #[case] changes_settings: bool,
+) {
     let mut fleet = fleet_stopping_within(STOP_WITHIN).await;
     make_slow(&fleet);
     fleet.engines().for_each(|it| it.set_fault(Fault::StallsBetweenEvents));
@@ -75,6 +78,8 @@
     }
     let exit_status = fleet.instances[0].wait_for_exit(STOP_WITHIN + EXIT_DELAY_MAX).await.unwrap();
     assert!(exit_status.success(), "{exit_status:?}");
+    let has_changed = fleet.instances[0].log().contains("\"settings changed\"");
+    assert_eq!(has_changed, changes_settings);
 }
 
 /// Number of requests of each kind that are in flight when the process is frozen.
