Shutdown: the exit waits for responses that are being written

A caller that read a server's error late got a part of it (3.6 of 7.3 MB) and then the end of the connection, during the shutdown of an instance without other requests. The server had run it.

Cause: the exit waited for requests that the reducer has in flight and for those being received. An error that was withheld for another attempt, and any response of our own, is written when the reducer has ended the request, so it was neither.

Change: a request counts as in progress from its first byte until its response is written, and the shutdown waits for that count alone.

Measured: stops::review::an_exit_waits_for_responses_that_are_read_late::case_2_server_error failed before and passes now.

--- a/sl-edge/src/caller.rs
+++ b/sl-edge/src/caller.rs
@@ -131,7 +131,7 @@
             return Err(None);
         }
     }
-    let _receiving = ingress.connections.mark_receiving();
+    let _in_progress = ingress.connections.mark_in_progress();
     let read = timeout(limits.header_timeout.into(), conn.read_head(limits.max_header_bytes)).await;
     match read {
         Ok(Ok(head)) => Ok(head),
@@ -164,7 +164,8 @@
     if !request.is_accepted(ingress) {
         return Err(request.reject_for_shutdown(ingress));
     }
-    let receiving = ingress.connections.mark_receiving();
+    // Until the response is written, which for a server's error begins when nothing is in flight.
+    let _in_progress = ingress.connections.mark_in_progress();
     let body = tokio::select! {
         biased;
         body = read_body(document, conn, framing, &request.head) => body,
@@ -176,7 +177,6 @@
         return Err(request.reject_for_shutdown(ingress));
     }
     let guard = ingress.core.register_request();
-    drop(receiving);
     Ok(request.run(ingress, conn, guard, body).await)
 }
 
--- a/sl-edge/src/shutdown.rs
+++ b/sl-edge/src/shutdown.rs
@@ -178,7 +178,7 @@
     apply(core, first);
     on_start();
     loop {
-        let phase = core.shutdown.advance(core.now(), is_busy(core, connections));
+        let phase = core.shutdown.advance(core.now(), is_busy(connections));
         core.update_readiness();
         if phase == Some(Phase::Terminating) {
             break;
@@ -210,7 +210,7 @@
 async fn finish_responses(core: &Core, connections: &ConnectionTracker) {
     let deadline = core.now().after(FINAL_RESPONSES_MAX);
     sleep(FINAL_RESPONSES_MIN.into()).await;
-    let is_writing = || is_busy(core, connections) || connections.closing_count() > 0;
+    let is_writing = || is_busy(connections) || connections.closing_count() > 0;
     while is_writing() && !deadline.is_due(core.now()) {
         sleep(POLL_INTERVAL.into()).await;
     }
@@ -227,9 +227,9 @@
         "refused" => tally.refused.get());
 }
 
-/// Whether requests are in flight or being received.
-fn is_busy(core: &Core, connections: &ConnectionTracker) -> bool {
-    in_flight(core) + connections.receiving_count() > 0
+/// Whether requests are being received, are in flight, or have a response that is being written.
+fn is_busy(connections: &ConnectionTracker) -> bool {
+    connections.in_progress_count() > 0
 }
 
 fn in_flight(core: &Core) -> usize {
--- a/sl-edge/src/unused.rs
+++ b/sl-edge/src/unused.rs
@@ -12,12 +12,12 @@
 
 use tokio::sync::Notify;
 
-/// Counts open connections and the requests that are being received on them, and orders the
+/// Counts open connections and the requests in progress on them, and orders the
 /// idle connections by how long they have been idle.
 pub struct ConnectionTracker {
     max_open: usize,
     open: Cell<usize>,
-    receiving: Cell<usize>,
+    in_progress: Cell<usize>,
     closing: Cell<usize>,
     /// The number given to the latest idle period; numbers increase with time.
     last_number: Cell<u64>,
@@ -28,8 +28,8 @@
 /// Counts a connection as open until dropped.
 pub struct OpenGuard<'a>(&'a ConnectionTracker);
 
-/// Counts a request as being received until dropped.
-pub struct ReceivingGuard<'a>(&'a ConnectionTracker);
+/// Counts a request as in progress until dropped.
+pub struct ProgressGuard<'a>(&'a ConnectionTracker);
 
 /// Counts a connection as closing until dropped.
 pub struct ClosingGuard<'a>(&'a ConnectionTracker);
@@ -48,7 +48,7 @@
         ConnectionTracker {
             max_open,
             open: Cell::new(0),
-            receiving: Cell::new(0),
+            in_progress: Cell::new(0),
             closing: Cell::new(0),
             last_number: Cell::new(0),
             idle,
@@ -75,15 +75,15 @@
         IdleGuard { tracker: self, number, evict }
     }
 
-    /// Counts a request as being received from now on.
-    pub fn mark_receiving(&self) -> ReceivingGuard<'_> {
-        self.receiving.set(self.receiving.get() + 1);
-        ReceivingGuard(self)
+    /// Counts a request as in progress from now on, until its response is written.
+    pub fn mark_in_progress(&self) -> ProgressGuard<'_> {
+        self.in_progress.set(self.in_progress.get() + 1);
+        ProgressGuard(self)
     }
 
-    /// The number of requests of which a part was received.
-    pub fn receiving_count(&self) -> usize {
-        self.receiving.get()
+    /// The number of requests of which a part was received and whose response is not written.
+    pub fn in_progress_count(&self) -> usize {
+        self.in_progress.get()
     }
 
     /// Counts a connection as closing from now on: its last response may not have reached the
@@ -117,9 +117,9 @@
     }
 }
 
-impl Drop for ReceivingGuard<'_> {
+impl Drop for ProgressGuard<'_> {
     fn drop(&mut self) {
-        self.0.receiving.set(self.0.receiving.get() - 1);
+        self.0.in_progress.set(self.0.in_progress.get() - 1);
     }
 }
 
--- a/sl-edge/tests/it/unused.rs
+++ b/sl-edge/tests/it/unused.rs
@@ -39,14 +39,14 @@
     assert_eq!(tracker.open_count(), 1);
 }
 
-// A shutdown that does not wait for requests that are being received cuts them off.
+// A shutdown that does not wait for requests that are in progress cuts them off.
 #[test]
-fn a_request_counts_as_being_received_until_its_guard_is_dropped() {
+fn a_request_counts_as_in_progress_until_its_guard_is_dropped() {
     let tracker = ConnectionTracker::new(2);
-    let (first, second) = (tracker.mark_receiving(), tracker.mark_receiving());
-    assert_eq!(tracker.receiving_count(), 2);
+    let (first, second) = (tracker.mark_in_progress(), tracker.mark_in_progress());
+    assert_eq!(tracker.in_progress_count(), 2);
     drop(first);
-    assert_eq!(tracker.receiving_count(), 1);
+    assert_eq!(tracker.in_progress_count(), 1);
     drop(second);
-    assert_eq!(tracker.receiving_count(), 0);
+    assert_eq!(tracker.in_progress_count(), 0);
 }
--- a/tests/it/stops.rs
+++ b/tests/it/stops.rs
@@ -6,6 +6,7 @@
 mod exit;
 mod incomplete;
 mod resumed;
+mod review;
 mod starts;
 mod unread;
 
--- /dev/null
+++ b/tests/it/stops/review.rs
@@ -0,0 +1,102 @@
+//! Requests that were accepted keep the time that they were given, and their responses are waited
+//! for.
+
+use std::sync::{
+    Arc,
+    atomic::{AtomicUsize, Ordering},
+};
+
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpSocket, TcpStream},
+};
+
+use super::*;
+
+/// Bytes of a response that fills the buffers of a connection.
+const LARGE_BYTES: usize = 7 << 20;
+
+/// The receive buffer of a caller that reads late, in bytes.
+const RECEIVE_BUFFER: u32 = 16 * 1_024;
+
+/// Time after which a server sends a large response.
+const RESPONSE_DELAY: Duration = Duration::from_millis(80);
+
+/// Serves requests with large responses that have `status`, and counts them.
+async fn serve_large(listener: TcpListener, status: u16, arrivals: Arc<AtomicUsize>) {
+    while let Ok((stream, _)) = listener.accept().await {
+        tokio::spawn(respond_large(stream, status, arrivals.clone()));
+    }
+}
+
+async fn respond_large(
+    mut stream: TcpStream,
+    status: u16,
+    arrivals: Arc<AtomicUsize>,
+) -> std::io::Result<()> {
+    let mut received = Vec::new();
+    while !received.ends_with(b"\r\n\r\n") {
+        if stream.read_buf(&mut received).await? == 0 {
+            return Ok(());
+        }
+    }
+    arrivals.fetch_add(1, Ordering::Relaxed);
+    sleep(RESPONSE_DELAY).await;
+    let text = String::from_utf8_lossy(&received).to_lowercase();
+    let id = text.lines().find_map(|it| it.strip_prefix("x-attempt-id: ")).unwrap_or_default();
+    let head = format!(
+        "HTTP/1.1 {status} Large\r\nX-Attempt-Id: {id}\r\nX-Server-Seal: seal\r\n\
+         Connection: close\r\nContent-Length: {LARGE_BYTES}\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).await?;
+    stream.write_all(&vec![b'x'; LARGE_BYTES]).await
+}
+
+/// Registers a server with large responses under the ids of both plain servers. Returns the number of
+/// requests that it got.
+async fn add_large_server(fleet: &Fleet, status: u16) -> Arc<AtomicUsize> {
+    let listener = TcpListener::bind(bench::fleet::ANY_PORT).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    fleet.apps().for_each(|it| it.register_at(&fleet.store, address, "ready"));
+    let arrivals = Arc::new(AtomicUsize::new(0));
+    tokio::spawn(serve_large(listener, status, arrivals.clone()));
+    crate::testbed::settle(fleet).await;
+    arrivals
+}
+
+/// Sends a request, and reads the response from `read_at` on. Returns the number of bytes of the
+/// response and its first line.
+async fn read_late(address: SocketAddr, call: Call, read_at: Instant) -> (usize, String) {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(RECEIVE_BUFFER).unwrap();
+    let mut stream = socket.connect(address).await.unwrap();
+    stream.write_all(&call.to_bytes()).await.unwrap();
+    sleep(read_at.saturating_duration_since(Instant::now())).await;
+    let mut received = Vec::new();
+    let _ = stream.read_to_end(&mut received).await;
+    let text = String::from_utf8_lossy(&received);
+    (received.len(), text.lines().next().unwrap_or_default().to_owned())
+}
+
+// Guards against an exit in the middle of a response that is being written: of a server's error that
+// was withheld for another attempt, which is no longer in flight, and of a success.
+#[rstest]
+#[case::success(200)]
+#[case::server_error(500)]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_exit_waits_for_responses_that_are_read_late(#[case] status: u16) {
+    let fleet = fleet_stopping_within(STOP_WITHIN).await;
+    let arrivals = add_large_server(&fleet, status).await;
+    let stopped_at = stop(&fleet);
+    until(stopped_at, Duration::from_millis(2_300)).await;
+    let read_at = stopped_at + Duration::from_millis(3_250);
+    let address = fleet.instances[0].caller;
+    let call = late_call("GET", "/status/7", "large");
+    let reading = tokio::spawn(read_late(address, call, read_at));
+    eventually("the request is sent", async || arrivals.load(Ordering::Relaxed) > 0).await;
+    // No other server is left, so the error is not withheld any longer.
+    fleet.apps().for_each(|it| fleet.store.remove(&it.key()));
+    let (bytes, first_line) = reading.await.unwrap();
+    assert!(first_line.contains(&status.to_string()), "{first_line}");
+    assert!(bytes > LARGE_BYTES, "{bytes} of {LARGE_BYTES}; {}", fleet.instances[0].log());
+}
