Shutdown: SIGTERM after a reload does not shorten it

A request that was accepted during a shutdown, as it was due before the end, got 504 (code 3008) though its server ran it and answered in time, when a reload had set a shorter stop-within-ms and SIGTERM came again.

Cause: each SIGTERM shortened the shutdown to the setting of its moment, and the end by which requests were accepted moved. docs/design/shutdown.md says that a SIGTERM changes nothing then.

Change: only the first SIGTERM sets the end.

Measured: stops::review::a_sigterm_after_a_reload_leaves_requests_that_were_accepted_their_time failed before (504, code 3008) and passes now.

--- a/sl-edge/src/shutdown.rs
+++ b/sl-edge/src/shutdown.rs
@@ -31,6 +31,8 @@
     current: Cell<Option<shutdown::Shutdown>>,
     /// Wakes those that wait for a phase; `None` before the shutdown.
     phase: watch::Sender<Option<Phase>>,
+    /// Whether the end follows from a SIGTERM already.
+    is_terminated: Cell<bool>,
     /// The drain timeout of the settings.
     pub(crate) drain_timeout: Cell<Millis>,
     pub(crate) tally: Tally,
@@ -61,6 +63,7 @@
         ShutdownControl {
             current: Cell::new(None),
             phase: watch::Sender::new(None),
+            is_terminated: Cell::new(false),
             drain_timeout: Cell::new(drain_timeout),
             tally: Tally::default(),
         }
@@ -114,11 +117,15 @@
             _ => BALANCER_DELAY.min(drain_timeout),
         };
         let options = shutdown::Options { drain_timeout, balancer_delay };
+        let was_terminated = self.is_terminated.get();
+        self.is_terminated.set(was_terminated || request == StopRequest::Terminate);
         let next = match self.current.get() {
             None => shutdown::Shutdown::begin(now, options),
             Some(mut current) => {
                 match request {
                     StopRequest::Interrupt => current.abort(now),
+                    // The drain timeout may have changed since; requests were accepted by the old one.
+                    StopRequest::Terminate if was_terminated => {}
                     _ => current.shorten(now, drain_timeout),
                 }
                 current
--- a/tests/it/stops/review.rs
+++ b/tests/it/stops/review.rs
@@ -13,6 +13,34 @@
 
 use super::*;
 
+/// Shorter than a request that was accepted may take.
+const SHORT_STOP: Duration = Duration::from_millis(400);
+
+/// From this time on, a shorter time for the shutdown counts whatever the balancer needs.
+const CALLERS_MOVED: Duration = Duration::from_millis(2_700);
+
+// Guards against a second SIGTERM that, after a reload, shortens a shutdown under a request that was
+// accepted because it was due before the end: the caller got 504, and its server had run it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_sigterm_after_a_reload_leaves_requests_that_were_accepted_their_time() {
+    let (fleet, _streaming) = fleet_with_endless_stream().await;
+    make_slow(&fleet);
+    let stopped_at = stop(&fleet);
+    until(stopped_at, CALLERS_MOVED).await;
+    let caller = fleet.caller(0).await.unwrap();
+    let sending = tokio::spawn(send(caller, late_call("POST", "/book/7", "kept"), stopped_at));
+    eventually("the request is executed", async || fleet.execution_count("kept") > 0).await;
+    fleet.instances[0].set_stop_within(SHORT_STOP).unwrap();
+    fleet.instances[0].signal(Signal::SIGHUP);
+    eventually("the settings are read", async || {
+        fleet.instances[0].log().contains("\"settings changed\"")
+    })
+    .await;
+    stop(&fleet);
+    let sent = sending.await.unwrap();
+    assert_eq!(sent.status_and_code(), Some((200, "")), "{sent:?}");
+}
+
 /// Bytes of a response that fills the buffers of a connection.
 const LARGE_BYTES: usize = 7 << 20;
 
