Shutdown: a connection that becomes idle late stays open for a moment

A caller whose stream ended more than 2.6 s after SIGTERM, on a connection that the response had said to be kept, saw its next request end without an answer: the connection was closed as soon as the stream had ended, with the request in transit (0.4 ms after it was sent). It was not run, but the caller cannot know.

Change: a connection that becomes idle when others are closed already stays open for the 100 ms that requests in transit are given elsewhere.

Measured: stops::review::a_request_after_a_stream_that_ended_late_gets_a_response failed before and passes now.

--- a/sl-edge/src/caller.rs
+++ b/sl-edge/src/caller.rs
@@ -119,7 +119,7 @@
         let first = tokio::select! {
             biased;
             first = timeout(limits.idle_timeout.into(), conn.fill()) => first,
-            () = core.shutdown.idle_close_started(), if is_reused => return Err(None),
+            () = core.shutdown.idle_close_due(), if is_reused => return Err(None),
             () = idle.evicted() => {
                 slog::debug!(core.log, "idle connection closed";
                     "reason" => "connection limit reached",
--- a/sl-edge/src/shutdown.rs
+++ b/sl-edge/src/shutdown.rs
@@ -74,9 +74,15 @@
         self.current.get().is_some()
     }
 
-    /// Waits until idle connections are closed.
-    pub(crate) async fn idle_close_started(&self) {
+    /// Waits until a connection that is idle from now on is closed. One that becomes idle when others
+    /// are closed already stays open for a moment: its caller may have been told that it is kept, and
+    /// its next request may be in transit.
+    pub(crate) async fn idle_close_due(&self) {
+        let others_are_closed = *self.phase.borrow() >= Some(Phase::ClosingIdle);
         self.reached(Phase::ClosingIdle).await;
+        if others_are_closed {
+            sleep(shutdown::TRANSIT_DELAY.into()).await;
+        }
     }
 
     /// Waits until no request is accepted any more, and those in flight have to end.
--- a/sl-route/src/shutdown.rs
+++ b/sl-route/src/shutdown.rs
@@ -52,7 +52,7 @@
 }
 
 /// Time that a request may be in transit to a connection that is being closed.
-const TRANSIT_DELAY: Millis = Millis(100);
+pub const TRANSIT_DELAY: Millis = Millis(100);
 
 /// Time to write a response that has become ready at its deadline.
 const WRITE_MARGIN: Millis = Millis(100);
--- a/tests/it/stops/review.rs
+++ b/tests/it/stops/review.rs
@@ -41,6 +41,30 @@
     assert_eq!(sent.status_and_code(), Some((200, "")), "{sent:?}");
 }
 
+/// A prompt that an engine processes for so long, beside its stall, that the stream ends when idle
+/// connections have been closed.
+const LONG_PROMPT: (u32, u32, &str) = (40_000, 60, "c3:40000");
+
+// Guards against a connection that is closed at once after a response that said that it is kept, while
+// the next request is in transit.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_after_a_stream_that_ended_late_gets_a_response() {
+    let (fleet, _streaming) = fleet_with_endless_stream().await;
+    fleet.engines().for_each(|it| it.set_fault(Fault::StallsBetweenEvents));
+    let mut caller = fleet.caller(0).await.unwrap();
+    let (input, output, parts) = LONG_PROMPT;
+    let stream =
+        Call { prompt: Some((input, output, parts.to_owned())), ..model_call("/chat/7", "stream") };
+    caller.send(&stream.to_bytes()).await.unwrap();
+    eventually("the stream is executed", async || fleet.execution_count("stream") > 0).await;
+    let stopped_at = stop(&fleet);
+    let response = caller.read_response("POST").await.unwrap();
+    assert!(response.is_complete && response.header("connection").is_none(), "{response:?}");
+    assert!(stopped_at.elapsed() > Duration::from_millis(2_620), "{:?}", stopped_at.elapsed());
+    let next = send(caller, late_call("POST", "/book/7", "next"), stopped_at).await;
+    assert!(next.is_answered(), "{next:?}");
+}
+
 /// Bytes of a response that fills the buffers of a connection.
 const LARGE_BYTES: usize = 7 << 20;
 
