--- a/tests/it/stops/review.rs
+++ b/tests/it/stops/review.rs
@@ -41,6 +41,25 @@
     assert_eq!(sent.status_and_code(), Some((200, "")), "{sent:?}");
 }
 
+// Guards against a caller that sends its next request on a connection that is about to be closed:
+// it was told that the connection is kept, since that was decided when its request came.
+#[rstest]
+#[case::plain("/book/7")]
+#[case::stream("/chat/7")]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_response_that_begins_during_a_shutdown_announces_the_close(#[case] target: &str) {
+    let fleet = fleet_stopping_within(STOP_WITHIN).await;
+    fleet.servers.iter().for_each(|it| it.set_fault(Fault::StallsBeforeResponse));
+    let caller = fleet.caller(0).await.unwrap();
+    let call = model_call(target, "before");
+    let sending = tokio::spawn(send(caller, call, Instant::now()));
+    eventually("the request is executed", async || fleet.execution_count("before") > 0).await;
+    stop(&fleet);
+    let sent = sending.await.unwrap();
+    let response = sent.response.unwrap();
+    assert_eq!((response.status(), response.header("connection")), (200, Some("close")));
+}
+
 /// A prompt that an engine processes for so long, beside its stall, that the stream ends when idle
 /// connections have been closed.
 const LONG_PROMPT: (u32, u32, &str) = (40_000, 60, "c3:40000");
@@ -65,6 +84,22 @@
     assert!(next.is_answered(), "{next:?}");
 }
 
+// Guards against a count of cut requests that lacks those whose deadline the shutdown has cut.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_whose_deadline_the_shutdown_cut_counts_as_cut() {
+    let mut fleet = fleet_stopping_within(STOP_WITHIN).await;
+    fleet.engines().for_each(|it| it.set_fault(Fault::Hangs));
+    let stopped_at = stop(&fleet);
+    until(stopped_at, Duration::from_millis(1_000)).await;
+    let caller = fleet.caller(0).await.unwrap();
+    let sent = send(caller, model_call("/sheet/7", "cut"), stopped_at).await;
+    assert_eq!(sent.status_and_code().map(|it| it.0), Some(504), "{sent:?}");
+    assert_eq!(fleet.execution_count("cut").min(1), 1);
+    fleet.instances[0].wait_for_exit(STOP_WITHIN + EXIT_DELAY_MAX).await.unwrap();
+    let log = fleet.instances[0].log();
+    assert!(log.contains("\"cut\":1,"), "{log}");
+}
+
 /// Bytes of a response that fills the buffers of a connection.
 const LARGE_BYTES: usize = 7 << 20;
 
@@ -152,3 +187,36 @@
     assert!(first_line.contains(&status.to_string()), "{first_line}");
     assert!(bytes > LARGE_BYTES, "{bytes} of {LARGE_BYTES}; {}", fleet.instances[0].log());
 }
+
+/// Parts of the time in which a throttled process runs and in which it does not.
+const RUNNING: Duration = Duration::from_millis(25);
+const STOPPED: Duration = Duration::from_millis(75);
+
+/// Lets the first instance run for a quarter of the time.
+async fn throttle(fleet: &Fleet) {
+    loop {
+        fleet.instances[0].signal(Signal::SIGSTOP);
+        sleep(STOPPED).await;
+        fleet.instances[0].signal(Signal::SIGCONT);
+        sleep(RUNNING).await;
+    }
+}
+
+// Guards against requests that a process loses because it gets a quarter of a core.
+#[rstest]
+#[case::sound_servers(|_: &Fleet| ())]
+#[case::slow_servers(make_slow)]
+#[case::silent_servers(make_silent)]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_throttled_process_answers_what_it_accepts(#[case] fault: fn(&Fleet)) {
+    let (fleet, _streaming) = fleet_with_endless_stream().await;
+    fault(&fleet);
+    let stopped_at = stop(&fleet);
+    let sending = send_on_new_connections(fleet.instances[0].caller, stopped_at);
+    let sent = tokio::select! {
+        sent = sending => sent,
+        () = throttle(&fleet) => unreachable!(),
+    };
+    assert!(sent.len() > 20, "{}", sent.len());
+    assert_eq!(violations(&fleet, &sent), Vec::<String>::new());
+}
