--- a/bench/src/instance.rs
+++ b/bench/src/instance.rs
@@ -13,6 +13,7 @@
     sys::signal::{self, Signal},
     unistd::Pid,
 };
+use stand_ins::Caller;
 
 use crate::ports::free_port;
 
@@ -57,7 +58,7 @@
 }
 
 /// Time within which a graceful shutdown ends, unless another one is set.
-const STOP_WITHIN: Duration = Duration::from_millis(6_000);
+pub const STOP_WITHIN: Duration = Duration::from_millis(6_000);
 
 /// How often a child process is checked for its exit.
 const CHECK_INTERVAL: Duration = Duration::from_millis(10);
@@ -109,16 +110,39 @@
         Ok(())
     }
 
-    /// Replaces the time within which a graceful shutdown ends in the settings, which the next
-    /// process of the instance reads.
+    /// Replaces the time within which a graceful shutdown ends in the settings, which the
+    /// process of the instance reads when it starts or reloads them.
     ///
     /// # Errors
     ///
     /// Returns an error if the settings cannot be read or written.
     pub fn set_stop_within(&self, stop_within: Duration) -> io::Result<()> {
         let text = std::fs::read_to_string(&self.settings)?;
-        let text = text.replace(&stop_setting(STOP_WITHIN), &stop_setting(stop_within));
-        std::fs::write(&self.settings, text)
+        let lines = text.lines().map(|it| match it.starts_with(STOP_SETTING) {
+            true => stop_setting(stop_within),
+            false => it.to_owned(),
+        });
+        let lines: Vec<String> = lines.collect();
+        std::fs::write(&self.settings, lines.join("\n") + "\n")
+    }
+
+    /// Asks the instance to drain, as `sesamelock drain` does, within `within` if that is given.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the operator port does not accept the call.
+    pub async fn drain(&self, within: Option<Duration>) -> io::Result<()> {
+        let query = within.map(|it| format!("?within_ms={}", it.as_millis())).unwrap_or_default();
+        let call = format!(
+            "POST /drain{query} HTTP/1.1\r\nHost: operator\r\n\
+             Authorization: Bearer {OPERATOR_KEY}\r\nContent-Length: 0\r\n\r\n"
+        );
+        let mut operator = Caller::connect(self.operator).await?;
+        operator.send(call.as_bytes()).await?;
+        match operator.read_response("POST").await?.status() {
+            202 => Ok(()),
+            status => Err(io::Error::other(format!("the drain got status {status}"))),
+        }
     }
 
     /// Path of the settings file.
@@ -211,8 +235,11 @@
 }
 
 /// The line of the settings that limits the time of a graceful shutdown.
+/// Name of the setting for the time within which a graceful shutdown ends.
+const STOP_SETTING: &str = "stop-within-ms";
+
 fn stop_setting(stop_within: Duration) -> String {
-    format!("stop-within-ms = {}", stop_within.as_millis())
+    format!("{STOP_SETTING} = {}", stop_within.as_millis())
 }
 
 impl Drop for Instance {
--- a/sl-edge/src/shutdown.rs
+++ b/sl-edge/src/shutdown.rs
@@ -31,6 +31,8 @@
     current: Cell<Option<shutdown::Shutdown>>,
     /// Wakes those that wait for a phase; `None` before the shutdown.
     phase: watch::Sender<Option<Phase>>,
+    /// Whether the end follows from a SIGTERM already.
+    is_terminated: Cell<bool>,
     /// The drain timeout of the settings.
     pub(crate) drain_timeout: Cell<Millis>,
     pub(crate) tally: Tally,
@@ -61,6 +63,7 @@
         ShutdownControl {
             current: Cell::new(None),
             phase: watch::Sender::new(None),
+            is_terminated: Cell::new(false),
             drain_timeout: Cell::new(drain_timeout),
             tally: Tally::default(),
         }
@@ -71,9 +74,15 @@
         self.current.get().is_some()
     }
 
-    /// Waits until idle connections are closed.
-    pub(crate) async fn idle_close_started(&self) {
+    /// Waits until a connection that is idle from now on is closed. One that becomes idle when others
+    /// are closed already stays open for a moment: its caller may have been told that it is kept, and
+    /// its next request may be in transit.
+    pub(crate) async fn idle_close_due(&self) {
+        let others_are_closed = *self.phase.borrow() >= Some(Phase::ClosingIdle);
         self.reached(Phase::ClosingIdle).await;
+        if others_are_closed {
+            sleep(shutdown::TRANSIT_DELAY.into()).await;
+        }
     }
 
     /// Waits until no request is accepted any more, and those in flight have to end.
@@ -114,11 +123,15 @@
             _ => BALANCER_DELAY.min(drain_timeout),
         };
         let options = shutdown::Options { drain_timeout, balancer_delay };
+        let was_terminated = self.is_terminated.get();
+        self.is_terminated.set(was_terminated || request == StopRequest::Terminate);
         let next = match self.current.get() {
             None => shutdown::Shutdown::begin(now, options),
             Some(mut current) => {
                 match request {
                     StopRequest::Interrupt => current.abort(now),
+                    // The drain timeout may have changed since; requests were accepted by the old one.
+                    StopRequest::Terminate if was_terminated => {}
                     _ => current.shorten(now, drain_timeout),
                 }
                 current
@@ -178,7 +191,7 @@
     apply(core, first);
     on_start();
     loop {
-        let phase = core.shutdown.advance(core.now(), is_busy(core, connections));
+        let phase = core.shutdown.advance(core.now(), is_busy(connections));
         core.update_readiness();
         if phase == Some(Phase::Terminating) {
             break;
@@ -210,7 +223,7 @@
 async fn finish_responses(core: &Core, connections: &ConnectionTracker) {
     let deadline = core.now().after(FINAL_RESPONSES_MAX);
     sleep(FINAL_RESPONSES_MIN.into()).await;
-    let is_writing = || is_busy(core, connections) || connections.closing_count() > 0;
+    let is_writing = || is_busy(connections) || connections.closing_count() > 0;
     while is_writing() && !deadline.is_due(core.now()) {
         sleep(POLL_INTERVAL.into()).await;
     }
@@ -227,9 +240,9 @@
         "refused" => tally.refused.get());
 }
 
-/// Whether requests are in flight or being received.
-fn is_busy(core: &Core, connections: &ConnectionTracker) -> bool {
-    in_flight(core) + connections.receiving_count() > 0
+/// Whether requests are being received, are in flight, or have a response that is being written.
+fn is_busy(connections: &ConnectionTracker) -> bool {
+    connections.in_progress_count() > 0
 }
 
 fn in_flight(core: &Core) -> usize {
