Shutdown: responses that begin during it announce the close; cut deadlines count as cut

Callers saw 200 without Connection: close, and then their connection closed, when their request came before SIGTERM and its response after it: whether the connection stays was decided on the arrival. And a request that got 504 since the shutdown had cut its deadline was neither counted as cut nor had code 3008, so operators read cut: 0.

Change: the connection is decided on when the response begins; a next request that has arrived already is still served, as its caller could not know. A timeout at a deadline that the shutdown has cut counts and answers as the end of the shutdown.

--- a/sl-edge/src/caller/exchange.rs
+++ b/sl-edge/src/caller/exchange.rs
@@ -79,7 +79,7 @@
             }
             _ => EventSequence::new(IdRule::AsFirst, None),
         };
-        let stream = StreamRelay::new(events, request.head.is_http_11, request.keeps_alive);
+        let stream = StreamRelay::new(events, request.head.is_http_11, request.keeps_alive.get());
         Exchange {
             request,
             ingress,
@@ -145,7 +145,7 @@
         self.request.record_end(self.ingress, Some(&self.guard), "answered", status);
         let keeps_alive = match self.stream.is_head_sent {
             true => self.stream.keeps_alive(),
-            false => self.request.keeps_alive,
+            false => self.request.keeps_alive.get(),
         };
         if keeps_alive { Disposition::KeepAlive } else { Disposition::Close }
     }
@@ -243,6 +243,7 @@
         {
             return AttemptOutcome::Failed { fault: Fault::ServerError, response: Some(response) };
         }
+        self.request.stays_open(self.ingress, self.conn);
         self.is_response_begun = true;
         match self.request.write_response(self.conn, &response).await {
             Ok(()) => AttemptOutcome::Delivered { status: response.head.status },
@@ -266,7 +267,10 @@
         self.stream.begin_response();
         loop {
             let deadlines = RelayDeadlines { silent_at, stream_deadline: self.deadline, event_gap };
-            let on_first_event = || self.request.record_first_byte(self.ingress, &self.guard);
+            let on_first_event = |caller: &mut Conn| {
+                self.request.record_first_byte(self.ingress, &self.guard);
+                self.request.stays_open(self.ingress, caller)
+            };
             let relaying =
                 self.stream.relay(clock, self.conn, &mut upstream, deadlines, on_first_event);
             match relaying.await {
@@ -289,6 +293,9 @@
 
     /// Responds to a request that no server is to run any more.
     async fn finish(self, action: Action) -> Disposition {
+        if matches!(action, Action::Fail(Failure::Timeout)) && self.is_deadline_cut() {
+            return self.finish_for_shutdown().await;
+        }
         if self.stream.is_head_sent {
             self.request.record_end(self.ingress, Some(&self.guard), "cut_off", 0);
             return Disposition::Reset;
@@ -311,11 +318,18 @@
             },
             Action::Send(_) | Action::KeepWaiting { .. } => return Disposition::Reset,
         };
-        let keeps_alive = self.request.keeps_alive;
+        let keeps_alive = self.request.stays_open(self.ingress, self.conn);
         self.respond(local, keeps_alive).await
     }
 
-    /// Responds to a request whose attempt the end of a graceful shutdown has broken off.
+    /// Whether a graceful shutdown has cut the deadline of the request, which has passed.
+    fn is_deadline_cut(&self) -> bool {
+        let core = &self.ingress.core;
+        let due_at = self.request.due_at();
+        self.deadline.is_due(core.now()) && core.shutdown.cap(due_at) < due_at
+    }
+
+    /// Responds to a request that the end of a graceful shutdown leaves without a server's response.
     async fn finish_for_shutdown(self) -> Disposition {
         self.ingress.core.shutdown.tally.record_cut();
         if self.stream.is_head_sent || self.is_response_begun {
--- a/sl-edge/src/caller/request.rs
+++ b/sl-edge/src/caller/request.rs
@@ -32,7 +32,8 @@
     stream: Option<StreamRequest>,
     pub(super) team: Option<Arc<Team>>,
     arrived_at: Timestamp,
-    pub(super) keeps_alive: bool,
+    /// Whether the connection stays open after the response.
+    pub(super) keeps_alive: Cell<bool>,
     first_byte_at: Cell<Option<Timestamp>>,
 }
 
@@ -81,7 +82,7 @@
             stream,
             team,
             arrived_at,
-            keeps_alive,
+            keeps_alive: Cell::new(keeps_alive),
             first_byte_at: Cell::new(None),
         })
     }
@@ -110,7 +111,7 @@
     pub(super) fn is_accepted(&self, ingress: &Ingress) -> bool {
         let candidate = Candidate {
             arrived_at: self.arrived_at,
-            deadline: self.caller_deadline().min(self.arrived_at.after(self.route.timeout)),
+            deadline: self.due_at(),
             is_resumable: self.stream.is_some(),
         };
         ingress.core.shutdown.accepts(ingress.core.now(), candidate)
@@ -118,14 +119,14 @@
 
     /// Runs the request and responds to it.
     pub(super) async fn run(
-        mut self,
+        self,
         ingress: &Ingress,
         conn: &mut Conn,
         guard: RequestGuard,
         body: Bytes,
     ) -> Disposition {
         // Not decided earlier: a shutdown may have started while the body was received.
-        self.keeps_alive &= !ingress.core.is_shedding();
+        self.keeps_alive.set(self.keeps_alive.get() && !ingress.core.is_shedding());
         let arrival = self.arrival(ingress, &guard, &body);
         self.log_admitted(ingress, &guard, &arrival);
         let deadline = arrival.deadline();
@@ -149,6 +150,20 @@
         self
     }
 
+    /// When the response is due, whatever a shutdown makes of it.
+    pub(super) fn due_at(&self) -> Timestamp {
+        self.caller_deadline().min(self.arrived_at.after(self.route.timeout))
+    }
+
+    /// Decides, when the response begins, whether the connection stays open after it. The decision
+    /// of the arrival may be outdated: a shutdown may have started since. A next request that has
+    /// arrived meanwhile is served first, as its caller could not know.
+    pub(super) fn stays_open(&self, ingress: &Ingress, conn: &mut Conn) -> bool {
+        let stays_open = !ingress.core.is_shedding() || !conn.buffered().is_empty();
+        self.keeps_alive.set(self.keeps_alive.get() && stays_open);
+        self.keeps_alive.get()
+    }
+
     fn caller_deadline(&self) -> Timestamp {
         self.arrived_at.after(self.metadata.timeout.unwrap_or(CALLER_TIMEOUT_DEFAULT))
     }
@@ -224,12 +239,12 @@
         response: &FullResponse,
     ) -> std::io::Result<()> {
         let is_head = &self.head.method[..] == b"HEAD";
-        response.write(conn, is_head, self.keeps_alive).await
+        response.write(conn, is_head, self.keeps_alive.get()).await
     }
 
     pub(super) fn disposition(&self, written: std::io::Result<()>) -> Disposition {
         match written {
-            Ok(()) if self.keeps_alive => Disposition::KeepAlive,
+            Ok(()) if self.keeps_alive.get() => Disposition::KeepAlive,
             Ok(()) => Disposition::Close,
             Err(_) => Disposition::Reset,
         }
--- a/sl-edge/src/relay.rs
+++ b/sl-edge/src/relay.rs
@@ -184,14 +184,14 @@
     }
 
     /// Relays the events of `upstream` until its end; calls `on_first_event` when its first event
-    /// has arrived. After [`RelayError::Silent`] the same response can be relayed further.
+    /// has arrived, which tells whether the caller's connection stays open after the stream. After [`RelayError::Silent`] the same response can be relayed further.
     pub(crate) async fn relay(
         &mut self,
         clock: Clock,
         caller: &mut Conn,
         upstream: &mut Upstream,
         mut deadlines: RelayDeadlines,
-        mut on_first_event: impl FnMut(),
+        mut on_first_event: impl FnMut(&mut Conn) -> bool,
     ) -> Result<(), RelayError> {
         loop {
             let due = deadlines.silent_at.min(deadlines.stream_deadline);
@@ -211,7 +211,8 @@
             let taken = self.events.push(&piece);
             if taken.event_count > 0 {
                 if awaited_first_event {
-                    on_first_event();
+                    let stays_open = on_first_event(caller);
+                    self.keeps_alive &= stays_open || self.is_head_sent;
                 }
                 let now = clock.now();
                 self.first_event_at.get_or_insert(now);
