tests: a late caller connects before idle connections are closed

shutdown::requests_in_flight_complete_and_idle_connections_are_closed_during_a_shutdown failed once in a run of the file at load 17 to 24: its late caller connected after the close of the idle connections, 0.1 s before the port closes, and was delayed longer than that. It connects before now; the request on it still comes after the close, and all assertions stay.

--- a/tests/it/shutdown.rs
+++ b/tests/it/shutdown.rs
@@ -18,9 +18,9 @@
     assert_eq!(idle.call(&call("GET", "/status/7", "before")).await.unwrap().status(), 200);
     fleet.instances[0].signal(Signal::SIGTERM);
     eventually("the instance is not ready", async || !is_ready(&fleet.instances[0]).await).await;
-    idle.closed().await;
     // Callers still connect until the load balancer has noticed that the instance is not ready.
     let mut late = fleet.caller(0).await.unwrap();
+    idle.closed().await;
     let response = late.call(&call("GET", "/status/7", "late")).await.unwrap();
     assert_eq!((response.status(), response.header("connection")), (200, Some("close")));
     let response = streaming.read_response("POST").await.unwrap();
