--- a/sl-edge/src/caller/exchange.rs
+++ b/sl-edge/src/caller/exchange.rs
@@ -293,7 +293,7 @@
 
     /// Responds to a request that no server is to run any more.
     async fn finish(self, action: Action) -> Disposition {
-        if matches!(action, Action::Fail(Failure::Timeout)) && self.is_deadline_cut() {
+        if self.request.is_cut_short && matches!(action, Action::Fail(Failure::Timeout)) {
             return self.finish_for_shutdown().await;
         }
         if self.stream.is_head_sent {
@@ -322,13 +322,6 @@
         self.respond(local, keeps_alive).await
     }
 
-    /// Whether a graceful shutdown has cut the deadline of the request, which has passed.
-    fn is_deadline_cut(&self) -> bool {
-        let core = &self.ingress.core;
-        let due_at = self.request.due_at();
-        self.deadline.is_due(core.now()) && core.shutdown.cap(due_at) < due_at
-    }
-
     /// Responds to a request that the end of a graceful shutdown leaves without a server's response.
     async fn finish_for_shutdown(self) -> Disposition {
         self.ingress.core.shutdown.tally.record_cut();
--- a/sl-edge/src/caller/request.rs
+++ b/sl-edge/src/caller/request.rs
@@ -34,6 +34,8 @@
     arrived_at: Timestamp,
     /// Whether the connection stays open after the response.
     pub(super) keeps_alive: Cell<bool>,
+    /// Whether a shutdown leaves the request less time than it has otherwise.
+    pub(super) is_cut_short: bool,
     first_byte_at: Cell<Option<Timestamp>>,
 }
 
@@ -83,6 +85,7 @@
             team,
             arrived_at,
             keeps_alive: Cell::new(keeps_alive),
+            is_cut_short: false,
             first_byte_at: Cell::new(None),
         })
     }
@@ -119,7 +122,7 @@
 
     /// Runs the request and responds to it.
     pub(super) async fn run(
-        self,
+        mut self,
         ingress: &Ingress,
         conn: &mut Conn,
         guard: RequestGuard,
@@ -130,6 +133,7 @@
         let arrival = self.arrival(ingress, &guard, &body);
         self.log_admitted(ingress, &guard, &arrival);
         let deadline = arrival.deadline();
+        self.is_cut_short = deadline < self.due_at();
         let exchange = Exchange::new(&self, ingress, conn, guard, &body, deadline);
         exchange.run(arrival).await
     }
@@ -150,8 +154,8 @@
         self
     }
 
-    /// When the response is due, whatever a shutdown makes of it.
-    pub(super) fn due_at(&self) -> Timestamp {
+    /// When the response is due, whether a shutdown is in progress or not.
+    fn due_at(&self) -> Timestamp {
         self.caller_deadline().min(self.arrived_at.after(self.route.timeout))
     }
 
