--- a/tests/it/stop_series.rs
+++ b/tests/it/stop_series.rs
@@ -9,6 +9,7 @@
 // second SIGTERM ended it at once.
 #[rstest]
 #[case::seed_1(1)]
+#[case::seed_3(3)]
 #[tokio::test(flavor = "multi_thread")]
 async fn stops_in_series_lose_no_request(#[case] seed: u64) {
     let binary = Path::new(env!("CARGO_BIN_EXE_sesamelock")).to_owned();
