Shutdown: a request that ends at its own deadline does not count as cut

A request that came before SIGTERM and whose own deadline passed in the last 100 ms of the shutdown got code 3008 (the instance stopped) instead of 3005, and counted in `cut`.

Cause: the check asked whether the shutdown would cut the deadline at the moment of the failure, not whether it had cut the deadline that the attempts were given.

Change: the deadline of the exchange is compared with that of the request.

--- a/sl-edge/src/caller/exchange.rs
+++ b/sl-edge/src/caller/exchange.rs
@@ -324,9 +324,7 @@
 
     /// Whether a graceful shutdown has cut the deadline of the request, which has passed.
     fn is_deadline_cut(&self) -> bool {
-        let core = &self.ingress.core;
-        let due_at = self.request.due_at();
-        self.deadline.is_due(core.now()) && core.shutdown.cap(due_at) < due_at
+        self.deadline.is_due(self.ingress.core.now()) && self.deadline < self.request.due_at()
     }
 
     /// Responds to a request that the end of a graceful shutdown leaves without a server's response.
--- a/tests/it/stops/review.rs
+++ b/tests/it/stops/review.rs
@@ -222,3 +222,22 @@
     assert!(sent.len() > 20, "{}", sent.len());
     assert_eq!(violations(&fleet, &sent), Vec::<String>::new());
 }
+
+// Guards against a request that counts as cut, and names the end of the shutdown as the reason, though
+// its caller's own deadline ended it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_ends_at_its_own_deadline_does_not_count_as_cut() {
+    let mut fleet = fleet_stopping_within(STOP_WITHIN).await;
+    fleet.engines().for_each(|it| it.set_fault(Fault::Hangs));
+    let caller = fleet.caller(0).await.unwrap();
+    let timeout = STOP_WITHIN + Duration::from_millis(250);
+    let call = Call { timeout, ..model_call("/chat/7", "own") };
+    let sent_at = Instant::now();
+    let sending = tokio::spawn(send(caller, call, sent_at));
+    until(sent_at, Duration::from_millis(300)).await;
+    stop(&fleet);
+    let sent = sending.await.unwrap();
+    assert_eq!(sent.status_and_code(), Some((504, "3005")), "{sent:?}");
+    fleet.instances[0].wait_for_exit(STOP_WITHIN + EXIT_DELAY_MAX).await.unwrap();
+    assert!(fleet.instances[0].log().contains("\"cut\":0"), "{}", fleet.instances[0].log());
+}
