--- a/bench/src/instance.rs
+++ b/bench/src/instance.rs
@@ -234,10 +234,10 @@
     }
 }
 
-/// The line of the settings that limits the time of a graceful shutdown.
 /// Name of the setting for the time within which a graceful shutdown ends.
 const STOP_SETTING: &str = "stop-within-ms";
 
+/// The line of the settings that limits the time of a graceful shutdown.
 fn stop_setting(stop_within: Duration) -> String {
     format!("{STOP_SETTING} = {}", stop_within.as_millis())
 }
--- a/bench/src/stops/check.rs
+++ b/bench/src/stops/check.rs
@@ -50,7 +50,8 @@
 /// `loss_slack_ms`.
 const LOSS_SLACK: Duration = Duration::from_millis(200);
 
-/// How long after SIGTERM a request may be sent that may be cut in the last sixth of the grace period.
+/// How long after SIGTERM a request may be sent that may be cut in the last sixth of the grace
+/// period.
 const CUT_SENT_WITHIN: Duration = Duration::from_secs(3);
 
 /// How long after SIGTERM the last sixth of the grace period begins, in fractions of that period.
--- a/sl-edge/src/caller.rs
+++ b/sl-edge/src/caller.rs
@@ -166,10 +166,11 @@
     }
     // Until the response is written, which for a server's error begins when nothing is in flight.
     let _in_progress = ingress.connections.mark_in_progress();
+    let shutdown = &ingress.core.shutdown;
     let body = tokio::select! {
         biased;
         body = read_body(document, conn, framing, &request.head) => body,
-        () = ingress.core.shutdown.termination_started() => return Err(request.reject_for_shutdown(ingress)),
+        () = shutdown.termination_started() => return Err(request.reject_for_shutdown(ingress)),
     };
     let body = body.map_err(LocalResponse::of)?;
     let request = request.locate_stream(ingress).await;
--- a/sl-edge/src/caller/exchange.rs
+++ b/sl-edge/src/caller/exchange.rs
@@ -243,7 +243,7 @@
         {
             return AttemptOutcome::Failed { fault: Fault::ServerError, response: Some(response) };
         }
-        self.request.stays_open(self.ingress, self.conn);
+        self.request.decide_keep_alive(self.ingress, self.conn);
         self.is_response_begun = true;
         match self.request.write_response(self.conn, &response).await {
             Ok(()) => AttemptOutcome::Delivered { status: response.head.status },
@@ -269,7 +269,7 @@
             let deadlines = RelayDeadlines { silent_at, stream_deadline: self.deadline, event_gap };
             let on_first_event = |caller: &mut Conn| {
                 self.request.record_first_byte(self.ingress, &self.guard);
-                self.request.stays_open(self.ingress, caller)
+                self.request.decide_keep_alive(self.ingress, caller)
             };
             let relaying =
                 self.stream.relay(clock, self.conn, &mut upstream, deadlines, on_first_event);
@@ -318,11 +318,12 @@
             },
             Action::Send(_) | Action::KeepWaiting { .. } => return Disposition::Reset,
         };
-        let keeps_alive = self.request.stays_open(self.ingress, self.conn);
+        let keeps_alive = self.request.decide_keep_alive(self.ingress, self.conn);
         self.respond(local, keeps_alive).await
     }
 
-    /// Responds to a request that the end of a graceful shutdown leaves without a server's response.
+    /// Responds to a request that the end of a graceful shutdown leaves without a server's
+    /// response.
     async fn finish_for_shutdown(self) -> Disposition {
         self.ingress.core.shutdown.tally.record_cut();
         if self.stream.is_head_sent || self.is_response_begun {
--- a/sl-edge/src/caller/request.rs
+++ b/sl-edge/src/caller/request.rs
@@ -162,7 +162,7 @@
     /// Decides, when the response begins, whether the connection stays open after it. The decision
     /// of the arrival may be outdated: a shutdown may have started since. A next request that has
     /// arrived meanwhile is served first, as its caller could not know.
-    pub(super) fn stays_open(&self, ingress: &Ingress, conn: &mut Conn) -> bool {
+    pub(super) fn decide_keep_alive(&self, ingress: &Ingress, conn: &mut Conn) -> bool {
         let stays_open = !ingress.core.is_shedding() || !conn.buffered().is_empty();
         self.keeps_alive.set(self.keeps_alive.get() && stays_open);
         self.keeps_alive.get()
--- a/sl-edge/src/relay.rs
+++ b/sl-edge/src/relay.rs
@@ -184,7 +184,8 @@
     }
 
     /// Relays the events of `upstream` until its end; calls `on_first_event` when its first event
-    /// has arrived, which tells whether the caller's connection stays open after the stream. After [`RelayError::Silent`] the same response can be relayed further.
+    /// has arrived, which tells whether the caller's connection stays open after the stream. After
+    /// [`RelayError::Silent`] the same response can be relayed further.
     pub(crate) async fn relay(
         &mut self,
         clock: Clock,
--- a/sl-edge/src/run.rs
+++ b/sl-edge/src/run.rs
@@ -13,7 +13,8 @@
 use sl_config::{Settings, key::KeyError, settings::RouteSharing};
 use sl_peer::{HandshakeKey, Hello, Links};
 use sl_route::{
-    Event, Options, Regions, State, budget, event::InstanceLimits, warmup::WarmupBound,
+    Event, Options, Regions, State, budget, event::InstanceLimits, shutdown::StopRequest,
+    warmup::WarmupBound,
 };
 use slog::{info, warn};
 use tokio::{
@@ -42,8 +43,7 @@
     peers::{DatagramKey, Gossip, RelayQueue},
     pool::Pool,
     query_handler::QueryHandler,
-    reload,
-    shutdown::{self, StopRequest},
+    reload, shutdown,
     signals::StopSignal,
     store::StoreClient,
     stream_locator::StreamLocator,
--- a/sl-edge/src/shutdown.rs
+++ b/sl-edge/src/shutdown.rs
@@ -6,33 +6,18 @@
 
 use futures::{Stream, StreamExt};
 use sl_base::{Millis, Timestamp};
-use sl_route::shutdown::{self, Candidate, Phase};
+use sl_route::shutdown::{self, Candidate, Phase, StopRequest};
 use slog::info;
 use tokio::{sync::watch, time::sleep};
 
 use crate::{core::Core, overload::BALANCER_DELAY, unused::ConnectionTracker};
 
-/// What starts a graceful shutdown, or changes the one in progress.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
-#[strum(serialize_all = "kebab-case")]
-pub(crate) enum StopRequest {
-    /// SIGTERM. Platforms and supervisors may send it repeatedly, and end the process themselves
-    /// when it takes too long.
-    Terminate,
-    /// SIGINT, from an operator at a terminal. During a shutdown it ends the process at once.
-    Interrupt,
-    /// An operator's call, with a drain timeout of its own or the configured one.
-    Drain(Option<Millis>),
-}
-
 /// The state of the shutdown, and counts of the requests that arrive during it.
 pub(crate) struct ShutdownControl {
     /// The shutdown in progress; `None` before it.
     current: Cell<Option<shutdown::Shutdown>>,
     /// Wakes those that wait for a phase; `None` before the shutdown.
     phase: watch::Sender<Option<Phase>>,
-    /// Whether the end follows from a SIGTERM already.
-    is_terminated: Cell<bool>,
     /// The drain timeout of the settings.
     pub(crate) drain_timeout: Cell<Millis>,
     pub(crate) tally: Tally,
@@ -63,7 +48,6 @@
         ShutdownControl {
             current: Cell::new(None),
             phase: watch::Sender::new(None),
-            is_terminated: Cell::new(false),
             drain_timeout: Cell::new(drain_timeout),
             tally: Tally::default(),
         }
@@ -74,9 +58,9 @@
         self.current.get().is_some()
     }
 
-    /// Waits until a connection that is idle from now on is closed. One that becomes idle when others
-    /// are closed already stays open for a moment: its caller may have been told that it is kept, and
-    /// its next request may be in transit.
+    /// Waits until a connection that is idle from now on is closed. One that becomes idle when
+    /// others are closed already stays open for a moment: its caller may have been told that it is
+    /// kept, and its next request may be in transit.
     pub(crate) async fn idle_close_due(&self) {
         let others_are_closed = *self.phase.borrow() >= Some(Phase::ClosingIdle);
         self.reached(Phase::ClosingIdle).await;
@@ -113,27 +97,12 @@
 
     /// Starts the shutdown, or changes the one in progress.
     fn apply(&self, now: Timestamp, request: StopRequest) {
-        let drain_timeout = match request {
-            StopRequest::Drain(Some(requested)) => requested,
-            _ => self.drain_timeout.get(),
-        };
-        // A platform ends the process itself when it takes longer, an operator does not.
-        let balancer_delay = match request {
-            StopRequest::Drain(_) => BALANCER_DELAY,
-            _ => BALANCER_DELAY.min(drain_timeout),
-        };
-        let options = shutdown::Options { drain_timeout, balancer_delay };
-        let was_terminated = self.is_terminated.get();
-        self.is_terminated.set(was_terminated || request == StopRequest::Terminate);
+        let drain_timeout = self.drain_timeout.get();
+        let options = shutdown::Options { drain_timeout, balancer_delay: BALANCER_DELAY };
         let next = match self.current.get() {
-            None => shutdown::Shutdown::begin(now, options),
+            None => shutdown::Shutdown::begin(now, request, options),
             Some(mut current) => {
-                match request {
-                    StopRequest::Interrupt => current.abort(now),
-                    // The drain timeout may have changed since; requests were accepted by the old one.
-                    StopRequest::Terminate if was_terminated => {}
-                    _ => current.shorten(now, drain_timeout),
-                }
+                current.request(now, request, options);
                 current
             }
         };
@@ -176,8 +145,8 @@
 const MICROS_PER_MILLI: u64 = 1_000;
 
 /// Waits for the first of `requests`, calls `on_start`, and runs the shutdown to its end. Further
-/// requests may shorten it. When this returns, all responses are written, but for those whose
-/// callers do not read them.
+/// requests may shorten it. When this returns, each request that was accepted has its response,
+/// unless its caller does not read it, or it was a stream that has begun and did not end in time.
 pub(crate) async fn run(
     core: &Core,
     connections: &ConnectionTracker,
--- a/sl-edge/src/signals.rs
+++ b/sl-edge/src/signals.rs
@@ -1,9 +1,10 @@
 //! The signals that stop the daemon.
 
 use futures::Stream;
+use sl_route::shutdown::StopRequest;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
-use crate::{Error, shutdown::StopRequest};
+use crate::Error;
 
 /// A signal that stops the daemon.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/sl-edge/tests/it/event_sequence.rs
+++ b/sl-edge/tests/it/event_sequence.rs
@@ -177,8 +177,8 @@
         ..ProptestConfig::default()
     })]
 
-    /// Guards against bytes that are relayed, or not, by the pieces in which they arrive, and against
-    /// any order of failures that brings an event twice or bytes that are no event.
+    /// Guards against bytes that are relayed, or not, by the pieces in which they arrive, and
+    /// against any order of failures that brings an event twice or bytes that are no event.
     #[test]
     fn no_order_of_servers_brings_anything_but_rising_events(
         blocks in vec(vec(select(&BLOCKS[..]), 0..6), 1..4),
--- a/sl-http/src/head.rs
+++ b/sl-http/src/head.rs
@@ -96,8 +96,8 @@
     }
 }
 
-/// Whether a status line begins in `value`: the server stopped in a head and began another one, whose
-/// fields and body must not be read as those of the first.
+/// Whether a status line begins in `value`: the server stopped in a head and began another one,
+/// whose fields and body must not be read as those of the first.
 pub(crate) fn has_status_line(value: &[u8]) -> bool {
     value.windows(STATUS_LINE_START.len()).any(|it| {
         let mut pairs = it.iter().zip(STATUS_LINE_START);
--- a/sl-http/tests/it/broken_off.rs
+++ b/sl-http/tests/it/broken_off.rs
@@ -1,5 +1,5 @@
-//! A message that stops at any byte is not whole, whether its connection is closed or reset then, or
-//! the server goes on with another response.
+//! A message that stops at any byte is not whole, whether its connection is closed or reset then,
+//! or the server goes on with another response.
 
 use bytes::{Bytes, BytesMut};
 use rstest::rstest;
--- a/sl-route/src/shutdown.rs
+++ b/sl-route/src/shutdown.rs
@@ -18,10 +18,23 @@
     Terminating,
 }
 
+/// What starts a graceful shutdown, or changes the one in progress.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum StopRequest {
+    /// SIGTERM. Platforms and supervisors may send it repeatedly, and end the process themselves
+    /// when it takes too long.
+    Terminate,
+    /// SIGINT, from an operator at a terminal. During a shutdown it ends the process at once.
+    Interrupt,
+    /// An operator's call, with a drain timeout of its own or the configured one.
+    Drain(Option<Millis>),
+}
+
 /// How long the parts of a graceful shutdown take.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Options {
-    /// Longest time until the last response.
+    /// Longest time until the last response, unless an operator's call names another one.
     pub drain_timeout: Millis,
     /// Time that the balancer needs to notice that the instance is not ready.
     pub balancer_delay: Millis,
@@ -37,6 +50,8 @@
     transit_ends_at: Timestamp,
     /// When the last response is due.
     ends_at: Timestamp,
+    /// Whether the end follows from SIGTERM already.
+    is_terminated: bool,
     phase: Phase,
 }
 
@@ -57,35 +72,47 @@
 /// Time to write a response that has become ready at its deadline.
 const WRITE_MARGIN: Millis = Millis(100);
 
-/// A request that may be accepted although its deadline is later than the end of the shutdown is
-/// accepted only with this much time left. Nearly all responses take less.
+/// Shortest time left with which a request is accepted whose deadline is later than the end of the
+/// shutdown. A server may fall silent for a second and go on.
 const TIME_LEFT_MIN: Millis = Millis(2_000);
 
 impl Shutdown {
-    /// The shutdown that starts `now`. The time until callers have moved to other instances is
-    /// waited for even if the drain timeout is shorter.
-    pub fn begin(now: Timestamp, options: Options) -> Shutdown {
-        let callers_moved_at = now.after(options.balancer_delay);
+    /// The shutdown that starts `now`. After an operator's call the time until callers have moved
+    /// to other instances is waited for even if the drain timeout is shorter; after a signal it is
+    /// not, as the platform may end the process then.
+    pub fn begin(now: Timestamp, request: StopRequest, options: Options) -> Shutdown {
+        let drain_timeout = request.drain_timeout(options);
+        let balancer_delay = match request {
+            StopRequest::Drain(_) => options.balancer_delay,
+            _ => options.balancer_delay.min(drain_timeout),
+        };
+        let callers_moved_at = now.after(balancer_delay);
         let transit_ends_at = callers_moved_at.after(TRANSIT_DELAY);
         Shutdown {
             started_at: now,
             callers_moved_at,
             transit_ends_at,
-            ends_at: now.after(options.drain_timeout).max(transit_ends_at),
+            ends_at: now.after(drain_timeout).max(transit_ends_at),
+            is_terminated: request == StopRequest::Terminate,
             phase: Phase::Stopping,
         }
     }
 
-    /// Ends the shutdown within `drain_timeout` from `now`, unless it ends sooner. A request for a
-    /// shutdown that is in progress never lengthens it.
-    pub fn shorten(&mut self, now: Timestamp, drain_timeout: Millis) {
-        let ends_at = now.after(drain_timeout).max(self.transit_ends_at);
-        self.ends_at = self.ends_at.min(ends_at);
+    /// Applies a further request, which never lengthens the shutdown. Only the first SIGTERM sets
+    /// the end: requests were accepted by it, and the drain timeout may have changed since.
+    pub fn request(&mut self, now: Timestamp, request: StopRequest, options: Options) {
+        match request {
+            StopRequest::Interrupt => self.ends_at = self.ends_at.min(now),
+            StopRequest::Terminate if self.is_terminated => {}
+            _ => self.shorten(now, request.drain_timeout(options)),
+        }
+        self.is_terminated |= request == StopRequest::Terminate;
     }
 
-    /// Ends the shutdown `now`.
-    pub fn abort(&mut self, now: Timestamp) {
-        self.ends_at = self.ends_at.min(now);
+    /// Ends the shutdown within `drain_timeout` from `now`, unless it ends sooner.
+    fn shorten(&mut self, now: Timestamp, drain_timeout: Millis) {
+        let ends_at = now.after(drain_timeout).max(self.transit_ends_at);
+        self.ends_at = self.ends_at.min(ends_at);
     }
 
     /// Moves to the phase that is due at `now`; `is_busy` while requests are in flight or being
@@ -103,8 +130,8 @@
         self.phase
     }
 
-    /// When the shutdown is to be advanced next, at the latest `poll_interval` after `now` where that
-    /// depends on requests.
+    /// When the shutdown is to be advanced next: `poll_interval` after `now` where that depends on
+    /// requests.
     pub fn next_check(&self, now: Timestamp, poll_interval: Millis) -> Timestamp {
         match self.phase {
             Phase::Stopping => self.callers_moved_at.min(self.ends_at),
@@ -146,3 +173,12 @@
         self.ends_at
     }
 }
+
+impl StopRequest {
+    fn drain_timeout(self, options: Options) -> Millis {
+        match self {
+            StopRequest::Drain(Some(requested)) => requested,
+            _ => options.drain_timeout,
+        }
+    }
+}
--- a/sl-route/tests/it/shutdown.rs
+++ b/sl-route/tests/it/shutdown.rs
@@ -3,7 +3,7 @@
 use proptest::prelude::*;
 use rstest::rstest;
 use sl_base::{Millis, Timestamp};
-use sl_route::shutdown::{Candidate, Options, Phase, Shutdown};
+use sl_route::shutdown::{Candidate, Options, Phase, Shutdown, StopRequest};
 
 const OPTIONS: Options = Options { drain_timeout: Millis(7_400), balancer_delay: Millis(2_600) };
 
@@ -23,7 +23,7 @@
 
 /// A shutdown with a request in flight all the while, at `now_ms`.
 fn busy_shutdown(now_ms: u64) -> Shutdown {
-    let mut shutdown = Shutdown::begin(start(), OPTIONS);
+    let mut shutdown = Shutdown::begin(start(), StopRequest::Terminate, OPTIONS);
     shutdown.advance(at(now_ms), true);
     shutdown
 }
@@ -70,43 +70,65 @@
 }
 
 // A second SIGTERM ended the process at once, with all requests in flight.
-#[test]
-fn a_further_request_for_a_shutdown_never_lengthens_it() {
+#[rstest]
+#[case::sigterm(StopRequest::Terminate)]
+#[case::drain(StopRequest::Drain(None))]
+#[case::longer_drain(StopRequest::Drain(Some(Millis(60_000))))]
+fn a_further_request_for_a_shutdown_never_lengthens_it(#[case] request: StopRequest) {
     let mut shutdown = busy_shutdown(1_000);
-    shutdown.shorten(at(1_000), OPTIONS.drain_timeout);
+    shutdown.request(at(1_000), request, OPTIONS);
     assert_eq!(shutdown.ends_at(), at(7_400));
     assert_eq!(shutdown.advance(at(7_399), true), Phase::ClosingIdle);
     assert_eq!(shutdown.advance(at(7_400), true), Phase::Terminating);
 }
 
+// After a reload, a further SIGTERM took the time from requests that had been accepted.
+#[test]
+fn a_further_sigterm_does_not_shorten_a_shutdown() {
+    let mut shutdown = busy_shutdown(3_000);
+    let shorter = Options { drain_timeout: Millis(400), ..OPTIONS };
+    shutdown.request(at(3_000), StopRequest::Terminate, shorter);
+    assert_eq!(shutdown.ends_at(), at(7_400));
+}
+
 #[test]
-fn sigterm_shortens_the_drain_of_an_operator() {
-    let options = Options { drain_timeout: Millis(60_000), ..OPTIONS };
-    let mut shutdown = Shutdown::begin(start(), options);
-    shutdown.shorten(at(10_000), OPTIONS.drain_timeout);
+fn only_the_first_sigterm_shortens_the_drain_of_an_operator() {
+    let drain = StopRequest::Drain(Some(Millis(60_000)));
+    let mut shutdown = Shutdown::begin(start(), drain, OPTIONS);
+    shutdown.request(at(10_000), StopRequest::Terminate, OPTIONS);
+    assert_eq!(shutdown.ends_at(), at(17_400));
+    shutdown.request(at(11_000), StopRequest::Terminate, OPTIONS);
     assert_eq!(shutdown.ends_at(), at(17_400));
 }
 
 #[test]
-fn callers_get_time_to_move_even_if_the_drain_timeout_is_shorter() {
-    let options = Options { drain_timeout: Millis(500), ..OPTIONS };
-    let mut shutdown = Shutdown::begin(start(), options);
+fn callers_get_time_to_move_even_if_an_operator_grants_less() {
+    let drain = StopRequest::Drain(Some(Millis(500)));
+    let mut shutdown = Shutdown::begin(start(), drain, OPTIONS);
     assert_eq!(shutdown.advance(at(2_699), false), Phase::ClosingIdle);
     assert!(shutdown.accepts(at(2_000), candidate(2_000, 500)));
     assert_eq!(shutdown.advance(at(2_700), false), Phase::Terminating);
 }
 
+// The platform ends the process when its grace period is over.
+#[test]
+fn a_short_grace_period_ends_the_shutdown_before_callers_have_moved() {
+    let options = Options { drain_timeout: Millis(500), ..OPTIONS };
+    let mut shutdown = Shutdown::begin(start(), StopRequest::Terminate, options);
+    assert_eq!(shutdown.advance(at(600), true), Phase::Terminating);
+}
+
 #[test]
 fn an_aborted_shutdown_ends_at_once() {
     let mut shutdown = busy_shutdown(300);
-    shutdown.abort(at(300));
+    shutdown.request(at(300), StopRequest::Interrupt, OPTIONS);
     assert_eq!(shutdown.advance(at(300), true), Phase::Terminating);
     assert!(!shutdown.accepts(at(300), candidate(300, 1)));
 }
 
 #[test]
 fn a_shutdown_without_requests_ends_once_callers_have_moved() {
-    let mut shutdown = Shutdown::begin(start(), OPTIONS);
+    let mut shutdown = Shutdown::begin(start(), StopRequest::Terminate, OPTIONS);
     assert_eq!(shutdown.advance(at(2_650), false), Phase::ClosingIdle);
     assert_eq!(shutdown.advance(at(2_700), false), Phase::Terminating);
 }
@@ -121,12 +143,12 @@
         repeats in proptest::collection::vec(0_u64..20_000, 0..4),
     ) {
         let options = Options { drain_timeout: Millis(drain_ms), ..OPTIONS };
-        let mut shutdown = Shutdown::begin(start(), options);
+        let mut shutdown = Shutdown::begin(start(), StopRequest::Terminate, options);
         shutdown.advance(at(arrival_ms), true);
         let request = candidate(arrival_ms, timeout_ms);
         let is_accepted = shutdown.accepts(at(arrival_ms), request);
         for repeat in repeats {
-            shutdown.shorten(at(arrival_ms + repeat), options.drain_timeout);
+            shutdown.request(at(arrival_ms + repeat), StopRequest::Drain(None), options);
         }
         if is_accepted {
             prop_assert!(request.deadline < shutdown.ends_at());
--- a/tests/it/broken_responses.rs
+++ b/tests/it/broken_responses.rs
@@ -1,5 +1,5 @@
-//! A success reaches the caller only with the server's whole head and whole body, at whatever byte the
-//! server stops.
+//! A success reaches the caller only with the server's whole head and whole body, at whatever byte
+//! the server stops.
 
 use std::time::Duration;
 
--- a/tests/it/broken_streams.rs
+++ b/tests/it/broken_streams.rs
@@ -307,8 +307,8 @@
     assert!(stream.read_buf(&mut received).await.is_err(), "the connection was closed in order");
 }
 
-/// Guards against callers that never learn that a stream was complete, as the server broke off after
-/// its last event.
+/// Guards against callers that never learn that a stream was complete, as the server broke off
+/// after its last event.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_caller_that_has_all_events_gets_the_end_when_it_resumes_the_stream() {
     let fleet = fleet(1).await;
--- a/tests/it/responses.rs
+++ b/tests/it/responses.rs
@@ -153,8 +153,8 @@
     assert_eq!(caller.call(&named).await.unwrap().status(), 200);
 }
 
-/// Guards against bytes after the head of a response to HEAD, which are read as the beginning of the
-/// next response: a length, or a last chunk, promises a body that HEAD never gets.
+/// Guards against bytes after the head of a response to HEAD, which are read as the beginning of
+/// the next response: a length, or a last chunk, promises a body that HEAD never gets.
 #[rstest]
 #[case::plain("/status/7", Fault::None, 200)]
 #[case::stream("/chat/7", Fault::None, 200)]
--- a/tests/it/shutdown.rs
+++ b/tests/it/shutdown.rs
@@ -47,7 +47,8 @@
     assert_eq!(fleet.execution_count("late"), 0);
 }
 
-// For an operator at a terminal. SIGTERM, which platforms repeat, changes nothing when it comes again.
+// For an operator at a terminal. SIGTERM, which platforms repeat, changes nothing when it comes
+// again.
 #[tokio::test(flavor = "multi_thread")]
 async fn sigint_during_a_shutdown_ends_the_process_at_once() {
     let mut fleet = fleet(1).await;
@@ -99,7 +100,8 @@
     .await;
 }
 
-/// Time in which the instance has read the head of a request: one whose head comes later may be refused.
+/// Time in which the instance has read the head of a request: one whose head comes later may be
+/// refused.
 const HEAD_READ_TIME: Duration = Duration::from_millis(300);
 
 /// The start of a request with a body of ten bytes, five of which are missing.
--- a/tests/it/stops.rs
+++ b/tests/it/stops.rs
@@ -70,8 +70,8 @@
         Some((response.status(), response.header("x-sesamelock-code").unwrap_or_default()))
     }
 
-    /// Whether the request was in transit when the instance closed the connection as idle: no server
-    /// ran it, and the caller saw the close at once.
+    /// Whether the request was in transit when the instance closed the connection as idle: no
+    /// server ran it, and the caller saw the close at once.
     fn crossed_close(&self, fleet: &Fleet) -> bool {
         let is_executed = fleet.execution_count(&self.attempt_id) > 0;
         self.response.is_err() && !is_executed && self.took < IN_TRANSIT_MAX
@@ -111,7 +111,8 @@
     Call { timeout: TIMEOUT, ..call(method, target, attempt_id) }
 }
 
-/// The request with `number`: idempotent or not, with a time limit as long as the route's or shorter.
+/// The request with `number`: idempotent or not, with a time limit as long as the route's or
+/// shorter.
 fn numbered_call(kind: &str, number: usize) -> Call {
     let (method, target) = [("POST", "/book/7"), ("GET", "/status/7")][number % 2];
     let timeout = [TIMEOUT, TIMEOUT, SHORT_TIMEOUT][number % 3];
@@ -172,7 +173,8 @@
     sleep(after.saturating_sub(stopped_at.elapsed())).await;
 }
 
-/// Time from SIGTERM to the moment from which the time limit of a request is beyond the last response.
+/// Time from SIGTERM to the moment from which the time limit of a request is beyond the last
+/// response.
 const LATE: Duration = Duration::from_millis(3_100);
 
 /// Makes the plain servers respond late.
@@ -373,8 +375,8 @@
     assert_exits_after(&mut fleet, stopped_at, STOP_WITHIN).await;
 }
 
-// Guards against a drain that SIGTERM aborts, with all requests in flight, or that takes longer than
-// the platform grants after SIGTERM.
+// Guards against a drain that SIGTERM aborts, with all requests in flight, or that takes longer
+// than the platform grants after SIGTERM.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_sigterm_during_a_longer_drain_leaves_the_time_of_a_shutdown() {
     let (mut fleet, _streaming) = fleet_with_endless_stream().await;
--- a/tests/it/stops/disruptions.rs
+++ b/tests/it/stops/disruptions.rs
@@ -85,7 +85,8 @@
 /// Number of requests of each kind that are in flight when the process is frozen.
 const FROZEN: usize = 4;
 
-/// Time from these requests to the moment at which the process is frozen; their servers respond later.
+/// Time from these requests to the moment at which the process is frozen; their servers respond
+/// later.
 const FREEZE_DELAY: Duration = Duration::from_millis(450);
 
 /// Time limit of these requests; the latest of them are due just before the last response.
--- a/tests/it/stops/ends.rs
+++ b/tests/it/stops/ends.rs
@@ -68,8 +68,8 @@
     }
 }
 
-/// Starts a fleet with a stream in flight that has begun and does not end. `version` is the caller's
-/// version of HTTP.
+/// Starts a fleet with a stream in flight that has begun and does not end. `version` is the
+/// caller's version of HTTP.
 async fn fleet_with_begun_stream(version: &str) -> (Fleet, TcpStream) {
     let fleet = fleet_stopping_within(STOP_WITHIN).await;
     fleet.engines().for_each(|it| it.set_fault(Fault::TricklesEvent));
@@ -117,8 +117,8 @@
     Instant::now()
 }
 
-// Guards against requests that are accepted until the end of a shutdown which takes only as long as the
-// balancer needs, and are cut off then.
+// Guards against requests that are accepted until the end of a shutdown which takes only as long as
+// the balancer needs, and are cut off then.
 #[rstest]
 #[case::by_the_settings(SHORT_STOP, false)]
 #[case::by_a_drain(STOP_WITHIN, true)]
--- a/tests/it/stops/incomplete.rs
+++ b/tests/it/stops/incomplete.rs
@@ -51,8 +51,8 @@
     Some(Sent { attempt_id: call.attempt_id, after, took, response })
 }
 
-// Guards against requests that are executed, or read and not answered, because their last byte comes
-// shortly before the exit.
+// Guards against requests that are executed, or read and not answered, because their last byte
+// comes shortly before the exit.
 #[rstest]
 #[case::head(head_only, 40, |_: &Fleet| ())]
 #[case::head_and_slow_servers(head_only, 120, make_slow)]
--- a/tests/it/stops/resumed.rs
+++ b/tests/it/stops/resumed.rs
@@ -51,8 +51,8 @@
 /// Time that a call to the store takes.
 const STORE_DELAY: Duration = Duration::from_millis(600);
 
-// Guards against an exit while a request that was accepted waits for the store, which may know where
-// its stream began: it was neither in flight nor being received.
+// Guards against an exit while a request that was accepted waits for the store, which may know
+// where its stream began: it was neither in flight nor being received.
 #[tokio::test(flavor = "multi_thread")]
 async fn resumed_streams_of_unknown_origin_are_answered_or_not_run() {
     let fleet = fleet_of_two_versions(1).await;
--- a/tests/it/stops/review.rs
+++ b/tests/it/stops/review.rs
@@ -19,8 +19,8 @@
 /// From this time on, a shorter time for the shutdown counts whatever the balancer needs.
 const CALLERS_MOVED: Duration = Duration::from_millis(2_700);
 
-// Guards against a second SIGTERM that, after a reload, shortens a shutdown under a request that was
-// accepted because it was due before the end: the caller got 504, and its server had run it.
+// Guards against a second SIGTERM that, after a reload, shortens a shutdown under a request that
+// was accepted because it was due before the end: the caller got 504, and its server had run it.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_sigterm_after_a_reload_leaves_requests_that_were_accepted_their_time() {
     let (fleet, _streaming) = fleet_with_endless_stream().await;
@@ -63,11 +63,12 @@
 /// Time in which a stream has begun, and after which its engine is silent.
 const STREAM_STARTED: Duration = Duration::from_millis(300);
 
-/// Time for which an engine is silent, so that the stream ends when idle connections have been closed.
+/// Time for which an engine is silent, so that the stream ends when idle connections have been
+/// closed.
 const SILENCE: Duration = Duration::from_millis(2_800);
 
-// Guards against a connection that is closed at once after a response that said that it is kept, while
-// the next request is in transit.
+// Guards against a connection that is closed at once after a response that said that it is kept,
+// while the next request is in transit.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_after_a_stream_that_ended_late_gets_a_response() {
     let (fleet, _streaming) = fleet_with_endless_stream().await;
@@ -141,8 +142,8 @@
     stream.write_all(&vec![b'x'; LARGE_BYTES]).await
 }
 
-/// Registers a server with large responses under the ids of both plain servers. Returns the number of
-/// requests that it got.
+/// Registers a server with large responses under the ids of both plain servers. Returns the number
+/// of requests that it got.
 async fn add_large_server(fleet: &Fleet, status: u16) -> Arc<AtomicUsize> {
     let listener = TcpListener::bind(bench::fleet::ANY_PORT).await.unwrap();
     let address = listener.local_addr().unwrap();
@@ -167,8 +168,8 @@
     (received.len(), text.lines().next().unwrap_or_default().to_owned())
 }
 
-// Guards against an exit in the middle of a response that is being written: of a server's error that
-// was withheld for another attempt, which is no longer in flight, and of a success.
+// Guards against an exit in the middle of a response that is being written: of a server's error
+// that was withheld for another attempt, which is no longer in flight, and of a success.
 #[rstest]
 #[case::success(200)]
 #[case::server_error(500)]
@@ -223,8 +224,8 @@
     assert_eq!(violations(&fleet, &sent), Vec::<String>::new());
 }
 
-// Guards against a request that counts as cut, and names the end of the shutdown as the reason, though
-// its caller's own deadline ended it.
+// Guards against a request that counts as cut, and names the end of the shutdown as the reason,
+// though its caller's own deadline ended it.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_that_ends_at_its_own_deadline_does_not_count_as_cut() {
     let mut fleet = fleet_stopping_within(STOP_WITHIN).await;
--- a/tests/it/stops/starts.rs
+++ b/tests/it/stops/starts.rs
@@ -8,8 +8,8 @@
 /// Times from the start to SIGTERM, in milliseconds, one for each instance.
 const STOPS_AFTER_MS: [u64; 7] = [0, 10, 30, 60, 100, 200, 300];
 
-// Guards against a process that hangs or fails because it gets SIGTERM while it starts. Until it has
-// a handler, SIGTERM just ends it.
+// Guards against a process that hangs or fails because it gets SIGTERM while it starts. Until it
+// has a handler, SIGTERM just ends it.
 #[tokio::test(flavor = "multi_thread")]
 async fn processes_that_start_exit_in_order() {
     let mut fleet = fleet(STOPS_AFTER_MS.len()).await;
--- a/tests/it/stops/unread.rs
+++ b/tests/it/stops/unread.rs
@@ -55,8 +55,8 @@
     Sent { attempt_id, after, took, response }
 }
 
-// Guards against a response that is lost because the connection is closed, or the process exits, with
-// unread bytes of the caller: the system then resets the connection.
+// Guards against a response that is lost because the connection is closed, or the process exits,
+// with unread bytes of the caller: the system then resets the connection.
 #[rstest]
 #[case::a_whole_request(whole_request)]
 #[case::an_unfinished_body(unfinished_body)]
