tests: the route for uploads is added in one place

tests/it/shutdown.rs and tests/it/stops/ends.rs had the same function. With max_attempts 2 for both, where shutdown.rs had 1: its requests may run once at most in either case, as the route is non_idempotent.

--- a/tests/it/shutdown.rs
+++ b/tests/it/shutdown.rs
@@ -4,9 +4,9 @@
 
 use bench::{eventually, fleet::is_ready};
 use nix::sys::signal::Signal;
-use stand_ins::{Call, document, server::Fault};
+use stand_ins::{Call, server::Fault};
 
-use crate::testbed::{call, fleet, model_call};
+use crate::testbed::{add_upload_route, call, fleet, model_call};
 
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_in_flight_complete_and_idle_connections_are_closed_during_a_shutdown() {
@@ -87,19 +87,6 @@
     assert_eq!(unanswered, Vec::<String>::new());
 }
 
-/// Adds the route `/upload/`, whose requests may take longer than a shutdown without requests.
-async fn add_upload_route(fleet: &bench::Fleet) {
-    let mut config = document::standard(2);
-    let route = document::route("upload", "non_idempotent", "app", 1, 8_000);
-    config["routes"].as_array_mut().unwrap().push(route);
-    fleet.store.put(document::CONFIG_KEY, &config);
-    eventually("the new route is served", async || {
-        let mut caller = fleet.caller(0).await.unwrap();
-        caller.call(&call("POST", "/upload/7", "probe")).await.unwrap().status() == 200
-    })
-    .await;
-}
-
 /// Time in which the instance has read the head of a request: one whose head comes later may be
 /// refused.
 const HEAD_READ_TIME: Duration = Duration::from_millis(300);
@@ -117,7 +104,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_with_a_slow_body_is_served_during_a_shutdown() {
     let mut fleet = fleet(1).await;
-    add_upload_route(&fleet).await;
+    add_upload_route(&fleet, "non_idempotent").await;
     let mut caller = fleet.caller(0).await.unwrap();
     caller.send(&half_request("slow")).await.unwrap();
     tokio::time::sleep(HEAD_READ_TIME).await;
@@ -135,7 +122,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_whose_body_stays_incomplete_is_refused_before_the_exit() {
     let fleet = fleet(1).await;
-    add_upload_route(&fleet).await;
+    add_upload_route(&fleet, "non_idempotent").await;
     let mut caller = fleet.caller(0).await.unwrap();
     caller.send(&half_request("incomplete")).await.unwrap();
     tokio::time::sleep(HEAD_READ_TIME).await;
--- a/tests/it/stops/ends.rs
+++ b/tests/it/stops/ends.rs
@@ -1,25 +1,12 @@
 //! Requests that are in flight when the time of a shutdown is over.
 
-use stand_ins::document;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
 };
 
 use super::*;
-
-/// Adds the route `/upload/`, whose requests may take longer than a shutdown.
-async fn add_upload_route(fleet: &Fleet, kind: &str) {
-    let mut config = document::standard(2);
-    let route = document::route("upload", kind, "app", 2, 8_000);
-    config["routes"].as_array_mut().unwrap().push(route);
-    fleet.store.put(document::CONFIG_KEY, &config);
-    eventually("the new route is served", async || {
-        let mut caller = fleet.caller(0).await.unwrap();
-        caller.call(&call("POST", "/upload/7", "probe")).await.unwrap().status() == 200
-    })
-    .await;
-}
+use crate::testbed::add_upload_route;
 
 // Guards against a request, accepted before SIGTERM, whose connection is closed without a response
 // because its server is silent until the exit.
--- a/tests/it/testbed.rs
+++ b/tests/it/testbed.rs
@@ -31,6 +31,19 @@
     fleet.instances[0].drain(Some(within)).await.unwrap();
 }
 
+/// Adds the route `/upload/` of `kind`, whose requests may take longer than a shutdown.
+pub async fn add_upload_route(fleet: &Fleet, kind: &str) {
+    let mut config = document::standard(2);
+    let route = document::route("upload", kind, "app", 2, 8_000);
+    config["routes"].as_array_mut().unwrap().push(route);
+    fleet.store.put(document::CONFIG_KEY, &config);
+    eventually("the new route is served", async || {
+        let mut caller = fleet.caller(0).await.unwrap();
+        caller.call(&call("POST", "/upload/7", "probe")).await.unwrap().status() == 200
+    })
+    .await;
+}
+
 /// A request of the team `brewers`.
 pub fn call(method: &'static str, target: &str, attempt_id: &str) -> Call {
     let call = Call::new(method, document::HOST, target, attempt_id);
