--- a/tests/it/shutdown.rs
+++ b/tests/it/shutdown.rs
@@ -104,7 +104,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_with_a_slow_body_is_served_during_a_shutdown() {
     let mut fleet = fleet(1).await;
-    add_upload_route(&fleet, "non_idempotent").await;
+    add_upload_route(&fleet, "non_idempotent", 1).await;
     let mut caller = fleet.caller(0).await.unwrap();
     caller.send(&half_request("slow")).await.unwrap();
     tokio::time::sleep(HEAD_READ_TIME).await;
@@ -122,7 +122,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_whose_body_stays_incomplete_is_refused_before_the_exit() {
     let fleet = fleet(1).await;
-    add_upload_route(&fleet, "non_idempotent").await;
+    add_upload_route(&fleet, "non_idempotent", 1).await;
     let mut caller = fleet.caller(0).await.unwrap();
     caller.send(&half_request("incomplete")).await.unwrap();
     tokio::time::sleep(HEAD_READ_TIME).await;
--- a/tests/it/stops/ends.rs
+++ b/tests/it/stops/ends.rs
@@ -16,7 +16,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_that_cannot_end_before_the_exit_gets_a_response(#[case] kind: &str) {
     let fleet = fleet_stopping_within(STOP_WITHIN).await;
-    add_upload_route(&fleet, kind).await;
+    add_upload_route(&fleet, kind, 2).await;
     make_silent(&fleet);
     let mut caller = fleet.caller(0).await.unwrap();
     caller.send(&call("POST", "/upload/7", "endless").to_bytes()).await.unwrap();
@@ -28,8 +28,8 @@
     assert!(stopped_at.elapsed() < STOP_WITHIN + IN_TRANSIT_MAX, "{:?}", stopped_at.elapsed());
 }
 
-/// Requests that are in flight at the end; each of the two engines can take them all.
-const IN_FLIGHT: usize = 60;
+/// Requests that are in flight at the end; the engines take them all.
+const IN_FLIGHT: usize = 100;
 
 // Guards against responses that are not written because very many requests end with the shutdown.
 #[tokio::test(flavor = "multi_thread")]
--- a/tests/it/testbed.rs
+++ b/tests/it/testbed.rs
@@ -31,10 +31,11 @@
     fleet.instances[0].drain(Some(within)).await.unwrap();
 }
 
-/// Adds the route `/upload/` of `kind`, whose requests may take longer than a shutdown.
-pub async fn add_upload_route(fleet: &Fleet, kind: &str) {
+/// Adds the route `/upload/` of `kind`, whose requests may take longer than a shutdown, and may be
+/// sent to as many servers as `attempts`.
+pub async fn add_upload_route(fleet: &Fleet, kind: &str, attempts: u32) {
     let mut config = document::standard(2);
-    let route = document::route("upload", kind, "app", 2, 8_000);
+    let route = document::route("upload", kind, "app", attempts, 8_000);
     config["routes"].as_array_mut().unwrap().push(route);
     fleet.store.put(document::CONFIG_KEY, &config);
     eventually("the new route is served", async || {
