--- a/bench/src/stops/callers.rs
+++ b/bench/src/stops/callers.rs
@@ -77,9 +77,20 @@
 /// Timeout of streams.
 const STREAM_TIMEOUT: Duration = Duration::from_secs(11);
 
+/// How long a caller waits for a connection to be established.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// How long a caller waits beyond its timeout.
 const PATIENCE: Duration = Duration::from_millis(500);
 
+/// An open connection of a caller.
+struct Connection {
+    caller: Caller,
+    /// Index of the instance that it leads to.
+    instance: usize,
+    opened_at: Instant,
+}
+
 /// Sends requests until `deadline` and returns their traces.
 pub(crate) async fn call(
     number: u64,
@@ -90,54 +101,79 @@
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let habit = HABITS[number as usize / DATA_CENTRES.len() % HABITS.len()];
     let data_centre = number as usize % DATA_CENTRES.len();
-    let mut open: Option<(Caller, usize, Instant)> = None;
+    let mut open: Option<Connection> = None;
     let mut traces = Vec::new();
     while Instant::now() < deadline {
         sleep(Duration::from_millis(rng.random_range(PAUSE_MS))).await;
         if open.is_none() {
-            let (instance, address) = balancer.choose(&mut rng, data_centre);
-            let connected = timeout(Duration::from_secs(1), Caller::connect(address)).await;
-            let Ok(Ok(caller)) = connected else { continue };
-            open = Some((caller, instance, Instant::now()));
-            if habit == Habit::ConnectsAhead {
-                sleep(Duration::from_millis(rng.random_range(AHEAD_MS))).await;
-            }
+            open = connect(&mut rng, &balancer, data_centre, habit).await;
         }
-        let Some((mut caller, instance, connected_at)) = open.take() else { continue };
-        if !caller.is_idle() {
+        let Some(mut connection) = open.take() else { continue };
+        if !connection.caller.is_idle() {
             continue;
         }
         let kind = draw_kind(&mut rng, habit);
         let call = draw_call(&mut rng, kind, &format!("stops-{number}-{}", traces.len()));
-        let started_at = Instant::now();
-        let sent_at = send_in_pieces(&mut rng, &mut caller, &call).await;
-        let left = (call.timeout + PATIENCE).saturating_sub(started_at.elapsed());
-        let response = timeout(left, caller.read_response(call.method)).await;
-        let (gave_up, response) = (response.is_err(), response.ok().and_then(Result::ok));
-        let ended_at = Instant::now();
-        let is_kept = response.as_ref().is_some_and(|it| {
-            habit != Habit::ConnectsAnew
-                && it.is_complete
-                && it.header("connection") != Some("close")
-                && it.status() < 500
-        });
-        let retry_delay = response.as_ref().and_then(|it| retry_delay(it, call.timeout / 3));
-        traces.push(Trace {
-            record: record(kind, &call, None, response),
-            instance,
-            connected_at,
-            started_at,
-            sent_at,
-            ended_at,
-            gave_up,
-            timeout: call.timeout,
-        });
-        open = Some((caller, instance, connected_at)).filter(|_| is_kept);
+        let (trace, response) = exchange(&mut rng, &mut connection, kind, &call).await;
+        traces.push(trace);
+        let response = response.as_ref();
+        open = Some(connection).filter(|_| response.is_some_and(|it| keeps(habit, it)));
+        let retry_delay = response.and_then(|it| retry_delay(it, call.timeout / 3));
         sleep(retry_delay.unwrap_or_default()).await;
     }
     traces
 }
 
+/// Opens a connection through the balancer, some time before its first request if that is the habit.
+async fn connect(
+    rng: &mut impl Rng,
+    balancer: &Balancer,
+    data_centre: usize,
+    habit: Habit,
+) -> Option<Connection> {
+    let (instance, address) = balancer.choose(rng, data_centre);
+    let caller = timeout(CONNECT_TIMEOUT, Caller::connect(address)).await.ok()?.ok()?;
+    let opened_at = Instant::now();
+    if habit == Habit::ConnectsAhead {
+        sleep(Duration::from_millis(rng.random_range(AHEAD_MS))).await;
+    }
+    Some(Connection { caller, instance, opened_at })
+}
+
+/// Sends a request and waits for its response; `None` if there was none in time.
+async fn exchange(
+    rng: &mut impl Rng,
+    connection: &mut Connection,
+    kind: Kind,
+    call: &Call,
+) -> (Trace, Option<Response>) {
+    let caller = &mut connection.caller;
+    let started_at = Instant::now();
+    let sent_at = send_in_pieces(rng, caller, call).await;
+    let left = (call.timeout + PATIENCE).saturating_sub(started_at.elapsed());
+    let response = timeout(left, caller.read_response(call.method)).await;
+    let (gave_up, response) = (response.is_err(), response.ok().and_then(Result::ok));
+    let trace = Trace {
+        record: record(kind, call, None, response.clone()),
+        instance: connection.instance,
+        connected_at: connection.opened_at,
+        started_at,
+        sent_at,
+        ended_at: Instant::now(),
+        gave_up,
+        timeout: call.timeout,
+    };
+    (trace, response)
+}
+
+/// Whether a caller keeps its connection after the response.
+fn keeps(habit: Habit, response: &Response) -> bool {
+    habit != Habit::ConnectsAnew
+        && response.is_complete
+        && response.header("connection") != Some("close")
+        && response.status() < 500
+}
+
 fn draw_kind(rng: &mut impl Rng, habit: Habit) -> Kind {
     match rng.random_range(0..8) {
         _ if habit == Habit::Streams => Kind::Talk,
--- a/sl-edge/src/caller.rs
+++ b/sl-edge/src/caller.rs
@@ -16,8 +16,8 @@
 };
 
 use crate::{
-    body_memory::BodyMemory, core::Core, pool::Pool, refusal::LocalResponse,
-    stream_locator::StreamLocator, unused::ConnectionTracker,
+    body_memory::BodyMemory, connection_tracker::ConnectionTracker, core::Core, pool::Pool,
+    refusal::LocalResponse, stream_locator::StreamLocator,
 };
 use request::Request;
 
--- a/sl-edge/src/caller/exchange.rs
+++ b/sl-edge/src/caller/exchange.rs
@@ -325,7 +325,7 @@
     /// Responds to a request that the end of a graceful shutdown leaves without a server's
     /// response.
     async fn finish_for_shutdown(self) -> Disposition {
-        self.ingress.core.shutdown.tally.record_cut();
+        self.ingress.core.shutdown.record_cut();
         if self.stream.is_head_sent || self.is_response_begun {
             self.request.record_end(self.ingress, Some(&self.guard), "cut_off", 0);
             return Disposition::Reset;
--- a/sl-edge/src/caller/request.rs
+++ b/sl-edge/src/caller/request.rs
@@ -94,7 +94,7 @@
     /// exits.
     pub(super) fn reject_for_shutdown(&self, ingress: &Ingress) -> LocalResponse {
         let code = Code::Draining;
-        ingress.core.shutdown.tally.record_refused();
+        ingress.core.shutdown.record_refused();
         self.record_end(ingress, None, code.into(), code.status());
         LocalResponse { code, retry_after: Some(RETRY_ELSEWHERE_AFTER) }
     }
@@ -131,6 +131,7 @@
         // Not decided earlier: a shutdown may have started while the body was received.
         self.keeps_alive.set(self.keeps_alive.get() && !ingress.core.is_shedding());
         let arrival = self.arrival(ingress, &guard, &body);
+        ingress.core.shutdown.record_accepted(ingress.core.now());
         self.log_admitted(ingress, &guard, &arrival);
         let deadline = arrival.deadline();
         self.is_cut_short = deadline < self.due_at();
@@ -178,11 +179,6 @@
     }
 
     fn log_admitted(&self, ingress: &Ingress, guard: &RequestGuard, arrival: &Arrival) {
-        let shutdown = &ingress.core.shutdown;
-        let shutdown_ms = shutdown.age_ms(ingress.core.now());
-        if shutdown_ms.is_some() {
-            shutdown.tally.record_accepted(ingress.core.now());
-        }
         let line = Line::Admitted(Admitted {
             request: guard.request,
             attempt_id: lossy_text(&self.metadata.attempt_id),
@@ -193,7 +189,7 @@
             input_tokens: arrival.prompt.as_ref().map(|it| it.input_tokens),
             last_event_id: self.metadata.last_event_id,
             resumes: self.metadata.resumes.clone(),
-            shutdown_ms,
+            shutdown_ms: ingress.core.shutdown.age_ms(ingress.core.now()),
         });
         ingress.core.log_request_line(guard.request, line);
     }
@@ -242,8 +238,7 @@
         conn: &mut Conn,
         response: &FullResponse,
     ) -> std::io::Result<()> {
-        let is_head = &self.head.method[..] == b"HEAD";
-        response.write(conn, is_head, self.keeps_alive.get()).await
+        response.write(conn, self.head.is_head(), self.keeps_alive.get()).await
     }
 
     pub(super) fn disposition(&self, written: std::io::Result<()>) -> Disposition {
--- a/sl-edge/src/connection_tracker.rs
+++ b/sl-edge/src/connection_tracker.rs
@@ -1,4 +1,5 @@
-//! Tracks callers' connections and evicts idle ones when too many are open.
+//! Tracks callers' connections: evicts idle ones when too many are open, and counts what a graceful
+//! shutdown waits for.
 //!
 //! Callers keep connections open without using them, and some vanish without closing them. As
 //! file descriptors are limited, a new connection above the limit evicts the one that has been
--- a/sl-edge/src/core/reporting.rs
+++ b/sl-edge/src/core/reporting.rs
@@ -36,14 +36,6 @@
         }
     }
 
-    fn write_buffered(&self, lines: Vec<BufferedLine<Line>>) {
-        let now = self.now();
-        for BufferedLine { at, line } in lines {
-            let log = self.log.new(o!("ago_ms" => now.millis_since(at).round()));
-            log::write_line(&log, &line);
-        }
-    }
-
     /// Logs the end of a request, preceded by the lines that were buffered for it.
     pub(crate) fn log_request_end(&self, request: Option<RequestId>, end: &log::RequestEnd<'_>) {
         let now = self.now();
@@ -51,7 +43,10 @@
         let Some(buffered) = buffered else {
             return;
         };
-        self.write_buffered(buffered);
+        for BufferedLine { at, line } in buffered {
+            let log = self.log.new(o!("ago_ms" => now.millis_since(at).round()));
+            log::write_line(&log, &line);
+        }
         log::write_end(&self.log, end);
     }
 
--- a/sl-edge/src/lib.rs
+++ b/sl-edge/src/lib.rs
@@ -13,6 +13,7 @@
 mod change_handler;
 mod clock;
 pub mod connection_share;
+pub mod connection_tracker;
 mod core;
 pub mod detail;
 mod engines;
@@ -41,7 +42,6 @@
 mod signals;
 mod store;
 mod stream_locator;
-pub mod unused;
 mod wire;
 
 pub use events::{EVENT_BYTES_MAX, EventKind, EventSplitter, RawEvent};
--- a/sl-edge/src/run.rs
+++ b/sl-edge/src/run.rs
@@ -31,6 +31,7 @@
     catch_up::CatchUp,
     change_handler::ChangeHandler,
     clock::Clock,
+    connection_tracker::ConnectionTracker,
     core::Core,
     engines,
     handle::{Handle, QUERY_QUEUE_LEN, Query, SharedRecorder},
@@ -47,7 +48,6 @@
     signals::StopSignal,
     store::StoreClient,
     stream_locator::StreamLocator,
-    unused::ConnectionTracker,
 };
 
 /// Why the daemon did not start.
--- a/sl-edge/src/shutdown.rs
+++ b/sl-edge/src/shutdown.rs
@@ -10,7 +10,7 @@
 use slog::info;
 use tokio::{sync::watch, time::sleep};
 
-use crate::{core::Core, overload::BALANCER_DELAY, unused::ConnectionTracker};
+use crate::{connection_tracker::ConnectionTracker, core::Core, overload::BALANCER_DELAY};
 
 /// The state of the shutdown, and counts of the requests that arrive during it.
 pub(crate) struct ShutdownControl {
@@ -20,12 +20,12 @@
     phase: watch::Sender<Option<Phase>>,
     /// The drain timeout of the settings.
     pub(crate) drain_timeout: Cell<Millis>,
-    pub(crate) tally: Tally,
+    tally: Tally,
 }
 
 /// Counts of the requests that arrive during a shutdown.
 #[derive(Default)]
-pub(crate) struct Tally {
+struct Tally {
     accepted: Cell<u64>,
     last_accepted_at: Cell<Option<Timestamp>>,
     refused: Cell<u64>,
@@ -95,6 +95,24 @@
         Some(at.micros_since(started_at) / MICROS_PER_MILLI)
     }
 
+    /// Counts a request that is passed to the reducer at `now`, if a shutdown is in progress.
+    pub(crate) fn record_accepted(&self, now: Timestamp) {
+        if self.is_in_progress() {
+            self.tally.accepted.set(self.tally.accepted.get() + 1);
+            self.tally.last_accepted_at.set(Some(now));
+        }
+    }
+
+    /// Counts a request that is refused because of the shutdown.
+    pub(crate) fn record_refused(&self) {
+        self.tally.refused.set(self.tally.refused.get() + 1);
+    }
+
+    /// Counts a request that the end of the shutdown leaves without a server's response.
+    pub(crate) fn record_cut(&self) {
+        self.tally.cut.set(self.tally.cut.get() + 1);
+    }
+
     /// Starts the shutdown, or changes the one in progress.
     fn apply(&self, now: Timestamp, request: StopRequest) {
         let drain_timeout = self.drain_timeout.get();
@@ -124,24 +142,6 @@
     }
 }
 
-impl Tally {
-    /// Counts a request that is passed to the reducer at `now`, during the shutdown.
-    pub(crate) fn record_accepted(&self, now: Timestamp) {
-        self.accepted.set(self.accepted.get() + 1);
-        self.last_accepted_at.set(Some(now));
-    }
-
-    /// Counts a request that is refused because of the shutdown.
-    pub(crate) fn record_refused(&self) {
-        self.refused.set(self.refused.get() + 1);
-    }
-
-    /// Counts a request that the end of the shutdown leaves without a server's response.
-    pub(crate) fn record_cut(&self) {
-        self.cut.set(self.cut.get() + 1);
-    }
-}
-
 const MICROS_PER_MILLI: u64 = 1_000;
 
 /// Waits for the first of `requests`, calls `on_start`, and runs the shutdown to its end. Further
--- a/sl-edge/tests/it/connection_tracker.rs
+++ b/sl-edge/tests/it/connection_tracker.rs
@@ -1,5 +1,5 @@
 use futures::FutureExt;
-use sl_edge::unused::{ConnectionTracker, IdleGuard};
+use sl_edge::connection_tracker::{ConnectionTracker, IdleGuard};
 
 fn evicted(idle: &IdleGuard<'_>) -> bool {
     idle.evicted().now_or_never().is_some()
--- a/sl-edge/tests/it/main.rs
+++ b/sl-edge/tests/it/main.rs
@@ -3,6 +3,7 @@
 mod backoff;
 mod body_memory;
 mod connection_share;
+mod connection_tracker;
 mod detail;
 mod event_sequence;
 mod events;
@@ -12,4 +13,3 @@
 mod record_schedule;
 mod roles;
 mod sent_requests;
-mod unused;
