Log what a team asks for now beside what it got in the window

It has `team_asks` now, the rate asked for in the last 1.0 to 1.5 s relative to the fair rate. No decision uses it.

--- a/sl-edge/src/log.rs
+++ b/sl-edge/src/log.rs
@@ -10,7 +10,7 @@
 use sl_config::settings::{Log, LogFormat, LogLevel};
 use sl_route::{
     Decision, Route, Team,
-    activity::{TeamTokens, TokenOutcome},
+    activity::TokenOutcome,
     crash_causes::Cause,
     effect::{BarDecision, ServerCrash},
 };
@@ -131,9 +131,7 @@
                 "request" => request.0, "server" => %server, "took_ms" => took_ms.round(),
                 "expected_ms" => expected_ms.round());
         }
-        Decision::TeamActivity { tokens, share_usage, fair_share } => {
-            write_team_activity(log, tokens, *share_usage, *fair_share);
-        }
+        Decision::TeamActivity { .. } => write_team_activity(log, decision),
         Decision::AttemptFailed { request, server, fault, next, denial } => warn!(
             log, "attempt failed";
             "request" => request.0, "server" => %server, "fault" => %fault, "then" => %next,
@@ -266,19 +264,17 @@
     }
 }
 
-/// Logs what a team asked for and got.
-fn write_team_activity(
-    log: &Logger,
-    tokens: &TeamTokens,
-    share_usage: f64,
-    fair_share: Option<f64>,
-) {
+/// Logs what a team asked for and got; other decisions are ignored.
+fn write_team_activity(log: &Logger, decision: &Decision) {
+    let Decision::TeamActivity { tokens, share_usage, recent_demand, fair_share } = decision else {
+        return;
+    };
     info!(log, "team activity";
         "team" => &tokens.team.name, "requested" => tokens.requested,
         "granted" => tokens.of(TokenOutcome::Granted),
         "refused" => tokens.of(TokenOutcome::Refused), "shed" => tokens.of(TokenOutcome::Shed),
-        "lost" => tokens.of(TokenOutcome::Lost), "team_share" => rounded(share_usage),
-        "fair_share" => fair_share.map(f64::round));
+        "lost" => tokens.of(TokenOutcome::Lost), "team_share" => rounded(*share_usage),
+        "team_asks" => rounded(*recent_demand), "fair_share" => fair_share.map(f64::round));
 }
 
 /// Logs that requests are no longer run because servers crashed under them.
--- a/sl-route/src/effect.rs
+++ b/sl-route/src/effect.rs
@@ -207,6 +207,8 @@
         tokens: TeamTokens,
         /// The team's usage in the fleet relative to its fair share, as known here.
         share_usage: f64,
+        /// What the team asks for lately relative to its fair share, as known here.
+        recent_demand: f64,
         /// The fair share of the window in tokens, as known here; absent while all demand is
         /// satisfied.
         fair_share: Option<f64>,
--- a/sl-route/src/share.rs
+++ b/sl-route/src/share.rs
@@ -43,6 +43,10 @@
 /// Slices of the window. Counts expire one slice at a time.
 const WINDOW_SLICES: usize = 8;
 
+/// Complete slices that count, with the current one, as what a team asked for lately. Two, so that
+/// the gaps between the requests of a small team do not look like a change.
+const RECENT_SLICES: usize = 2;
+
 /// How long a computed fair share is used before it is computed again.
 const FAIR_SHARE_REFRESH: Millis = Millis(100);
 
@@ -95,7 +99,7 @@
         };
         let mut remaining = u64::from(tokens);
         for age in 0..WINDOW_SLICES {
-            let granted = &mut usage.granted[(self.slice + WINDOW_SLICES - age) % WINDOW_SLICES];
+            let granted = &mut usage.granted[slice_of_age(self.slice, age)];
             let refunded = remaining.min(*granted);
             *granted -= refunded;
             remaining -= refunded;
@@ -126,6 +130,22 @@
         self.fair_share().map(|it| it / self.window.0 as f64 * MILLIS_PER_SECOND)
     }
 
+    /// Ratio of what the team asked for lately to its fair share, both as rates: below 1, the share
+    /// has room for all that the team asks for now. 0 while all demand is satisfied. The fair share is
+    /// the one last computed.
+    pub fn recent_demand(&mut self, now: Timestamp, team: TeamId) -> f64 {
+        self.advance(now);
+        let Some(usage) = self.teams.get(&team) else {
+            return 0.0;
+        };
+        let recent = (0..=RECENT_SLICES).map(|age| usage.requested[slice_of_age(self.slice, age)]);
+        let recent: u64 = recent.sum();
+        let slice_ms = self.slice_span().0 as f64;
+        let elapsed_ms = slice_ms - self.slice_end.remaining(now).0 as f64;
+        let recent_ms = RECENT_SLICES as f64 * slice_ms + elapsed_ms;
+        recent as f64 / recent_ms * self.window.0 as f64 / self.fair_share
+    }
+
     /// The team's usage, or `None` while all demand is satisfied.
     pub fn contended_usage(&mut self, now: Timestamp, team: TeamId) -> Option<ContendedUsage> {
         let ratio = self.share_usage(now, team);
@@ -176,8 +196,12 @@
         Some(self.teams.entry(team).or_default())
     }
 
+    fn slice_span(&self) -> Millis {
+        Millis((self.window.0 / WINDOW_SLICES as u64).max(1))
+    }
+
     fn advance(&mut self, now: Timestamp) {
-        let slice_span = Millis((self.window.0 / WINDOW_SLICES as u64).max(1));
+        let slice_span = self.slice_span();
         let mut advanced = 0;
         while self.slice_end.is_due(now) && advanced < WINDOW_SLICES {
             self.slice = (self.slice + 1) % WINDOW_SLICES;
@@ -195,3 +219,8 @@
         }
     }
 }
+
+/// The index of the slice that is `age` slices older than the current one.
+fn slice_of_age(current: usize, age: usize) -> usize {
+    (current + WINDOW_SLICES - age) % WINDOW_SLICES
+}
--- a/sl-route/src/state/admit.rs
+++ b/sl-route/src/state/admit.rs
@@ -298,8 +298,10 @@
     pub(super) fn report_activity(&mut self, now: Timestamp) {
         for tokens in self.activity.take_report(now) {
             let share_usage = self.shares.share_usage(now, tokens.team.id);
+            let recent_demand = self.shares.recent_demand(now, tokens.team.id);
             let fair_share = self.shares.fair_share();
-            let decision = Decision::TeamActivity { tokens, share_usage, fair_share };
+            let decision =
+                Decision::TeamActivity { tokens, share_usage, recent_demand, fair_share };
             self.effects.push(Effect::Log(decision));
         }
     }
