Shares: a team stands by what it asks for now, if that is less than what it got in the window

Cause: usage is the sum of what was granted in the window, so it lags a fall of demand by the window. Max-min sharing owes a team that asks for less than the fair rate all of it, and a team that asks for more again is at its former usage at once. The standing by requests at an instance follows the same ratio.

--- a/sl-route/src/share.rs
+++ b/sl-route/src/share.rs
@@ -19,7 +19,9 @@
 /// A team's usage while demand exceeds capacity.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ContendedUsage {
-    /// Ratio of the tokens granted to the team to its fair share.
+    /// Ratio of the tokens granted to the team to its fair share, or of what the team asks for now if
+    /// that is less: a team that asks for less than its share is owed all of it, whatever it got
+    /// while it asked for more.
     pub ratio: f64,
     /// Part of its fair share that the team worst off asked for and did not get, from 0 to 1.
     pub shortfall: f64,
@@ -148,7 +150,7 @@
 
     /// The team's usage, or `None` while all demand is satisfied.
     pub fn contended_usage(&mut self, now: Timestamp, team: TeamId) -> Option<ContendedUsage> {
-        let ratio = self.share_usage(now, team);
+        let ratio = self.share_usage(now, team).min(self.recent_demand(now, team));
         self.fair_share().map(|_| ContendedUsage { ratio, shortfall: self.shortfall })
     }
 
--- a/sl-route/src/state.rs
+++ b/sl-route/src/state.rs
@@ -294,11 +294,10 @@
     /// Where a team stands: relative to its share of the engines' tokens while these do not meet
     /// all demand, else to its share of the requests that this instance admits.
     pub fn standing(&mut self, now: Timestamp, team: TeamId) -> Standing {
-        let usage = match self.shares.contended_usage(now, team) {
-            Some(usage) => usage.ratio,
-            None => self.local_requests.share_usage(now, team),
-        };
-        if usage > 1.0 { Standing::OverShare } else { Standing::WithinShare }
+        let of_fleet = self.shares.contended_usage(now, team);
+        let usage = of_fleet.or_else(|| self.local_requests.contended_usage(now, team));
+        let is_over = usage.is_some_and(|it| it.ratio > 1.0);
+        if is_over { Standing::OverShare } else { Standing::WithinShare }
     }
 
     /// Connections that this instance may have open to one server of the service; at least one.
--- a/sl-route/src/state/admit.rs
+++ b/sl-route/src/state/admit.rs
@@ -109,9 +109,10 @@
         balances_routes.then(|| self.route_balance.standing(now, arrival)).flatten()
     }
 
-    /// Ratio of the team's usage to its fair share; 1 means that the share is used up.
+    /// Ratio of the team's usage to its fair share, as requests are judged by; 1 means that the share is
+    /// used up.
     fn share_usage(&mut self, now: Timestamp, arrival: &Arrival) -> f64 {
-        arrival.team.as_ref().map_or(0.0, |it| self.shares.share_usage(now, it.id))
+        self.contended_usage(now, arrival).map_or(0.0, |it| it.ratio)
     }
 
     fn send_or_refuse(
