Retries: an attempt that reached another server than the one meant does not count as an attempt

What callers saw: 503 (turned away) on routes that allow one attempt, although nothing had run and other servers were free: the address of a lost server belonged to another one, which answered 421. Cause: a misdirected attempt counted against max_attempts, which limits on how many servers a request may run. Change: such an attempt counts for the retry budget only, since the server has counted an arrival.

--- a/sl-route/src/request.rs
+++ b/sl-route/src/request.rs
@@ -16,8 +16,11 @@
     pub tried: Vec<ServerKey>,
     /// The server that was silent when the request last moved to another one.
     pub silent_server: Option<ServerKey>,
-    /// The number of attempts, not counting those that failed to connect.
+    /// The number of attempts, not counting those that failed to connect or reached another server
+    /// than the one that was meant.
     pub attempts: u32,
+    /// The number of attempts that reached another server than the one that was meant.
+    pub misdirected: u32,
     /// Whether an earlier attempt may have been run by a server.
     pub may_have_run: bool,
     /// Whether the request was drawn to be one of the share that leaves the data centre because
@@ -65,6 +68,7 @@
             tried: Vec::new(),
             silent_server: None,
             attempts: 0,
+            misdirected: 0,
             may_have_run: false,
             is_drawn_to_leave: false,
             origin: None,
@@ -73,6 +77,11 @@
         }
     }
 
+    /// Whether an attempt has reached a server, so that a further one takes from the retry budget.
+    pub fn has_arrived(&self) -> bool {
+        self.attempts + self.misdirected > 0
+    }
+
     /// Whether the current attempt has been responding for longer than any that crashes its engine.
     pub fn has_survived(&self, now: Timestamp) -> bool {
         let started_at = self.current.and_then(|it| it.response_started_at);
--- a/sl-route/src/state/attempt.rs
+++ b/sl-route/src/state/attempt.rs
@@ -243,9 +243,15 @@
     ) {
         self.record_loss(now, &in_flight, fault);
         self.record_fault(now, &in_flight, fault);
-        if fault == Fault::NotConnected {
+        match fault {
             // The request did not reach the server; the attempt does not count.
-            in_flight.attempts -= 1;
+            Fault::NotConnected => in_flight.attempts -= 1,
+            // It reached another one, which did not run it; only the retry budget counts that.
+            Fault::WrongServer => {
+                in_flight.attempts -= 1;
+                in_flight.misdirected += 1;
+            }
+            _ => {}
         }
         in_flight.may_have_run |= !fault.proves_not_run();
         let server = in_flight.current.and_then(|it| self.servers.get(&it.server));
@@ -274,7 +280,7 @@
     }
 
     fn retry(&mut self, now: Timestamp, in_flight: InFlightRequest, placement: Placement) {
-        if in_flight.attempts > 0 {
+        if in_flight.has_arrived() {
             self.budget.try_take(now, in_flight.arrival.service);
         }
         self.send(now, in_flight, placement);
@@ -358,7 +364,7 @@
         if self.is_barred(now, arrival) {
             return Err(RetryDenial::Barred);
         }
-        if in_flight.attempts > 0 && self.budget.available(now, arrival.service) < 1.0 {
+        if in_flight.has_arrived() && self.budget.available(now, arrival.service) < 1.0 {
             return Err(RetryDenial::BudgetUsed);
         }
         let limits = AdmissionLimits::until_deadline(deadline.remaining(now).0 as f64);
