Streams: an instance asks before it relies on knowing one software version

Cause: an instance that knows one version of a service asked neither peers nor the store, and what it knows has no age. Change: a resumed stream of unknown origin is asked for in any case. Origins are unknown after a lost note or a restart only, so a fleet of one version makes no further calls of the store.

--- a/sl-edge/src/caller.rs
+++ b/sl-edge/src/caller.rs
@@ -173,7 +173,7 @@
         () = shutdown.termination_started() => return Err(request.reject_for_shutdown(ingress)),
     };
     let body = body.map_err(LocalResponse::of)?;
-    let request = request.locate_stream(ingress).await;
+    let request = request.locate_stream(ingress).await?;
     if !request.is_accepted(ingress) {
         return Err(request.reject_for_shutdown(ingress));
     }
--- a/sl-edge/src/caller/request.rs
+++ b/sl-edge/src/caller/request.rs
@@ -39,8 +39,8 @@
     first_byte_at: Cell<Option<Timestamp>>,
 }
 
-/// Retry delay sent to callers that this instance rejects while it shuts down: the balancer
-/// sends new connections to other instances by then.
+/// Retry delay sent to callers that another instance serves better: this one shuts down, and the balancer
+/// sends new connections to others by then, or it is cut off from them.
 const RETRY_ELSEWHERE_AFTER: Millis = Millis(10);
 
 /// Time limit of a request whose caller states none.
@@ -145,14 +145,26 @@
     }
 
     /// Finds out where the stream began that the request resumes, and goes on at that service.
-    pub(super) async fn locate_stream(mut self, ingress: &Ingress) -> Request {
+    ///
+    /// # Errors
+    ///
+    /// The response to the request if that cannot be found out, because neither peers nor the store
+    /// respond.
+    pub(super) async fn locate_stream(
+        mut self,
+        ingress: &Ingress,
+    ) -> Result<Request, LocalResponse> {
         let Some(stream) = self.stream.filter(|it| it.is_resumed()) else {
-            return self;
+            return Ok(self);
         };
-        ingress.stream_locator.locate(&self.route, stream).await;
+        if !ingress.stream_locator.locate(&self.route, stream).await {
+            let code = Code::OriginUnknown;
+            self.record_end(ingress, None, code.into(), code.status());
+            return Err(LocalResponse { code, retry_after: Some(RETRY_ELSEWHERE_AFTER) });
+        }
         let service = ingress.core.with_state(|it| it.service_of_stream(&self.route, stream));
         self.service = service.unwrap_or(self.service);
-        self
+        Ok(self)
     }
 
     /// When the response is due, whether a shutdown is in progress or not.
--- a/sl-edge/src/stream_locator.rs
+++ b/sl-edge/src/stream_locator.rs
@@ -28,23 +28,57 @@
 /// How long their responses are waited for.
 const RESPONSE_TIMEOUT: Millis = Millis(250);
 
+/// What peers say of the origin of a stream.
+enum Answer {
+    Origin(StreamOrigin),
+    /// Some have responded, and none of these knows of the stream.
+    Unknown,
+    /// None has responded.
+    None,
+}
+
 impl StreamLocator {
     /// Tells the reducer where the stream began that a request on `route` resumes, if the reducer
-    /// lacks that and a peer or the store knows. Both are asked at the same time.
-    pub(crate) async fn locate(&self, route: &Route, request: StreamRequest) {
-        let missing = self.core.with_state(|it| it.missing_origin(route, request));
-        let Some(stream) = missing else {
-            return;
+    /// lacks that and a peer or the store knows. Returns whether the reducer may rely on what it knows of
+    /// the software versions: a peer or the store has responded since the request arrived. What an
+    /// instance knew before may be outdated, as it may have been cut off, or have stood still.
+    pub(crate) async fn locate(&self, route: &Route, request: StreamRequest) -> bool {
+        let Some(stream) = self.core.with_state(|it| it.unknown_origin(request)) else {
+            return true;
         };
-        let mut asking = pin!(tokio::time::timeout(RESPONSE_TIMEOUT.into(), self.ask(stream)));
+        if self.core.with_state(|it| it.missing_origin(route, request).is_none()) {
+            return self.confirm_version(stream).await;
+        }
+        self.search(route, stream).await;
+        true
+    }
+
+    /// Asks peers where the stream began, and the store only if none responds.
+    async fn confirm_version(&self, stream: StreamId) -> bool {
+        if self.peers_to_ask(stream).is_empty() {
+            return true;
+        }
+        match self.ask_in_time(stream).await {
+            Answer::Origin(origin) => {
+                self.core.step(Event::StreamOriginFound { stream, origin });
+                true
+            }
+            Answer::Unknown => true,
+            Answer::None => self.reader.read().await,
+        }
+    }
+
+    /// Asks peers and the store at the same time.
+    async fn search(&self, route: &Route, stream: StreamId) {
+        let mut asking = pin!(self.ask_in_time(stream));
         let mut reading = pin!(self.reader.read());
         let mut is_asked = false;
         let mut is_read = None;
         while !is_asked || is_read.is_none() {
             tokio::select! {
-                found = &mut asking, if !is_asked => {
+                answer = &mut asking, if !is_asked => {
                     is_asked = true;
-                    if let Ok(Some(origin)) = found {
+                    if let Answer::Origin(origin) = answer {
                         return self.core.step(Event::StreamOriginFound { stream, origin });
                     }
                 }
@@ -61,17 +95,25 @@
         }
     }
 
+    async fn ask_in_time(&self, stream: StreamId) -> Answer {
+        let answer = tokio::time::timeout(RESPONSE_TIMEOUT.into(), self.ask(stream)).await;
+        answer.unwrap_or(Answer::None)
+    }
+
     /// The first response of a peer that knows of the stream.
-    async fn ask(&self, stream: StreamId) -> Option<StreamOrigin> {
+    async fn ask(&self, stream: StreamId) -> Answer {
         let calls = self.peers_to_ask(stream).into_iter();
         let mut responses: FuturesUnordered<_> =
             calls.map(|(peer, control)| self.links.stream_origin(peer, control, stream)).collect();
+        let mut answer = Answer::None;
         while let Some(response) = responses.next().await {
-            if let Ok(Some(origin)) = response {
-                return Some(origin);
+            match response {
+                Ok(Some(origin)) => return Answer::Origin(origin),
+                Ok(None) => answer = Answer::Unknown,
+                Err(_) => {}
             }
         }
-        None
+        answer
     }
 
     /// The peer that has been running for longest, and others that differ from stream to stream:
--- a/sl-route/src/state/streams.rs
+++ b/sl-route/src/state/streams.rs
@@ -20,9 +20,14 @@
     /// The stream of a request on `route` whose origin has to be asked for, because it is not known
     /// here and the stream might go on at several software versions.
     pub fn missing_origin(&self, route: &Route, request: StreamRequest) -> Option<StreamId> {
+        self.unknown_origin(request).filter(|_| self.sole_service(route).is_none())
+    }
+
+    /// The stream of a request whose origin is not known here. Even if the servers that are known here
+    /// have one version, others may have come since this instance last heard of them.
+    pub fn unknown_origin(&self, request: StreamRequest) -> Option<StreamId> {
         let stream = request.id().filter(|_| request.is_resumed())?;
-        let is_known = self.origins.origin(stream).is_some();
-        (!is_known && self.sole_service(route).is_none()).then_some(stream)
+        self.origins.origin(stream).is_none().then_some(stream)
     }
 
     /// The service at which a stream on `route` may go on, if it is known where the stream began
--- a/tests/it/testbed.rs
+++ b/tests/it/testbed.rs
@@ -3,7 +3,7 @@
 use std::{path::Path, time::Duration};
 
 use bench::{
-    Fleet,
+    Fleet, Instance,
     fleet::{Options, eventually},
 };
 use serde_json::json;
@@ -80,8 +80,13 @@
 
 /// Waits until all instances have the store's entries.
 pub async fn settle(fleet: &Fleet) {
+    settle_at(fleet, &fleet.instances).await;
+}
+
+/// Waits until these instances have the store's entries.
+pub async fn settle_at(fleet: &Fleet, instances: &[Instance]) {
     let revision = fleet.store.revision();
-    for instance in &fleet.instances {
+    for instance in instances {
         eventually("the instance has the entries", async || {
             let mut probe = stand_ins::Caller::connect(instance.metrics).await.unwrap();
             probe.send(b"GET /metrics HTTP/1.1\r\nHost: probe\r\n\r\n").await.unwrap();
--- a/tests/it/versions.rs
+++ b/tests/it/versions.rs
@@ -1,12 +1,17 @@
 //! A stream holds events of servers of one software version only, in one response and over the
 //! tries of its caller.
 
+use std::time::Duration;
+
+use futures::future::join_all;
+use nix::sys::signal::Signal;
 use rstest::rstest;
 use serde_json::{Value, json};
 use stand_ins::server::{FIRST_VERSION, Fault};
+use tokio::time::Instant;
 
 use crate::testbed::{
-    cut_streams, fleet, fleet_of_two_versions, metrics, model_call, resuming, settle,
+    cut_streams, fleet, fleet_of_two_versions, metrics, model_call, resuming, settle, settle_at,
 };
 
 // Guards against a stream that goes on within one response at a server of another version.
@@ -123,3 +128,53 @@
     }
     assert!(!first.executed_requests().is_empty(), "the server got no new streams");
 }
+
+/// How long an instance stands still: its peers take it for gone, and messages to it are lost.
+const STANDSTILL: Duration = Duration::from_secs(6);
+
+/// How long after the requests have come the instance goes on.
+const REQUESTS_FIRST: Duration = Duration::from_millis(300);
+
+// Guards against a stream that began at a server of a new version and goes on at one of the former version, at
+// an instance that stood still when the new one joined: it knew of one version only and asked nobody. If
+// nobody responds either, the stream is refused, unless a note that waited says where it began.
+#[rstest]
+#[case::peers_respond(false)]
+#[case::nobody_responds(true)]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_instance_that_stood_still_does_not_join_streams_of_two_versions(
+    #[case] is_cut_off: bool,
+) {
+    let fleet = fleet(3).await;
+    let (old, new) = (fleet.engines().next().unwrap(), fleet.engines().nth(1).unwrap());
+    let (behind, others) = (&fleet.instances[2], &fleet.instances[..2]);
+    behind.signal(Signal::SIGSTOP);
+    let stopped_at = Instant::now();
+    new.set_version(json!("v2"));
+    new.register(&fleet.store, "ready");
+    old.register(&fleet.store, "draining");
+    settle_at(&fleet, others).await;
+    new.set_fault(Fault::TruncatesResponse);
+    let cut = cut_streams(&fleet, 0).await;
+    new.set_fault(Fault::None);
+    old.register(&fleet.store, "ready");
+    tokio::time::sleep_until(stopped_at + STANDSTILL).await;
+    if is_cut_off {
+        others.iter().for_each(|it| it.signal(Signal::SIGSTOP));
+        fleet.store_relays[2].blackhole();
+    }
+    let resumed = cut.iter().map(async |(id, began)| {
+        let call = resuming(id, &format!("again-{id}"), began);
+        fleet.caller(2).await.unwrap().call(&call).await.unwrap()
+    });
+    let go_on = async {
+        tokio::time::sleep(REQUESTS_FIRST).await;
+        behind.signal(Signal::SIGCONT);
+    };
+    let (answers, ()) = tokio::join!(join_all(resumed), go_on);
+    for ((id, began), answer) in cut.iter().zip(answers) {
+        let goes_on = answer.status() == 200 && answer.versions() == began.versions();
+        let is_refused = is_cut_off && answer.status() == 503;
+        assert!(goes_on || is_refused, "{id}: {} {}", answer.status(), answer.text());
+    }
+}
