Admission: a team that has got little may be late rather than be refused

Cause: the limit on the expected time was 0.95 of the target at best, whoever had filled the engines. The callers it refuses have one retry and come back late as well. Change: below a quarter of its share a team's limit rises to twice the target at nothing. A refusal stays for what cannot begin before the deadline.

--- a/sl-route/src/admission.rs
+++ b/sl-route/src/admission.rs
@@ -41,6 +41,13 @@
 /// The same for a team within its fair share while demand exceeds capacity.
 const TARGET_FRACTION_WITHIN_SHARE: f64 = 0.95;
 
+/// The same for a team that has got nothing. Its request may be late rather than be refused because
+/// others have filled the engines.
+const TARGET_FRACTION_LATE: f64 = 2.0;
+
+/// Ratio of usage to fair share from which requests are to be in time.
+const LATE_USAGE: f64 = 0.25;
+
 /// The same for a team whose share is used up.
 const TARGET_FRACTION_OVER_SHARE: f64 = 0.7;
 
@@ -96,7 +103,7 @@
 
     /// The limits of a request under contention, whose route stands at `standing`. A route that is
     /// behind the others may wait longer, up to the time of a team that has used nothing of its
-    /// share, and one that is ahead less long, down to nothing. Repeated prefill weighs the same for
+    /// share, and one that is ahead less long, down to nothing for a team whose share is used up. Repeated prefill weighs the same for
     /// all, since it takes more from the others than the request gains. A team over its share
     /// keeps its limits.
     pub fn under_contention(
@@ -111,7 +118,7 @@
             return limits;
         }
         let bound_ms = if standing.lead < 0.0 {
-            (target_ms * TARGET_FRACTION_WITHIN_SHARE).min(remaining_ms)
+            (target_ms * TARGET_FRACTION_WITHIN_SHARE).min(remaining_ms).max(limits.allowed_ms)
         } else {
             0.0
         };
@@ -145,7 +152,9 @@
     let ratio = usage.ratio;
     if ratio < 1.0 {
         let range = TARGET_FRACTION_WITHIN_SHARE - TARGET_FRACTION_OVER_SHARE;
-        return TARGET_FRACTION_WITHIN_SHARE - range * ratio;
+        let lacking = (1.0 - ratio / LATE_USAGE).max(0.0);
+        let late = (TARGET_FRACTION_LATE - TARGET_FRACTION_WITHIN_SHARE) * lacking;
+        return TARGET_FRACTION_WITHIN_SHARE - range * ratio + late;
     }
     let excess = (ratio - 1.0) / (usage_max(usage.shortfall) - 1.0);
     TARGET_FRACTION_OVER_SHARE / ratio.powi(2) * (1.0 - excess.min(1.0).powi(2))
