Admission: the balance between routes leaves half of its share to each team

What callers saw: with `[sharing] routes = balanced` (not the default) a team whose requests are of a route that is ahead was refused whatever it had got, while teams over their share kept their limits. Cause: a rule for efficiency between routes stood above the shares of teams. Change: the balance counts fully for a team whose share is used up, and not at all up to half of it.

--- a/sl-route/src/admission.rs
+++ b/sl-route/src/admission.rs
@@ -58,6 +58,10 @@
 /// prefill at the expense of many others.
 const DUPLICATE_PREFILL_WEIGHT: f64 = 4.0;
 
+/// Ratio of usage to fair share up to which a team is not refused for the balance between routes: the
+/// part of its share that each team is owed in any case.
+const GUARANTEED_USAGE: f64 = 0.5;
+
 /// Ratio of usage to fair share from which requests are sent to idle engines only. The first is
 /// the one while no team lacks much of its share; it falls with the largest shortfall to the
 /// second.
@@ -122,7 +126,9 @@
         } else {
             0.0
         };
-        let allowed_ms = limits.allowed_ms + (bound_ms - limits.allowed_ms) * standing.lead.abs();
+        let ahead = standing.lead.max(0.0) * usage.map_or(1.0, |it| yielding(it.ratio));
+        let weight = ahead.max(-standing.lead);
+        let allowed_ms = limits.allowed_ms + (bound_ms - limits.allowed_ms) * weight;
         AdmissionLimits { allowed_ms, ..limits }
     }
 
@@ -170,6 +176,12 @@
     SLOT_DELAY_MAX * ((usage - 1.0) / (SLOT_USAGE_MAX - 1.0)).clamp(0.0, 1.0)
 }
 
+/// How far a team yields to other routes than its own, from 0 up to [`GUARANTEED_USAGE`] to 1 for a team whose
+/// share is used up.
+fn yielding(usage: f64) -> f64 {
+    ((usage - GUARANTEED_USAGE) / (1.0 - GUARANTEED_USAGE)).clamp(0.0, 1.0)
+}
+
 fn duplicate_prefill_weight(usage: f64) -> f64 {
     DUPLICATE_PREFILL_WEIGHT * usage.min(1.0)
 }
