Admission: the dead band on shortfalls no longer covers what the rule on shares forbids

Cause: the limit on usage began to fall at a shortfall of 0.25 only, and a team at 0.75 beside one at 1.5 is at the bound of the rule. Change: it begins at 0.15.

--- a/sl-route/src/admission.rs
+++ b/sl-route/src/admission.rs
@@ -70,7 +70,7 @@
 
 /// Largest shortfall that does not lower the limit on usage. Grants lag behind requests, and
 /// teams' demand varies, so some team always lacks a little.
-const SHORTFALL_TOLERATED: f64 = 0.25;
+const SHORTFALL_TOLERATED: f64 = 0.15;
 
 /// How much the limit on usage falls for each shortfall of a whole share above the tolerated one.
 const USAGE_MAX_PER_SHORTFALL: f64 = 4.0;
