--- a/bench/src/load/fairness.rs
+++ b/bench/src/load/fairness.rs
@@ -32,6 +32,9 @@
 /// The number of requests by which a team may miss its due.
 const LARGEST_LEFT_OUT: usize = 3;
 
+/// The rule asks for the due tokens divided by this, less the largest requests.
+const DUE_DIVISOR: u64 = 2;
+
 const MICROS_PER_SECOND: u64 = 1_000_000;
 
 impl TeamTokens {
@@ -66,7 +69,8 @@
         }
         let best = |second: &[TeamSecond]| second.iter().map(|it| it.begun).max().unwrap_or(0);
         let due: u64 = span.iter().map(|it| it[team].asked.min(best(it))).sum();
-        let due = due.saturating_sub(2 * self.largest.iter().sum::<u64>());
+        let left_out = self.largest.iter().sum::<u64>() * DUE_DIVISOR;
+        let due = due.saturating_sub(left_out);
         let begun: u64 = span.iter().map(|it| it[team].begun).sum();
         (due > 0).then(|| begun as f64 / due as f64)
     }
--- a/bench/tests/it/loads.rs
+++ b/bench/tests/it/loads.rs
@@ -167,10 +167,11 @@
 fn every_team_gets_half_of_what_it_is_owed(
     #[case] load: Load,
     #[values(true, false)] balances_routes: bool,
+    #[values(12, 36)] engines: usize,
     #[values(1, 2, 3, 4)] seed: u64,
 ) {
-    // With fewer engines it is chance which of the greedy teams is the best served in a second.
-    let options = Options { balances_routes, instances: 18, engines: 36, ..options(load, seed) };
+    let instances = if engines == 12 { 9 } else { 18 };
+    let options = Options { balances_routes, instances, engines, ..options(load, seed) };
     let tally = simulate(options);
     assert!(tally.lowest_due >= 0.5, "{}", tally.lowest_due);
 }
--- a/sl-edge/src/stream_locator.rs
+++ b/sl-edge/src/stream_locator.rs
@@ -29,7 +29,7 @@
 const RESPONSE_TIMEOUT: Millis = Millis(250);
 
 /// What peers say of the origin of a stream.
-enum Answer {
+enum PeerAnswer {
     Origin(StreamOrigin),
     /// Some have responded, and none of these knows of the stream.
     Unknown,
@@ -59,12 +59,12 @@
             return true;
         }
         match self.ask_in_time(stream).await {
-            Answer::Origin(origin) => {
+            PeerAnswer::Origin(origin) => {
                 self.core.step(Event::StreamOriginFound { stream, origin });
                 true
             }
-            Answer::Unknown => true,
-            Answer::None => self.reader.read().await,
+            PeerAnswer::Unknown => true,
+            PeerAnswer::None => self.reader.read().await,
         }
     }
 
@@ -78,7 +78,7 @@
             tokio::select! {
                 answer = &mut asking, if !is_asked => {
                     is_asked = true;
-                    if let Answer::Origin(origin) = answer {
+                    if let PeerAnswer::Origin(origin) = answer {
                         return self.core.step(Event::StreamOriginFound { stream, origin });
                     }
                 }
@@ -95,21 +95,22 @@
         }
     }
 
-    async fn ask_in_time(&self, stream: StreamId) -> Answer {
+    /// The same as [`StreamLocator::ask`], for at most [`RESPONSE_TIMEOUT`].
+    async fn ask_in_time(&self, stream: StreamId) -> PeerAnswer {
         let answer = tokio::time::timeout(RESPONSE_TIMEOUT.into(), self.ask(stream)).await;
-        answer.unwrap_or(Answer::None)
+        answer.unwrap_or(PeerAnswer::None)
     }
 
     /// The first response of a peer that knows of the stream.
-    async fn ask(&self, stream: StreamId) -> Answer {
+    async fn ask(&self, stream: StreamId) -> PeerAnswer {
         let calls = self.peers_to_ask(stream).into_iter();
         let mut responses: FuturesUnordered<_> =
             calls.map(|(peer, control)| self.links.stream_origin(peer, control, stream)).collect();
-        let mut answer = Answer::None;
+        let mut answer = PeerAnswer::None;
         while let Some(response) = responses.next().await {
             match response {
-                Ok(Some(origin)) => return Answer::Origin(origin),
-                Ok(None) => answer = Answer::Unknown,
+                Ok(Some(origin)) => return PeerAnswer::Origin(origin),
+                Ok(None) => answer = PeerAnswer::Unknown,
                 Err(_) => {}
             }
         }
--- a/sl-route/src/admission.rs
+++ b/sl-route/src/admission.rs
@@ -46,7 +46,7 @@
 const TARGET_FRACTION_LATE: f64 = 2.0;
 
 /// Ratio of usage to fair share from which requests are to be in time.
-const LATE_USAGE: f64 = 0.25;
+const LATE_USAGE_MAX: f64 = 0.25;
 
 /// The same for a team whose share is used up.
 const TARGET_FRACTION_OVER_SHARE: f64 = 0.7;
@@ -107,9 +107,9 @@
 
     /// The limits of a request under contention, whose route stands at `standing`. A route that is
     /// behind the others may wait longer, up to the time of a team that has used nothing of its
-    /// share, and one that is ahead less long, down to nothing for a team whose share is used up. Repeated prefill weighs the same for
-    /// all, since it takes more from the others than the request gains. A team over its share
-    /// keeps its limits.
+    /// share, and one that is ahead less long, down to nothing for a team whose share is used up.
+    /// Repeated prefill weighs the same for all, since it takes more from the others than the
+    /// request gains. A team over its share keeps its limits.
     pub fn under_contention(
         target_ms: f64,
         remaining_ms: f64,
@@ -126,7 +126,7 @@
         } else {
             0.0
         };
-        let ahead = standing.lead.max(0.0) * usage.map_or(1.0, |it| yielding(it.ratio));
+        let ahead = standing.lead.max(0.0) * usage.map_or(1.0, |it| balance_weight(it.ratio));
         let weight = ahead.max(-standing.lead);
         let allowed_ms = limits.allowed_ms + (bound_ms - limits.allowed_ms) * weight;
         AdmissionLimits { allowed_ms, ..limits }
@@ -158,9 +158,9 @@
     let ratio = usage.ratio;
     if ratio < 1.0 {
         let range = TARGET_FRACTION_WITHIN_SHARE - TARGET_FRACTION_OVER_SHARE;
-        let lacking = (1.0 - ratio / LATE_USAGE).max(0.0);
-        let late = (TARGET_FRACTION_LATE - TARGET_FRACTION_WITHIN_SHARE) * lacking;
-        return TARGET_FRACTION_WITHIN_SHARE - range * ratio + late;
+        let lacking = (1.0 - ratio / LATE_USAGE_MAX).max(0.0);
+        let extension = (TARGET_FRACTION_LATE - TARGET_FRACTION_WITHIN_SHARE) * lacking;
+        return TARGET_FRACTION_WITHIN_SHARE - range * ratio + extension;
     }
     let excess = (ratio - 1.0) / (usage_max(usage.shortfall) - 1.0);
     TARGET_FRACTION_OVER_SHARE / ratio.powi(2) * (1.0 - excess.min(1.0).powi(2))
@@ -176,9 +176,9 @@
     SLOT_DELAY_MAX * ((usage - 1.0) / (SLOT_USAGE_MAX - 1.0)).clamp(0.0, 1.0)
 }
 
-/// How far a team yields to other routes than its own, from 0 up to [`GUARANTEED_USAGE`] to 1 for a team whose
+/// How much of the balance between routes applies to a team: none up to [`GUARANTEED_USAGE`], all once its
 /// share is used up.
-fn yielding(usage: f64) -> f64 {
+fn balance_weight(usage: f64) -> f64 {
     ((usage - GUARANTEED_USAGE) / (1.0 - GUARANTEED_USAGE)).clamp(0.0, 1.0)
 }
 
--- a/sl-route/src/state/admit.rs
+++ b/sl-route/src/state/admit.rs
@@ -109,9 +109,9 @@
         balances_routes.then(|| self.route_balance.standing(now, arrival)).flatten()
     }
 
-    /// Ratio of the team's usage to its fair share, as requests are judged by; 1 means that the share is
-    /// used up.
-    fn share_usage(&mut self, now: Timestamp, arrival: &Arrival) -> f64 {
+    /// The ratio by which requests of the team are admitted or refused
+    /// ([`ContendedUsage::ratio`]); 0 while all demand is satisfied.
+    fn usage_ratio(&mut self, now: Timestamp, arrival: &Arrival) -> f64 {
         self.contended_usage(now, arrival).map_or(0.0, |it| it.ratio)
     }
 
@@ -240,7 +240,7 @@
             PlacementError::NoServer if in_flight.tried.is_empty() => Refusal::NoServer,
             PlacementError::NoServer | PlacementError::Paused { .. } => Refusal::TurnedAway,
             _ if in_flight.arrival.deadline().is_due(now) => Refusal::TooLate,
-            _ if self.share_usage(now, &in_flight.arrival) > 1.0 => Refusal::TeamOverShare,
+            _ if self.usage_ratio(now, &in_flight.arrival) > 1.0 => Refusal::TeamOverShare,
             _ => Refusal::Overload,
         }
     }
@@ -258,7 +258,7 @@
         let standing = self.route_standing(now, &in_flight.arrival);
         let route_admitted = standing.map_or(1.0, |it| it.admitted_fraction);
         self.record_outcome(&in_flight.arrival, TokenOutcome::Refused);
-        let share_usage = self.share_usage(now, &in_flight.arrival);
+        let share_usage = self.usage_ratio(now, &in_flight.arrival);
         let excess_ms = (cost_ms - allowed_ms).clamp(RETRY_AFTER_MS.start, RETRY_AFTER_MS.end);
         let jitter = self.rng.random_range(1.0..2.0);
         let retry_after = Millis((excess_ms * jitter) as u64);
