Peers: a message that was overtaken is told from a copy

Both counted as repeated, and both are dropped. `instance load` says how many of the missed messages came later (`overtaken`), so that loss on the way and loss for the order of arrival can be told apart. No change of behaviour.

--- a/sl-edge/src/core.rs
+++ b/sl-edge/src/core.rs
@@ -25,7 +25,7 @@
 
 use crate::{
     clock::Clock, detail::TailSampler, handle::SharedRecorder, log::Line, metrics::Metrics,
-    overload::LoadShedder, peers::PeerArrival, shutdown::ShutdownControl,
+    overload::LoadShedder, peers::arrivals::PeerArrival, shutdown::ShutdownControl,
 };
 
 /// What the reducer decided to do next with one request.
@@ -80,6 +80,7 @@
 struct PeerCounts {
     received: u64,
     missed: u64,
+    overtaken: u64,
     repeated: u64,
 }
 
@@ -204,6 +205,7 @@
                 counts.received += 1;
                 counts.missed += missed;
             }
+            PeerArrival::Overtaken => counts.overtaken += 1,
             PeerArrival::Repeated => counts.repeated += 1,
         }
         self.peer_counts.set(counts);
--- a/sl-edge/src/core/reporting.rs
+++ b/sl-edge/src/core/reporting.rs
@@ -84,15 +84,16 @@
     /// Logs how late this instance runs and which messages of its peers arrived since the last
     /// call.
     pub(super) fn log_instance_load(&self) {
-        let PeerCounts { received, missed, repeated } = self.peer_counts.take();
+        let PeerCounts { received, missed, overtaken, repeated } = self.peer_counts.take();
         let load_shedder = self.load_shedder.get();
         let in_flight = self.with_state(|it| it.in_flight());
         slog::info!(self.log, "instance load";
             "late_ms" => load_shedder.late_ms().round(),
             "rejected_percent" => (load_shedder.reject_fraction() * PERCENT).round(),
             "held" => in_flight, "messages" => received, "missed" => missed,
-            "repeated" => repeated);
+            "overtaken" => overtaken, "repeated" => repeated);
         self.metrics.peer_messages.get_or_create(&name_label("missed")).inc_by(missed);
+        self.metrics.peer_messages.get_or_create(&name_label("overtaken")).inc_by(overtaken);
     }
 
     /// Logs and counts the lines omitted since the last call, if any.
--- a/sl-edge/src/peers.rs
+++ b/sl-edge/src/peers.rs
@@ -7,12 +7,12 @@
 //! one relay in each, which forwards there. Notes only refine estimates, so a note that is
 //! lost or delivered twice only makes an estimate less accurate.
 
+pub mod arrivals;
 mod datagram;
 pub mod heartbeat;
 
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
     net::SocketAddr,
     rc::Rc,
 };
@@ -27,6 +27,7 @@
     time::{Instant, sleep_until, timeout},
 };
 
+use arrivals::{MessageArrivals, PeerArrival};
 pub(crate) use datagram::DatagramKey;
 use datagram::{Hop, Message, PAYLOAD_BYTES_MAX, SenderState, pack_notes};
 use heartbeat::{HEARTBEAT_INTERVAL, Heartbeat};
@@ -95,23 +96,7 @@
     from_data_centres: RefCell<Vec<Message>>,
     /// From relays, for the instances that this one serves.
     from_relays: RefCell<Vec<Message>>,
-    /// The highest incarnation and sequence number received from each instance.
-    last_received: RefCell<HashMap<InstanceId, (Incarnation, u64)>>,
-}
-
-/// How a message follows the last one received from the same instance.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum PeerArrival {
-    /// A newer message; `missed` messages in between did not arrive before it.
-    New { missed: u64 },
-    /// A copy that another relay forwarded, or a message that a newer one has overtaken.
-    Repeated,
-}
-
-impl PeerArrival {
-    fn is_new(self) -> bool {
-        matches!(self, PeerArrival::New { .. })
-    }
+    arrivals: RefCell<MessageArrivals>,
 }
 
 impl Gossip {
@@ -302,7 +287,7 @@
         for message in datagram.messages {
             let arrival = self.relay_queue.arrival(&message);
             self.core.record_peer_arrival(arrival);
-            if message.from != self.own_id && arrival.is_new() {
+            if message.from != self.own_id && matches!(arrival, PeerArrival::New { .. }) {
                 match datagram.hop {
                     Hop::ToRelay => {
                         self.relay_queue.from_instances.borrow_mut().push(message.clone())
@@ -367,21 +352,13 @@
         self.from_relays.borrow_mut().clear();
     }
 
-    /// How the message follows the last one received from the same instance. Messages without
-    /// notes have no sequence number and are always new.
+    /// How the message relates to those received before. Messages without notes have no sequence
+    /// number and are always new.
     fn arrival(&self, message: &Message) -> PeerArrival {
         if message.sequence == 0 {
             return PeerArrival::New { missed: 0 };
         }
-        let mut last_received = self.last_received.borrow_mut();
-        let last = last_received.entry(message.from).or_default();
-        let received = (message.incarnation, message.sequence);
-        if received <= *last {
-            return PeerArrival::Repeated;
-        }
-        let is_same_run = last.0 == message.incarnation;
-        let missed = if is_same_run { message.sequence - last.1 - 1 } else { 0 };
-        *last = received;
-        PeerArrival::New { missed }
+        let Message { from, incarnation, sequence, .. } = *message;
+        self.arrivals.borrow_mut().record(from, incarnation, sequence)
     }
 }
--- a/sl-edge/tests/it/main.rs
+++ b/sl-edge/tests/it/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the adapters' parts that need no network.
 
+mod arrivals;
 mod backoff;
 mod body_memory;
 mod connection_share;
