bench: a policy of the load model whose datagrams overtake one another

Notes over relays travel in datagrams of twenty, each with a delay of its own, and a receiver drops what was overtaken, as the daemon does.

--- a/bench/src/load/play.rs
+++ b/bench/src/load/play.rs
@@ -8,16 +8,18 @@
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use sl_base::{Millis, RequestId, ServiceId, TeamId, Timestamp};
+use sl_base::{Incarnation, InstanceId, Millis, RequestId, ServiceId, TeamId, Timestamp};
+use sl_edge::arrivals::{MessageArrivals, PeerArrival};
 use sl_route::{
-    AllowedRegions, Arrival, AttemptEnd, Decision, Effect, Event, Fault, ServerKey, State, Team,
+    AllowedRegions, Arrival, AttemptEnd, Decision, Effect, Event, Fault, Notes, ServerKey, State,
+    Team, note::Note,
 };
 
 use super::{
     cache::ProcessedParts,
     engine::{Engine, Job},
     fleet::{self, EVACUATED_DATA_CENTRE, SERVICE, START},
-    policy::Policy,
+    policy::{GossipTiming, NOTES_PER_DATAGRAM, Policy},
     queue::{ScheduledEvent, SimEvent},
     step_engine::{self, StepEngine, Stream},
     tally::{Outcome, Tally},
@@ -76,6 +78,10 @@
     sequence: u64,
     queue: BinaryHeap<Reverse<ScheduledEvent>>,
     instances: Vec<State>,
+    /// For each instance, the messages of its peers that have arrived.
+    arrivals: Vec<MessageArrivals>,
+    /// For each instance, the number of its last message.
+    last_message: Vec<u64>,
     /// For each instance, whether the sending of its notes is scheduled.
     is_send_scheduled: Vec<bool>,
     /// Empty if the engines work in steps.
@@ -142,6 +148,8 @@
             sequence: 0,
             queue: BinaryHeap::new(),
             instances: (0..options.instances).map(|it| fleet::instance(options, it)).collect(),
+            arrivals: (0..options.instances).map(|_| MessageArrivals::default()).collect(),
+            last_message: vec![0; options.instances],
             is_send_scheduled: vec![false; options.instances],
             engines: (0..engines)
                 .map(|it| Engine::new(fleet::engine_tokens_per_ms(load, it)))
@@ -236,8 +244,8 @@
             SimEvent::StepEnds { engine } => self.finish_step(engine),
             SimEvent::CallerDisconnects { call } => self.disconnect_caller(call),
             SimEvent::SendNotes { instance } => self.send_notes(instance),
-            SimEvent::NotesArrive { instance, from, notes } => {
-                self.step(instance, Event::NotesReceived { from: from as u32, notes });
+            SimEvent::NotesArrive { instance, from, sequence, notes } => {
+                self.receive_notes(instance, from, sequence, notes);
             }
             SimEvent::Tick => self.tick(),
             SimEvent::Evacuate => {
@@ -364,15 +372,41 @@
         let Some(gossip_timing) = self.options.policy.gossip_timing() else {
             return;
         };
+        let has_jitter = gossip_timing.jitter > Millis(0);
+        let datagram_notes = if has_jitter { NOTES_PER_DATAGRAM } else { notes.notes.len() };
+        for notes in notes.notes.chunks(datagram_notes.max(1)) {
+            self.last_message[from] += 1;
+            self.send_datagram(from, gossip_timing, notes);
+        }
+    }
+
+    fn send_datagram(&mut self, from: usize, timing: GossipTiming, notes: &[Note]) {
+        let sequence = self.last_message[from];
         for instance in (0..self.options.instances).filter(|it| *it != from) {
-            let notes = notes.clone();
+            let jitter = match timing.jitter {
+                // Nothing is drawn, so that the other draws do not depend on messages.
+                Millis(0) => 0,
+                Millis(max) => self.rng.random_range(0..=max),
+            };
+            let notes = Notes { notes: notes.to_vec() };
             self.schedule_after(
-                gossip_timing.delay,
-                SimEvent::NotesArrive { instance, from, notes },
+                Millis(timing.delay.0 + jitter),
+                SimEvent::NotesArrive { instance, from, sequence, notes },
             );
         }
     }
 
+    /// Receives a message as the daemon does.
+    fn receive_notes(&mut self, instance: usize, from: usize, sequence: u64, notes: Notes) {
+        let sender = InstanceId(from as u32);
+        match self.arrivals[instance].record(sender, Incarnation(1), sequence) {
+            PeerArrival::New { .. } => {
+                self.step(instance, Event::NotesReceived { from: from as u32, notes });
+            }
+            PeerArrival::Overtaken | PeerArrival::Repeated => {}
+        }
+    }
+
     fn send_attempt(&mut self, instance: usize, request: RequestId, server: ServerKey) {
         let call = &self.calls[request.0 as usize];
         let job = Job { instance, request: request.0, prompt: call.caller_request.prompt.clone() };
--- a/bench/src/load/policy.rs
+++ b/bench/src/load/policy.rs
@@ -18,6 +18,8 @@
     Digest,
     /// By gossip of notes, which are batched for a few milliseconds.
     Notes,
+    /// By gossip of notes over relays: datagrams with a few notes each, which overtake one another.
+    RelayedNotes,
     /// From a coordinator for each engine, which knows all requests at once and is queried before
     /// each request is sent.
     Home,
@@ -28,19 +30,27 @@
 pub(super) struct GossipTiming {
     pub(super) interval: Millis,
     pub(super) delay: Millis,
+    /// The largest further delay of a datagram, drawn for each receiver.
+    pub(super) jitter: Millis,
 }
 
+/// Notes in one datagram over relays: so many notes on attempts, with the parts of their prompts, are
+/// below the usual MTU.
+pub(super) const NOTES_PER_DATAGRAM: usize = 20;
+
 impl Policy {
     /// The timing of the gossip; `None` if instances do not exchange notes.
     pub(super) fn gossip_timing(self) -> Option<GossipTiming> {
-        let (interval, delay) = match self {
+        let (interval, delay, jitter) = match self {
             Policy::Apart | Policy::LentSlots => return None,
-            Policy::Reports => (200, 50),
-            Policy::Digest => (100, 1),
-            Policy::Notes => (5, 1),
-            Policy::Home => (0, 0),
+            Policy::Reports => (200, 50, 0),
+            Policy::Digest => (100, 1, 0),
+            Policy::Notes => (5, 1, 0),
+            Policy::RelayedNotes => (20, 3, 60),
+            Policy::Home => (0, 0, 0),
         };
-        Some(GossipTiming { interval: Millis(interval), delay: Millis(delay) })
+        let [interval, delay, jitter] = [interval, delay, jitter].map(Millis);
+        Some(GossipTiming { interval, delay, jitter })
     }
 
     /// The delay of the query to the coordinator before a request is sent.
--- a/bench/src/load/queue.rs
+++ b/bench/src/load/queue.rs
@@ -46,6 +46,8 @@
     NotesArrive {
         instance: usize,
         from: usize,
+        /// The number of the message among those of `from`.
+        sequence: u64,
         notes: Notes,
     },
     Tick,
