Attempts: one budget for all bytes that servers send and nobody has got yet

Callers saw: requests of others ended with the instance, which ran out of memory. Cause: the body of a response to another request was kept until its end, 1 MiB for each attempt, although all of it is dropped; comments before a first event, the part of an event and heads were bounded for each attempt and not for all. Change: what is dropped is not kept; heads, partial events and withheld comments ask the budget that bodies ask.

--- a/sl-edge/src/attempt.rs
+++ b/sl-edge/src/attempt.rs
@@ -6,6 +6,7 @@
 use sl_route::{Fault, effect::Target};
 
 use crate::{
+    body_memory::BodyShare,
     clock::Clock,
     pool::{Pool, PoolError, PooledConn},
 };
@@ -37,6 +38,8 @@
     pub(crate) pooled: PooledConn,
     pub(crate) head: ResponseHead,
     pub(crate) body: Body,
+    /// The memory of what the server has sent.
+    pub(crate) memory: BodyShare,
     /// Whether the connection can carry another request after this response.
     pub(crate) is_reusable: bool,
     /// Whether the response is an error of the server, which may have run the request.
@@ -49,7 +52,7 @@
 /// Responses to other requests that are discarded before the attempt fails.
 const STRAY_RESPONSES_MAX: usize = 2;
 
-/// Bytes of the largest body of such a response.
+/// Bytes of the largest body of such a response, of which none is kept.
 const STRAY_BYTES_MAX: usize = 1 << 20;
 
 /// Interim (1xx) responses that are skipped before one response. A server in trouble may send
@@ -64,6 +67,7 @@
     clock: Clock,
     target: &Target,
     outgoing: OutgoingRequest<'_>,
+    mut memory: BodyShare,
     is_accepting: impl Fn() -> bool,
     on_response: impl Fn(ServerResponse<'_>),
 ) -> Result<Upstream, Fault> {
@@ -91,9 +95,9 @@
     buf.extend_from_slice(outgoing.body);
     pooled.sent.record(attempt_id, &outgoing.head.method);
     let lost_fault = if pooled.is_reused { Fault::StaleConnection } else { Fault::ConnectionLost };
-    let exchange = exchange(&mut pooled, &buf, outgoing, lost_fault, on_response);
+    let exchange = exchange(&mut pooled, &buf, outgoing, &mut memory, lost_fault, on_response);
     match clock.complete_by(outgoing.deadline, exchange).await {
-        Some(Ok(response)) => into_upstream(pooled, response, outgoing),
+        Some(Ok(response)) => into_upstream(pooled, response, memory, outgoing),
         Some(Err(fault)) => Err(fault),
         None => Err(Fault::DeadlineExceeded),
     }
@@ -114,13 +118,14 @@
 fn into_upstream(
     pooled: PooledConn,
     response: MatchingHead,
+    memory: BodyShare,
     outgoing: OutgoingRequest<'_>,
 ) -> Result<Upstream, Fault> {
     let MatchingHead { head, is_error, is_fully_sent } = response;
     let framing =
         Framing::of_response(&outgoing.head.method, &head).map_err(|_| Fault::InvalidResponse)?;
     let is_reusable = is_fully_sent && head.keeps_alive() && framing != Framing::UntilClose;
-    Ok(Upstream { pooled, head, body: Body::new(framing), is_reusable, is_error })
+    Ok(Upstream { pooled, head, body: Body::new(framing), memory, is_reusable, is_error })
 }
 
 /// Sends `request` until a response head carries its attempt id, and returns that head.
@@ -128,6 +133,7 @@
     pooled: &mut PooledConn,
     request: &[u8],
     outgoing: OutgoingRequest<'_>,
+    memory: &mut BodyShare,
     lost_fault: Fault,
     on_response: impl Fn(ServerResponse<'_>),
 ) -> Result<MatchingHead, Fault> {
@@ -137,7 +143,7 @@
         false => ConnectionUse::First,
     };
     for _ in 0..=STRAY_RESPONSES_MAX {
-        let head = send_until_final_head(pooled, &mut unsent, lost_fault).await?;
+        let head = send_until_final_head(pooled, &mut unsent, memory, lost_fault).await?;
         let response = ServerResponse(&head);
         let class = response.classify(outgoing.attempt_id, connection_use);
         if class.is_by_target() {
@@ -167,19 +173,25 @@
 async fn send_until_final_head(
     pooled: &mut PooledConn,
     unsent: &mut &[u8],
+    memory: &mut BodyShare,
     lost_fault: Fault,
 ) -> Result<ResponseHead, Fault> {
     for _ in 0..=INTERIM_RESPONSES_MAX {
+        // Heads before this one are not kept.
+        memory.resize(pooled.conn.buffered().len());
         // A response that has arrived already is read first: the server may not read on.
         if pooled.conn.buffered().is_empty() {
             let written = pooled.conn.write_until_response(unsent).await;
             *unsent = &unsent[written.map_err(|_| lost_fault)?..];
         }
         let head =
-            pooled.conn.read_head::<ResponseHead>(HEAD_BYTES_MAX).await.map_err(|e| match e {
-                sl_http::HeadError::Closed | sl_http::HeadError::Io(_) => lost_fault,
-                _ => Fault::InvalidResponse,
-            })?;
+            pooled.conn.read_head_reserved::<ResponseHead>(HEAD_BYTES_MAX, |it| memory.reserve(it));
+        let head = head.await.map_err(|e| match e {
+            sl_http::HeadError::Closed | sl_http::HeadError::Io(_) => lost_fault,
+            _ => Fault::InvalidResponse,
+        })?;
+        // What follows the head is counted by its reader.
+        memory.release(pooled.conn.buffered().len());
         // Interim responses concern this hop only.
         if head.status >= 200 {
             return Ok(head);
@@ -202,6 +214,6 @@
     if framing == Framing::UntilClose {
         return Err(Fault::InvalidResponse);
     }
-    let read = Body::new(framing).collect(&mut pooled.conn, STRAY_BYTES_MAX).await;
-    read.map(drop).map_err(|_| Fault::InvalidResponse)
+    let read = Body::new(framing).discard(&mut pooled.conn, STRAY_BYTES_MAX).await;
+    read.map_err(|_| Fault::InvalidResponse)
 }
--- a/sl-edge/src/caller/exchange.rs
+++ b/sl-edge/src/caller/exchange.rs
@@ -172,8 +172,10 @@
         let sent_at = clock.now();
         let on_response =
             |response: ServerResponse<'_>| report_notices(core, target, sent_at, response);
+        let memory = self.ingress.body_memory.share();
+        let pool = &self.ingress.pool;
         let sending =
-            attempt::send(&self.ingress.pool, clock, target, outgoing, is_accepting, on_response);
+            attempt::send(pool, clock, target, outgoing, memory, is_accepting, on_response);
         let mut sending = std::pin::pin!(sending);
         let mut silent_at = target.silent_at;
         let sent = loop {
@@ -225,8 +227,7 @@
     /// retried on another server.
     async fn relay_full(&mut self, target: &Target, mut upstream: Upstream) -> AttemptOutcome {
         let clock = self.ingress.core.clock;
-        let memory = self.ingress.body_memory.share();
-        let collecting = relay::collect(clock, self.conn, &mut upstream, self.deadline, memory);
+        let collecting = relay::collect(clock, self.conn, &mut upstream, self.deadline);
         let response = match collecting.await {
             Ok(response) => response,
             Err(CollectError::CallerDisconnected) => return AttemptOutcome::CallerDisconnected,
--- a/sl-edge/src/event_sequence.rs
+++ b/sl-edge/src/event_sequence.rs
@@ -109,6 +109,12 @@
         self.awaits_first_event
     }
 
+    /// Bytes of the current server that are kept: comments before its first event, and the part of an
+    /// event.
+    pub fn kept_bytes(&self) -> usize {
+        self.withheld.len() + self.splitter.partial_bytes()
+    }
+
     /// Takes the comments of a stream that has ended without any event.
     pub fn take_withheld(&mut self) -> BytesMut {
         std::mem::take(&mut self.withheld)
--- a/sl-edge/src/events.rs
+++ b/sl-edge/src/events.rs
@@ -49,6 +49,11 @@
         !self.partial.is_empty()
     }
 
+    /// Bytes of the incomplete event.
+    pub fn partial_bytes(&self) -> usize {
+        self.partial.len()
+    }
+
     /// Whether the incomplete event exceeds [`EVENT_BYTES_MAX`]. Nothing more may be pushed
     /// then.
     pub fn is_oversized(&self) -> bool {
--- a/sl-edge/src/relay.rs
+++ b/sl-edge/src/relay.rs
@@ -49,18 +49,19 @@
     caller: &mut Conn,
     upstream: &mut Upstream,
     deadline: Timestamp,
-    mut memory: BodyShare,
 ) -> Result<FullResponse, CollectError> {
-    let conn = &mut upstream.pooled.conn;
+    let Upstream { pooled, body, memory, .. } = upstream;
     let reading =
-        upstream.body.collect_reserved(conn, RESPONSE_BYTES_MAX, |bytes| memory.reserve(bytes));
+        body.collect_reserved(&mut pooled.conn, RESPONSE_BYTES_MAX, |it| memory.reserve(it));
     let read = tokio::select! {
         biased;
         read = clock.complete_by(deadline, reading) => read,
         () = caller.closed(PIPELINED_BYTES_MAX) => return Err(CollectError::CallerDisconnected),
     };
     match read {
-        Some(Ok(body)) => Ok(FullResponse { head: upstream.head.clone(), body, _memory: memory }),
+        Some(Ok(body)) => {
+            Ok(FullResponse { head: upstream.head.clone(), body, _memory: upstream.memory.take() })
+        }
         Some(Err(BodyError::Malformed | BodyError::TooLarge)) => {
             Err(CollectError::Fault(Fault::InvalidResponse))
         }
@@ -226,7 +227,8 @@
                 self.frame(&taken.bytes, &mut buf);
                 self.write(clock, caller, deadlines.stream_deadline, &buf).await?;
             }
-            if taken.error.is_some() {
+            let has_memory = upstream.memory.resize(self.events.kept_bytes());
+            if taken.error.is_some() || !has_memory {
                 return Err(RelayError::Fault(Fault::InvalidResponse));
             }
             if taken.event_count > 0 {
--- a/sl-edge/tests/it/body_memory.rs
+++ b/sl-edge/tests/it/body_memory.rs
@@ -23,3 +23,18 @@
     assert!(small.reserve(SMALL_BODY_BYTES_MAX / 2) && small.reserve(SMALL_BODY_BYTES_MAX / 2));
     assert!(!small.reserve(1));
 }
+
+/// Guards against a stream that keeps the memory of an event which it has delivered.
+#[test]
+fn what_is_given_back_is_available_to_others() {
+    let memory = BodyMemory::default();
+    let (mut first, mut second) = (memory.share(), memory.share());
+    assert!(first.resize(SMALL_BODY_BYTES_MAX + LARGE_BODIES_BYTES_MAX));
+    assert!(!second.resize(SMALL_BODY_BYTES_MAX + 1));
+    first.release(2);
+    assert!(second.resize(SMALL_BODY_BYTES_MAX + 1));
+    let moved = first.take();
+    assert!(!second.resize(SMALL_BODY_BYTES_MAX + 4));
+    drop(moved);
+    assert!(second.resize(SMALL_BODY_BYTES_MAX + 4));
+}
--- a/sl-http/src/body.rs
+++ b/sl-http/src/body.rs
@@ -105,6 +105,22 @@
         self.collect_reserved(conn, limit, |_| true).await
     }
 
+    /// Reads the rest of the body, at most `limit` bytes, and keeps none of it.
+    ///
+    /// # Errors
+    ///
+    /// [`BodyError::TooLarge`] if the rest exceeds `limit`, and the errors of [`Body::next`].
+    pub async fn discard(&mut self, conn: &mut Conn, limit: usize) -> Result<(), BodyError> {
+        let mut discarded = 0;
+        while let Some(data) = self.next(conn).await? {
+            discarded += data.len();
+            if discarded > limit {
+                return Err(BodyError::TooLarge);
+            }
+        }
+        Ok(())
+    }
+
     /// Reads the rest of the body, at most `limit` bytes, and asks `reserve` for the memory of
     /// each piece, whose number of bytes it gets.
     ///
--- a/sl-http/src/conn.rs
+++ b/sl-http/src/conn.rs
@@ -82,6 +82,19 @@
     ///
     /// [`HeadError`] if no complete, valid head arrives within the limit.
     pub async fn read_head<H: Head>(&mut self, limit: usize) -> Result<H, HeadError> {
+        self.read_head_reserved(limit, |_| true).await
+    }
+
+    /// The same, and asks `reserve` for the memory of each piece, whose number of bytes it gets.
+    ///
+    /// # Errors
+    ///
+    /// [`HeadError::TooLarge`] if `reserve` returns false, and the errors of [`Conn::read_head`].
+    pub async fn read_head_reserved<H: Head>(
+        &mut self,
+        limit: usize,
+        mut reserve: impl FnMut(usize) -> bool,
+    ) -> Result<H, HeadError> {
         // A head ends with a line. Parsing it again with each piece of a long line would take
         // quadratic time, so only the first piece and those that end a line are parsed.
         let mut searched = 0;
@@ -99,13 +112,11 @@
             if self.buf.len() > limit {
                 return Err(HeadError::TooLarge);
             }
-            if self.fill().await? == 0 {
-                let is_between_messages = self.buf.is_empty();
-                return Err(if is_between_messages {
-                    HeadError::Closed
-                } else {
-                    HeadError::Truncated
-                });
+            match self.fill().await? {
+                0 if self.buf.is_empty() => return Err(HeadError::Closed),
+                0 => return Err(HeadError::Truncated),
+                read if !reserve(read) => return Err(HeadError::TooLarge),
+                _ => {}
             }
         }
     }
--- a/tests/it/endless.rs
+++ b/tests/it/endless.rs
@@ -4,7 +4,7 @@
 use futures::future::join_all;
 use rstest::rstest;
 use sl_edge::body_memory::LARGE_BODIES_BYTES_MAX;
-use stand_ins::{Response, Server, ServerSpec, server::Fault};
+use stand_ins::{Response, Server, ServerSpec, endless::Unfinished, server::Fault};
 
 use crate::testbed::{call, fleet, model_call};
 
@@ -109,6 +109,61 @@
     assert!(fleet.instances[0].is_running());
 }
 
+/// Engines in trouble at the same time.
+const ENGINES_IN_TROUBLE: usize = 4;
+
+/// Memory of the smallest instance of a deployment, in KiB.
+const SMALLEST_INSTANCE_KIB: u64 = 64 * 1_024;
+
+/// Guards against bytes that are bounded for each response and not for all: several engines send some
+/// of what they never finish, and an instance that keeps these bytes for each of hundreds of requests
+/// has no memory left for the others.
+#[rstest]
+#[case::response_to_another_request(Unfinished::OtherBody, 990_000)]
+#[case::comments(Unfinished::Comments, 990_000)]
+#[case::event(Unfinished::Event, 125_000)]
+#[case::head(Unfinished::Head, 32_000)]
+#[tokio::test(flavor = "multi_thread")]
+async fn bytes_that_many_servers_leave_unfinished_fit_the_smallest_instance(
+    #[case] unfinished: Unfinished,
+    #[case] len: usize,
+) {
+    let mut fleet = fleet(1).await;
+    let sound = fleet.engines().next().unwrap().spec.clone();
+    let mut in_trouble = Vec::new();
+    for i in 0..ENGINES_IN_TROUBLE {
+        let spec = ServerSpec { id: format!("in-trouble-{i}"), ..sound.clone() };
+        let server = Server::start(ANY_PORT, spec).await.unwrap();
+        server.set_fault(Fault::LeavesUnfinished(unfinished, len));
+        server.register(&fleet.store, "ready");
+        in_trouble.push(server);
+    }
+    for sound in fleet.engines() {
+        fleet.store.remove(&sound.key());
+    }
+    let log_has = |text: &str| fleet.instances[0].log().matches(text).count();
+    eventually("the new engines are known and the others are gone", async || {
+        log_has("in-trouble-3") > 0 && log_has(r#""now":"gone""#) == 2
+    })
+    .await;
+    let attempts = || in_trouble.iter().map(|it| it.executed_requests().len()).sum::<usize>();
+    let others = async {
+        let expected = ENGINES_IN_TROUBLE * sound.slots / 2;
+        eventually("half of the slots are taken", async || attempts() >= expected).await;
+        for i in 0..4 {
+            let response = call_once(&fleet, "/status/7", format!("other-{i}")).await;
+            assert_eq!((response.status(), response.is_complete), (200, true));
+        }
+    };
+    let targets =
+        ["/chat/7", "/sheet/7"].into_iter().cycle().take(ENGINES_IN_TROUBLE * sound.slots);
+    let calls = targets.enumerate().map(|(i, it)| call_once(&fleet, it, format!("u-{i}")));
+    tokio::join!(join_all(calls), others);
+    let peak = peak_memory_kib(&fleet);
+    assert!(peak < SMALLEST_INSTANCE_KIB, "{peak} KiB after {} attempts", attempts());
+    assert!(fleet.instances[0].is_running());
+}
+
 async fn call_once(fleet: &Fleet, target: &str, attempt_id: String) -> Response {
     let call = match target.starts_with("/status") {
         true => call("GET", target, &attempt_id),
