Shares: what a team got counts for two seconds, not for the quota window

Cause: a limit of u times the share over a window of W seconds lets a team get u W times its share in one second, and the users compare second by second. With the quota window of 4 s no threshold of admission gives half of that. The test that usage counts for two seconds fails on the code before.

--- a/sl-route/src/share.rs
+++ b/sl-route/src/share.rs
@@ -42,6 +42,11 @@
     OverShare,
 }
 
+/// The longest window. What a team got counts second by second for the users
+/// (docs/incidents/summit-grown-return.md, "Cause"), so a limit on usage over more seconds lets a team get
+/// its tokens of all of them in one. A shorter window is too short for messages that come late.
+const WINDOW_MAX: Millis = Millis(2_000);
+
 /// Slices of the window. Counts expire one slice at a time.
 const WINDOW_SLICES: usize = 8;
 
@@ -62,10 +67,10 @@
 const TEAMS_MAX: usize = 8_192;
 
 impl Shares {
-    /// Creates empty counts over `window`.
+    /// Creates empty counts over `window`, or over two seconds if that is less.
     pub fn new(now: Timestamp, window: Millis) -> Shares {
         Shares {
-            window,
+            window: window.min(WINDOW_MAX),
             slice_end: now,
             slice: 0,
             teams: HashMap::new(),
--- a/sl-route/tests/it/share.rs
+++ b/sl-route/tests/it/share.rs
@@ -57,6 +57,25 @@
     assert_eq!(shares.share_usage(at(5_200), A), 0.0);
 }
 
+/// Guards against a limit on usage that lets a team get its tokens of a whole quota window within a
+/// second: the users compare teams second by second (incident of issue 45).
+#[rstest]
+#[case::two_seconds(2_000)]
+#[case::four_seconds(4_000)]
+#[case::a_minute(60_000)]
+fn usage_counts_for_two_seconds_at_most(#[case] quota_window_ms: u64) {
+    let mut shares = Shares::new(START, Millis(quota_window_ms));
+    for team in [A, B] {
+        shares.record_requested(at(1), team, 100_000);
+    }
+    shares.record_granted(at(1), A, 100_000);
+    assert!(shares.share_usage(at(1_700), A) > 1.5);
+    shares.record_requested(at(2_300), A, 100_000);
+    shares.record_requested(at(2_300), B, 100_000);
+    shares.record_granted(at(2_300), B, 100_000);
+    assert_eq!(shares.share_usage(at(2_400), A), 0.0);
+}
+
 #[rstest]
 #[case::nobody([10_000, 500, 500], [3_000, 500, 500], Some(0.0))]
 // The share is 2,000: the second team asked for no more than 1,000 of it.
