Admission: a shortfall of another team lowers the limit on usage from the start

Cause: with the dead band a team might go on at 1.6 times its share while another one had three quarters of its own, and at 1.25 times however much another one lacked; more than twice what the worst served team gets is what the rule forbids. Change: the dead band is gone; the limit is 2 - 4 x shortfall, at least 1.1, which is at most twice what the worst served team has got down to 0.55 of its share. The case of a quarter in the test on shortfalls stated the dead band: it says the opposite now, and a tenth takes its place; a test states the rule for each shortfall. Both fail on the code before.

--- a/sl-route/src/admission.rs
+++ b/sl-route/src/admission.rs
@@ -62,19 +62,16 @@
 /// part of its share that each team is owed in any case.
 const GUARANTEED_USAGE: f64 = 0.5;
 
-/// Ratio of usage to fair share from which requests are sent to idle engines only. The first is
-/// the one while no team lacks much of its share; it falls with the largest shortfall to the
-/// second.
+/// Ratio of usage to fair share from which a team is refused while no other team lacks any of its share.
 const USAGE_MAX: f64 = 2.0;
-const USAGE_MAX_WITH_SHORTFALL: f64 = 1.25;
 
-/// Largest shortfall that does not lower the limit on usage. Grants lag behind requests, and
-/// teams' demand varies, so some team always lacks a little.
-const SHORTFALL_TOLERATED: f64 = 0.15;
-
-/// How much the limit on usage falls for each shortfall of a whole share above the tolerated one.
+/// How much this ratio falls for each shortfall of a whole share. Twice the part that the worst served
+/// team has got would just keep the users' rule on shares; a steeper fall leaves time to notice.
 const USAGE_MAX_PER_SHORTFALL: f64 = 4.0;
 
+/// The lowest such ratio. A team at its share is never refused for the shortfall of another one.
+const USAGE_MAX_WITH_SHORTFALL: f64 = 1.1;
+
 /// Ratio of usage to fair share from which a team leaves the slots of limited servers to others for
 /// as long as it does at most.
 const SLOT_USAGE_MAX: f64 = 1.5;
@@ -167,8 +164,7 @@
 }
 
 fn usage_max(shortfall: f64) -> f64 {
-    let lowered_by = USAGE_MAX_PER_SHORTFALL * (shortfall - SHORTFALL_TOLERATED).max(0.0);
-    (USAGE_MAX - lowered_by).max(USAGE_MAX_WITH_SHORTFALL)
+    (USAGE_MAX - USAGE_MAX_PER_SHORTFALL * shortfall).max(USAGE_MAX_WITH_SHORTFALL)
 }
 
 /// Rises from nothing for a team whose share is used up to the most at [`SLOT_USAGE_MAX`] times it.
--- a/sl-route/tests/it/admission.rs
+++ b/sl-route/tests/it/admission.rs
@@ -28,11 +28,12 @@
 }
 
 /// Guards against a team at one and a half times its share that goes on while another one lacks
-/// two fifths of its own: with a limit of twice the share one team got 33.5 million tokens in a trial
-/// of the incident inc1, another one 9.4 of 22.4.
+/// a quarter of its own, so that it gets twice as much: with a limit of twice the share one team got 33.5
+/// million tokens in a trial of the incident inc1, another one 9.4 of 22.4.
 #[rstest]
 #[case::none(0.0, true)]
-#[case::a_quarter(0.25, true)]
+#[case::a_tenth(0.1, true)]
+#[case::a_quarter(0.25, false)]
 #[case::two_fifths(0.4, false)]
 #[case::all(1.0, false)]
 fn a_shortfall_of_another_team_lowers_the_limit_on_usage(
@@ -47,6 +48,18 @@
     assert_eq!(AdmissionLimits::new(1_000.0, 8_000.0, Some(usage)).allowed_ms, 700.0);
 }
 
+/// Guards against a limit on usage by which the best served team may get more than twice what the worst
+/// served one gets: the users' rule on shares.
+#[test]
+fn the_limit_on_usage_is_at_most_twice_what_the_worst_served_team_has_got() {
+    for percent in 0..=45 {
+        let shortfall = f64::from(percent) / 100.0;
+        let usage = ContendedUsage { ratio: 2.0 * (1.0 - shortfall), shortfall };
+        let limits = AdmissionLimits::new(1_000.0, 8_000.0, Some(usage));
+        assert_eq!(limits.allowed_ms, 0.0, "a shortfall of {shortfall}");
+    }
+}
+
 /// Guards against a team below half of its share that is refused because its route is ahead of others,
 /// while teams over their share keep their limits.
 #[rstest]
