--- a/bench/tests/it/loads.rs
+++ b/bench/tests/it/loads.rs
@@ -175,3 +175,20 @@
     let tally = simulate(options);
     assert!(tally.lowest_due >= 0.5, "{}", tally.lowest_due);
 }
+
+/// Guards against usage and attempts that are lost with a datagram which a newer one has overtaken: instances
+/// then disagree on what each team got, and on what runs on each engine.
+#[rstest]
+#[case::falling_team(Load::FallingTeam)]
+#[case::greedy_half_lost(Load::GreedyHalfLost)]
+fn every_team_gets_half_of_what_it_is_owed_while_datagrams_overtake_one_another(
+    #[case] load: Load,
+    #[values(12, 36)] engines: usize,
+    #[values(1, 2, 3, 4)] seed: u64,
+) {
+    let (policy, balances_routes) = (Policy::RelayedNotes, false);
+    let instances = if engines == 12 { 9 } else { 18 };
+    let options = Options { policy, balances_routes, instances, engines, ..options(load, seed) };
+    let tally = simulate(options);
+    assert!(tally.lowest_due >= 0.5, "{}", tally.lowest_due);
+}
