--- a/sl-edge/src/attempt.rs
+++ b/sl-edge/src/attempt.rs
@@ -6,7 +6,7 @@
 use sl_route::{Fault, effect::Target};
 
 use crate::{
-    body_memory::BodyShare,
+    body_memory::{BodyMemory, BodyShare},
     clock::Clock,
     pool::{Pool, PoolError, PooledConn},
 };
@@ -31,6 +31,8 @@
     pub(crate) only_fresh: bool,
     /// Limit of open connections to the server.
     pub(crate) max_connections: usize,
+    /// The memory for what the server sends.
+    pub(crate) memory: &'a BodyMemory,
 }
 
 /// A response whose head has been read and whose body has not.
@@ -67,7 +69,6 @@
     clock: Clock,
     target: &Target,
     outgoing: OutgoingRequest<'_>,
-    mut memory: BodyShare,
     is_accepting: impl Fn() -> bool,
     on_response: impl Fn(ServerResponse<'_>),
 ) -> Result<Upstream, Fault> {
@@ -94,6 +95,7 @@
     forward.head(outgoing.head).write(&mut buf);
     buf.extend_from_slice(outgoing.body);
     pooled.sent.record(attempt_id, &outgoing.head.method);
+    let mut memory = outgoing.memory.share();
     let lost_fault = if pooled.is_reused { Fault::StaleConnection } else { Fault::ConnectionLost };
     let exchange = exchange(&mut pooled, &buf, outgoing, &mut memory, lost_fault, on_response);
     match clock.complete_by(outgoing.deadline, exchange).await {
--- a/sl-edge/src/caller/exchange.rs
+++ b/sl-edge/src/caller/exchange.rs
@@ -166,16 +166,15 @@
             last_event_id: self.stream.last_event_id(),
             only_fresh: !request.route.retry_policy.allows_rerun(),
             max_connections: request.max_connections(self.ingress),
+            memory: &self.ingress.body_memory,
         };
         let core = &self.ingress.core;
         let is_accepting = || core.with_state(|it| it.is_accepting(clock.now(), target.server));
         let sent_at = clock.now();
         let on_response =
             |response: ServerResponse<'_>| report_notices(core, target, sent_at, response);
-        let memory = self.ingress.body_memory.share();
-        let pool = &self.ingress.pool;
         let sending =
-            attempt::send(pool, clock, target, outgoing, memory, is_accepting, on_response);
+            attempt::send(&self.ingress.pool, clock, target, outgoing, is_accepting, on_response);
         let mut sending = std::pin::pin!(sending);
         let mut silent_at = target.silent_at;
         let sent = loop {
