--- a/bench/src/load/play.rs
+++ b/bench/src/load/play.rs
@@ -399,12 +399,12 @@
     /// Receives a message as the daemon does.
     fn receive_notes(&mut self, instance: usize, from: usize, sequence: u64, notes: Notes) {
         let sender = InstanceId(from as u32);
-        let notes = match self.arrivals[instance].record(sender, Incarnation(1), sequence) {
-            PeerArrival::New { .. } => notes,
-            PeerArrival::Overtaken => notes.into_late(),
-            PeerArrival::Repeated => return,
-        };
-        self.step(instance, Event::NotesReceived { from: from as u32, notes });
+        match self.arrivals[instance].record(sender, Incarnation(1), sequence) {
+            PeerArrival::New { .. } => {
+                self.step(instance, Event::NotesReceived { from: from as u32, notes });
+            }
+            PeerArrival::Overtaken | PeerArrival::Repeated => {}
+        }
     }
 
     fn send_attempt(&mut self, instance: usize, request: RequestId, server: ServerKey) {
--- a/sl-edge/src/peers.rs
+++ b/sl-edge/src/peers.rs
@@ -287,7 +287,7 @@
         for message in datagram.messages {
             let arrival = self.relay_queue.arrival(&message);
             self.core.record_peer_arrival(arrival);
-            if message.from != self.own_id && arrival != PeerArrival::Repeated {
+            if message.from != self.own_id && matches!(arrival, PeerArrival::New { .. }) {
                 match datagram.hop {
                     Hop::ToRelay => {
                         self.relay_queue.from_instances.borrow_mut().push(message.clone())
@@ -300,7 +300,7 @@
                     }
                     Hop::Direct | Hop::FromRelay => {}
                 }
-                self.handle_message(now, message, arrival);
+                self.handle_message(now, message);
             }
         }
         if !self.relay_queue.is_empty() {
@@ -308,18 +308,12 @@
         }
     }
 
-    fn handle_message(&self, now: Timestamp, message: Message, arrival: PeerArrival) {
+    fn handle_message(&self, now: Timestamp, message: Message) {
         match message.state {
-            Some(state) if arrival != PeerArrival::Overtaken => {
-                self.handle_state(now, message.from, state);
-            }
-            _ => self.peer_table.record_contact(now, message.from),
+            Some(state) => self.handle_state(now, message.from, state),
+            None => self.peer_table.record_contact(now, message.from),
         }
-        let notes = match arrival {
-            PeerArrival::Overtaken => message.notes.into_late(),
-            PeerArrival::New { .. } | PeerArrival::Repeated => message.notes,
-        };
-        self.core.step(Event::NotesReceived { from: message.from.0, notes });
+        self.core.step(Event::NotesReceived { from: message.from.0, notes: message.notes });
     }
 
     fn handle_state(&self, now: Timestamp, from: InstanceId, state: SenderState) {
--- a/sl-route/src/engine.rs
+++ b/sl-route/src/engine.rs
@@ -316,17 +316,6 @@
         });
     }
 
-    /// Whether a request is queued or running.
-    pub fn holds(&self, key: AttemptKey) -> bool {
-        self.queue.iter().any(|it| it.key == key) || self.running.iter().any(|it| it.key == key)
-    }
-
-    /// Records a request that was sent to the engine and whose first token has arrived already.
-    pub fn record_running(&mut self, now: Timestamp, key: AttemptKey) {
-        let since = self.pace.advance(now, self.running.len());
-        self.running.push(RunningRequest { key, since });
-    }
-
     /// Records the first token of a request.
     pub fn record_first_token(&mut self, now: Timestamp, key: AttemptKey) {
         let Some(index) = self.queue.iter().position(|it| it.key == key) else {
@@ -350,7 +339,8 @@
         }
         self.last_first_token_at = now;
         self.pace.record_prefill(self.prefill_ms(request.tokens));
-        self.record_running(now, key);
+        let since = self.pace.advance(now, self.running.len());
+        self.running.push(RunningRequest { key, since });
     }
 
     /// Records the end of a request, with or without a first token.
--- a/sl-route/src/lib.rs
+++ b/sl-route/src/lib.rs
@@ -13,7 +13,6 @@
 pub mod directory;
 pub mod document;
 pub mod draining;
-pub mod early_notes;
 pub mod effect;
 pub mod engine;
 pub mod evacuation;
--- a/sl-route/src/note.rs
+++ b/sl-route/src/note.rs
@@ -138,39 +138,6 @@
     },
 }
 
-impl Note {
-    /// What the note still says after newer notes of the same instance; `None` if they may contradict it.
-    pub fn into_late(self) -> Option<Note> {
-        match self {
-            // The stream may have begun again on another server since.
-            Note::AttemptSent { server, attempt, prefill_tokens, charge, parts, fetch, .. } => {
-                let stream = None;
-                Some(Note::AttemptSent {
-                    server,
-                    attempt,
-                    prefill_tokens,
-                    charge,
-                    parts,
-                    fetch,
-                    stream,
-                })
-            }
-            Note::ResponseStarted { .. }
-            | Note::AttemptEnded { .. }
-            | Note::TokensRequested { .. }
-            | Note::ServerDraining { .. }
-            | Note::AttemptLost { .. } => Some(self),
-            Note::ServerAvoided { .. }
-            | Note::CacheListed { .. }
-            | Note::CausesServed { .. }
-            | Note::Barred(_)
-            | Note::ServerLimit { .. }
-            | Note::StreamBegan { .. }
-            | Note::ServerCold { .. } => None,
-        }
-    }
-}
-
 /// The bar of what crashed servers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Bar {
@@ -199,10 +166,3 @@
     /// The notes, oldest first.
     pub notes: Vec<Note>,
 }
-
-impl Notes {
-    /// What the notes still say after newer ones of the same instance.
-    pub fn into_late(self) -> Notes {
-        Notes { notes: self.notes.into_iter().filter_map(Note::into_late).collect() }
-    }
-}
--- a/sl-route/src/server.rs
+++ b/sl-route/src/server.rs
@@ -6,14 +6,8 @@
 use sl_base::{Millis, ServerId, Timestamp, hash};
 
 use crate::{
-    PromptPart, ServerRecord, ServerState,
-    document::WarmupLimits,
-    early_notes::{AttemptPhase, EarlyNotes},
-    engine::Engine,
-    health::Health,
-    note::AttemptKey,
-    send_limit::SendLimit,
-    warmup::ColdSlots,
+    PromptPart, ServerRecord, ServerState, document::WarmupLimits, engine::Engine, health::Health,
+    note::AttemptKey, send_limit::SendLimit, warmup::ColdSlots,
 };
 
 /// Identifies one run of a backend server.
@@ -82,8 +76,6 @@
     pub cold_slots: ColdSlots,
     /// The limit that the server names on the requests of all instances; `None` without one.
     pub send_limit: Option<SendLimit>,
-    /// Notes on attempts that are not known to have been sent.
-    pub early_notes: EarlyNotes,
 }
 
 /// The kind of a server and the model of its load.
@@ -186,12 +178,7 @@
     /// that an engine has to prefill.
     pub fn record_sent(&mut self, now: Timestamp, key: AttemptKey, tokens: u32) {
         self.updated_at = now;
-        let early = self.early_notes.take(key);
         match &mut self.kind {
-            _ if early == Some(AttemptPhase::Ended) => {}
-            ServerKind::Engine(engine) if early == Some(AttemptPhase::Started) => {
-                engine.record_running(now, key);
-            }
             ServerKind::Engine(engine) => engine.record_sent(now, key, tokens),
             ServerKind::Plain(plain) => {
                 plain.in_flight.push(key);
@@ -200,14 +187,6 @@
         }
     }
 
-    /// Whether the attempt was sent and has not ended, as far as is known.
-    fn holds(&self, key: AttemptKey) -> bool {
-        match &self.kind {
-            ServerKind::Engine(engine) => engine.holds(key),
-            ServerKind::Plain(plain) => plain.in_flight.contains(&key),
-        }
-    }
-
     /// Records that this instance sent a request to the server.
     pub fn record_own_send(&mut self, now: Timestamp) {
         if let Some(limit) = &mut self.send_limit {
@@ -229,9 +208,6 @@
     /// Records that the response to an attempt started.
     pub fn record_response_start(&mut self, now: Timestamp, key: AttemptKey) {
         self.updated_at = now;
-        if !self.holds(key) {
-            return self.early_notes.record(key, AttemptPhase::Started);
-        }
         if let ServerKind::Engine(engine) = &mut self.kind {
             engine.record_first_token(now, key);
         }
@@ -240,9 +216,6 @@
     /// Records that an attempt ended.
     pub fn record_end(&mut self, now: Timestamp, key: AttemptKey) {
         self.updated_at = now;
-        if !self.holds(key) {
-            return self.early_notes.record(key, AttemptPhase::Ended);
-        }
         match &mut self.kind {
             ServerKind::Engine(engine) => engine.record_end(now, key),
             ServerKind::Plain(plain) => plain.in_flight.retain(|it| *it != key),
--- a/sl-route/src/state/listing.rs
+++ b/sl-route/src/state/listing.rs
@@ -10,7 +10,6 @@
 use super::{State, warmup::ColdChange};
 use crate::{
     Decision, Document, Effect, ServerKey, ServerRecord,
-    early_notes::EarlyNotes,
     engine::{Engine, SPEEDUP_MAX, SpeedPrior},
     health::Health,
     server::{PlainServer, Server, ServerKind},
@@ -178,7 +177,6 @@
                 warmup: service.warmup,
                 cold_slots: ColdSlots::WARM,
                 send_limit: None,
-                early_notes: EarlyNotes::default(),
             },
         );
         self.cold_changes.push(ColdChange::of_entry(key));
