--- a/bench/src/load/play.rs
+++ b/bench/src/load/play.rs
@@ -19,7 +19,7 @@
     cache::ProcessedParts,
     engine::{Engine, Job},
     fleet::{self, EVACUATED_DATA_CENTRE, SERVICE, START},
-    policy::{GossipTiming, NOTES_PER_DATAGRAM, Policy},
+    policy::{GossipTiming, Policy},
     queue::{ScheduledEvent, SimEvent},
     step_engine::{self, StepEngine, Stream},
     tally::{Outcome, Tally},
@@ -372,9 +372,7 @@
         let Some(gossip_timing) = self.options.policy.gossip_timing() else {
             return;
         };
-        let has_jitter = gossip_timing.jitter > Millis(0);
-        let datagram_notes = if has_jitter { NOTES_PER_DATAGRAM } else { notes.notes.len() };
-        for notes in notes.notes.chunks(datagram_notes.max(1)) {
+        for notes in notes.notes.chunks(gossip_timing.datagram_notes) {
             self.last_message[from] += 1;
             self.send_datagram(from, gossip_timing, notes);
         }
@@ -396,7 +394,7 @@
         }
     }
 
-    /// Receives a message as the daemon does.
+    /// Receives a message as the daemon does: one that was overtaken is dropped.
     fn receive_notes(&mut self, instance: usize, from: usize, sequence: u64, notes: Notes) {
         let sender = InstanceId(from as u32);
         match self.arrivals[instance].record(sender, Incarnation(1), sequence) {
--- a/bench/src/load/policy.rs
+++ b/bench/src/load/policy.rs
@@ -25,18 +25,20 @@
     Home,
 }
 
-/// The interval in which an instance sends its notes, and the network delay of the notes.
+/// The interval in which an instance sends its notes, the network delay of the notes, and how they are split.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct GossipTiming {
     pub(super) interval: Millis,
     pub(super) delay: Millis,
     /// The largest further delay of a datagram, drawn for each receiver.
     pub(super) jitter: Millis,
+    /// Notes that one datagram holds.
+    pub(super) datagram_notes: usize,
 }
 
 /// Notes in one datagram over relays: so many notes on attempts, with the parts of their prompts, are
 /// below the usual MTU.
-pub(super) const NOTES_PER_DATAGRAM: usize = 20;
+const RELAYED_DATAGRAM_NOTES: usize = 20;
 
 impl Policy {
     /// The timing of the gossip; `None` if instances do not exchange notes.
@@ -50,7 +52,9 @@
             Policy::Home => (0, 0, 0),
         };
         let [interval, delay, jitter] = [interval, delay, jitter].map(Millis);
-        Some(GossipTiming { interval, delay, jitter })
+        let is_relayed = self == Policy::RelayedNotes;
+        let datagram_notes = if is_relayed { RELAYED_DATAGRAM_NOTES } else { usize::MAX };
+        Some(GossipTiming { interval, delay, jitter, datagram_notes })
     }
 
     /// The delay of the query to the coordinator before a request is sent.
--- a/sl-edge/src/body_memory.rs
+++ b/sl-edge/src/body_memory.rs
@@ -52,9 +52,7 @@
         }
         is_available
     }
-}
 
-impl BodyShare {
     /// Moves what is reserved to a share of its own.
     pub fn take(&mut self) -> BodyShare {
         BodyShare { memory: self.memory.clone(), len: std::mem::take(&mut self.len) }
--- a/sl-edge/src/peers.rs
+++ b/sl-edge/src/peers.rs
@@ -96,6 +96,7 @@
     from_data_centres: RefCell<Vec<Message>>,
     /// From relays, for the instances that this one serves.
     from_relays: RefCell<Vec<Message>>,
+    /// The messages received from each instance.
     arrivals: RefCell<MessageArrivals>,
 }
 
@@ -287,6 +288,8 @@
         for message in datagram.messages {
             let arrival = self.relay_queue.arrival(&message);
             self.core.record_peer_arrival(arrival);
+            // An overtaken message is dropped like a copy: its notes on an attempt may come after the
+            // note on the end of that attempt.
             if message.from != self.own_id && matches!(arrival, PeerArrival::New { .. }) {
                 match datagram.hop {
                     Hop::ToRelay => {
--- a/sl-edge/src/peers/arrivals.rs
+++ b/sl-edge/src/peers/arrivals.rs
@@ -44,16 +44,15 @@
         incarnation: Incarnation,
         sequence: u64,
     ) -> PeerArrival {
-        let first = Received { incarnation, last: sequence, latest: 1 };
-        let received = self.peers.entry(from).or_insert(Received { latest: 0, ..first });
-        if received.latest == 0 || received.incarnation < incarnation {
-            *received = first;
-            return PeerArrival::New { missed: 0 };
+        match self.peers.get_mut(&from) {
+            Some(received) if received.incarnation == incarnation => received.record(sequence),
+            Some(received) if received.incarnation > incarnation => PeerArrival::Repeated,
+            _ => {
+                let received = Received { incarnation, last: sequence, latest: 1 };
+                self.peers.insert(from, received);
+                PeerArrival::New { missed: 0 }
+            }
         }
-        if received.incarnation > incarnation {
-            return PeerArrival::Repeated;
-        }
-        received.record(sequence)
     }
 }
 
@@ -77,6 +76,7 @@
     }
 }
 
+/// `bits` shifted to the left, 0 if all of them are shifted out.
 fn shifted(bits: u128, by: u64) -> u128 {
     u32::try_from(by).ok().and_then(|it| bits.checked_shl(it)).unwrap_or(0)
 }
--- a/sl-http/src/conn.rs
+++ b/sl-http/src/conn.rs
@@ -85,7 +85,8 @@
         self.read_head_reserved(limit, |_| true).await
     }
 
-    /// The same, and asks `reserve` for the memory of each piece, whose number of bytes it gets.
+    /// Reads a head as [`Conn::read_head`] does, and asks `reserve` for the memory of each piece, whose
+    /// number of bytes it gets.
     ///
     /// # Errors
     ///
--- a/sl-route/src/admission.rs
+++ b/sl-route/src/admission.rs
@@ -65,11 +65,12 @@
 /// Ratio of usage to fair share from which a team is refused while no other team lacks any of its share.
 const USAGE_MAX: f64 = 2.0;
 
-/// How much this ratio falls for each shortfall of a whole share. Twice the part that the worst served
-/// team has got would just keep the users' rule on shares; a steeper fall leaves time to notice.
+/// How much [`USAGE_MAX`] falls for each shortfall of a whole share. With 2 the best served team would get at
+/// most twice what the worst served one gets, which is the rule on shares; a shortfall is known late, so
+/// the limit falls faster.
 const USAGE_MAX_PER_SHORTFALL: f64 = 4.0;
 
-/// The lowest such ratio. A team at its share is never refused for the shortfall of another one.
+/// Lower bound on the limit: a team at its share is not refused for the shortfall of another one.
 const USAGE_MAX_WITH_SHORTFALL: f64 = 1.1;
 
 /// Ratio of usage to fair share from which a team leaves the slots of limited servers to others for
--- a/sl-route/src/share.rs
+++ b/sl-route/src/share.rs
@@ -42,9 +42,9 @@
     OverShare,
 }
 
-/// The longest window. What a team got counts second by second for the users
-/// (docs/incidents/summit-grown-return.md, "Cause"), so a limit on usage over more seconds lets a team get
-/// its tokens of all of them in one. A shorter window is too short for messages that come late.
+/// Longest window. Teams are compared second by second (docs/design.md, "Shares and refusals"), and a limit on usage
+/// over many seconds lets a team get the tokens of all of them in one. A shorter window makes the
+/// limits swing, since usage at other instances is known late.
 const WINDOW_MAX: Millis = Millis(2_000);
 
 /// Slices of the window. Counts expire one slice at a time.
@@ -67,7 +67,7 @@
 const TEAMS_MAX: usize = 8_192;
 
 impl Shares {
-    /// Creates empty counts over `window`, or over two seconds if that is less.
+    /// Creates empty counts over `window`, at most [`WINDOW_MAX`].
     pub fn new(now: Timestamp, window: Millis) -> Shares {
         Shares {
             window: window.min(WINDOW_MAX),
