sl-edge: BodyMemory is called ResponseMemory

Cause: since it bounds heads, partial events and withheld comments besides bodies, so the name misled. Change: module, types and constants renamed; no other change.

--- a/sl-edge/src/attempt.rs
+++ b/sl-edge/src/attempt.rs
@@ -6,9 +6,9 @@
 use sl_route::{Fault, effect::Target};
 
 use crate::{
-    body_memory::{BodyMemory, BodyShare},
     clock::Clock,
     pool::{Pool, PoolError, PooledConn},
+    response_memory::{ResponseMemory, ResponseShare},
 };
 use platform::{ConnectionUse, ForwardedRequest, ResponseClass, ServerResponse};
 
@@ -32,7 +32,7 @@
     /// Limit of open connections to the server.
     pub(crate) max_connections: usize,
     /// The memory for what the server sends.
-    pub(crate) memory: &'a BodyMemory,
+    pub(crate) memory: &'a ResponseMemory,
 }
 
 /// A response whose head has been read and whose body has not.
@@ -41,7 +41,7 @@
     pub(crate) head: ResponseHead,
     pub(crate) body: Body,
     /// The memory of what the server has sent.
-    pub(crate) memory: BodyShare,
+    pub(crate) memory: ResponseShare,
     /// Whether the connection can carry another request after this response.
     pub(crate) is_reusable: bool,
     /// Whether the response is an error of the server, which may have run the request.
@@ -120,7 +120,7 @@
 fn into_upstream(
     pooled: PooledConn,
     response: MatchingHead,
-    memory: BodyShare,
+    memory: ResponseShare,
     outgoing: OutgoingRequest<'_>,
 ) -> Result<Upstream, Fault> {
     let MatchingHead { head, is_error, is_fully_sent } = response;
@@ -135,7 +135,7 @@
     pooled: &mut PooledConn,
     request: &[u8],
     outgoing: OutgoingRequest<'_>,
-    memory: &mut BodyShare,
+    memory: &mut ResponseShare,
     lost_fault: Fault,
     on_response: impl Fn(ServerResponse<'_>),
 ) -> Result<MatchingHead, Fault> {
@@ -175,7 +175,7 @@
 async fn send_until_final_head(
     pooled: &mut PooledConn,
     unsent: &mut &[u8],
-    memory: &mut BodyShare,
+    memory: &mut ResponseShare,
     lost_fault: Fault,
 ) -> Result<ResponseHead, Fault> {
     for _ in 0..=INTERIM_RESPONSES_MAX {
--- a/sl-edge/src/caller.rs
+++ b/sl-edge/src/caller.rs
@@ -16,8 +16,8 @@
 };
 
 use crate::{
-    body_memory::BodyMemory, connection_tracker::ConnectionTracker, core::Core, pool::Pool,
-    refusal::LocalResponse, stream_locator::StreamLocator,
+    connection_tracker::ConnectionTracker, core::Core, pool::Pool, refusal::LocalResponse,
+    response_memory::ResponseMemory, stream_locator::StreamLocator,
 };
 use request::Request;
 
@@ -26,7 +26,7 @@
     pub(crate) core: Rc<Core>,
     pub(crate) pool: Pool,
     pub(crate) connections: Rc<ConnectionTracker>,
-    pub(crate) body_memory: BodyMemory,
+    pub(crate) response_memory: ResponseMemory,
     pub(crate) stream_locator: StreamLocator,
 }
 
--- a/sl-edge/src/caller/exchange.rs
+++ b/sl-edge/src/caller/exchange.rs
@@ -166,7 +166,7 @@
             last_event_id: self.stream.last_event_id(),
             only_fresh: !request.route.retry_policy.allows_rerun(),
             max_connections: request.max_connections(self.ingress),
-            memory: &self.ingress.body_memory,
+            memory: &self.ingress.response_memory,
         };
         let core = &self.ingress.core;
         let is_accepting = || core.with_state(|it| it.is_accepting(clock.now(), target.server));
--- a/sl-edge/src/lib.rs
+++ b/sl-edge/src/lib.rs
@@ -7,7 +7,6 @@
 
 mod attempt;
 pub mod backoff;
-pub mod body_memory;
 mod caller;
 mod catch_up;
 mod change_handler;
@@ -35,6 +34,7 @@
 mod refusal;
 mod relay;
 mod reload;
+pub mod response_memory;
 pub mod roles;
 mod run;
 pub mod sent_requests;
--- a/sl-edge/src/relay.rs
+++ b/sl-edge/src/relay.rs
@@ -6,7 +6,7 @@
 use sl_route::Fault;
 
 use crate::{
-    attempt::Upstream, body_memory::BodyShare, clock::Clock, event_sequence::EventSequence,
+    attempt::Upstream, clock::Clock, event_sequence::EventSequence, response_memory::ResponseShare,
 };
 use platform::ServerResponse;
 
@@ -22,7 +22,7 @@
 pub(crate) struct FullResponse {
     pub(crate) head: ResponseHead,
     pub(crate) body: Bytes,
-    _memory: BodyShare,
+    _memory: ResponseShare,
 }
 
 /// Why a response was not read to its end.
--- a/sl-edge/src/run.rs
+++ b/sl-edge/src/run.rs
@@ -26,7 +26,6 @@
 };
 
 use crate::{
-    body_memory::BodyMemory,
     caller::{self, Ingress},
     catch_up::CatchUp,
     change_handler::ChangeHandler,
@@ -44,7 +43,9 @@
     peers::{DatagramKey, Gossip, RelayQueue},
     pool::Pool,
     query_handler::QueryHandler,
-    reload, shutdown,
+    reload,
+    response_memory::ResponseMemory,
+    shutdown,
     signals::StopSignal,
     store::StoreClient,
     stream_locator::StreamLocator,
@@ -286,10 +287,10 @@
             Rc::new(Membership::new(core, store.clone(), settings.name.clone(), addresses));
         let pool = Pool::new(self.core.metrics.clone());
         let connections = self.connections.clone();
-        let body_memory = BodyMemory::default();
+        let response_memory = ResponseMemory::default();
         let stream_locator = self.spawn_origins(settings.id());
         let core = self.core.clone();
-        let ingress = Rc::new(Ingress { core, pool, connections, body_memory, stream_locator });
+        let ingress = Rc::new(Ingress { core, pool, connections, response_memory, stream_locator });
         spawn_local(caller::accept_loop(ingress.clone(), caller_listener));
         spawn_local(async move { store.run().await });
         let (own_id, cores) = (settings.id(), settings.cores.value() as f32);
--- a/sl-edge/tests/it/main.rs
+++ b/sl-edge/tests/it/main.rs
@@ -2,7 +2,6 @@
 
 mod arrivals;
 mod backoff;
-mod body_memory;
 mod connection_share;
 mod connection_tracker;
 mod detail;
@@ -12,5 +11,6 @@
 mod log_buffer;
 mod overload;
 mod record_schedule;
+mod response_memory;
 mod roles;
 mod sent_requests;
--- a/tests/it/endless.rs
+++ b/tests/it/endless.rs
@@ -3,7 +3,7 @@
 use bench::{Fleet, eventually, fleet::ANY_PORT};
 use futures::future::join_all;
 use rstest::rstest;
-use sl_edge::body_memory::LARGE_BODIES_BYTES_MAX;
+use sl_edge::response_memory::LARGE_RESPONSES_BYTES_MAX;
 use stand_ins::{Response, Server, ServerSpec, endless::Unfinished, server::Fault};
 
 use crate::testbed::{call, fleet, model_call};
@@ -66,7 +66,7 @@
 /// Memory by which the instance may grow while it serves these requests, in KiB: twice the
 /// memory of large bodies, because buffers grow by doubling, and 1 MB for each caller, of which
 /// buffers of bodies, events and connections use less than half.
-const GROWTH_KIB_MAX: u64 = 2 * (LARGE_BODIES_BYTES_MAX as u64 / 1_024) + CALLERS as u64 * 1_024;
+const GROWTH_KIB_MAX: u64 = 2 * (LARGE_RESPONSES_BYTES_MAX as u64 / 1_024) + CALLERS as u64 * 1_024;
 
 /// Guards against an instance that runs out of memory, or serves nobody else, while a server
 /// sends bytes without end to many callers.
