--- a/bench/src/load.rs
+++ b/bench/src/load.rs
@@ -7,6 +7,7 @@
 mod engine;
 mod fairness;
 mod fleet;
+mod notes;
 mod play;
 mod policy;
 mod queue;
@@ -14,6 +15,7 @@
 mod tally;
 mod traffic;
 
+pub use notes::{FleetTraffic, LARGE_FLEET, MessageRound, PeerMessage};
 pub use play::{Options, simulate};
 pub use policy::Policy;
 pub use tally::{KindTally, Tally};
--- a/bench/src/load/fleet.rs
+++ b/bench/src/load/fleet.rs
@@ -19,6 +19,9 @@
 /// Name of the service to which the engines belong.
 pub(super) const SERVICE: &str = "model";
 
+/// Name of the service of other requests than model requests. Loads list no servers of it.
+pub(super) const PLAIN_SERVICE: &str = "plain";
+
 /// Prompt tokens that engines process per millisecond. The fastest engines are more than twice
 /// as fast as the slowest.
 const ENGINE_TOKENS_PER_MS: [f64; 3] = [34.0, 34.0, 82.0];
@@ -47,13 +50,17 @@
         tokens_per_event: f64::from(tokens_per_event(options.load)),
         fetch_ms_per_token: None,
     };
-    let name = SERVICE.to_owned();
-    let service = Service { name, max_connections: 1_000, engine: Some(engine), warmup: None };
+    let services = [(SERVICE, Some(engine)), (PLAIN_SERVICE, None)].map(|(name, engine)| Service {
+        name: name.to_owned(),
+        max_connections: 1_000,
+        engine,
+        warmup: None,
+    });
     let total_tokens_per_ms: f64 =
         (0..options.engines).map(|it| engine_tokens_per_ms(options.load, it)).sum();
     let limits =
         Limits { tokens_per_s: Some(total_tokens_per_ms * 1_000.0 * 0.8), ..Limits::default() };
-    Document::new(1, [], [service], limits, [])
+    Document::new(1, [], services, limits, [])
 }
 
 /// Index of the data centre that is evacuated in the load [`Load::Evacuated`].
--- a/sl-edge/src/lib.rs
+++ b/sl-edge/src/lib.rs
@@ -45,6 +45,6 @@
 mod wire;
 
 pub use events::{EVENT_BYTES_MAX, EventKind, EventSplitter, RawEvent};
-pub use peers::{arrivals, heartbeat};
+pub use peers::{arrivals, datagram, heartbeat};
 pub use run::{Error, run};
 pub use signals::{StopSignal, signals};
--- a/sl-edge/src/peers.rs
+++ b/sl-edge/src/peers.rs
@@ -8,7 +8,7 @@
 //! lost or delivered twice only makes an estimate less accurate.
 
 pub mod arrivals;
-mod datagram;
+pub mod datagram;
 pub mod heartbeat;
 
 use std::{
@@ -28,8 +28,7 @@
 };
 
 use arrivals::{MessageArrivals, PeerArrival};
-pub(crate) use datagram::DatagramKey;
-use datagram::{Hop, Message, PAYLOAD_BYTES_MAX, SenderState, pack_notes};
+use datagram::{DatagramKey, Hop, Message, PAYLOAD_BYTES_MAX, SenderState, pack_notes};
 use heartbeat::{HEARTBEAT_INTERVAL, Heartbeat};
 
 use crate::{
--- a/sl-edge/src/peers/datagram.rs
+++ b/sl-edge/src/peers/datagram.rs
@@ -1,5 +1,7 @@
 //! Datagrams between instances: contents, size limit and authentication tag.
 
+use std::fmt;
+
 use serde::{Deserialize, Serialize};
 use sl_base::{Incarnation, InstanceId};
 use sl_mirror::Version;
@@ -9,7 +11,14 @@
 
 /// The key that authenticates datagrams between instances of one fleet.
 #[derive(Clone)]
-pub(crate) struct DatagramKey([u8; blake3::KEY_LEN]);
+pub struct DatagramKey([u8; blake3::KEY_LEN]);
+
+/// The key is a secret, so it is left out.
+impl fmt::Debug for DatagramKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("DatagramKey(..)")
+    }
+}
 
 /// Bytes of the authentication tag at the start of each datagram.
 const TAG_BYTES: usize = 16;
@@ -23,33 +32,34 @@
 
 /// Notes of one instance, or its heartbeat if there are none.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub(super) struct Message {
+pub struct Message {
     /// The instance that wrote the message, also if a relay forwards it.
-    pub(super) from: InstanceId,
+    pub from: InstanceId,
     /// The sender's incarnation.
-    pub(super) incarnation: Incarnation,
+    pub incarnation: Incarnation,
     /// Increases with each message that has notes, within one incarnation; 0 if the
     /// message has none.
-    pub(super) sequence: u64,
+    pub sequence: u64,
     /// The sender's state; `None` if an earlier message had it a moment before.
-    pub(super) state: Option<SenderState>,
-    pub(super) notes: Notes,
+    pub(crate) state: Option<SenderState>,
+    /// What happened at the sender since its last message.
+    pub notes: Notes,
 }
 
 /// The state of the instance that wrote a message. It is longer than most notes.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
-pub(super) struct SenderState {
+pub struct SenderState {
     /// The sender's state for the peer table.
-    pub(super) info: PeerInfo,
+    pub(crate) info: PeerInfo,
     /// The version of the configuration in force at the sender.
-    pub(super) document_version: u64,
+    pub(crate) document_version: u64,
     /// The store's version up to which the sender has every change.
-    pub(super) store_version: Version,
+    pub(crate) store_version: Version,
 }
 
 /// The hop on which a datagram is sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(super) enum Hop {
+pub enum Hop {
     /// From the instance that wrote the messages to any other; not forwarded.
     Direct,
     /// To a relay, which forwards to the other relays and to the instances that it serves.
@@ -65,14 +75,28 @@
 
 /// The contents of a datagram behind its tag.
 #[derive(Debug, Serialize, Deserialize)]
-pub(super) struct Datagram {
-    pub(super) hop: Hop,
-    pub(super) messages: Vec<Message>,
+pub struct Datagram {
+    /// Where the messages come from, and so to whom they are forwarded.
+    pub hop: Hop,
+    /// The messages, in the order in which they were sent.
+    pub messages: Vec<Message>,
+}
+
+impl Message {
+    /// A message of `notes`, without the sender's state.
+    pub fn of_notes(
+        from: InstanceId,
+        incarnation: Incarnation,
+        sequence: u64,
+        notes: Notes,
+    ) -> Message {
+        Message { from, incarnation, sequence, state: None, notes }
+    }
 }
 
 impl DatagramKey {
     /// Derives the key from the fleet's shared secret.
-    pub(crate) fn derive(secret: &str) -> DatagramKey {
+    pub fn derive(secret: &str) -> DatagramKey {
         DatagramKey(blake3::derive_key("sesamelock fleet messages 4", secret.as_bytes()))
     }
 
@@ -84,12 +108,12 @@
     }
 
     /// Decodes a datagram; `None` if its tag is wrong or its contents are malformed.
-    pub(super) fn decode(&self, tagged: &[u8]) -> Option<Datagram> {
+    pub fn decode(&self, tagged: &[u8]) -> Option<Datagram> {
         postcard::from_bytes(self.verify(tagged)?).ok()
     }
 
     /// Encodes messages as datagrams with their tags.
-    pub(super) fn encode(&self, hop: Hop, messages: Vec<Message>) -> Vec<Vec<u8>> {
+    pub fn encode(&self, hop: Hop, messages: Vec<Message>) -> Vec<Vec<u8>> {
         let parts = pack(messages, PAYLOAD_BYTES_MAX).into_iter();
         parts.filter_map(|messages| self.encode_one(&Datagram { hop, messages })).collect()
     }
@@ -104,7 +128,7 @@
     }
 
     /// The bytes behind the tag; `None` if the tag is wrong. The comparison takes constant time.
-    fn verify<'a>(&self, tagged: &'a [u8]) -> Option<&'a [u8]> {
+    pub fn verify<'a>(&self, tagged: &'a [u8]) -> Option<&'a [u8]> {
         let (tag, bytes) = tagged.split_at_checked(TAG_BYTES)?;
         let differs = tag.iter().zip(self.tag(bytes)).fold(0, |diff, (a, b)| diff | (a ^ b));
         (differs == 0).then_some(bytes)
--- a/sl-edge/src/run.rs
+++ b/sl-edge/src/run.rs
@@ -40,7 +40,7 @@
     metrics::Metrics,
     origin_reader::OriginReader,
     origin_writer::OriginWriter,
-    peers::{DatagramKey, Gossip, RelayQueue},
+    peers::{Gossip, RelayQueue, datagram::DatagramKey},
     pool::Pool,
     query_handler::QueryHandler,
     reload,
