--- a/bench/tests/it/main.rs
+++ b/bench/tests/it/main.rs
@@ -2,4 +2,5 @@
 
 mod fleet;
 mod loads;
+mod notes;
 mod ports;
