sl-edge: instance load says what an instance's processor time goes to

Callers of small instances get no connection, or a rejection for lateness, and the log names the lateness only. Nothing said whether the time went to the instance's own callers or to the notes of the fleet.

--- a/sl-edge/src/caller.rs
+++ b/sl-edge/src/caller.rs
@@ -63,6 +63,7 @@
         };
         match accepted {
             Ok((stream, _)) => {
+                ingress.core.record_connection();
                 spawn_local(serve_connection(ingress.clone(), stream));
             }
             Err(e) => {
@@ -88,6 +89,7 @@
                 return respond_and_close(&ingress, conn, LocalResponse::of(code), false).await;
             }
         };
+        ingress.core.record_head();
         is_reused = true;
         let is_head = head.is_head();
         // Not read earlier: the configuration may have changed while the connection was idle.
--- a/sl-edge/src/clock.rs
+++ b/sl-edge/src/clock.rs
@@ -33,6 +33,16 @@
         Duration::from_micros(self.now().micros_since(running))
     }
 
+    /// The processor time that the calling thread has used since it started.
+    pub(crate) fn thread_time(self) -> Duration {
+        read_duration(ClockId::CLOCK_THREAD_CPUTIME_ID)
+    }
+
+    /// The processor time that all threads of this process have used since it started.
+    pub(crate) fn process_time(self) -> Duration {
+        read_duration(ClockId::CLOCK_PROCESS_CPUTIME_ID)
+    }
+
     /// Converts a deadline to an instant of the async runtime.
     pub(crate) fn instant(self, at: Timestamp) -> Instant {
         let after = Duration::from_micros(at.micros_since(self.now()));
@@ -61,9 +71,13 @@
 }
 
 fn read(clock: ClockId) -> Timestamp {
-    // Both clocks exist on every supported system, and there is no other to fall back to.
-    let time = clock_gettime(clock).map_or(Duration::ZERO, Duration::from);
+    let time = read_duration(clock);
     Timestamp::from_micros(
         time.as_secs() * MICROS_PER_SECOND + u64::from(time.subsec_nanos()) / NANOS_PER_MICRO,
     )
 }
+
+fn read_duration(clock: ClockId) -> Duration {
+    // These clocks exist on every supported system, and there is no other to fall back to.
+    clock_gettime(clock).map_or(Duration::ZERO, Duration::from)
+}
--- a/sl-edge/src/core.rs
+++ b/sl-edge/src/core.rs
@@ -11,6 +11,7 @@
         Arc,
         atomic::{AtomicBool, Ordering},
     },
+    time::Duration,
 };
 
 use sl_base::{Millis, RequestId, Timestamp};
@@ -58,6 +59,9 @@
     load_shedder: Cell<LoadShedder>,
     request_log: RefCell<TailSampler<Line>>,
     peer_counts: Cell<PeerCounts>,
+    work_counts: Cell<WorkCounts>,
+    /// The processor time of the process up to the last log line about the instance's load.
+    reported_process_time: Cell<Duration>,
     /// When malformed data of each kind may be logged again.
     malformed_logged_until: RefCell<HashMap<&'static str, Timestamp>>,
     /// When the gauges are updated next.
@@ -84,6 +88,17 @@
     repeated: u64,
 }
 
+/// What this instance has done since the last log line about its load.
+#[derive(Clone, Copy, Debug, Default)]
+struct WorkCounts {
+    /// Connections that callers have opened.
+    connections: u64,
+    /// Request heads that were read.
+    heads: u64,
+    /// Processor time spent on messages from peers.
+    note_time: Duration,
+}
+
 /// Registration of a request with the core. Dropping it before [`RequestGuard::finish`] or
 /// [`RequestGuard::mark_finished`] reports to the reducer that the caller has disconnected.
 pub(crate) struct RequestGuard {
@@ -122,6 +137,8 @@
             load_shedder: Cell::new(LoadShedder::new(Clock.now())),
             request_log: RefCell::new(TailSampler::new(Clock.now())),
             peer_counts: Cell::default(),
+            work_counts: Cell::default(),
+            reported_process_time: Cell::new(Clock.process_time()),
             malformed_logged_until: RefCell::default(),
             next_gauge_update: Cell::new(Clock.now()),
             document_applied_at: Cell::new(Clock.now()),
@@ -211,6 +228,27 @@
         self.peer_counts.set(counts);
     }
 
+    /// Counts a connection that a caller has opened.
+    pub(crate) fn record_connection(&self) {
+        self.update_work_counts(|it| it.connections += 1);
+    }
+
+    /// Counts a request head that was read.
+    pub(crate) fn record_head(&self) {
+        self.update_work_counts(|it| it.heads += 1);
+    }
+
+    /// Counts processor time spent on messages from peers.
+    pub(crate) fn record_note_time(&self, spent: Duration) {
+        self.update_work_counts(|it| it.note_time += spent);
+    }
+
+    fn update_work_counts(&self, update: impl FnOnce(&mut WorkCounts)) {
+        let mut counts = self.work_counts.get();
+        update(&mut counts);
+        self.work_counts.set(counts);
+    }
+
     /// Whether connections are closed after their request, so that callers reconnect, possibly
     /// to another instance.
     pub(crate) fn is_shedding(&self) -> bool {
--- a/sl-edge/src/core/reporting.rs
+++ b/sl-edge/src/core/reporting.rs
@@ -1,10 +1,12 @@
 //! The core's log lines and gauges.
 
+use std::time::Duration;
+
 use sl_base::{Millis, RequestId, Timestamp};
 use sl_route::effect::Decision;
 use slog::o;
 
-use super::{Core, PeerCounts};
+use super::{Core, PeerCounts, WorkCounts};
 use crate::{
     detail::BufferedLine,
     log::{self, Line},
@@ -15,6 +17,8 @@
 
 const MILLIS_PER_SECOND: f64 = 1_000.0;
 
+const TENTHS: f64 = 10.0;
+
 /// Shortest time between two log lines on malformed data of the same kind.
 const MALFORMED_LOG_INTERVAL: Millis = Millis(60_000);
 
@@ -81,17 +85,26 @@
         }
     }
 
-    /// Logs how late this instance runs and which messages of its peers arrived since the last
-    /// call.
+    /// Logs how late this instance runs, what it has spent its processor time on, and which messages
+    /// of its peers arrived, since the last call.
     pub(super) fn log_instance_load(&self) {
         let PeerCounts { received, missed, overtaken, repeated } = self.peer_counts.take();
+        let WorkCounts { connections, heads, note_time } = self.work_counts.take();
+        let process_time = self.clock.process_time();
+        let process_time = process_time.saturating_sub(self.reported_process_time.replace(process_time));
         let load_shedder = self.load_shedder.get();
         let in_flight = self.with_state(|it| it.in_flight());
         slog::info!(self.log, "instance load";
             "late_ms" => load_shedder.late_ms().round(),
             "rejected_percent" => (load_shedder.reject_fraction() * PERCENT).round(),
             "held" => in_flight, "messages" => received, "missed" => missed,
-            "overtaken" => overtaken, "repeated" => repeated);
+            "overtaken" => overtaken, "repeated" => repeated,
+            "connections" => connections, "heads" => heads,
+            "notes_ms" => tenths(note_time), "processor_ms" => tenths(process_time));
+        self.metrics.caller_connections.inc_by(connections);
+        self.metrics.request_heads.inc_by(heads);
+        self.metrics.note_seconds.inc_by(note_time.as_secs_f64());
+        self.metrics.processor_seconds.inc_by(process_time.as_secs_f64());
         self.metrics.peer_messages.get_or_create(&name_label("missed")).inc_by(missed);
         self.metrics.peer_messages.get_or_create(&name_label("overtaken")).inc_by(overtaken);
     }
@@ -105,3 +118,8 @@
         }
     }
 }
+
+/// Milliseconds with one decimal, as a tenth matters on an instance with a small part of a core.
+fn tenths(time: Duration) -> f64 {
+    (time.as_secs_f64() * MILLIS_PER_SECOND * TENTHS).round() / TENTHS
+}
--- a/sl-edge/src/metrics.rs
+++ b/sl-edge/src/metrics.rs
@@ -54,6 +54,9 @@
 /// A gauge with fractions, for seconds and for retry budgets.
 type FloatGauge = Gauge<f64, AtomicU64>;
 
+/// A counter with fractions, for seconds.
+type FloatCounter = Counter<f64, AtomicU64>;
+
 /// All metrics of an instance; clones share them.
 #[derive(Clone)]
 pub struct Metrics {
@@ -125,6 +128,14 @@
     pub stream_origins_read: Counter,
     /// Calls to the platform's store, by kind and result: the status or `unanswered`.
     pub store_calls: Family<NameLabel, Counter>,
+    /// Connections that callers have opened.
+    pub caller_connections: Counter,
+    /// Request heads that were read.
+    pub request_heads: Counter,
+    /// Seconds of processor time spent on messages from peers.
+    pub note_seconds: FloatCounter,
+    /// Seconds of processor time that the process has used.
+    pub processor_seconds: FloatCounter,
     /// New connections to backend servers.
     pub server_connections: Counter,
     /// Datagrams sent to and received from peers, by result.
@@ -189,6 +200,10 @@
             stream_origin_batches: Counter::default(),
             stream_origins_read: Counter::default(),
             store_calls: Family::default(),
+            caller_connections: Counter::default(),
+            request_heads: Counter::default(),
+            note_seconds: FloatCounter::default(),
+            processor_seconds: FloatCounter::default(),
             server_connections: Counter::default(),
             peer_messages: Family::default(),
             log_lines_dropped: Counter::default(),
@@ -324,6 +339,25 @@
         );
     }
 
+    fn register_work(&self, it: &mut Registry) {
+        it.register(
+            "caller_connections",
+            "Connections opened by callers",
+            self.caller_connections.clone(),
+        );
+        it.register("request_heads", "Request heads read", self.request_heads.clone());
+        it.register(
+            "note_seconds",
+            "Processor time spent on messages from peers",
+            self.note_seconds.clone(),
+        );
+        it.register(
+            "processor_seconds",
+            "Processor time of the process",
+            self.processor_seconds.clone(),
+        );
+    }
+
     fn register(&self) {
         let mut registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
         let it = registry.sub_registry_with_prefix("sesamelock");
@@ -367,6 +401,7 @@
             self.cold_servers.clone(),
         );
         self.register_admission(it);
+        self.register_work(it);
         it.register("retries_left", "Retries left by service", self.retries_left.clone());
         it.register("document_age_seconds", "Since it is in force", self.document_age.clone());
         it.register("store_age_seconds", "Since the store was heard", self.store_age.clone());
--- a/sl-edge/src/peers.rs
+++ b/sl-edge/src/peers.rs
@@ -143,7 +143,12 @@
         let mut buf = vec![0; PAYLOAD_BYTES_MAX * 2];
         loop {
             match self.socket.recv_from(&mut buf).await {
-                Ok((read, from)) => self.handle_datagram(&buf[..read], from),
+                Ok((read, from)) => {
+                    let started = self.core.clock.thread_time();
+                    self.handle_datagram(&buf[..read], from);
+                    let spent = self.core.clock.thread_time().saturating_sub(started);
+                    self.core.record_note_time(spent);
+                }
                 Err(e) => {
                     debug!(self.core.log, "failed to receive datagram"; "reason" => %e);
                 }
--- a/tests/it/operators.rs
+++ b/tests/it/operators.rs
@@ -52,6 +52,33 @@
     assert!(exit_status.unwrap().success());
 }
 
+/// Guards against an instance that is late without a figure that says what it was busy with.
+#[tokio::test(flavor = "multi_thread")]
+async fn metrics_tell_work_for_callers_from_work_for_peers() {
+    let fleet = fleet(2).await;
+    let mut caller = fleet.caller(0).await.unwrap();
+    caller.call(&call("GET", "/status/7", "a")).await.unwrap();
+    caller.call(&call("GET", "/status/7", "b")).await.unwrap();
+    eventually("connections, heads and processor time are counted", async || {
+        let text = metrics(&fleet).await;
+        let value = |name: &str| {
+            let value = text.lines().find_map(|it| it.strip_prefix(name));
+            value.and_then(|it| it.trim().parse::<f64>().ok()).unwrap_or_default()
+        };
+        let notes = value("sesamelock_note_seconds_total ");
+        value("sesamelock_caller_connections_total ") == 1.0
+            && value("sesamelock_request_heads_total ") == 2.0
+            && (0.0..value("sesamelock_processor_seconds_total ")).contains(&notes)
+            && notes > 0.0
+    })
+    .await;
+    let log = fleet.instances[0].log();
+    let load = log.lines().rfind(|it| it.contains("\"instance load\"")).unwrap();
+    for field in ["connections", "heads", "notes_ms", "processor_ms"] {
+        assert!(load.contains(&format!("\"{field}\":")), "{field}: {load}");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn metrics_count_requests_by_outcome() {
     let fleet = fleet(1).await;
