sl-edge: messages of peers take a fifth of an instance's processor at most

Callers of small instances get no connection, 503 or an unready instance while the fleet is asked for much. Cause: every instance applies the notes of the whole fleet on the thread that serves its own callers, in the order of arrival and up to 128 datagrams at a time. The cost grows with the traffic of the fleet, the processor of an instance of 0.09 cores does not. Guarantee: messages of peers take at most a fifth of `cores` once all work takes half of it, and a saved 88 ms of the instance's processor after a pause. At 0.09 cores callers so have 72 ms a second, 144 requests of 0.5 ms. Below half, notes may use what is idle: a view that lacks them costs more. Change: NoteBudget, fed with the thread's processor clock; callers get their turn after 0.5 ms of it. Without time, ordinary datagrams are taken from the socket and dropped unread, and if even that takes more than the fifth, the socket is left alone for 75 ms. Datagrams state their priority: heartbeats and the rare notes on what may not be done travel by themselves, with sequence numbers of their own, and are always read. What a relay forwards is read and queued in any case and is not charged; only applying it is. The key of datagrams changes, so builds before and after reject each other's notes.

--- a/sl-edge/src/core.rs
+++ b/sl-edge/src/core.rs
@@ -97,6 +97,8 @@
     heads: u64,
     /// Processor time spent on messages from peers.
     note_time: Duration,
+    /// Datagrams from peers that were not applied because no processor time was left for them.
+    datagrams_skipped: u64,
 }
 
 /// Registration of a request with the core. Dropping it before [`RequestGuard::finish`] or
@@ -243,6 +245,11 @@
         self.update_work_counts(|it| it.note_time += spent);
     }
 
+    /// Counts a datagram from a peer that is not applied, for lack of processor time.
+    pub(crate) fn record_datagram_skipped(&self) {
+        self.update_work_counts(|it| it.datagrams_skipped += 1);
+    }
+
     fn update_work_counts(&self, update: impl FnOnce(&mut WorkCounts)) {
         let mut counts = self.work_counts.get();
         update(&mut counts);
--- a/sl-edge/src/core/reporting.rs
+++ b/sl-edge/src/core/reporting.rs
@@ -89,9 +89,11 @@
     /// of its peers arrived, since the last call.
     pub(super) fn log_instance_load(&self) {
         let PeerCounts { received, missed, overtaken, repeated } = self.peer_counts.take();
-        let WorkCounts { connections, heads, note_time } = self.work_counts.take();
+        let WorkCounts { connections, heads, note_time, datagrams_skipped } =
+            self.work_counts.take();
         let process_time = self.clock.process_time();
-        let process_time = process_time.saturating_sub(self.reported_process_time.replace(process_time));
+        let process_time =
+            process_time.saturating_sub(self.reported_process_time.replace(process_time));
         let load_shedder = self.load_shedder.get();
         let in_flight = self.with_state(|it| it.in_flight());
         slog::info!(self.log, "instance load";
@@ -100,7 +102,9 @@
             "held" => in_flight, "messages" => received, "missed" => missed,
             "overtaken" => overtaken, "repeated" => repeated,
             "connections" => connections, "heads" => heads,
-            "notes_ms" => tenths(note_time), "processor_ms" => tenths(process_time));
+            "notes_ms" => tenths(note_time), "processor_ms" => tenths(process_time),
+            "skipped" => datagrams_skipped);
+        self.metrics.peer_messages.get_or_create(&name_label("skipped")).inc_by(datagrams_skipped);
         self.metrics.caller_connections.inc_by(connections);
         self.metrics.request_heads.inc_by(heads);
         self.metrics.note_seconds.inc_by(note_time.as_secs_f64());
--- a/sl-edge/src/lib.rs
+++ b/sl-edge/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod log_buffer;
 mod membership;
 pub mod metrics;
+pub mod note_budget;
 mod origin_reader;
 mod origin_writer;
 pub mod overload;
--- a/sl-edge/src/peers.rs
+++ b/sl-edge/src/peers.rs
@@ -10,6 +10,7 @@
 pub mod arrivals;
 mod datagram;
 pub mod heartbeat;
+mod receiver;
 
 use std::{
     cell::{Cell, RefCell},
@@ -29,13 +30,14 @@
 
 use arrivals::{MessageArrivals, PeerArrival};
 pub(crate) use datagram::DatagramKey;
-use datagram::{Hop, Message, PAYLOAD_BYTES_MAX, SenderState, pack_notes};
+use datagram::{Hop, Message, Priority, SenderState, pack_notes};
 use heartbeat::{HEARTBEAT_INTERVAL, Heartbeat};
 
 use crate::{
     core::Core,
     membership::{PeerInfo, PeerTable},
     metrics::name_label,
+    note_budget::NoteBudget,
     roles::{RelayCandidate, RelayRoles},
     store::StoreClient,
 };
@@ -81,6 +83,10 @@
     /// Signalled when `newer_peer` is set.
     pub(crate) newer_peer_seen: Notify,
     pub(crate) relay_queue: RelayQueue,
+    /// Whether this instance forwards messages for others.
+    pub(crate) is_relay: Cell<bool>,
+    /// The processor time for messages from peers.
+    pub(crate) note_budget: RefCell<NoteBudget>,
     /// How many direct heartbeats of a fleet with relays have been sent.
     pub(crate) direct_heartbeats_sent: Cell<usize>,
 }
@@ -89,13 +95,22 @@
 /// each message once.
 #[derive(Default)]
 pub(crate) struct RelayQueue {
-    /// The sequence number of the last message with notes that this instance sent.
-    last_sent: Cell<u64>,
+    essential: MessageNumbers,
+    ordinary: MessageNumbers,
     from_instances: RefCell<Vec<Message>>,
     /// From relays in other data centres, for all instances in this one.
     from_data_centres: RefCell<Vec<Message>>,
     /// From relays, for the instances that this one serves.
     from_relays: RefCell<Vec<Message>>,
+}
+
+/// Sequence numbers of the messages of one priority. Each priority has its own, since messages of
+/// different priority travel in different datagrams, and a message that a newer one has overtaken
+/// is dropped.
+#[derive(Default)]
+struct MessageNumbers {
+    /// The number of the last message with notes that this instance sent.
+    last_sent: Cell<u64>,
     /// The messages received from each instance.
     arrivals: RefCell<MessageArrivals>,
 }
@@ -126,7 +141,8 @@
                 }
                 Some(roles) => self.send_to_relay(roles, notes, is_heartbeat).await,
             }
-            if !roles.as_ref().is_some_and(|it| it.is_relay) {
+            self.is_relay.set(roles.as_ref().is_some_and(|it| it.is_relay));
+            if !self.is_relay.get() {
                 self.relay_queue.clear();
             }
             if roles.is_some() && direct_heartbeat_at <= now {
@@ -138,24 +154,6 @@
         }
     }
 
-    /// Receives datagrams from peers until the daemon stops.
-    pub(crate) async fn run_receiver(&self) {
-        let mut buf = vec![0; PAYLOAD_BYTES_MAX * 2];
-        loop {
-            match self.socket.recv_from(&mut buf).await {
-                Ok((read, from)) => {
-                    let started = self.core.clock.thread_time();
-                    self.handle_datagram(&buf[..read], from);
-                    let spent = self.core.clock.thread_time().saturating_sub(started);
-                    self.core.record_note_time(spent);
-                }
-                Err(e) => {
-                    debug!(self.core.log, "failed to receive datagram"; "reason" => %e);
-                }
-            }
-        }
-    }
-
     async fn send_to_all(&self, notes: Notes, is_heartbeat: bool) {
         let mut messages = self.build_messages(notes, is_heartbeat);
         messages.iter_mut().for_each(|it| it.state = Some(self.sender_state()));
@@ -235,15 +233,18 @@
         }
     }
 
-    /// Packs notes into messages that each fit a datagram; an empty message if there are
-    /// no notes but a heartbeat is due.
+    /// Packs notes into messages that each fit a datagram, the essential ones by themselves. A
+    /// heartbeat that is due is the first message of these, an empty one if there are none.
     fn build_messages(&self, notes: Notes, is_heartbeat: bool) -> Vec<Message> {
-        let mut parts = pack_notes(notes);
-        if parts.is_empty() && is_heartbeat {
-            parts.push(Vec::new());
+        let (essential, ordinary): (Vec<Note>, Vec<Note>) =
+            notes.notes.into_iter().partition(Note::is_essential);
+        let ordinary = pack_notes(Notes { notes: ordinary });
+        let mut essential = pack_notes(Notes { notes: essential });
+        if essential.is_empty() && is_heartbeat {
+            essential.push(Vec::new());
         }
         let mut messages: Vec<Message> =
-            parts.into_iter().map(|it| self.build_message(it)).collect();
+            essential.into_iter().chain(ordinary).map(|it| self.build_message(it)).collect();
         if is_heartbeat && let Some(first) = messages.first_mut() {
             first.state = Some(self.sender_state());
         }
@@ -251,19 +252,17 @@
     }
 
     fn build_message(&self, notes: Vec<Note>) -> Message {
-        let sequence = if notes.is_empty() {
-            0
-        } else {
-            self.relay_queue.last_sent.set(self.relay_queue.last_sent.get() + 1);
-            self.relay_queue.last_sent.get()
-        };
-        Message {
+        let mut message = Message {
             from: self.own_id,
             incarnation: self.incarnation,
-            sequence,
+            sequence: 0,
             state: None,
             notes: Notes { notes },
+        };
+        if !message.notes.notes.is_empty() {
+            message.sequence = self.relay_queue.numbers(message.priority()).take_next();
         }
+        message
     }
 
     fn sender_state(&self) -> SenderState {
@@ -281,15 +280,17 @@
         }
     }
 
-    fn handle_datagram(&self, bytes: &[u8], from: SocketAddr) {
+    /// Decodes a datagram and queues its messages for those that this instance forwards to. Returns
+    /// the messages that this instance has not received yet, to be applied.
+    fn read_datagram(&self, bytes: &[u8], from: SocketAddr) -> Vec<Message> {
         let Some(datagram) = self.key.decode(bytes) else {
             self.core.metrics.peer_messages.get_or_create(&name_label("not understood")).inc();
             debug!(self.core.log, "datagram rejected: not authentic or malformed";
                 "from" => %from);
-            return;
+            return Vec::new();
         };
         self.core.metrics.peer_messages.get_or_create(&name_label("received")).inc();
-        let now = self.core.now();
+        let mut new_messages = Vec::with_capacity(datagram.messages.len());
         for message in datagram.messages {
             let arrival = self.relay_queue.arrival(&message);
             self.core.record_peer_arrival(arrival);
@@ -308,12 +309,13 @@
                     }
                     Hop::Direct | Hop::FromRelay => {}
                 }
-                self.handle_message(now, message);
+                new_messages.push(message);
             }
         }
         if !self.relay_queue.is_empty() {
             self.core.notes_ready.notify_one();
         }
+        new_messages
     }
 
     fn handle_message(&self, now: Timestamp, message: Message) {
@@ -367,6 +369,21 @@
             return PeerArrival::New { missed: 0 };
         }
         let Message { from, incarnation, sequence, .. } = *message;
-        self.arrivals.borrow_mut().record(from, incarnation, sequence)
+        let numbers = self.numbers(message.priority());
+        numbers.arrivals.borrow_mut().record(from, incarnation, sequence)
+    }
+
+    fn numbers(&self, priority: Priority) -> &MessageNumbers {
+        match priority {
+            Priority::Essential => &self.essential,
+            Priority::Ordinary => &self.ordinary,
+        }
+    }
+}
+
+impl MessageNumbers {
+    fn take_next(&self) -> u64 {
+        self.last_sent.set(self.last_sent.get() + 1);
+        self.last_sent.get()
     }
 }
--- a/sl-edge/src/peers/datagram.rs
+++ b/sl-edge/src/peers/datagram.rs
@@ -63,17 +63,43 @@
     ToDataCentre,
 }
 
+/// Whether a receiver that lacks processor time reads a message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) enum Priority {
+    /// It is read in any case: all of its notes are essential, or it is a heartbeat.
+    Essential,
+    /// It may be dropped unread.
+    Ordinary,
+}
+
 /// The contents of a datagram behind its tag.
 #[derive(Debug, Serialize, Deserialize)]
 pub(super) struct Datagram {
+    /// The priority of all messages; first, so that it can be read by itself.
+    pub(super) priority: Priority,
     pub(super) hop: Hop,
     pub(super) messages: Vec<Message>,
 }
 
+impl Message {
+    /// The priority that follows from the message's notes.
+    pub(super) fn priority(&self) -> Priority {
+        let is_essential = self.notes.notes.iter().all(Note::is_essential);
+        if is_essential { Priority::Essential } else { Priority::Ordinary }
+    }
+}
+
+/// The priority that a datagram states. It is not verified, so it says no more than whether verifying
+/// the datagram is worth the time.
+pub(super) fn stated_priority(tagged: &[u8]) -> Option<Priority> {
+    let (priority, _) = postcard::take_from_bytes(tagged.get(TAG_BYTES..)?).ok()?;
+    Some(priority)
+}
+
 impl DatagramKey {
     /// Derives the key from the fleet's shared secret.
     pub(crate) fn derive(secret: &str) -> DatagramKey {
-        DatagramKey(blake3::derive_key("sesamelock fleet messages 4", secret.as_bytes()))
+        DatagramKey(blake3::derive_key("sesamelock fleet messages 5", secret.as_bytes()))
     }
 
     fn tag(&self, bytes: &[u8]) -> [u8; TAG_BYTES] {
@@ -88,10 +114,21 @@
         postcard::from_bytes(self.verify(tagged)?).ok()
     }
 
-    /// Encodes messages as datagrams with their tags.
+    /// Encodes messages as datagrams with their tags, each with messages of one priority. Ordinary
+    /// messages come first: what is known of an attempt follows the note that it was sent.
     pub(super) fn encode(&self, hop: Hop, messages: Vec<Message>) -> Vec<Vec<u8>> {
+        let (essential, ordinary): (Vec<Message>, Vec<Message>) =
+            messages.into_iter().partition(|it| it.priority() == Priority::Essential);
+        let mut datagrams = self.encode_all(Priority::Ordinary, hop, ordinary);
+        datagrams.extend(self.encode_all(Priority::Essential, hop, essential));
+        datagrams
+    }
+
+    fn encode_all(&self, priority: Priority, hop: Hop, messages: Vec<Message>) -> Vec<Vec<u8>> {
         let parts = pack(messages, PAYLOAD_BYTES_MAX).into_iter();
-        parts.filter_map(|messages| self.encode_one(&Datagram { hop, messages })).collect()
+        parts
+            .filter_map(|messages| self.encode_one(&Datagram { priority, hop, messages }))
+            .collect()
     }
 
     /// Encodes one datagram behind its tag. Encoding does not fail for the types in a
--- a/sl-edge/src/run.rs
+++ b/sl-edge/src/run.rs
@@ -1,7 +1,7 @@
 //! Assembles the daemon from its components and runs it until shutdown.
 
 use std::{
-    cell::Cell,
+    cell::{Cell, RefCell},
     net::SocketAddr,
     rc::Rc,
     time::{SystemTime, UNIX_EPOCH},
@@ -38,6 +38,7 @@
     log_buffer::LogWriter,
     membership::{Membership, PeerTable},
     metrics::Metrics,
+    note_budget::NoteBudget,
     origin_reader::OriginReader,
     origin_writer::OriginWriter,
     peers::{DatagramKey, Gossip, RelayQueue},
@@ -271,6 +272,12 @@
             newer_peer: Cell::new(None),
             newer_peer_seen: Notify::new(),
             relay_queue: RelayQueue::default(),
+            is_relay: Cell::new(false),
+            note_budget: RefCell::new(NoteBudget::new(
+                Clock.now(),
+                settings.cores.value(),
+                Clock.thread_time(),
+            )),
             direct_heartbeats_sent: Cell::new(0),
         });
         let seeds = settings.seed_instances.iter().map(|it| (InstanceId::of(&it.name), it.control));
--- a/sl-edge/tests/it/main.rs
+++ b/sl-edge/tests/it/main.rs
@@ -9,6 +9,7 @@
 mod events;
 mod heartbeat;
 mod log_buffer;
+mod note_budget;
 mod overload;
 mod record_schedule;
 mod response_memory;
--- a/sl-route/src/note.rs
+++ b/sl-route/src/note.rs
@@ -138,6 +138,29 @@
     },
 }
 
+impl Note {
+    /// Whether an instance needs the note that lacks the processor time for all of them. Such notes
+    /// are rare, however much the fleet is asked for, and tell what may not be done. The others come
+    /// with each request and make estimates more accurate.
+    pub fn is_essential(&self) -> bool {
+        match self {
+            Note::AttemptSent { .. }
+            | Note::ResponseStarted { .. }
+            | Note::AttemptEnded { .. }
+            | Note::TokensRequested { .. }
+            | Note::CacheListed { .. } => false,
+            Note::ServerAvoided { .. }
+            | Note::ServerDraining { .. }
+            | Note::AttemptLost { .. }
+            | Note::CausesServed { .. }
+            | Note::Barred(_)
+            | Note::ServerLimit { .. }
+            | Note::StreamBegan { .. }
+            | Note::ServerCold { .. } => true,
+        }
+    }
+}
+
 /// The bar of what crashed servers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Bar {
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -12,6 +12,7 @@
 mod late_refusals;
 mod limits;
 mod membership;
+mod note_flood;
 mod notices;
 mod operators;
 mod refusals;
--- /dev/null
+++ b/tests/it/note_flood.rs
@@ -0,0 +1,71 @@
+//! Datagrams that come faster than an instance can afford to read them.
+
+use std::{
+    net::UdpSocket,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use crate::testbed::{call, fleet, metrics};
+
+/// CPU cores in the settings of the flooded instance.
+const CORES: f64 = 0.09;
+
+const FLOOD: Duration = Duration::from_secs(4);
+
+/// Fraction of its processor that an instance spends on datagrams at most, if its callers need less than
+/// the other half, and some for the datagrams of a last turn.
+const NOTE_FRACTION_MAX: f64 = 0.6;
+
+/// Guards against messages of peers that take the processor of an instance away from its callers, whatever
+/// they cost together.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_flood_of_datagrams_leaves_the_processor_to_callers() {
+    let mut fleet = fleet(1).await;
+    let instance = &mut fleet.instances[0];
+    instance.kill();
+    let settings = std::fs::read_to_string(instance.settings()).unwrap();
+    let settings = settings.replacen("data-centre", &format!("cores = {CORES}\ndata-centre"), 1);
+    std::fs::write(instance.settings(), settings).unwrap();
+    instance.start().unwrap();
+    let notes_address = instance.control;
+    fleet.wait_until_ready().await;
+
+    let is_over = Arc::new(AtomicBool::new(false));
+    let sender = thread::spawn({
+        let is_over = is_over.clone();
+        move || {
+            let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+            while !is_over.load(Ordering::Relaxed) {
+                socket.send_to(&[1; 1_300], notes_address).unwrap();
+            }
+        }
+    });
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let (before, began_at) = (note_seconds(&metrics(&fleet).await), Instant::now());
+    let mut answered = 0;
+    while began_at.elapsed() < FLOOD {
+        let mut caller = fleet.caller(0).await.unwrap();
+        let id = format!("a-{answered}");
+        assert_eq!(caller.call(&call("GET", "/status/7", &id)).await.unwrap().status(), 200);
+        answered += 1;
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    let spent = note_seconds(&metrics(&fleet).await) - before;
+    // The metrics are as of the last full second.
+    let passed = began_at.elapsed().as_secs_f64() + 1.0;
+    is_over.store(true, Ordering::Relaxed);
+    sender.join().unwrap();
+    let fraction = spent / passed / CORES;
+    assert!(fraction < NOTE_FRACTION_MAX, "{fraction} of its processor, {answered} answered");
+    assert!(answered > 20, "{answered}");
+}
+
+fn note_seconds(metrics: &str) -> f64 {
+    let value = metrics.lines().find_map(|it| it.strip_prefix("sesamelock_note_seconds_total "));
+    value.unwrap().parse().unwrap()
+}
