--- a/sl-edge/src/core.rs
+++ b/sl-edge/src/core.rs
@@ -11,6 +11,7 @@
         Arc,
         atomic::{AtomicBool, Ordering},
     },
+    time::Duration,
 };
 
 use sl_base::{Millis, RequestId, Timestamp};
@@ -58,6 +59,7 @@
     load_shedder: Cell<LoadShedder>,
     request_log: RefCell<TailSampler<Line>>,
     peer_counts: Cell<PeerCounts>,
+    work_counts: Cell<WorkCounts>,
     /// When malformed data of each kind may be logged again.
     malformed_logged_until: RefCell<HashMap<&'static str, Timestamp>>,
     /// When the gauges are updated next.
@@ -84,6 +86,19 @@
     repeated: u64,
 }
 
+/// What this instance has done since the last log line about its load.
+#[derive(Clone, Copy, Debug, Default)]
+struct WorkCounts {
+    /// Connections that callers have opened.
+    connections: u64,
+    /// Request heads that were read.
+    heads: u64,
+    /// Time spent on messages from peers.
+    note_time: Duration,
+    /// Datagrams from peers that were not applied because no time was left for them.
+    datagrams_skipped: u64,
+}
+
 /// Registration of a request with the core. Dropping it before [`RequestGuard::finish`] or
 /// [`RequestGuard::mark_finished`] reports to the reducer that the caller has disconnected.
 pub(crate) struct RequestGuard {
@@ -122,6 +137,7 @@
             load_shedder: Cell::new(LoadShedder::new(Clock.now())),
             request_log: RefCell::new(TailSampler::new(Clock.now())),
             peer_counts: Cell::default(),
+            work_counts: Cell::default(),
             malformed_logged_until: RefCell::default(),
             next_gauge_update: Cell::new(Clock.now()),
             document_applied_at: Cell::new(Clock.now()),
@@ -211,6 +227,32 @@
         self.peer_counts.set(counts);
     }
 
+    /// Counts a connection that a caller has opened.
+    pub(crate) fn record_connection(&self) {
+        self.update_work_counts(|it| it.connections += 1);
+    }
+
+    /// Counts a request head that was read.
+    pub(crate) fn record_head(&self) {
+        self.update_work_counts(|it| it.heads += 1);
+    }
+
+    /// Counts time spent on messages from peers.
+    pub(crate) fn record_note_time(&self, spent: Duration) {
+        self.update_work_counts(|it| it.note_time += spent);
+    }
+
+    /// Counts a datagram from a peer that is not applied, for lack of time.
+    pub(crate) fn record_datagram_skipped(&self) {
+        self.update_work_counts(|it| it.datagrams_skipped += 1);
+    }
+
+    fn update_work_counts(&self, update: impl FnOnce(&mut WorkCounts)) {
+        let mut counts = self.work_counts.get();
+        update(&mut counts);
+        self.work_counts.set(counts);
+    }
+
     /// Whether connections are closed after their request, so that callers reconnect, possibly
     /// to another instance.
     pub(crate) fn is_shedding(&self) -> bool {
