Attempts: one of a peer whose end is lost is dropped when it must have ended

Callers could see: requests refused or sent elsewhere, since a server seems to have more work than it has. Cause: attempts of peers on engines (after the first token) and on plain servers had no expiry. If the note of the end was lost, dropped, or arrived before the note that the attempt was sent, the attempt stayed for as long as its instance lived. Change: a deadline is stored with the attempt: the longest timeout of any route of the configuration in force, and a second for an instance that is late. Own attempts have none, as their end is always known. Tests of the engine state NEVER.

--- a/sl-route/src/document.rs
+++ b/sl-route/src/document.rs
@@ -22,6 +22,8 @@
     pub limits: Limits,
     /// Teams by API key.
     keys: HashMap<String, Arc<Team>>,
+    /// The longest timeout of any route; `None` without routes.
+    longest_timeout: Option<Millis>,
     /// Whether any teams are configured. If not, requests need no API key.
     pub has_teams: bool,
 }
@@ -187,7 +189,8 @@
             let team = Arc::new(team);
             keys.extend(api_keys.into_iter().map(|it| (it, team.clone())));
         }
-        Document { version, routes: by_host, services, limits, keys, has_teams }
+        let longest_timeout = by_host.values().flatten().map(|it| it.timeout).max();
+        Document { version, routes: by_host, services, limits, keys, has_teams, longest_timeout }
     }
 
     /// The route of a request to `path` at `host`: the one with the longest matching prefix. A
@@ -206,6 +209,11 @@
         self.keys.get(key)
     }
 
+    /// The longest timeout of any route: no request lasts longer. `None` without routes.
+    pub fn longest_timeout(&self) -> Option<Millis> {
+        self.longest_timeout
+    }
+
     /// All routes, in no particular order.
     pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
         self.routes.values().flatten()
--- a/sl-route/src/engine.rs
+++ b/sl-route/src/engine.rs
@@ -46,6 +46,8 @@
 #[derive(Clone, Copy, Debug)]
 struct RunningRequest {
     key: AttemptKey,
+    /// The request has ended by then; the note of its end was lost if it did not come.
+    expires_at: Timestamp,
     /// The engine's work when the first token arrived.
     since: WorkTotals,
 }
@@ -64,6 +66,8 @@
     key: AttemptKey,
     tokens: u32,
     sent_at: Timestamp,
+    /// The request has ended by then.
+    expires_at: Timestamp,
     /// Expected time of the first token, as estimated at the time of sending and pushed back by
     /// requests that have overtaken this one.
     expected_at: Timestamp,
@@ -298,8 +302,15 @@
         }
     }
 
-    /// Records that a request with `tokens` to prefill was sent to the engine.
-    pub fn record_sent(&mut self, now: Timestamp, key: AttemptKey, tokens: u32) {
+    /// Records that a request with `tokens` to prefill was sent to the engine. By `expires_at` it has
+    /// ended, whether its end was recorded or not.
+    pub fn record_sent(
+        &mut self,
+        now: Timestamp,
+        key: AttemptKey,
+        tokens: u32,
+        expires_at: Timestamp,
+    ) {
         self.load.add(now, self.prefill_ms(tokens));
         self.prefill_done_at = offset_by_micros(
             self.prefill_done_at.max(now),
@@ -311,6 +322,7 @@
             key,
             tokens,
             sent_at: now,
+            expires_at,
             expected_at,
             shift_micros,
         });
@@ -340,7 +352,8 @@
         self.last_first_token_at = now;
         self.pace.record_prefill(self.prefill_ms(request.tokens));
         let since = self.pace.advance(now, self.running.len());
-        self.running.push(RunningRequest { key, since });
+        let expires_at = request.expires_at;
+        self.running.push(RunningRequest { key, expires_at, since });
     }
 
     /// Records the end of a request, with or without a first token.
@@ -357,17 +370,19 @@
         }
     }
 
-    /// Drops requests that are long overdue, and those sent by instances for which `is_removed`
-    /// returns true.
+    /// Drops requests that are long overdue or must have ended, and those sent by instances for
+    /// which `is_removed` returns true.
     pub fn prune(&mut self, now: Timestamp, is_removed: impl Fn(u32) -> bool) {
         self.pace.advance(now, self.running.len());
-        self.running.retain(|it| !is_removed(it.key.instance));
+        self.running.retain(|it| !is_removed(it.key.instance) && !it.expires_at.is_due(now));
         let mut dropped_tokens = 0;
         let shift_micros = self.shift_micros;
         self.queue.retain(|it| {
             let expected =
                 offset_by_micros(it.expected_at, (shift_micros - it.shift_micros) as f64);
-            let keep = !is_removed(it.key.instance) && !expected.after(OVERDUE_TIMEOUT).is_due(now);
+            let has_ended =
+                it.expires_at.is_due(now) || expected.after(OVERDUE_TIMEOUT).is_due(now);
+            let keep = !is_removed(it.key.instance) && !has_ended;
             dropped_tokens += if keep { 0 } else { it.tokens };
             keep
         });
--- a/sl-route/src/server.rs
+++ b/sl-route/src/server.rs
@@ -91,11 +91,19 @@
 /// response time.
 #[derive(Clone, Debug, Default)]
 pub struct PlainServer {
-    in_flight: Vec<AttemptKey>,
+    in_flight: Vec<PlainAttempt>,
     response_ms: f64,
     last_sent_at: Timestamp,
 }
 
+/// An attempt in flight on a plain server.
+#[derive(Clone, Copy, Debug)]
+struct PlainAttempt {
+    key: AttemptKey,
+    /// The attempt has ended by then; the note of its end was lost if it did not come.
+    expires_at: Timestamp,
+}
+
 const MICROS_PER_MILLI: f64 = 1_000.0;
 
 /// The weight of one response in the moving average of a server's response times.
@@ -175,13 +183,20 @@
     }
 
     /// Records that a request was sent to the server; `tokens` is the number of prompt tokens
-    /// that an engine has to prefill.
-    pub fn record_sent(&mut self, now: Timestamp, key: AttemptKey, tokens: u32) {
+    /// that an engine has to prefill. By `expires_at` the attempt has ended, whether its end was
+    /// recorded or not.
+    pub fn record_sent(
+        &mut self,
+        now: Timestamp,
+        key: AttemptKey,
+        tokens: u32,
+        expires_at: Timestamp,
+    ) {
         self.updated_at = now;
         match &mut self.kind {
-            ServerKind::Engine(engine) => engine.record_sent(now, key, tokens),
+            ServerKind::Engine(engine) => engine.record_sent(now, key, tokens, expires_at),
             ServerKind::Plain(plain) => {
-                plain.in_flight.push(key);
+                plain.in_flight.push(PlainAttempt { key, expires_at });
                 plain.last_sent_at = now;
             }
         }
@@ -218,7 +233,7 @@
         self.updated_at = now;
         match &mut self.kind {
             ServerKind::Engine(engine) => engine.record_end(now, key),
-            ServerKind::Plain(plain) => plain.in_flight.retain(|it| *it != key),
+            ServerKind::Plain(plain) => plain.in_flight.retain(|it| it.key != key),
         }
     }
 
@@ -236,12 +251,14 @@
         }
     }
 
-    /// Drops the attempts of instances for which `is_removed` returns true and, on engines,
-    /// those that are long overdue.
+    /// Drops the attempts of instances for which `is_removed` returns true, those that must have
+    /// ended and, on engines, those that are long overdue.
     pub fn prune(&mut self, now: Timestamp, is_removed: impl Fn(u32) -> bool) {
         match &mut self.kind {
             ServerKind::Engine(engine) => engine.prune(now, is_removed),
-            ServerKind::Plain(plain) => plain.in_flight.retain(|it| !is_removed(it.instance)),
+            ServerKind::Plain(plain) => plain
+                .in_flight
+                .retain(|it| !is_removed(it.key.instance) && !it.expires_at.is_due(now)),
         }
     }
 
--- a/sl-route/src/state/attempt.rs
+++ b/sl-route/src/state/attempt.rs
@@ -39,7 +39,8 @@
         let Some(server) = self.servers.get_mut(&placement.server) else {
             return;
         };
-        server.record_sent(now, key, placement.prefill_tokens);
+        // The end of an own attempt is always known.
+        server.record_sent(now, key, placement.prefill_tokens, Timestamp::NEVER);
         let is_cold = server.is_cold(now);
         server.record_own_send(now);
         let fetch = placement.fetch.map(|it| (it.from, it.duration_ms.round() as u32));
--- a/sl-route/src/state/notes.rs
+++ b/sl-route/src/state/notes.rs
@@ -12,6 +12,10 @@
 /// Notes that may wait to be sent; further notes are dropped.
 const OUTBOX_CAPACITY: usize = 4_096;
 
+/// For this long after its deadline an attempt may run on at an instance that is late, or the note of
+/// its end may be on its way.
+const END_DELAY_MAX: Millis = Millis(1_000);
+
 impl State {
     pub(super) fn queue_note(&mut self, note: Note) {
         // Notes only refine estimates, so dropping one when the outbox is full is safe.
@@ -35,6 +39,13 @@
         }
     }
 
+    /// When an attempt has ended that a peer has just sent. Without an expiry, an attempt would be
+    /// counted on its server for as long as the peer lives if the note of its end is lost.
+    fn peer_attempt_expires_at(&self, now: Timestamp) -> Timestamp {
+        let longest = self.document.longest_timeout();
+        longest.map_or(Timestamp::NEVER, |it| now.after(it).after(END_DELAY_MAX))
+    }
+
     fn apply_note(&mut self, now: Timestamp, from: u32, note: Note) {
         let attempt_key = |attempt| AttemptKey { instance: from, attempt };
         match note {
@@ -42,12 +53,13 @@
                 if let Some(stream) = stream {
                     self.origins.record(stream, server);
                 }
+                let expires_at = self.peer_attempt_expires_at(now);
                 self.record_transfer(now, server, fetch);
                 if let Some((team, tokens)) = charge {
                     self.shares.record_granted(now, team, tokens);
                 }
                 if let Some(server) = self.servers.get_mut(&server) {
-                    server.record_sent(now, attempt_key(attempt), prefill_tokens);
+                    server.record_sent(now, attempt_key(attempt), prefill_tokens, expires_at);
                     if let Some(limit) = &mut server.send_limit {
                         limit.record_send(now);
                     }
--- a/sl-route/tests/it/engine.rs
+++ b/sl-route/tests/it/engine.rs
@@ -28,7 +28,7 @@
 fn sent_requests_delay_later_ones() {
     let mut engine = engine();
     let alone = engine.first_token_ms(START, 3_000);
-    engine.record_sent(START, attempt_key(1), 30_000);
+    engine.record_sent(START, attempt_key(1), 30_000, Timestamp::NEVER);
     let behind = engine.first_token_ms(START, 3_000);
     assert!((behind - alone - 1_000.0).abs() < 50.0, "{alone} {behind}");
     engine.record_end(START, attempt_key(1));
@@ -41,7 +41,7 @@
         let mut engine = engine();
         let mut now = 0;
         for attempt in 0..200 {
-            engine.record_sent(at(now), attempt_key(attempt), 6_000);
+            engine.record_sent(at(now), attempt_key(attempt), 6_000, Timestamp::NEVER);
             now += (6_000.0 / actual) as u64;
             engine.record_first_token(at(now), attempt_key(attempt));
             engine.record_end(at(now), attempt_key(attempt));
@@ -64,7 +64,7 @@
 #[test]
 fn the_backlog_of_a_stalled_engine_grows() {
     let mut engine = engine();
-    engine.record_sent(START, attempt_key(1), 3_000);
+    engine.record_sent(START, attempt_key(1), 3_000, Timestamp::NEVER);
     let backlogs = [100, 500, 1_000, 2_000].map(|it| engine.backlog_ms(at(it)));
     assert!(
         backlogs[3] > backlogs[2] && backlogs[2] > backlogs[1] && backlogs[1] > 300.0,
@@ -75,8 +75,8 @@
 #[test]
 fn a_late_first_token_delays_the_requests_behind_it() {
     let mut engine = engine();
-    engine.record_sent(START, attempt_key(1), 3_000);
-    engine.record_sent(START, attempt_key(2), 3_000);
+    engine.record_sent(START, attempt_key(1), 3_000, Timestamp::NEVER);
+    engine.record_sent(START, attempt_key(2), 3_000, Timestamp::NEVER);
     let expected = engine.backlog_ms(at(100));
     // The first token of the first request was expected after some 130 ms.
     engine.record_first_token(at(600), attempt_key(1));
@@ -87,7 +87,7 @@
 #[test]
 fn overdue_requests_are_dropped() {
     let mut engine = engine();
-    engine.record_sent(START, attempt_key(1), 30_000);
+    engine.record_sent(START, attempt_key(1), 30_000, Timestamp::NEVER);
     engine.prune(at(10_000), |_| false);
     assert_eq!(engine.queued(), 0);
     assert!(engine.backlog_ms(at(10_000)) < 1.0);
@@ -96,8 +96,8 @@
 #[test]
 fn requests_of_a_removed_peer_are_dropped() {
     let mut engine = engine();
-    engine.record_sent(START, AttemptKey { instance: 2, attempt: 1 }, 3_000);
-    engine.record_sent(START, attempt_key(1), 3_000);
+    engine.record_sent(START, AttemptKey { instance: 2, attempt: 1 }, 3_000, Timestamp::NEVER);
+    engine.record_sent(START, attempt_key(1), 3_000, Timestamp::NEVER);
     engine.prune(START, |instance| instance == 2);
     assert_eq!(engine.queued(), 1);
 }
@@ -108,9 +108,9 @@
 #[test]
 fn work_that_is_learned_of_late_does_not_also_count_as_overdue() {
     let mut engine = engine();
-    engine.record_sent(START, attempt_key(1), 1_500);
+    engine.record_sent(START, attempt_key(1), 1_500, Timestamp::NEVER);
     for attempt in 2..12 {
-        engine.record_sent(at(60), attempt_key(attempt), 1_500);
+        engine.record_sent(at(60), attempt_key(attempt), 1_500, Timestamp::NEVER);
     }
     // Eleven prompts of 52 ms; the engine prefills all the time, the own request last.
     for (finished, attempt) in (2..8).enumerate() {
@@ -187,7 +187,12 @@
         if self.rng.random_bool(f64::from(running) / f64::from(OUTPUT_TOKENS)) {
             self.attempts += 1;
             let expected_ms = self.model.decode_ms(self.now, OUTPUT_TOKENS);
-            self.model.record_sent(self.now, attempt_key(self.attempts), prompt_tokens);
+            self.model.record_sent(
+                self.now,
+                attempt_key(self.attempts),
+                prompt_tokens,
+                Timestamp::NEVER,
+            );
             let tokens_left = prompt_tokens;
             self.queue.push_back(Queued { attempt: self.attempts, tokens_left, expected_ms });
         }
--- a/sl-route/tests/it/main.rs
+++ b/sl-route/tests/it/main.rs
@@ -14,6 +14,7 @@
 mod health;
 mod limits;
 mod locality;
+mod lost_ends;
 mod notices;
 mod origins;
 mod part_crashes;
