bench: the simulation of the load model is split by what takes part in it

Change: options.rs, play/callers.rs, play/gossip.rs and play/engines.rs, moved without other changes.

--- a/bench/src/load.rs
+++ b/bench/src/load.rs
@@ -7,6 +7,7 @@
 mod engine;
 mod fairness;
 mod fleet;
+mod options;
 mod play;
 mod policy;
 mod queue;
@@ -14,7 +15,8 @@
 mod tally;
 mod traffic;
 
-pub use play::{Options, simulate};
+pub use options::Options;
+pub use play::simulate;
 pub use policy::Policy;
 pub use tally::{KindTally, Tally};
 pub use traffic::{Kind, Load};
--- a/bench/src/load/fleet.rs
+++ b/bench/src/load/fleet.rs
@@ -11,7 +11,7 @@
 use super::{
     cache::KV_CAPACITY_TOKENS,
     engine::{SLOTS, TOKENS_PER_EVENT},
-    play::Options,
+    options::Options,
     step_engine,
     traffic::Load,
 };
--- /dev/null
+++ b/bench/src/load/play/engines.rs
@@ -0,0 +1,208 @@
+//! Attempts at engines, from their arrival there to the end of their streams, and engines that fail.
+
+use sl_base::{Millis, RequestId, Timestamp};
+use sl_route::{AttemptEnd, Event, Fault, ServerKey};
+
+use super::{NETWORK_DELAY, Simulation};
+use crate::load::{
+    engine::Job,
+    fleet::{self, EVACUATED_DATA_CENTRE, START},
+    queue::SimEvent,
+    step_engine::{self, Stream},
+    tally::Outcome,
+};
+
+/// Further delay between two data centres, one way.
+const DATA_CENTRE_DELAY_MICROS: u64 = 500;
+
+/// Bytes of one event of a stream, as placement assumes them.
+const EVENT_BYTES: u64 = 65;
+
+/// When what would arrive at `at` arrives in another data centre.
+fn across(at: Timestamp) -> Timestamp {
+    Timestamp::from_micros(at.as_micros() + DATA_CENTRE_DELAY_MICROS)
+}
+
+impl Simulation {
+    pub(super) fn send_attempt(&mut self, instance: usize, request: RequestId, server: ServerKey) {
+        let call = &self.calls[request.0 as usize];
+        let job = Job { instance, request: request.0, prompt: call.caller_request.prompt.clone() };
+        let Some(&engine) = self.engine_by_key.get(&server) else {
+            return;
+        };
+        let is_evacuated =
+            self.is_evacuated && self.options.data_centre(engine) == EVACUATED_DATA_CENTRE;
+        self.tally.sent_to_evacuated += u32::from(is_evacuated);
+        let mut arrives_at = self.now.after(NETWORK_DELAY);
+        if self.is_across(instance, engine) {
+            arrives_at = across(arrives_at);
+            let kind = call.caller_request.kind;
+            self.tally.bytes_across += self.options.load.kinds()[kind].body_bytes;
+        }
+        self.schedule_at(arrives_at, SimEvent::AttemptArrives { engine, job });
+    }
+
+    /// Whether an instance and an engine are in different data centres.
+    pub(super) fn is_across(&self, instance: usize, engine: usize) -> bool {
+        self.options.data_centre(instance) != self.options.data_centre(engine)
+    }
+
+    /// When the first event that an engine sends now arrives at the instance of the job. Counts the
+    /// bytes of all events of the response if the two are in different data centres.
+    pub(super) fn first_event_arrives_at(&mut self, engine: usize, job: &Job) -> Timestamp {
+        let arrives_at = self.now.after(NETWORK_DELAY);
+        if !self.is_across(job.instance, engine) {
+            return arrives_at;
+        }
+        let output_tokens = self.calls[job.request as usize].caller_request.output_tokens;
+        let events = output_tokens / fleet::tokens_per_event(self.options.load);
+        self.tally.bytes_across += u64::from(events) * EVENT_BYTES;
+        across(arrives_at)
+    }
+
+    pub(super) fn receive_attempt(&mut self, engine: usize, job: Job) {
+        if self.calls[job.request as usize].is_finished {
+            return;
+        }
+        if self.options.load.has_step_engines() {
+            return self.receive_step_attempt(engine, job);
+        }
+        if self.engines[engine].is_down {
+            return self.fail_attempt(&job, Fault::NotConnected);
+        }
+        if !self.engines[engine].has_slot() {
+            return self.fail_attempt(&job, Fault::Full);
+        }
+        let processed_at = self.engines[engine].enqueue(self.now, job, &self.processed_parts);
+        self.schedule_prompt_end(engine, processed_at);
+    }
+
+    pub(super) fn receive_step_attempt(&mut self, engine: usize, job: Job) {
+        if !self.step_engines[engine].has_slot() {
+            return self.fail_attempt(&job, Fault::Full);
+        }
+        let output_tokens = self.calls[job.request as usize].caller_request.output_tokens;
+        self.step_engines[engine].enqueue(job, output_tokens);
+        self.start_step(engine);
+    }
+
+    pub(super) fn start_step(&mut self, engine: usize) {
+        let ends_at = self.step_engines[engine].start_step(self.now, &self.processed_parts);
+        if let Some(ends_at) = ends_at {
+            self.schedule_at(ends_at, SimEvent::StepEnds { engine });
+        }
+    }
+
+    pub(super) fn finish_step(&mut self, engine: usize) {
+        let result = self.step_engines[engine].finish_step(self.now);
+        for job in result.started {
+            self.processed_parts.0.extend(job.prompt.shared_parts().iter().map(|it| it.key));
+            let arrives_at = self.first_event_arrives_at(engine, &job);
+            let call = &mut self.calls[job.request as usize];
+            let sent_at = START.after(Millis(call.caller_request.sent_at_ms));
+            let after_ms = arrives_at.millis_since(sent_at) as u64;
+            call.first_token_after_ms = Some(after_ms);
+            self.step(job.instance, Event::ResponseStarted { request: RequestId(job.request) });
+        }
+        for stream in result.ended {
+            self.finish_step_stream(&stream);
+        }
+        self.start_step(engine);
+    }
+
+    pub(super) fn finish_step_stream(&mut self, stream: &Stream) {
+        let call = stream.job.request as usize;
+        self.record_pace_error(stream);
+        let interval_ms = stream.token_interval_ms(self.now);
+        let interval_micros =
+            interval_ms.map(|it| (it * f64::from(step_engine::TOKENS_PER_EVENT * 1_000)) as u32);
+        if let Some(after_ms) = self.calls[call].first_token_after_ms {
+            self.finish_call(call, Outcome::FirstToken { after_ms });
+        }
+        self.finish_stream(stream.job.instance, stream.job.request, interval_micros);
+    }
+
+    pub(super) fn record_pace_error(&mut self, stream: &Stream) {
+        let expected_ms = self.calls[stream.job.request as usize].expected_token_interval_ms;
+        if let Some(actual_ms) = stream.token_interval_ms(self.now) {
+            self.tally.pace_errors.push((expected_ms - actual_ms).abs() / actual_ms);
+        }
+    }
+
+    pub(super) fn schedule_prompt_end(&mut self, engine: usize, processed_at: Option<Timestamp>) {
+        if let Some(processed_at) = processed_at {
+            let generation = self.engines[engine].generation;
+            self.schedule_at(processed_at, SimEvent::PromptProcessed { engine, generation });
+        }
+    }
+
+    pub(super) fn fail_attempt(&mut self, job: &Job, fault: Fault) {
+        let end = AttemptEnd::Failed { fault, is_partially_delivered: false };
+        let request = RequestId(job.request);
+        self.step(job.instance, Event::AttemptEnded { request, end });
+    }
+
+    pub(super) fn finish_prompt(&mut self, engine: usize, generation: u64) {
+        if self.engines[engine].generation != generation {
+            return;
+        }
+        let Some((job, stream_duration, event_interval_micros)) =
+            self.engines[engine].finish_prompt()
+        else {
+            return;
+        };
+        self.processed_parts.0.extend(job.prompt.shared_parts().iter().map(|it| it.key));
+        let call = job.request as usize;
+        let arrives_at = self.first_event_arrives_at(engine, &job);
+        if !self.calls[call].is_finished {
+            let sent_at = START.after(Millis(self.calls[call].caller_request.sent_at_ms));
+            let after_ms = arrives_at.millis_since(sent_at) as u64;
+            self.record_begun(call, after_ms);
+            self.finish_call(call, Outcome::FirstToken { after_ms });
+            self.step(job.instance, Event::ResponseStarted { request: RequestId(job.request) });
+        }
+        let Job { instance, request, .. } = job;
+        self.schedule_after(
+            stream_duration,
+            SimEvent::StreamEnds { engine, generation, instance, request, event_interval_micros },
+        );
+        let processed_at = self.engines[engine].process_next(self.now, &self.processed_parts);
+        self.schedule_prompt_end(engine, processed_at);
+    }
+
+    pub(super) fn finish_stream(
+        &mut self,
+        instance: usize,
+        request: u64,
+        event_interval_micros: Option<u32>,
+    ) {
+        let end = AttemptEnd::Completed { status: 200, event_interval_micros };
+        self.step(instance, Event::AttemptEnded { request: RequestId(request), end });
+    }
+
+    pub(super) fn fail_engines(&mut self, every: usize) {
+        for engine in (0..self.options.engines).step_by(every) {
+            for job in self.engines[engine].fail() {
+                self.fail_attempt(&job, Fault::ConnectionLost);
+            }
+            for instance in 0..self.options.instances {
+                self.step(
+                    instance,
+                    Event::ServerRemoved { id: fleet::record(self.options, engine).id },
+                );
+            }
+        }
+    }
+
+    pub(super) fn restore_engines(&mut self, every: usize) {
+        for engine in (0..self.options.engines).step_by(every) {
+            self.engines[engine].is_down = false;
+            for instance in 0..self.options.instances {
+                let mut record = fleet::record(self.options, engine);
+                record.started_at_ms = self.now.as_micros();
+                self.engine_by_key.insert(record.key(), engine);
+                self.step(instance, Event::ServerListed(record));
+            }
+        }
+    }
+}
