--- a/sl-base/src/lib.rs
+++ b/sl-base/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod code;
 pub mod hash;
 pub mod id;
+pub mod map;
 pub mod status;
 pub mod time;
 
@@ -12,4 +13,5 @@
     AttemptId, DocumentVersion, Incarnation, InstanceId, RequestId, ServerId, ServiceId, StreamId,
     TeamId,
 };
+pub use map::{IdMap, IdSet};
 pub use time::{Millis, Timestamp};
--- a/sl-edge/src/membership.rs
+++ b/sl-edge/src/membership.rs
@@ -1,9 +1,9 @@
 //! This instance's entry in the store, kept under a lease, and the table of its peers.
 
-use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc};
+use std::{cell::RefCell, net::SocketAddr, rc::Rc};
 
 use serde::{Deserialize, Serialize};
-use sl_base::{Incarnation, InstanceId, Millis, Timestamp};
+use sl_base::{IdMap, Incarnation, InstanceId, Millis, Timestamp};
 use sl_http::Conn;
 use slog::{debug, info};
 use tokio::time::sleep;
@@ -36,7 +36,7 @@
 ///
 /// The table has an entry for this instance too, once the store lists it.
 #[derive(Default)]
-pub(crate) struct PeerTable(RefCell<HashMap<InstanceId, PeerEntry>>);
+pub(crate) struct PeerTable(RefCell<IdMap<InstanceId, PeerEntry>>);
 
 #[derive(Clone, Copy)]
 struct PeerEntry {
--- a/sl-edge/src/peers.rs
+++ b/sl-edge/src/peers.rs
@@ -18,6 +18,7 @@
 };
 
 use platform::Addresses;
+use prometheus_client::metrics::counter::Counter;
 use sl_base::{Incarnation, InstanceId, Millis, Timestamp};
 use sl_route::{Event, Notes, note::Note};
 use slog::debug;
@@ -34,7 +35,7 @@
 use crate::{
     core::Core,
     membership::{PeerInfo, PeerTable},
-    metrics::name_label,
+    metrics::{Metrics, name_label},
     roles::{RelayCandidate, RelayRoles},
     store::StoreClient,
 };
@@ -74,6 +75,7 @@
     pub(crate) data_centre: u32,
     pub(crate) key: DatagramKey,
     pub(crate) socket: UdpSocket,
+    pub(crate) counters: DatagramCounters,
     /// The last peer whose message named a newer configuration or store revision than this
     /// instance has; taken by [`crate::catch_up`].
     pub(crate) newer_peer: Cell<Option<InstanceId>>,
@@ -84,6 +86,15 @@
     pub(crate) direct_heartbeats_sent: Cell<usize>,
 }
 
+/// The numbers of datagrams by result. They are looked up once, because a label is allocated to look one
+/// up.
+pub(crate) struct DatagramCounters {
+    sent: Counter,
+    not_sent: Counter,
+    received: Counter,
+    not_understood: Counter,
+}
+
 /// Messages that this instance forwards as a relay, and the state for sending and receiving
 /// each message once.
 #[derive(Default)]
@@ -217,8 +228,9 @@
         for datagram in self.key.encode(hop, messages) {
             for addresses in to {
                 let sent = self.socket.send_to(&datagram, addresses.notes).await;
-                let kind = if sent.is_ok() { "sent" } else { "not sent" };
-                self.core.metrics.peer_messages.get_or_create(&name_label(kind)).inc();
+                let counters = &self.counters;
+                let counter = if sent.is_ok() { &counters.sent } else { &counters.not_sent };
+                counter.inc();
                 if let Err(e) = sent {
                     // Not resent: a lost note only makes an estimate less accurate, and the
                     // next heartbeat follows in any case.
@@ -277,12 +289,12 @@
 
     fn handle_datagram(&self, bytes: &[u8], from: SocketAddr) {
         let Some(datagram) = self.key.decode(bytes) else {
-            self.core.metrics.peer_messages.get_or_create(&name_label("not understood")).inc();
+            self.counters.not_understood.inc();
             debug!(self.core.log, "datagram rejected: not authentic or malformed";
                 "from" => %from);
             return;
         };
-        self.core.metrics.peer_messages.get_or_create(&name_label("received")).inc();
+        self.counters.received.inc();
         let now = self.core.now();
         for message in datagram.messages {
             let arrival = self.relay_queue.arrival(&message);
@@ -339,6 +351,18 @@
     }
 }
 
+impl DatagramCounters {
+    pub(crate) fn new(metrics: &Metrics) -> DatagramCounters {
+        let counter = |name| metrics.peer_messages.get_or_create(&name_label(name)).clone();
+        DatagramCounters {
+            sent: counter("sent"),
+            not_sent: counter("not sent"),
+            received: counter("received"),
+            not_understood: counter("not understood"),
+        }
+    }
+}
+
 impl RelayQueue {
     fn is_empty(&self) -> bool {
         self.from_instances.borrow().is_empty()
--- a/sl-edge/src/peers/arrivals.rs
+++ b/sl-edge/src/peers/arrivals.rs
@@ -1,14 +1,12 @@
 //! Which messages of each peer have arrived. Datagrams may overtake one another, and several relays
 //! may forward the same message, so a receiver has to tell a late message from a copy.
 
-use std::collections::HashMap;
-
-use sl_base::{Incarnation, InstanceId};
+use sl_base::{IdMap, Incarnation, InstanceId};
 
 /// The messages received from all peers.
 #[derive(Debug, Default)]
 pub struct MessageArrivals {
-    peers: HashMap<InstanceId, Received>,
+    peers: IdMap<InstanceId, Received>,
 }
 
 /// How a message relates to those received before from the same instance.
--- a/sl-route/src/cache.rs
+++ b/sl-route/src/cache.rs
@@ -1,17 +1,24 @@
 //! Estimated contents of an engine's KV cache.
 
-use std::collections::{BTreeSet, HashMap, HashSet};
+use std::collections::VecDeque;
 
-use sl_base::Timestamp;
+use sl_base::{IdMap, IdSet, Timestamp};
 
 use crate::{Prompt, PromptPart};
 
 /// The prompt parts in an engine's KV cache, estimated from the requests sent to it, with LRU
 /// eviction.
+///
+/// Every instance records every use of a part by the whole fleet, so recording one has to be cheap: it
+/// writes the time to the part and leaves the part's place in the order of eviction as it is. Each
+/// place is thus that of the last use or of an earlier one. Once evictions are expected, the first
+/// place is always that of the last use.
 #[derive(Clone, Debug, Default)]
 pub struct Cache {
-    parts: HashMap<u64, CachedPart>,
-    by_last_use: BTreeSet<(Timestamp, u64)>,
+    parts: IdMap<u64, CachedPart>,
+    /// For each part the time of a use, the last one or an earlier one, sorted. New places are nearly
+    /// always the last ones, so a queue is written to in fewer places of memory than a tree.
+    eviction_order: VecDeque<(Timestamp, u64)>,
     tokens: u64,
     capacity_tokens: u64,
 }
@@ -43,33 +50,36 @@
     /// recently used parts beyond the capacity.
     pub fn record_use(&mut self, now: Timestamp, parts: &[PromptPart]) {
         for part in parts {
-            self.insert_part(now, *part);
+            self.use_part(now, *part);
+        }
+        if self.expects_eviction() {
+            self.update_first_place();
         }
         while self.tokens > self.capacity_tokens
-            && let Some((_, key)) = self.by_last_use.pop_first()
+            && let Some((_, key)) = self.eviction_order.pop_front()
         {
-            self.remove_part(key);
+            let evicted = self.parts.remove(&key).map_or(0, |it| it.tokens);
+            self.tokens -= u64::from(evicted);
+            self.update_first_place();
         }
     }
 
     /// Replaces the contents by the parts that the engine listed.
     pub fn replace_with(&mut self, now: Timestamp, parts: &[PromptPart]) {
-        let listed: HashSet<u64> = parts.iter().map(|it| it.key).collect();
-        let stale: Vec<u64> =
-            self.parts.keys().filter(|it| !listed.contains(it)).copied().collect();
-        for key in stale {
-            self.remove_part(key);
-        }
+        let listed: IdSet<u64> = parts.iter().map(|it| it.key).collect();
+        self.parts.retain(|key, _| listed.contains(key));
+        self.eviction_order.retain(|(_, key)| listed.contains(key));
+        self.tokens = self.parts.values().map(|it| u64::from(it.tokens)).sum();
         self.record_use(now, parts);
     }
 
     /// Milliseconds since the last use of the part to be evicted next; none while the cache
     /// has room.
     pub fn eviction_age_ms(&self, now: Timestamp) -> Option<f64> {
-        if self.tokens < self.capacity_tokens * EVICTION_THRESHOLD_PERCENT / PERCENT_PER_UNIT {
+        if !self.expects_eviction() {
             return None;
         }
-        let (last_used, _) = self.by_last_use.first()?;
+        let (last_used, _) = self.eviction_order.front()?;
         Some(now.millis_since(*last_used))
     }
 
@@ -85,22 +95,51 @@
 
     /// The cached parts, the least recently used first.
     pub fn parts(&self) -> impl DoubleEndedIterator<Item = PromptPart> {
-        self.by_last_use.iter().filter_map(|&(_, key)| {
-            self.parts.get(&key).map(|it| PromptPart { key, tokens: it.tokens })
-        })
+        let mut parts: Vec<(Timestamp, PromptPart)> = self
+            .parts
+            .iter()
+            .map(|(&key, it)| (it.last_used, PromptPart { key, tokens: it.tokens }))
+            .collect();
+        parts.sort_unstable_by_key(|(last_used, part)| (*last_used, part.key));
+        parts.into_iter().map(|(_, part)| part)
     }
 
-    fn insert_part(&mut self, now: Timestamp, part: PromptPart) {
-        self.remove_part(part.key);
-        self.parts.insert(part.key, CachedPart { last_used: now, tokens: part.tokens });
-        self.by_last_use.insert((now, part.key));
+    fn expects_eviction(&self) -> bool {
+        self.tokens >= self.capacity_tokens * EVICTION_THRESHOLD_PERCENT / PERCENT_PER_UNIT
+    }
+
+    fn use_part(&mut self, now: Timestamp, part: PromptPart) {
+        if let Some(cached) = self.parts.get_mut(&part.key) {
+            self.tokens = self.tokens - u64::from(cached.tokens) + u64::from(part.tokens);
+            cached.tokens = part.tokens;
+            cached.last_used = now;
+            return;
+        }
+        let cached = CachedPart { last_used: now, tokens: part.tokens };
+        self.parts.insert(part.key, cached);
+        self.insert_place((now, part.key));
         self.tokens += u64::from(part.tokens);
     }
 
-    fn remove_part(&mut self, key: u64) {
-        if let Some(cached) = self.parts.remove(&key) {
-            self.by_last_use.remove(&(cached.last_used, key));
-            self.tokens -= u64::from(cached.tokens);
+    /// Moves parts that were used since they got their places, until the first part of the order is
+    /// the one that was used least recently.
+    fn update_first_place(&mut self) {
+        while let Some(&(place, key)) = self.eviction_order.front()
+            && let Some(cached) = self.parts.get_mut(&key)
+            && cached.last_used != place
+        {
+            let place = (cached.last_used, key);
+            self.eviction_order.pop_front();
+            self.insert_place(place);
+        }
+    }
+
+    fn insert_place(&mut self, place: (Timestamp, u64)) {
+        if self.eviction_order.back().is_none_or(|last| *last < place) {
+            self.eviction_order.push_back(place);
+            return;
         }
+        let index = self.eviction_order.partition_point(|it| *it < place);
+        self.eviction_order.insert(index, place);
     }
 }
--- a/sl-route/src/crash_detector.rs
+++ b/sl-route/src/crash_detector.rs
@@ -5,10 +5,10 @@
 //! run are therefore kept until the run shows a sign of life, or until it has shown none for
 //! [`CONFIRMATION_DELAY`].
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::BTreeSet;
 
 use serde::{Deserialize, Serialize};
-use sl_base::{Millis, Timestamp};
+use sl_base::{IdMap, Millis, Timestamp};
 
 use crate::{Fault, ServerKey, crash_causes::Cause, note::AttemptKey};
 
@@ -103,9 +103,9 @@
 /// The losses of each run that are not explained yet.
 #[derive(Clone, Debug, Default)]
 pub struct CrashDetector {
-    pending: HashMap<ServerKey, PendingCrash>,
+    pending: IdMap<ServerKey, PendingCrash>,
     /// Until when further losses of a crashed run are ignored.
-    crashed: HashMap<ServerKey, Timestamp>,
+    crashed: IdMap<ServerKey, Timestamp>,
 }
 
 #[derive(Clone, Debug)]
--- a/sl-route/src/demand.rs
+++ b/sl-route/src/demand.rs
@@ -1,8 +1,6 @@
 //! The demand of callers at this instance, relative to that at all instances.
 
-use std::collections::HashMap;
-
-use sl_base::{Millis, TeamId, Timestamp};
+use sl_base::{IdMap, Millis, TeamId, Timestamp};
 
 /// Counts of the model requests of each team that decay with time.
 ///
@@ -10,7 +8,7 @@
 /// without visiting the other teams.
 #[derive(Clone, Debug)]
 pub struct Demand {
-    teams: HashMap<TeamId, TeamDemand>,
+    teams: IdMap<TeamId, TeamDemand>,
     /// When the weight of a request was 1.
     weight_from: Timestamp,
 }
@@ -40,7 +38,7 @@
 impl Demand {
     /// No demand so far.
     pub fn new(now: Timestamp) -> Demand {
-        Demand { teams: HashMap::new(), weight_from: now }
+        Demand { teams: IdMap::default(), weight_from: now }
     }
 
     /// Counts a request that arrived at this instance.
--- a/sl-route/src/draining.rs
+++ b/sl-route/src/draining.rs
@@ -6,15 +6,13 @@
 //! as ready again. A run never takes back that it shuts down: the same server comes back as
 //! another run, with another key.
 
-use std::collections::HashMap;
-
-use sl_base::{Millis, Timestamp};
+use sl_base::{IdMap, Millis, Timestamp};
 
 use crate::ServerKey;
 
 /// The runs of servers that shut down, until they are forgotten.
 #[derive(Clone, Debug, Default)]
-pub struct DrainingRuns(HashMap<ServerKey, Timestamp>);
+pub struct DrainingRuns(IdMap<ServerKey, Timestamp>);
 
 /// A run is forgotten after this time. Servers end long before.
 const RETENTION: Millis = Millis(600_000);
--- a/sl-route/src/engine.rs
+++ b/sl-route/src/engine.rs
@@ -27,6 +27,8 @@
     prefill_done_at: Timestamp,
     /// Requests without a first token, in the order of sending.
     queue: VecDeque<QueuedRequest>,
+    /// Sum of the tokens of the queued requests.
+    queued_tokens: u64,
     /// Sum of all shifts of expected times since the start, in microseconds.
     shift_micros: i64,
     last_first_token_at: Timestamp,
@@ -171,6 +173,7 @@
             speed: SpeedEstimate::from_prior(prior),
             prefill_done_at: now,
             queue: VecDeque::new(),
+            queued_tokens: 0,
             shift_micros: 0,
             last_first_token_at: now,
             running: Vec::new(),
@@ -307,6 +310,7 @@
         );
         let expected_at = self.prefill_done_at.after(FIRST_TOKEN_OVERHEAD);
         let shift_micros = self.shift_micros;
+        self.queued_tokens += u64::from(tokens);
         self.queue.push_back(QueuedRequest {
             key,
             tokens,
@@ -318,16 +322,12 @@
 
     /// Records the first token of a request.
     pub fn record_first_token(&mut self, now: Timestamp, key: AttemptKey) {
-        let Some(index) = self.queue.iter().position(|it| it.key == key) else {
-            return;
-        };
-        let Some(request) = self.queue.remove(index) else {
+        let Some((index, request)) = self.take_queued(key) else {
             return;
         };
         self.push_back_overtaken(index, request.tokens);
         // Prompts are prefilled in order, so only the requests still queued remain.
-        let remaining_micros: f64 =
-            self.queue.iter().map(|it| self.prefill_ms(it.tokens) * MICROS_PER_MILLI).sum();
+        let remaining_micros = self.queued_prefill_ms() * MICROS_PER_MILLI;
         let prefill_done_at = offset_by_micros(now, remaining_micros);
         let late_micros =
             prefill_done_at.as_micros() as f64 - self.prefill_done_at.max(now).as_micros() as f64;
@@ -350,9 +350,7 @@
             self.running.swap_remove(index);
             return;
         }
-        if let Some(index) = self.queue.iter().position(|it| it.key == key)
-            && let Some(request) = self.queue.remove(index)
-        {
+        if let Some((_, request)) = self.take_queued(key) {
             self.remove_work(now, request.tokens);
         }
     }
@@ -371,11 +369,26 @@
             dropped_tokens += if keep { 0 } else { it.tokens };
             keep
         });
+        self.queued_tokens = self.queue.iter().map(|it| u64::from(it.tokens)).sum();
         if dropped_tokens > 0 {
             self.remove_work(now, dropped_tokens);
         }
     }
 
+    /// Takes a request out of the queue, with the number of those that were sent before it.
+    fn take_queued(&mut self, key: AttemptKey) -> Option<(usize, QueuedRequest)> {
+        let index = self.queue.iter().position(|it| it.key == key)?;
+        let request = self.queue.remove(index)?;
+        self.queued_tokens -= u64::from(request.tokens);
+        Some((index, request))
+    }
+
+    /// Milliseconds to prefill all queued requests.
+    fn queued_prefill_ms(&self) -> f64 {
+        let overhead_ms = self.queue.len() as f64 * REQUEST_OVERHEAD_MS;
+        self.queued_tokens as f64 / self.tokens_per_ms() + overhead_ms
+    }
+
     /// Pushes the expected times of the first `overtaken` requests back by the prefill of a
     /// request that started before them. It reached the engine first, and this instance
     /// learned of it later; its prefill must not count as overdue time of theirs.
--- a/sl-route/src/server.rs
+++ b/sl-route/src/server.rs
@@ -127,6 +127,12 @@
         self.last_sent_at
     }
 
+    fn remove(&mut self, key: AttemptKey) {
+        if let Some(index) = self.in_flight.iter().position(|it| *it == key) {
+            self.in_flight.swap_remove(index);
+        }
+    }
+
     /// Records the time to a response, in milliseconds.
     pub fn record_response_time(&mut self, millis: f64) {
         self.response_ms += (millis - self.response_ms) * RESPONSE_WEIGHT;
@@ -218,7 +224,7 @@
         self.updated_at = now;
         match &mut self.kind {
             ServerKind::Engine(engine) => engine.record_end(now, key),
-            ServerKind::Plain(plain) => plain.in_flight.retain(|it| *it != key),
+            ServerKind::Plain(plain) => plain.remove(key),
         }
     }
 
--- a/sl-route/src/share.rs
+++ b/sl-route/src/share.rs
@@ -1,8 +1,6 @@
 //! Teams' fair shares of the engines' token capacity, over a sliding window.
 
-use std::collections::HashMap;
-
-use sl_base::{Millis, TeamId, Timestamp};
+use sl_base::{IdMap, Millis, TeamId, Timestamp};
 
 /// Tokens requested by and granted to each team across all instances.
 #[derive(Clone, Debug)]
@@ -10,7 +8,7 @@
     window: Millis,
     slice_end: Timestamp,
     slice: usize,
-    teams: HashMap<TeamId, TeamUsage>,
+    teams: IdMap<TeamId, TeamUsage>,
     fair_share: f64,
     shortfall: f64,
     fair_share_refresh_at: Timestamp,
@@ -73,7 +71,7 @@
             window: window.min(WINDOW_MAX),
             slice_end: now,
             slice: 0,
-            teams: HashMap::new(),
+            teams: IdMap::default(),
             fair_share: f64::INFINITY,
             shortfall: 0.0,
             fair_share_refresh_at: now,
--- a/sl-route/src/state.rs
+++ b/sl-route/src/state.rs
@@ -15,11 +15,11 @@
 mod streams;
 mod warmup;
 
-use std::{collections::HashMap, sync::Arc};
+use std::sync::Arc;
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use sl_base::{Millis, RequestId, ServiceId, TeamId, Timestamp};
+use sl_base::{IdMap, Millis, RequestId, ServiceId, TeamId, Timestamp};
 
 use crate::{
     Decision, Directory, Document, Effect, Event, Notes, Regions, ServerKey,
@@ -67,14 +67,14 @@
     document: Arc<Document>,
     /// Servers as listed by the platform.
     directory: Directory,
-    servers: HashMap<ServerKey, Server>,
+    servers: IdMap<ServerKey, Server>,
     draining_runs: DrainingRuns,
     /// Data centres to whose servers nothing is sent.
     evacuations: Evacuations,
     /// Servers by service, sorted; rebuilt from `servers` when out of date.
-    pools: HashMap<ServiceId, Vec<ServerKey>>,
+    pools: IdMap<ServiceId, Vec<ServerKey>>,
     /// Requests in flight.
-    requests: HashMap<RequestId, InFlightRequest>,
+    requests: IdMap<RequestId, InFlightRequest>,
     budget: Budget,
     crash_detector: CrashDetector,
     crash_causes: CrashCauses,
@@ -87,11 +87,11 @@
     /// Fraction of each server's connections that this instance may open.
     connection_share: f64,
     /// When the last message of each peer was received.
-    peers: HashMap<u32, Timestamp>,
+    peers: IdMap<u32, Timestamp>,
     started_at: Timestamp,
     demand: Demand,
     /// For each service, how many requests the servers of the own data centre could not take.
-    shortages: HashMap<ServiceId, Shortage>,
+    shortages: IdMap<ServiceId, Shortage>,
     /// Where streams began.
     origins: StreamOrigins,
     /// The number of instances in the fleet, including this one.
@@ -135,11 +135,11 @@
         State {
             document: Arc::default(),
             directory: Directory::default(),
-            servers: HashMap::new(),
+            servers: IdMap::default(),
             draining_runs: DrainingRuns::default(),
             evacuations: Evacuations::default(),
-            pools: HashMap::new(),
-            requests: HashMap::new(),
+            pools: IdMap::default(),
+            requests: IdMap::default(),
             budget: Budget::new(options.limits.budget),
             crash_detector: CrashDetector::default(),
             crash_causes: CrashCauses::default(),
@@ -148,10 +148,10 @@
             local_requests: Shares::new(now, options.share_window),
             activity: Activity::new(now),
             connection_share: 1.0,
-            peers: HashMap::new(),
+            peers: IdMap::default(),
             started_at: now,
             demand: Demand::new(now),
-            shortages: HashMap::new(),
+            shortages: IdMap::default(),
             origins: StreamOrigins::new(now),
             instances: INSTANCES_DEFAULT,
             listed_instances: Vec::new(),
--- a/sl-route/src/stream_origin.rs
+++ b/sl-route/src/stream_origin.rs
@@ -8,7 +8,7 @@
 };
 
 use serde::{Deserialize, Serialize};
-use sl_base::{Millis, ServiceId, StreamId, Timestamp};
+use sl_base::{IdMap, Millis, ServiceId, StreamId, Timestamp};
 
 use crate::{
     ServerKey, ServerRecord,
@@ -80,7 +80,7 @@
 }
 
 /// Any [`UNSAVED_MAX`] of the streams of a period, in any order.
-fn bounded(streams: &HashMap<StreamId, ServerKey>) -> Vec<(StreamId, ServerKey)> {
+fn bounded(streams: &IdMap<StreamId, ServerKey>) -> Vec<(StreamId, ServerKey)> {
     streams.iter().map(|(&stream, &run)| (stream, run)).take(UNSAVED_MAX).collect()
 }
 
@@ -101,13 +101,13 @@
 #[derive(Debug)]
 pub struct StreamOrigins {
     /// The streams recorded since the last rotation.
-    recent: HashMap<StreamId, ServerKey>,
+    recent: IdMap<StreamId, ServerKey>,
     /// The streams recorded in the period before.
-    older: HashMap<StreamId, ServerKey>,
+    older: IdMap<StreamId, ServerKey>,
     rotate_at: Timestamp,
-    runs: HashMap<ServerKey, KnownRun>,
+    runs: IdMap<ServerKey, KnownRun>,
     /// The number of these runs by service and software version.
-    versions: HashMap<ServiceId, HashMap<Option<Arc<str>>, usize>>,
+    versions: IdMap<ServiceId, HashMap<Option<Arc<str>>, usize>>,
     /// The software versions of servers that this instance may not have seen.
     pub(crate) known_versions: KnownVersions,
     /// Streams that are not saved in the store, a backlog first; `None` while this instance saves none.
@@ -147,11 +147,11 @@
     /// Remembers nothing yet.
     pub fn new(now: Timestamp) -> StreamOrigins {
         StreamOrigins {
-            recent: HashMap::new(),
-            older: HashMap::new(),
+            recent: IdMap::default(),
+            older: IdMap::default(),
             rotate_at: now.after(ROTATION_PERIOD),
-            runs: HashMap::new(),
-            versions: HashMap::new(),
+            runs: IdMap::default(),
+            versions: IdMap::default(),
             known_versions: KnownVersions::new(now),
             unsaved: None,
             has_backlog: false,
@@ -200,7 +200,7 @@
     /// The batch of these streams. A stream whose run is unknown is left out.
     pub fn batch(&self, streams: &[(StreamId, ServerKey)]) -> OriginBatch {
         let mut batch = OriginBatch::default();
-        let mut indexes: HashMap<ServerKey, u32> = HashMap::new();
+        let mut indexes: IdMap<ServerKey, u32> = IdMap::default();
         for &(stream, run) in streams {
             let Some(origin) = self.of_run(run) else {
                 continue;
@@ -220,7 +220,7 @@
             let run_of = |index: u32| batch.runs.get(index as usize);
             batch.streams.iter().filter_map(move |&(stream, index)| Some((stream, run_of(index)?)))
         });
-        let last: HashMap<StreamId, &StreamOrigin> = entries.collect();
+        let last: IdMap<StreamId, &StreamOrigin> = entries.collect();
         for (stream, origin) in last {
             match self.run_of(stream) {
                 None => self.record_origin(now, stream, origin.clone()),
