--- a/bench/src/load/processor.rs
+++ b/bench/src/load/processor.rs
@@ -4,7 +4,7 @@
 
 use std::collections::VecDeque;
 
-use sl_base::{Millis, Timestamp};
+use sl_base::Timestamp;
 use sl_edge::overload::LoadShedder;
 use sl_route::{Event, Notes};
 
