bench: sl-cost measures what a request costs one instance

Change: `sl-cost` starts one instance with stand-ins (320 engines by default), sends one kind of request after the other at a fixed rate, most on kept connections and one in five on a new one, and prints processor time (/proc/PID/task/*/schedstat) and waits for each request, less what the idle instance takes.

--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -1,6 +1,7 @@
 //! A fleet of real instances on loopback with stand-ins for the systems around them, a soak
 //! test with injected faults, and a load model.
 
+pub mod cost;
 pub mod fleet;
 pub mod instance;
 pub mod load;
