sl-edge: a log line is written to the buffer as a whole

Cause: the JSON formatter writes each quote, key and value by itself, and each of these writes took the lock of the log buffer and looked for the start and the end of a line.

Change: a `LineWriter` collects the line before.

--- a/sl-edge/src/lib.rs
+++ b/sl-edge/src/lib.rs
@@ -46,6 +46,7 @@
 mod wire;
 
 pub use events::{EVENT_BYTES_MAX, EventKind, EventSplitter, RawEvent};
+pub use log::json_drain;
 pub use peers::{arrivals, datagram, heartbeat};
 pub use run::{Error, run};
 pub use signals::{StopSignal, signals};
--- a/sl-edge/src/log.rs
+++ b/sl-edge/src/log.rs
@@ -2,7 +2,7 @@
 //! lines is limited and logging does not block (see [`crate::log_buffer`]).
 
 use std::{
-    io,
+    io::{self, LineWriter, Write},
     sync::{Arc, Mutex},
 };
 
@@ -27,7 +27,7 @@
     let level = min_level(log.level);
     let logger = match log.format {
         LogFormat::Json => {
-            let drain = Mutex::new(slog_json::Json::default(buffer)).fuse();
+            let drain = Mutex::new(json_drain(buffer)).fuse();
             Logger::root(LevelFilter::new(drain, level).fuse(), context)
         }
         LogFormat::Terminal => {
@@ -39,6 +39,12 @@
     (logger, writer)
 }
 
+/// A drain that formats lines as JSON and writes each to `out` as a whole. The formatter itself writes
+/// each quote, key and value of a line by itself.
+pub fn json_drain<W: Write>(out: W) -> slog_json::Json<LineWriter<W>> {
+    slog_json::Json::default(LineWriter::new(out))
+}
+
 fn min_level(level: LogLevel) -> Level {
     match level {
         LogLevel::Error => Level::Error,
--- a/sl-edge/tests/it/log_buffer.rs
+++ b/sl-edge/tests/it/log_buffer.rs
@@ -7,7 +7,11 @@
 };
 
 use rstest::rstest;
-use sl_edge::log_buffer::{LINES_PER_SECOND_MAX, LogBuffer, PENDING_BYTES_MAX};
+use sl_edge::{
+    json_drain,
+    log_buffer::{LINES_PER_SECOND_MAX, LogBuffer, PENDING_BYTES_MAX},
+};
+use slog::{Drain, Logger, info, o};
 
 /// An output that blocks while `blocked` is locked.
 #[derive(Clone, Default)]
@@ -60,3 +64,31 @@
     assert!(whole.len() <= written_max, "{}", whole.len());
     assert_eq!(whole.len() + dropped, lines);
 }
+
+/// An output that records each write.
+#[derive(Clone, Default)]
+struct Writes(Arc<Mutex<Vec<String>>>);
+
+impl Write for Writes {
+    fn write(&mut self, part: &[u8]) -> io::Result<usize> {
+        self.0.lock().unwrap().push(String::from_utf8(part.to_vec()).unwrap());
+        Ok(part.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Guards against a lock of the buffer for each quote, key and value of a line.
+#[test]
+fn each_line_is_written_as_a_whole() {
+    let writes = Writes::default();
+    let drain = Mutex::new(json_drain(writes.clone())).fuse();
+    let log = Logger::root(drain, o!("instance" => "i"));
+    info!(log, "request ended"; "id" => "a-1", "outcome" => "answered", "took_ms" => 12);
+    info!(log, "request ended"; "id" => "a-2\n", "outcome" => "refused", "took_ms" => 1);
+    let written = writes.0.lock().unwrap().clone();
+    assert_eq!(written.len(), 2, "{written:?}");
+    assert!(written.iter().all(|it| it.starts_with('{') && it.ends_with("}\n")), "{written:?}");
+}
