Placement: the region of a server is looked up only where regions are limited

A decision looks at every server of a service, and looked up the region of each in a tree by the name of its data centre, also where neither route nor team names a region. No change of behaviour; not measured by itself.

--- a/sl-route/src/region.rs
+++ b/sl-route/src/region.rs
@@ -50,6 +50,10 @@
 impl RegionLimits<'_> {
     /// Whether the request may go to servers of the data centre.
     pub fn allows(&self, data_centre: &str) -> bool {
+        // The usual case, for each server of each request: no look-up is needed.
+        if self.route.0.is_empty() && self.team.is_none_or(|it| it.0.is_empty()) {
+            return true;
+        }
         let region = self.regions.by_data_centre.get(data_centre).map(String::as_str);
         self.route.allows(region) && self.team.is_none_or(|it| it.allows(region))
     }
