--- a/sl-edge/src/metrics.rs
+++ b/sl-edge/src/metrics.rs
@@ -345,6 +345,8 @@
             "Connections opened by callers",
             self.caller_connections.clone(),
         );
+        it.register("connections", "New connections to servers", self.server_connections.clone());
+        it.register("peer_messages", "Messages between instances", self.peer_messages.clone());
         it.register("request_heads", "Request heads read", self.request_heads.clone());
         it.register(
             "note_seconds",
@@ -427,9 +429,7 @@
             self.stream_origins_read.clone(),
         );
         it.register("store_calls", "Calls by kind and answer", self.store_calls.clone());
-        it.register("connections", "New connections to servers", self.server_connections.clone());
         it.register("lines_left_out", "Log lines left out", self.log_lines_dropped.clone());
-        it.register("peer_messages", "Messages between instances", self.peer_messages.clone());
     }
 }
 
