Team activity: the outcomes of a team's requests add up to what it asked for

A team that got too little could not be told from one whose requests ended before a decision: requests refused for a shutdown, with a body that was not received, with an unknown origin, or like those that crashed servers were in no count, and neither was whether a lost attempt was the last one. Change: five outcomes, given_up, barred, stopping, unread and unlocated; granted less lost, and all others, are what was requested. A request with an unread body has a log line and a metric of its end. Requests whose head was not read have no team: `connections` and `heads` in `instance load` count them all. Not covered: heads that end before the team is known (malformed, unknown route, key or configuration), for which heads count and no team does.

--- a/sl-edge/src/caller.rs
+++ b/sl-edge/src/caller.rs
@@ -174,7 +174,7 @@
         body = read_body(document, conn, framing, &request.head) => body,
         () = shutdown.termination_started() => return Err(request.reject_for_shutdown(ingress)),
     };
-    let body = body.map_err(LocalResponse::of)?;
+    let body = body.map_err(|code| request.reject_unread(ingress, code))?;
     let request = request.locate_stream(ingress).await?;
     if !request.is_accepted(ingress) {
         return Err(request.reject_for_shutdown(ingress));
--- a/sl-edge/src/caller/request.rs
+++ b/sl-edge/src/caller/request.rs
@@ -7,8 +7,8 @@
 use sl_http::{Conn, RequestHead};
 use sl_report::Sample;
 use sl_route::{
-    Arrival, Document, Event, Prompt, RetryPolicy, Route, Team, shutdown::Candidate,
-    stream_origin::StreamRequest,
+    Arrival, Document, Event, Prompt, RetryPolicy, Route, Team, activity::TokenOutcome,
+    shutdown::Candidate, stream_origin::StreamRequest,
 };
 use slog::warn;
 
@@ -95,16 +95,37 @@
     pub(super) fn reject_for_shutdown(&self, ingress: &Ingress) -> LocalResponse {
         let code = Code::Draining;
         ingress.core.shutdown.record_refused();
+        self.record_early_end(ingress, TokenOutcome::Stopping);
         self.record_end(ingress, None, code.into(), code.status());
         LocalResponse { code, retry_after: Some(RETRY_ELSEWHERE_AFTER) }
     }
 
+    /// The response to a request whose body was not received, for the reason that `code` names.
+    pub(super) fn reject_unread(&self, ingress: &Ingress, code: Code) -> LocalResponse {
+        self.record_early_end(ingress, TokenOutcome::Unread);
+        self.record_end(ingress, None, code.into(), code.status());
+        LocalResponse::of(code)
+    }
+
+    /// Counts the tokens of a request that ends before it can be sent to a server.
+    fn record_early_end(&self, ingress: &Ingress, outcome: TokenOutcome) {
+        if let Some(team) = &self.team {
+            let (team, tokens) = (team.clone(), self.tokens());
+            ingress.core.step(Event::RequestEndedEarly { team, tokens, outcome });
+        }
+    }
+
+    /// The tokens that the request counts against its team's share.
+    fn tokens(&self) -> u32 {
+        self.metadata.prompt.as_ref().map_or(0, Prompt::charge)
+    }
+
     /// The response to a request that is shed because this instance is overloaded.
     pub(super) fn reject_for_overload(&self, ingress: &Ingress) -> LocalResponse {
         let code = Code::InstanceFull;
         if let Some(team) = &self.team {
-            let tokens = self.metadata.prompt.as_ref().map_or(0, Prompt::charge);
-            ingress.core.step(Event::RequestShed { team: team.clone(), tokens });
+            let (team, tokens) = (team.clone(), self.tokens());
+            ingress.core.step(Event::RequestShed { team, tokens });
         }
         self.record_end(ingress, None, code.into(), code.status());
         LocalResponse { code, retry_after: Some(ingress.core.rejection_retry_delay()) }
@@ -159,6 +180,7 @@
         };
         if !ingress.stream_locator.locate(&self.route, stream).await {
             let code = Code::OriginUnknown;
+            self.record_early_end(ingress, TokenOutcome::Unlocated);
             self.record_end(ingress, None, code.into(), code.status());
             return Err(LocalResponse { code, retry_after: Some(RETRY_ELSEWHERE_AFTER) });
         }
--- a/sl-edge/src/log.rs
+++ b/sl-edge/src/log.rs
@@ -273,7 +273,11 @@
         "team" => &tokens.team.name, "requested" => tokens.requested,
         "granted" => tokens.of(TokenOutcome::Granted),
         "refused" => tokens.of(TokenOutcome::Refused), "shed" => tokens.of(TokenOutcome::Shed),
-        "lost" => tokens.of(TokenOutcome::Lost), "team_share" => rounded(*share_usage),
+        "lost" => tokens.of(TokenOutcome::Lost), "given_up" => tokens.of(TokenOutcome::GivenUp),
+        "barred" => tokens.of(TokenOutcome::Barred),
+        "stopping" => tokens.of(TokenOutcome::Stopping),
+        "unread" => tokens.of(TokenOutcome::Unread),
+        "unlocated" => tokens.of(TokenOutcome::Unlocated), "team_share" => rounded(*share_usage),
         "team_asks" => rounded(*recent_demand), "fair_share" => fair_share.map(f64::round));
 }
 
--- a/sl-route/src/activity.rs
+++ b/sl-route/src/activity.rs
@@ -18,8 +18,19 @@
     Refused,
     /// This instance rejected the request because its own tasks run late.
     Shed,
-    /// The attempt ended before its first token.
+    /// The attempt ended before its first token. Another attempt is granted, or the request is refused
+    /// or given up.
     Lost,
+    /// No attempt came to its first token and none followed.
+    GivenUp,
+    /// The request is like those that crashed servers.
+    Barred,
+    /// This instance refused the request because it shuts down.
+    Stopping,
+    /// The body was not received whole.
+    Unread,
+    /// Nobody knew where the stream began that the request resumes.
+    Unlocated,
 }
 
 /// Counts of one team since the last report.
@@ -27,14 +38,14 @@
 pub struct TeamTokens {
     /// The team.
     pub team: Arc<Team>,
-    /// Tokens of the requests that arrived, including those that were shed.
+    /// Tokens of the requests whose head was read: granted less lost, and all other outcomes.
     pub requested: u64,
     /// Tokens by outcome, in the order of [`TokenOutcome`].
     pub outcomes: [u64; OUTCOMES],
 }
 
 /// The number of outcomes.
-pub const OUTCOMES: usize = 4;
+pub const OUTCOMES: usize = 9;
 
 /// Counts the tokens of all teams since the last report.
 #[derive(Clone, Debug)]
--- a/sl-route/src/event.rs
+++ b/sl-route/src/event.rs
@@ -7,7 +7,9 @@
 use strum::{Display, IntoStaticStr};
 
 use crate::{
-    Document, Notes, Prompt, PromptPart, Regions, Route, ServerKey, ServerRecord, Team, budget,
+    Document, Notes, Prompt, PromptPart, Regions, Route, ServerKey, ServerRecord, Team,
+    activity::TokenOutcome,
+    budget,
     note::EngineCaches,
     stream_origin::{OriginBatch, StreamOrigin, StreamRequest},
     version_record::VersionRecord,
@@ -28,6 +30,15 @@
         /// The tokens that the request counts against its team's share; 0 without a prompt.
         tokens: u32,
     },
+    /// A caller's request ended before it could be sent to a server, for another reason than load.
+    RequestEndedEarly {
+        /// The team of the request.
+        team: Arc<Team>,
+        /// The tokens that the request counts against its team's share; 0 without a prompt.
+        tokens: u32,
+        /// Why it ended.
+        outcome: TokenOutcome,
+    },
     /// A caller disconnected, and its current attempt was cancelled.
     CallerDisconnected {
         /// The request of the disconnected caller.
--- a/sl-route/src/state.rs
+++ b/sl-route/src/state.rs
@@ -184,6 +184,9 @@
             Event::Tick => self.on_tick(now),
             Event::RequestArrived(arrival) => self.on_arrival(now, *arrival),
             Event::RequestShed { team, tokens } => self.on_request_shed(now, &team, tokens),
+            Event::RequestEndedEarly { team, tokens, outcome } => {
+                self.on_request_ended_early(&team, tokens, outcome);
+            }
             Event::CallerDisconnected { request } => self.on_caller_disconnected(now, request),
             Event::ResponseStarted { request } => self.on_response_started(now, request),
             Event::AttemptEnded { request, end } => self.on_attempt_ended(now, request, end),
--- a/sl-route/src/state/admit.rs
+++ b/sl-route/src/state/admit.rs
@@ -33,6 +33,9 @@
         let request = arrival.request;
         self.budget.record_request(now, arrival.service);
         if self.is_barred(now, &arrival) && !self.try_probe(now, &arrival) {
+            if let (Some(team), Some((_, tokens))) = (&arrival.team, State::charge(&arrival)) {
+                self.on_request_ended_early(team, tokens, TokenOutcome::Barred);
+            }
             self.fail_request(request, Failure::CrashesServers);
             return;
         }
@@ -289,6 +292,18 @@
         self.activity.record_outcome(team, tokens, TokenOutcome::Shed);
     }
 
+    /// Counts a request that ended before it could be sent to a server. Like a rejected one it is no
+    /// demand on the engines.
+    pub(super) fn on_request_ended_early(
+        &mut self,
+        team: &Arc<Team>,
+        tokens: u32,
+        outcome: TokenOutcome,
+    ) {
+        self.activity.record_requested(team, tokens);
+        self.activity.record_outcome(team, tokens, outcome);
+    }
+
     pub(super) fn record_outcome(&mut self, arrival: &Arrival, outcome: TokenOutcome) {
         if let (Some(team), Some(prompt)) = (&arrival.team, &arrival.prompt) {
             self.activity.record_outcome(team, prompt.charge(), outcome);
--- a/sl-route/src/state/attempt.rs
+++ b/sl-route/src/state/attempt.rs
@@ -168,6 +168,15 @@
     pub(super) fn on_caller_disconnected(&mut self, now: Timestamp, request: RequestId) {
         if let Some(mut in_flight) = self.requests.remove(&request) {
             self.end_current_attempt(now, &mut in_flight, None);
+            self.record_given_up(&in_flight);
+        }
+    }
+
+    /// Counts the tokens of a request that has ended without a first token, if none were granted that
+    /// count still.
+    fn record_given_up(&mut self, in_flight: &InFlightRequest) {
+        if in_flight.charged.is_none() {
+            self.record_outcome(&in_flight.arrival, TokenOutcome::GivenUp);
         }
     }
 
@@ -295,6 +304,9 @@
         next: NextStep,
     ) {
         let request = in_flight.arrival.request;
+        if next != NextStep::Refuse {
+            self.record_given_up(in_flight);
+        }
         match next {
             NextStep::ForwardServerError => {
                 self.effects.push(Effect::ForwardServerError { request })
