--- a/sl-route/tests/it/cache.rs
+++ b/sl-route/tests/it/cache.rs
@@ -1,6 +1,9 @@
 //! The estimated contents of an engine's cache.
 
+use std::collections::BTreeMap;
+
 use proptest::{prelude::*, test_runner::RngSeed};
+use sl_base::Timestamp;
 use sl_route::{PromptPart, cache::Cache};
 
 use crate::testbed::{at, prompt};
@@ -66,4 +69,33 @@
             prop_assert_eq!(cache.parts().count(), cache.len());
         }
     }
+
+    #[test]
+    fn a_cache_evicts_like_a_list_sorted_by_last_use(
+        uses in prop::collection::vec((0_u32..30, 1_u32..1_000, 0_u64..3), 1..300),
+    ) {
+        let mut cache = Cache::new(5_000);
+        let mut model: BTreeMap<u64, (Timestamp, u32)> = BTreeMap::new();
+        let mut now = 0;
+        for (id, tokens, after) in uses {
+            now += after;
+            let used = part(&id.to_string(), tokens);
+            cache.record_use(at(now), &[used]);
+            model.insert(used.key, (at(now), tokens));
+            let mut sorted: Vec<(Timestamp, u64)> = model.iter().map(|(&key, it)| (it.0, key)).collect();
+            sorted.sort();
+            let mut sum: u32 = model.values().map(|it| it.1).sum();
+            sorted.retain(|(_, key)| {
+                let keep = sum <= 5_000;
+                sum -= if keep { 0 } else { model[key].1 };
+                keep
+            });
+            model.retain(|key, it| sorted.contains(&(it.0, *key)));
+            let kept: Vec<u64> = cache.parts().map(|it| it.key).collect();
+            let expected: Vec<u64> = sorted.iter().map(|it| it.1).collect();
+            prop_assert_eq!(kept, expected);
+            let oldest = sorted.first().filter(|_| sum >= 4_750);
+            prop_assert_eq!(cache.eviction_age_ms(at(now)), oldest.map(|it| at(now).millis_since(it.0)));
+        }
+    }
 }
