--- a/bench/src/load/play/work.rs
+++ b/bench/src/load/play/work.rs
@@ -2,7 +2,6 @@
 
 use rand::RngExt;
 use sl_base::{Millis, RequestId, TeamId};
-use sl_edge::overload::RETRY_DELAY;
 use sl_route::Event;
 
 use super::Simulation;
@@ -79,7 +78,8 @@
         self.calls[call].is_read = true;
         if self.should_reject(instance, call) {
             let spread = self.rng.random_range(0..=RETRY_SPREAD.0);
-            let retry_after = Millis(RETRY_DELAY.0 + spread);
+            let delay = self.processors[instance].retry_delay(self.now);
+            let retry_after = Millis(delay.0 + spread);
             return self.handle_refusal(RequestId(call as u64), retry_after, Ending::Shed);
         }
         self.decide_request(instance, call);
--- a/bench/src/load/processor.rs
+++ b/bench/src/load/processor.rs
@@ -4,7 +4,7 @@
 
 use std::collections::VecDeque;
 
-use sl_base::Timestamp;
+use sl_base::{Millis, Timestamp};
 use sl_edge::overload::LoadShedder;
 use sl_route::{Event, Notes};
 
@@ -152,4 +152,9 @@
         }
         Some(work)
     }
+
+    /// The delay after which the caller of a rejected request may retry.
+    pub(super) fn retry_delay(&self, now: Timestamp) -> Millis {
+        self.load_shedder.retry_delay(now)
+    }
 }
--- a/sl-edge/src/core.rs
+++ b/sl-edge/src/core.rs
@@ -25,14 +25,8 @@
 use tokio::sync::{Notify, mpsc};
 
 use crate::{
-    clock::Clock,
-    detail::TailSampler,
-    handle::SharedRecorder,
-    log::Line,
-    metrics::Metrics,
-    overload::{LoadShedder, RETRY_DELAY},
-    peers::arrivals::PeerArrival,
-    shutdown::ShutdownControl,
+    clock::Clock, detail::TailSampler, handle::SharedRecorder, log::Line, metrics::Metrics,
+    overload::LoadShedder, peers::arrivals::PeerArrival, shutdown::ShutdownControl,
 };
 
 /// What the reducer decided to do next with one request.
@@ -280,8 +274,9 @@
     /// The delay after which the caller of a request that [`Core::should_reject`] rejected may
     /// retry.
     pub(crate) fn rejection_retry_delay(&self) -> Millis {
+        let delay = self.load_shedder.get().retry_delay(self.now());
         let spread = self.with_state(|it| it.draw_delay(RETRY_SPREAD));
-        Millis(RETRY_DELAY.0 + spread.0)
+        Millis(delay.0 + spread.0)
     }
 
     /// Whether tasks run so late that a caller may have disconnected without being noticed
--- a/sl-edge/src/overload.rs
+++ b/sl-edge/src/overload.rs
@@ -1,11 +1,10 @@
 //! Load shedding for an instance whose processor share is too small for its load.
 //!
-//! The balancer assigns all connections of a caller to one instance, whatever its size, and the
-//! caller's retries to other ones. An instance whose tasks run late rejects a growing fraction of
-//! requests, first those of teams over their share, so that others serve what it cannot. Only if that
-//! is most of its requests, it reports itself unready for a while, so that new connections go to
-//! other instances, and closes its existing connections after their current request: the next instance
-//! gets all callers at once, and may be as small.
+//! The balancer assigns all connections of a caller to one instance, whatever its size. An
+//! instance whose tasks run late reports itself unready for a while, so that new connections
+//! go to other instances, and closes its existing connections after their current request. It
+//! also rejects a growing fraction of requests, first those of teams over their share. A caller's
+//! retry comes back to the same instance until the balancer has noticed that it is not ready.
 
 use sl_base::{Millis, Timestamp};
 use sl_route::share::Standing;
@@ -17,8 +16,9 @@
     late_ms: f64,
     /// End of the current shedding period, or of the last one.
     shed_until: Timestamp,
-    /// When the last tick was recorded.
-    ticked_at: Timestamp,
+    /// When the balancer has noticed the latest shedding period and sends new connections to
+    /// other instances.
+    callers_moved_at: Timestamp,
     /// Length of the next shedding period of an instance that is as large as any of the fleet.
     next_shed_duration: Millis,
     /// How many times larger the largest instance of the fleet is than this one; at least 1.
@@ -29,6 +29,9 @@
     due_rejections: f64,
 }
 
+/// Mean lateness from which connections are shed, in milliseconds: callers notice it.
+const SHED_LATENESS_MS: f64 = 60.0;
+
 /// Mean lateness from which callers are checked for an unnoticed disconnect, in milliseconds.
 const LAGGING_LATENESS_MS: f64 = 10.0;
 
@@ -36,30 +39,22 @@
 /// merely busy stays below it.
 const REJECT_LATENESS_MS: f64 = 30.0;
 
-/// Rejected fraction from which connections are shed, too.
-const SHED_REJECT_FRACTION: f64 = 0.8;
+/// Rejected fraction from which connections are shed, too: rejections keep the lateness below
+/// [`SHED_LATENESS_MS`], and the callers would stay with the instance that rejects them.
+const SHED_REJECT_FRACTION: f64 = 0.4;
 
 /// Time that the balancer needs to notice that the instance is not ready.
 pub const BALANCER_DELAY: Millis = Millis(2_600);
 
-/// The delay after which the caller of a rejected request may retry: another instance gets the retry.
-pub const RETRY_DELAY: Millis = Millis(10);
-
-/// Lateness of one tick that counts at most, in milliseconds, so that a single stall does not keep the
-/// mean up for long.
-const TICK_LATENESS_MAX_MS: f64 = 120.0;
+/// Shortest retry delay after a rejection.
+const RETRY_DELAY_MIN: Millis = Millis(10);
 
 /// Weight of one tick in the moving average.
 const TICK_SMOOTHING: f64 = 0.25;
 
-/// Change of the rejected fraction in a second: up while the mean lateness is above
+/// Change of the rejected fraction with each tick: up while the mean lateness is above
 /// [`REJECT_LATENESS_MS`], else down.
-const REJECT_RATE_PER_SECOND: f64 = 0.8;
-
-/// The longest time between two ticks that counts: a machine that was suspended is not overloaded.
-const TICK_GAP_MAX: Millis = Millis(500);
-
-const MILLIS_PER_SECOND: f64 = 1_000.0;
+const REJECT_STEP: f64 = 0.08;
 
 /// Upper bound of the rejected fraction, so that some requests are always accepted.
 const REJECT_FRACTION_MAX: f64 = 0.9;
@@ -83,7 +78,7 @@
         LoadShedder {
             late_ms: 0.0,
             shed_until: now,
-            ticked_at: now,
+            callers_moved_at: now,
             next_shed_duration: SHED_DURATION_MIN,
             largest_ratio: 1.0,
             reject_fraction: 0.0,
@@ -100,30 +95,24 @@
 
     /// Records a tick that ran `late_ms` milliseconds late; true if a shedding period starts.
     pub fn record_tick(&mut self, now: Timestamp, late_ms: f64) -> bool {
-        self.late_ms += (late_ms.min(TICK_LATENESS_MAX_MS) - self.late_ms) * TICK_SMOOTHING;
-        let step = REJECT_RATE_PER_SECOND * self.take_tick_gap(now).0 as f64 / MILLIS_PER_SECOND;
-        let step = if self.late_ms > REJECT_LATENESS_MS { step } else { -step };
+        self.late_ms += (late_ms - self.late_ms) * TICK_SMOOTHING;
+        let step = if self.late_ms > REJECT_LATENESS_MS { REJECT_STEP } else { -REJECT_STEP };
         self.reject_fraction = (self.reject_fraction + step).clamp(0.0, REJECT_FRACTION_MAX);
         if self.reject_fraction == 0.0 {
             self.due_rejections = 0.0;
         }
-        if self.reject_fraction < SHED_REJECT_FRACTION || self.is_shedding(now) {
+        let is_overloaded =
+            self.late_ms >= SHED_LATENESS_MS || self.reject_fraction >= SHED_REJECT_FRACTION;
+        if !is_overloaded || self.is_shedding(now) {
             return false;
         }
+        self.callers_moved_at = now.after(BALANCER_DELAY);
         let duration = (self.next_shed_duration.0 as f64 * self.largest_ratio) as u64;
         self.shed_until = now.after(Millis(duration).min(SHED_DURATION_MAX));
         self.next_shed_duration = Millis((self.next_shed_duration.0 * 2).min(SHED_DURATION_MAX.0));
         true
     }
 
-    /// The time since the last tick. Ticks of a late instance are rare, and each counts for all of the
-    /// time before it.
-    fn take_tick_gap(&mut self, now: Timestamp) -> Millis {
-        let gap = Millis(now.millis_since(self.ticked_at) as u64).min(TICK_GAP_MAX);
-        self.ticked_at = now;
-        gap
-    }
-
     /// Whether connections are being shed.
     pub fn is_shedding(&self, now: Timestamp) -> bool {
         !self.shed_until.is_due(now)
@@ -152,6 +141,12 @@
         true
     }
 
+    /// The delay after which the caller of a rejected request may retry: once new connections
+    /// go to other instances, or at once while the instance is in rotation.
+    pub fn retry_delay(&self, now: Timestamp) -> Millis {
+        self.callers_moved_at.remaining(now).max(RETRY_DELAY_MIN)
+    }
+
     /// The fraction of the requests that is rejected, from 0 to 1.
     pub fn reject_fraction(&self) -> f64 {
         self.reject_fraction
--- a/sl-edge/tests/it/overload.rs
+++ b/sl-edge/tests/it/overload.rs
@@ -52,14 +52,14 @@
 #[test]
 fn an_instance_on_time_again_accepts_connections_again() {
     let mut shedder = LoadShedder::new(at(0));
-    for tick in 0..15 {
+    for tick in 0..5 {
         shedder.record_tick(at(tick * 100), 200.0);
     }
-    assert!(shedder.is_shedding(at(1_500)));
-    for tick in 15..70 {
+    assert!(shedder.is_shedding(at(500)));
+    for tick in 5..60 {
         shedder.record_tick(at(tick * 100), 0.0);
     }
-    assert!(!shedder.is_shedding(at(7_000)));
+    assert!(!shedder.is_shedding(at(6_000)));
     assert!(!shedder.is_lagging());
 }
 
@@ -139,10 +139,10 @@
     assert!((8..=9).contains(&rejected_of(10)));
 }
 
-/// Guards against an instance that rejects most requests for seconds without leaving the balancer's
-/// rotation, so that new connections come to it and are rejected again.
+/// Guards against an instance that rejects requests for seconds without leaving the balancer's
+/// rotation, so that its callers' retries come back to it and are rejected again.
 #[test]
-fn an_instance_that_rejects_most_of_its_requests_leaves_the_rotation() {
+fn an_instance_that_rejects_two_fifths_of_its_requests_leaves_the_rotation() {
     let mut shedder = LoadShedder::new(at(0));
     let lateness_ms = 50.0;
     let mut shed_at = None;
@@ -152,41 +152,18 @@
             break;
         }
     }
-    assert!(shed_at.is_some_and(|it| it <= 2_000), "{shed_at:?}");
+    assert!(shed_at.is_some_and(|it| it <= 1_000), "{shed_at:?}");
 }
 
-/// Guards against callers that one small instance after the other gets, and hands on for one stall: the
-/// record of issue 48.
-#[rstest]
-#[case::one_stall(&[2_000.0])]
-#[case::half_a_second(&[200.0; 2])]
-fn an_instance_that_can_serve_a_part_stays_in_the_rotation(#[case] late_ms: &[f64]) {
-    let mut shedder = LoadShedder::new(at(0));
-    let mut now = 0;
-    for late_ms in late_ms {
-        now += 100 + *late_ms as u64;
-        assert!(!shedder.record_tick(at(now), *late_ms));
-    }
-    for tick in 1..100 {
-        assert!(!shedder.record_tick(at(now + tick * 100), 0.0));
-    }
-}
-
-/// Guards against an instance that sheds the later the later it runs: its ticks are rare.
+/// Guards against callers that use up their retry at the instance that has just rejected them.
 #[test]
-fn the_rejected_fraction_grows_with_time_and_not_with_ticks() {
-    let mut often = LoadShedder::new(at(0));
-    let mut rarely = LoadShedder::new(at(0));
-    for _ in 0..5 {
-        often.record_tick(at(0), 400.0);
-        rarely.record_tick(at(0), 400.0);
-    }
-    for tick in 1..=20 {
-        often.record_tick(at(tick * 50), 400.0);
-    }
-    for tick in 1..=2 {
-        rarely.record_tick(at(tick * 500), 400.0);
+fn a_rejected_caller_retries_when_the_balancer_has_moved_it() {
+    let mut shedder = LoadShedder::new(at(0));
+    assert_eq!(shedder.retry_delay(at(0)), Millis(10));
+    for tick in 0..5 {
+        shedder.record_tick(at(tick * 100), 200.0);
     }
-    let difference = (often.reject_fraction() - rarely.reject_fraction()).abs();
-    assert!(difference < 0.01, "{often:?} {rarely:?}");
+    assert!(shedder.is_shedding(at(400)));
+    assert!(shedder.retry_delay(at(400)) > Millis(2_000));
+    assert_eq!(shedder.retry_delay(at(3_500)), Millis(10));
 }
