--- a/sl-edge/src/peers.rs
+++ b/sl-edge/src/peers.rs
@@ -86,7 +86,7 @@
     pub(crate) relay_queue: RelayQueue,
     /// Whether this instance forwards messages for others.
     pub(crate) is_relay: Cell<bool>,
-    /// The processor time for messages from peers.
+    /// The time for messages from peers.
     pub(crate) note_budget: RefCell<NoteBudget>,
     /// How many direct heartbeats of a fleet with relays have been sent.
     pub(crate) direct_heartbeats_sent: Cell<usize>,
--- a/sl-edge/src/peers/datagram.rs
+++ b/sl-edge/src/peers/datagram.rs
@@ -73,7 +73,7 @@
     ToDataCentre,
 }
 
-/// Whether a receiver that lacks processor time reads a message.
+/// Whether a receiver that has no time for all messages reads a message.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Priority {
     /// It is read in any case: all of its notes are essential, or it is a heartbeat.
--- a/sl-route/src/note.rs
+++ b/sl-route/src/note.rs
@@ -139,7 +139,7 @@
 }
 
 impl Note {
-    /// Whether an instance needs the note that lacks the processor time for all of them. Such notes
+    /// Whether an instance that has no time for all notes needs this one. Such notes
     /// are rare, however much the fleet is asked for, and tell what may not be done. The others come
     /// with each request and make estimates more accurate.
     pub fn is_essential(&self) -> bool {
