--- a/bench/src/load/notes.rs
+++ b/bench/src/load/notes.rs
@@ -47,8 +47,8 @@
     pub notes: Notes,
 }
 
-/// The fleet in which the notes of all instances were found to take most of the time of the smallest
-/// ones: some 8,300 messages a second, of two notes each.
+/// A fleet whose instances get some 8,300 messages a second, of two notes each, which is much for the
+/// smallest of them.
 pub const LARGE_FLEET: FleetTraffic =
     FleetTraffic { seed: 1, instances: 295, engines: 320, requests_per_second: 4_150 };
 
--- a/sl-edge/src/note_budget.rs
+++ b/sl-edge/src/note_budget.rs
@@ -13,7 +13,8 @@
 ///
 /// Elapsed time counts, not processor time: it is the same on a slow processor, and where an
 /// instance is paused to keep it to its share, the pauses fall on messages as often as these use
-/// the processor.
+/// the processor. What a relay forwards is not charged, as other instances depend on it, and messages
+/// of [`Priority::Essential`](crate::datagram::Priority::Essential) are read without time, too.
 #[derive(Clone, Copy, Debug)]
 pub struct NoteBudget {
     /// Microseconds that are left; negative while more was spent.
