Observability: expected and actual times to the first token, by kind of attempt

Change: one line a second and kind of attempt with sums (attempt estimates), and a histogram of actual / expected. No change of behaviour. Test: sl-route estimates.

--- a/sl-edge/src/log.rs
+++ b/sl-edge/src/log.rs
@@ -13,6 +13,7 @@
     activity::TokenOutcome,
     crash_causes::Cause,
     effect::{BarDecision, ServerCrash},
+    estimates::{AttemptCounts, AttemptKind},
 };
 use slog::{Drain, Level, LevelFilter, Logger, debug, info, o, warn};
 
@@ -132,12 +133,13 @@
             info!(log, "stream origin deduced from version record";
                 "request" => request.0, "version" => version.as_ref());
         }
-        Decision::ResponseStarted { request, server, took_ms, expected_ms } => {
+        Decision::ResponseStarted { request, server, took_ms, expected_ms, .. } => {
             info!(log, "response started";
                 "request" => request.0, "server" => %server, "took_ms" => took_ms.round(),
                 "expected_ms" => expected_ms.round());
         }
         Decision::TeamActivity { .. } => write_team_activity(log, decision),
+        Decision::AttemptEstimates { kind, counts } => write_estimates(log, *kind, counts),
         Decision::AttemptFailed { request, server, fault, next, denial } => warn!(
             log, "attempt failed";
             "request" => request.0, "server" => %server, "fault" => %fault, "then" => %next,
@@ -287,6 +289,14 @@
         "team_asks" => rounded(*recent_demand), "fair_share" => fair_share.map(f64::round));
 }
 
+/// Logs how far the expected times of attempts held.
+fn write_estimates(log: &Logger, kind: AttemptKind, counts: &AttemptCounts) {
+    info!(log, "attempt estimates";
+        "kind" => %kind, "sent" => counts.sent, "prefill_tokens" => counts.prefill_tokens,
+        "started" => counts.started, "expected_ms" => counts.expected_ms.round(),
+        "took_ms" => counts.took_ms.round());
+}
+
 /// Logs that requests are no longer run because servers crashed under them.
 fn write_bar(log: &Logger, bar: &BarDecision) {
     let BarDecision { cause, crashes, from_peer } = *bar;
--- a/sl-edge/src/metrics.rs
+++ b/sl-edge/src/metrics.rs
@@ -116,6 +116,8 @@
     pub request_duration: Family<NameLabel, Histogram>,
     /// Milliseconds by which first bytes came later than expected; 0 for those in time.
     pub first_byte_delay: Histogram,
+    /// Actual relative to expected time to the first token of attempts at engines, by kind of attempt.
+    pub first_token_ratio: Family<NameLabel, Histogram>,
     /// Failed attempts, by fault.
     pub faults: Family<NameLabel, Counter>,
     /// Requests refused without being run, by reason.
@@ -158,6 +160,13 @@
     Histogram::new(exponential_buckets(FIRST_BUCKET_SECONDS, 2.0, BUCKETS))
 }
 
+/// The upper bound of the first bucket in histograms of ratios; the sixth bucket ends at 1.
+const FIRST_BUCKET_RATIO: f64 = 1.0 / 32.0;
+
+fn ratio_histogram() -> Histogram {
+    Histogram::new(exponential_buckets(FIRST_BUCKET_RATIO, 2.0, BUCKETS))
+}
+
 impl Default for Metrics {
     fn default() -> Metrics {
         let metrics = Metrics {
@@ -192,6 +201,7 @@
                 2.0,
                 BUCKETS,
             )),
+            first_token_ratio: Family::new_with_constructor(ratio_histogram),
             faults: Family::default(),
             refusals: Family::default(),
             streams_resumed: Family::default(),
@@ -269,8 +279,13 @@
                 self.faults.get_or_create(&name_label(fault.to_string())).inc();
                 self.record_attempt(server, fault.into());
             }
-            Decision::ResponseStarted { server, took_ms, expected_ms, .. } => {
+            Decision::ResponseStarted { server, kind, took_ms, expected_ms, .. } => {
                 self.record_attempt(server, "begun");
+                if let Some(kind) = kind {
+                    let label = name_label(kind.to_string());
+                    let ratio = took_ms / expected_ms.max(1.0);
+                    self.first_token_ratio.get_or_create(&label).observe(ratio);
+                }
                 self.first_byte_delay.observe((took_ms - expected_ms).max(0.0));
             }
             Decision::DataCentreEvacuated { data_centre, .. } => self.set_evacuated(data_centre, 1),
@@ -417,6 +432,11 @@
         it.register("first_byte_seconds", "To the first byte", self.first_byte.clone());
         it.register("whole_seconds", "To the end", self.request_duration.clone());
         it.register("late_milliseconds", "Later than expected", self.first_byte_delay.clone());
+        it.register(
+            "first_token_ratio",
+            "Actual relative to expected time to the first token by kind of attempt",
+            self.first_token_ratio.clone(),
+        );
         it.register("faults", "Failed attempts by fault", self.faults.clone());
         it.register("refusals", "Refusals by reason", self.refusals.clone());
         self.register_streams(it);
--- a/sl-route/src/effect.rs
+++ b/sl-route/src/effect.rs
@@ -5,7 +5,13 @@
 use sl_base::{Millis, RequestId, Timestamp};
 use strum::{Display, IntoStaticStr};
 
-use crate::{Fault, ServerKey, activity::TeamTokens, crash_causes::Cause, locality::LeaveReason};
+use crate::{
+    Fault, ServerKey,
+    activity::TeamTokens,
+    crash_causes::Cause,
+    estimates::{AttemptCounts, AttemptKind},
+    locality::LeaveReason,
+};
 
 /// An action that the caller of [`State::step`](crate::State::step) has to perform.
 #[derive(Clone, Debug, PartialEq)]
@@ -158,6 +164,8 @@
         request: RequestId,
         /// The id of the server that responds.
         server: Arc<str>,
+        /// What the attempt is, as far as estimates differ; `None` unless the server is an engine.
+        kind: Option<AttemptKind>,
         /// Milliseconds from sending the request to the first byte.
         took_ms: f64,
         /// The expected value of `took_ms`.
@@ -213,6 +221,13 @@
         /// satisfied.
         fair_share: Option<f64>,
     },
+    /// How far the expected times of attempts at engines held here in the last second.
+    AttemptEstimates {
+        /// What these attempts are.
+        kind: AttemptKind,
+        /// The counts at this instance.
+        counts: AttemptCounts,
+    },
     /// An attempt failed; `next` tells whether the request is retried or how it ends.
     AttemptFailed {
         /// The request to which the attempt belongs.
@@ -387,6 +402,7 @@
             | Decision::AttemptSilent { request, .. }
             | Decision::RequestFailed { request, .. } => Some(*request),
             Decision::TeamActivity { .. }
+            | Decision::AttemptEstimates { .. }
             | Decision::ServerAvoided { .. }
             | Decision::DrainAnnounced { .. }
             | Decision::PauseRequested { .. }
--- a/sl-route/src/lib.rs
+++ b/sl-route/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod draining;
 pub mod effect;
 pub mod engine;
+pub mod estimates;
 pub mod evacuation;
 pub mod event;
 pub mod health;
--- a/sl-route/src/request.rs
+++ b/sl-route/src/request.rs
@@ -3,7 +3,7 @@
 use sl_base::{TeamId, Timestamp};
 
 use crate::{
-    Arrival, ServerKey, crash_detector::SUSPECT_PERIOD, note::AttemptKey,
+    Arrival, ServerKey, crash_detector::SUSPECT_PERIOD, estimates::AttemptKind, note::AttemptKey,
     stream_origin::StreamOrigin,
 };
 
@@ -47,6 +47,8 @@
     pub sent_at: Timestamp,
     /// The time to the first byte that was expected when the attempt was sent, in milliseconds.
     pub expected_ms: f64,
+    /// What the attempt is, as far as estimates differ.
+    pub kind: AttemptKind,
     /// When the response started; `None` until then.
     pub response_started_at: Option<Timestamp>,
     /// Whether the server was silent during this attempt.
--- a/sl-route/src/state.rs
+++ b/sl-route/src/state.rs
@@ -29,6 +29,7 @@
     crash_detector::CrashDetector,
     demand::Demand,
     draining::DrainingRuns,
+    estimates::Estimates,
     evacuation::Evacuations,
     event::InstanceLimits,
     locality::Shortage,
@@ -84,6 +85,7 @@
     /// Requests to engines of each route at this instance, asked for and admitted.
     route_balance: RouteBalance,
     activity: Activity,
+    estimates: Estimates,
     /// Fraction of each server's connections that this instance may open.
     connection_share: f64,
     /// When the last message of each peer was received.
@@ -147,6 +149,7 @@
             shares: Shares::new(now, options.share_window),
             local_requests: Shares::new(now, options.share_window),
             activity: Activity::new(now),
+            estimates: Estimates::new(now),
             connection_share: 1.0,
             peers: IdMap::default(),
             started_at: now,
@@ -336,6 +339,7 @@
         self.update_cold_servers(now);
         std::mem::take(&mut self.repeated_notes).into_iter().for_each(|it| self.queue_note(it));
         self.report_activity(now);
+        self.report_estimates(now);
         self.announce_bars(now);
     }
 
--- a/sl-route/src/state/attempt.rs
+++ b/sl-route/src/state/attempt.rs
@@ -8,6 +8,7 @@
     activity::TokenOutcome,
     admission::AdmissionLimits,
     effect::{NextStep, RetryDenial, Target},
+    estimates::AttemptKind,
     note::{AttemptKey, Note},
     place::{LowestEstimates, Placement, PlacementError},
     request::{CurrentAttempt, InFlightRequest},
@@ -51,11 +52,16 @@
         server.record_cached_parts(now, &parts);
         in_flight.attempts += 1;
         in_flight.tried.push(placement.server);
+        let kind = AttemptKind::new(in_flight.attempts, placement.fetch.is_some());
+        if in_flight.arrival.prompt.is_some() {
+            self.estimates.record_sent(kind, placement.prefill_tokens);
+        }
         in_flight.current = Some(CurrentAttempt {
             server: placement.server,
             key,
             sent_at: now,
             expected_ms: placement.expected_ms,
+            kind,
             response_started_at: None,
             was_silent: false,
         });
@@ -147,7 +153,7 @@
             self.record_stream_start(&mut in_flight, current.server);
         }
         self.requests.insert(request, in_flight);
-        let Some(CurrentAttempt { server, key, sent_at, expected_ms, .. }) = started else {
+        let Some(CurrentAttempt { server, key, sent_at, expected_ms, kind, .. }) = started else {
             return;
         };
         let took_ms = now.millis_since(sent_at);
@@ -155,11 +161,14 @@
         if let Some(server) = self.servers.get_mut(&server) {
             server.record_response_start(now, key);
             server.health.record_success(now);
-            if let ServerKind::Plain(plain) = &mut server.kind {
-                plain.record_response_time(took_ms);
+            match &mut server.kind {
+                ServerKind::Plain(plain) => plain.record_response_time(took_ms),
+                ServerKind::Engine(_) => self.estimates.record_started(kind, expected_ms, took_ms),
             }
+            let kind = server.kind.engine().map(|_| kind);
             let server = server.record.id.clone();
-            let decision = Decision::ResponseStarted { request, server, took_ms, expected_ms };
+            let decision =
+                Decision::ResponseStarted { request, server, kind, took_ms, expected_ms };
             self.effects.push(Effect::Log(decision));
         }
         self.queue_note(Note::ResponseStarted { server, attempt: key.attempt });
--- a/sl-route/tests/it/main.rs
+++ b/sl-route/tests/it/main.rs
@@ -8,6 +8,7 @@
 mod crash_detector;
 mod data_centres;
 mod engine;
+mod estimates;
 mod evacuation;
 mod fairness;
 mod fleet;
