bench: engines of the load model move cached parts, and streams break off with their engine

Cause: the model had no transfers between engines (fetch_ms_per_token was None), and a stream outlived the loss of its engine, so that neither a wrong expected time of moved parts nor the retries after a loss could show. Change: a load unequal-loss: 12 teams from a hundredth to a multiple of the fair share, some with one kind of prompt only, twice what the engines bear, a third of the engines lost and back without caches. The tally has actual / expected time to the first token, without and with a planned transfer. Other loads are as before.

--- a/bench/src/load/cache.rs
+++ b/bench/src/load/cache.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{HashMap, HashSet};
 
-use sl_route::Prompt;
+use sl_route::{Prompt, PromptPart};
 
 /// Prompt parts that are cached until they are evicted, the least recently used first.
 #[derive(Debug, Default)]
@@ -57,6 +57,23 @@
         uncached_tokens
     }
 
+    /// The first parts of a prompt that are cached here.
+    pub(super) fn cached_prefix<'a>(&self, prompt: &'a Prompt) -> &'a [PromptPart] {
+        let cached = prompt.parts.iter().take_while(|it| self.parts.contains_key(&it.key));
+        &prompt.parts[..cached.count()]
+    }
+
+    /// Caches parts that another engine has sent.
+    pub(super) fn insert(&mut self, parts: &[PromptPart]) {
+        for part in parts {
+            let cached = CachedPart { tokens: part.tokens, last_used: self.use_counter };
+            if self.parts.insert(part.key, cached).is_none() {
+                self.cached_tokens += u64::from(part.tokens);
+            }
+        }
+        self.evict();
+    }
+
     fn evict(&mut self) {
         let capacity = (f64::from(KV_CAPACITY_TOKENS) * CACHE_SHARE) as u64;
         while self.cached_tokens > capacity {
--- a/bench/src/load/engine.rs
+++ b/bench/src/load/engine.rs
@@ -6,7 +6,10 @@
 use sl_base::{Millis, Timestamp};
 use sl_route::Prompt;
 
-use super::cache::{ProcessedParts, PromptCache};
+use super::{
+    cache::{ProcessedParts, PromptCache},
+    fleet::START,
+};
 
 /// An attempt at an engine.
 #[derive(Clone, Debug)]
@@ -14,6 +17,10 @@
     pub(super) instance: usize,
     pub(super) request: u64,
     pub(super) prompt: Prompt,
+    /// The engine from which cached parts are moved first.
+    pub(super) fetch_from: Option<usize>,
+    /// Whether the stream began at an engine that was lost and goes on here.
+    pub(super) is_resumed: bool,
 }
 
 /// A modelled engine.
@@ -28,6 +35,10 @@
     /// are ignored.
     pub(super) generation: u64,
     pub(super) is_down: bool,
+    /// Requests whose streams run, where these break off with the engine.
+    pub(super) running: Vec<Job>,
+    /// When the transfers to and from the engine are complete. They run one at a time.
+    pub(super) transfers_done_at: Timestamp,
     /// Total time in which the engine processed prompts.
     pub(super) processing_ms: f64,
 }
@@ -38,6 +49,10 @@
 /// Number of tokens in one event of a stream.
 pub(super) const TOKENS_PER_EVENT: u32 = 7;
 
+/// Time of a transfer in addition to that of its tokens, and for each token, in milliseconds.
+pub(super) const TRANSFER_OVERHEAD_MS: f64 = 4.0;
+pub(super) const TRANSFER_MS_PER_TOKEN: f64 = 0.0004;
+
 /// Processing time of a request in addition to that of its tokens, in milliseconds.
 const REQUEST_OVERHEAD_MS: f64 = 2.0;
 
@@ -56,6 +71,8 @@
             cache: PromptCache::default(),
             generation: 0,
             is_down: false,
+            running: Vec::new(),
+            transfers_done_at: START,
             processing_ms: 0.0,
         }
     }
@@ -101,14 +118,16 @@
     pub(super) fn finish_prompt(&mut self) -> Option<(Job, Millis, u32)> {
         let job = self.processing.take()?;
         self.active_streams += 1;
+        self.running.push(job.clone());
         let events = f64::from(job.prompt.max_output_tokens / TOKENS_PER_EVENT);
         let interval_ms =
             EVENT_INTERVAL_MS + EVENT_INTERVAL_MS_PER_STREAM * self.active_streams as f64;
         Some((job, Millis((events * interval_ms) as u64), (interval_ms * 1_000.0) as u32))
     }
 
-    pub(super) fn finish_stream(&mut self) {
+    pub(super) fn finish_stream(&mut self, instance: usize, request: u64) {
         self.active_streams = self.active_streams.saturating_sub(1);
+        self.running.retain(|it| (it.instance, it.request) != (instance, request));
     }
 
     /// Removes a request from the queue, if its processing has not started.
--- a/bench/src/load/fleet.rs
+++ b/bench/src/load/fleet.rs
@@ -1,6 +1,6 @@
 //! The instances and engines of a simulation, and what the configuration says of them.
 
-use std::sync::Arc;
+use std::{net::SocketAddr, sync::Arc};
 
 use sl_base::{Millis, ServiceId, Timestamp};
 use sl_route::{
@@ -10,7 +10,7 @@
 
 use super::{
     cache::KV_CAPACITY_TOKENS,
-    engine::{SLOTS, TOKENS_PER_EVENT},
+    engine::{SLOTS, TOKENS_PER_EVENT, TRANSFER_MS_PER_TOKEN},
     options::Options,
     processor::Processor,
     step_engine,
@@ -49,7 +49,7 @@
         slots,
         kv_capacity_tokens: KV_CAPACITY_TOKENS,
         tokens_per_event: f64::from(tokens_per_event(options.load)),
-        fetch_ms_per_token: None,
+        fetch_ms_per_token: options.load.has_transfers().then_some(TRANSFER_MS_PER_TOKEN),
     };
     let services = [(SERVICE, Some(engine)), (PLAIN_SERVICE, None)].map(|(name, engine)| Service {
         name: name.to_owned(),
@@ -72,6 +72,11 @@
     format!("dc-{data_centre}").into()
 }
 
+/// The engine at an address.
+pub(super) fn engine_at(address: SocketAddr) -> usize {
+    usize::from(address.port()) - 1
+}
+
 /// The entry of an engine.
 pub(super) fn record(options: Options, engine: usize) -> ServerRecord {
     ServerRecord {
@@ -137,7 +142,11 @@
         host: "h".to_owned(),
         prefix: format!("/{}", kind.name),
         services: vec![(ServiceId::of(SERVICE), 1)],
-        retry_policy: RetryPolicy::Stream,
+        retry_policy: if load.has_transfers() {
+            RetryPolicy::ResumableStream
+        } else {
+            RetryPolicy::Stream
+        },
         timeout: kind.timeout,
         target_latency: kind.target_latency,
         max_attempts: 2,
--- a/bench/src/load/play.rs
+++ b/bench/src/load/play.rs
@@ -152,6 +152,9 @@
             SimEvent::RequestArrives { call, instance } => self.receive_request(call, instance),
             SimEvent::CallerGivesUp { call, attempt } => self.give_up_unread(call, attempt),
             SimEvent::AttemptArrives { engine, job } => self.receive_attempt(engine, job),
+            SimEvent::PartsMoved { engine, generation, parts, job } => {
+                self.finish_transfer(engine, generation, &parts, job);
+            }
             SimEvent::PromptProcessed { engine, generation } => {
                 self.finish_prompt(engine, generation)
             }
@@ -162,10 +165,13 @@
                 request,
                 event_interval_micros,
             } => {
-                if self.engines[engine].generation == generation {
-                    self.engines[engine].finish_stream();
+                let is_whole = self.engines[engine].generation == generation;
+                if is_whole {
+                    self.engines[engine].finish_stream(instance, request);
+                }
+                if is_whole || !self.options.load.has_transfers() {
+                    self.finish_stream(instance, request, Some(event_interval_micros));
                 }
-                self.finish_stream(instance, request, Some(event_interval_micros));
             }
             SimEvent::StepEnds { engine } => self.finish_step(engine),
             SimEvent::CallerDisconnects { call } => self.disconnect_caller(call),
@@ -194,9 +200,7 @@
         let effects = self.instances[instance].step(self.now, event);
         for effect in effects {
             match effect {
-                Effect::Send { request, target } => {
-                    self.send_attempt(instance, request, target.server)
-                }
+                Effect::Send { request, target } => self.send_attempt(instance, request, &target),
                 Effect::Refuse { request, retry_after, .. } => {
                     self.handle_refusal(request, retry_after, Ending::Refused)
                 }
@@ -215,6 +219,12 @@
         if let Decision::RequestRefused { route_admitted, .. } = decision {
             self.tally.refusals_contended += u32::from(*route_admitted < 1.0);
         }
+        if let Decision::AttemptEstimates { kind, counts } = decision {
+            let [expected, actual] =
+                &mut self.tally.first_token_sums[usize::from(kind.is_fetched())];
+            *expected += counts.expected_ms;
+            *actual += counts.took_ms;
+        }
         if let Decision::AttemptSent { request, expected_ms, expected_end_ms, .. } = decision {
             let call = &mut self.calls[request.0 as usize];
             let tokens = call.caller_request.prompt.likely_output_tokens();
--- a/bench/src/load/play/engines.rs
+++ b/bench/src/load/play/engines.rs
@@ -1,11 +1,11 @@
 //! Attempts at engines, from their arrival there to the end of their streams, and engines that fail.
 
 use sl_base::{Millis, RequestId, Timestamp};
-use sl_route::{AttemptEnd, Event, Fault, ServerKey};
+use sl_route::{AttemptEnd, Event, Fault, PromptPart, effect::Target};
 
 use super::{NETWORK_DELAY, Simulation};
 use crate::load::{
-    engine::Job,
+    engine::{Job, TRANSFER_MS_PER_TOKEN, TRANSFER_OVERHEAD_MS},
     fleet::{self, EVACUATED_DATA_CENTRE, START},
     processor::Work,
     queue::SimEvent,
@@ -16,6 +16,9 @@
 /// Further delay between two data centres, one way.
 const DATA_CENTRE_DELAY_MICROS: u64 = 500;
 
+/// How many times longer the tokens of a transfer take between two data centres.
+const ACROSS_TRANSFER_FACTOR: f64 = 2.0;
+
 /// Bytes of one event of a stream, as placement assumes them.
 const EVENT_BYTES: u64 = 65;
 
@@ -25,10 +28,13 @@
 }
 
 impl Simulation {
-    pub(super) fn send_attempt(&mut self, instance: usize, request: RequestId, server: ServerKey) {
+    pub(super) fn send_attempt(&mut self, instance: usize, request: RequestId, target: &Target) {
         let call = &self.calls[request.0 as usize];
-        let job = Job { instance, request: request.0, prompt: call.caller_request.prompt.clone() };
-        let Some(&engine) = self.engine_by_key.get(&server) else {
+        let prompt = call.caller_request.prompt.clone();
+        let fetch_from = target.fetch_from.map(fleet::engine_at);
+        let is_resumed = self.options.load.has_transfers() && call.is_finished;
+        let job = Job { instance, request: request.0, prompt, fetch_from, is_resumed };
+        let Some(&engine) = self.engine_by_key.get(&target.server) else {
             return;
         };
         let is_evacuated =
@@ -62,25 +68,75 @@
     }
 
     pub(super) fn receive_attempt(&mut self, engine: usize, job: Job) {
-        if self.calls[job.request as usize].is_finished {
+        if self.has_caller_left(&job) {
             return;
         }
         if self.options.load.has_step_engines() {
             return self.receive_step_attempt(engine, job);
         }
         if self.engines[engine].is_down {
-            return self.fail_attempt(&job, Fault::NotConnected);
+            return self.fail_attempt(&job, Fault::NotConnected, false);
         }
         if !self.engines[engine].has_slot() {
-            return self.fail_attempt(&job, Fault::Full);
+            return self.fail_attempt(&job, Fault::Full, false);
+        }
+        match job.fetch_from {
+            Some(from) => self.start_transfer(engine, from, job),
+            None => self.enqueue(engine, job),
         }
+    }
+
+    fn has_caller_left(&self, job: &Job) -> bool {
+        self.calls[job.request as usize].is_finished && !job.is_resumed
+    }
+
+    fn enqueue(&mut self, engine: usize, job: Job) {
         let processed_at = self.engines[engine].enqueue(self.now, job, &self.processed_parts);
         self.schedule_prompt_end(engine, processed_at);
     }
 
+    /// Moves what `from` caches of the prompt by now, after the transfers that both engines have in progress.
+    fn start_transfer(&mut self, engine: usize, from: usize, job: Job) {
+        let held = self.engines[from].cache.cached_prefix(&job.prompt);
+        let own = self.engines[engine].cache.cached_prefix(&job.prompt).len();
+        let parts = held.get(own..).unwrap_or_default().to_vec();
+        let tokens: u32 = parts.iter().map(|it| it.tokens).sum();
+        let factor = if self.options.data_centre(engine) == self.options.data_centre(from) {
+            1.0
+        } else {
+            ACROSS_TRANSFER_FACTOR
+        };
+        let millis = TRANSFER_OVERHEAD_MS + f64::from(tokens) * TRANSFER_MS_PER_TOKEN * factor;
+        let pending = [engine, from].map(|it| self.engines[it].transfers_done_at);
+        let starts_at = pending.into_iter().fold(self.now, Timestamp::max);
+        let done_at = starts_at.after(Millis(millis.ceil() as u64));
+        for index in [engine, from] {
+            self.engines[index].transfers_done_at = done_at;
+        }
+        let generation = self.engines[engine].generation;
+        self.schedule_at(done_at, SimEvent::PartsMoved { engine, generation, parts, job });
+    }
+
+    pub(super) fn finish_transfer(
+        &mut self,
+        engine: usize,
+        generation: u64,
+        parts: &[PromptPart],
+        job: Job,
+    ) {
+        if self.engines[engine].generation != generation {
+            return self.fail_attempt(&job, Fault::ConnectionLost, false);
+        }
+        if self.has_caller_left(&job) {
+            return;
+        }
+        self.engines[engine].cache.insert(parts);
+        self.enqueue(engine, job);
+    }
+
     pub(super) fn receive_step_attempt(&mut self, engine: usize, job: Job) {
         if !self.step_engines[engine].has_slot() {
-            return self.fail_attempt(&job, Fault::Full);
+            return self.fail_attempt(&job, Fault::Full, false);
         }
         let output_tokens = self.calls[job.request as usize].caller_request.output_tokens;
         self.step_engines[engine].enqueue(job, output_tokens);
@@ -138,8 +194,8 @@
         }
     }
 
-    pub(super) fn fail_attempt(&mut self, job: &Job, fault: Fault) {
-        let end = AttemptEnd::Failed { fault, is_partially_delivered: false };
+    fn fail_attempt(&mut self, job: &Job, fault: Fault, is_partially_delivered: bool) {
+        let end = AttemptEnd::Failed { fault, is_partially_delivered };
         let request = RequestId(job.request);
         self.submit_event(job.instance, Event::AttemptEnded { request, end });
     }
@@ -156,7 +212,10 @@
         self.processed_parts.0.extend(job.prompt.shared_parts().iter().map(|it| it.key));
         let call = job.request as usize;
         let arrives_at = self.first_event_arrives_at(engine, &job);
-        if !self.calls[call].is_finished {
+        if job.is_resumed {
+            let request = RequestId(job.request);
+            self.submit_event(job.instance, Event::ResponseStarted { request });
+        } else if !self.calls[call].is_finished {
             self.record_begun(call);
             let transit_micros = arrives_at.micros_since(self.now);
             self.submit(job.instance, Work::FirstToken { call, transit_micros });
@@ -182,8 +241,12 @@
 
     pub(super) fn fail_engines(&mut self, every: usize) {
         for engine in (0..self.options.engines).step_by(every) {
+            let running = std::mem::take(&mut self.engines[engine].running);
             for job in self.engines[engine].fail() {
-                self.fail_attempt(&job, Fault::ConnectionLost);
+                self.fail_attempt(&job, Fault::ConnectionLost, false);
+            }
+            if self.options.load.has_transfers() {
+                running.iter().for_each(|it| self.fail_attempt(it, Fault::ConnectionLost, true));
             }
             for instance in 0..self.options.instances {
                 self.submit_event(
--- a/bench/src/load/queue.rs
+++ b/bench/src/load/queue.rs
@@ -1,7 +1,7 @@
 //! The events of a simulation, in the order in which they are handled.
 
 use sl_base::Timestamp;
-use sl_route::Notes;
+use sl_route::{Notes, PromptPart};
 
 use super::engine::Job;
 
@@ -25,6 +25,13 @@
         engine: usize,
         job: Job,
     },
+    /// The cached parts that an attempt needs have been moved to its engine.
+    PartsMoved {
+        engine: usize,
+        generation: u64,
+        parts: Vec<PromptPart>,
+        job: Job,
+    },
     /// The engine has processed a prompt. Ignored if the engine failed in the meantime, as its
     /// `generation` tells.
     PromptProcessed {
--- a/bench/src/load/tally.rs
+++ b/bench/src/load/tally.rs
@@ -94,8 +94,14 @@
     /// Error of the expected time between tokens relative to the actual one: the median and the
     /// 95th percentile. Only for engines that work in steps.
     pub pace_error: [f64; 2],
+    /// Actual relative to expected time to the first token: of attempts without and with a planned
+    /// transfer of cached parts.
+    pub first_token_ratio: [f64; 2],
     #[serde(skip)]
     pub(super) load: Load,
+    /// Sums of expected and actual milliseconds, without and with a planned transfer.
+    #[serde(skip)]
+    pub(super) first_token_sums: [[f64; 2]; 2],
     #[serde(skip)]
     pub(super) pace_errors: Vec<f64>,
     #[serde(skip)]
@@ -215,6 +221,8 @@
             self.pace_errors.get((last as f64 * quantile) as usize).copied().unwrap_or_default()
         };
         self.pace_error = [pace_error(0.5), pace_error(0.95)];
+        self.first_token_ratio =
+            self.first_token_sums.map(|[expected, actual]| actual / expected.max(1.0));
         self.credit = self.all.ratio();
         self.credit_disturbed = self.disturbed.ratio();
         self.worst_team = self.teams.iter().map(|it| it.ratio()).fold(1.0, f64::min);
--- a/bench/src/load/traffic.rs
+++ b/bench/src/load/traffic.rs
@@ -157,6 +157,11 @@
     /// second team are in one data centre, and the balancer keeps those of one team and data centre at one
     /// instance.
     CrowdedDataCentre,
+    /// Teams ask for a hundredth of the fair share up to a multiple of it, together for twice what the
+    /// engines bear, some only with long or only with short prompts. A third of the engines is lost, with the
+    /// streams that they run, and is back without caches; a quarter follows. Engines move cached parts. The
+    /// callers of every second team all reach one instance.
+    UnequalLoss,
 }
 
 /// Requests per second and engine in the calm load.
@@ -199,7 +204,10 @@
             return SCARCE_SLOTS_CAPACITY_PER_S * engines as f64 * wave;
         }
         let factor = match self {
-            Load::FallingTeam | Load::GreedyHalfLost | Load::CrowdedDataCentre => {
+            Load::FallingTeam
+            | Load::GreedyHalfLost
+            | Load::CrowdedDataCentre
+            | Load::UnequalLoss => {
                 let teams = 0..TEAM_COUNT;
                 let factors = teams.map(|it| team_share(it) * self.team_factor(it, elapsed_ms));
                 factors.sum::<f64>() * if self.has_balancer() { CROWDED_MEAN } else { 1.0 }
@@ -232,6 +240,7 @@
                 2 | 3 if is_disturbed => 10.0,
                 _ => 1.0,
             },
+            Load::UnequalLoss => UNEQUAL_DEMAND[team] / team_share(team),
             Load::GreedyHalfLost if team < GREEDY_TEAMS => 6.0,
             Load::GreedyTeam if team == GREEDY_TEAM && self.is_disturbed_at(elapsed_ms) => 7.5,
             _ => 1.0,
@@ -240,7 +249,8 @@
 
     /// The instance that all callers of the team reach; `None` if they reach all instances.
     pub(super) fn instance_of_team(self, team: usize, instances: usize) -> Option<usize> {
-        let has_instances = matches!(self, Load::FallingTeam | Load::GreedyHalfLost);
+        let has_instances =
+            matches!(self, Load::FallingTeam | Load::GreedyHalfLost | Load::UnequalLoss);
         (has_instances && team % 2 == 1).then_some(team % instances)
     }
 
@@ -249,6 +259,7 @@
         match self {
             Load::HalfLost | Load::GreedyHalfLost => &HALF_LOST,
             Load::FallingTeam => &SOME_LOST_TWICE,
+            Load::UnequalLoss => &THIRD_LOST,
             _ => &[],
         }
     }
@@ -302,6 +313,18 @@
         self == Load::ScarceSlots
     }
 
+    /// Whether engines move cached parts to one another, and streams break off when their engine is lost.
+    pub(super) fn has_transfers(self) -> bool {
+        self == Load::UnequalLoss
+    }
+
+    /// The only kind of request that a team sends; `None` if it sends all of them.
+    fn kind_of_team(self, team: usize) -> Option<usize> {
+        let is_mixed = self != Load::UnequalLoss || team < UNEQUAL_MIXED_TEAMS;
+        let kind = team % (KIND_COUNT + 1);
+        (!is_mixed && kind < KIND_COUNT).then_some(kind)
+    }
+
     /// How many times a caller retries a refused request.
     pub(super) fn retries(self) -> u32 {
         if self == Load::Impatient { 4 } else { 1 }
@@ -358,6 +381,18 @@
     EngineLoss { every: 4, at_ms: 24_000..24_500 },
 ];
 
+const THIRD_LOST: [EngineLoss; 2] = [
+    EngineLoss { every: 3, at_ms: 14_000..18_500 },
+    EngineLoss { every: 4, at_ms: 20_500..21_000 },
+];
+
+/// What each team asks for in [`Load::UnequalLoss`], relative to the whole calm load.
+const UNEQUAL_DEMAND: [f64; TEAM_COUNT] =
+    [1.0, 0.6, 0.5, 0.25, 0.12, 0.06, 0.03, 0.03, 0.02, 0.01, 0.01, 0.01];
+
+/// The first teams of [`Load::UnequalLoss`], which send requests of all kinds.
+const UNEQUAL_MIXED_TEAMS: usize = 3;
+
 /// The team with more requests in the load [`Load::GreedyTeam`].
 const GREEDY_TEAM: usize = 2;
 
@@ -399,6 +434,7 @@
     let kind = draw_weighted(rng, load.kinds().iter().map(|it| it.request_share));
     let weight = |team| team_share(team) * load.team_factor(team, elapsed_ms);
     let team = draw_weighted(rng, (0..TEAM_COUNT).map(weight));
+    let kind = load.kind_of_team(team).unwrap_or(kind);
     let is_hot = load == Load::HotPart
         && load.is_disturbed_at(elapsed_ms)
         && kind == 0
