Placement: engines without the prompt's parts are drawn at random, and only prefilled parts are moved

Cause: a request whose parts an engine has is bound to few engines; any other engine would do for the rest, and all instances chose the best one of the fleet, unaware of what the others had sent there in the last 25 ms. On idle engines the error was 101 ms in the mean when nobody else had sent in the last 50 ms and 497 ms with four others. A class: a choice of all by the same stale copy. Besides, a part counted as movable once it was sent to its donor; nothing can be moved before the donor has prefilled it. Change: of the engines without any part of the prompt four of the own data centre and four others are considered, drawn for each attempt; all are if none of these is in time or if they are few. A donor counts with what it has prefilled, by the order of its queue. sl-route/src/transfer.rs is split off place.rs.

--- a/bench/tests/it/loads.rs
+++ b/bench/tests/it/loads.rs
@@ -248,3 +248,35 @@
     let shed: u64 = tally.endings.iter().map(|it| it.at(Ending::Shed)).sum();
     assert!(shed > 0, "{}", table(&tally.endings));
 }
+
+/// Engines that are lost and back without caches, and teams of very unequal demand.
+fn unequal(seed: u64) -> Options {
+    Options {
+        policy: Policy::GatheredNotes,
+        instances: 18,
+        engines: 36,
+        balances_routes: false,
+        ..options(Load::UnequalLoss, seed)
+    }
+}
+
+/// Guards against instances that all choose the same engine within the delay of their notes, and against
+/// transfers that are planned from engines which have not prefilled the parts: in the plays of issue 51
+/// attempts with a transfer took 1.5 to 2.4 times as long as expected. The goal is 15% in the mean.
+#[rstest]
+fn first_tokens_come_when_expected_whether_a_part_is_moved_or_not(#[values(1, 2, 3, 4)] seed: u64) {
+    let tally = simulate(unequal(seed));
+    for ratio in tally.first_token_ratio {
+        assert!((0.85..=1.15).contains(&ratio), "{:?}", tally.first_token_ratio);
+    }
+}
+
+/// Guards against teams that ask for little and get under half of it while engines are full of others'
+/// requests, lost and back without caches.
+#[rstest]
+fn every_team_gets_half_of_what_it_is_owed_while_engines_are_lost_and_demand_is_unequal(
+    #[values(1, 2, 3, 4)] seed: u64,
+) {
+    let Tally { lowest_due, lowest_due_team, .. } = simulate(unequal(seed));
+    assert!(lowest_due >= 0.5, "team {lowest_due_team}: {lowest_due}");
+}
--- a/sl-route/src/cache.rs
+++ b/sl-route/src/cache.rs
@@ -27,6 +27,20 @@
 struct CachedPart {
     last_used: Timestamp,
     tokens: u32,
+    /// The request that prefills the part.
+    prefilled_by: QueuePosition,
+}
+
+/// The place of a request in the order in which an engine gets its requests, and so prefills them. The
+/// first one follows the default, which stands for what an engine has prefilled already.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct QueuePosition(u32);
+
+impl QueuePosition {
+    /// The position of the next request.
+    pub fn next(self) -> QueuePosition {
+        QueuePosition(self.0.saturating_add(1))
+    }
 }
 
 /// Fill level, in percent of the capacity, from which evictions are expected.
@@ -40,17 +54,37 @@
         Cache { capacity_tokens, ..Cache::default() }
     }
 
-    /// Tokens of the longest prefix of `prompt` whose parts are all cached.
+    /// Tokens of the longest prefix of `prompt` whose parts are all cached, or will be once the engine has
+    /// prefilled its queue.
     pub fn cached_prefix_tokens(&self, prompt: &Prompt) -> u32 {
         let prefix = prompt.parts.iter().take_while(|it| self.parts.contains_key(&it.key));
         prefix.map(|it| it.tokens).sum()
     }
 
-    /// Records that a request with these parts was sent to the engine, and evicts the least
-    /// recently used parts beyond the capacity.
+    /// The same, counting only what requests up to `position` have brought.
+    pub fn prefix_tokens_up_to(&self, prompt: &Prompt, position: QueuePosition) -> u32 {
+        let is_prefilled = |it: &&PromptPart| {
+            self.parts.get(&it.key).is_some_and(|part| part.prefilled_by <= position)
+        };
+        prompt.parts.iter().take_while(is_prefilled).map(|it| it.tokens).sum()
+    }
+
+    /// Records the use of parts that the engine has prefilled, and evicts the least recently used parts
+    /// beyond the capacity.
     pub fn record_use(&mut self, now: Timestamp, parts: &[PromptPart]) {
+        self.record_queued_use(now, parts, QueuePosition::default());
+    }
+
+    /// The same for the request at `position`, which was sent to the engine and prefills those of the
+    /// parts that it does not cache.
+    pub fn record_queued_use(
+        &mut self,
+        now: Timestamp,
+        parts: &[PromptPart],
+        position: QueuePosition,
+    ) {
         for part in parts {
-            self.use_part(now, *part);
+            self.use_part(now, *part, position);
         }
         if self.expects_eviction() {
             self.update_first_place();
@@ -108,14 +142,15 @@
         self.tokens >= self.capacity_tokens * EVICTION_THRESHOLD_PERCENT / PERCENT_PER_UNIT
     }
 
-    fn use_part(&mut self, now: Timestamp, part: PromptPart) {
+    fn use_part(&mut self, now: Timestamp, part: PromptPart, position: QueuePosition) {
         if let Some(cached) = self.parts.get_mut(&part.key) {
             self.tokens = self.tokens - u64::from(cached.tokens) + u64::from(part.tokens);
             cached.tokens = part.tokens;
             cached.last_used = now;
+            cached.prefilled_by = cached.prefilled_by.min(position);
             return;
         }
-        let cached = CachedPart { last_used: now, tokens: part.tokens };
+        let cached = CachedPart { last_used: now, tokens: part.tokens, prefilled_by: position };
         self.parts.insert(part.key, cached);
         self.insert_place((now, part.key));
         self.tokens += u64::from(part.tokens);
--- a/sl-route/src/engine.rs
+++ b/sl-route/src/engine.rs
@@ -10,8 +10,8 @@
 use sl_base::{Millis, Timestamp};
 
 use crate::{
-    Prompt,
-    cache::Cache,
+    Prompt, PromptPart,
+    cache::{Cache, QueuePosition},
     document::EngineLimits,
     note::AttemptKey,
     pace::{Pace, WorkTotals},
@@ -27,6 +27,10 @@
     prefill_done_at: Timestamp,
     /// Requests without a first token, in the order of sending.
     queue: VecDeque<QueuedRequest>,
+    /// The position of the latest request that was sent.
+    last_position: QueuePosition,
+    /// The last position up to which prompts are prefilled: that of a request whose first token arrived.
+    prefilled_position: QueuePosition,
     /// Sum of the tokens of the queued requests.
     queued_tokens: u64,
     /// Sum of all shifts of expected times since the start, in microseconds.
@@ -66,6 +70,7 @@
 #[derive(Clone, Copy, Debug)]
 struct QueuedRequest {
     key: AttemptKey,
+    position: QueuePosition,
     tokens: u32,
     sent_at: Timestamp,
     /// The request has ended by then.
@@ -177,6 +182,8 @@
             speed: SpeedEstimate::from_prior(prior),
             prefill_done_at: now,
             queue: VecDeque::new(),
+            last_position: QueuePosition::default(),
+            prefilled_position: QueuePosition::default(),
             queued_tokens: 0,
             shift_micros: 0,
             last_first_token_at: now,
@@ -202,6 +209,17 @@
         prompt.input_tokens.saturating_sub(self.cache.cached_prefix_tokens(prompt))
     }
 
+    /// Tokens of the longest prefix of `prompt` that the engine has prefilled and caches. Those that are only
+    /// queued are left out.
+    pub fn prefilled_prefix_tokens(&self, prompt: &Prompt) -> u32 {
+        self.cache.prefix_tokens_up_to(prompt, self.prefilled_position)
+    }
+
+    /// Records that the latest request has a prompt with `parts`, which the engine will cache.
+    pub fn record_cached_parts(&mut self, now: Timestamp, parts: &[PromptPart]) {
+        self.cache.record_queued_use(now, parts, self.last_position);
+    }
+
     /// Estimated prefill speed, in tokens per millisecond.
     pub fn tokens_per_ms(&self) -> f64 {
         self.speed.tokens_per_ms()
@@ -322,8 +340,10 @@
         let expected_at = self.prefill_done_at.after(FIRST_TOKEN_OVERHEAD);
         let shift_micros = self.shift_micros;
         self.queued_tokens += u64::from(tokens);
+        self.last_position = self.last_position.next();
         self.queue.push_back(QueuedRequest {
             key,
+            position: self.last_position,
             tokens,
             sent_at: now,
             expires_at,
@@ -338,6 +358,7 @@
             return;
         };
         self.push_back_overtaken(index, request.tokens);
+        self.prefilled_position = self.prefilled_position.max(request.position);
         // Prompts are prefilled in order, so only the requests still queued remain.
         let remaining_micros = self.queued_prefill_ms() * MICROS_PER_MILLI;
         let prefill_done_at = offset_by_micros(now, remaining_micros);
--- a/sl-route/src/lib.rs
+++ b/sl-route/src/lib.rs
@@ -28,12 +28,14 @@
 pub mod region;
 pub mod request;
 pub mod route_balance;
+pub mod sample;
 pub mod send_limit;
 pub mod server;
 pub mod share;
 pub mod shutdown;
 mod state;
 pub mod stream_origin;
+pub mod transfer;
 pub mod version_record;
 pub mod warmup;
 
--- a/sl-route/src/place.rs
+++ b/sl-route/src/place.rs
@@ -10,8 +10,10 @@
     evacuation::Evacuations,
     locality::{LeaveReason, Load, Locality},
     region::RegionLimits,
+    sample::Sample,
     server::{PlainServer, Server, ServerKind},
     stream_origin::StreamOrigin,
+    transfer::{CachedPrefix, Fetch},
 };
 
 /// Constraints that a request places on the choice of a server.
@@ -41,6 +43,8 @@
     pub cold_opens_at: Timestamp,
     /// How long the request leaves each slot of a cold server to others.
     pub cold_slot_delay: Millis,
+    /// Draws the engines that are considered of those without any part of the prompt.
+    pub sample: Sample,
     /// Whether servers are excluded whose software version the version record lacks.
     pub needs_recorded_version: bool,
 }
@@ -100,17 +104,6 @@
     pub left_data_centre: Option<LeaveReason>,
 }
 
-/// A planned transfer of cached prompt parts from one engine to another.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Fetch {
-    /// The engine that holds the parts in its cache.
-    pub from: ServerKey,
-    /// Tokens to transfer.
-    pub tokens: u32,
-    /// Milliseconds until the transfer is complete, including transfers queued before it.
-    pub duration_ms: f64,
-}
-
 /// Why no server was selected.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum PlacementError {
@@ -162,9 +155,6 @@
 /// decays after its last use. Parts unused for longer are rarely used again.
 const REUSE_DECAY_MS: f64 = 15_000.0;
 
-/// Shorter prefixes are prefilled locally rather than fetched from another engine.
-const FETCH_TOKENS_MIN: u32 = 500;
-
 /// Weight of the decode time relative to the time to the first token.
 const DECODE_WEIGHT: f64 = 0.1;
 
@@ -214,6 +204,8 @@
     is_exempt: bool,
     /// Whether the response is expected to end in time; see [`ends_in_time`].
     ends_in_time: bool,
+    /// Whether the server is an engine that caches nothing of the prompt. Any other one would do as well.
+    is_interchangeable: bool,
 }
 
 impl Candidate<'_> {
@@ -264,12 +256,10 @@
         servers.iter().copied().filter(|it| !it.health.is_avoided(now)).collect();
     let servers = if healthy.is_empty() { servers } else { healthy };
     let considered = servers.len();
-    let donor = find_donor(now, &servers, required);
+    let cached = required.prompt.map(|it| CachedPrefix::find(now, &servers, it, required.locality));
     let candidates: Vec<Candidate<'_>> =
-        servers.into_iter().filter_map(|it| evaluate(now, it, required, donor)).collect();
-    let in_time = candidates.iter().filter(|it| it.is_in_time(required));
-    let in_time = in_time.min_by(|a, b| a.score.total_cmp(&b.score));
-    match in_time {
+        servers.into_iter().filter_map(|it| evaluate(now, it, required, cached)).collect();
+    match best_in_time(&candidates, required) {
         Some(found) => {
             let found = with_locality(found, &candidates, required);
             Ok(Placement { candidates: considered, ..found })
@@ -285,6 +275,22 @@
     }
 }
 
+/// The best of the candidates in time. Of the engines that cache nothing of the prompt only some are considered.
+fn best_in_time<'a, 'b>(
+    candidates: &'b [Candidate<'a>],
+    required: Requirements<'_>,
+) -> Option<&'b Candidate<'a>> {
+    let in_time = candidates.iter().filter(|it| it.is_in_time(required));
+    let (interchangeable, mut considered): (Vec<_>, Vec<_>) =
+        in_time.partition(|it| it.is_interchangeable);
+    let (own, others): (Vec<_>, Vec<_>) =
+        interchangeable.into_iter().partition(|it| required.locality.is_own(it.data_centre));
+    for servers in [own, others] {
+        considered.extend(required.sample.draw(servers, |it| it.placement.server));
+    }
+    considered.into_iter().min_by(|a, b| a.score.total_cmp(&b.score))
+}
+
 /// The placement on the `found` server, with what the servers of the own data centre could do.
 fn with_locality(
     found: &Candidate<'_>,
@@ -319,68 +325,27 @@
     })
 }
 
-/// The engine that caches the longest prefix of a prompt.
-#[derive(Clone, Copy, Debug)]
-struct Donor {
-    server: ServerKey,
-    /// Cached tokens of the prompt that it can transfer.
-    tokens: u32,
-    /// Cached tokens of the prompt at the engine of the own data centre that has the most.
-    own_tokens: u32,
-    /// Milliseconds until its pending transfers are complete.
-    transfer_backlog_ms: f64,
-}
-
-impl Donor {
-    /// The same donor, counting only the tokens beyond the prefix cached by an engine that
-    /// lacks `uncached_tokens` tokens of `prompt`.
-    fn surplus_over(self, prompt: Option<&Prompt>, uncached_tokens: u32) -> Donor {
-        let local_tokens = prompt.map_or(0, |it| it.input_tokens.saturating_sub(uncached_tokens));
-        Donor { tokens: self.tokens.saturating_sub(local_tokens), ..self }
-    }
-}
-
-/// Finds the engine with the longest cached prefix; ties go to the shortest transfer backlog.
-fn find_donor(now: Timestamp, servers: &[&Server], required: Requirements<'_>) -> Option<Donor> {
-    let prompt = required.prompt?;
-    let mut own_tokens = 0;
-    let donors = servers.iter().filter_map(|it| {
-        let engine = it.kind.engine()?;
-        let tokens = engine.cache.cached_prefix_tokens(prompt).min(prompt.input_tokens);
-        if required.locality.is_own(&it.record.data_centre) {
-            own_tokens = own_tokens.max(tokens);
-        }
-        let transfer_backlog_ms = engine.transfer_backlog_ms(now);
-        Some(Donor { server: it.key, tokens, own_tokens: 0, transfer_backlog_ms })
-    });
-    let by_prefix = |a: &Donor, b: &Donor| {
-        a.tokens.cmp(&b.tokens).then(b.transfer_backlog_ms.total_cmp(&a.transfer_backlog_ms))
-    };
-    let donor = donors.max_by(by_prefix)?;
-    Some(Donor { own_tokens, ..donor })
-}
-
 /// Estimates how well a server suits a request; `None` if the server is an engine without a
 /// free slot, or all connections to it are in use.
 fn evaluate<'a>(
     now: Timestamp,
     server: &'a Server,
     required: Requirements<'_>,
-    donor: Option<Donor>,
+    cached: Option<CachedPrefix>,
 ) -> Option<Candidate<'a>> {
     let connections_max = required.connections_max;
     if server.own_in_flight + required.kept_free(connections_max) >= connections_max {
         return None;
     }
     let mut candidate = match &server.kind {
-        ServerKind::Engine(engine) => evaluate_engine(now, server, engine, required, donor)?,
+        ServerKind::Engine(engine) => evaluate_engine(now, server, engine, required, cached)?,
         ServerKind::Plain(plain) => evaluate_plain(now, server, plain),
     };
     let charge = required.locality.charge(Load {
         data_centre: candidate.data_centre,
         events: expected_events(server, required.prompt),
         has_backlog: candidate.placement.backlog_ms > 0.0,
-        has_own_copy: donor.is_some_and(|it| it.own_tokens >= it.tokens),
+        has_own_copy: cached.is_some_and(CachedPrefix::has_own_copy),
     });
     candidate.placement.expected_ms += charge.delay_ms;
     candidate.score += charge.delay_ms + charge.cost_ms;
@@ -403,15 +368,15 @@
     server: &'a Server,
     engine: &Engine,
     required: Requirements<'_>,
-    donor: Option<Donor>,
+    cached: Option<CachedPrefix>,
 ) -> Option<Candidate<'a>> {
     if engine.free_slots() <= required.kept_free(engine.slots()) {
         return None;
     }
     let prompt = required.prompt;
     let uncached_tokens = prompt.map_or(0, |it| engine.uncached_tokens(it));
-    let donor = donor.map(|it| it.surplus_over(prompt, uncached_tokens));
-    let fetch = plan_fetch(now, engine, donor);
+    let local_tokens = prompt.map_or(0, |it| it.input_tokens.saturating_sub(uncached_tokens));
+    let fetch = cached.and_then(|it| it.plan_fetch(now, engine, local_tokens));
     let prefill_tokens = uncached_tokens - fetch.map_or(0, |it| it.tokens);
     let fetch_ms = fetch.map_or(0.0, |it| it.duration_ms);
     let private_tokens = prompt.and_then(|it| it.parts.last()).map_or(0, |it| it.tokens);
@@ -444,7 +409,7 @@
         left_data_centre: None,
     };
     let is_exempt = !is_limited && is_exempt(engine, expected_ms, required);
-    let duplicate_tokens = donor.map_or(0, |it| it.tokens);
+    let duplicate_tokens = cached.map_or(0, |it| it.tokens_beyond(local_tokens));
     let duplicate_prefill_ms = f64::from(duplicate_tokens) / engine.tokens_per_ms();
     let prefill_ms = engine.prefill_ms(prefill_tokens);
     let ends_in_time = ends_in_time(engine, expected_ms + decode_ms, output_tokens, required);
@@ -456,6 +421,7 @@
         duplicate_prefill_ms,
         is_exempt,
         ends_in_time,
+        is_interchangeable: local_tokens == 0,
     })
 }
 
@@ -490,15 +456,6 @@
     age_ms.map_or(0.0, |it| EVICTION_WEIGHT * (-it / REUSE_DECAY_MS).exp())
 }
 
-/// Plans a transfer of the donor's tokens, if that takes less time than prefilling them.
-fn plan_fetch(now: Timestamp, engine: &Engine, donor: Option<Donor>) -> Option<Fetch> {
-    let Donor { server: from, tokens, transfer_backlog_ms, .. } = donor?;
-    let queue_ms = transfer_backlog_ms.max(engine.transfer_backlog_ms(now));
-    let duration_ms = queue_ms + engine.fetch_ms(tokens)?;
-    let is_cheaper = duration_ms < engine.prefill_ms(tokens);
-    (tokens >= FETCH_TOKENS_MIN && is_cheaper).then_some(Fetch { from, tokens, duration_ms })
-}
-
 fn evaluate_plain<'a>(now: Timestamp, server: &'a Server, plain: &PlainServer) -> Candidate<'a> {
     let slots = f64::from(server.record.slots.max(1));
     let load_factor = 1.0 + SLOT_LOAD_FACTOR * plain.in_flight() as f64 / slots;
@@ -527,5 +484,6 @@
         duplicate_prefill_ms: 0.0,
         is_exempt: false,
         ends_in_time: true,
+        is_interchangeable: false,
     }
 }
--- a/sl-route/src/server.rs
+++ b/sl-route/src/server.rs
@@ -222,7 +222,7 @@
     /// Records that an engine was sent a prompt with `parts` and will cache them.
     pub fn record_cached_parts(&mut self, now: Timestamp, parts: &[PromptPart]) {
         if let ServerKind::Engine(engine) = &mut self.kind {
-            engine.cache.record_use(now, parts);
+            engine.record_cached_parts(now, parts);
         }
     }
 
--- a/sl-route/src/state/admit.rs
+++ b/sl-route/src/state/admit.rs
@@ -15,6 +15,7 @@
     region::RegionLimits,
     request::InFlightRequest,
     route_balance::{Admission, RouteStanding},
+    sample::Sample,
     share::{ContendedUsage, Standing},
 };
 
@@ -219,6 +220,11 @@
             keeps_room: self.keeps_room_for_streams(&in_flight.arrival),
             cold_opens_at: self.cold_opens_at(now),
             cold_slot_delay: self.cold_slot_delay(&in_flight.arrival),
+            sample: Sample::new(
+                self.options.instance,
+                in_flight.arrival.request,
+                in_flight.tried.len(),
+            ),
             needs_recorded_version: false,
         }
     }
--- a/sl-route/tests/it/locality.rs
+++ b/sl-route/tests/it/locality.rs
@@ -41,11 +41,12 @@
 }
 
 /// Guards against a cost of 0 that changes anything: the digests cover each placement, its estimates
-/// and each refusal with its random delay, and were taken from the code without a cost (4b4b33a).
+/// and each refusal with its random delay. They were taken from the code without a cost (4b4b33a), and for
+/// seeds 2 and 3 again, without a cost, when parts that are not prefilled were no longer moved.
 #[rstest]
 #[case(1, 0x8956_3d52_f378_4b81, 0x13d3_c52f_bc29_539c)]
-#[case(2, 0x644a_348f_56e9_ac24, 0x63e6_d7fd_025c_256e)]
-#[case(3, 0x7f8c_9924_4524_26fb, 0x2df2_6c1a_224b_7be3)]
+#[case(2, 0x2338_ca65_ec28_aa17, 0x0292_4b07_ea9e_9a1a)]
+#[case(3, 0x23d4_b5f6_f910_47cf, 0xe794_3248_8d43_788f)]
 fn a_cost_of_0_places_as_before(#[case] seed: u64, #[case] even: u64, #[case] lost: u64) {
     assert_eq!(run_at_cost(uneven(seed), 0.0).digest, even);
     assert_eq!(run_at_cost(half_lost(seed), 0.0).digest, lost);
