Notes: on a late instance messages get as long a turn as their part of the time

Cause: a turn of messages lasted 2 ms, whatever the callers' turn. On an instance that runs 160 to 210 ms late that is a hundredth of the time, not the two fifths that are stated: it applied 170 to 350 of 3,300 messages a second (notes_ms 6 to 10), the rest was lost in the full socket. Its own grants counted in full and the others' hardly, so it took the fair share for 0.7 to 1.0 million tokens instead of 4. Change: a turn lasts two thirds of the time for which callers had theirs, 2 ms at least; the budget bounds it as before. Test: note_budget::messages_are_applied_however_long_callers_take_their_turns: before 9,338 and 2,842 of 33,000 messages, now over 95%.

--- a/sl-edge/src/note_budget.rs
+++ b/sl-edge/src/note_budget.rs
@@ -20,6 +20,8 @@
     /// Microseconds that are left; negative while more was spent.
     left_micros: f64,
     refilled_at: Timestamp,
+    /// When callers got their turn.
+    turn_ended_at: Timestamp,
 }
 
 /// Fraction of the time that messages from peers may take. Callers keep the rest, whatever the
@@ -31,6 +33,12 @@
 /// batches.
 pub const SAVED_MAX: Millis = Millis(150);
 
+/// Shortest time after which callers get their turn, while messages are waiting.
+pub const TURN_MIN: Millis = Millis(2);
+
+/// Time of messages relative to that of callers, where both have what [`NOTE_FRACTION`] says.
+const NOTE_TIME_PER_CALLER_TIME: f64 = NOTE_FRACTION / (1.0 - NOTE_FRACTION);
+
 /// How long messages are left in the socket: the usual buffer of 208 KB holds what an instance of a
 /// fleet of 295 gets in this time, some 60 datagrams, so nothing essential is lost.
 const PAUSE: Millis = Millis(75);
@@ -45,7 +53,24 @@
 impl NoteBudget {
     /// A budget of which nothing has been spent by `now`.
     pub fn new(now: Timestamp) -> NoteBudget {
-        NoteBudget { left_micros: LEFT_MAX_MICROS, refilled_at: now }
+        NoteBudget { left_micros: LEFT_MAX_MICROS, refilled_at: now, turn_ended_at: now }
+    }
+
+    /// When a turn of messages ends that begins now, if messages are still waiting then.
+    ///
+    /// The turn follows from how long callers had theirs: on an instance that runs late that is a hundred
+    /// times [`TURN_MIN`], and with turns of one length the instance would miss most messages, so that it
+    /// would refuse its own callers by a wrong view of the fleet.
+    pub fn turn_ends_at(&self, now: Timestamp) -> Timestamp {
+        let callers_micros = now.micros_since(self.turn_ended_at) as f64;
+        let micros = (callers_micros * NOTE_TIME_PER_CALLER_TIME).min(LEFT_MAX_MICROS);
+        let turn_micros = (micros as u64).max(TURN_MIN.0 * MICROS_PER_MILLI as u64);
+        Timestamp::from_micros(now.as_micros() + turn_micros)
+    }
+
+    /// Records that callers get their turn.
+    pub fn end_turn(&mut self, now: Timestamp) {
+        self.turn_ended_at = now;
     }
 
     /// Whether messages from peers may take time now.
--- a/sl-edge/src/peers/receiver.rs
+++ b/sl-edge/src/peers/receiver.rs
@@ -2,7 +2,7 @@
 
 use std::{io, net::SocketAddr, time::Duration};
 
-use sl_base::{Millis, Timestamp};
+use sl_base::Timestamp;
 use slog::debug;
 use tokio::task::yield_now;
 
@@ -11,9 +11,6 @@
     datagram::{PAYLOAD_BYTES_MAX, Priority, stated_priority},
 };
 
-/// Time after which callers get their turn, while datagrams are waiting.
-const TURN_MAX: Millis = Millis(2);
-
 impl Gossip {
     /// Receives datagrams from peers until the daemon stops.
     pub(crate) async fn run_receiver(&self) {
@@ -23,6 +20,7 @@
                 debug!(self.core.log, "failed to receive datagram"; "reason" => %e);
             }
             self.receive_turn(&mut buf);
+            self.note_budget.borrow_mut().end_turn(self.core.now());
             // What callers have sent meanwhile is read first.
             yield_now().await;
             let paused_until = self.note_budget.borrow().paused_until();
@@ -32,12 +30,12 @@
         }
     }
 
-    /// Receives the datagrams that have arrived, for [`TURN_MAX`] at most. Those that there is no time
+    /// Receives the datagrams that have arrived, until callers get their turn. Those that there is no time
     /// for are taken from the socket all the same: in its full buffer the oldest would stay, which
     /// are worth least, and essential ones would be lost.
     fn receive_turn(&self, buf: &mut [u8]) {
         let mut now = self.core.now();
-        let turn_ends_at = now.after(TURN_MAX);
+        let turn_ends_at = self.note_budget.borrow().turn_ends_at(now);
         while !turn_ends_at.is_due(now) {
             match self.socket.try_recv_from(buf) {
                 Ok((read, from)) => now = self.receive(&buf[..read], from, now),
--- a/sl-edge/tests/it/note_budget.rs
+++ b/sl-edge/tests/it/note_budget.rs
@@ -108,3 +108,28 @@
     let saved = SPAN.0 as f64 / 1_000.0 * SAVED_FRACTION;
     assert!(instance.note_time.as_secs_f64() < saved + 0.000_1, "{:?}", instance.note_time);
 }
+
+/// Guards against an instance that runs late and so gets a turn for messages only a few times a second: in a
+/// play of issue 51 one of 0.09 cores applied 170 to 350 of 3,300 messages a second, took the fair share for a
+/// quarter of what it was, and refused a team within its share.
+#[rstest]
+#[case::on_time(Duration::from_millis(1))]
+#[case::late(Duration::from_millis(60))]
+#[case::very_late(Duration::from_millis(200))]
+fn messages_are_applied_however_long_callers_take_their_turns(#[case] callers_turn: Duration) {
+    const MESSAGES_PER_SECOND: f64 = 3_300.0;
+    let mut instance = Instance::new(35);
+    let (mut arrived, mut applied) = (0.0, 0.0);
+    while !START.after(SPAN).is_due(instance.now) {
+        let turn_began_at = instance.now;
+        let turn_ends_at = instance.budget.turn_ends_at(instance.now);
+        while applied < arrived && !turn_ends_at.is_due(instance.now) && instance.handle_message() {
+            applied += 1.0;
+        }
+        instance.budget.end_turn(instance.now);
+        instance.wait(callers_turn);
+        let passed = instance.now.millis_since(turn_began_at) / 1_000.0;
+        arrived += MESSAGES_PER_SECOND * passed;
+    }
+    assert!(applied > 0.95 * arrived, "{applied} of {arrived}");
+}
