--- a/bench/src/load/engine.rs
+++ b/bench/src/load/engine.rs
@@ -49,8 +49,10 @@
 /// Number of tokens in one event of a stream.
 pub(super) const TOKENS_PER_EVENT: u32 = 7;
 
-/// Time of a transfer in addition to that of its tokens, and for each token, in milliseconds.
+/// Time of a transfer in addition to that of its tokens, in milliseconds.
 pub(super) const TRANSFER_OVERHEAD_MS: f64 = 4.0;
+
+/// Time of each token of a transfer, in milliseconds.
 pub(super) const TRANSFER_MS_PER_TOKEN: f64 = 0.0004;
 
 /// Processing time of a request in addition to that of its tokens, in milliseconds.
--- a/bench/tests/it/loads.rs
+++ b/bench/tests/it/loads.rs
@@ -262,7 +262,7 @@
 
 /// Guards against instances that all choose the same engine within the delay of their notes, and against
 /// transfers that are planned from engines which have not prefilled the parts: in the plays of issue 51
-/// attempts with a transfer took 1.5 to 2.4 times as long as expected. The goal is 15% in the mean.
+/// attempts with a transfer took 1.7 times as long as expected. The goal is 15% in the mean.
 #[rstest]
 fn first_tokens_come_when_expected_whether_a_part_is_moved_or_not(#[values(1, 2, 3, 4)] seed: u64) {
     let tally = simulate(unequal(seed));
@@ -280,3 +280,19 @@
     let Tally { lowest_due, lowest_due_team, .. } = simulate(unequal(seed));
     assert!(lowest_due >= 0.5, "team {lowest_due_team}: {lowest_due}");
 }
+
+/// Guards against teams that ask for a hundredth, a tenth or half of the fair share and get under half of that
+/// while the others ask for more than the engines bear. Each attempt counts, also those that follow a refusal.
+#[rstest]
+#[case::a_hundredth(11)]
+#[case::a_tenth(7)]
+#[case::half(5)]
+fn a_team_gets_half_of_what_it_asks_for_with_engines_full(
+    #[case] team: usize,
+    #[values(1, 2, 3, 4)] seed: u64,
+) {
+    let tally = simulate(unequal(seed));
+    let of_team = tally.endings[team];
+    let begun = of_team.at(Ending::Served) + of_team.at(Ending::Late);
+    assert!(2 * begun >= of_team.asked, "{}", table(&tally.endings));
+}
--- a/sl-edge/src/note_budget.rs
+++ b/sl-edge/src/note_budget.rs
@@ -20,7 +20,7 @@
     /// Microseconds that are left; negative while more was spent.
     left_micros: f64,
     refilled_at: Timestamp,
-    /// When callers got their turn.
+    /// When the last turn of messages ended, and callers got theirs.
     turn_ended_at: Timestamp,
 }
 
@@ -33,7 +33,7 @@
 /// batches.
 pub const SAVED_MAX: Millis = Millis(150);
 
-/// Shortest time after which callers get their turn, while messages are waiting.
+/// The shortest turn of messages, while some are waiting.
 pub const TURN_MIN: Millis = Millis(2);
 
 /// Time of messages relative to that of callers, where both have what [`NOTE_FRACTION`] says.
@@ -58,9 +58,9 @@
 
     /// When a turn of messages ends that begins now, if messages are still waiting then.
     ///
-    /// The turn follows from how long callers had theirs: on an instance that runs late that is a hundred
-    /// times [`TURN_MIN`], and with turns of one length the instance would miss most messages, so that it
-    /// would refuse its own callers by a wrong view of the fleet.
+    /// Its length is in proportion to the last turn of callers. On an instance that runs late that turn is a
+    /// hundred times [`TURN_MIN`]: with turns of a constant length the instance would miss most messages, and
+    /// refuse its own callers by a wrong view of the fleet.
     pub fn turn_ends_at(&self, now: Timestamp) -> Timestamp {
         let callers_micros = now.micros_since(self.turn_ended_at) as f64;
         let micros = (callers_micros * NOTE_TIME_PER_CALLER_TIME).min(LEFT_MAX_MICROS);
@@ -68,7 +68,7 @@
         Timestamp::from_micros(now.as_micros() + turn_micros)
     }
 
-    /// Records that callers get their turn.
+    /// Records that a turn of messages ends and callers get theirs.
     pub fn end_turn(&mut self, now: Timestamp) {
         self.turn_ended_at = now;
     }
--- a/sl-route/src/cache.rs
+++ b/sl-route/src/cache.rs
@@ -31,8 +31,8 @@
     prefilled_by: QueuePosition,
 }
 
-/// The place of a request in the order in which an engine gets its requests, and so prefills them. The
-/// first one follows the default, which stands for what an engine has prefilled already.
+/// The place of a request in the order in which an engine gets its requests and prefills their prompts. The
+/// default is before the first request: what has it is prefilled already.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct QueuePosition(u32);
 
@@ -61,7 +61,8 @@
         prefix.map(|it| it.tokens).sum()
     }
 
-    /// The same, counting only what requests up to `position` have brought.
+    /// Tokens of the longest prefix of `prompt` whose parts are all prefilled, if the engine has prefilled the
+    /// prompts of all requests up to `position`.
     pub fn prefix_tokens_up_to(&self, prompt: &Prompt, position: QueuePosition) -> u32 {
         let is_prefilled = |it: &&PromptPart| {
             self.parts.get(&it.key).is_some_and(|part| part.prefilled_by <= position)
@@ -75,8 +76,8 @@
         self.record_queued_use(now, parts, QueuePosition::default());
     }
 
-    /// The same for the request at `position`, which was sent to the engine and prefills those of the
-    /// parts that it does not cache.
+    /// Records the use of parts by a request that was sent to the engine, where it has `position`. The request
+    /// prefills those of the parts that are not cached. Evicts like [`Cache::record_use`].
     pub fn record_queued_use(
         &mut self,
         now: Timestamp,
--- a/sl-route/src/engine.rs
+++ b/sl-route/src/engine.rs
@@ -29,7 +29,7 @@
     queue: VecDeque<QueuedRequest>,
     /// The position of the latest request that was sent.
     last_position: QueuePosition,
-    /// The last position up to which prompts are prefilled: that of a request whose first token arrived.
+    /// Prompts up to this position are prefilled: the last one of which the first token arrived.
     prefilled_position: QueuePosition,
     /// Sum of the tokens of the queued requests.
     queued_tokens: u64,
--- a/sl-route/src/place.rs
+++ b/sl-route/src/place.rs
@@ -43,7 +43,7 @@
     pub cold_opens_at: Timestamp,
     /// How long the request leaves each slot of a cold server to others.
     pub cold_slot_delay: Millis,
-    /// Draws the engines that are considered of those without any part of the prompt.
+    /// Draws which of the engines that cache nothing of the prompt are considered.
     pub sample: Sample,
     /// Whether servers are excluded whose software version the version record lacks.
     pub needs_recorded_version: bool,
@@ -275,7 +275,8 @@
     }
 }
 
-/// The best of the candidates in time. Of the engines that cache nothing of the prompt only some are considered.
+/// The best-scored candidate that meets the time limit. Of the engines that cache nothing of the prompt only a
+/// sample is considered; see [`Sample`].
 fn best_in_time<'a, 'b>(
     candidates: &'b [Candidate<'a>],
     required: Requirements<'_>,
--- a/sl-route/src/sample.rs
+++ b/sl-route/src/sample.rs
@@ -1,9 +1,9 @@
-//! A random sample of equally suited servers.
+//! A random sample of the servers that suit a request equally well.
 //!
-//! An instance learns of what others have sent some milliseconds later. If all of them chose the best server
-//! of the fleet, many would choose the same one within that time, and each would expect to be the only one.
-//! The best of a few drawn at random is nearly as good and seldom the same
-//! (docs/design.md, "Where a request goes").
+//! An instance learns of the requests that others have sent some milliseconds later. If all instances chose
+//! the best server of the fleet, many would choose the same one within that time, and each would expect its
+//! request to be the only new one there. The best of a few servers drawn at random is nearly as good and
+//! seldom the same (docs/design.md, "Where a request goes").
 
 use sl_base::{RequestId, hash};
 
@@ -18,8 +18,8 @@
 /// The number of servers that are drawn, of those in the own data centre and of the others.
 const SAMPLE_SIZE: usize = 4;
 
-/// As few servers as this are all considered: a draw of them would often leave out the only idle one.
-const DRAWN_FROM_MIN: usize = 8;
+/// Up to so many servers are all returned: a draw from few would often leave out the only idle one.
+const UNDRAWN_MAX: usize = 8;
 
 impl Sample {
     /// The sample of a request at `instance` that was sent to `tried` servers before.
@@ -28,9 +28,10 @@
         Sample { seed: seed.wrapping_add(tried as u64) }
     }
 
-    /// Draws [`SAMPLE_SIZE`] of `items`, which `key` tells apart, or returns them all if they are few.
+    /// Draws [`SAMPLE_SIZE`] of `items`, whose servers `key` names; returns them all if there are at most
+    /// [`UNDRAWN_MAX`].
     pub(crate) fn draw<T>(self, mut items: Vec<T>, key: impl Fn(&T) -> ServerKey) -> Vec<T> {
-        if items.len() > DRAWN_FROM_MIN {
+        if items.len() > UNDRAWN_MAX {
             items.select_nth_unstable_by_key(SAMPLE_SIZE, |it| hash::weight(self.seed, key(it).0));
             items.truncate(SAMPLE_SIZE);
         }
--- a/sl-route/src/state/admit.rs
+++ b/sl-route/src/state/admit.rs
@@ -328,13 +328,6 @@
         }
     }
 
-    /// Logs how far the expected times of attempts held, once a second.
-    pub(super) fn report_estimates(&mut self, now: Timestamp) {
-        for (kind, counts) in self.estimates.take_report(now) {
-            self.effects.push(Effect::Log(Decision::AttemptEstimates { kind, counts }));
-        }
-    }
-
     pub(super) fn charge(arrival: &Arrival) -> Option<(TeamId, u32)> {
         let (team, prompt) = (arrival.team.as_ref()?, arrival.prompt.as_ref()?);
         Some((team.id, prompt.charge()))
--- a/sl-route/src/state/attempt.rs
+++ b/sl-route/src/state/attempt.rs
@@ -120,6 +120,13 @@
         }
     }
 
+    /// Logs how far the expected times of attempts held, once a second.
+    pub(super) fn report_estimates(&mut self, now: Timestamp) {
+        for (kind, counts) in self.estimates.take_report(now) {
+            self.effects.push(Effect::Log(Decision::AttemptEstimates { kind, counts }));
+        }
+    }
+
     /// Records the transfer from another engine to `to`, given as the source and the
     /// milliseconds until it is complete.
     pub(super) fn record_transfer(
