Dead servers: one refused connection keeps the whole fleet away, and a few instances probe

Cause: each instance counted its own failures only, and a peer learned the end of a back-off of 250 ms; so all of them took a dead server back at once, when it looked idle and so best. Class: a fact of the fleet that each instance has to find out by itself. Late connections and silence count as before: the instance itself may be late.

--- a/bench/src/load/play/engines.rs
+++ b/bench/src/load/play/engines.rs
@@ -76,7 +76,7 @@
         }
         if self.engines[engine].is_down {
             self.tally.attempts_at_lost_engines += 1;
-            return self.fail_attempt(&job, Fault::NotConnected, false);
+            return self.fail_attempt(&job, Fault::ConnectionRefused, false);
         }
         if !self.engines[engine].has_slot() {
             return self.fail_attempt(&job, Fault::Full, false);
--- a/sl-edge/src/attempt.rs
+++ b/sl-edge/src/attempt.rs
@@ -1,5 +1,7 @@
 //! One attempt at a request on one server, up to the head of the response.
 
+use std::io;
+
 use bytes::{Bytes, BytesMut};
 use sl_base::{Millis, Timestamp};
 use sl_http::{Body, Framing, RequestHead, ResponseHead};
@@ -76,6 +78,9 @@
     let pooled = pool.acquire(target.address, attempt_id, max_connections, only_fresh).await;
     let mut pooled = pooled.map_err(|e| match e {
         PoolError::LimitReached => Fault::Full,
+        PoolError::Io(e) if e.kind() == io::ErrorKind::ConnectionRefused => {
+            Fault::ConnectionRefused
+        }
         PoolError::Io(_) | PoolError::Timeout => Fault::NotConnected,
     })?;
     let timeout = outgoing.deadline.remaining(clock.now());
--- a/sl-edge/src/query_handler.rs
+++ b/sl-edge/src/query_handler.rs
@@ -122,7 +122,7 @@
         backlog_ms,
         tokens_per_ms,
         failure_rate: server.health.failure_rate(now),
-        avoided: server.health.is_avoided(now),
+        avoided: server.is_avoided(now),
         cold_ms: server.cold_for(now).0,
     }
 }
--- a/sl-route/src/event.rs
+++ b/sl-route/src/event.rs
@@ -274,7 +274,7 @@
 )]
 #[strum(serialize_all = "snake_case")]
 pub enum Fault {
-    /// No connection was established, so nothing was sent.
+    /// No connection was established in time, so nothing was sent.
     NotConnected,
     /// The server has no capacity and confirmed that it did not run the request, or the limit of
     /// connections to it was reached before anything was sent.
@@ -312,11 +312,18 @@
     /// The server responded that it did not run a request, and nothing shows that the response
     /// belongs to this request, which may therefore have run.
     UnmatchedRejection,
+    /// The connection was refused: no process listens at the server's address.
+    ConnectionRefused,
 }
 
 impl Fault {
     /// Whether the fault proves that the server did not run the request.
     pub fn proves_not_run(self) -> bool {
-        matches!(self, Fault::NotConnected | Fault::Full | Fault::WrongServer)
+        self.is_unconnected() || matches!(self, Fault::Full | Fault::WrongServer)
+    }
+
+    /// Whether no connection was established, so that nothing was sent.
+    pub fn is_unconnected(self) -> bool {
+        matches!(self, Fault::NotConnected | Fault::ConnectionRefused)
     }
 }
--- a/sl-route/src/health.rs
+++ b/sl-route/src/health.rs
@@ -72,7 +72,8 @@
         let was_avoided = self.is_avoided(now);
         let backoff = match fault {
             Fault::Full => BACKOFF_SERVER_FULL,
-            Fault::ServerError | Fault::StaleConnection => Millis(0),
+            // For a server that refuses connections the breaker decides.
+            Fault::ServerError | Fault::StaleConnection | Fault::ConnectionRefused => Millis(0),
             _ => {
                 let doublings = self.consecutive_failures.min(BACKOFF_DOUBLINGS_MAX);
                 self.consecutive_failures += 1;
--- a/sl-route/src/lib.rs
+++ b/sl-route/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod activity;
 pub mod admission;
+pub mod breaker;
 pub mod budget;
 pub mod cache;
 pub mod crash_causes;
--- a/sl-route/src/note.rs
+++ b/sl-route/src/note.rs
@@ -136,6 +136,13 @@
         /// The remaining time in milliseconds.
         for_ms: u32,
     },
+    /// A server refused a connection.
+    ConnectionRefused {
+        /// The server.
+        server: ServerKey,
+        /// How many probes in a row were refused; see [`Breaker`](crate::breaker::Breaker).
+        refusals: u32,
+    },
 }
 
 impl Note {
@@ -156,7 +163,8 @@
             | Note::Barred(_)
             | Note::ServerLimit { .. }
             | Note::StreamBegan { .. }
-            | Note::ServerCold { .. } => true,
+            | Note::ServerCold { .. }
+            | Note::ConnectionRefused { .. } => true,
         }
     }
 }
--- a/sl-route/src/place.rs
+++ b/sl-route/src/place.rs
@@ -252,8 +252,7 @@
     if servers.is_empty() {
         return Err(no_server_error(now, &eligible, required));
     }
-    let healthy: Vec<&Server> =
-        servers.iter().copied().filter(|it| !it.health.is_avoided(now)).collect();
+    let healthy: Vec<&Server> = servers.iter().copied().filter(|it| !it.is_avoided(now)).collect();
     let servers = if healthy.is_empty() { servers } else { healthy };
     let considered = servers.len();
     let cached = required.prompt.map(|it| CachedPrefix::find(now, &servers, it, required.locality));
--- a/sl-route/src/server.rs
+++ b/sl-route/src/server.rs
@@ -6,8 +6,8 @@
 use sl_base::{Millis, ServerId, Timestamp, hash};
 
 use crate::{
-    PromptPart, ServerRecord, ServerState, document::WarmupLimits, engine::Engine, health::Health,
-    note::AttemptKey, send_limit::SendLimit, warmup::ColdSlots,
+    PromptPart, ServerRecord, ServerState, breaker::Breaker, document::WarmupLimits,
+    engine::Engine, health::Health, note::AttemptKey, send_limit::SendLimit, warmup::ColdSlots,
 };
 
 /// Identifies one run of a backend server.
@@ -44,6 +44,8 @@
     pub record: ServerRecord,
     /// The server's health, derived from its responses.
     pub health: Health,
+    /// Whether the server refuses connections.
+    pub breaker: Breaker,
     /// The kind of server and its load.
     pub kind: ServerKind,
     /// When to request the list of the engine's cached parts; [`Timestamp::NEVER`] once its
@@ -153,6 +155,11 @@
         self.record.state == ServerState::Ready && !self.has_announced_drain
     }
 
+    /// Whether requests go to other servers if there are any.
+    pub fn is_avoided(&self, now: Timestamp) -> bool {
+        self.health.is_avoided(now) || !self.breaker.allows(now)
+    }
+
     /// Whether the server asked this instance to send it no requests for now.
     pub fn is_paused(&self, now: Timestamp) -> bool {
         !self.paused_until.is_due(now)
--- a/sl-route/src/state/attempt.rs
+++ b/sl-route/src/state/attempt.rs
@@ -7,6 +7,7 @@
     AttemptEnd, Decision, Effect, Failure, Fault, Refusal, RetryPolicy, ServerKey,
     activity::TokenOutcome,
     admission::AdmissionLimits,
+    breaker::ProbeDraw,
     effect::{NextStep, RetryDenial, Target},
     estimates::AttemptKind,
     note::{AttemptKey, Note},
@@ -44,6 +45,7 @@
         server.record_sent(now, key, placement.prefill_tokens, Timestamp::NEVER);
         let is_cold = server.is_cold(now);
         server.record_own_send(now);
+        server.breaker.record_sent(now);
         let fetch = placement.fetch.map(|it| (it.from, it.duration_ms.round() as u32));
         self.record_transfer(now, placement.server, fetch);
         let Some(server) = self.servers.get_mut(&placement.server) else {
@@ -168,6 +170,7 @@
         if let Some(server) = self.servers.get_mut(&server) {
             server.record_response_start(now, key);
             server.health.record_success(now);
+            server.breaker.record_response(now);
             match &mut server.kind {
                 ServerKind::Plain(plain) => plain.record_response_time(took_ms),
                 ServerKind::Engine(_) => self.estimates.record_started(kind, expected_ms, took_ms),
@@ -271,7 +274,7 @@
         self.record_fault(now, &in_flight, fault);
         match fault {
             // The request did not reach the server; the attempt does not count.
-            Fault::NotConnected => in_flight.attempts -= 1,
+            Fault::NotConnected | Fault::ConnectionRefused => in_flight.attempts -= 1,
             // It reached another one, which did not run it; only the retry budget counts that.
             Fault::WrongServer => {
                 in_flight.attempts -= 1;
@@ -343,6 +346,42 @@
         if fault != Fault::DeadlineExceeded && !was_counted {
             self.record_server_failure(now, current.server, fault);
         }
+        if fault == Fault::ConnectionRefused {
+            self.record_refused_connection(now, current.server);
+        }
+    }
+
+    fn probe_draw(&self, server: ServerKey) -> ProbeDraw {
+        ProbeDraw { server, instance: self.options.instance, instances: self.instances }
+    }
+
+    /// Opens the breaker of a server that refused a connection, here and at the peers.
+    fn record_refused_connection(&mut self, now: Timestamp, key: ServerKey) {
+        let draw = self.probe_draw(key);
+        let Some(server) = self.servers.get_mut(&key) else {
+            return;
+        };
+        let Some(refusals) = server.breaker.record_refused(now, draw) else {
+            return;
+        };
+        let probe_at = server.breaker.own_probe_at().unwrap_or(now);
+        let decision = Decision::ServerAvoided {
+            server: server.record.id.clone(),
+            fault: Fault::ConnectionRefused,
+            failure_rate: server.health.failure_rate(now),
+            for_ms: probe_at.remaining(now).0,
+        };
+        self.effects.push(Effect::Log(decision));
+        self.queue_note(Note::ConnectionRefused { server: key, refusals });
+    }
+
+    /// Opens the breaker of a server that refused connections of a peer.
+    pub(super) fn on_peer_refused(&mut self, now: Timestamp, key: ServerKey, refusals: u32) {
+        let draw = self.probe_draw(key);
+        self.crash_detector.record_unreachable(key);
+        if let Some(server) = self.servers.get_mut(&key) {
+            server.breaker.record_peer_refused(now, refusals, draw);
+        }
     }
 
     /// Records a failure in the health of a server, and tells the peers if it is avoided now.
--- a/sl-route/src/state/crashes.rs
+++ b/sl-route/src/state/crashes.rs
@@ -38,7 +38,7 @@
             return;
         };
         let server = current.server;
-        if fault == Fault::NotConnected {
+        if fault.is_unconnected() {
             self.crash_detector.record_unreachable(server);
         }
         let Some(phase) = LossPhase::of(now, fault, current.response_started_at) else {
--- a/sl-route/src/state/listing.rs
+++ b/sl-route/src/state/listing.rs
@@ -10,6 +10,7 @@
 use super::{State, warmup::ColdChange};
 use crate::{
     Decision, Document, Effect, ServerKey, ServerRecord,
+    breaker::Breaker,
     engine::{Engine, SPEEDUP_MAX, SpeedPrior},
     health::Health,
     server::{PlainServer, Server, ServerKind},
@@ -164,6 +165,7 @@
                 unrecorded_until,
                 record,
                 health: Health::new(now),
+                breaker: Breaker::default(),
                 kind,
                 list_cache_at: now.after(FIRST_LIST_DELAY),
                 own_in_flight: 0,
--- a/sl-route/src/state/notes.rs
+++ b/sl-route/src/state/notes.rs
@@ -60,6 +60,7 @@
                 }
                 if let Some(server) = self.servers.get_mut(&server) {
                     server.record_sent(now, attempt_key(attempt), prefill_tokens, expires_at);
+                    server.breaker.record_sent(now);
                     if let Some(limit) = &mut server.send_limit {
                         limit.record_send(now);
                     }
@@ -70,6 +71,7 @@
                 self.crash_detector.record_alive(now, server);
                 if let Some(server) = self.servers.get_mut(&server) {
                     server.record_response_start(now, attempt_key(attempt));
+                    server.breaker.record_response(now);
                 }
             }
             Note::AttemptEnded { server, attempt, event_interval_micros, refunded } => {
@@ -95,6 +97,9 @@
                     server.health.extend_avoidance(now.after(Millis(for_ms.into())));
                 }
             }
+            Note::ConnectionRefused { server, refusals } => {
+                self.on_peer_refused(now, server, refusals);
+            }
             Note::CacheListed { server, parts } => self.merge_peer_cache(now, server, &parts),
             Note::ServerDraining { server } => self.mark_draining(now, server, true),
             Note::AttemptLost { server, attempt, phase, request, parts } => {
--- a/sl-route/tests/it/evacuation.rs
+++ b/sl-route/tests/it/evacuation.rs
@@ -193,6 +193,7 @@
 #[rstest]
 #[case::rejected(Fault::Full)]
 #[case::unreachable(Fault::NotConnected)]
+#[case::refused(Fault::ConnectionRefused)]
 fn a_request_does_not_return_to_a_silent_server_of_an_evacuated_data_centre(
     #[case] fault: Fault,
     #[values(false, true)] is_evacuated: bool,
@@ -391,6 +392,7 @@
 fn step() -> impl Strategy<Value = Step> {
     let fault = prop_oneof![
         Just(Fault::NotConnected),
+        Just(Fault::ConnectionRefused),
         Just(Fault::Full),
         Just(Fault::ConnectionLost),
         Just(Fault::TruncatedResponse),
--- a/sl-route/tests/it/main.rs
+++ b/sl-route/tests/it/main.rs
@@ -2,6 +2,7 @@
 
 mod activity;
 mod admission;
+mod breaker;
 mod budget;
 mod cache;
 mod connections;
--- a/sl-route/tests/it/retry.rs
+++ b/sl-route/tests/it/retry.rs
@@ -34,6 +34,7 @@
 
 #[rstest]
 #[case::not_connected(Fault::NotConnected, Reaction::Retried, Reaction::Retried)]
+#[case::refused(Fault::ConnectionRefused, Reaction::Retried, Reaction::Retried)]
 #[case::full(Fault::Full, Reaction::Retried, Reaction::Retried)]
 #[case::wrong_server(Fault::WrongServer, Reaction::Retried, Reaction::Retried)]
 #[case::connection_lost(Fault::ConnectionLost, Reaction::Retried, Reaction::Failed)]
--- a/sl-route/tests/it/silence.rs
+++ b/sl-route/tests/it/silence.rs
@@ -136,6 +136,7 @@
 #[rstest]
 #[case::rejected(Fault::Full)]
 #[case::unreachable(Fault::NotConnected)]
+#[case::refused(Fault::ConnectionRefused)]
 fn a_request_returns_to_the_silent_server_once_if_no_other_one_takes_over(#[case] fault: Fault) {
     let mut state = state_with_stream(&ENGINES, RetryPolicy::ResumableStream);
     let first = state.servers().find(|it| it.in_flight() == 1).unwrap().key;
--- a/sl-route/tests/it/views.rs
+++ b/sl-route/tests/it/views.rs
@@ -23,6 +23,7 @@
         Just(Some(Fault::ConnectionLost)),
         Just(Some(Fault::Full)),
         Just(Some(Fault::NotConnected)),
+        Just(Some(Fault::ConnectionRefused)),
         Just(Some(Fault::ResponseTimeout)),
         Just(Some(Fault::ServerError)),
     ];
