--- a/sl-edge/src/run.rs
+++ b/sl-edge/src/run.rs
@@ -18,7 +18,7 @@
 };
 use slog::{info, warn};
 use tokio::{
-    net::{TcpListener, TcpSocket, UdpSocket},
+    net::{TcpListener, UdpSocket},
     signal::unix::{SignalKind, signal},
     sync::{Notify, mpsc},
     task::{LocalSet, spawn_local},
@@ -130,7 +130,7 @@
         operator_key_hashes: operator_hashes(&settings)?,
     };
     let ports = sl_front::serve(ports, handle).await?;
-    let caller_listener = bind(listen.caller)?;
+    let caller_listener = bind(listen.caller).await?;
     let listen_error = |source| Error::Listen { address: listen.notes, source };
     let notes_socket = UdpSocket::bind(listen.notes).await.map_err(listen_error)?;
     info!(log, "started"; "caller" => %listen.caller, "control" => %control.address,
@@ -344,21 +344,8 @@
     settings.keys.operator_key_hashes.iter().map(hash).collect()
 }
 
-/// Connections that may wait to be accepted: as many as come while an instance is late for some time.
-const BACKLOG: u32 = 1_024;
-
-fn bind(address: SocketAddr) -> Result<TcpListener, Error> {
-    listen(address).map_err(|source| Error::Listen { address, source })
-}
-
-fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
-    let socket = match address {
-        SocketAddr::V4(_) => TcpSocket::new_v4()?,
-        SocketAddr::V6(_) => TcpSocket::new_v6()?,
-    };
-    socket.set_reuseaddr(true)?;
-    socket.bind(address)?;
-    socket.listen(BACKLOG)
+async fn bind(address: SocketAddr) -> Result<TcpListener, Error> {
+    TcpListener::bind(address).await.map_err(|source| Error::Listen { address, source })
 }
 
 /// How often the reducer's deadlines and the idle connections are checked.
