--- a/tests/it/callers.rs
+++ b/tests/it/callers.rs
@@ -1,6 +1,10 @@
 //! Callers that disconnect, and callers that reuse their connections.
 
+use std::time::Duration;
+
 use bench::eventually;
+use futures::future::join_all;
+use nix::sys::signal::Signal;
 use stand_ins::{Call, Server, document, server::Fault};
 
 use crate::testbed::{call, fleet, model_call};
@@ -69,3 +73,26 @@
         assert_eq!(caller.call(&request).await.unwrap().status(), 200);
     }
 }
+
+/// More connections than a small instance serves within the time that callers wait.
+const MANY_CONNECTIONS: usize = 400;
+
+/// How long a caller tries to connect.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// What an instance of 0.09 cores reads within a second, at half a millisecond of a core for each request.
+const WAITING_MAX: usize = 180;
+
+// Guards against callers that wait until their deadline behind a thousand others at a late instance, whose
+// tick, which would find it late, waits there as well: in a trial of issue 54 it was silent for five seconds.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_more_callers_wait_at_a_suspended_instance_than_a_small_one_serves_in_a_second() {
+    let fleet = fleet(1).await;
+    let address = fleet.instances[0].caller;
+    fleet.instances[0].signal(Signal::SIGSTOP);
+    let connect = || tokio::time::timeout(CONNECT_TIMEOUT, tokio::net::TcpStream::connect(address));
+    let connections = join_all((0..MANY_CONNECTIONS).map(|_| connect())).await;
+    let waiting = connections.iter().filter(|it| matches!(it, Ok(Ok(_)))).count();
+    fleet.instances[0].signal(Signal::SIGCONT);
+    assert!((1..=WAITING_MAX).contains(&waiting), "{waiting}");
+}
