--- a/bench/src/load/options.rs
+++ b/bench/src/load/options.rs
@@ -25,7 +25,7 @@
     pub balances_routes: bool,
     /// What the work of instances takes of their processors; `None` if it takes no time.
     pub processor: Option<ProcessorCosts>,
-    /// How long the entry of a lost engine stays listed, which refuses connections meanwhile.
+    /// How long the entry of a lost engine stays listed. The engine refuses connections meanwhile.
     pub lease: Millis,
     /// How long callers send new requests.
     pub duration: Millis,
