Slow readers: callers that pause get their whole response, and hosts that are gone are still noticed

Cause: TCP_USER_TIMEOUT of 3 s on the connections of callers and servers. Linux counts its time also while a peer keeps its window closed and answers every probe. The writes of whole responses and refusals had no other deadline.

Change: PeerMonitor asks TCP_INFO which connections are unanswered, checks those that were written to every 200 ms, and shuts down those whose host acknowledged nothing for 3 s. Each write to a caller has a deadline. A stream is read on while its caller pauses, up to 256 KiB. Callers that have read nothing for 3 s give up their memory, the longest paused first, when others need it. The log and two counters say why a response was not delivered.

--- a/sl-edge/src/caller.rs
+++ b/sl-edge/src/caller.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use sl_base::Code;
-use sl_http::{Body, BodyError, Conn, Framing, HeadError, RequestHead};
+use sl_http::{Body, BodyError, Conn, Framing, HeadError, PeerMonitor, RequestHead};
 use sl_route::Document;
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -16,16 +16,18 @@
 };
 
 use crate::{
-    connection_tracker::ConnectionTracker, core::Core, pool::Pool, refusal::LocalResponse,
-    response_memory::ResponseMemory, stream_locator::StreamLocator, turns::Turns,
+    connection_tracker::ConnectionTracker, core::Core, delivery, pool::Pool,
+    refusal::LocalResponse, response_memory::ResponseMemory, stream_locator::StreamLocator,
+    turns::Turns,
 };
-use request::Request;
+use request::{CALLER_TIMEOUT_DEFAULT, Request};
 
 /// State shared by the tasks that serve callers' connections.
 pub(crate) struct Ingress {
     pub(crate) core: Rc<Core>,
     pub(crate) pool: Pool,
     pub(crate) connections: Rc<ConnectionTracker>,
+    pub(crate) peer_monitor: PeerMonitor,
     pub(crate) response_memory: ResponseMemory,
     pub(crate) stream_locator: StreamLocator,
 }
@@ -85,12 +87,12 @@
         slog::warn!(ingress.core.log, "cannot set socket options"; "reason" => %e);
     }
     let _open = ingress.connections.register();
-    let mut conn = Conn::new(stream);
+    let mut conn = Conn::monitored(stream, &ingress.peer_monitor);
     let mut is_reused = false;
     loop {
         let head = match read_head(&ingress, &mut conn, is_reused).await {
             Ok(head) => head,
-            Err(None) => return conn.close().await,
+            Err(None) => return conn.close(),
             Err(Some(code)) => {
                 return respond_and_close(&ingress, conn, LocalResponse::of(code), false).await;
             }
@@ -219,8 +221,11 @@
     is_head: bool,
 ) {
     let _closing = ingress.connections.mark_closing();
-    // A write error means that the caller has disconnected.
-    if response.write(&mut conn, None, is_head, false).await.is_ok() {
+    let response = response.encode(None, is_head, false);
+    let clock = ingress.core.clock;
+    let deadline = clock.now().after(CALLER_TIMEOUT_DEFAULT);
+    let memory = &ingress.response_memory.share();
+    if delivery::deliver(clock, &mut conn, deadline, memory, response).await.is_ok() {
         lingering_close(ingress, conn).await;
     }
 }
@@ -230,7 +235,7 @@
 /// first.
 async fn lingering_close(ingress: &Ingress, mut conn: Conn) {
     let _closing = ingress.connections.mark_closing();
-    conn.shutdown_write().await;
+    conn.shutdown_write();
     let reading = async {
         let mut read = 0;
         while read < LINGER_BYTES_MAX {
--- a/sl-edge/src/caller/exchange.rs
+++ b/sl-edge/src/caller/exchange.rs
@@ -12,12 +12,10 @@
 use crate::{
     attempt::{self, OutgoingRequest, Upstream},
     core::{Action, Core, RequestGuard},
+    delivery::{self, DeliveryError},
     event_sequence::{EventSequence, IdRule},
     refusal::LocalResponse,
-    relay::{
-        self, CollectError, FullResponse, PIPELINED_BYTES_MAX, RelayDeadlines, RelayError,
-        StreamRelay,
-    },
+    relay::{self, CollectError, FullResponse, RelayDeadlines, RelayError, StreamRelay},
 };
 use platform::ServerResponse;
 
@@ -31,8 +29,8 @@
     Delivered { status: u16 },
     /// The attempt failed; `response` is the server's error, if it may be forwarded.
     Failed { fault: Fault, response: Option<FullResponse> },
-    /// The caller closed its connection, or writing to it failed.
-    CallerDisconnected,
+    /// The caller does not get the rest of its response.
+    Undelivered(DeliveryError),
     /// The graceful shutdown has ended before the response.
     CutOff,
     /// The server was silent, and the reducer decided on something else than waiting for it.
@@ -79,7 +77,9 @@
             }
             _ => EventSequence::new(IdRule::AsFirst, None),
         };
-        let stream = StreamRelay::new(events, request.head.is_http_11, request.keeps_alive.get());
+        let memory = ingress.response_memory.share();
+        let stream =
+            StreamRelay::new(events, request.head.is_http_11, request.keeps_alive.get(), memory);
         Exchange {
             request,
             ingress,
@@ -115,13 +115,8 @@
                 AttemptOutcome::CutOff => return self.finish_for_shutdown().await,
                 AttemptOutcome::Superseded { next } => next,
                 AttemptOutcome::Delivered { status } => return self.complete(status),
-                AttemptOutcome::CallerDisconnected => {
-                    self.request.record_end(
-                        self.ingress,
-                        Some(&self.guard),
-                        Code::CallerGone.into(),
-                        0,
-                    );
+                AttemptOutcome::Undelivered(reason) => {
+                    self.request.record_undelivered(self.ingress, &self.guard, reason);
                     return Disposition::Reset;
                 }
                 AttemptOutcome::Failed { fault, response } => {
@@ -154,7 +149,7 @@
     async fn attempt(&mut self, target: &Target) -> AttemptOutcome {
         let clock = self.ingress.core.clock;
         if self.ingress.core.is_lagging() && self.conn.is_closed_by_peer() {
-            return AttemptOutcome::CallerDisconnected;
+            return AttemptOutcome::Undelivered(delivery::connection_error(self.conn));
         }
         let request = self.request;
         let outgoing = OutgoingRequest {
@@ -181,8 +176,8 @@
             tokio::select! {
                 biased;
                 sent = &mut sending => break sent,
-                () = self.conn.closed(PIPELINED_BYTES_MAX) => {
-                    return AttemptOutcome::CallerDisconnected;
+                reason = self.stream.undelivered(clock, self.conn) => {
+                    return AttemptOutcome::Undelivered(reason);
                 }
                 () = clock.reached(silent_at), if silent_at < self.deadline => {}
             }
@@ -229,7 +224,9 @@
         let collecting = relay::collect(clock, self.conn, &mut upstream, self.deadline);
         let response = match collecting.await {
             Ok(response) => response,
-            Err(CollectError::CallerDisconnected) => return AttemptOutcome::CallerDisconnected,
+            Err(CollectError::CallerDisconnected) => {
+                return AttemptOutcome::Undelivered(delivery::connection_error(self.conn));
+            }
             Err(CollectError::Fault(fault)) => {
                 return AttemptOutcome::Failed { fault, response: None };
             }
@@ -245,9 +242,9 @@
         }
         self.request.decide_keep_alive(self.ingress, self.conn);
         self.is_response_begun = true;
-        match self.request.write_response(self.conn, &response).await {
+        match self.request.write_response(self.ingress, self.conn, &response).await {
             Ok(()) => AttemptOutcome::Delivered { status: response.head.status },
-            Err(_) => AttemptOutcome::CallerDisconnected,
+            Err(reason) => AttemptOutcome::Undelivered(reason),
         }
     }
 
@@ -277,13 +274,17 @@
                 Ok(()) => {
                     let status = upstream.head.status;
                     return_to_pool(self.ingress, target, upstream);
-                    return AttemptOutcome::Delivered { status };
+                    let deadline = self.request.caller_deadline();
+                    return match self.stream.deliver(clock, self.conn, deadline).await {
+                        Ok(()) => AttemptOutcome::Delivered { status },
+                        Err(reason) => AttemptOutcome::Undelivered(reason),
+                    };
                 }
                 Err(RelayError::Silent) => match self.report_silence().await {
                     SilenceDecision::Wait { until } => silent_at = until,
                     SilenceDecision::GiveUp { next } => return AttemptOutcome::Superseded { next },
                 },
-                Err(RelayError::CallerDisconnected) => return AttemptOutcome::CallerDisconnected,
+                Err(RelayError::Undelivered(reason)) => return AttemptOutcome::Undelivered(reason),
                 Err(RelayError::Fault(fault)) => {
                     return AttemptOutcome::Failed { fault, response: None };
                 }
@@ -311,8 +312,9 @@
                         "server_error",
                         response.head.status,
                     );
-                    let written = self.request.write_response(self.conn, &response).await;
-                    return self.request.disposition(written);
+                    let written =
+                        self.request.write_response(self.ingress, self.conn, &response).await;
+                    return self.request.disposition(self.ingress, written);
                 }
                 None => LocalResponse::failed(Failure::ConnectionLost),
             },
@@ -339,10 +341,17 @@
         self.request.record_end(self.ingress, Some(&self.guard), code, status);
         let attempt_id = Some(&self.request.metadata.attempt_id);
         let is_head = self.request.head.is_head();
-        match local.write(self.conn, attempt_id, is_head, keeps_alive).await {
+        let deadline = self.request.caller_deadline();
+        let clock = self.ingress.core.clock;
+        let memory = &self.ingress.response_memory.share();
+        let response = local.encode(attempt_id, is_head, keeps_alive);
+        match delivery::deliver(clock, self.conn, deadline, memory, response).await {
             Ok(()) if keeps_alive => Disposition::KeepAlive,
             Ok(()) => Disposition::Close,
-            Err(_) => Disposition::Reset,
+            Err(reason) => {
+                self.request.log_undelivered(self.ingress, reason);
+                Disposition::Reset
+            }
         }
     }
 }
--- a/sl-edge/src/caller/request.rs
+++ b/sl-edge/src/caller/request.rs
@@ -10,12 +10,14 @@
     Arrival, Document, Event, Prompt, RetryPolicy, Route, Team, activity::TokenOutcome,
     shutdown::Candidate, stream_origin::StreamRequest,
 };
-use slog::warn;
+use slog::{info, warn};
 
 use super::{Disposition, Ingress, exchange::Exchange};
 use crate::{
     core::RequestGuard,
+    delivery::DeliveryError,
     log::{Admitted, Line, RequestEnd},
+    metrics::name_label,
     refusal::LocalResponse,
     relay::FullResponse,
 };
@@ -44,7 +46,7 @@
 const RETRY_ELSEWHERE_AFTER: Millis = Millis(10);
 
 /// Time limit of a request whose caller states none.
-const CALLER_TIMEOUT_DEFAULT: Millis = Millis(30_000);
+pub(super) const CALLER_TIMEOUT_DEFAULT: Millis = Millis(30_000);
 
 impl Request {
     /// Resolves the route, the team and the service of a request.
@@ -203,7 +205,8 @@
         self.keeps_alive.get()
     }
 
-    fn caller_deadline(&self) -> Timestamp {
+    /// When the caller stops waiting for its response.
+    pub(super) fn caller_deadline(&self) -> Timestamp {
         self.arrived_at.after(self.metadata.timeout.unwrap_or(CALLER_TIMEOUT_DEFAULT))
     }
 
@@ -262,25 +265,61 @@
         let now = ingress.core.now();
         self.first_byte_at.set(Some(now));
         let waited = now.micros_since(self.arrived_at) as f64 / MICROS_PER_SECOND;
-        let label = crate::metrics::name_label(&self.route.name);
+        let label = name_label(&self.route.name);
         ingress.core.metrics.first_byte.get_or_create(&label).observe(waited);
         ingress.core.step(Event::ResponseStarted { request: guard.request });
     }
 
+    /// Writes a response that is no stream, which the caller may read until its deadline.
+    ///
+    /// # Errors
+    ///
+    /// If the caller does not get the whole response.
     pub(super) async fn write_response(
         &self,
+        ingress: &Ingress,
         conn: &mut Conn,
         response: &FullResponse,
-    ) -> std::io::Result<()> {
-        response.write(conn, self.head.is_head(), self.keeps_alive.get()).await
+    ) -> Result<(), DeliveryError> {
+        let (clock, deadline) = (ingress.core.clock, self.caller_deadline());
+        response.write(clock, conn, deadline, self.head.is_head(), self.keeps_alive.get()).await
     }
 
-    pub(super) fn disposition(&self, written: std::io::Result<()>) -> Disposition {
+    pub(super) fn disposition(
+        &self,
+        ingress: &Ingress,
+        written: Result<(), DeliveryError>,
+    ) -> Disposition {
         match written {
             Ok(()) if self.keeps_alive.get() => Disposition::KeepAlive,
             Ok(()) => Disposition::Close,
-            Err(_) => Disposition::Reset,
+            Err(reason) => {
+                self.log_undelivered(ingress, reason);
+                Disposition::Reset
+            }
+        }
+    }
+
+    /// Records the end of a request whose caller did not get the whole response.
+    pub(super) fn record_undelivered(
+        &self,
+        ingress: &Ingress,
+        guard: &RequestGuard,
+        reason: DeliveryError,
+    ) {
+        self.log_undelivered(ingress, reason);
+        self.record_end(ingress, Some(guard), Code::CallerGone.into(), 0);
+    }
+
+    /// Counts why the caller did not get the whole response, and logs it unless the caller chose so.
+    pub(super) fn log_undelivered(&self, ingress: &Ingress, reason: DeliveryError) {
+        let is_own_choice = reason == DeliveryError::CallerClosed;
+        let reason: &'static str = reason.into();
+        if !is_own_choice {
+            info!(ingress.core.log, "response not delivered";
+                "id" => lossy_text(&self.metadata.attempt_id), "why" => reason);
         }
+        ingress.core.metrics.undelivered.get_or_create(&name_label(reason)).inc();
     }
 
     /// Records the request in the burn report, if its outcome counts there.
--- a/sl-edge/src/metrics.rs
+++ b/sl-edge/src/metrics.rs
@@ -134,6 +134,10 @@
     pub caller_connections: Counter,
     /// Request heads that were read.
     pub request_heads: Counter,
+    /// Responses of which the caller did not get all, by reason.
+    pub undelivered: Family<NameLabel, Counter>,
+    /// Connections that failed because the host of a caller or server acknowledged nothing.
+    pub hosts_gone: Counter,
     /// Seconds spent on messages from peers.
     pub note_seconds: FloatCounter,
     /// New connections to backend servers.
@@ -210,6 +214,8 @@
             store_calls: Family::default(),
             caller_connections: Counter::default(),
             request_heads: Counter::default(),
+            undelivered: Family::default(),
+            hosts_gone: Counter::default(),
             note_seconds: FloatCounter::default(),
             server_connections: Counter::default(),
             peer_messages: Family::default(),
@@ -360,6 +366,16 @@
         it.register("connections", "New connections to servers", self.server_connections.clone());
         it.register("peer_messages", "Messages between instances", self.peer_messages.clone());
         it.register("request_heads", "Request heads read", self.request_heads.clone());
+        it.register(
+            "undelivered",
+            "Responses of which the caller did not get all by reason",
+            self.undelivered.clone(),
+        );
+        it.register(
+            "hosts_gone",
+            "Connections whose peer's host acknowledged nothing",
+            self.hosts_gone.clone(),
+        );
         it.register("note_seconds", "Time spent on messages from peers", self.note_seconds.clone());
     }
 
--- a/sl-edge/src/pool.rs
+++ b/sl-edge/src/pool.rs
@@ -9,7 +9,7 @@
 };
 
 use sl_base::{Millis, Timestamp};
-use sl_http::Conn;
+use sl_http::{Conn, PeerMonitor};
 
 use crate::{clock::Clock, metrics::Metrics, sent_requests::SentRequests};
 
@@ -17,6 +17,7 @@
 pub(crate) struct Pool {
     clock: Clock,
     metrics: Metrics,
+    peer_monitor: PeerMonitor,
     servers: RefCell<HashMap<SocketAddr, Rc<ServerConns>>>,
 }
 
@@ -90,8 +91,8 @@
 const FRESH_IDLE_MAX: Millis = Millis(300);
 
 impl Pool {
-    pub(crate) fn new(metrics: Metrics) -> Pool {
-        Pool { clock: Clock, metrics, servers: RefCell::default() }
+    pub(crate) fn new(metrics: Metrics, peer_monitor: PeerMonitor) -> Pool {
+        Pool { clock: Clock, metrics, peer_monitor, servers: RefCell::default() }
     }
 
     /// Takes an idle connection to `address` or opens one, with at most `max_connections` open
@@ -116,7 +117,7 @@
         }
         let guard = InUseGuard::new(server);
         self.metrics.server_connections.inc();
-        let connecting = sl_http::connect(address);
+        let connecting = sl_http::connect_monitored(address, &self.peer_monitor);
         let conn = tokio::time::timeout(CONNECT_TIMEOUT.into(), connecting)
             .await
             .map_err(|_| PoolError::Timeout)??;
--- a/sl-edge/src/refusal.rs
+++ b/sl-edge/src/refusal.rs
@@ -4,7 +4,7 @@
 use bytes::{Bytes, BytesMut};
 use serde::Serialize;
 use sl_base::{Code, Millis, Outcome};
-use sl_http::{Conn, ResponseHead};
+use sl_http::ResponseHead;
 use sl_route::{Failure, Refusal};
 
 /// A response that does not come from a backend server.
@@ -54,16 +54,15 @@
         })
     }
 
-    /// Writes the response. `attempt_id` is absent if the request was rejected before it was
+    /// Encodes the response. `attempt_id` is absent if the request was rejected before it was
     /// registered; `is_head` if the request's method was HEAD, so that no body is sent; without
     /// `keeps_alive` the response announces that the connection closes.
-    pub(crate) async fn write(
+    pub(crate) fn encode(
         self,
-        conn: &mut Conn,
         attempt_id: Option<&Bytes>,
         is_head: bool,
         keeps_alive: bool,
-    ) -> std::io::Result<()> {
+    ) -> BytesMut {
         let reason: &'static str = self.code.into();
         let body = Body { code: self.code.number(), reason, outcome: self.code.outcome() };
         // Serialization cannot fail: the fields are names and a number.
@@ -87,6 +86,6 @@
         if !is_head {
             buf.extend_from_slice(&body);
         }
-        conn.write(&buf).await
+        buf
     }
 }
--- a/sl-edge/src/relay.rs
+++ b/sl-edge/src/relay.rs
@@ -1,12 +1,17 @@
 //! Relays responses from backend servers to callers, whole or as streams of events.
 
-use bytes::{BufMut, Bytes, BytesMut};
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use futures::FutureExt;
 use sl_base::Timestamp;
 use sl_http::{BodyError, Conn, Ending, Headers, ResponseHead};
 use sl_route::Fault;
 
 use crate::{
-    attempt::Upstream, clock::Clock, event_sequence::EventSequence, response_memory::ResponseShare,
+    attempt::Upstream,
+    clock::Clock,
+    delivery::{self, DeliveryError, PAUSE_TOLERANCE},
+    event_sequence::EventSequence,
+    response_memory::ResponseShare,
 };
 use platform::ServerResponse;
 
@@ -22,7 +27,7 @@
 pub(crate) struct FullResponse {
     pub(crate) head: ResponseHead,
     pub(crate) body: Bytes,
-    _memory: ResponseShare,
+    memory: ResponseShare,
 }
 
 /// Why a response was not read to its end.
@@ -36,7 +41,8 @@
 /// Why a stream was not relayed to its end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum RelayError {
-    CallerDisconnected,
+    /// The caller does not get the rest.
+    Undelivered(DeliveryError),
     /// No event arrived by the time that was set for it. The server may still go on.
     Silent,
     /// The attempt on the server failed.
@@ -60,7 +66,7 @@
     };
     match read {
         Some(Ok(body)) => {
-            Ok(FullResponse { head: upstream.head.clone(), body, _memory: upstream.memory.take() })
+            Ok(FullResponse { head: upstream.head.clone(), body, memory: upstream.memory.take() })
         }
         Some(Err(BodyError::Malformed | BodyError::TooLarge)) => {
             Err(CollectError::Fault(Fault::InvalidResponse))
@@ -73,12 +79,19 @@
 impl FullResponse {
     /// Writes the response to the caller; `is_head` if the request's method was HEAD, so that
     /// no body is sent.
+    ///
+    /// # Errors
+    ///
+    /// If the caller does not get the whole response by `deadline`, which is as of
+    /// [`delivery::deliver`].
     pub(crate) async fn write(
         &self,
+        clock: Clock,
         caller: &mut Conn,
+        deadline: Timestamp,
         is_head: bool,
         keeps_alive: bool,
-    ) -> std::io::Result<()> {
+    ) -> Result<(), DeliveryError> {
         let mut headers = ServerResponse(&self.head).forwarded_headers();
         let has_body = !matches!(self.head.status, 204 | 304);
         if is_head {
@@ -89,12 +102,10 @@
         } else if has_body {
             headers.push("Content-Length", self.body.len().to_string());
         }
-        let mut buf = BytesMut::with_capacity(self.body.len() + HEAD_CAPACITY);
+        let mut buf = BytesMut::with_capacity(HEAD_CAPACITY);
         write_head(&self.head, headers, keeps_alive, &mut buf);
-        if !is_head {
-            buf.put_slice(&self.body);
-        }
-        caller.write(&buf).await
+        let body = if is_head { &[][..] } else { &self.body[..] };
+        delivery::deliver(clock, caller, deadline, &self.memory, buf.chain(body)).await
     }
 }
 
@@ -116,6 +127,12 @@
     is_chunked: bool,
     keeps_alive: bool,
     events: EventSequence,
+    /// Bytes that the caller's connection has not taken yet.
+    unsent: BytesMut,
+    /// The memory of these bytes.
+    memory: ResponseShare,
+    /// When the caller counts as paused, unless its connection takes bytes before.
+    paused_at: Timestamp,
     /// When the first events of the stream were received.
     first_event_at: Option<Timestamp>,
     /// When the latest events were received.
@@ -138,6 +155,14 @@
 }
 
 impl RelayDeadlines {
+    /// Gives the server time for its next event from `now` on.
+    fn postpone_silence(&mut self, now: Timestamp) {
+        self.silent_at = match self.event_gap {
+            Some(gap) => now.after(gap),
+            None => self.stream_deadline,
+        };
+    }
+
     /// Why an attempt whose next event is overdue at `now` is not relayed further.
     fn timeout_error(&self, now: Timestamp) -> RelayError {
         match self.stream_deadline.is_due(now) {
@@ -150,12 +175,20 @@
 impl StreamRelay {
     /// A stream of which nothing has been relayed yet. Without `is_chunked`, for callers that
     /// do not support chunked encoding, the end of the connection marks the end of the stream.
-    pub(crate) fn new(events: EventSequence, is_chunked: bool, keeps_alive: bool) -> StreamRelay {
+    pub(crate) fn new(
+        events: EventSequence,
+        is_chunked: bool,
+        keeps_alive: bool,
+        memory: ResponseShare,
+    ) -> StreamRelay {
         StreamRelay {
             is_head_sent: false,
             is_chunked,
             keeps_alive: keeps_alive && is_chunked,
             events,
+            unsent: BytesMut::new(),
+            memory,
+            paused_at: Timestamp::NEVER,
             first_event_at: None,
             last_event_at: None,
         }
@@ -186,7 +219,11 @@
 
     /// Relays the events of `upstream` until its end; calls `on_first_event` when its first event
     /// has arrived, which tells whether the caller's connection stays open after the stream. After
-    /// [`RelayError::Silent`] the same response can be relayed further.
+    /// [`RelayError::Silent`] the same response can be relayed further. Some bytes may not have been
+    /// written at the end, for which [`StreamRelay::deliver`] is to be called.
+    ///
+    /// While the caller pauses, its bytes are kept, so that the server does not have to wait for it: a server
+    /// cuts off a response that remains unread. Only when no memory is left for them does it wait.
     pub(crate) async fn relay(
         &mut self,
         clock: Clock,
@@ -196,18 +233,28 @@
         mut on_first_event: impl FnMut(&mut Conn) -> bool,
     ) -> Result<(), RelayError> {
         loop {
-            let due = deadlines.silent_at.min(deadlines.stream_deadline);
-            let next = upstream.body.next(&mut upstream.pooled.conn);
+            let may_read = self.has_room();
+            let silent_at = if may_read { deadlines.silent_at } else { Timestamp::NEVER };
+            let due = silent_at.min(deadlines.stream_deadline);
             let next = tokio::select! {
                 biased;
-                next = clock.complete_by(due, next) => next,
-                () = caller.closed(PIPELINED_BYTES_MAX) => return Err(RelayError::CallerDisconnected),
-            };
-            let Some(next) = next else {
-                return Err(deadlines.timeout_error(clock.now()));
+                written = self.write_some(clock, caller) => {
+                    written.map_err(RelayError::Undelivered)?;
+                    if !may_read {
+                        deadlines.postpone_silence(clock.now());
+                    }
+                    continue;
+                }
+                next = upstream.body.next(&mut upstream.pooled.conn), if may_read => next,
+                () = clock.reached(due) => {
+                    return Err(match may_read {
+                        true => deadlines.timeout_error(clock.now()),
+                        false => RelayError::Undelivered(DeliveryError::NotRead),
+                    });
+                }
             };
             let Some(piece) = next.map_err(|e| RelayError::Fault(fault(&e)))? else {
-                return self.finish(clock, caller, upstream, deadlines.stream_deadline).await;
+                return self.finish(upstream, caller);
             };
             let awaited_first_event = self.events.awaits_first_event();
             let taken = self.events.push(&piece);
@@ -220,22 +267,19 @@
                 self.first_event_at.get_or_insert(now);
                 self.last_event_at = Some(now);
             }
-            // Events count as delivered once they are taken, so they are written before a failure
-            // is reported.
+            // Events count as delivered once they are taken, so they are kept when a failure is
+            // reported.
             if !taken.bytes.is_empty() {
-                let mut buf = self.take_head(&upstream.head, caller);
-                self.frame(&taken.bytes, &mut buf);
-                self.write(clock, caller, deadlines.stream_deadline, &buf).await?;
+                self.take_head(&upstream.head, caller);
+                self.frame(clock.now(), &taken.bytes);
             }
             let has_memory = upstream.memory.resize(self.events.kept_bytes());
             if taken.error.is_some() || !has_memory {
+                self.write_at_once(clock, caller);
                 return Err(RelayError::Fault(Fault::InvalidResponse));
             }
             if taken.event_count > 0 {
-                deadlines.silent_at = match deadlines.event_gap {
-                    Some(gap) => clock.now().after(gap),
-                    None => deadlines.stream_deadline,
-                };
+                deadlines.postpone_silence(clock.now());
             } else if due.is_due(clock.now()) {
                 // Bytes that complete no event may come without a pause, and the timeout above
                 // elapses only during a pause.
@@ -244,77 +288,140 @@
         }
     }
 
-    /// Ends the stream after the last byte of a server, if the stream may end there.
-    async fn finish(
+    /// Writes what the caller's connection has not taken yet, until the caller disconnects. Returns
+    /// why it does not get the rest.
+    pub(crate) async fn undelivered(&mut self, clock: Clock, caller: &mut Conn) -> DeliveryError {
+        loop {
+            if let Err(e) = self.write_some(clock, caller).await {
+                return e;
+            }
+        }
+    }
+
+    /// Writes what the caller's connection has not taken yet.
+    ///
+    /// # Errors
+    ///
+    /// If the caller does not get all of it by `deadline`, which is as of [`delivery::deliver`].
+    pub(crate) async fn deliver(
         &mut self,
         clock: Clock,
         caller: &mut Conn,
-        upstream: &Upstream,
         deadline: Timestamp,
-    ) -> Result<(), RelayError> {
+    ) -> Result<(), DeliveryError> {
+        let unsent = self.unsent.split();
+        delivery::deliver(clock, caller, deadline, &self.memory, unsent).await?;
+        if !self.is_chunked {
+            caller.set_reset_on_end(false);
+        }
+        Ok(())
+    }
+
+    /// Whether more may be read for the caller.
+    fn has_room(&mut self) -> bool {
+        self.unsent.len() < UNSENT_BYTES_MAX && self.memory.resize(self.unsent.len())
+    }
+
+    /// Writes some of what the caller's connection has not taken yet. Without anything to write, waits
+    /// until the caller disconnects.
+    async fn write_some(&mut self, clock: Clock, caller: &mut Conn) -> Result<(), DeliveryError> {
+        loop {
+            let paused_at = self.paused_at;
+            tokio::select! {
+                biased;
+                is_open = caller.write_some(&mut self.unsent, PIPELINED_BYTES_MAX) => {
+                    if !matches!(is_open, Ok(true)) {
+                        return Err(delivery::connection_error(caller));
+                    }
+                    self.record_progress(clock.now());
+                    return Ok(());
+                }
+                () = self.memory.evicted() => return Err(DeliveryError::MemoryNeeded),
+                () = clock.reached(paused_at) => {
+                    self.memory.set_paused(true);
+                    self.paused_at = Timestamp::NEVER;
+                }
+            }
+        }
+    }
+
+    /// Records that the caller's connection has taken bytes.
+    fn record_progress(&mut self, now: Timestamp) {
+        self.memory.set_paused(false);
+        self.memory.resize(self.unsent.len());
+        self.paused_at = match self.unsent.is_empty() {
+            true => Timestamp::NEVER,
+            false => now.after(PAUSE_TOLERANCE),
+        };
+    }
+
+    /// Writes as much as the caller's connection takes without a wait.
+    fn write_at_once(&mut self, clock: Clock, caller: &mut Conn) {
+        while !self.unsent.is_empty() {
+            let Some(Ok(())) = self.write_some(clock, caller).now_or_never() else {
+                return;
+            };
+        }
+    }
+
+    /// Ends the stream after the last byte of a server, if the stream may end there.
+    fn finish(&mut self, upstream: &Upstream, caller: &Conn) -> Result<(), RelayError> {
         let is_closed = upstream.body.ending() == Some(Ending::Closed);
         if !self.events.may_end(is_closed) {
             return Err(RelayError::Fault(Fault::TruncatedResponse));
         }
-        let mut buf = self.take_head(&upstream.head, caller);
+        self.take_head(&upstream.head, caller);
         let withheld = self.events.take_withheld();
         if !withheld.is_empty() {
-            self.frame(&withheld, &mut buf);
+            self.append(&withheld);
         }
         if self.is_chunked {
-            buf.put_slice(LAST_CHUNK);
-        }
-        self.write(clock, caller, deadline, &buf).await?;
-        if !self.is_chunked {
-            caller.set_reset_on_end(false);
+            self.unsent.put_slice(LAST_CHUNK);
         }
         Ok(())
     }
 
-    /// The encoded head, unless it was taken before. It is sent together with the first event:
-    /// once the caller has it, a failure can only be reported by a reset.
+    /// Appends the head to what is to be written, unless it was taken before. It is sent together with
+    /// the first event: once the caller has it, a failure can only be reported by a reset.
     /// From then on a connection whose end would complete the stream is reset when it ends early,
     /// also if this process does.
-    fn take_head(&mut self, head: &ResponseHead, caller: &Conn) -> BytesMut {
+    fn take_head(&mut self, head: &ResponseHead, caller: &Conn) {
         if std::mem::replace(&mut self.is_head_sent, true) {
-            return BytesMut::new();
+            return;
         }
         let mut headers = ServerResponse(head).forwarded_headers();
         match self.is_chunked {
             true => headers.push("Transfer-Encoding", "chunked"),
             false => caller.set_reset_on_end(true),
         }
-        let mut buf = BytesMut::with_capacity(HEAD_CAPACITY);
-        write_head(head, headers, self.keeps_alive, &mut buf);
-        buf
+        self.unsent.reserve(HEAD_CAPACITY);
+        write_head(head, headers, self.keeps_alive, &mut self.unsent);
     }
 
-    /// Appends a piece of the body to `buf`, as a chunk if the stream is chunked.
-    fn frame(&self, piece: &[u8], buf: &mut BytesMut) {
-        buf.reserve(piece.len() + CHUNK_FRAME_BYTES);
-        if !self.is_chunked {
-            return buf.put_slice(piece);
+    /// Appends a piece of the body, of which the caller has to take some by the time at which it counts
+    /// as paused.
+    fn frame(&mut self, now: Timestamp, piece: &[u8]) {
+        if self.paused_at == Timestamp::NEVER {
+            self.paused_at = now.after(PAUSE_TOLERANCE);
         }
-        buf.put_slice(format!("{:x}\r\n", piece.len()).as_bytes());
-        buf.put_slice(piece);
-        buf.put_slice(b"\r\n");
+        self.append(piece);
     }
 
-    async fn write(
-        &self,
-        clock: Clock,
-        caller: &mut Conn,
-        deadline: Timestamp,
-        bytes: &[u8],
-    ) -> Result<(), RelayError> {
-        match clock.complete_by(deadline, caller.write(bytes)).await {
-            Some(Ok(())) => Ok(()),
-            Some(Err(_)) => Err(RelayError::CallerDisconnected),
-            None => Err(RelayError::Fault(Fault::DeadlineExceeded)),
+    /// Appends a piece of the body, as a chunk if the stream is chunked.
+    fn append(&mut self, piece: &[u8]) {
+        self.unsent.reserve(piece.len() + CHUNK_FRAME_BYTES);
+        if !self.is_chunked {
+            return self.unsent.put_slice(piece);
         }
+        self.unsent.put_slice(format!("{:x}\r\n", piece.len()).as_bytes());
+        self.unsent.put_slice(piece);
+        self.unsent.put_slice(b"\r\n");
     }
 }
 
+/// Bytes of a stream that are kept for a caller that pauses.
+const UNSENT_BYTES_MAX: usize = 256 * 1_024;
+
 /// Buffer capacity reserved for the framing of a chunk, in bytes.
 const CHUNK_FRAME_BYTES: usize = 16;
 
--- a/sl-edge/src/run.rs
+++ b/sl-edge/src/run.rs
@@ -11,6 +11,7 @@
 use platform::Addresses;
 use sl_base::{Incarnation, InstanceId, Millis, ServiceId};
 use sl_config::{Settings, key::KeyError, settings::RouteSharing};
+use sl_http::PeerMonitor;
 use sl_peer::{HandshakeKey, Hello, Links};
 use sl_route::{
     Event, Options, Regions, State, budget, event::InstanceLimits, shutdown::StopRequest,
@@ -289,12 +290,20 @@
         let (core, store) = (self.core.clone(), self.store.clone());
         let membership =
             Rc::new(Membership::new(core, store.clone(), settings.name.clone(), addresses));
-        let pool = Pool::new(self.core.metrics.clone());
+        let peer_monitor = PeerMonitor::default();
+        let pool = Pool::new(self.core.metrics.clone(), peer_monitor.clone());
         let connections = self.connections.clone();
         let response_memory = ResponseMemory::default();
         let stream_locator = self.spawn_origins(settings.id());
         let core = self.core.clone();
-        let ingress = Rc::new(Ingress { core, pool, connections, response_memory, stream_locator });
+        let ingress = Rc::new(Ingress {
+            core,
+            pool,
+            connections,
+            peer_monitor,
+            response_memory,
+            stream_locator,
+        });
         spawn_local(caller::accept_loop(ingress.clone(), caller_listener));
         spawn_local(async move { store.run().await });
         let (own_id, cores) = (settings.id(), settings.cores.value() as f32);
@@ -371,6 +380,8 @@
         ingress.core.record_tick(due.elapsed().as_secs_f64() * MILLIS_PER_SECOND);
         ingress.core.step(Event::Tick);
         ingress.pool.prune();
+        let hosts_gone = ingress.peer_monitor.check(std::time::Instant::now());
+        ingress.core.metrics.hosts_gone.inc_by(hosts_gone as u64);
         peer_table.prune(clock.now());
         // While nobody has named the members, the reducer assumes many.
         if peer_table.len() > 0 {
--- a/sl-edge/tests/it/response_memory.rs
+++ b/sl-edge/tests/it/response_memory.rs
@@ -42,3 +42,26 @@
     drop(moved);
     assert!(second.resize(SMALL_RESPONSE_BYTES_MAX + 4));
 }
+
+/// Guards against callers that pause and hold the memory for all large responses meanwhile, and against
+/// dropping what others have for the sake of one that pauses itself.
+#[tokio::test]
+async fn the_caller_that_has_been_paused_for_longest_gives_way_to_one_that_reads() {
+    const HALF: usize = SMALL_RESPONSE_BYTES_MAX + LARGE_RESPONSES_BYTES_MAX / 2;
+    let memory = ResponseMemory::default();
+    let (mut first, mut second, mut third) = (memory.share(), memory.share(), memory.share());
+    assert!(first.reserve(HALF) && second.reserve(HALF));
+    second.set_paused(true);
+    first.set_paused(true);
+    third.set_paused(true);
+    assert!(!third.resize(HALF), "it pauses itself");
+    third.set_paused(false);
+    assert!(third.resize(HALF));
+    second.evicted().await;
+    let is_evicted = |it| tokio::time::timeout(std::time::Duration::ZERO, it);
+    assert!(is_evicted(first.evicted()).await.is_err(), "enough was available");
+    first.set_paused(false);
+    assert!(!memory.share().resize(HALF), "nobody is paused");
+    drop(second);
+    assert!(!memory.share().resize(HALF), "what was dropped is given back once");
+}
--- a/sl-http/src/conn.rs
+++ b/sl-http/src/conn.rs
@@ -1,21 +1,28 @@
 //! A TCP connection with a read buffer.
 
-use std::{io, mem::MaybeUninit};
-
-use bytes::BytesMut;
-use tokio::{
-    io::{AsyncWriteExt, Interest},
-    net::TcpStream,
-    task::coop,
+use std::{
+    io::{self, IoSlice},
+    mem::MaybeUninit,
+    net::Shutdown,
+    sync::Arc,
 };
 
-use crate::{Head, MalformedHead};
+use bytes::{Buf, BytesMut};
+use tokio::{io::Interest, net::TcpStream, task::coop};
+
+use crate::{Head, MalformedHead, PeerMonitor};
+
+mod socket;
+
+pub(crate) use socket::Socket;
 
 /// A TCP connection and the bytes that were received but not yet consumed.
 #[derive(Debug)]
 pub struct Conn {
-    stream: TcpStream,
+    socket: Arc<Socket>,
     buf: BytesMut,
+    /// Finds out whether the peer's host is gone; `None` if the system does.
+    monitor: Option<PeerMonitor>,
 }
 
 /// Why no message head could be read.
@@ -41,10 +48,24 @@
 /// Buffer space reserved before each read, in bytes.
 const READ_BYTES: usize = 16 * 1_024;
 
+/// Pieces of memory that one write takes: a head and a body.
+const WRITE_PARTS: usize = 2;
+
 impl Conn {
     /// Wraps a stream from which nothing has been read.
     pub fn new(stream: TcpStream) -> Conn {
-        Conn { stream, buf: BytesMut::new() }
+        Conn { socket: Arc::new(Socket::new(stream)), buf: BytesMut::new(), monitor: None }
+    }
+
+    /// Wraps a stream from which nothing has been read, and which fails when `monitor` finds that the
+    /// peer's host is gone.
+    pub fn monitored(stream: TcpStream, monitor: &PeerMonitor) -> Conn {
+        Conn { monitor: Some(monitor.clone()), ..Conn::new(stream) }
+    }
+
+    /// Whether the connection failed because the peer's host is gone.
+    pub fn is_host_gone(&self) -> bool {
+        self.socket.is_host_gone()
     }
 
     /// Returns the bytes that were received but not yet consumed.
@@ -72,7 +93,7 @@
     /// yet.
     fn peek(&self) -> io::Result<usize> {
         let mut byte = [MaybeUninit::uninit()];
-        socket2::SockRef::from(&self.stream).peek(&mut byte)
+        socket2::SockRef::from(self.stream()).peek(&mut byte)
     }
 
     /// Reads a head of at most `limit` bytes. Cancel safe: no bytes are lost if the returned
@@ -131,14 +152,14 @@
     pub async fn fill(&mut self) -> io::Result<usize> {
         loop {
             // Reserves memory only after the wait: idle connections hold no buffer.
-            self.stream.readable().await?;
+            self.stream().readable().await?;
             // A socket that always has bytes would otherwise never let other tasks run, nor a
             // timeout around this read elapse.
             coop::consume_budget().await;
             self.buf.reserve(READ_BYTES);
-            match self.stream.try_read_buf(&mut self.buf) {
+            match self.socket.stream.try_read_buf(&mut self.buf) {
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => self.release_buffer(),
-                read => return read,
+                read => return read.inspect_err(|e| self.socket.record_error(e)),
             }
         }
     }
@@ -167,8 +188,11 @@
     /// # Errors
     ///
     /// If the connection failed.
-    pub async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
-        self.stream.write_all(bytes).await
+    pub async fn write(&mut self, mut bytes: &[u8]) -> io::Result<()> {
+        while bytes.has_remaining() {
+            self.write_some(&mut bytes, 0).await?;
+        }
+        Ok(())
     }
 
     /// Writes `bytes` until all are written or the peer sends something, and returns how many
@@ -181,9 +205,9 @@
     pub async fn write_until_response(&mut self, bytes: &[u8]) -> io::Result<usize> {
         let mut written = 0;
         while written < bytes.len() {
-            let ready = self.stream.ready(Interest::READABLE | Interest::WRITABLE).await?;
+            let ready = self.stream().ready(Interest::READABLE | Interest::WRITABLE).await?;
             if ready.is_writable() {
-                match self.stream.try_write(&bytes[written..]) {
+                match self.try_write(&[IoSlice::new(&bytes[written..])]) {
                     Ok(n) => {
                         written += n;
                         continue;
@@ -192,35 +216,96 @@
                     Err(e) => return Err(e),
                 }
             }
-            if ready.is_readable() {
-                self.buf.reserve(READ_BYTES);
-                match self.stream.try_read_buf(&mut self.buf) {
-                    Ok(_) => return Ok(written),
-                    Err(e) if e.kind() == io::ErrorKind::WouldBlock => self.release_buffer(),
-                    Err(e) => return Err(e),
-                }
+            if ready.is_readable() && self.try_fill()?.is_some() {
+                return Ok(written);
             }
         }
         Ok(written)
     }
 
+    /// Writes some of `bytes`, and advances it by what was written. Bytes that the peer sends meanwhile
+    /// are kept: at most `limit`, beyond which a close is no longer noticed. Returns false if the peer
+    /// has closed the connection. Without `bytes`, only waits for that. Cancel safe.
+    ///
+    /// # Errors
+    ///
+    /// If the connection failed.
+    pub async fn write_some(&mut self, bytes: &mut impl Buf, limit: usize) -> io::Result<bool> {
+        loop {
+            let may_read = self.buf.len() < limit;
+            let interest = match (may_read, bytes.has_remaining()) {
+                (false, false) => std::future::pending().await,
+                (true, false) => Interest::READABLE,
+                (false, true) => Interest::WRITABLE,
+                (true, true) => Interest::READABLE | Interest::WRITABLE,
+            };
+            let ready = self.stream().ready(interest).await?;
+            // As for reading: a socket that always takes bytes must let other tasks run.
+            coop::consume_budget().await;
+            if may_read && ready.is_readable() && self.try_fill()? == Some(0) {
+                return Ok(false);
+            }
+            if !bytes.has_remaining() || !ready.is_writable() {
+                continue;
+            }
+            let mut parts = [IoSlice::new(&[]); WRITE_PARTS];
+            let count = bytes.chunks_vectored(&mut parts);
+            match self.try_write(&parts[..count]) {
+                Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+                Ok(written) => {
+                    bytes.advance(written);
+                    return Ok(true);
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(e) => return Err(e),
+            }
+        }
+    }
+
+    /// Reads what has arrived; `None` if nothing has, and 0 bytes if the peer has closed the connection.
+    fn try_fill(&mut self) -> io::Result<Option<usize>> {
+        self.buf.reserve(READ_BYTES);
+        match self.socket.stream.try_read_buf(&mut self.buf) {
+            Ok(read) => Ok(Some(read)),
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                self.release_buffer();
+                Ok(None)
+            }
+            Err(e) => {
+                self.socket.record_error(&e);
+                Err(e)
+            }
+        }
+    }
+
+    fn try_write(&self, parts: &[IoSlice<'_>]) -> io::Result<usize> {
+        if let Some(monitor) = &self.monitor
+            && self.socket.record_write()
+        {
+            monitor.watch(&self.socket);
+        }
+        self.stream().try_write_vectored(parts).inspect_err(|e| self.socket.record_error(e))
+    }
+
+    fn stream(&self) -> &TcpStream {
+        &self.socket.stream
+    }
+
     /// Closes the connection in order: bytes already written are still delivered.
-    pub async fn close(mut self) {
-        self.shutdown_write().await;
+    pub fn close(self) {
+        self.shutdown_write();
     }
 
     /// Shuts down the write direction; the peer sees the end of the stream.
-    pub async fn shutdown_write(&mut self) {
+    pub fn shutdown_write(&self) {
         // Fails if the peer has already closed the connection, which needs no action.
-        let _ = self.stream.shutdown().await;
+        let _ = socket2::SockRef::from(self.stream()).shutdown(Shutdown::Write);
     }
 
     /// Sets whether the connection is reset when it ends, also by the end of this process. Where
     /// the end of the connection is the end of a message, an orderly end would complete it.
     pub fn set_reset_on_end(&self, is_reset: bool) {
-        let linger = is_reset.then_some(std::time::Duration::ZERO);
-        // If the option is rejected, the connection ends as without it.
-        let _ = socket2::SockRef::from(&self.stream).set_linger(linger);
+        self.socket.set_reset_on_end(is_reset);
     }
 
     /// Resets the connection, so that the peer sees an error instead of an orderly close.
--- a/sl-http/src/lib.rs
+++ b/sl-http/src/lib.rs
@@ -11,6 +11,7 @@
 mod head;
 mod headers;
 mod path;
+mod peer_monitor;
 mod socket;
 
 pub use body::{Body, BodyError, Ending};
@@ -20,4 +21,5 @@
 pub use head::{Head, MalformedHead, RequestHead, ResponseHead};
 pub use headers::{Field, Headers};
 pub use path::has_dot_segment;
-pub use socket::{connect, set_socket_options};
+pub use peer_monitor::{CHECK_INTERVAL, HOST_TIMEOUT, PeerMonitor};
+pub use socket::{connect, connect_monitored, set_socket_options};
--- a/sl-http/tests/it/main.rs
+++ b/sl-http/tests/it/main.rs
@@ -7,3 +7,4 @@
 mod framing;
 mod head;
 mod path;
+mod peer_monitor;
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -21,6 +21,7 @@
 mod restore;
 mod shutdown;
 mod silence;
+mod slow_readers;
 mod soak;
 mod stop_series;
 mod stops;
