Crashes: the store keeps what crashes servers, so that a start of all instances does not forget it

Cause: bars, the crashes counted so far, and that the one attempt after a bar was made, were in the memory of instances only. A new instance asks its peers, and after a kill of all there are none that know.

Change: the crash record, one mirrored entry that the followers of the store write in turns when it changes: causes, the runs that crashed and have ended for certain, bars with the minutes left, and whether the one attempt was made. What another instance cleared is cleared with it; a copy of an earlier era adds and clears nothing.

--- a/sl-edge/src/change_handler.rs
+++ b/sl-edge/src/change_handler.rs
@@ -2,7 +2,11 @@
 
 use std::rc::Rc;
 
-use platform::{Addresses, Entry, Malformed, stream_origins::VERSION_RECORD_KEY};
+use platform::{
+    Addresses, Entry, Malformed,
+    crash_record::{CRASH_RECORD_KEY, ReadCrashRecord},
+    stream_origins::VERSION_RECORD_KEY,
+};
 use sl_mirror::Change;
 use sl_route::{Event, version_record::VersionRecord};
 use slog::{info, warn};
@@ -16,10 +20,10 @@
 }
 
 impl ChangeHandler {
-    /// Applies changes in order; `origin` decides what a removal means. The version record goes
-    /// first: an instance that starts has to know it before it sees the first server.
+    /// Applies changes in order; `origin` decides what a removal means. The records go first: an
+    /// instance that starts has to know them before it sees the first server.
     pub(crate) fn apply(&self, changes: Vec<Change>, origin: Origin) {
-        let is_record = |it: &&Change| it.key == VERSION_RECORD_KEY;
+        let is_record = |it: &&Change| it.key == VERSION_RECORD_KEY || it.key == CRASH_RECORD_KEY;
         let (records, others): (Vec<_>, Vec<_>) = changes.iter().partition(is_record);
         for change in records.into_iter().chain(others) {
             self.apply_one(change, origin);
@@ -51,6 +55,7 @@
             }
             Entry::Instance { name, addresses } => self.apply_instance(name, addresses),
             Entry::VersionRecord(record) => self.apply_version_record(record),
+            Entry::CrashRecord(record) => self.apply_crash_record(record),
             Entry::Other => {}
         }
     }
@@ -80,6 +85,25 @@
         self.core.step(Event::VersionRecordListed(record));
     }
 
+    fn apply_crash_record(&self, read: Option<Result<ReadCrashRecord, Malformed>>) {
+        let read = read.and_then(|it| {
+            it.inspect_err(|e| {
+                warn!(self.core.log, "malformed crash record treated as removed"; "reason" => %e);
+            })
+            .ok()
+        });
+        if let Some(ReadCrashRecord { malformed, first_malformed: Some(reason), .. }) = &read {
+            warn!(self.core.log, "malformed entries of the crash record ignored";
+                "entries" => malformed, "first" => reason);
+        }
+        let record = read.map(|it| it.record);
+        if let Some(record) = &record {
+            info!(self.core.log, "crash record read";
+                "era" => record.era, "causes" => record.causes.len());
+        }
+        self.core.step(Event::CrashRecordListed(record));
+    }
+
     fn remove_server(&self, id: &str, origin: Origin) {
         let id = id.into();
         self.core.step(match origin {
--- a/sl-edge/src/lib.rs
+++ b/sl-edge/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod connection_share;
 pub mod connection_tracker;
 mod core;
+mod crash_record_writer;
 mod delivery;
 pub mod detail;
 mod engines;
--- a/sl-edge/src/log.rs
+++ b/sl-edge/src/log.rs
@@ -12,7 +12,7 @@
     Decision, Route, Team,
     activity::TokenOutcome,
     crash_causes::Cause,
-    effect::{BarDecision, ServerCrash},
+    effect::{BarDecision, BarSource, ServerCrash},
     estimates::{AttemptCounts, AttemptKind},
 };
 use slog::{Drain, Level, LevelFilter, Logger, debug, info, o, warn};
@@ -165,6 +165,7 @@
         | Decision::StoreRestored
         | Decision::PeerSilent { .. } => write_fleet_decision(log, decision),
         Decision::Barred(bar) => write_bar(log, bar),
+        Decision::BarCleared { cause } => write_bar_cleared(log, *cause),
         Decision::ServerCrashed(crash) => write_server_crash(log, crash),
     }
 }
@@ -299,19 +300,32 @@
 
 /// Logs that requests are no longer run because servers crashed under them.
 fn write_bar(log: &Logger, bar: &BarDecision) {
-    let BarDecision { cause, crashes, from_peer } = *bar;
+    let BarDecision { cause, crashes, source } = *bar;
+    let (from_peer, from_store) = (source == BarSource::Peer, source == BarSource::Store);
     match cause {
         Cause::Request(fingerprint) => {
             warn!(log, "request blocked: servers crashed while running it";
-                "fingerprint" => keys(&[fingerprint]), "crashes" => crashes, "by_peer" => from_peer);
+                "fingerprint" => keys(&[fingerprint]), "crashes" => crashes, "by_peer" => from_peer,
+                "by_store" => from_store);
         }
         Cause::Part(part) => {
             warn!(log, "prompt part blocked: engines crashed while beginning an answer";
-                "part" => keys(&[part]), "crashes" => crashes, "by_peer" => from_peer);
+                "part" => keys(&[part]), "crashes" => crashes, "by_peer" => from_peer,
+                "by_store" => from_store);
         }
     }
 }
 
+/// Logs that requests are run again, since one of them completed.
+fn write_bar_cleared(log: &Logger, cause: Cause) {
+    match cause {
+        Cause::Request(fingerprint) => {
+            info!(log, "request no longer blocked"; "fingerprint" => keys(&[fingerprint]));
+        }
+        Cause::Part(part) => info!(log, "prompt part no longer blocked"; "part" => keys(&[part])),
+    }
+}
+
 /// Logs the crash of a server and what its suspects have in common.
 fn write_server_crash(log: &Logger, crash: &ServerCrash) {
     warn!(log, "server crashed: all its attempts were lost";
--- a/sl-edge/src/metrics.rs
+++ b/sl-edge/src/metrics.rs
@@ -128,6 +128,8 @@
     pub stream_origin_batches: Counter,
     /// Streams in the batches that the instance has read from the store.
     pub stream_origins_read: Counter,
+    /// Crash records that the instance has written to the store.
+    pub crash_records_written: Counter,
     /// Calls to the platform's store, by kind and result: the status or `unanswered`.
     pub store_calls: Family<NameLabel, Counter>,
     /// Connections that callers have opened.
@@ -211,6 +213,7 @@
             streams_resumed: Family::default(),
             stream_origin_batches: Counter::default(),
             stream_origins_read: Counter::default(),
+            crash_records_written: Counter::default(),
             store_calls: Family::default(),
             caller_connections: Counter::default(),
             request_heads: Counter::default(),
@@ -456,6 +459,11 @@
         it.register("faults", "Failed attempts by fault", self.faults.clone());
         it.register("refusals", "Refusals by reason", self.refusals.clone());
         self.register_streams(it);
+        it.register(
+            "crash_records_written",
+            "Crash records written to the store",
+            self.crash_records_written.clone(),
+        );
         it.register("store_calls", "Calls by kind and answer", self.store_calls.clone());
         it.register("lines_left_out", "Log lines left out", self.log_lines_dropped.clone());
     }
--- a/sl-edge/src/run.rs
+++ b/sl-edge/src/run.rs
@@ -33,6 +33,7 @@
     clock::Clock,
     connection_tracker::ConnectionTracker,
     core::Core,
+    crash_record_writer::CrashRecordWriter,
     engines,
     handle::{Handle, QUERY_QUEUE_LEN, Query, SharedRecorder},
     log,
@@ -295,6 +296,7 @@
         let connections = self.connections.clone();
         let response_memory = ResponseMemory::default();
         let stream_locator = self.spawn_origins(settings.id());
+        spawn_local(CrashRecordWriter::new(self.core.clone(), store.clone()).run());
         let core = self.core.clone();
         let ingress = Rc::new(Ingress {
             core,
--- a/sl-route/src/crash_causes.rs
+++ b/sl-route/src/crash_causes.rs
@@ -5,6 +5,8 @@
 //! the most suspect ones. A cause is cleared by any attempt that a server survived, so that only
 //! the real one keeps its crashes. See docs/design.md, "At most once, retries, crashes".
 
+mod kept;
+
 use std::collections::{BTreeSet, HashMap};
 
 use serde::{Deserialize, Serialize};
@@ -57,6 +59,8 @@
     suspected: usize,
     /// The fingerprints of the requests under which they crashed, at most [`REQUESTS_MIN`].
     requests: Vec<u64>,
+    /// When the first and the last of these runs crashed.
+    first_crash_at: Timestamp,
     last_crash_at: Timestamp,
     /// When an attempt last proved that this is not the cause.
     served_at: Option<Timestamp>,
@@ -72,7 +76,7 @@
     renewals: u32,
     crashes: u32,
     announce_at: Timestamp,
-    /// When this instance may send the barred request once; [`Timestamp::NEVER`] once it did.
+    /// When this instance may send the barred request once; [`Timestamp::NEVER`] once an instance did.
     probe_at: Timestamp,
 }
 
@@ -99,7 +103,7 @@
 pub const PROBE_DELAY: Millis = Millis(5_000);
 
 /// Limit on the doublings of the duration.
-const BAR_DOUBLINGS_MAX: u32 = 5;
+pub const BAR_DOUBLINGS_MAX: u32 = 5;
 
 /// A cause without a crash for this long is forgotten, and so is a bar after its end.
 const CRASH_RETENTION: Millis = Millis(600_000);
@@ -126,6 +130,7 @@
         announce_at: Timestamp,
     ) -> Vec<Bar> {
         if self.is_barred(now, crash.causes()) {
+            self.record_failed_probes(now, crash);
             return Vec::new();
         }
         let ended: BTreeSet<Cause> = crash.likely().filter(|it| self.has_bar(*it)).collect();
@@ -154,6 +159,17 @@
         bar.map(|it| it.probe_at = Timestamp::NEVER).is_some()
     }
 
+    /// Records that the one attempt was made that a barred request may make, by whichever instance: a
+    /// server has crashed under it, later than under those that were sent before the bar.
+    fn record_failed_probes(&mut self, now: Timestamp, crash: &Crash) {
+        for cause in crash.likely() {
+            let bar = self.0.get_mut(&cause).and_then(|it| it.bar.as_mut());
+            if let Some(bar) = bar.filter(|it| it.probe_at.is_due(now)) {
+                bar.probe_at = Timestamp::NEVER;
+            }
+        }
+    }
+
     /// Clears a cause with which a server survived an attempt. Returns whether there was
     /// something to clear.
     pub fn record_served(
@@ -194,7 +210,7 @@
         let was_barred = self.is_barred(now, [cause]);
         let renewals = renewals.min(BAR_DOUBLINGS_MAX);
         let until = now.after(Millis(for_ms.into()).min(bar_duration(renewals)));
-        let record = self.record(now, cause);
+        let record = self.record_mut(now, cause);
         let probe_at = now.after(PROBE_DELAY);
         let new = ActiveBar { until, renewals, crashes, announce_at, probe_at };
         let known = record.bar.unwrap_or(new);
@@ -257,7 +273,7 @@
     }
 
     /// The record of a cause, which is added if there is none.
-    fn record(&mut self, now: Timestamp, cause: Cause) -> &mut CauseRecord {
+    fn record_mut(&mut self, now: Timestamp, cause: Cause) -> &mut CauseRecord {
         self.make_room(now, cause);
         self.0.entry(cause).or_insert_with(|| CauseRecord::new(now))
     }
@@ -266,11 +282,11 @@
         for suspect in &crash.suspects {
             for &part in &suspect.parts {
                 let lost = LostRequest { fingerprint: suspect.fingerprint, crashes_before: 0 };
-                self.record(now, Cause::Part(part)).count(now, crash, lost);
+                self.record_mut(now, Cause::Part(part)).count(now, crash, lost);
             }
         }
         for &lost in &crash.requests {
-            self.record(now, Cause::Request(lost.fingerprint)).count(now, crash, lost);
+            self.record_mut(now, Cause::Request(lost.fingerprint)).count(now, crash, lost);
         }
     }
 
@@ -346,10 +362,15 @@
         record.expires_at = until.after(CRASH_RETENTION);
         let explained = record.runs.clone();
         let kept = crash.parts_of(cause);
+        self.forget_explained(cause, &explained, &kept);
+        Some(bar.announcement(now, cause))
+    }
+
+    /// Forgets the crashes that a barred cause explains, but for those of `kept`, under all others.
+    fn forget_explained(&mut self, cause: Cause, explained: &[ServerKey], kept: &BTreeSet<Cause>) {
         for (_, other) in self.0.iter_mut().filter(|(it, _)| **it != cause && !kept.contains(it)) {
             other.runs.retain(|it| !explained.contains(it));
         }
-        Some(bar.announcement(now, cause))
     }
 
     fn make_room(&mut self, now: Timestamp, cause: Cause) {
@@ -374,6 +395,7 @@
             runs: Vec::new(),
             suspected: 0,
             requests: Vec::new(),
+            first_crash_at: now,
             last_crash_at: now,
             served_at: None,
             completed_here_at: None,
@@ -387,6 +409,9 @@
         if !self.counts(crash, lost) {
             return;
         }
+        if self.runs.is_empty() {
+            self.first_crash_at = crash.at;
+        }
         self.runs.push(crash.run);
         self.suspected += usize::from(crash.suspects_request(lost.fingerprint));
         self.last_crash_at = crash.at;
--- a/sl-route/src/effect.rs
+++ b/sl-route/src/effect.rs
@@ -356,6 +356,11 @@
     ServerCrashed(ServerCrash),
     /// Requests are no longer run because servers crashed under them.
     Barred(BarDecision),
+    /// A bar has ended before its time, since a request with the cause completed somewhere.
+    BarCleared {
+        /// What was barred.
+        cause: Cause,
+    },
     /// A peer has sent no message for so long that it is removed, along with its attempts.
     PeerSilent {
         /// The peer's instance id.
@@ -385,8 +390,19 @@
     pub cause: Cause,
     /// The number of crashes that led to the bar, each of another run of a server.
     pub crashes: u32,
-    /// Whether a peer announced it, rather than this instance's own count.
-    pub from_peer: bool,
+    /// How this instance knows.
+    pub source: BarSource,
+}
+
+/// How an instance has learned of a bar.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BarSource {
+    /// It has counted the crashes.
+    OwnCount,
+    /// A peer announced it.
+    Peer,
+    /// The crash record in the store has it.
+    Store,
 }
 
 impl Decision {
@@ -418,6 +434,7 @@
             | Decision::CacheKnown { .. }
             | Decision::ServerCrashed(_)
             | Decision::Barred(_)
+            | Decision::BarCleared { .. }
             | Decision::PeerSilent { .. } => None,
         }
     }
--- a/sl-route/src/event.rs
+++ b/sl-route/src/event.rs
@@ -10,6 +10,7 @@
     Document, Notes, Prompt, PromptPart, Regions, Route, ServerKey, ServerRecord, Team,
     activity::TokenOutcome,
     budget,
+    crash_record::CrashRecord,
     note::EngineCaches,
     stream_origin::{OriginBatch, StreamOrigin, StreamRequest},
     version_record::VersionRecord,
@@ -118,6 +119,8 @@
     StoreEra(u64),
     /// The version record in the store was read or changed; `None` if it was removed.
     VersionRecordListed(Option<VersionRecord>),
+    /// The crash record in the store was read or changed; `None` if it was removed.
+    CrashRecordListed(Option<CrashRecord>),
     /// Batches of origins were read from the store, the last written ones last.
     StoredOriginsRead(Vec<OriginBatch>),
     /// A stream is to be resumed, of which neither peers nor the batches in the store, read after
--- a/sl-route/src/lib.rs
+++ b/sl-route/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod cache;
 pub mod crash_causes;
 pub mod crash_detector;
+pub mod crash_record;
 pub mod demand;
 pub mod directory;
 pub mod document;
--- a/sl-route/src/state.rs
+++ b/sl-route/src/state.rs
@@ -27,6 +27,7 @@
     budget::Budget,
     crash_causes::CrashCauses,
     crash_detector::CrashDetector,
+    crash_record::StoredCrashes,
     demand::Demand,
     draining::DrainingRuns,
     estimates::Estimates,
@@ -79,6 +80,7 @@
     budget: Budget,
     crash_detector: CrashDetector,
     crash_causes: CrashCauses,
+    stored_crashes: StoredCrashes,
     shares: Shares,
     /// Requests of each team at this instance, asked for and admitted.
     local_requests: Shares,
@@ -145,6 +147,7 @@
             budget: Budget::new(options.limits.budget),
             crash_detector: CrashDetector::default(),
             crash_causes: CrashCauses::default(),
+            stored_crashes: StoredCrashes::default(),
             route_balance: RouteBalance::default(),
             shares: Shares::new(now, options.share_window),
             local_requests: Shares::new(now, options.share_window),
@@ -210,6 +213,7 @@
             }
             Event::StoreEra(era) => self.on_store_era(era),
             Event::VersionRecordListed(record) => self.on_version_record(now, record),
+            Event::CrashRecordListed(record) => self.on_crash_record(now, record),
             Event::StoredOriginsRead(batches) => self.on_stored_origins(now, &batches),
             Event::StreamNotStored { stream, service } => {
                 self.on_stream_not_stored(now, stream, service);
--- a/sl-route/src/state/crashes.rs
+++ b/sl-route/src/state/crashes.rs
@@ -9,7 +9,8 @@
     Arrival, Decision, Effect, Fault, Prompt, ServerKey,
     crash_causes::{Cause, Proof, Reaction},
     crash_detector::{Crash, Loss, LossPhase, LostRequest},
-    effect::{BarDecision, ServerCrash},
+    crash_record::CrashRecord,
+    effect::{BarDecision, BarSource, ServerCrash},
     note::{Bar, Note},
     request::InFlightRequest,
 };
@@ -76,7 +77,7 @@
             self.record_survivors(now);
             let announce_at = now.after(self.draw_announcement_delay());
             for bar in self.crash_causes.record_crash(now, &crash, announce_at) {
-                self.log_bar(&bar, false);
+                self.log_bar(&bar, BarSource::OwnCount);
                 // The peers may have missed notes of the crashes, and learn of the bar at once.
                 if crash.is_own {
                     self.queue_note(Note::Barred(bar));
@@ -124,7 +125,7 @@
     }
 
     fn record_served(&mut self, now: Timestamp, mut causes: BTreeSet<Cause>, proof: Proof) {
-        causes.retain(|it| self.crash_causes.record_served(now, *it, proof, true));
+        causes.retain(|it| self.clear_served(now, *it, proof, true));
         if !causes.is_empty() {
             let causes = causes.into_iter().collect();
             self.queue_note(Note::CausesServed { causes, is_complete: proof == Proof::Completed });
@@ -134,14 +135,25 @@
     pub(super) fn on_causes_served(&mut self, now: Timestamp, causes: &[Cause], is_complete: bool) {
         let proof = if is_complete { Proof::Completed } else { Proof::Running };
         for &cause in causes {
-            self.crash_causes.record_served(now, cause, proof, false);
+            self.clear_served(now, cause, proof, false);
         }
     }
 
+    /// Clears a cause with which a server survived an attempt. Returns whether there was something
+    /// to clear.
+    fn clear_served(&mut self, now: Timestamp, cause: Cause, proof: Proof, is_own: bool) -> bool {
+        let was_barred = self.crash_causes.is_barred(now, [cause]);
+        let is_cleared = self.crash_causes.record_served(now, cause, proof, is_own);
+        if was_barred && is_cleared {
+            self.effects.push(Effect::Log(Decision::BarCleared { cause }));
+        }
+        is_cleared
+    }
+
     pub(super) fn on_bar(&mut self, now: Timestamp, bar: Bar) {
         let announce_at = now.after(ANNOUNCEMENT_INTERVAL).after(self.draw_announcement_delay());
         match self.crash_causes.apply(now, bar, announce_at) {
-            Reaction::Applied => self.log_bar(&bar, true),
+            Reaction::Applied => self.log_bar(&bar, BarSource::Peer),
             Reaction::Known => {}
             Reaction::Contradicted => {
                 let causes = vec![bar.cause];
@@ -169,9 +181,36 @@
         self.draw_delay(Millis(spread.max(ANNOUNCEMENT_SPREAD_MIN.0)))
     }
 
-    fn log_bar(&mut self, bar: &Bar, from_peer: bool) {
+    /// Applies the crash record that the store has.
+    pub(super) fn on_crash_record(&mut self, now: Timestamp, record: Option<CrashRecord>) {
+        for (&cause, kept) in record.iter().flat_map(|it| &it.causes) {
+            let announce_at = now.after(self.draw_announcement_delay());
+            let reaction = self.crash_causes.apply_kept(now, cause, kept, announce_at);
+            if reaction == Reaction::Applied {
+                let crashes = u32::try_from(kept.runs.len()).unwrap_or(u32::MAX);
+                self.log_bar_decision(BarDecision { cause, crashes, source: BarSource::Store });
+            }
+        }
+        for cause in self.stored_crashes.replace(record) {
+            self.clear_served(now, cause, Proof::Completed, false);
+        }
+    }
+
+    /// The crash record that the store should have; `None` if it has that.
+    pub fn wanted_crash_record(&self, now: Timestamp) -> Option<CrashRecord> {
+        let has_ended =
+            |run: ServerKey| !self.servers.contains_key(&run) || self.stored_crashes.has_run(run);
+        let known = self.crash_causes.record(now, self.stored_crashes.store_era, has_ended);
+        self.stored_crashes.wanted(known)
+    }
+
+    fn log_bar(&mut self, bar: &Bar, source: BarSource) {
         let Bar { cause, crashes, .. } = *bar;
-        self.effects.push(Effect::Log(Decision::Barred(BarDecision { cause, crashes, from_peer })));
+        self.log_bar_decision(BarDecision { cause, crashes, source });
+    }
+
+    fn log_bar_decision(&mut self, decision: BarDecision) {
+        self.effects.push(Effect::Log(Decision::Barred(decision)));
     }
 
     /// Logs a crash on the instances that lost an attempt by it.
--- a/sl-route/src/state/origins.rs
+++ b/sl-route/src/state/origins.rs
@@ -13,6 +13,7 @@
 impl State {
     pub(super) fn on_store_era(&mut self, era: u64) {
         self.origins.known_versions.set_store_era(era);
+        self.stored_crashes.store_era = self.stored_crashes.store_era.max(era);
     }
 
     pub(super) fn on_version_record(&mut self, now: Timestamp, record: Option<VersionRecord>) {
--- a/sl-route/tests/it/fleet.rs
+++ b/sl-route/tests/it/fleet.rs
@@ -8,7 +8,7 @@
 use sl_base::{Millis, RequestId, Timestamp};
 use sl_route::{
     Arrival, AttemptEnd, Decision, Effect, Event, Failure, Fault, Notes, Prompt, PromptPart,
-    RetryPolicy, State, crash_causes::Cause, effect::Target,
+    RetryPolicy, State, crash_causes::Cause, crash_record::CrashRecord, effect::Target,
 };
 
 use crate::testbed::{START, arrival, document, options, record};
@@ -105,6 +105,9 @@
 const TICK_INTERVAL: Millis = Millis(100);
 const NOTE_DELAY: Millis = Millis(15);
 
+/// How long the store takes to have a record, from when it has to change.
+const STORE_DELAY: Millis = Millis(200);
+
 /// How long after its start an instance gets an answer from a peer.
 const FETCH_DELAY: Millis = Millis(200);
 
@@ -139,6 +142,10 @@
     bad_fingerprints: BTreeSet<u64>,
     messages: VecDeque<Message>,
     cache_fetch: Option<CacheFetch>,
+    /// The crash record in the store.
+    crash_record: Option<CrashRecord>,
+    /// The crash record that the first instance is writing, and when the store has it.
+    record_write: Option<(Timestamp, CrashRecord)>,
     last_request: u64,
     crash_limit_at: Timestamp,
     outcome: Outcome,
@@ -193,6 +200,8 @@
             bad_fingerprints: BTreeSet::new(),
             messages: VecDeque::new(),
             cache_fetch: None,
+            crash_record: None,
+            record_write: None,
             last_request: 0,
             crash_limit_at: Timestamp::NEVER,
             outcome: Outcome::default(),
@@ -213,6 +222,7 @@
             self.advance_attempts();
             self.arrive();
             self.exchange_notes();
+            self.write_crash_record();
             if self.is_time(TICK_INTERVAL) {
                 (0..self.instances.len()).for_each(|it| self.step(it, Event::Tick));
             }
@@ -229,6 +239,9 @@
         let mut state = State::new(options(index as u32), self.now);
         state.step(self.now, Event::Document(document(1)));
         state.step(self.now, Event::InstanceCount(self.scenario.instances));
+        if let Some(record) = &self.crash_record {
+            state.step(self.now, Event::CrashRecordListed(Some(record.clone())));
+        }
         for (index, engine) in self.engines.iter().enumerate() {
             if engine.removed_at == Timestamp::NEVER && engine.back_at == Timestamp::NEVER {
                 let id = engine_id(index, engine.run);
@@ -264,12 +277,25 @@
         self.attempts.clear();
         self.messages.clear();
         self.cache_fetch = None;
+        self.record_write = None;
         for index in 0..self.instances.len() {
             self.instances[index] = self.new_instance(index);
             self.in_touch_at[index] = self.now.after(CONTACT);
         }
     }
 
+    /// The first instance writes the crash record for all; what a kill interrupts is not written.
+    fn write_crash_record(&mut self) {
+        if let Some((_, record)) = self.record_write.take_if(|it| it.0.is_due(self.now)) {
+            self.crash_record = Some(record.clone());
+            self.step_all(&Event::CrashRecordListed(Some(record)));
+        }
+        if self.record_write.is_none() {
+            let wanted = self.instances[0].wanted_crash_record(self.now);
+            self.record_write = wanted.map(|it| (self.now.after(STORE_DELAY), it));
+        }
+    }
+
     fn step(&mut self, instance: usize, event: Event) {
         let effects = self.instances[instance].step(self.now, event);
         for effect in effects {
--- a/sl-route/tests/it/main.rs
+++ b/sl-route/tests/it/main.rs
@@ -7,6 +7,7 @@
 mod cache;
 mod connections;
 mod crash_detector;
+mod crash_record;
 mod data_centres;
 mod engine;
 mod estimates;
--- a/tests/it/crashes.rs
+++ b/tests/it/crashes.rs
@@ -4,6 +4,7 @@
 use std::{path::Path, time::Duration};
 
 use bench::{Fleet, fleet::Options};
+use rstest::rstest;
 use stand_ins::{
     Call, Response,
     server::{CRASH_TIME, CRASHING_PART, Fault},
@@ -118,3 +119,60 @@
     }
     assert_eq!(fleet.engines().map(|it| it.crashes()).sum::<u64>(), CRASHES as u64);
 }
+
+async fn restart_instances(fleet: &mut Fleet) {
+    fleet.instances.iter_mut().for_each(|it| it.kill());
+    for instance in &mut fleet.instances {
+        instance.start().unwrap();
+    }
+    fleet.wait_until_ready().await;
+}
+
+/// Sends requests under which engines crash, each to another instance, until there were `crashes`.
+async fn crash(fleet: &Fleet, bad: fn(usize) -> Call, numbers: std::ops::Range<usize>) {
+    for number in numbers {
+        assert_served(fleet, number % INSTANCES, number).await;
+        let response = send(fleet, number % INSTANCES, &bad(number)).await;
+        assert!(!response.is_complete || response.status() == 502, "{}", response.text());
+        restart_engines(fleet).await;
+    }
+}
+
+// Guards against a fleet that forgets what crashes engines when all its instances are killed, and learns it
+// anew by three crashes each time.
+#[rstest]
+#[case::request(repeated_call)]
+#[case::part(bad_call)]
+#[tokio::test(flavor = "multi_thread")]
+async fn what_crashes_engines_stays_barred_after_all_instances_were_killed(
+    #[case] bad: fn(usize) -> Call,
+) {
+    let mut fleet = start_fleet().await;
+    crash(&fleet, bad, 0..CRASHES).await;
+    tokio::time::sleep(CONTACT).await;
+    for start in 1..3 {
+        restart_instances(&mut fleet).await;
+        tokio::time::sleep(CONTACT).await;
+        for instance in 0..INSTANCES {
+            let number = 10 * start + instance;
+            assert_barred(&fleet, instance, &bad(number)).await;
+            assert_served(&fleet, instance, number).await;
+        }
+    }
+    assert_eq!(fleet.engines().map(|it| it.crashes()).sum::<u64>(), CRASHES as u64);
+}
+
+// Guards against a fleet that counts from zero after each start, so that what crashes engines is never barred
+// where starts come often.
+#[tokio::test(flavor = "multi_thread")]
+async fn crashes_before_a_start_of_all_instances_count_after_it() {
+    let mut fleet = start_fleet().await;
+    crash(&fleet, repeated_call, 0..CRASHES - 1).await;
+    tokio::time::sleep(CONTACT).await;
+    restart_instances(&mut fleet).await;
+    tokio::time::sleep(CONTACT).await;
+    crash(&fleet, repeated_call, CRASHES - 1..CRASHES).await;
+    tokio::time::sleep(CONTACT).await;
+    assert_barred(&fleet, 0, &repeated_call(10)).await;
+    assert_eq!(fleet.engines().map(|it| it.crashes()).sum::<u64>(), CRASHES as u64);
+}
