--- a/review/stand_ins_2.rs
+++ b/review/stand_ins_2.rs
@@ -365,6 +365,10 @@
     entries: BTreeMap<String, Entry>,
     /// Each change: its revision, its key, and what was written.
     history: Vec<(u64, String, Option<Entry>)>,
+    /// The revision up to which the history was dropped.
+    forgotten: u64,
+    /// Whether watches hear nothing.
+    is_mute: bool,
     leases: BTreeMap<u64, (Duration, Instant)>,
     last_lease: u64,
     /// Watches that began to wait before the latest cut are closed.
@@ -381,6 +385,10 @@
 
 const STORE_ANSWER_MS: u64 = 4;
 
+/// What a page of a range holds.
+const PAGE_BYTES: usize = 1_000_000;
+const PAGE_ITEMS: usize = 500;
+
 impl Store {
     pub fn start() -> Arc<Store> {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port for the store");
@@ -435,6 +443,21 @@
         cut
     }
 
+    /// Lets watches hear nothing from now on, or ends that.
+    pub fn set_mute(&self, is_mute: bool) {
+        lock(&self.state).is_mute = is_mute;
+        self.changed.notify_all();
+    }
+
+    /// Drops the history: watches from before, those that are waiting too, get 410.
+    pub fn forget_history(&self) {
+        let mut state = lock(&self.state);
+        state.history.clear();
+        state.forgotten = state.revision;
+        drop(state);
+        self.changed.notify_all();
+    }
+
     fn serve(&self, mut stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let Ok(read_half) = stream.try_clone() else { return };
@@ -490,10 +513,18 @@
         let prefix = request.query("prefix").unwrap_or_default();
         let after = request.query("after").unwrap_or_default();
         let state = lock(&self.state);
-        let found = state.entries.iter().filter(|it| it.0.starts_with(&prefix) && *it.0 > after);
-        let found: Vec<String> = found.map(|(key, entry)| item(key, entry)).collect();
-        let (found, revision) = (found.join(","), state.revision);
-        (200, format!("{{\"entries\":[{found}],\"has_more\":false,\"at\":{revision}}}"))
+        let mut found =
+            state.entries.iter().filter(|it| it.0.starts_with(&prefix) && *it.0 > after).peekable();
+        let (mut page, mut bytes) = (Vec::new(), 0);
+        while bytes < PAGE_BYTES
+            && page.len() < PAGE_ITEMS
+            && let Some((key, entry)) = found.next()
+        {
+            bytes += entry.value.len();
+            page.push(item(key, entry));
+        }
+        let (has_more, page, revision) = (found.peek().is_some(), page.join(","), state.revision);
+        (200, format!("{{\"entries\":[{page}],\"has_more\":{has_more},\"at\":{revision}}}"))
     }
 
     /// `None` if the watch was cut.
@@ -507,7 +538,12 @@
             if state.cuts != cuts {
                 return None;
             }
-            let news = state.history.iter().filter(|it| it.0 > after && it.1.starts_with(&prefix));
+            if after < state.forgotten {
+                return Some((410, "{}".to_owned()));
+            }
+            let is_mute = state.is_mute;
+            let news = state.history.iter();
+            let news = news.filter(|it| !is_mute && it.0 > after && it.1.starts_with(&prefix));
             let news: Vec<String> = news
                 .map(|(revision, key, entry)| match entry {
                     Some(entry) => item(key, entry),
@@ -518,7 +554,8 @@
                 .collect();
             let left = ends_at.saturating_duration_since(Instant::now());
             if !news.is_empty() || left.is_zero() {
-                let revision = state.revision;
+                // While watches hear nothing, they go on from where they are.
+                let revision = if is_mute { after } else { state.revision };
                 return Some((200, format!("{{\"events\":[{}],\"at\":{revision}}}", news.join(","))));
             }
             state.waiting += 1;
@@ -930,6 +967,9 @@
 pub const HOST: &str = "site.example";
 pub const KEY: &str = "key-of-the-drivers";
 
+/// A key of the same tenant that [`config`] has if it is asked to.
+pub const OTHER_KEY: &str = "other-key-of-the-drivers";
+
 /// A client with one kept connection.
 pub struct Client {
     instance: SocketAddr,
@@ -1001,6 +1041,12 @@
     )
 }
 
+/// The same with [`OTHER_KEY`].
+pub fn config_with_other_key(version: u64, deadline_ms: u64, max_body_bytes: u64) -> String {
+    let one = format!("[\"{KEY}\"]");
+    config(version, deadline_ms, max_body_bytes).replace(&one, &format!("[\"{KEY}\",\"{OTHER_KEY}\"]"))
+}
+
 // ---------------------------------------------------------------------------------------------
 // Steady traffic
 // ---------------------------------------------------------------------------------------------
