Drop the case of request bodies, and number the cases anew

The gravest go first: 8 was 10, 9 was 6, 10 was 8 and then 9, 7 stays. The client of resumed streams moves to the stand-ins, and the store can be taken down.

--- a/review/10/case.rs
+++ b/review/10/case.rs
@@ -1,5 +1,5 @@
-//! Case 10: after the store has dropped its history, instances that get its contents from peers stay at an
-//! older configuration if these contents are larger than a message between instances.
+//! Case 10: after the store has cut a waiting watch, a worker that is removed gets requests for longer
+//! than `drain_ms`.
 
 #![allow(dead_code)]
 
@@ -7,20 +7,9 @@
 mod stand_ins;
 
 use stand_ins::*;
-use std::{path::Path, time::Duration};
+use std::path::Path;
 
-/// Instances; three of them follow the store.
-const INSTANCES: usize = 5;
-
-/// Entries of another writer, and the bytes of each.
-const FOREIGN_ENTRIES: usize = 4;
-const FOREIGN_BYTES: usize = 1_048_576;
-
-/// The operator's change is in force everywhere within this time after its acknowledgement.
-const CONFIG_APPLY_MS: f64 = 2_000.0;
-
-/// After the end of the store's disruption, machines are in touch again.
-const CONTACT_MS: f64 = 3_000.0;
+const DRAIN_MS: f64 = 2_000.0;
 
 fn main() {
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
@@ -35,76 +24,73 @@
 
 fn run(record: &Record, dir: &Path, has_trouble: bool) -> i32 {
     let store = Store::start();
-    store.put("op/config", &config_with_other_key(1, 600, 4_194_304));
-    let worker = Worker::start(record, "i-app", "app", "v1", Work::Plain(15));
-    worker.write_entry(&store);
-    for index in 0..FOREIGN_ENTRIES {
-        store.put(&format!("servers/foreign-{index}"), &"x".repeat(FOREIGN_BYTES));
-    }
-    record.note(format!("another writer has {FOREIGN_ENTRIES} entries of {FOREIGN_BYTES} bytes"));
-    let mut instances: Vec<Instance> = Vec::new();
-    for index in 0..INSTANCES {
-        let seeds: Vec<&Instance> = instances.iter().take(3).collect();
-        let instance = Instance::start(dir, &format!("edge-{index}"), store.address, &seeds);
-        instances.push(instance);
-    }
-    if !instances.iter().all(Instance::wait_ready) {
+    store.put("op/config", &config(1, 600, 4_194_304));
+    let leaving = Worker::start(record, "i-leaving", "app", "v1", Work::Plain(15));
+    let staying = Worker::start(record, "i-staying", "app", "v1", Work::Plain(15));
+    let heartbeat = || {
+        leaving.write_entry(&store);
+        staying.write_entry(&store);
+    };
+    heartbeat();
+    let first = Instance::start(dir, "edge-caerdydd-1", store.address, &[]);
+    let second = Instance::start(dir, "edge-caerdydd-2", store.address, &[&first]);
+    if !first.wait_ready() || !second.wait_ready() {
         record.note("an instance is not ready");
         return 2;
     }
+    // Longer than `contact_ms` before the worker leaves, all processes and the store are undisturbed.
     for _ in 0..3 {
+        heartbeat();
         sleep_ms(HEARTBEAT_MS);
-        worker.write_entry(&store);
-    }
-    if has_trouble {
-        store.set_mute(true);
-        record.note("watches hear nothing");
     }
-    sleep_ms(300);
-    store.put("op/config", &config(2, 600, 4_194_304));
-    let acknowledged_at = record.note("the store acknowledges version 2, which has one key less");
-    sleep_ms(700);
+    let traffic = Traffic::start(record, &[first.caller, second.caller], 16, 20);
+    heartbeat();
+    sleep_ms(HEARTBEAT_MS);
+    heartbeat();
+    sleep_ms(600);
+
     if has_trouble {
-        store.forget_history();
-        store.set_mute(false);
-        record.note("the store drops its history; watches get 410");
+        let cut = store.cut_watches();
+        record.note(format!("the store cuts {cut} waiting watches"));
+        sleep_ms(5);
     }
-    let ended_at = record.now();
-    let mut served = Vec::new();
-    for round in 0..20 {
-        sleep_ms(500);
-        if round % 2 == 1 {
-            worker.write_entry(&store);
-        }
-        if record.now() < (acknowledged_at + CONFIG_APPLY_MS).max(ended_at + CONTACT_MS) + 100.0 {
-            continue;
-        }
-        for (index, instance) in instances.iter().enumerate() {
-            let attempt = format!("r{round:02}i{index}");
-            let bytes = request("GET", "/status/x", &attempt, 600, b"");
-            let text = String::from_utf8_lossy(&bytes).replace(KEY, OTHER_KEY);
-            let sent_at = record.add(format!("{attempt} sent to {} with the dropped key", instance.name));
-            let answer = Client::new(instance.caller).call(text.as_bytes(), Duration::from_secs(2));
-            let status = answer.map_or(0, |it| it.status());
-            record.add(format!("{attempt} answered: {status}"));
-            if status == 200 {
-                served.push((sent_at - acknowledged_at, instance.name.clone()));
-            } else if status != 401 {
-                record.note(format!("{attempt} answered: {status}"));
-            }
-        }
+    // It never reports `draining`: its entry is removed, and it serves on as long.
+    store.remove(&leaving.key());
+    let acknowledged_at = record.note("the entry of i-leaving is removed");
+    sleep_ms(600);
+    staying.write_entry(&store);
+    sleep_ms(HEARTBEAT_MS);
+    staying.write_entry(&store);
+    sleep_ms(HEARTBEAT_MS);
+    staying.write_entry(&store);
+    leaving.exit();
+    record.note("i-leaving exits");
+    sleep_ms(500);
+    let answers = traffic.end();
+
+    let arrivals = lock(&leaving.arrivals).clone();
+    let before = arrivals.iter().filter(|it| it.0 <= acknowledged_at).count();
+    let late: Vec<&(f64, String)> =
+        arrivals.iter().filter(|it| it.0 > acknowledged_at + DRAIN_MS).collect();
+    let last = arrivals.last().map_or(0.0, |it| it.0 - acknowledged_at);
+    let served = answers.iter().filter(|it| it.status == Some(200) && it.is_sealed).count();
+    record.note(format!(
+        "{} requests, {served} answered by workers; i-leaving got {before} before its entry was removed, \
+         and the last one {last:.0} ms after",
+        answers.len()
+    ));
+    if before == 0 || served < answers.len() / 2 {
+        record.note("the case could not run: the workers served too little");
+        return 2;
     }
-    let Some((last, _)) = served.last() else {
-        record.note("CONFIG held");
+    if late.is_empty() {
+        record.note("DRAIN held");
         return 0;
-    };
-    let mut names: Vec<&str> = served.iter().map(|it| it.1.as_str()).collect();
-    names.sort_unstable();
-    names.dedup();
+    }
     record.note(format!(
-        "CONFIG is broken: {} requests with the dropped key ran, through {names:?}, the last one sent {last:.0} \
-         ms after the acknowledgement; config_apply_ms is {CONFIG_APPLY_MS}",
-        served.len()
+        "DRAIN is broken: {} requests reached i-leaving later than {DRAIN_MS} ms after the store had \
+         acknowledged its removal, the last one {last:.0} ms after",
+        late.len()
     ));
     1
 }
--- a/review/8/case.rs
+++ b/review/8/case.rs
@@ -1,5 +1,5 @@
-//! Case 8: request bodies that wait for workers which read slowly take memory without a limit, until
-//! the platform kills the process.
+//! Case 8: after the store has dropped its history, instances that get its contents from peers stay at an
+//! older configuration if these contents are larger than a message between instances.
 
 #![allow(dead_code)]
 
@@ -7,40 +7,20 @@
 mod stand_ins;
 
 use stand_ins::*;
-use std::{
-    path::Path,
-    sync::{
-        Arc,
-        atomic::{AtomicBool, AtomicUsize, Ordering},
-    },
-    thread,
-    time::Duration,
-};
+use std::{path::Path, time::Duration};
 
-/// `memory_mb` of most machines of the deployment.
-const MEMORY_MB: f64 = 120.0;
+/// Instances; three of them follow the store.
+const INSTANCES: usize = 5;
 
-/// Below `max_body_bytes`, which is 4,194,304.
-const BODY_BYTES: usize = 4_000_000;
+/// Entries of another writer, and the bytes of each.
+const FOREIGN_ENTRIES: usize = 4;
+const FOREIGN_BYTES: usize = 1_048_576;
 
-const DEADLINE_MS: u64 = 4_000;
+/// The operator's change is in force everywhere within this time after its acknowledgement.
+const CONFIG_APPLY_MS: f64 = 2_000.0;
 
-/// Clients that upload, for each machine.
-const UPLOADERS: usize = 20;
-
-/// Clients that look something up, for each machine.
-const READERS: usize = 3;
-
-/// What a worker reads in a second from one connection while it reads slowly.
-const SLOW_BYTES_PER_S: u64 = 1_000_000;
-
-const RUNS_MS: u64 = 30_000;
-
-/// How long after its end a process is started again.
-const RESTART_MS: u64 = 500;
-
-/// Three ends in a day, on two machines at least, are a fault.
-const ENDS_MAX: usize = 3;
+/// After the end of the store's disruption, machines are in touch again.
+const CONTACT_MS: f64 = 3_000.0;
 
 fn main() {
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
@@ -53,154 +33,78 @@
     std::process::exit(code);
 }
 
-/// Requests that ended without an answer, and those that were answered by a worker, of each kind.
-#[derive(Default)]
-struct Counts {
-    uploads: AtomicUsize,
-    uploads_served: AtomicUsize,
-    uploads_cut: AtomicUsize,
-    look_ups: AtomicUsize,
-    look_ups_served: AtomicUsize,
-    look_ups_cut: AtomicUsize,
-}
-
 fn run(record: &Record, dir: &Path, has_trouble: bool) -> i32 {
     let store = Store::start();
-    store.put("op/config", &config(1, DEADLINE_MS, 4_194_304));
-    let workers: Vec<Arc<Worker>> = (0..3)
-        .map(|it| Worker::start(record, &format!("i-app-{it}"), "app", "v1", Work::Plain(60)))
-        .collect();
-    let heartbeat = || {
-        for worker in &workers {
-            worker.write_entry(&store);
-        }
-    };
-    heartbeat();
-    let first = Instance::start(dir, "edge-zona-uno-1", store.address, &[]);
-    let second = Instance::start(dir, "edge-zona-uno-2", store.address, &[&first]);
-    if !first.wait_ready() || !second.wait_ready() {
+    store.put("op/config", &config_with_other_key(1, 600, 4_194_304));
+    let worker = Worker::start(record, "i-app", "app", "v1", Work::Plain(15));
+    worker.write_entry(&store);
+    for index in 0..FOREIGN_ENTRIES {
+        store.put(&format!("servers/foreign-{index}"), &"x".repeat(FOREIGN_BYTES));
+    }
+    record.note(format!("another writer has {FOREIGN_ENTRIES} entries of {FOREIGN_BYTES} bytes"));
+    let mut instances: Vec<Instance> = Vec::new();
+    for index in 0..INSTANCES {
+        let seeds: Vec<&Instance> = instances.iter().take(3).collect();
+        let instance = Instance::start(dir, &format!("edge-{index}"), store.address, &seeds);
+        instances.push(instance);
+    }
+    if !instances.iter().all(Instance::wait_ready) {
         record.note("an instance is not ready");
         return 2;
     }
-    sleep_ms(1_000);
-    heartbeat();
-    if has_trouble {
-        for worker in &workers {
-            worker.read_per_s.store(SLOW_BYTES_PER_S, Ordering::Relaxed);
-        }
-        record.note(format!("the workers read {SLOW_BYTES_PER_S} bytes a second from a connection"));
+    for _ in 0..3 {
+        sleep_ms(HEARTBEAT_MS);
+        worker.write_entry(&store);
     }
-    let stop = Arc::new(AtomicBool::new(false));
-    let counts = Arc::new(Counts::default());
-    let mut clients = Vec::new();
-    for (machine, instance) in [&first, &second].into_iter().enumerate() {
-        for index in 0..UPLOADERS + READERS {
-            let (stop, counts, record) = (stop.clone(), counts.clone(), record.clone());
-            let caller = instance.caller;
-            clients.push(thread::spawn(move || {
-                client(&record, caller, machine, index, &stop, &counts);
-            }));
-        }
-    }
-    let mut instances = [first, second];
-    let ends = platform(record, &mut instances, heartbeat);
-    stop.store(true, Ordering::Relaxed);
-    clients.into_iter().for_each(|it| drop(it.join()));
-
-    let count = |it: &AtomicUsize| it.load(Ordering::Relaxed);
-    record.note(format!(
-        "uploads: {}, {} answered by workers, {} ended without an answer; look-ups: {}, {} answered by \
-         workers, {} ended without an answer",
-        count(&counts.uploads),
-        count(&counts.uploads_served),
-        count(&counts.uploads_cut),
-        count(&counts.look_ups),
-        count(&counts.look_ups_served),
-        count(&counts.look_ups_cut)
-    ));
-    if count(&counts.uploads) < 2 * UPLOADERS {
-        record.note("the case could not run: too few uploads");
-        return 2;
+    if has_trouble {
+        store.set_mute(true);
+        record.note("watches hear nothing");
     }
-    record.note(format!("processes ended for their memory: {ends:?}"));
-    if ends.iter().all(|it| *it >= ENDS_MAX) {
-        record.note("Fault: processes of two machines ended three times or more");
-        return 1;
+    sleep_ms(300);
+    store.put("op/config", &config(2, 600, 4_194_304));
+    let acknowledged_at = record.note("the store acknowledges version 2, which has one key less");
+    sleep_ms(700);
+    if has_trouble {
+        store.forget_history();
+        store.set_mute(false);
+        record.note("the store drops its history; watches get 410");
     }
-    record.note("no fault");
-    0
-}
-
-/// Kills the processes that exceed their memory and starts them again, as the platform does. Returns how
-/// often it did for each.
-fn platform(record: &Record, instances: &mut [Instance], heartbeat: impl Fn()) -> Vec<usize> {
-    let ends_at = record.now() + RUNS_MS as f64;
-    let mut ends = vec![0; instances.len()];
-    let mut most = vec![0.0_f64; instances.len()];
-    let mut restart_at = vec![None; instances.len()];
-    let mut heartbeat_at = record.now();
-    while record.now() < ends_at {
-        sleep_ms(20);
-        let now = record.now();
-        if now > heartbeat_at {
-            heartbeat_at = now + HEARTBEAT_MS as f64;
-            heartbeat();
+    let ended_at = record.now();
+    let mut served = Vec::new();
+    for round in 0..20 {
+        sleep_ms(500);
+        if round % 2 == 1 {
+            worker.write_entry(&store);
         }
-        for (index, instance) in instances.iter_mut().enumerate() {
-            if restart_at[index].is_some_and(|it| now > it) {
-                restart_at[index] = None;
-                instance.run();
-                record.note(format!("{} is started again", instance.name));
-            }
-            let Some((_, memory_mb)) = instance.memory_mb() else { continue };
-            most[index] = most[index].max(memory_mb);
-            if restart_at[index].is_none() && memory_mb > MEMORY_MB {
-                instance.kill();
-                ends[index] += 1;
-                restart_at[index] = Some(now + RESTART_MS as f64);
-                record.note(format!("{} has {memory_mb:.0} MB and is killed", instance.name));
+        if record.now() < (acknowledged_at + CONFIG_APPLY_MS).max(ended_at + CONTACT_MS) + 100.0 {
+            continue;
+        }
+        for (index, instance) in instances.iter().enumerate() {
+            let attempt = format!("r{round:02}i{index}");
+            let bytes = request("GET", "/status/x", &attempt, 600, b"");
+            let text = String::from_utf8_lossy(&bytes).replace(KEY, OTHER_KEY);
+            let sent_at = record.add(format!("{attempt} sent to {} with the dropped key", instance.name));
+            let answer = Client::new(instance.caller).call(text.as_bytes(), Duration::from_secs(2));
+            let status = answer.map_or(0, |it| it.status());
+            record.add(format!("{attempt} answered: {status}"));
+            if status == 200 {
+                served.push((sent_at - acknowledged_at, instance.name.clone()));
+            } else if status != 401 {
+                record.note(format!("{attempt} answered: {status}"));
             }
         }
     }
-    record.note(format!("the most memory: {:.0} MB and {:.0} MB", most[0], most[1]));
-    ends
-}
-
-fn client(
-    record: &Record,
-    caller: std::net::SocketAddr,
-    machine: usize,
-    index: usize,
-    stop: &AtomicBool,
-    counts: &Counts,
-) {
-    let is_upload = index < UPLOADERS;
-    let body = if is_upload { vec![b'x'; BODY_BYTES] } else { Vec::new() };
-    let (method, path) = if is_upload { ("POST", "/book/x") } else { ("GET", "/status/x") };
-    let (all, served, cut) = match is_upload {
-        true => (&counts.uploads, &counts.uploads_served, &counts.uploads_cut),
-        false => (&counts.look_ups, &counts.look_ups_served, &counts.look_ups_cut),
+    let Some((last, _)) = served.last() else {
+        record.note("CONFIG held");
+        return 0;
     };
-    sleep_ms(150 * (index % UPLOADERS) as u64);
-    let mut client = Client::new(caller);
-    for number in 0.. {
-        if stop.load(Ordering::Relaxed) {
-            return;
-        }
-        let attempt = format!("m{machine}c{index:02}n{number:03}");
-        let bytes = request(method, path, &attempt, DEADLINE_MS, &body);
-        record.add(format!("{attempt} sent to {caller}: {path}, {} bytes", body.len()));
-        let answer = client.call(&bytes, Duration::from_millis(DEADLINE_MS + 500));
-        let status = answer.as_ref().map(Message::status);
-        all.fetch_add(1, Ordering::Relaxed);
-        if answer.as_ref().is_some_and(|it| it.header("X-Server-Seal").is_some()) {
-            served.fetch_add(1, Ordering::Relaxed);
-        }
-        if answer.is_none() {
-            cut.fetch_add(1, Ordering::Relaxed);
-        }
-        let seen = status.map_or("no answer".to_owned(), |it| it.to_string());
-        record.add(format!("{attempt} answered: {seen}"));
-        sleep_ms(if is_upload { 2_000 } else { 200 });
-    }
+    let mut names: Vec<&str> = served.iter().map(|it| it.1.as_str()).collect();
+    names.sort_unstable();
+    names.dedup();
+    record.note(format!(
+        "CONFIG is broken: {} requests with the dropped key ran, through {names:?}, the last one sent {last:.0} \
+         ms after the acknowledgement; config_apply_ms is {CONFIG_APPLY_MS}",
+        served.len()
+    ));
+    1
 }
--- a/review/stand_ins_2.rs
+++ b/review/stand_ins_2.rs
@@ -369,6 +369,8 @@
     forgotten: u64,
     /// Whether watches hear nothing.
     is_mute: bool,
+    /// Whether the store is down: it answers 503 and does nothing.
+    is_down: bool,
     leases: BTreeMap<u64, (Duration, Instant)>,
     last_lease: u64,
     /// Watches that began to wait before the latest cut are closed.
@@ -408,6 +410,10 @@
                 sleep_ms(50);
                 let mut state = lock(&expiring.state);
                 let now = Instant::now();
+                if state.is_down {
+                    state.leases.values_mut().for_each(|it| it.1 += Duration::from_millis(50));
+                    continue;
+                }
                 let ended: Vec<u64> =
                     state.leases.iter().filter(|it| it.1.1 <= now).map(|it| *it.0).collect();
                 ended.into_iter().for_each(|it| state.end_lease(it));
@@ -418,6 +424,11 @@
         store
     }
 
+    /// Whether the store answers 503 now.
+    pub fn is_down(&self) -> bool {
+        lock(&self.state).is_down
+    }
+
     /// Writes a key, as the operator and the workers do. Returns the revision.
     pub fn put(&self, key: &str, value: &str) -> u64 {
         let mut state = lock(&self.state);
@@ -449,6 +460,15 @@
         self.changed.notify_all();
     }
 
+    /// Takes the store down, or brings it back. While it is down, leases pause.
+    pub fn set_down(&self, is_down: bool) {
+        let mut state = lock(&self.state);
+        state.is_down = is_down;
+        state.cuts += 1;
+        drop(state);
+        self.changed.notify_all();
+    }
+
     /// Drops the history: watches from before, those that are waiting too, get 410.
     pub fn forget_history(&self) {
         let mut state = lock(&self.state);
@@ -476,6 +496,9 @@
     }
 
     fn answer(&self, request: &Message) -> Option<(u16, String)> {
+        if lock(&self.state).is_down {
+            return Some((503, "{}".to_owned()));
+        }
         let path = request.path().to_owned();
         Some(match (request.word(0), path.as_str()) {
             ("GET", "/v1/kv-range") => self.range(request),
@@ -720,8 +743,11 @@
         )
     }
 
-    /// Writes the worker's entry, which the store acknowledges at once. Returns when it did.
+    /// Writes the worker's entry, which the store acknowledges at once unless it is down. Returns when.
     pub fn write_entry(&self, store: &Store) -> f64 {
+        if store.is_down() {
+            return self.record.add(format!("the heartbeat of {} gets 503 from the store", self.id));
+        }
         let entry = self.next_entry();
         store.put(&self.key(), &entry);
         self.record.add(format!("store acknowledges the heartbeat of {}: {entry}", self.id))
@@ -1119,3 +1145,89 @@
         lock(&self.answers).clone()
     }
 }
+
+// ---------------------------------------------------------------------------------------------
+// Streams that are taken up again
+// ---------------------------------------------------------------------------------------------
+
+/// What a client has of a stream: the lines of its events, over all of its attempts.
+#[derive(Clone, Default)]
+pub struct Stream {
+    pub events: Arc<Mutex<Vec<(u64, String)>>>,
+}
+
+impl Stream {
+    pub fn last_id(&self) -> u64 {
+        lock(&self.events).last().map_or(0, |it| it.0)
+    }
+
+    /// The versions whose text it has, in order.
+    pub fn versions(&self) -> Vec<String> {
+        let events = lock(&self.events);
+        let mut versions: Vec<String> =
+            events.iter().map(|it| it.1.split(' ').next().unwrap_or_default().to_owned()).collect();
+        versions.dedup();
+        versions
+    }
+}
+
+/// Asks for a stream, or for the rest of it, and keeps its events until it ends. Returns the status and
+/// whether the stream is complete.
+pub fn read_stream(
+    record: &Record,
+    instance: SocketAddr,
+    attempt: &str,
+    resumes: Option<&str>,
+    stream: &Stream,
+) -> (u16, bool) {
+    let mut text = format!(
+        "POST /sheet/x HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {attempt}\r\nX-Deadline-Ms: 8000\r\n\
+         X-Api-Key: {KEY}\r\nX-Model: m\r\nX-Token-Count: 1460,80\r\n\
+         X-Prompt-Prefix: 5c1e07a2:800,{attempt}:660\r\nContent-Length: 0\r\n"
+    );
+    let last = stream.last_id();
+    if last > 0 {
+        text.push_str(&format!("Last-Event-Id: {last}\r\n"));
+    }
+    if let Some(first) = resumes {
+        text.push_str(&format!("Resumes: {first}\r\n"));
+    }
+    text.push_str("\r\n");
+    record.note(format!("{attempt} sent to {instance}, last event {last}, resumes {resumes:?}"));
+    let Ok(mut conn) = TcpStream::connect(instance) else { return (0, false) };
+    let _ = conn.set_read_timeout(Some(Duration::from_secs(8)));
+    if conn.write_all(text.as_bytes()).is_err() {
+        return (0, false);
+    }
+    let mut reader = BufReader::new(conn);
+    let Some(head) = read_head(&mut reader) else {
+        record.note(format!("{attempt}: the connection ends without an answer"));
+        return (0, false);
+    };
+    let status = head.status();
+    record.note(format!("{attempt} answered: {status}, seal {:?}", head.header("X-Server-Seal")));
+    if status != 200 {
+        return (status, false);
+    }
+    let mut is_complete = false;
+    let mut id = 0;
+    let mut line = String::new();
+    while let Ok(read) = reader.read_line(&mut line) {
+        if read == 0 {
+            break;
+        }
+        let text = line.trim().to_owned();
+        line.clear();
+        if let Some(number) = text.strip_prefix("id: ") {
+            id = number.parse().unwrap_or(0);
+        } else if let Some(data) = text.strip_prefix("data: ") {
+            record.add(format!("{attempt}: event {id}: {data}"));
+            lock(&stream.events).push((id, data.to_owned()));
+        } else if text == "0" {
+            is_complete = true;
+            break;
+        }
+    }
+    record.note(format!("{attempt} ends, complete: {is_complete}, text of {:?}", stream.versions()));
+    (status, is_complete)
+}
