Version records prove something for a stated time only

Callers saw: text joined from two software versions, answered 200 and whole.

Cause: the record that lacks a version was taken for a proof without an end, but instances kept streams from unrecorded versions for 2 s only, and not at all where no other server could take them.

Change: the record says until when it is complete (12 s, renewed every 3 s), and instances hold themselves to it, for both exceptions and for 2 s longer than their clocks may differ. A reader trusts it until then, says so in a line of its own (`version record found`), and otherwise refuses streams of unknown origin for 60 s, unless a peer that knows all versions renews the record. The 1.5 s after a start in which the record is left are 0.4 s; instances that start later ask peers what these deduce. Requests that only an unrecorded version can take are refused for some 200 ms while the store is up (code 1027).

Why it works: no stream can begin at a version that the record lacks within the time in which a reader believes the record, whatever the order of kills, releases and outages.

`the_wait_for_the_record_is_bounded` asserted the exceptions themselves (2 s, and none without another server); it now asserts both ends of the promise, and the old bounds for a record without one. `release_recorded` waited for any write of the record, which a renewal is, too: it waits for the version.

--- a/bench/src/load/fleet.rs
+++ b/bench/src/load/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
-use sl_base::{Millis, ServiceId, Timestamp};
+use sl_base::{Millis, ServiceId, Timestamp, WallClock};
 use sl_route::{
     AllowedRegions, Document, Event, Limits, Regions, RetryPolicy, Route, ServerRecord,
     ServerState, Service, State, budget, document::EngineLimits, event, warmup::WarmupBound,
@@ -123,6 +123,7 @@
                 balances_routes: options.balances_routes,
             },
             share_window: Millis(4_000),
+            wall_clock: WallClock::default(),
         },
         START,
     );
--- a/sl-base/src/code.rs
+++ b/sl-base/src/code.rs
@@ -93,6 +93,9 @@
     /// The request resumes a stream, servers of several software versions could go on with it, and
     /// it is not known which version began it.
     OriginUnknown = 1026,
+    /// The request begins a stream, and the software versions of all servers that could take it have
+    /// yet to be recorded in the platform's store.
+    VersionUnrecorded = 1027,
     /// No response arrived before the deadline.
     TotalTimeout = 3005,
     /// The connection failed after the request may have been sent.
@@ -139,7 +142,8 @@
             | Code::Overloaded
             | Code::InstanceFull
             | Code::VersionGone
-            | Code::OriginUnknown => 503,
+            | Code::OriginUnknown
+            | Code::VersionUnrecorded => 503,
         }
     }
 }
--- a/sl-base/src/lib.rs
+++ b/sl-base/src/lib.rs
@@ -14,4 +14,4 @@
     TeamId,
 };
 pub use map::{IdMap, IdSet};
-pub use time::{Millis, Timestamp};
+pub use time::{Millis, Timestamp, UnixMillis, WallClock};
--- a/sl-base/src/time.rs
+++ b/sl-base/src/time.rs
@@ -82,4 +82,36 @@
     }
 }
 
+/// A point in time of the wall clock, in milliseconds since the Unix epoch, as told to other processes.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct UnixMillis(pub u64);
+
+/// Converts the timestamps of a process to wall-clock time. The wall clock is read once, so that it
+/// does not step while the process runs; the clocks of two processes may still differ.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct WallClock {
+    /// The wall-clock time, in milliseconds, less the timestamp that was read with it.
+    offset_ms: i64,
+}
+
+impl WallClock {
+    /// The clock that showed `wall` at `now`.
+    pub const fn read_at(now: Timestamp, wall: UnixMillis) -> WallClock {
+        WallClock { offset_ms: wall.0 as i64 - (now.0 / MICROS_PER_MILLI) as i64 }
+    }
+
+    /// The wall-clock time at `at`.
+    pub const fn time(self, at: Timestamp) -> UnixMillis {
+        UnixMillis((at.0 / MICROS_PER_MILLI).saturating_add_signed(self.offset_ms))
+    }
+
+    /// The time from `now` until `wall`; zero if that has passed.
+    pub const fn remaining(self, now: Timestamp, wall: UnixMillis) -> Millis {
+        Millis(wall.0.saturating_sub(self.time(now).0))
+    }
+}
+
 const MICROS_PER_MILLI: u64 = 1_000;
--- a/sl-edge/src/handle.rs
+++ b/sl-edge/src/handle.rs
@@ -11,7 +11,7 @@
 
 use futures::future::join_all;
 use sl_base::{
-    InstanceId, Millis, StreamId, Timestamp,
+    InstanceId, Millis, ServiceId, StreamId, Timestamp,
     status::{FleetStatus, InstanceStatus, ServerStatus},
 };
 use sl_peer::{KnownStore, Links, StoreUpdate};
@@ -33,6 +33,8 @@
     EngineCaches(oneshot::Sender<EngineCaches>),
     /// Where a stream began, for a peer at which it is resumed.
     StreamOrigin(StreamId, oneshot::Sender<Option<StreamOrigin>>),
+    /// Where a stream of the service began, or what the version record says of it.
+    DeducedOrigin(StreamId, ServiceId, oneshot::Sender<Option<StreamOrigin>>),
     /// Starts a graceful shutdown with the given drain timeout, or the configured one.
     ShutDown(Option<Millis>),
 }
@@ -149,6 +151,10 @@
     async fn stream_origin(&self, stream: StreamId) -> Option<StreamOrigin> {
         self.send_query(|tx| Query::StreamOrigin(stream, tx)).await.flatten()
     }
+
+    async fn deduced_origin(&self, stream: StreamId, service: ServiceId) -> Option<StreamOrigin> {
+        self.send_query(|tx| Query::DeducedOrigin(stream, service, tx)).await.flatten()
+    }
 }
 
 /// The recorder behind the burn report, which counts request outcomes by team and route;
--- a/sl-edge/src/log.rs
+++ b/sl-edge/src/log.rs
@@ -129,6 +129,11 @@
             info!(log, "stream resumed by caller";
                 "request" => request.0, "known" => %known, "began_at" => version.as_deref());
         }
+        Decision::VersionRecordFound { versions, no_proof } => {
+            info!(log, "version record found";
+                "versions" => versions.join(","), "proves" => no_proof.is_none(),
+                "no_proof" => no_proof.map(<&str>::from));
+        }
         Decision::StreamOriginDeduced { request, version } => {
             info!(log, "stream origin deduced from version record";
                 "request" => request.0, "version" => version.as_ref());
--- a/sl-edge/src/origin_writer.rs
+++ b/sl-edge/src/origin_writer.rs
@@ -67,11 +67,10 @@
 const RENEWAL_INTERVAL: Millis = Millis(20_000);
 
 /// How long after its start an instance leaves a record that it has found as it is. Instances that start
-/// up to this much later, after all were killed, find the same one and know where older streams
-/// began. Below [`RECORD_TIMEOUT`], for which new streams are kept from servers that it lacks.
-///
-/// [`RECORD_TIMEOUT`]: sl_route::version_record::RECORD_TIMEOUT
-const START_SPREAD: Millis = Millis(1_500);
+/// together after all were killed find the same one, and know where older streams began. Later ones ask
+/// these. Short, since new versions begin no streams meanwhile, and the store may fail before the record
+/// is written.
+const START_SPREAD: Millis = Millis(400);
 
 /// The delay after a failed call, before the random part.
 const RETRY_DELAY: Millis = Millis(100);
@@ -177,7 +176,8 @@
         if self.successful("versions", response).is_some() {
             let versions = record.iter().filter_map(|it| it.1.as_deref()).collect::<Vec<_>>();
             info!(self.core.log, "version record written"; "era" => record.era,
-                "versions" => versions.join(","), "before" => revision);
+                "versions" => versions.join(","), "before" => revision,
+                "complete_until_ms" => record.complete_until.0);
         }
     }
 
--- a/sl-edge/src/query_handler.rs
+++ b/sl-edge/src/query_handler.rs
@@ -49,6 +49,11 @@
                     let origin = self.core.with_state(|it| it.stream_origin(stream).cloned());
                     drop(tx.send(origin));
                 }
+                Query::DeducedOrigin(stream, service, tx) => {
+                    let now = self.core.now();
+                    let origin = self.core.with_state(|it| it.deduced_origin(now, stream, service));
+                    drop(tx.send(origin));
+                }
                 // The channel is full only if a shutdown was requested before.
                 Query::ShutDown(drain_timeout) => drop(shutdown_tx.try_send(drain_timeout)),
             }
--- a/sl-edge/src/refusal.rs
+++ b/sl-edge/src/refusal.rs
@@ -40,6 +40,7 @@
             Refusal::TooLate => Code::TooLate,
             Refusal::VersionGone => Code::VersionGone,
             Refusal::OriginUnknown => Code::OriginUnknown,
+            Refusal::VersionUnrecorded => Code::VersionUnrecorded,
         };
         LocalResponse { code, retry_after: Some(retry_after) }
     }
--- a/sl-edge/src/run.rs
+++ b/sl-edge/src/run.rs
@@ -9,7 +9,7 @@
 
 use futures::{Stream, StreamExt};
 use platform::Addresses;
-use sl_base::{Incarnation, InstanceId, Millis, ServiceId};
+use sl_base::{Incarnation, InstanceId, Millis, ServiceId, UnixMillis, WallClock};
 use sl_config::{Settings, key::KeyError, settings::RouteSharing};
 use sl_http::PeerMonitor;
 use sl_peer::{HandshakeKey, Hello, Links};
@@ -347,6 +347,12 @@
     Incarnation(u64::try_from(wall.as_micros()).unwrap_or(u64::MAX))
 }
 
+/// The time that the wall clock shows now.
+fn unix_millis() -> UnixMillis {
+    let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    UnixMillis(u64::try_from(wall.as_millis()).unwrap_or(u64::MAX))
+}
+
 fn operator_hashes(settings: &Settings) -> Result<Vec<sl_front::KeyHash>, Error> {
     let hash = |text: &String| {
         let hash = blake3::Hash::from_hex(text).map_err(|_| Error::KeyHash(text.clone()))?;
@@ -419,6 +425,7 @@
         seed,
         limits: limits(settings),
         share_window: settings.sharing.window,
+        wall_clock: WallClock::read_at(Clock.now(), unix_millis()),
     })
 }
 
--- a/sl-edge/src/stream_locator.rs
+++ b/sl-edge/src/stream_locator.rs
@@ -4,8 +4,8 @@
 use std::{collections::HashSet, net::SocketAddr, pin::pin, rc::Rc};
 
 use futures::{StreamExt, stream::FuturesUnordered};
-use sl_base::{InstanceId, Millis, StreamId, hash};
-use sl_peer::Links;
+use sl_base::{InstanceId, Millis, ServiceId, StreamId, hash};
+use sl_peer::{Links, PeerUnreachable};
 use sl_route::{
     Event, Route,
     stream_origin::{StreamOrigin, StreamRequest},
@@ -90,8 +90,26 @@
                 }
             }
         }
-        if let (Some(true), [(service, _)]) = (is_read, &route.services[..]) {
-            self.core.step(Event::StreamNotStored { stream, service: *service });
+        if let (Some(true), &[(service, _)]) = (is_read, &route.services[..]) {
+            self.core.step(Event::StreamNotStored { stream, service });
+            self.ask_deduced(stream, service).await;
+        }
+    }
+
+    /// Asks peers what they deduce of a stream of which this instance can't deduce anything: they may have
+    /// started before the version record was changed, and then know which versions it had.
+    async fn ask_deduced(&self, stream: StreamId, service: ServiceId) {
+        if self.core.with_state(|it| it.stream_origin(stream).is_some()) {
+            return;
+        }
+        let calls = self.peers_to_ask(stream).into_iter();
+        let calls = calls
+            .map(|(peer, control)| self.links.deduced_origin(peer, control, stream, service))
+            .collect();
+        let asking = first_origin(calls);
+        let answer = tokio::time::timeout(RESPONSE_TIMEOUT.into(), asking).await;
+        if let Ok(PeerAnswer::Origin(origin)) = answer {
+            self.core.step(Event::StreamOriginFound { stream, origin });
         }
     }
 
@@ -104,17 +122,9 @@
     /// The first response of a peer that knows of the stream.
     async fn ask(&self, stream: StreamId) -> PeerAnswer {
         let calls = self.peers_to_ask(stream).into_iter();
-        let mut responses: FuturesUnordered<_> =
+        let calls =
             calls.map(|(peer, control)| self.links.stream_origin(peer, control, stream)).collect();
-        let mut answer = PeerAnswer::None;
-        while let Some(response) = responses.next().await {
-            match response {
-                Ok(Some(origin)) => return PeerAnswer::Origin(origin),
-                Ok(None) => answer = PeerAnswer::Unknown,
-                Err(_) => {}
-            }
-        }
-        answer
+        first_origin(calls).await
     }
 
     /// The peer that has been running for longest, and others that differ from stream to stream:
@@ -134,3 +144,19 @@
         peers.into_iter().map(|(id, addresses)| (id, addresses.control)).collect()
     }
 }
+
+/// The first origin among the responses of peers.
+async fn first_origin<C>(mut responses: FuturesUnordered<C>) -> PeerAnswer
+where
+    C: Future<Output = Result<Option<StreamOrigin>, PeerUnreachable>>,
+{
+    let mut answer = PeerAnswer::None;
+    while let Some(response) = responses.next().await {
+        match response {
+            Ok(Some(origin)) => return PeerAnswer::Origin(origin),
+            Ok(None) => answer = PeerAnswer::Unknown,
+            Err(_) => {}
+        }
+    }
+    answer
+}
--- a/sl-peer/src/link.rs
+++ b/sl-peer/src/link.rs
@@ -7,7 +7,7 @@
     sync::{Arc, Mutex, PoisonError},
 };
 
-use sl_base::{InstanceId, StreamId, status::InstanceStatus};
+use sl_base::{InstanceId, ServiceId, StreamId, status::InstanceStatus};
 use sl_report::Snapshot;
 use sl_route::{note::EngineCaches, stream_origin::StreamOrigin};
 use tarpc::client::{self, RpcError};
@@ -154,6 +154,25 @@
         .await
     }
 
+    /// Asks a peer where a stream of the service began, as far as the peer knows or can deduce. `None`
+    /// if it can't, or is shutting down.
+    ///
+    /// # Errors
+    ///
+    /// [`PeerUnreachable`] if the peer does not respond in time, even on a new link.
+    pub async fn deduced_origin(
+        &self,
+        to: InstanceId,
+        address: SocketAddr,
+        stream: StreamId,
+        service: ServiceId,
+    ) -> Result<Option<StreamOrigin>, PeerUnreachable> {
+        self.call(to, address, |client, timeout_ms| async move {
+            client.deduced_origin(frame::context(timeout_ms), stream, service).await
+        })
+        .await
+    }
+
     /// Closes the links to the peers for which `keep` returns false.
     pub fn retain(&self, keep: impl Fn(InstanceId) -> bool) {
         self.slots().retain(|&id, _| keep(id));
--- a/sl-peer/src/serve.rs
+++ b/sl-peer/src/serve.rs
@@ -3,7 +3,7 @@
 use std::{future::Future, net::SocketAddr, pin::pin, sync::Arc};
 
 use futures::StreamExt;
-use sl_base::{StreamId, status::InstanceStatus};
+use sl_base::{ServiceId, StreamId, status::InstanceStatus};
 use sl_report::Snapshot;
 use sl_route::{note::EngineCaches, stream_origin::StreamOrigin};
 use tarpc::{
@@ -42,6 +42,14 @@
 
     /// Returns where a stream began. `None` if the instance does not know or is shutting down.
     fn stream_origin(&self, stream: StreamId) -> impl Future<Output = Option<StreamOrigin>> + Send;
+
+    /// Returns where a stream of the service began, also if that is only deduced. `None` if it can't be, or
+    /// the instance is shutting down.
+    fn deduced_origin(
+        &self,
+        stream: StreamId,
+        service: ServiceId,
+    ) -> impl Future<Output = Option<StreamOrigin>> + Send;
 }
 
 /// Why the control port could not be opened.
@@ -166,6 +174,15 @@
     async fn stream_origin(self, _: Context, stream: StreamId) -> Option<StreamOrigin> {
         self.handler.stream_origin(stream).await
     }
+
+    async fn deduced_origin(
+        self,
+        _: Context,
+        stream: StreamId,
+        service: ServiceId,
+    ) -> Option<StreamOrigin> {
+        self.handler.deduced_origin(stream, service).await
+    }
 }
 
 /// Pause after a failed `accept`, which would fail again at once where file descriptors have
--- a/sl-peer/src/service.rs
+++ b/sl-peer/src/service.rs
@@ -1,7 +1,7 @@
 //! The remote procedures that instances call on each other.
 
 use serde::{Deserialize, Serialize};
-use sl_base::{Millis, StreamId, status::InstanceStatus};
+use sl_base::{Millis, ServiceId, StreamId, status::InstanceStatus};
 use sl_mirror::{Change, Update, Version};
 use sl_report::Snapshot;
 use sl_route::{note::EngineCaches, stream_origin::StreamOrigin};
@@ -50,4 +50,8 @@
     /// Returns where a stream began, or `None` where the called instance does not know or is
     /// shutting down.
     async fn stream_origin(stream: StreamId) -> Option<StreamOrigin>;
+
+    /// Returns where a stream of the service began, also if the called instance only deduces that from
+    /// the version record that it found at its start; or `None`.
+    async fn deduced_origin(stream: StreamId, service: ServiceId) -> Option<StreamOrigin>;
 }
--- a/sl-peer/tests/it/link.rs
+++ b/sl-peer/tests/it/link.rs
@@ -28,6 +28,9 @@
     assert_eq!(origin, Some(stream_origin()));
     let unknown = links.stream_origin(PEER, server.address, StreamId(8)).await.unwrap();
     assert_eq!(unknown, None);
+    let service = stream_origin().service;
+    let deduced = links.deduced_origin(PEER, server.address, StreamId(8), service).await.unwrap();
+    assert_eq!(deduced, Some(stream_origin()));
 }
 
 #[rstest]
--- a/sl-peer/tests/it/testbed.rs
+++ b/sl-peer/tests/it/testbed.rs
@@ -71,6 +71,11 @@
     async fn stream_origin(&self, stream: StreamId) -> Option<StreamOrigin> {
         (stream == KNOWN_STREAM).then(stream_origin)
     }
+
+    async fn deduced_origin(&self, _: StreamId, service: ServiceId) -> Option<StreamOrigin> {
+        let origin = stream_origin();
+        (service == origin.service).then_some(origin)
+    }
 }
 
 /// The only stream of which a [`Peer`] knows where it began.
--- a/sl-report/src/record.rs
+++ b/sl-report/src/record.rs
@@ -65,6 +65,7 @@
             | Code::InstanceFull
             | Code::VersionGone
             | Code::OriginUnknown
+            | Code::VersionUnrecorded
             | Code::TotalTimeout
             | Code::ConnectionLost
             | Code::CrossedAnswer
--- a/sl-route/src/effect.rs
+++ b/sl-route/src/effect.rs
@@ -11,6 +11,7 @@
     crash_causes::Cause,
     estimates::{AttemptCounts, AttemptKind},
     locality::LeaveReason,
+    version_record::NoProof,
 };
 
 /// An action that the caller of [`State::step`](crate::State::step) has to perform.
@@ -104,6 +105,9 @@
     /// The request resumes a stream, its service has servers of several software versions, and no
     /// instance knows which one began it.
     OriginUnknown,
+    /// The request begins a stream, and the version record lacks the software versions of all servers
+    /// that could take it.
+    VersionUnrecorded,
 }
 
 /// Why a request failed although it may have run.
@@ -187,6 +191,13 @@
         /// The only version of the service in the record.
         version: Arc<str>,
     },
+    /// This instance has read the version record for the first time.
+    VersionRecordFound {
+        /// The versions in the record.
+        versions: Vec<Arc<str>>,
+        /// Why the record does not prove at which versions streams began; `None` if it does.
+        no_proof: Option<NoProof>,
+    },
     /// A request was refused.
     RequestRefused {
         /// The request that was refused.
@@ -419,6 +430,7 @@
             | Decision::RequestFailed { request, .. } => Some(*request),
             Decision::TeamActivity { .. }
             | Decision::AttemptEstimates { .. }
+            | Decision::VersionRecordFound { .. }
             | Decision::ServerAvoided { .. }
             | Decision::DrainAnnounced { .. }
             | Decision::PauseRequested { .. }
--- a/sl-route/src/place.rs
+++ b/sl-route/src/place.rs
@@ -109,6 +109,8 @@
 pub enum PlacementError {
     /// No server of the service is ready and untried.
     NoServer,
+    /// The version record lacks the software versions of all servers that are ready and untried.
+    VersionUnrecorded,
     /// No server is expected to send the first byte in time.
     TooLate(LowestEstimates),
     /// A server would send the first byte in time, but none is expected to end before the deadline.
--- a/sl-route/src/state.rs
+++ b/sl-route/src/state.rs
@@ -19,7 +19,7 @@
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use sl_base::{IdMap, Millis, RequestId, ServiceId, TeamId, Timestamp};
+use sl_base::{IdMap, Millis, RequestId, ServiceId, TeamId, Timestamp, WallClock};
 
 use crate::{
     Decision, Directory, Document, Effect, Event, Notes, Regions, ServerKey,
@@ -59,6 +59,8 @@
     pub limits: InstanceLimits,
     /// The window over which teams' usage is summed.
     pub share_window: Millis,
+    /// The wall clock, for times that other instances read.
+    pub wall_clock: WallClock,
 }
 
 /// The state of one instance: its view of servers and peers, and its requests in flight.
@@ -158,7 +160,7 @@
             started_at: now,
             demand: Demand::new(now),
             shortages: IdMap::default(),
-            origins: StreamOrigins::new(now),
+            origins: StreamOrigins::new(now, options.wall_clock),
             instances: INSTANCES_DEFAULT,
             listed_instances: Vec::new(),
             contact_at: now,
--- a/sl-route/src/state/admit.rs
+++ b/sl-route/src/state/admit.rs
@@ -29,6 +29,10 @@
 /// Bounds on the `Retry-After` time before jitter, in milliseconds.
 const RETRY_AFTER_MS: std::ops::Range<f64> = 100.0..2_000.0;
 
+/// How long a refused caller waits at least for the version record, in milliseconds: what it takes to
+/// write the record while the store responds, and to tell all instances.
+const RECORD_WRITE_MS: f64 = 300.0;
+
 impl State {
     pub(super) fn on_arrival(&mut self, now: Timestamp, arrival: Arrival) {
         let request = arrival.request;
@@ -146,10 +150,16 @@
                         expected_ms: for_ms,
                         ..LowestEstimates::NONE
                     },
+                    PlacementError::VersionUnrecorded => LowestEstimates {
+                        cost_ms: RECORD_WRITE_MS,
+                        expected_ms: RECORD_WRITE_MS,
+                        ..LowestEstimates::NONE
+                    },
                     PlacementError::NoServer | PlacementError::NoSlot => LowestEstimates::NONE,
                 };
                 let allowed_ms = match error {
                     PlacementError::EndsLate(_) => limits.ends_within_ms,
+                    PlacementError::VersionUnrecorded => 0.0,
                     _ => limits.allowed_ms,
                 };
                 self.refuse(now, &in_flight, reason, lowest, allowed_ms);
@@ -176,7 +186,11 @@
             }
             Some(PlacementError::TooLate(_) | PlacementError::NoSlot) => Admission::NoCapacity,
             Some(PlacementError::EndsLate(_)) => Admission::EndsLate,
-            Some(PlacementError::NoServer | PlacementError::Paused { .. }) => return,
+            Some(
+                PlacementError::NoServer
+                | PlacementError::Paused { .. }
+                | PlacementError::VersionUnrecorded,
+            ) => return,
         };
         self.route_balance.record(now, arrival, admission);
     }
@@ -191,13 +205,18 @@
         let servers = || keys.iter().filter_map(|it| self.servers.get(it));
         let required = self.requirements(now, in_flight, limits);
         let begins_stream = State::begins_stream(&in_flight.arrival, required.origin);
-        if begins_stream && servers().any(|it| !it.unrecorded_until.is_due(now)) {
-            let required = Requirements { needs_recorded_version: true, ..required };
-            if let Ok(placement) = place::choose(now, servers(), required) {
-                return Ok(placement);
+        if !begins_stream || servers().all(|it| it.unrecorded_until.is_due(now)) {
+            return place::choose(now, servers(), required);
+        }
+        let recorded = Requirements { needs_recorded_version: true, ..required };
+        match place::choose(now, servers(), recorded) {
+            Ok(placement) => Ok(placement),
+            Err(_) if self.origins.known_versions.promised_until().is_due(now) => {
+                place::choose(now, servers(), required)
             }
+            Err(PlacementError::NoServer) => Err(PlacementError::VersionUnrecorded),
+            Err(e) => Err(e),
         }
-        place::choose(now, servers(), required)
     }
 
     /// What a request requires of a server that it was not sent to before.
@@ -246,6 +265,7 @@
     ) -> Refusal {
         match error {
             PlacementError::NoServer if in_flight.origin.is_some() => Refusal::VersionGone,
+            PlacementError::VersionUnrecorded => Refusal::VersionUnrecorded,
             PlacementError::NoServer if in_flight.tried.is_empty() => Refusal::NoServer,
             PlacementError::NoServer | PlacementError::Paused { .. } => Refusal::TurnedAway,
             _ if in_flight.arrival.deadline().is_due(now) => Refusal::TooLate,
--- a/sl-route/src/state/origins.rs
+++ b/sl-route/src/state/origins.rs
@@ -5,7 +5,7 @@
 
 use super::State;
 use crate::{
-    Arrival, ServerKey, ServerRecord,
+    Arrival, Decision, Effect, ServerKey, ServerRecord,
     stream_origin::{OriginBatch, StreamOrigin, StreamRequest},
     version_record::{RECORD_TIMEOUT, VersionRecord},
 };
@@ -17,12 +17,20 @@
     }
 
     pub(super) fn on_version_record(&mut self, now: Timestamp, record: Option<VersionRecord>) {
-        self.origins.apply_record(now, record);
+        let is_first = self.origins.apply_record(now, record);
+        let known = &self.origins.known_versions;
         for server in self.servers.values_mut() {
             let record = &server.record;
-            if self.origins.known_versions.is_recorded(record.service, &record.version) {
-                server.unrecorded_until = server.unrecorded_until.min(now);
-            }
+            let until = server.unrecorded_until;
+            let is_recorded = known.is_recorded(record.service, &record.version);
+            server.unrecorded_until =
+                if is_recorded { until.min(now) } else { until.max(known.promised_until()) };
+        }
+        if let Some(record) = known.record().filter(|_| is_first) {
+            let versions = record.iter().filter_map(|it| it.1.clone()).collect();
+            let no_proof = known.proof(now, record).err();
+            let decision = Decision::VersionRecordFound { versions, no_proof };
+            self.effects.push(Effect::Log(decision));
         }
     }
 
@@ -41,17 +49,35 @@
         if self.origins.origin(stream).is_some() {
             return;
         }
-        let version = self.origins.known_versions.only_version_found(now, service);
-        if let Some(version) = version.cloned() {
-            self.origins.record_origin(now, stream, StreamOrigin::deduced(service, version));
+        if let Some(origin) = self.deduced_origin(now, stream, service) {
+            self.origins.record_origin(now, stream, origin);
+        }
+    }
+
+    /// Where a stream of the service began that is to be resumed at a peer, as far as this instance knows
+    /// it, or can deduce it from the version record that it found at its start. The peer may have
+    /// started after the record was changed.
+    pub fn deduced_origin(
+        &self,
+        now: Timestamp,
+        stream: StreamId,
+        service: ServiceId,
+    ) -> Option<StreamOrigin> {
+        if let Some(origin) = self.origins.origin(stream) {
+            return Some(origin.clone());
         }
+        let version = self.origins.known_versions.only_version_found(now, service)?;
+        Some(StreamOrigin::deduced(service, version.clone()))
     }
 
     /// Until when a server that is listed now begins no streams which another one can begin,
     /// because the version record lacks its version.
     pub(super) fn unrecorded_until(&self, now: Timestamp, record: &ServerRecord) -> Timestamp {
-        let is_recorded = self.origins.known_versions.is_recorded(record.service, &record.version);
-        if is_recorded { now } else { now.after(RECORD_TIMEOUT) }
+        let known = &self.origins.known_versions;
+        if known.is_recorded(record.service, &record.version) {
+            return now;
+        }
+        now.after(RECORD_TIMEOUT).max(known.promised_until())
     }
 
     /// Whether the request begins a stream at its next server.
--- a/sl-route/src/stream_origin.rs
+++ b/sl-route/src/stream_origin.rs
@@ -8,7 +8,7 @@
 };
 
 use serde::{Deserialize, Serialize};
-use sl_base::{IdMap, Millis, ServiceId, StreamId, Timestamp};
+use sl_base::{IdMap, Millis, ServiceId, StreamId, Timestamp, WallClock};
 
 use crate::{
     ServerKey, ServerRecord,
@@ -145,14 +145,14 @@
 
 impl StreamOrigins {
     /// Remembers nothing yet.
-    pub fn new(now: Timestamp) -> StreamOrigins {
+    pub fn new(now: Timestamp, wall_clock: WallClock) -> StreamOrigins {
         StreamOrigins {
             recent: IdMap::default(),
             older: IdMap::default(),
             rotate_at: now.after(ROTATION_PERIOD),
             runs: IdMap::default(),
             versions: IdMap::default(),
-            known_versions: KnownVersions::new(now),
+            known_versions: KnownVersions::new(now, wall_clock),
             unsaved: None,
             has_backlog: false,
         }
@@ -312,10 +312,12 @@
         services.into_iter().any(|it| !self.has_one_version(it))
     }
 
-    /// Applies the version record that the store has.
-    pub fn apply_record(&mut self, now: Timestamp, record: Option<VersionRecord>) {
+    /// Applies the version record that the store has. Returns whether this instance had seen no server
+    /// before, so that the record tells it what the instances before it knew.
+    pub fn apply_record(&mut self, now: Timestamp, record: Option<VersionRecord>) -> bool {
         let is_first = self.runs.is_empty();
         self.known_versions.apply(now, record, is_first);
+        is_first
     }
 
     /// The version record that the store should have; `None` if it has that.
--- a/sl-route/src/version_record.rs
+++ b/sl-route/src/version_record.rs
@@ -7,7 +7,8 @@
     sync::Arc,
 };
 
-use sl_base::{Millis, ServiceId, Timestamp};
+use sl_base::{Millis, ServiceId, Timestamp, UnixMillis, WallClock};
+use strum::{Display, IntoStaticStr};
 
 use crate::stream_origin::RUN_RETENTION;
 
@@ -20,17 +21,32 @@
     /// The era of the store in which the record was written. In a later era, the record comes from
     /// an older copy of the store and may lack versions.
     pub era: u64,
-    /// Whether the record has all versions of streams that may be resumed. Not a time, since
-    /// instances have no clock in common.
+    /// Whether the record had all versions of streams that may be resumed when it was written.
     pub is_complete: bool,
+    /// Until when no stream begins at a version that the record lacks, by the clock of its writer. An
+    /// instance that finds the record later knows nothing of the streams begun since. The epoch in a
+    /// record that does not say.
+    pub complete_until: UnixMillis,
     /// The versions that serve now or did within [`RUN_RETENTION`].
     pub services: BTreeMap<ServiceId, BTreeSet<VersionName>>,
 }
 
-/// The longest time for which new streams are kept from a server because the record lacks its
-/// version. Writing the record takes some 100 ms; beyond this time the store is taken to be down.
+/// How long new streams are kept from a server whose version the record lacks, if another server can
+/// take them and no record promises more. Writing the record takes some 100 ms; beyond this time the store is
+/// taken to be down.
 pub const RECORD_TIMEOUT: Millis = Millis(2_000);
 
+/// For how long a record promises that no stream begins at a version that it lacks. Longer than an
+/// outage of the store of some seconds together with a start of all instances.
+pub const RECORD_VALIDITY: Millis = Millis(12_000);
+
+/// The interval at which the promise of an unchanged record is renewed.
+pub const RECORD_RENEWAL_INTERVAL: Millis = Millis(3_000);
+
+/// The largest difference between the clocks of two instances at which the promise is kept: instances
+/// hold themselves to it for so much longer.
+pub const CLOCK_TOLERANCE: Millis = Millis(2_000);
+
 impl VersionRecord {
     /// Whether the record has this version of the service.
     pub fn contains(&self, service: ServiceId, version: &VersionName) -> bool {
@@ -47,6 +63,12 @@
         self.services.iter().flat_map(|(&service, it)| it.iter().map(move |it| (service, it)))
     }
 
+    /// Whether both records name the same versions, whatever they promise for the time to come.
+    fn says_the_same(&self, other: &VersionRecord) -> bool {
+        (self.era, self.is_complete, &self.services)
+            == (other.era, other.is_complete, &other.services)
+    }
+
     /// The only version of a service; `None` if there are several or none, or if it has no name.
     pub fn only_version(&self, service: ServiceId) -> Option<&Arc<str>> {
         let mut versions = self.versions(service);
@@ -55,14 +77,34 @@
     }
 }
 
+/// Why a version record does not prove at which versions streams began.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum NoProof {
+    /// The record comes from an older copy of the store.
+    EarlierEra,
+    /// The writer of the record did not know all versions.
+    Incomplete,
+    /// Streams may have begun at other versions since the promise of the record has ended.
+    Expired,
+    /// The record promises more than it may by the clock of this instance.
+    ClocksDiffer,
+}
+
 /// What an instance knows of the software versions that began streams, beyond the servers that it
 /// has seen.
 #[derive(Debug)]
 pub struct KnownVersions {
     /// The era of the store; 0 before it is known.
     store_era: u64,
+    wall_clock: WallClock,
     /// The record as the store has it.
     record: Option<VersionRecord>,
+    /// Until then, no stream begins at a version that the record lacks: an instance that starts after the
+    /// loss of all others relies on that.
+    promised_until: Timestamp,
+    /// When the promise is due to be renewed.
+    renew_at: Timestamp,
     /// Versions that the record has had, and when they are forgotten: another instance may know of
     /// servers that this one has not seen.
     recorded: HashMap<(ServiceId, VersionName), Timestamp>,
@@ -78,10 +120,13 @@
 
 impl KnownVersions {
     /// Knows nothing yet. Without a record in the store, nothing is known to be missing.
-    pub fn new(now: Timestamp) -> KnownVersions {
+    pub fn new(now: Timestamp, wall_clock: WallClock) -> KnownVersions {
         KnownVersions {
             store_era: 0,
+            wall_clock,
             record: None,
+            promised_until: now,
+            renew_at: now,
             recorded: HashMap::new(),
             found: None,
             found_until: now.after(RUN_RETENTION),
@@ -102,8 +147,13 @@
     /// Applies the record that the store has. `is_first` if this instance has just started and has
     /// seen no server yet.
     pub fn apply(&mut self, now: Timestamp, record: Option<VersionRecord>, is_first: bool) {
-        if let Some(record) = record.as_ref().filter(|_| is_first) {
-            self.apply_first(now, record);
+        if let Some(record) = &record {
+            self.apply_promise(now, record);
+            if is_first {
+                self.apply_first(now, record);
+            } else {
+                self.apply_later(now, record);
+            }
         }
         let previous = self.record.take();
         for (service, version) in record.iter().flat_map(VersionRecord::iter) {
@@ -115,12 +165,74 @@
         self.record = record;
     }
 
+    /// Holds this instance to what the record promises.
+    fn apply_promise(&mut self, now: Timestamp, record: &VersionRecord) {
+        let previous = self.record.as_ref().map(|it| it.complete_until);
+        if record.complete_until == UnixMillis::default() || previous == Some(record.complete_until)
+        {
+            return;
+        }
+        let remaining = match previous {
+            None => self.wall_clock.remaining(now, record.complete_until).min(RECORD_VALIDITY),
+            // Made after this instance has started, so not long ago, whatever the clocks say.
+            Some(_) => RECORD_VALIDITY,
+        };
+        if remaining > Millis(0) {
+            let until = now.after(Millis(remaining.0 + CLOCK_TOLERANCE.0));
+            self.promised_until = self.promised_until.max(until);
+        }
+        self.renew_at = now.after(RECORD_RENEWAL_INTERVAL);
+    }
+
+    /// Applies a record that was written after this instance has started: a peer which knows all versions
+    /// is running, and this instance knows them from the record, too.
+    fn apply_later(&mut self, now: Timestamp, record: &VersionRecord) {
+        let previous = self.record.as_ref().map(|it| it.complete_until);
+        let is_written = previous.is_some_and(|it| it != record.complete_until);
+        if is_written && record.is_complete && record.era == self.store_era {
+            self.complete_at = self.complete_at.min(now);
+            self.is_complete = true;
+        }
+    }
+
     fn apply_first(&mut self, now: Timestamp, record: &VersionRecord) {
-        self.is_complete = record.is_complete && record.era == self.store_era;
+        self.is_complete = self.proof(now, record).is_ok();
         self.complete_at = if self.is_complete { now } else { now.after(RUN_RETENTION) };
         self.found = Some(record.clone()).filter(|_| self.is_complete);
     }
 
+    /// Whether all streams that may be resumed began at versions of the record.
+    ///
+    /// # Errors
+    ///
+    /// [`NoProof`] if streams may have begun at other versions.
+    pub fn proof(&self, now: Timestamp, record: &VersionRecord) -> Result<(), NoProof> {
+        if record.era != self.store_era {
+            return Err(NoProof::EarlierEra);
+        }
+        if !record.is_complete {
+            return Err(NoProof::Incomplete);
+        }
+        let remaining = self.wall_clock.remaining(now, record.complete_until);
+        if remaining == Millis(0) {
+            return Err(NoProof::Expired);
+        }
+        if remaining.0 > RECORD_VALIDITY.0 + CLOCK_TOLERANCE.0 {
+            return Err(NoProof::ClocksDiffer);
+        }
+        Ok(())
+    }
+
+    /// Until when no stream begins at a version that the record lacks.
+    pub fn promised_until(&self) -> Timestamp {
+        self.promised_until
+    }
+
+    /// The record as the store has it.
+    pub fn record(&self) -> Option<&VersionRecord> {
+        self.record.as_ref()
+    }
+
     /// Forgets the versions that are due.
     pub fn prune(&mut self, now: Timestamp) {
         self.recorded.retain(|_, forget_at| !forget_at.is_due(now));
@@ -169,8 +281,11 @@
         for (service, version) in served.chain(remembered) {
             services.entry(service).or_default().insert(version.clone());
         }
-        let wanted = VersionRecord { era: self.store_era, is_complete: self.is_complete, services };
-        let is_written = wanted.services.is_empty() || self.record.as_ref() == Some(&wanted);
-        (!is_written).then_some(wanted)
+        let complete_until = self.wall_clock.time(now.after(RECORD_VALIDITY));
+        let (era, is_complete) = (self.store_era, self.is_complete);
+        let wanted = VersionRecord { era, is_complete, complete_until, services };
+        let is_said = self.record.as_ref().is_some_and(|it| it.says_the_same(&wanted));
+        let is_written = is_said && !self.renew_at.is_due(now);
+        (!wanted.services.is_empty() && !is_written).then_some(wanted)
     }
 }
--- a/sl-route/tests/it/main.rs
+++ b/sl-route/tests/it/main.rs
@@ -19,6 +19,7 @@
 mod locality;
 mod lost_ends;
 mod notices;
+mod origin_histories;
 mod origins;
 mod part_crashes;
 mod place;
--- a/sl-route/tests/it/origins.rs
+++ b/sl-route/tests/it/origins.rs
@@ -4,17 +4,22 @@
 use std::collections::HashSet;
 
 use rstest::rstest;
-use sl_base::{Millis, ServiceId, StreamId};
+use sl_base::{RequestId, ServiceId, StreamId, UnixMillis, WallClock};
 use sl_route::{
-    Arrival, Decision, Effect, Event, Refusal, RetryPolicy, ServerKey, ServerRecord, State,
+    Arrival, Decision, Effect, Event, Options, Refusal, RetryPolicy, ServerKey, ServerRecord,
+    State,
     effect::OriginKnowledge,
     note::{Note, Notes},
     stream_origin::{OriginBatch, RUN_RETENTION, StreamRequest, UNSAVED_MAX},
-    version_record::{RECORD_TIMEOUT, VersionRecord},
+    version_record::{
+        CLOCK_TOLERANCE, NoProof, RECORD_RENEWAL_INTERVAL, RECORD_TIMEOUT, RECORD_VALIDITY,
+        VersionRecord,
+    },
 };
 
 use crate::testbed::{
-    START, arrival, arrive, at, prompt, record, request_effects, route, sent_target, state,
+    START, arrival, arrive, at, document, options, prompt, record, request_effects, route,
+    sent_target, state,
 };
 
 const ERA: u64 = 1;
@@ -27,9 +32,16 @@
     ServerRecord { version: Some(version.into()), ..record(id, "model") }
 }
 
+/// A record that was written at the start.
 fn versions(era: u64, names: &[&str]) -> VersionRecord {
+    versions_at(0, era, names)
+}
+
+/// A record that was written at `millis`.
+fn versions_at(millis: u64, era: u64, names: &[&str]) -> VersionRecord {
     let names = names.iter().map(|it| Some((*it).into())).collect();
-    VersionRecord { era, is_complete: true, services: [(model(), names)].into() }
+    let complete_until = WallClock::default().time(at(millis + RECORD_VALIDITY.0));
+    VersionRecord { era, is_complete: true, complete_until, services: [(model(), names)].into() }
 }
 
 /// A state that has just started and found a record and engines in the store.
@@ -155,8 +167,10 @@
 // machine, is ahead of the reader's.
 #[test]
 fn a_record_is_trusted_whatever_the_clock_of_its_writer() {
-    let mut writer = state(1, &[]);
     let late = at(1_000_000_000);
+    let wall_clock = WallClock::read_at(late, WallClock::default().time(START));
+    let mut writer = State::new(Options { wall_clock, ..options(1) }, late);
+    writer.step(late, Event::Document(document(1)));
     writer.step(late, Event::StoreEra(ERA));
     writer.step(late, Event::ServerListed(engine("a", "v1")));
     let record = writer.wanted_version_record(late).unwrap();
@@ -195,7 +209,8 @@
     assert_eq!(wanted.era, ERA);
     assert!(!wanted.is_complete, "{wanted:?}");
     state.step(at(30_000), Event::VersionRecordListed(Some(wanted.clone())));
-    assert_eq!(state.wanted_version_record(at(59_000)), None);
+    let renewed = state.wanted_version_record(at(59_000)).unwrap();
+    assert!(!renewed.is_complete, "{renewed:?}");
     // An instance that starts later is told by the record.
     let mut later = started(Some(wanted), &[("a", "v2")]);
     assert_eq!(refusal(resume(&mut later, 10, 1, 7)), Some(Refusal::OriginUnknown));
@@ -220,33 +235,138 @@
     assert_eq!(sent_version(&state, &began).as_deref(), Some("v2"), "the idle engine: {began:?}");
 }
 
+/// When new streams no longer wait for the version of an engine that is listed at 100 ms.
+const PROMISE_END_MS: u64 = RECORD_VALIDITY.0 + CLOCK_TOLERANCE.0;
+
 // Guards against a store that is down, or a release that replaces all servers, and keeps the servers
-// of the new version from all work; and against holds in a fleet without a record.
+// of the new version from all work for longer than the record promises; against streams that begin
+// there sooner, so that a record which is taken for a proof after a loss of all instances lacks their
+// version; and against holds in a fleet without a record, or with one that promises nothing.
 #[rstest]
-#[case::timeout(Some(versions(ERA, &["v1"])), true, RECORD_TIMEOUT)]
-#[case::no_other_server(Some(versions(ERA, &["v1"])), false, Millis(0))]
-#[case::no_record(None, true, Millis(0))]
+#[case::timeout(Some(versions(ERA, &["v1"])), true, PROMISE_END_MS)]
+#[case::no_other_server(Some(versions(ERA, &["v1"])), false, PROMISE_END_MS)]
+#[case::no_promise(Some(unpromised(&["v1"])), true, 100 + RECORD_TIMEOUT.0)]
+#[case::no_promise_and_no_other_server(Some(unpromised(&["v1"])), false, 100)]
+#[case::no_record(None, true, 100)]
 fn the_wait_for_the_record_is_bounded(
     #[case] found: Option<VersionRecord>,
     #[case] has_other: bool,
-    #[case] until: Millis,
+    #[case] until: u64,
 ) {
     let mut state = started(found, &[("a", "v1")]);
     state.step(at(100), Event::ServerListed(engine("b", "v2")));
     if !has_other {
         state.step(at(100), Event::ServerRemoved { id: "a".into() });
     }
-    let millis = 100 + until.0;
-    let mut used = Vec::new();
-    for number in 0..6 {
-        let began = begin(&mut state, millis + number, number);
-        used.extend(sent_version(&state, &began));
+    let mut begin_some = |millis: u64| {
+        let began = (0..6).map(|it| begin(&mut state, millis + it, millis + it));
+        let began: Vec<Vec<Effect>> = began.collect();
+        began.iter().filter_map(|it| sent_version(&state, it)).collect::<Vec<String>>()
+    };
+    if until > 100 {
+        let used = begin_some(until - 10);
+        assert!(!used.iter().any(|it| it == "v2"), "{used:?}");
     }
+    let used = begin_some(until);
     assert!(used.iter().any(|it| it == "v2"), "{used:?}");
 }
 
-// Guards against writes of the record that change nothing, and against a version that is removed from
-// it while streams of it may still be resumed.
+/// A record of an older build, which does not say until when it is complete.
+fn unpromised(names: &[&str]) -> VersionRecord {
+    VersionRecord { complete_until: UnixMillis::default(), ..versions(ERA, names) }
+}
+
+// Guards against a caller that is told nothing of a refusal which ends once the record is written.
+#[test]
+fn a_stream_that_only_an_unrecorded_version_can_begin_is_refused_for_a_short_time() {
+    let mut state = started(Some(versions(ERA, &["v1"])), &[("b", "v2")]);
+    let refused = request_effects(begin(&mut state, 10, 1));
+    let [Effect::Refuse { reason, retry_after, .. }] = refused[..] else {
+        panic!("{refused:?}");
+    };
+    assert_eq!(reason, Refusal::VersionUnrecorded);
+    assert!((200..1_000).contains(&retry_after.0), "{retry_after}");
+}
+
+// Guards against streams that begin at a version which the record lacks while another instance has
+// renewed the record's promise, and against a promise that ends although the store takes writes.
+#[test]
+fn a_renewed_record_keeps_streams_from_versions_that_it_lacks() {
+    let mut state = started(Some(versions(ERA, &["v1"])), &[("a", "v1")]);
+    state.step(at(100), Event::ServerListed(engine("b", "v2")));
+    let renewed_at = 9_000;
+    let renewed = versions_at(renewed_at, ERA, &["v1"]);
+    state.step(at(renewed_at), Event::VersionRecordListed(Some(renewed)));
+    for millis in (PROMISE_END_MS..renewed_at + PROMISE_END_MS - 10).step_by(500) {
+        let began = begin(&mut state, millis, millis);
+        assert_eq!(sent_version(&state, &began).as_deref(), Some("v1"), "at {millis}: {began:?}");
+        state.step(at(millis), Event::CallerDisconnected { request: RequestId(millis) });
+    }
+}
+
+fn no_proof(effects: &[Effect]) -> Option<Option<NoProof>> {
+    effects.iter().find_map(|it| match it {
+        Effect::Log(Decision::VersionRecordFound { no_proof, .. }) => Some(*no_proof),
+        _ => None,
+    })
+}
+
+// Guards against text joined from two versions: streams began at another version than that of the record
+// after its promise had ended, or its writer's clock was wrong. Each start says what it concludes.
+#[rstest]
+#[case::just_written(0, None)]
+#[case::almost_expired(-(RECORD_VALIDITY.0 as i64) + 1, None)]
+#[case::expired(-(RECORD_VALIDITY.0 as i64), Some(NoProof::Expired))]
+#[case::clock_ahead(CLOCK_TOLERANCE.0 as i64, None)]
+#[case::clock_far_ahead(CLOCK_TOLERANCE.0 as i64 + 1, Some(NoProof::ClocksDiffer))]
+fn a_record_proves_something_until_its_promise_ends(
+    #[case] written_ms: i64,
+    #[case] expected: Option<NoProof>,
+) {
+    let validity = WallClock::default().time(at(RECORD_VALIDITY.0)).0;
+    let complete_until = UnixMillis(validity.saturating_add_signed(written_ms));
+    let found = VersionRecord { complete_until, ..versions(ERA, &["v1"]) };
+    let mut state = state(1, &[]);
+    state.step(START, Event::StoreEra(ERA));
+    let effects = state.step(START, Event::VersionRecordListed(Some(found)));
+    assert_eq!(no_proof(&effects), Some(expected));
+    for (id, version) in [("a", "v1"), ("b", "v1")] {
+        state.step(START, Event::ServerListed(engine(id, version)));
+    }
+    let resumed = resume(&mut state, 10, 1, 7);
+    let is_refused = refusal(resumed) == Some(Refusal::OriginUnknown);
+    assert_eq!(is_refused, expected.is_some());
+}
+
+// Guards against an instance which trusts nothing for a minute after a start beside others that know all
+// versions, and makes the record worse for the others.
+#[test]
+fn an_instance_that_found_an_expired_record_trusts_one_that_a_peer_renews() {
+    let found = VersionRecord { complete_until: UnixMillis(1), ..versions(ERA, &["v1"]) };
+    let mut state = started(Some(found), &[("a", "v1")]);
+    assert!(!state.wanted_version_record(at(10)).unwrap().is_complete);
+    state.step(at(50), Event::VersionRecordListed(Some(versions_at(50, ERA, &["v1"]))));
+    assert_eq!(state.wanted_version_record(at(60)), None);
+    assert!(sent_target(&resume(&mut state, 100, 1, 7)).is_some());
+}
+
+// Guards against the loss of streams at instances that start after another one has written a release into
+// the record: a peer that found the former record says where the stream began, but no peer that did not.
+#[test]
+fn a_peer_that_found_the_former_record_deduces_an_origin_for_others() {
+    let engines = [("a", "v1"), ("b", "v2")];
+    let first = started(Some(versions(ERA, &["v1"])), &engines);
+    let mut second = started(Some(versions(ERA, &["v1", "v2"])), &engines);
+    let stream = StreamId(7);
+    assert_eq!(second.deduced_origin(at(10), stream, model()), None);
+    let origin = first.deduced_origin(at(10), stream, model()).unwrap();
+    second.step(at(20), Event::StreamOriginFound { stream, origin });
+    let resumed = resume(&mut second, 30, 1, 7);
+    assert_eq!(sent_version(&second, &resumed).as_deref(), Some("v1"), "{resumed:?}");
+}
+
+// Guards against writes of the record that change nothing and are no renewal, and against a version that
+// is removed from it while streams of it may still be resumed.
 #[test]
 fn the_record_has_the_versions_of_the_last_minute_and_is_written_once_for_each_change() {
     let mut state = started(None, &[("a", "v1"), ("b", "v1")]);
@@ -260,10 +380,16 @@
     state.step(at(120), Event::VersionRecordListed(Some(second)));
     state.step(at(200), Event::ServerRemoved { id: "a".into() });
     state.step(at(200), Event::ServerRemoved { id: "b".into() });
+    let mut renewals = 0;
     for millis in (250..200 + RUN_RETENTION.0).step_by(250) {
         state.step(at(millis), Event::Tick);
-        assert_eq!(state.wanted_version_record(at(millis)), None, "at {millis}");
+        if let Some(renewed) = state.wanted_version_record(at(millis)) {
+            assert_eq!(renewed.services, versions(ERA, &["v1", "v2"]).services, "at {millis}");
+            state.step(at(millis), Event::VersionRecordListed(Some(renewed)));
+            renewals += 1;
+        }
     }
+    assert!(renewals <= RUN_RETENTION.0 / RECORD_RENEWAL_INTERVAL.0, "{renewals} renewals");
     let after = 200 + RUN_RETENTION.0;
     let third = state.wanted_version_record(at(after + 10)).unwrap();
     assert_eq!(third.services, versions(ERA, &["v2"]).services);
@@ -274,7 +400,8 @@
 #[test]
 fn a_version_in_the_record_is_kept_by_an_instance_that_has_not_seen_it() {
     let mut state = started(Some(versions(ERA, &["v1", "v2"])), &[("a", "v2")]);
-    assert_eq!(state.wanted_version_record(at(RUN_RETENTION.0 - 1_000)), None);
+    let renewed = state.wanted_version_record(at(RUN_RETENTION.0 - 1_000)).unwrap();
+    assert_eq!(renewed.services, versions(ERA, &["v1", "v2"]).services);
     let later = state.wanted_version_record(at(RUN_RETENTION.0 + 1_000)).unwrap();
     assert_eq!(later.services, versions(ERA, &["v2"]).services);
     state.step(at(2_000), Event::StoreEra(ERA + 1));
--- a/sl-route/tests/it/streams.rs
+++ b/sl-route/tests/it/streams.rs
@@ -2,7 +2,7 @@
 
 use proptest::{prelude::*, test_runner::RngSeed};
 use rstest::rstest;
-use sl_base::{Millis, RequestId, ServiceId, StreamId, Timestamp};
+use sl_base::{Millis, RequestId, ServiceId, StreamId, Timestamp, WallClock};
 use sl_route::{
     Arrival, AttemptEnd, Effect, Event, Fault, Notes, Refusal, RetryPolicy, ServerKey,
     ServerRecord, State,
@@ -301,7 +301,7 @@
 // Guards against a table that grows without bound, and against forgetting streams that still run.
 #[test]
 fn origins_are_bounded_and_kept_while_streams_run() {
-    let mut origins = StreamOrigins::new(START);
+    let mut origins = StreamOrigins::new(START, WallClock::default());
     for stream in 0..STREAMS_PER_PERIOD_MAX as u32 + 10 {
         origins.record(StreamId(stream), ServerKey(1));
     }
--- a/sl-route/tests/it/testbed.rs
+++ b/sl-route/tests/it/testbed.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use sl_base::{Millis, RequestId, ServiceId, TeamId, Timestamp};
+use sl_base::{Millis, RequestId, ServiceId, TeamId, Timestamp, WallClock};
 use sl_route::{
     AllowedRegions, Arrival, AttemptEnd, Document, Effect, Event, Fault, Limits, Options, Prompt,
     PromptPart, Regions, RetryPolicy, Route, ServerRecord, ServerState, Service, State, Team,
@@ -35,6 +35,7 @@
             balances_routes: true,
         },
         share_window: Millis(4_000),
+        wall_clock: WallClock::default(),
     }
 }
 
--- a/tests/it/rejoin.rs
+++ b/tests/it/rejoin.rs
@@ -39,10 +39,10 @@
 /// The same, and waits until the version record names the version and all instances know it. Shortly
 /// after their start, instances leave the record as they found it.
 async fn release_recorded(fleet: &Fleet, index: usize, version: &str) {
-    let writes = || fleet.store.write_times(RECORD).len();
-    let before = writes();
     release(fleet, index, version);
-    eventually("the version is recorded", async || writes() > before).await;
+    let name = format!("\"{version}\"");
+    let is_recorded = || fleet.store.value(RECORD).is_some_and(|it| it.contains(&name));
+    eventually("the version is recorded", async || is_recorded()).await;
     settle(fleet).await;
 }
 
