An interruption of the store in which no lease can lapse is no outage

Cause: any failed call of the store counted as an outage, after which a missing entry is taken to have lapsed and its server is used for 2 s more; and that time ended at the next prune, up to 250 ms later.

Change: `store::outage` measures for how long no call of the instance was answered, and counts an outage only from a heartbeat interval on (`[platform] heartbeat-ms`, 1,200 unless stated): a server that missed one write has two intervals left. A closed connection or a 503 counts from its time, a call without an answer from when it was sent, or from the last answer to another call. Missing entries expire before the first decision after their time. A line and a counter (`store_outages`) tell each outage that counts.

Why it works: what tells a removal from a lapse is whether leases can have lapsed, and that depends on the length of an outage, not on the end of one call.

--- a/sl-config/src/settings.rs
+++ b/sl-config/src/settings.rs
@@ -106,6 +106,8 @@
 pub struct Platform {
     /// Base URL of the platform's store.
     pub address: String,
+    /// The interval at which backend servers write their entries. An entry lapses after three of them.
+    pub heartbeat: Millis,
 }
 
 /// Control key, by its location, and operator keys, by their hashes.
--- a/sl-config/src/settings/read.rs
+++ b/sl-config/src/settings/read.rs
@@ -2,6 +2,8 @@
 
 use std::path::PathBuf;
 
+use sl_base::Millis;
+
 use super::{
     Bounds, Keys, Listen, Log, Objectives, Periods, Placement, Platform, RetryBudget, SeedInstance,
     Settings, Sharing, Warmup,
@@ -179,9 +181,13 @@
     })
 }
 
+/// The interval between heartbeats of a platform that does not state it.
+const HEARTBEAT_DEFAULT: Millis = Millis(1_200);
+
 fn read_platform(reader: &mut Reader<'_, '_>) -> Option<Platform> {
     let address = reader.required::<BaseUrl>("address");
-    Some(Platform { address: address?.0 })
+    let heartbeat = reader.millis("heartbeat-ms", HEARTBEAT_DEFAULT);
+    Some(Platform { address: address?.0, heartbeat })
 }
 
 struct FilePath(PathBuf);
--- a/sl-edge/src/era.rs
+++ b/sl-edge/src/era.rs
@@ -6,9 +6,11 @@
 
 use std::cell::Cell;
 
-use sl_base::{Millis, Timestamp};
+use sl_base::Timestamp;
 use tokio::sync::watch;
 
+use crate::store::outage::REREGISTRATION_TIME;
+
 /// The latest era that the store or a peer has named, and when this instance learned of it.
 #[derive(Debug, Default)]
 pub(crate) struct EraTracker {
@@ -17,10 +19,6 @@
     restored_at: Cell<Option<Timestamp>>,
 }
 
-/// For this long after a restore, or after an outage, the store may lack entries of servers that
-/// run, because they have yet to write them again.
-pub(crate) const REREGISTRATION_TIME: Millis = Millis(2_000);
-
 impl EraTracker {
     /// The latest era; 0 before the first is known.
     pub(crate) fn latest(&self) -> u64 {
--- a/sl-edge/src/lib.rs
+++ b/sl-edge/src/lib.rs
@@ -43,7 +43,7 @@
 pub mod sent_requests;
 mod shutdown;
 mod signals;
-mod store;
+pub mod store;
 mod stream_locator;
 pub mod turns;
 mod wire;
--- a/sl-edge/src/metrics.rs
+++ b/sl-edge/src/metrics.rs
@@ -75,6 +75,8 @@
     pub store_era: Gauge,
     /// Restores of the store that the instance has noticed.
     pub store_restores: Counter,
+    /// Outages of the store that were long enough for leases to lapse.
+    pub store_outages: Counter,
     /// Requests by route and outcome.
     pub requests: Family<RouteOutcomeLabels, Counter>,
     /// Requests by team and outcome.
@@ -184,6 +186,7 @@
             store_revision: Gauge::default(),
             store_era: Gauge::default(),
             store_restores: Counter::default(),
+            store_outages: Counter::default(),
             requests: Family::default(),
             team_requests: Family::default(),
             team_tokens: Family::default(),
@@ -413,6 +416,11 @@
             "Restores of the platform's store",
             self.store_restores.clone(),
         );
+        it.register(
+            "store_outages",
+            "Outages of the platform's store in which leases may have lapsed",
+            self.store_outages.clone(),
+        );
         it.register("requests", "Requests by route and outcome", self.requests.clone());
         it.register("team_requests", "Requests by team and outcome", self.team_requests.clone());
         it.register("team_tokens", "Tokens by team and outcome", self.team_tokens.clone());
--- a/sl-edge/src/run.rs
+++ b/sl-edge/src/run.rs
@@ -210,8 +210,9 @@
         let peer_table = Rc::new(PeerTable::default());
         let change_handler = ChangeHandler { core: core.clone(), peer_table: peer_table.clone() };
         let on_change = move |changes, origin| change_handler.apply(changes, origin);
-        let store =
-            StoreClient::new(core.clone(), platform, peer_table.clone(), settings.id(), on_change);
+        let heartbeat = settings.platform.heartbeat;
+        let (own_id, peers) = (settings.id(), peer_table.clone());
+        let store = StoreClient::new(core.clone(), platform, heartbeat, peers, own_id, on_change);
         let store = Rc::new(store);
         let incarnation = incarnation();
         let hello = Hello { instance: settings.id(), incarnation };
--- a/sl-edge/src/store.rs
+++ b/sl-edge/src/store.rs
@@ -1,6 +1,7 @@
 //! The client of the platform's store: mirrors the store's entries through lists and watches.
 
 mod follow;
+pub mod outage;
 
 pub(crate) use follow::FOLLOWERS;
 
@@ -20,10 +21,11 @@
 
 use crate::{
     core::Core,
-    era::{EraTracker, REREGISTRATION_TIME},
+    era::EraTracker,
     membership::PeerTable,
     wire::{self, CallError, Response},
 };
+use outage::{CallEnd, Outage};
 use platform::store::{self, Call};
 
 /// Follows the store, directly or through peers, and tracks its outages.
@@ -36,10 +38,9 @@
     /// these changes.
     watched: Cell<Version>,
     eras: EraTracker,
-    /// When the first call failed in the current outage; `None` while the store responds.
+    /// When the first call to list or watch the store failed since the last success; `None` while they succeed.
     unavailable_since: Cell<Option<Timestamp>>,
-    /// When the store became available again after the last outage; `None` before the first one.
-    available_at: Cell<Option<Timestamp>>,
+    outage: Cell<Outage>,
     /// Whether this instance is one of the few that follow the store for the whole fleet.
     following: Cell<bool>,
     /// Whether removals came from a peer for which the store had just become reachable
@@ -52,8 +53,8 @@
     on_change: Box<dyn Fn(Vec<Change>, Origin)>,
 }
 
-/// Whether changes were received soon after an outage of the store, which decides what a
-/// removal among them means.
+/// Whether changes were received soon after an outage of the store in which leases can have lapsed, which
+/// decides what a removal among them means.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Origin {
     /// Without a recent outage of the store: a missing entry was removed, or its owner did not
@@ -70,6 +71,9 @@
 /// The timeout of every call other than a watch.
 pub(crate) const CALL_TIMEOUT: Millis = Millis(1_000);
 
+/// The status with which the store says that it has not executed a call, as it does while it is down.
+const UNAVAILABLE_STATUS: u16 = 503;
+
 /// Bytes of the largest response body that is accepted.
 const RESPONSE_BYTES_MAX: usize = 32 << 20;
 
@@ -77,6 +81,7 @@
     pub(crate) fn new(
         core: Rc<Core>,
         address: SocketAddr,
+        heartbeat: Millis,
         peer_table: Rc<PeerTable>,
         own_id: InstanceId,
         on_change: impl Fn(Vec<Change>, Origin) + 'static,
@@ -86,14 +91,14 @@
             peer_table,
             own_id,
             started_at: core.now(),
-            core,
             address,
             mirror: RefCell::default(),
             watched: Cell::default(),
             eras: EraTracker::default(),
             has_unconfirmed_removals: Cell::new(false),
             unavailable_since: Cell::new(None),
-            available_at: Cell::new(None),
+            outage: Cell::new(Outage::new(core.now(), heartbeat)),
+            core,
             on_change: Box::new(on_change),
         }
     }
@@ -219,6 +224,7 @@
         call: &Call,
         timeout: Millis,
     ) -> Result<Response, CallError> {
+        let started_at = self.core.now();
         let call = wire::Call {
             method: call.method,
             target: &call.target,
@@ -248,9 +254,26 @@
             Ok(response) => self.core.metrics.record_store_call(kind, response.status),
             Err(_) => self.core.metrics.record_store_call(kind, "unanswered"),
         }
+        self.record_call_end(started_at, &response);
         response
     }
 
+    /// Records what the end of a call shows of the store.
+    fn record_call_end(&self, started_at: Timestamp, response: &Result<Response, CallError>) {
+        let end = match response {
+            Ok(response) if response.status == UNAVAILABLE_STATUS => CallEnd::Broken,
+            Ok(_) => CallEnd::Answered,
+            Err(CallError::Timeout) => CallEnd::Unanswered { since: started_at },
+            Err(_) => CallEnd::Broken,
+        };
+        let mut outage = self.outage.get();
+        if let Some(away) = outage.record(self.core.now(), end) {
+            self.core.metrics.store_outages.inc();
+            info!(self.core.log, "store outage ended, leases may have lapsed"; "away_ms" => away.0);
+        }
+        self.outage.set(outage);
+    }
+
     /// The era that a response states; `None` if it states none or a malformed one.
     fn stated_era(&self, response: &Response) -> Option<u64> {
         let era = store::era(&response.headers);
@@ -262,10 +285,8 @@
 
     /// The origin of changes that are read now.
     fn origin(&self) -> Origin {
-        let now = self.core.now();
-        let since = if self.is_reachable() { self.available_at.get() } else { Some(now) };
-        let complete_at = since.map(|it| it.after(REREGISTRATION_TIME));
-        origin_at(now, complete_at.max(self.eras.complete_at()))
+        let complete_at = self.outage.get().complete_at();
+        origin_at(self.core.now(), complete_at.max(self.eras.complete_at()))
     }
 
     fn publish(&self, changes: Vec<Change>, origin: Origin) {
--- a/sl-edge/src/store/follow.rs
+++ b/sl-edge/src/store/follow.rs
@@ -142,7 +142,9 @@
         self.following.set(false);
         // An outage that this instance saw says nothing about the store while peers follow it.
         self.unavailable_since.set(None);
-        self.available_at.set(None);
+        let mut outage = self.outage.get();
+        outage.forget(self.core.now());
+        self.outage.set(outage);
         while !self.should_follow() {
             sleep(STANDBY_CHECK_INTERVAL.into()).await;
         }
@@ -154,12 +156,11 @@
         let (version, items) = self.read_range(conn, "range", "").await?;
         let (batches, items): (Vec<_>, Vec<_>) =
             items.into_iter().partition(|it| stream_origins::is_batch(&it.key));
-        let origin = self.origin();
         let items = items.into_iter().filter_map(to_mirror_item).collect();
         let changes = self.mirror.borrow_mut().replace(version, items);
         self.watched.set(version);
         self.mark_available();
-        self.publish(changes, origin);
+        self.publish(changes, self.origin());
         self.apply_batches(batches);
         Ok(())
     }
@@ -252,7 +253,6 @@
         let page = self.parse_page(&response)?;
         let items: Vec<Item> = page.items.into_iter().filter_map(to_mirror_item).collect();
         self.mark_available();
-        let origin = self.origin();
         self.watched.set(Version::new(from.era, page.revision));
         let changes = match items.iter().map(|it| it.revision).max() {
             Some(last) => {
@@ -261,7 +261,7 @@
             }
             None => Vec::new(),
         };
-        self.publish(changes, origin);
+        self.publish(changes, self.origin());
         Ok(())
     }
 
@@ -285,11 +285,9 @@
     fn mark_available(&self) {
         self.core.record_store_contact();
         if let Some(unavailable_since) = self.unavailable_since.take() {
-            let now = self.core.now();
-            self.available_at.set(Some(now));
+            let away = self.core.now().micros_since(unavailable_since) / 1_000;
             info!(self.core.log, "store available again";
-                "version" => %self.version(),
-                "away_ms" => now.micros_since(unavailable_since) / 1_000);
+                "version" => %self.version(), "away_ms" => away);
         }
     }
 }
--- a/sl-edge/tests/it/main.rs
+++ b/sl-edge/tests/it/main.rs
@@ -10,6 +10,7 @@
 mod heartbeat;
 mod log_buffer;
 mod note_budget;
+mod outage;
 mod overload;
 mod record_schedule;
 mod response_memory;
--- a/sl-route/src/directory.rs
+++ b/sl-route/src/directory.rs
@@ -91,6 +91,8 @@
     removed: HashMap<Arc<str>, RemovedServer>,
     /// Until then, entries may come from the older copy that the store was restored from.
     restore_ends_at: Timestamp,
+    /// No missing entry expires before this time; `None` without one.
+    next_expiry: Option<Timestamp>,
 }
 
 #[derive(Clone, Debug)]
@@ -178,15 +180,22 @@
     /// at `expires_at` unless it reappears before.
     pub fn mark_missing(&mut self, id: &str, expires_at: Timestamp) {
         if let Some(entry) = self.entries.get_mut(id) {
-            entry.expires_at.get_or_insert(expires_at);
+            let expires_at = *entry.expires_at.get_or_insert(expires_at);
+            self.next_expiry = Some(self.next_expiry.map_or(expires_at, |it| it.min(expires_at)));
         }
     }
 
+    /// Whether a missing entry may have expired at `now`.
+    pub fn has_expired(&self, now: Timestamp) -> bool {
+        self.next_expiry.is_some_and(|it| it.is_due(now))
+    }
+
     /// Lets all missing entries expire at `now`, because they are known to have been removed.
     pub fn confirm_removals(&mut self, now: Timestamp) {
         for entry in self.entries.values_mut() {
             entry.expires_at = entry.expires_at.map(|it| it.min(now));
         }
+        self.next_expiry = self.next_expiry.map(|it| it.min(now));
     }
 
     /// Drops the missing entries that have expired at `now`, and returns their ids.
@@ -201,6 +210,7 @@
         for id in &expired {
             self.entries.remove(id);
         }
+        self.next_expiry = self.entries.values().filter_map(|it| it.expires_at).min();
         expired
     }
 
--- a/sl-route/src/state.rs
+++ b/sl-route/src/state.rs
@@ -180,6 +180,10 @@
 
     /// Applies one event and returns the effects to carry out.
     pub fn step(&mut self, now: Timestamp, event: Event) -> Vec<Effect> {
+        // Not at the next prune: a removed server must not get requests for longer than its drain time.
+        if self.directory.has_expired(now) {
+            self.expire_missing_servers(now);
+        }
         if !matches!(
             event,
             Event::ServerListed(_) | Event::ServerRemoved { .. } | Event::ServerMissing { .. }
@@ -366,7 +370,6 @@
         for server in self.servers.values_mut() {
             server.prune(now, |it| it != own_id && !peers.contains_key(&it));
         }
-        self.expire_missing_servers(now);
         self.expire_limits(now);
         self.update_speed_priors();
         self.request_cache_lists(now);
