Contents of the store and of caches go between instances in pages

The store had dropped its history while it held 4 MB of unreadable entries; 5,700 servers with entries of 750 bytes take as much.

Cause: an instance that does not follow the store asks a peer, whose full listing was larger than a frame (4 MiB), so the call failed each time. The instance only asked again: as its peers said that they follow the store, it did not.

Change: `store_page` and `caches_page` replace one answer by pages of 256 KiB with a cursor; pages that do not belong together are fetched anew. Values that nobody reads are not kept: an entry that can't be read is its key and revision.

--- a/bench/src/cost.rs
+++ b/bench/src/cost.rs
@@ -240,7 +240,11 @@
 }
 
 /// What the threads of a process have used.
-fn usage_of(process_id: u32) -> io::Result<Usage> {
+///
+/// # Errors
+///
+/// If the process does not exist, or the system does not tell.
+pub fn usage_of(process_id: u32) -> io::Result<Usage> {
     let mut usage = Usage::default();
     for thread in fs::read_dir(format!("/proc/{process_id}/task"))? {
         let dir = thread?.path();
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod cost;
 pub mod fleet;
 pub mod instance;
+pub mod listing;
 pub mod load;
 pub mod ports;
 pub mod soak;
--- a/sl-edge/src/handle.rs
+++ b/sl-edge/src/handle.rs
@@ -14,9 +14,9 @@
     InstanceId, Millis, ServiceId, StreamId, Timestamp,
     status::{FleetStatus, InstanceStatus, ServerStatus},
 };
-use sl_peer::{KnownStore, Links, StoreUpdate};
+use sl_peer::{CachesPage, KnownStore, Links, StorePage};
 use sl_report::{Objective, Recorder, Report, Sample, Snapshot};
-use sl_route::{note::EngineCaches, stream_origin::StreamOrigin};
+use sl_route::{ServerKey, stream_origin::StreamOrigin};
 use tokio::sync::{mpsc, oneshot};
 
 use crate::{clock::Clock, metrics::Metrics};
@@ -27,10 +27,11 @@
     Status(oneshot::Sender<InstanceStatus>),
     /// The fleet as this instance knows it.
     Fleet(oneshot::Sender<FleetView>),
-    /// The store's contents beyond what the caller has.
-    StoreUpdate(KnownStore, oneshot::Sender<Option<StoreUpdate>>),
-    /// The prompt parts that each model engine is estimated to cache, for a starting peer.
-    EngineCaches(oneshot::Sender<EngineCaches>),
+    /// The store's contents beyond what the caller has, from the key after the given one on.
+    StorePage(KnownStore, Option<String>, oneshot::Sender<Option<StorePage>>),
+    /// The prompt parts that model engines are estimated to cache, for a starting peer, from the engine
+    /// after the given one on.
+    CachesPage(Option<ServerKey>, oneshot::Sender<CachesPage>),
     /// Where a stream began, for a peer at which it is resumed.
     StreamOrigin(StreamId, oneshot::Sender<Option<StreamOrigin>>),
     /// Where a stream of the service began, or what the version record says of it.
@@ -132,12 +133,12 @@
 }
 
 impl sl_peer::ControlHandler for Handle {
-    async fn store_update(&self, known: KnownStore) -> Option<StoreUpdate> {
-        self.send_query(|tx| Query::StoreUpdate(known, tx)).await.flatten()
+    async fn store_page(&self, known: KnownStore, after: Option<String>) -> Option<StorePage> {
+        self.send_query(|tx| Query::StorePage(known, after, tx)).await.flatten()
     }
 
-    async fn engine_caches(&self) -> Option<EngineCaches> {
-        self.send_query(Query::EngineCaches).await
+    async fn caches_page(&self, after: Option<ServerKey>) -> Option<CachesPage> {
+        self.send_query(|tx| Query::CachesPage(after, tx)).await
     }
 
     async fn status(&self) -> Option<InstanceStatus> {
--- a/sl-edge/src/lib.rs
+++ b/sl-edge/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod event_sequence;
 mod events;
 mod handle;
+pub mod lag;
 mod log;
 pub mod log_buffer;
 mod membership;
--- a/sl-edge/src/metrics.rs
+++ b/sl-edge/src/metrics.rs
@@ -75,6 +75,14 @@
     pub store_era: Gauge,
     /// Restores of the store that the instance has noticed.
     pub store_restores: Counter,
+    /// How often the instance turned to the store because its peers did not tell it what it lacked.
+    pub peer_fetch_fallbacks: Counter,
+    /// Bytes and frames over the links to peers.
+    pub link_traffic: sl_peer::Counters,
+    /// Bytes sent over these links.
+    link_bytes_sent: Gauge,
+    /// Bytes received over these links.
+    link_bytes_received: Gauge,
     /// Outages of the store that were long enough for leases to lapse.
     pub store_outages: Counter,
     /// Requests by route and outcome.
@@ -186,6 +194,10 @@
             store_revision: Gauge::default(),
             store_era: Gauge::default(),
             store_restores: Counter::default(),
+            peer_fetch_fallbacks: Counter::default(),
+            link_traffic: sl_peer::Counters::default(),
+            link_bytes_sent: Gauge::default(),
+            link_bytes_received: Gauge::default(),
             store_outages: Counter::default(),
             requests: Family::default(),
             team_requests: Family::default(),
@@ -236,6 +248,9 @@
     /// Encodes all metrics in the text format of OpenMetrics.
     pub fn encode(&self) -> String {
         let mut text = String::new();
+        let traffic = self.link_traffic.read();
+        self.link_bytes_sent.set(traffic.bytes_sent as i64);
+        self.link_bytes_received.set(traffic.bytes_received as i64);
         let registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
         // Writing to a string does not fail.
         let _ = encode(&mut text, &registry);
@@ -403,12 +418,8 @@
         );
     }
 
-    fn register(&self) {
-        let mut registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
-        let it = registry.sub_registry_with_prefix("sesamelock");
-        it.register("held_requests", "Requests that are held", self.requests_in_flight.clone());
-        it.register("ready", "Whether the instance is ready", self.ready.clone());
-        it.register("document_version", "Configuration in force", self.document_version.clone());
+    /// Registers what tells of the platform's store.
+    fn register_store(&self, it: &mut Registry) {
         it.register("store_revision", "Platform's revision seen", self.store_revision.clone());
         it.register("store_era", "Platform's era seen", self.store_era.clone());
         it.register(
@@ -416,11 +427,35 @@
             "Restores of the platform's store",
             self.store_restores.clone(),
         );
+        it.register(
+            "link_bytes_sent",
+            "Bytes sent over links to peers since the start",
+            self.link_bytes_sent.clone(),
+        );
+        it.register(
+            "link_bytes_received",
+            "Bytes received over links from peers since the start",
+            self.link_bytes_received.clone(),
+        );
+        it.register(
+            "peer_fetch_fallbacks",
+            "Turns to the platform's store for changes not received from peers",
+            self.peer_fetch_fallbacks.clone(),
+        );
         it.register(
             "store_outages",
             "Outages of the platform's store in which leases may have lapsed",
             self.store_outages.clone(),
         );
+    }
+
+    fn register(&self) {
+        let mut registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
+        let it = registry.sub_registry_with_prefix("sesamelock");
+        it.register("held_requests", "Requests that are held", self.requests_in_flight.clone());
+        it.register("ready", "Whether the instance is ready", self.ready.clone());
+        it.register("document_version", "Configuration in force", self.document_version.clone());
+        self.register_store(it);
         it.register("requests", "Requests by route and outcome", self.requests.clone());
         it.register("team_requests", "Requests by team and outcome", self.team_requests.clone());
         it.register("team_tokens", "Tokens by team and outcome", self.team_tokens.clone());
--- a/sl-edge/src/peers.rs
+++ b/sl-edge/src/peers.rs
@@ -21,6 +21,7 @@
 use platform::Addresses;
 use prometheus_client::metrics::counter::Counter;
 use sl_base::{Incarnation, InstanceId, Millis, Timestamp};
+use sl_mirror::Version;
 use sl_route::{Event, Notes, note::Note};
 use slog::debug;
 use tokio::{
@@ -63,6 +64,14 @@
 /// Instances that get such a heartbeat at a time.
 const DIRECT_HEARTBEAT_PEERS: usize = 16;
 
+/// A peer that has something newer than this instance.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct NewerPeer {
+    pub(crate) id: InstanceId,
+    pub(crate) store_version: Version,
+    pub(crate) document_version: u64,
+}
+
 /// Sends this instance's notes and heartbeats to peers, and handles those received from peers.
 pub(crate) struct Gossip {
     pub(crate) core: Rc<Core>,
@@ -80,7 +89,7 @@
     pub(crate) counters: DatagramCounters,
     /// The last peer whose message named a newer configuration or store revision than this
     /// instance has; taken by [`crate::catch_up`].
-    pub(crate) newer_peer: Cell<Option<InstanceId>>,
+    pub(crate) newer_peer: Cell<Option<NewerPeer>>,
     /// Signalled when `newer_peer` is set.
     pub(crate) newer_peer_seen: Notify,
     pub(crate) relay_queue: RelayQueue,
@@ -344,7 +353,7 @@
         let is_newer =
             document_version > self.core.document().version || self.store.is_behind(store_version);
         if is_newer {
-            self.newer_peer.set(Some(from));
+            self.newer_peer.set(Some(NewerPeer { id: from, store_version, document_version }));
             self.newer_peer_seen.notify_one();
         }
         let own_version = self.store.version();
--- a/sl-edge/src/query_handler.rs
+++ b/sl-edge/src/query_handler.rs
@@ -7,6 +7,7 @@
     status::{InstanceStatus, ServerStatus},
 };
 use sl_config::Settings;
+use sl_peer::CachesPage;
 use sl_report::Objective;
 use sl_route::server::{Server, ServerKind};
 use tokio::sync::mpsc;
@@ -40,10 +41,13 @@
             match query {
                 Query::Status(tx) => drop(tx.send(self.status())),
                 Query::Fleet(tx) => drop(tx.send(self.fleet())),
-                Query::StoreUpdate(known, tx) => drop(tx.send(self.store.update_beyond(known))),
-                Query::EngineCaches(tx) => {
+                Query::StorePage(known, after, tx) => {
+                    drop(tx.send(self.store.page_beyond(known, after.as_deref())));
+                }
+                Query::CachesPage(after, tx) => {
                     let now = self.core.now();
-                    drop(tx.send(self.core.with_state(|it| it.engine_caches(now))))
+                    let (caches, next) = self.core.with_state(|it| it.engine_caches(now, after));
+                    drop(tx.send(CachesPage { caches, next }));
                 }
                 Query::StreamOrigin(stream, tx) => {
                     let origin = self.core.with_state(|it| it.stream_origin(stream).cloned());
--- a/sl-edge/src/run.rs
+++ b/sl-edge/src/run.rs
@@ -117,7 +117,7 @@
     let listen = settings.listen;
     let (queries, query_rx) = mpsc::channel(QUERY_QUEUE_LEN);
     let handle = components.handle(queries);
-    let counters = sl_peer::Counters::default();
+    let counters = components.core.metrics.link_traffic.clone();
     let control = sl_peer::serve(
         listen.control,
         components.key.clone(),
@@ -217,7 +217,7 @@
         let incarnation = incarnation();
         let hello = Hello { instance: settings.id(), incarnation };
         let key = HandshakeKey::derive(secret.expose().as_bytes());
-        let links = Links::new(hello, key.clone(), PEER_OPTIONS, sl_peer::Counters::default());
+        let links = Links::new(hello, key.clone(), PEER_OPTIONS, core.metrics.link_traffic.clone());
         let datagram_key = DatagramKey::derive(secret.expose());
         Ok(Components {
             log_writer,
@@ -288,6 +288,7 @@
             peer_table: self.peer_table.clone(),
             links: self.links.clone(),
             seeds: seeds.collect(),
+            lag: Cell::default(),
         };
         let (core, store) = (self.core.clone(), self.store.clone());
         let membership =
--- a/sl-edge/src/store.rs
+++ b/sl-edge/src/store.rs
@@ -14,7 +14,7 @@
 use sl_base::{InstanceId, Millis, Timestamp};
 use sl_http::Conn;
 use sl_mirror::{Change, Mirror, Version};
-use sl_peer::{KnownStore, StoreUpdate};
+use sl_peer::{KnownStore, StorePage, StoreUpdate};
 use sl_route::Event;
 use slog::{info, warn};
 use tokio::time::Instant;
@@ -43,6 +43,9 @@
     outage: Cell<Outage>,
     /// Whether this instance is one of the few that follow the store for the whole fleet.
     following: Cell<bool>,
+    /// Until then, this instance follows the store whatever its peers do, because it did not receive changes
+    /// from them.
+    follow_until: Cell<Timestamp>,
     /// Whether removals came from a peer for which the store had just become reachable
     /// again, so that they may be expired leases of servers that still run.
     has_unconfirmed_removals: Cell<bool>,
@@ -88,6 +91,7 @@
     ) -> StoreClient {
         StoreClient {
             following: Cell::new(true),
+            follow_until: Cell::new(core.now()),
             peer_table,
             own_id,
             started_at: core.now(),
@@ -118,8 +122,9 @@
         version > self.version() && !version.is_unknown()
     }
 
-    /// What a peer lacks that has `known`; `None` if this instance has nothing more.
-    pub(crate) fn update_beyond(&self, known: KnownStore) -> Option<StoreUpdate> {
+    /// A page of what a peer lacks that has `known`, from the key after `after` on; `None` if this instance
+    /// has nothing more.
+    pub(crate) fn page_beyond(&self, known: KnownStore, after: Option<&str>) -> Option<StorePage> {
         let version = self.version();
         let has_document = self.core.document().version > known.document_version;
         let has_entries = version > known.version;
@@ -130,12 +135,14 @@
             Origin::AfterOutage { complete_at } => Some(complete_at.remaining(self.core.now())),
             Origin::Live => None,
         };
-        let update = self.mirror.borrow().update_since(known.version);
-        let document = self
-            .core
-            .document_entry()
-            .filter(|it| has_document && !update.items.iter().any(|item| item.value == it.value));
-        Some(StoreUpdate { update, complete_in, document })
+        let mirror = self.mirror.borrow();
+        let document = self.core.document_entry().filter(|it| {
+            let is_among_entries =
+                mirror.value_since(&it.key, known.version) == it.value.as_deref();
+            after.is_none() && has_document && !is_among_entries
+        });
+        let page = mirror.page_since(known.version, after);
+        Some(StorePage { page, complete_in, document })
     }
 
     /// Records the era of the store that the store or a peer names.
@@ -164,6 +171,11 @@
         self.following.get()
     }
 
+    /// Has this instance follow the store itself until `until`.
+    pub(crate) fn follow_until(&self, until: Timestamp) {
+        self.follow_until.set(until);
+    }
+
     /// Whether this instance may write for the fleet: it follows the store, the store responds, and
     /// its entries are known.
     pub(crate) fn can_write(&self) -> bool {
--- a/sl-edge/src/store/follow.rs
+++ b/sl-edge/src/store/follow.rs
@@ -2,7 +2,7 @@
 //! do so for the whole fleet, or stands by.
 
 use sl_base::{Millis, hash};
-use sl_http::Conn;
+use sl_http::{BodyError, Conn};
 use sl_mirror::{Item, Version};
 use sl_route::{Event, stream_origin::OriginBatch};
 use slog::{debug, info, warn};
@@ -68,10 +68,13 @@
 
 impl StoreClient {
     /// Whether this instance has to follow the store itself: it does unless [`FOLLOWERS`] peers
-    /// that rank before it in the rendezvous hash report that they do and reach the store.
+    /// that rank before it in the rendezvous hash report that they do and reach the store, and it
+    /// receives the changes from its peers.
     fn should_follow(&self) -> bool {
-        let is_starting = !self.started_at.after(STARTUP_PERIOD).is_due(self.core.now());
-        self.followers_ahead(is_starting) < FOLLOWERS
+        let now = self.core.now();
+        let is_starting = !self.started_at.after(STARTUP_PERIOD).is_due(now);
+        let lacks_changes = !self.follow_until.get().is_due(now);
+        lacks_changes || self.followers_ahead(is_starting) < FOLLOWERS
     }
 
     /// Whether this instance is the first of those that follow the store, which writes for the fleet.
@@ -108,6 +111,12 @@
                 }
                 // The next listing may be of the former era still, so the delay applies.
                 FollowError::EraChanged => is_listed = false,
+                // The changes since the last watch are more than a response may have. A listing has pages.
+                FollowError::Call(CallError::Body(BodyError::TooLarge)) => {
+                    warn!(self.core.log, "changes of the store too large, listing all entries";
+                        "version" => %self.version());
+                    is_listed = false;
+                }
                 other => self.mark_unavailable(&other),
             }
             sleep(backoff.next_delay().into()).await;
@@ -156,7 +165,7 @@
         let (version, items) = self.read_range(conn, "range", "").await?;
         let (batches, items): (Vec<_>, Vec<_>) =
             items.into_iter().partition(|it| stream_origins::is_batch(&it.key));
-        let items = items.into_iter().filter_map(to_mirror_item).collect();
+        let items = items.into_iter().map(to_mirror_item).collect();
         let changes = self.mirror.borrow_mut().replace(version, items);
         self.watched.set(version);
         self.mark_available();
@@ -220,7 +229,7 @@
                 return Err(FollowError::PageRepeated);
             }
             after = last;
-            items.extend(page.items);
+            items.extend(page.items.into_iter().filter_map(|it| self.kept(it)));
             if !page.has_more {
                 return Ok((Version::new(era, revision.unwrap_or_default()), items));
             }
@@ -251,7 +260,8 @@
             return Err(FollowError::HistoryCompacted);
         }
         let page = self.parse_page(&response)?;
-        let items: Vec<Item> = page.items.into_iter().filter_map(to_mirror_item).collect();
+        let items = page.items.into_iter().filter(|it| platform::is_mirrored(&it.key));
+        let items: Vec<Item> = items.filter_map(|it| self.kept(it)).map(to_mirror_item).collect();
         self.mark_available();
         self.watched.set(Version::new(from.era, page.revision));
         let changes = match items.iter().map(|it| it.revision).max() {
@@ -274,6 +284,23 @@
         Ok(())
     }
 
+    /// What this instance keeps of an item; `None` if it does not use the key. A value that can't be read is
+    /// left out, so that it takes no room here and in messages to peers.
+    fn kept(&self, item: store::Item) -> Option<store::Item> {
+        let store::Item { key, revision, value } = item;
+        if stream_origins::is_batch(&key) {
+            return Some(store::Item { key, revision, value });
+        }
+        if !platform::is_mirrored(&key) {
+            return None;
+        }
+        let kept = value.map(|it| platform::mirrored_value(&key, &it));
+        let value = kept.map(|it| {
+            it.inspect_err(|e| self.core.warn_malformed("store entry", e)).unwrap_or_default()
+        });
+        Some(store::Item { key, revision, value })
+    }
+
     fn mark_unavailable(&self, reason: &FollowError) {
         if self.unavailable_since.get().is_none() {
             self.unavailable_since.set(Some(self.core.now()));
@@ -296,8 +323,7 @@
     if response.status == 200 { Ok(response) } else { Err(FollowError::Status(response.status)) }
 }
 
-/// Converts an item for the mirror; `None` if its key is not mirrored.
-fn to_mirror_item(item: store::Item) -> Option<Item> {
+fn to_mirror_item(item: store::Item) -> Item {
     let store::Item { key, revision, value } = item;
-    platform::is_mirrored(&key).then_some(Item { key, revision, value })
+    Item { key, revision, value }
 }
--- a/sl-edge/tests/it/main.rs
+++ b/sl-edge/tests/it/main.rs
@@ -8,6 +8,7 @@
 mod event_sequence;
 mod events;
 mod heartbeat;
+mod lag;
 mod log_buffer;
 mod note_budget;
 mod outage;
--- a/sl-mirror/src/lib.rs
+++ b/sl-mirror/src/lib.rs
@@ -2,5 +2,7 @@
 //! does not respond to this instance, by peers.
 
 mod mirror;
+mod page;
 
-pub use mirror::{Change, Item, Mirror, Update, Version};
+pub use mirror::{Change, Item, Mirror, PAGE_BYTES_MAX, Update, Version};
+pub use page::{PageMismatch, PagedUpdate, UpdatePage};
--- a/sl-mirror/src/mirror.rs
+++ b/sl-mirror/src/mirror.rs
@@ -7,10 +7,15 @@
 //! revision, in a new era: revisions of different eras say nothing about each other, so each is
 //! compared together with its era.
 
-use std::collections::{HashMap, VecDeque};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    ops::Bound,
+};
 
 use serde::{Deserialize, Serialize};
 
+use crate::UpdatePage;
+
 /// A state of the store. Versions of a later era are higher than all of the eras before.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
@@ -68,13 +73,17 @@
 #[derive(Clone, Debug, Default)]
 pub struct Mirror {
     version: Version,
-    items: HashMap<String, StoredValue>,
+    items: BTreeMap<String, StoredValue>,
     /// Revision and key of the latest removals in the era of `version`, oldest first.
     tombstones: VecDeque<(u64, String)>,
     /// `tombstones` contains all removals after this version.
     tombstones_since: Version,
 }
 
+/// Bytes of keys and values after which a page ends. A single item may be larger: a value of the store has up
+/// to 1,048,576 bytes.
+pub const PAGE_BYTES_MAX: usize = 256 * 1_024;
+
 /// Tombstones kept. A peer whose version is older than these gets a full listing.
 const TOMBSTONES_MAX: usize = 1_000;
 
@@ -174,30 +183,59 @@
         }
     }
 
-    /// Returns the changes after the version `since`; or a full listing if nothing is known at
-    /// `since`, if it is of another era, or if not all removals after it are kept.
-    pub fn update_since(&self, since: Version) -> Update {
+    /// Whether the changes after `since` are known, removals among them.
+    fn has_changes_since(&self, since: Version) -> bool {
         let is_comparable = since.era == self.version.era && !since.is_unknown();
-        if !is_comparable || since < self.tombstones_since {
-            return self.full_update();
+        is_comparable && since >= self.tombstones_since
+    }
+
+    /// The value of a key if it was written after `since`.
+    pub fn value_since(&self, key: &str, since: Version) -> Option<&[u8]> {
+        let item = self.items.get(key)?;
+        (item.version > since).then_some(&item.value)
+    }
+
+    /// Returns a page of the changes after the version `since`; or of a full listing if nothing is known at
+    /// `since`, if it is of another era, or if not all removals after it are kept. The page begins after
+    /// the key `after`, and ends after [`PAGE_BYTES_MAX`].
+    pub fn page_since(&self, since: Version, after: Option<&str>) -> UpdatePage {
+        let since = Some(since).filter(|it| self.has_changes_since(*it));
+        let from = after.map_or(Bound::Unbounded, Bound::Excluded);
+        let removals = since.map(|it| self.removals_since(it)).unwrap_or_default();
+        let mut removals = removals.range::<str, _>((from, Bound::Unbounded)).peekable();
+        let values = self.items.range::<str, _>((from, Bound::Unbounded));
+        let mut values = values.filter(|(_, it)| Some(it.version) > since).peekable();
+        let mut page = UpdatePage { since, version: self.version, ..UpdatePage::default() };
+        let mut bytes = 0;
+        loop {
+            let is_removal_next = match (removals.peek(), values.peek()) {
+                (None, None) => return page,
+                (Some(removal), Some(value)) => *removal.0 < value.0.as_str(),
+                (removal, _) => removal.is_some(),
+            };
+            let item = if is_removal_next {
+                removals.next().map(|(key, revision)| removal(key, *revision))
+            } else {
+                values.next().map(to_item)
+            };
+            let Some(item) = item else {
+                return page;
+            };
+            bytes += item.key.len() + item.value.as_ref().map_or(0, Vec::len);
+            page.items.push(item);
+            let has_more = removals.peek().is_some() || values.peek().is_some();
+            if bytes >= PAGE_BYTES_MAX && has_more {
+                page.next = page.items.last().map(|it| it.key.clone());
+                return page;
+            }
         }
-        let newer = self.items.iter().filter(|(_, it)| it.version > since);
-        let removed = self.tombstones.iter().filter(|(revision, _)| *revision > since.revision);
-        let removed = removed.filter(|(_, key)| !self.items.contains_key(key));
-        let removed = removed.map(|(revision, key)| Item {
-            key: key.clone(),
-            revision: *revision,
-            value: None,
-        });
-        let mut items: Vec<Item> = newer.map(to_item).chain(removed).collect();
-        items.sort_by_key(|it| it.revision);
-        Update { since: Some(since), version: self.version, items }
     }
 
-    /// Returns a full listing.
-    pub fn full_update(&self) -> Update {
-        let items = self.items.iter().map(to_item).collect();
-        Update { since: None, version: self.version, items }
+    /// The keys that were removed after `since` and do not exist, with the revisions of their removals.
+    fn removals_since(&self, since: Version) -> BTreeMap<&str, u64> {
+        let removed = self.tombstones.iter().filter(|(revision, _)| *revision > since.revision);
+        let removed = removed.filter(|(_, key)| !self.items.contains_key(key));
+        removed.map(|(revision, key)| (key.as_str(), *revision)).collect()
     }
 
     /// Stores an item of the current era.
@@ -238,6 +276,10 @@
     }
 }
 
+fn removal(key: &str, revision: u64) -> Item {
+    Item { key: key.to_owned(), revision, value: None }
+}
+
 fn to_item((key, stored): (&String, &StoredValue)) -> Item {
     Item { key: key.clone(), revision: stored.version.revision, value: Some(stored.value.clone()) }
 }
--- a/sl-mirror/tests/it/main.rs
+++ b/sl-mirror/tests/it/main.rs
@@ -2,7 +2,7 @@
 //! updates.
 
 use proptest::{prelude::*, test_runner::RngSeed};
-use sl_mirror::{Change, Item, Mirror, Update, Version};
+use sl_mirror::{Change, Item, Mirror, PAGE_BYTES_MAX, PageMismatch, PagedUpdate, Update, Version};
 
 fn item(key: &str, revision: u64, value: Option<&str>) -> Item {
     let value = value.map(|it| it.as_bytes().to_vec());
@@ -21,6 +21,25 @@
     mirror
 }
 
+/// What a peer lacks that has everything up to `since`, put together from its pages.
+fn update_since(mirror: &Mirror, since: Version) -> Update {
+    let mut pages = PagedUpdate::default();
+    let mut after = None;
+    loop {
+        let page = mirror.page_since(since, after.as_deref());
+        assert!(page.next.is_none() || page.next > after, "{page:?}");
+        after = page.next.clone();
+        pages.add(page).unwrap();
+        if after.is_none() {
+            return pages.finish().unwrap();
+        }
+    }
+}
+
+fn full_update(mirror: &Mirror) -> Update {
+    update_since(mirror, Version::default())
+}
+
 fn change(key: &str, value: Option<&str>) -> Change {
     Change { key: key.to_owned(), value: value.map(|it| it.as_bytes().to_vec()) }
 }
@@ -64,7 +83,7 @@
     mirror.apply_changes(version(5), vec![item("a", 5, Some("x"))]);
     mirror.apply_changes(version(8), vec![item("a", 8, None)]);
     assert_eq!(mirror.apply_changes(version(8), vec![item("a", 6, Some("y"))]), []);
-    assert_eq!(mirror.full_update().items, []);
+    assert_eq!(full_update(&mirror).items, []);
 }
 
 #[test]
@@ -75,16 +94,16 @@
         version(8),
         vec![item("c", 6, Some("z")), item("a", 7, None), item("b", 8, Some("w"))],
     );
-    let update = mirror.update_since(version(6));
+    let update = update_since(&mirror, version(6));
     assert_eq!((update.since, update.version), (Some(version(6)), version(8)));
     assert_eq!(update.items, [item("a", 7, None), item("b", 8, Some("w"))]);
     assert_eq!(
-        mirror.update_since(version(0)).since,
+        update_since(&mirror, version(0)).since,
         None,
         "a peer without any revision gets a full listing"
     );
     assert_eq!(
-        mirror.update_since(version(4)).since,
+        update_since(&mirror, version(4)).since,
         None,
         "removals up to revision 5 are not kept"
     );
@@ -96,7 +115,7 @@
     ahead.apply_changes(version(9), vec![item("a", 4, Some("x")), item("b", 9, Some("y"))]);
     let mut behind = first_era();
     behind.apply_changes(version(3), Vec::new());
-    assert_eq!(behind.apply(ahead.update_since(version(8))), []);
+    assert_eq!(behind.apply(update_since(&ahead, version(8))), []);
     assert_eq!(behind.version(), version(3));
 }
 
@@ -125,7 +144,7 @@
     mirror.begin_era(2);
     assert!(mirror.version().is_unknown());
     assert_eq!(mirror.replace(Version::new(2, 0), Vec::new()), [], "no listing at all");
-    assert_eq!(mirror.full_update().items.len(), 1);
+    assert_eq!(full_update(&mirror).items.len(), 1);
     assert!(!mirror.begin_era(2), "the era is known");
     assert!(!mirror.begin_era(1), "the era is older");
 }
@@ -150,8 +169,8 @@
     mirror.begin_era(2);
     mirror.replace(Version::new(2, 5), vec![item("a", 5, Some("x"))]);
     mirror.apply_changes(Version::new(2, 6), vec![item("a", 6, None)]);
-    assert_eq!(mirror.update_since(version(8)).since, None);
-    assert_eq!(mirror.update_since(Version::new(2, 5)).since, Some(Version::new(2, 5)));
+    assert_eq!(update_since(&mirror, version(8)).since, None);
+    assert_eq!(update_since(&mirror, Version::new(2, 5)).since, Some(Version::new(2, 5)));
 }
 
 #[derive(Clone, Debug)]
@@ -221,15 +240,15 @@
             prop_assert!(mirror.version() >= latest);
             latest = mirror.version();
             let revision = latest.revision;
-            let mut actual = mirror.full_update().items;
+            let mut actual = full_update(&mirror).items;
             actual.sort_by(|a, b| a.key.cmp(&b.key));
             let expected = listing(&history, revision as usize);
             // A peer at an earlier revision reaches the same state with an update.
             let mut lagging = first_era();
             let earlier = revision / 2;
             lagging.replace(version(earlier), listing(&history, earlier as usize));
-            lagging.apply(mirror.update_since(version(earlier)));
-            let mut updated = lagging.full_update().items;
+            lagging.apply(update_since(&mirror, version(earlier)));
+            let mut updated = full_update(&lagging).items;
             updated.sort_by(|a, b| a.key.cmp(&b.key));
             let values = |it: &[Item]| it.iter().map(|it| (it.key.clone(), it.value.clone())).collect::<Vec<_>>();
             prop_assert_eq!(values(&actual), values(&expected));
@@ -335,7 +354,7 @@
                     if copies[from].version().is_unknown() || copies[from].version() <= known {
                         continue;
                     }
-                    let update = copies[from].update_since(known);
+                    let update = update_since(&copies[from], known);
                     copies[to].begin_era(update.version.era);
                     copies[to].apply(update);
                 }
@@ -346,7 +365,7 @@
                 if copy.version().is_unknown() {
                     continue;
                 }
-                let mut items = copy.full_update().items;
+                let mut items = full_update(copy).items;
                 items.sort_by(|a, b| a.key.cmp(&b.key));
                 let values = |it: &[Item]| it.iter().map(|it| (it.key.clone(), it.value.clone())).collect::<Vec<_>>();
                 prop_assert_eq!(values(&items), values(&states[&copy.version()]));
@@ -354,3 +373,68 @@
         }
     }
 }
+
+// Guards against a listing that grows with the store until it is larger than a message between instances, and
+// against items that are lost between two pages.
+#[test]
+fn a_listing_comes_in_pages_of_a_bounded_size() {
+    const VALUE_BYTES: usize = 700;
+    const ITEMS: usize = 6_000;
+    let mut mirror = first_era();
+    let value = "x".repeat(VALUE_BYTES);
+    let items = (0..ITEMS).map(|it| item(&format!("key-{it}"), it as u64 + 1, Some(&value)));
+    mirror.replace(version(ITEMS as u64), items.collect());
+    let mut after = None;
+    let mut pages = 0;
+    loop {
+        let page = mirror.page_since(Version::default(), after.as_deref());
+        let bytes: usize = page.items.iter().map(|it| it.key.len() + VALUE_BYTES).sum();
+        assert!(bytes < PAGE_BYTES_MAX + 2 * VALUE_BYTES, "{bytes} bytes");
+        pages += 1;
+        after = page.next;
+        if after.is_none() {
+            break;
+        }
+    }
+    assert!(pages > ITEMS * VALUE_BYTES / PAGE_BYTES_MAX, "{pages} pages");
+    assert_eq!(full_update(&mirror).items.len(), ITEMS);
+}
+
+// Guards against an update put together from pages of two states of the sender, which would remove items.
+#[test]
+fn pages_of_a_listing_and_of_changes_do_not_belong_together() {
+    let mut mirror = first_era();
+    let value = "x".repeat(PAGE_BYTES_MAX);
+    let items = ["a", "b"].map(|it| item(it, 2, Some(&value)));
+    mirror.replace(version(2), items.to_vec());
+    let first = mirror.page_since(Version::default(), None);
+    let mut pages = PagedUpdate::default();
+    let after = first.next.clone().unwrap();
+    pages.add(first).unwrap();
+    mirror.apply_changes(version(3), vec![item("c", 3, Some("y"))]);
+    let second = mirror.page_since(version(2), Some(&after));
+    assert_eq!(pages.add(second), Err(PageMismatch));
+    let mut pages = PagedUpdate::default();
+    pages.add(mirror.page_since(Version::default(), None)).unwrap();
+    mirror.begin_era(2);
+    assert_eq!(pages.add(mirror.page_since(Version::default(), Some(&after))), Err(PageMismatch));
+}
+
+// Guards against a change that is lost since it came between two pages: the next update has it.
+#[test]
+fn what_changes_between_two_pages_comes_with_the_next_update() {
+    let mut sender = first_era();
+    let value = "x".repeat(PAGE_BYTES_MAX);
+    sender.replace(version(2), ["a", "b"].map(|it| item(it, 2, Some(&value))).to_vec());
+    let first = sender.page_since(Version::default(), None);
+    let mut pages = PagedUpdate::default();
+    let after = first.next.clone();
+    pages.add(first).unwrap();
+    sender.apply_changes(version(4), vec![item("a", 3, None), item("c", 4, Some("z"))]);
+    pages.add(sender.page_since(Version::default(), after.as_deref())).unwrap();
+    let mut receiver = first_era();
+    receiver.apply(pages.finish().unwrap());
+    let rest = update_since(&sender, receiver.version());
+    receiver.apply(rest);
+    assert_eq!(full_update(&receiver), full_update(&sender));
+}
--- a/sl-peer/src/lib.rs
+++ b/sl-peer/src/lib.rs
@@ -13,10 +13,10 @@
 
 pub use count::{Counters, Traffic};
 pub use handshake::{ConnectError, HandshakeKey, Hello};
-pub use link::{Links, PeerUnreachable};
+pub use link::{FetchError, Links, PeerUnreachable};
 pub use serve::{ControlHandler, Error, Server, serve};
 
-pub use service::{KnownStore, StoreUpdate};
+pub use service::{CachesPage, KnownStore, StorePage, StoreUpdate};
 
 use sl_base::Millis;
 
--- a/sl-peer/src/link.rs
+++ b/sl-peer/src/link.rs
@@ -8,8 +8,9 @@
 };
 
 use sl_base::{InstanceId, ServiceId, StreamId, status::InstanceStatus};
+use sl_mirror::{PageMismatch, PagedUpdate};
 use sl_report::Snapshot;
-use sl_route::{note::EngineCaches, stream_origin::StreamOrigin};
+use sl_route::{ServerKey, stream_origin::StreamOrigin};
 use tarpc::client::{self, RpcError};
 use tokio::{net::TcpStream, sync, task::AbortHandle, time};
 
@@ -17,7 +18,7 @@
     ConnectError, Counters, HandshakeKey, Hello, Options,
     count::CountingStream,
     frame, handshake,
-    service::{ControlClient, KnownStore, StoreUpdate},
+    service::{CachesPage, ControlClient, KnownStore, StorePage, StoreUpdate},
 };
 
 /// A call got no response, or no link could be opened. A call on an existing link is repeated
@@ -26,6 +27,17 @@
 #[error("peer unreachable or did not respond in time")]
 pub struct PeerUnreachable;
 
+/// Why a peer's copy of the store was not received.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum FetchError {
+    /// A call got no response.
+    #[error("{0}")]
+    Unreachable(#[from] PeerUnreachable),
+    /// The peer's copy changed in a way that the pages do not show.
+    #[error("{0}")]
+    PageMismatch(#[from] PageMismatch),
+}
+
 /// Links to all peers, opened on first use. Clones share them.
 #[derive(Clone, Debug)]
 pub struct Links(Arc<Shared>);
@@ -70,37 +82,71 @@
         Links(Arc::new(Shared { hello, key, options, counters, links: Mutex::default() }))
     }
 
-    /// Asks a peer for what changed in the platform's store beyond what is `known`. `None` if
+    /// Asks a peer for what changed in the platform's store beyond what is `known`, page by page. `None` if
     /// the peer knows of nothing or is shutting down.
     ///
     /// # Errors
     ///
-    /// [`PeerUnreachable`] if the peer does not respond in time, even on a new link.
+    /// [`FetchError`] if the peer does not respond in time, even on a new link, or its pages do not
+    /// belong together.
     pub async fn store_update(
         &self,
         to: InstanceId,
         address: SocketAddr,
         known: KnownStore,
-    ) -> Result<Option<StoreUpdate>, PeerUnreachable> {
-        self.call(to, address, |client, timeout_ms| async move {
-            client.store_update(frame::context(timeout_ms), known).await
+    ) -> Result<Option<StoreUpdate>, FetchError> {
+        let mut pages = PagedUpdate::default();
+        let mut complete_in = None;
+        let mut document = None;
+        let mut after = None;
+        loop {
+            let Some(page) = self.store_page(to, address, known, after.as_ref()).await? else {
+                return Ok(None);
+            };
+            complete_in = complete_in.max(page.complete_in);
+            document = document.or(page.document);
+            let next = page.page.next.clone();
+            // Otherwise the same pages would come again and again.
+            if next.is_some() && next <= after {
+                return Err(PageMismatch.into());
+            }
+            after = next;
+            pages.add(page.page)?;
+            if after.is_none() {
+                let update = pages.finish();
+                return Ok(update.map(|update| StoreUpdate { update, complete_in, document }));
+            }
+        }
+    }
+
+    async fn store_page(
+        &self,
+        to: InstanceId,
+        address: SocketAddr,
+        known: KnownStore,
+        after: Option<&String>,
+    ) -> Result<Option<StorePage>, PeerUnreachable> {
+        self.call(to, address, |client, timeout_ms| {
+            let after = after.cloned();
+            async move { client.store_page(frame::context(timeout_ms), known, after).await }
         })
         .await
     }
 
-    /// Asks a peer for its estimate of the KV caches of the model engines. `None` if the peer
-    /// is shutting down.
+    /// Asks a peer for a page of its estimate of the KV caches of the model engines, from the engine after
+    /// `after` on. `None` if the peer is shutting down.
     ///
     /// # Errors
     ///
     /// [`PeerUnreachable`] if the peer does not respond in time, even on a new link.
-    pub async fn engine_caches(
+    pub async fn caches_page(
         &self,
         to: InstanceId,
         address: SocketAddr,
-    ) -> Result<Option<EngineCaches>, PeerUnreachable> {
+        after: Option<ServerKey>,
+    ) -> Result<Option<CachesPage>, PeerUnreachable> {
         self.call(to, address, |client, timeout_ms| async move {
-            client.engine_caches(frame::context(timeout_ms)).await
+            client.caches_page(frame::context(timeout_ms), after).await
         })
         .await
     }
--- a/sl-peer/src/serve.rs
+++ b/sl-peer/src/serve.rs
@@ -4,8 +4,9 @@
 
 use futures::StreamExt;
 use sl_base::{ServiceId, StreamId, status::InstanceStatus};
+use sl_mirror::{Update, UpdatePage};
 use sl_report::Snapshot;
-use sl_route::{note::EngineCaches, stream_origin::StreamOrigin};
+use sl_route::{ServerKey, note::EngineCaches, stream_origin::StreamOrigin};
 use tarpc::{
     context::Context,
     server::{BaseChannel, Channel},
@@ -21,18 +22,25 @@
     Counters, HandshakeKey, Options,
     count::CountingStream,
     frame, handshake,
-    service::{Control, KnownStore, StoreUpdate},
+    service::{CachesPage, Control, KnownStore, StorePage, StoreUpdate},
 };
 
 /// Answers the calls that arrive on the control port, on behalf of the instance.
 pub trait ControlHandler: Clone + Send + Sync + 'static {
-    /// Returns what changed in the platform's store beyond what is `known`. `None` if nothing
-    /// did or the instance is shutting down.
-    fn store_update(&self, known: KnownStore) -> impl Future<Output = Option<StoreUpdate>> + Send;
+    /// Returns a page of what changed in the platform's store beyond what is `known`, from the key after
+    /// `after` on. `None` if nothing did or the instance is shutting down.
+    fn store_page(
+        &self,
+        known: KnownStore,
+        after: Option<String>,
+    ) -> impl Future<Output = Option<StorePage>> + Send;
 
-    /// Returns the estimate of the KV caches of the model engines. `None` if the instance is
-    /// shutting down.
-    fn engine_caches(&self) -> impl Future<Output = Option<EngineCaches>> + Send;
+    /// Returns a page of the estimate of the KV caches of the model engines, from the engine after
+    /// `after` on. `None` if the instance is shutting down.
+    fn caches_page(
+        &self,
+        after: Option<ServerKey>,
+    ) -> impl Future<Output = Option<CachesPage>> + Send;
 
     /// Returns the instance's status. `None` if the instance is shutting down.
     fn status(&self) -> impl Future<Output = Option<InstanceStatus>> + Send;
@@ -156,11 +164,15 @@
 
 impl<H: ControlHandler> Control for Service<H> {
     async fn store_update(self, _: Context, known: KnownStore) -> Option<StoreUpdate> {
-        self.handler.store_update(known).await
+        let StorePage { page, complete_in, document } =
+            self.handler.store_page(known, None).await?;
+        let UpdatePage { since, version, items, next } = page;
+        let update = Update { since, version, items };
+        next.is_none().then_some(StoreUpdate { update, complete_in, document })
     }
 
     async fn engine_caches(self, _: Context) -> Option<EngineCaches> {
-        self.handler.engine_caches().await
+        self.handler.caches_page(None).await.map(|it| it.caches)
     }
 
     async fn status(self, _: Context) -> Option<InstanceStatus> {
@@ -183,6 +195,19 @@
     ) -> Option<StreamOrigin> {
         self.handler.deduced_origin(stream, service).await
     }
+
+    async fn store_page(
+        self,
+        _: Context,
+        known: KnownStore,
+        after: Option<String>,
+    ) -> Option<StorePage> {
+        self.handler.store_page(known, after).await
+    }
+
+    async fn caches_page(self, _: Context, after: Option<ServerKey>) -> Option<CachesPage> {
+        self.handler.caches_page(after).await
+    }
 }
 
 /// Pause after a failed `accept`, which would fail again at once where file descriptors have
--- a/sl-peer/src/service.rs
+++ b/sl-peer/src/service.rs
@@ -2,9 +2,29 @@
 
 use serde::{Deserialize, Serialize};
 use sl_base::{Millis, ServiceId, StreamId, status::InstanceStatus};
-use sl_mirror::{Change, Update, Version};
+use sl_mirror::{Change, Update, UpdatePage, Version};
 use sl_report::Snapshot;
-use sl_route::{note::EngineCaches, stream_origin::StreamOrigin};
+use sl_route::{ServerKey, note::EngineCaches, stream_origin::StreamOrigin};
+
+/// A page of what a peer lacks of an instance's copy of the platform's store.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StorePage {
+    /// A part of the entries that changed, or of all of them.
+    pub page: UpdatePage,
+    /// See [`StoreUpdate::complete_in`].
+    pub complete_in: Option<Millis>,
+    /// See [`StoreUpdate::document`]; in the first page only.
+    pub document: Option<Change>,
+}
+
+/// Some of the caches of the model engines, as an instance estimates them.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct CachesPage {
+    /// The caches of some engines, in the order of their keys, and in the first page the bars.
+    pub caches: EngineCaches,
+    /// The engine after which the next page begins; `None` in the last page.
+    pub next: Option<ServerKey>,
+}
 
 /// The part of an instance's copy of the platform's store that the calling peer lacks.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -34,7 +54,8 @@
 #[tarpc::service]
 pub(crate) trait Control {
     /// Returns what changed in the platform's store beyond what is `known`, or `None` where
-    /// the called instance knows of nothing or is shutting down.
+    /// the called instance knows of nothing, is shutting down, or needs several pages for it. For
+    /// instances of older builds, like the call that follows.
     async fn store_update(known: KnownStore) -> Option<StoreUpdate>;
 
     /// Returns the instance's estimate of the KV caches of the model engines, or `None` where
@@ -54,4 +75,12 @@
     /// Returns where a stream of the service began, also if the called instance only deduces that from
     /// the version record that it found at its start; or `None`.
     async fn deduced_origin(stream: StreamId, service: ServiceId) -> Option<StreamOrigin>;
+
+    /// Returns a page of what changed in the platform's store beyond what is `known`, from the key after
+    /// `after` on, or `None` where the called instance knows of nothing or is shutting down.
+    async fn store_page(known: KnownStore, after: Option<String>) -> Option<StorePage>;
+
+    /// Returns a page of the instance's estimate of the KV caches of the model engines, from the engine after
+    /// `after` on, or `None` where the instance is shutting down.
+    async fn caches_page(after: Option<ServerKey>) -> Option<CachesPage>;
 }
--- a/sl-peer/tests/it/link.rs
+++ b/sl-peer/tests/it/link.rs
@@ -42,7 +42,7 @@
     let (peer, server) = listen("secret", &counters).await;
     let links = links(secret, &counters);
     let response = links.store_update(PEER, server.address, known(3)).await;
-    assert_eq!(response, Err(PeerUnreachable));
+    assert_eq!(response, Err(PeerUnreachable.into()));
     assert!(peer.known_revisions.lock().unwrap().is_empty());
 }
 
@@ -108,7 +108,7 @@
     relay.silence_all();
     let start = Instant::now();
     let response = links.store_update(PEER, relay.address, known(2)).await;
-    assert_eq!(response, Err(PeerUnreachable));
+    assert_eq!(response, Err(PeerUnreachable.into()));
     assert!(start.elapsed() < Duration::from_secs(2));
 }
 
@@ -119,7 +119,7 @@
     peer.delay_ms.store(2_000, Ordering::Relaxed);
     let links = links("secret", &counters);
     let response = links.store_update(PEER, server.address, known(1)).await;
-    assert_eq!(response, Err(PeerUnreachable));
+    assert_eq!(response, Err(PeerUnreachable.into()));
     peer.delay_ms.store(0, Ordering::Relaxed);
     let response = links.store_update(PEER, server.address, known(2)).await;
     assert!(response.is_ok());
--- a/sl-peer/tests/it/testbed.rs
+++ b/sl-peer/tests/it/testbed.rs
@@ -13,10 +13,10 @@
 use sl_base::{
     Incarnation, InstanceId, Millis, ServiceId, StreamId, Timestamp, status::InstanceStatus,
 };
-use sl_mirror::{Update, Version};
+use sl_mirror::{UpdatePage, Version};
 use sl_peer::{
-    ControlHandler, Counters, HandshakeKey, Hello, KnownStore, Links, Options, Server, StoreUpdate,
-    serve,
+    CachesPage, ControlHandler, Counters, HandshakeKey, Hello, KnownStore, Links, Options, Server,
+    StorePage, serve,
 };
 use sl_report::Snapshot;
 use sl_route::{ServerKey, stream_origin::StreamOrigin};
@@ -38,7 +38,7 @@
 }
 
 impl ControlHandler for Peer {
-    async fn store_update(&self, known: KnownStore) -> Option<StoreUpdate> {
+    async fn store_page(&self, known: KnownStore, _: Option<String>) -> Option<StorePage> {
         let since = known.version.revision;
         let delay = self.delay_ms.load(Ordering::Relaxed);
         tokio::time::sleep(Duration::from_millis(delay)).await;
@@ -47,11 +47,11 @@
             return None;
         }
         let version = Version::new(known.version.era, since + 1);
-        let update = Update { since: Some(known.version), version, items: Vec::new() };
-        Some(StoreUpdate { update, complete_in: None, document: None })
+        let page = UpdatePage { since: Some(known.version), version, ..UpdatePage::default() };
+        Some(StorePage { page, complete_in: None, document: None })
     }
 
-    async fn engine_caches(&self) -> Option<sl_route::note::EngineCaches> {
+    async fn caches_page(&self, _: Option<ServerKey>) -> Option<CachesPage> {
         None
     }
 
--- a/sl-route/src/state/cache.rs
+++ b/sl-route/src/state/cache.rs
@@ -18,24 +18,50 @@
 /// Most recently used parts per engine sent to a new peer.
 const PARTS_PER_ENGINE_MAX: usize = 600;
 
+/// The parts after which a page ends. A part has up to 15 bytes in a message.
+const PARTS_PER_PAGE: usize = 16_384;
+
+/// The parts that an engine is assumed to hold, the least recently used first; `None` for other servers,
+/// and for engines whose cache contents are still unknown: an instance that has just started knows only
+/// the requests sent since its start.
+fn known_parts(server: &Server) -> Option<Vec<PromptPart>> {
+    match &server.kind {
+        ServerKind::Engine(engine) if server.list_cache_at == Timestamp::NEVER => {
+            let mut parts: Vec<PromptPart> =
+                engine.cache.parts().rev().take(PARTS_PER_ENGINE_MAX).collect();
+            parts.reverse();
+            Some(parts)
+        }
+        _ => None,
+    }
+}
+
 impl State {
-    /// The estimated engine caches, for a peer that has just started.
-    pub fn engine_caches(&self, now: Timestamp) -> EngineCaches {
-        let engine = |(key, server): (&ServerKey, &Server)| match &server.kind {
-            // Skips engines whose cache contents are still unknown: an instance that has just
-            // started knows only the requests sent since its start.
-            ServerKind::Engine(engine) if server.list_cache_at == Timestamp::NEVER => {
-                let mut parts: Vec<PromptPart> =
-                    engine.cache.parts().rev().take(PARTS_PER_ENGINE_MAX).collect();
-                parts.reverse();
-                Some((*key, parts))
+    /// A page of the engines' assumed cache contents for a peer that has just started, from the engine after
+    /// `after` on, and the engine after which the next page begins. The bars are in the first page.
+    pub fn engine_caches(
+        &self,
+        now: Timestamp,
+        after: Option<ServerKey>,
+    ) -> (EngineCaches, Option<ServerKey>) {
+        let bars = if after.is_none() { self.crash_causes.bars(now) } else { Vec::new() };
+        let mut caches = EngineCaches { engines: Vec::new(), bars };
+        let mut parts = 0;
+        let mut keys: Vec<ServerKey> = self.servers.keys().copied().collect();
+        keys.retain(|it| Some(*it) > after);
+        keys.sort_unstable();
+        for &key in &keys {
+            let Some(known) = self.servers.get(&key).and_then(known_parts) else {
+                continue;
+            };
+            parts += known.len();
+            caches.engines.push((key, known));
+            if parts >= PARTS_PER_PAGE {
+                let next = Some(key).filter(|it| keys.last() != Some(it));
+                return (caches, next);
             }
-            _ => None,
-        };
-        EngineCaches {
-            engines: self.servers.iter().filter_map(engine).collect(),
-            bars: self.crash_causes.bars(now),
         }
+        (caches, None)
     }
 
     /// Requests the lists of cached parts from the engines whose contents are unknown and for which this
--- a/sl-route/tests/it/fleet.rs
+++ b/sl-route/tests/it/fleet.rs
@@ -264,7 +264,7 @@
         if let Some(CacheFetch { index, peer, .. }) =
             self.cache_fetch.take_if(|it| it.due_at.is_due(self.now))
         {
-            let caches = self.instances[peer].engine_caches(self.now);
+            let caches = self.instances[peer].engine_caches(self.now, None).0;
             self.step(index, Event::PeerCaches(caches));
         }
     }
--- a/sl-route/tests/it/part_crashes.rs
+++ b/sl-route/tests/it/part_crashes.rs
@@ -281,7 +281,7 @@
 fn an_instance_announces_the_bars_that_it_has_learned() {
     let mut state = state(1, &[("a", "model")]);
     receive(&mut state, at(0), barred_part(BAD));
-    let caches = state.engine_caches(at(10));
+    let caches = state.engine_caches(at(10), None).0;
     assert_eq!(caches.bars.len(), 1);
     state.step(at(1_600), Event::Tick);
     let is_bar = |it: &Note| matches!(it, Note::Barred(_));
