A response without a length is whole only after its request, and odd statuses are no answers

Callers saw, of a server that answered a long upload without a length, sent a part, ended the connection in order and reset it 0.3 s later: 200 with the part, as a whole response, plain and as a stream.

Cause: the end of a connection counted as the end of the response although the request was still on its way. `Conn` also took the end after a failed write for an orderly one, since the system reports an error once; no path used that. Statuses were not checked against those that HTTP has.

Change: such a response is whole only if the request had been written before its head came and the server's system has received all of it at the end. A read after a failure is an error. Statuses other than 100 to 599 are malformed.

Tests: `early_responses` (36 combinations of framing, end, bytes read and pause; 13 statuses; a control): six combinations and three statuses fail without the change. `an_end_after_a_failed_write_is_no_orderly_end` fails without it.

--- a/sl-edge/src/attempt.rs
+++ b/sl-edge/src/attempt.rs
@@ -4,7 +4,7 @@
 
 use bytes::{Bytes, BytesMut};
 use sl_base::{Millis, Timestamp};
-use sl_http::{Body, Framing, RequestHead, ResponseHead};
+use sl_http::{Body, Ending, Framing, RequestHead, ResponseHead};
 use sl_route::{Fault, effect::Target};
 
 use crate::{
@@ -46,6 +46,8 @@
     pub(crate) memory: ResponseShare,
     /// Whether the connection can carry another request after this response.
     pub(crate) is_reusable: bool,
+    /// Whether the server responded after the whole request had been written.
+    is_fully_sent: bool,
     /// Whether the response is an error of the server, which may have run the request.
     pub(crate) is_error: bool,
 }
@@ -132,7 +134,18 @@
     let framing =
         Framing::of_response(&outgoing.head.method, &head).map_err(|_| Fault::InvalidResponse)?;
     let is_reusable = is_fully_sent && head.keeps_alive() && framing != Framing::UntilClose;
-    Ok(Upstream { pooled, head, body: Body::new(framing), memory, is_reusable, is_error })
+    let body = Body::new(framing);
+    Ok(Upstream { pooled, head, body, memory, is_reusable, is_fully_sent, is_error })
+}
+
+impl Upstream {
+    /// Whether the body, which has been read to its end, is the whole one. Where the end of the connection is
+    /// the end of the body, it has to come after the request: a server that closes while it is still to
+    /// read may have been cut off, and resets the connection next.
+    pub(crate) fn is_whole(&self) -> bool {
+        let is_closed = self.body.ending() == Some(Ending::Closed);
+        !is_closed || self.is_fully_sent && self.pooled.conn.is_all_received()
+    }
 }
 
 /// Sends `request` until a response head carries its attempt id, and returns that head.
--- a/sl-edge/src/relay.rs
+++ b/sl-edge/src/relay.rs
@@ -65,6 +65,7 @@
         () = caller.closed(PIPELINED_BYTES_MAX) => return Err(CollectError::CallerDisconnected),
     };
     match read {
+        Some(Ok(_)) if !upstream.is_whole() => Err(CollectError::Fault(Fault::TruncatedResponse)),
         Some(Ok(body)) => {
             Ok(FullResponse { head: upstream.head.clone(), body, memory: upstream.memory.take() })
         }
@@ -367,7 +368,7 @@
     /// Ends the stream after the last byte of a server, if the stream may end there.
     fn finish(&mut self, upstream: &Upstream, caller: &Conn) -> Result<(), RelayError> {
         let is_closed = upstream.body.ending() == Some(Ending::Closed);
-        if !self.events.may_end(is_closed) {
+        if !self.events.may_end(is_closed) || !upstream.is_whole() {
             return Err(RelayError::Fault(Fault::TruncatedResponse));
         }
         self.take_head(&upstream.head, caller);
--- a/sl-http/src/conn.rs
+++ b/sl-http/src/conn.rs
@@ -159,7 +159,11 @@
             self.buf.reserve(READ_BYTES);
             match self.socket.stream.try_read_buf(&mut self.buf) {
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => self.release_buffer(),
-                read => return read.inspect_err(|e| self.socket.record_error(e)),
+                Err(e) => {
+                    self.socket.record_error(&e);
+                    return Err(e);
+                }
+                Ok(read) => return self.socket.check_end(read),
             }
         }
     }
@@ -266,7 +270,7 @@
     fn try_fill(&mut self) -> io::Result<Option<usize>> {
         self.buf.reserve(READ_BYTES);
         match self.socket.stream.try_read_buf(&mut self.buf) {
-            Ok(read) => Ok(Some(read)),
+            Ok(read) => self.socket.check_end(read).map(Some),
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
                 self.release_buffer();
                 Ok(None)
@@ -287,6 +291,12 @@
         self.stream().try_write_vectored(parts).inspect_err(|e| self.socket.record_error(e))
     }
 
+    /// Whether the peer's system has received all bytes that were written. True where the system does not
+    /// tell.
+    pub fn is_all_received(&self) -> bool {
+        sl_sock::unacknowledged_bytes(&*self.socket).unwrap_or(0) == 0
+    }
+
     fn stream(&self) -> &TcpStream {
         &self.socket.stream
     }
--- a/sl-http/src/conn/socket.rs
+++ b/sl-http/src/conn/socket.rs
@@ -31,6 +31,9 @@
     has_probe_limit: AtomicBool,
     /// Whether the connection failed because the peer's host is gone.
     is_host_gone: AtomicBool,
+    /// Whether a read or write has failed. The system reports an error once, to whoever comes first, and
+    /// what is read afterwards looks like an orderly end.
+    has_failed: AtomicBool,
 }
 
 impl Socket {
@@ -41,6 +44,7 @@
             is_written: AtomicBool::new(false),
             has_probe_limit: AtomicBool::new(false),
             is_host_gone: AtomicBool::new(false),
+            has_failed: AtomicBool::new(false),
         }
     }
 
@@ -77,6 +81,9 @@
 
     /// Records an error of the connection, by which the system may say that the peer's host is gone.
     pub(super) fn record_error(&self, e: &io::Error) {
+        if e.kind() != io::ErrorKind::WouldBlock {
+            self.has_failed.store(true, Ordering::Relaxed);
+        }
         if e.kind() == io::ErrorKind::TimedOut {
             self.is_host_gone.store(true, Ordering::Relaxed);
         }
@@ -87,6 +94,18 @@
         self.is_host_gone.load(Ordering::Relaxed)
     }
 
+    /// The result of a read, of which no bytes are the end of the connection.
+    ///
+    /// # Errors
+    ///
+    /// If the connection had failed before, so that its end is not an orderly one.
+    pub(super) fn check_end(&self, read: usize) -> io::Result<usize> {
+        if read == 0 && self.has_failed.load(Ordering::Relaxed) {
+            return Err(io::ErrorKind::ConnectionReset.into());
+        }
+        Ok(read)
+    }
+
     /// Sets whether the connection is reset when the socket is closed.
     pub(super) fn set_reset_on_end(&self, is_reset: bool) {
         let linger = is_reset.then_some(Duration::ZERO);
--- a/sl-http/src/head.rs
+++ b/sl-http/src/head.rs
@@ -1,5 +1,7 @@
 //! Heads of requests and responses.
 
+use std::ops::RangeInclusive;
+
 use bytes::{BufMut, Bytes, BytesMut};
 
 use crate::{Field, Headers};
@@ -79,7 +81,7 @@
             return Ok(None);
         };
         let reason = optional_span(buf, parsed.reason);
-        let status = parsed.code.ok_or(MalformedHead)?;
+        let status = parsed.code.filter(|it| STATUSES.contains(it)).ok_or(MalformedHead)?;
         let is_http_11 = parsed.version == Some(1);
         let fields = spans(buf, parsed.headers);
         let is_joined = |it: &Span| has_status_line(&buf[it.clone()]);
@@ -96,6 +98,10 @@
     }
 }
 
+/// The statuses that HTTP has. A server that sends another one is in trouble, and the caller could not tell
+/// what it means.
+const STATUSES: RangeInclusive<u16> = 100..=599;
+
 /// Whether a status line begins in `value`: the server stopped in a head and began another one,
 /// whose fields and body must not be read as those of the first.
 pub(crate) fn has_status_line(value: &[u8]) -> bool {
--- a/sl-http/tests/it/broken_off.rs
+++ b/sl-http/tests/it/broken_off.rs
@@ -115,3 +115,21 @@
     let head = format!("HTTP/1.1 200 OK\r\n{fields}\r\n");
     assert!(ResponseHead::parse(&mut BytesMut::from(&*head)).unwrap().is_some());
 }
+
+// Guards against a reset that a write has noticed and a read takes for an orderly end: the system reports it
+// once, and a body without a length would look complete.
+#[tokio::test]
+async fn an_end_after_a_failed_write_is_no_orderly_end() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let mut peer = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+    let mut conn = Conn::new(listener.accept().await.unwrap().0);
+    peer.write_all(b"a part").await.unwrap();
+    let mut body = Body::new(Framing::UntilClose);
+    assert_eq!(body.next(&mut conn).await.unwrap().unwrap(), "a part");
+    peer.set_zero_linger().unwrap();
+    drop(peer);
+    let upload = vec![0; 1 << 20];
+    while conn.write(&upload).await.is_ok() {}
+    let end = body.next(&mut conn).await;
+    assert!(end.is_err(), "{end:?}");
+}
--- a/sl-sock/src/lib.rs
+++ b/sl-sock/src/lib.rs
@@ -64,6 +64,22 @@
     })
 }
 
+/// The bytes that were written to a connection and that the peer's system has not acknowledged.
+///
+/// # Errors
+///
+/// If the system rejects the call, for instance since `socket` is no TCP socket.
+pub fn unacknowledged_bytes(socket: &impl AsFd) -> io::Result<usize> {
+    let mut bytes: libc::c_int = 0;
+    // SAFETY: the system writes one integer to `bytes`.
+    #[expect(unsafe_code, reason = "no library has a safe interface to SIOCOUTQ")]
+    let result = unsafe { libc::ioctl(socket.as_fd().as_raw_fd(), libc::TIOCOUTQ, &raw mut bytes) };
+    if result != 0 {
+        return Err(io::Error::last_os_error());
+    }
+    Ok(usize::try_from(bytes).unwrap_or(0))
+}
+
 /// Sets the longest interval between two retransmissions or probes, from 1 s to 120 s.
 ///
 /// # Errors
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -5,6 +5,7 @@
 mod broken_streams;
 mod callers;
 mod crashes;
+mod early_responses;
 mod endless;
 mod evacuation;
 mod failure;
