Split modules that had two jobs

No change of behaviour: what an instance knows of versions (`known_versions`) leaves the record's own module, fetching cache contents (`cache_fetch`) leaves fetching the store's contents, and the tests of interruptions and of large listings leave those of membership.

--- a/sl-edge/src/catch_up.rs
+++ b/sl-edge/src/catch_up.rs
@@ -1,11 +1,9 @@
-//! Fetches from peers the store's contents and the engines' cache contents that this instance
-//! lacks.
+//! Fetches from peers the store's contents that this instance lacks, and turns to the store if they do not arrive.
 
 use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
 
 use sl_base::{InstanceId, Millis, Timestamp};
-use sl_peer::{CachesPage, KnownStore, Links, PeerUnreachable};
-use sl_route::{Event, ServerKey, note::EngineCaches};
+use sl_peer::{KnownStore, Links};
 use slog::{debug, info, warn};
 use tokio::time::{sleep, timeout};
 
@@ -33,81 +31,11 @@
 /// it asks the peer that already has the change.
 const STORE_HEAD_START: Millis = Millis(60);
 
-/// The interval between attempts to fetch the engines' cache contents from a peer.
-const CACHE_FETCH_INTERVAL: Millis = Millis(150);
-
-/// The number of these attempts. Meanwhile and afterwards, the reducer has the engines
-/// themselves asked for contents that are still unknown.
-const CACHE_FETCH_ATTEMPTS: u32 = 8;
-
 /// The interval between requests to seeds, while there is no configuration and the store does
 /// not respond.
 const SEED_INTERVAL: Millis = Millis(300);
 
-/// What a peer sent of the engines' cache contents.
-enum Fetched {
-    /// All that it knows.
-    All,
-    /// Nothing: it knows the contents of no engine yet.
-    NoEngine,
-}
-
 impl CatchUp {
-    /// Fetches the engines' cache contents, with the bars, from the peer that has
-    /// been running for longest, until one sends a list of engines that is not empty.
-    pub(crate) async fn fetch_engine_caches(&self) {
-        let mut after = None;
-        for _ in 0..CACHE_FETCH_ATTEMPTS {
-            sleep(CACHE_FETCH_INTERVAL.into()).await;
-            let Some((peer, address)) = self.peer_table.oldest(self.gossip.own_id) else {
-                continue;
-            };
-            match self.fetch_cache_pages(peer, address, &mut after).await {
-                Ok(Fetched::All) => return,
-                Ok(Fetched::NoEngine) => {}
-                Err(e) => debug!(self.core.log, "failed to fetch cache contents from peer";
-                    "reason" => %e),
-            }
-        }
-    }
-
-    /// Fetches the pages of the engines' cache contents after the engine `after`, which is set to the last one
-    /// that was received.
-    async fn fetch_cache_pages(
-        &self,
-        peer: InstanceId,
-        address: SocketAddr,
-        after: &mut Option<ServerKey>,
-    ) -> Result<Fetched, PeerUnreachable> {
-        loop {
-            let Some(page) = self.links.caches_page(peer, address, *after).await? else {
-                return Ok(Fetched::NoEngine);
-            };
-            let CachesPage { caches, next } = page;
-            let is_empty = caches.engines.is_empty();
-            if !is_empty || !caches.bars.is_empty() {
-                self.apply_engine_caches(peer, caches);
-            }
-            // An engine after which no page begins may come from a peer that never ends.
-            if next <= *after {
-                let is_all = !is_empty || after.is_some();
-                return Ok(if is_all { Fetched::All } else { Fetched::NoEngine });
-            }
-            *after = next;
-        }
-    }
-
-    /// Applies the engines' cache contents as a peer knows them. The contents are only as old
-    /// as the transfer took, because the peer receives a note of every attempt that is sent.
-    fn apply_engine_caches(&self, from: InstanceId, caches: EngineCaches) {
-        let parts: usize = caches.engines.iter().map(|it| it.1.len()).sum();
-        let incarnation = self.peer_table.incarnation(from);
-        info!(self.core.log, "cache contents received from peer"; "peer" => %from,
-            "peer_incarnation" => incarnation.map(|it| it.to_string()),
-            "engines" => caches.engines.len(), "parts" => parts);
-        self.core.step(Event::PeerCaches(caches));
-    }
-
     /// Fetches the store's contents whenever a peer has newer ones, and from the seeds while
     /// there is no configuration and the store does not respond.
     pub(crate) async fn run(&self) {
--- a/sl-edge/src/lib.rs
+++ b/sl-edge/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod attempt;
 pub mod backoff;
+mod cache_fetch;
 mod caller;
 mod catch_up;
 mod change_handler;
--- a/sl-edge/src/run.rs
+++ b/sl-edge/src/run.rs
@@ -27,6 +27,7 @@
 };
 
 use crate::{
+    cache_fetch::CacheFetch,
     caller::{self, Ingress},
     catch_up::CatchUp,
     change_handler::ChangeHandler,
@@ -321,12 +322,17 @@
             async move { gossip.run_sender().await }
         });
         spawn_local(async move { gossip.run_receiver().await });
-        spawn_local(async move {
-            tokio::join!(catch_up.fetch_engine_caches(), catch_up.run());
-        });
+        let cache_fetch = self.cache_fetch(settings.id());
+        spawn_local(async move { cache_fetch.run().await });
+        spawn_local(async move { catch_up.run().await });
         membership
     }
 
+    fn cache_fetch(&self, own_id: InstanceId) -> CacheFetch {
+        let (core, peer_table) = (self.core.clone(), self.peer_table.clone());
+        CacheFetch { core, peer_table, links: self.links.clone(), own_id }
+    }
+
     /// Spawns the tasks that keep origins of streams in the store, and returns what finds them there.
     fn spawn_origins(&self, own_id: InstanceId) -> StreamLocator {
         let (core, store) = (self.core.clone(), self.store.clone());
--- a/sl-route/src/effect.rs
+++ b/sl-route/src/effect.rs
@@ -10,8 +10,8 @@
     activity::TeamTokens,
     crash_causes::Cause,
     estimates::{AttemptCounts, AttemptKind},
+    known_versions::NoProof,
     locality::LeaveReason,
-    version_record::NoProof,
 };
 
 /// An action that the caller of [`State::step`](crate::State::step) has to perform.
--- a/sl-route/src/lib.rs
+++ b/sl-route/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod evacuation;
 pub mod event;
 pub mod health;
+pub mod known_versions;
 pub mod locality;
 pub mod note;
 mod pace;
--- a/sl-route/src/stream_origin.rs
+++ b/sl-route/src/stream_origin.rs
@@ -11,9 +11,8 @@
 use sl_base::{IdMap, Millis, ServiceId, StreamId, Timestamp, WallClock};
 
 use crate::{
-    ServerKey, ServerRecord,
-    server::Server,
-    version_record::{KnownVersions, VersionRecord},
+    ServerKey, ServerRecord, known_versions::KnownVersions, server::Server,
+    version_record::VersionRecord,
 };
 
 /// What a request for a resumable stream asks for.
--- a/sl-route/tests/it/origins.rs
+++ b/sl-route/tests/it/origins.rs
@@ -9,11 +9,11 @@
     Arrival, Decision, Effect, Event, Options, Refusal, RetryPolicy, ServerKey, ServerRecord,
     State,
     effect::OriginKnowledge,
+    known_versions::NoProof,
     note::{Note, Notes},
     stream_origin::{OriginBatch, RUN_RETENTION, StreamRequest, UNSAVED_MAX},
     version_record::{
-        CLOCK_TOLERANCE, NoProof, RECORD_RENEWAL_INTERVAL, RECORD_TIMEOUT, RECORD_VALIDITY,
-        VersionRecord,
+        CLOCK_TOLERANCE, RECORD_RENEWAL_INTERVAL, RECORD_TIMEOUT, RECORD_VALIDITY, VersionRecord,
     },
 };
 
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -9,6 +9,8 @@
 mod endless;
 mod evacuation;
 mod failure;
+mod interruptions;
+mod large_listings;
 mod late_copies;
 mod late_refusals;
 mod limits;
--- a/tests/it/membership.rs
+++ b/tests/it/membership.rs
@@ -7,7 +7,7 @@
 use rstest::rstest;
 use stand_ins::{document, store::Fault};
 
-use crate::testbed::{call, fleet, settle};
+use crate::testbed::{call, fleet};
 
 #[rstest]
 #[case::draining("draining")]
@@ -30,149 +30,6 @@
     assert_eq!(server.executed_requests().len(), before);
 }
 
-/// What the store holds beside the entries of the fleet.
-#[derive(Clone, Copy, Debug)]
-enum Contents {
-    /// Entries of another writer, of the largest size, that can't be read.
-    Unreadable { entries: usize },
-    /// Entries of servers, as many as the fleet is designed for.
-    Servers { entries: usize, bytes: usize },
-}
-
-fn fill(fleet: &bench::Fleet, contents: Contents) {
-    match contents {
-        Contents::Unreadable { entries } => {
-            for index in 0..entries {
-                let value = vec![b'x'; VALUE_BYTES_MAX];
-                fleet.store.put_bytes(&format!("servers/foreign-{index}"), value);
-            }
-        }
-        Contents::Servers { entries, bytes } => {
-            for index in 0..entries {
-                let mut entry = serde_json::json!({
-                    "service": "unrouted", "address": "127.0.0.1:1", "zone": "here", "version": "v1",
-                    "slots": 6, "state": "ready", "sequence": 1, "born": 1,
-                });
-                entry["note"] = "x".repeat(bytes.saturating_sub(entry.to_string().len())).into();
-                fleet.store.put(&format!("servers/listed-{index}"), &entry);
-            }
-        }
-    }
-}
-
-/// Bytes of the largest value that the store takes.
-const VALUE_BYTES_MAX: usize = 1_048_576;
-
-/// A configuration is in force after this time.
-const CONFIG_APPLY: Duration = Duration::from_millis(2_000);
-
-// Guards against an instance that does not follow the store and stays at an older configuration for good, as
-// what its peers have to tell it after the store has dropped its history is larger than a message.
-#[rstest]
-#[case::unreadable_entries(Contents::Unreadable { entries: 6 })]
-#[case::as_many_servers_as_planned(Contents::Servers { entries: 5_700, bytes: 900 })]
-#[case::large_entries(Contents::Servers { entries: 8, bytes: VALUE_BYTES_MAX })]
-#[tokio::test(flavor = "multi_thread")]
-async fn all_instances_get_a_configuration_after_the_store_dropped_its_history(
-    #[case] contents: Contents,
-) {
-    let fleet = fleet(5).await;
-    fill(&fleet, contents);
-    settle(&fleet).await;
-    fleet.store.set_fault(Fault::MutesWatches);
-    tokio::time::sleep(Duration::from_millis(300)).await;
-    fleet.store.put(document::CONFIG_KEY, &with_added_route(5));
-    tokio::time::sleep(Duration::from_millis(700)).await;
-    fleet.store.set_fault(Fault::None);
-    fleet.store.compact();
-    tokio::time::sleep(CONFIG_APPLY).await;
-    for index in 0..5 {
-        assert_eq!(added_route_status(&fleet, index).await, 200, "instance {index}");
-    }
-}
-
-/// How the store fails shortly before a server's entry is removed.
-#[derive(Clone, Copy, Debug)]
-enum Interruption {
-    WatchesCut { times: u32 },
-    HistoryForgotten,
-    Failing { fault: Fault, millis: u64 },
-}
-
-async fn interrupt(fleet: &bench::Fleet, interruption: Interruption) {
-    match interruption {
-        Interruption::WatchesCut { times } => {
-            for _ in 0..times {
-                fleet.store.cut_watches();
-                tokio::time::sleep(Duration::from_millis(300)).await;
-            }
-            fleet.store.cut_watches();
-        }
-        Interruption::HistoryForgotten => fleet.store.compact(),
-        Interruption::Failing { fault, millis } => {
-            fleet.store.set_fault(fault);
-            fleet.store.cut_watches();
-            tokio::time::sleep(Duration::from_millis(millis)).await;
-            fleet.store.set_fault(Fault::None);
-        }
-    }
-}
-
-// Guards against a store that answers, but has cut a watch or failed a call, being taken for one that was
-// down: a removed server got requests until 2.3 s after its removal, at followers of the store and at
-// instances that learn from these.
-#[rstest]
-#[case::cut_once(Interruption::WatchesCut { times: 0 })]
-#[case::cut_several_times(Interruption::WatchesCut { times: 4 })]
-#[case::history_forgotten(Interruption::HistoryForgotten)]
-#[case::unavailable_for_a_moment(Interruption::Failing { fault: Fault::Unavailable, millis: 200 })]
-#[case::connections_reset_for_a_moment(Interruption::Failing { fault: Fault::ResetsConnections, millis: 200 })]
-#[tokio::test(flavor = "multi_thread")]
-async fn a_removal_is_in_force_at_once_after_an_interruption_in_which_no_lease_can_lapse(
-    #[case] interruption: Interruption,
-) {
-    let fleet = fleet(5).await;
-    let server = fleet.apps().next().unwrap();
-    tokio::time::sleep(Duration::from_millis(500)).await;
-    interrupt(&fleet, interruption).await;
-    tokio::time::sleep(Duration::from_millis(5)).await;
-    fleet.store.remove(&server.key());
-    // Half of the time in which a removed server may still get requests.
-    tokio::time::sleep(Duration::from_millis(1_000)).await;
-    let before = server.executed_requests().len();
-    for index in 0..20 {
-        let mut caller = fleet.caller(index % 5).await.unwrap();
-        let response = caller.call(&call("GET", "/status/7", "a")).await.unwrap();
-        assert_eq!(response.status(), 200);
-    }
-    assert_eq!(server.executed_requests().len(), before);
-}
-
-// Guards against the loss of servers whose leases lapsed while the store was away, and against one of these
-// that gets requests for longer than the two seconds in which it would write its entry again.
-#[tokio::test(flavor = "multi_thread")]
-async fn an_entry_that_lapsed_in_an_outage_is_used_for_two_seconds_after_it() {
-    let fleet = fleet(2).await;
-    let server = fleet.apps().next().unwrap();
-    fleet.store.set_fault(Fault::Unavailable);
-    fleet.store.cut_watches();
-    tokio::time::sleep(Duration::from_millis(1_500)).await;
-    fleet.store.remove(&server.key());
-    fleet.store.set_fault(Fault::None);
-    let is_used = async || {
-        let before = server.executed_requests().len();
-        for index in 0..8 {
-            let mut caller = fleet.caller(index % 2).await.unwrap();
-            caller.call(&call("GET", "/status/7", "a")).await.unwrap();
-        }
-        server.executed_requests().len() > before
-    };
-    tokio::time::sleep(Duration::from_millis(900)).await;
-    assert!(is_used().await);
-    tokio::time::sleep(Duration::from_millis(1_700)).await;
-    assert!(!is_used().await);
-}
-
 #[rstest]
 #[case::invalid_json(b"{\"service\":".to_vec())]
 #[case::no_address(br#"{"service":"app","state":"ready","slots":6}"#.to_vec())]
@@ -277,12 +134,14 @@
     }
 }
 
-async fn added_route_status(fleet: &bench::Fleet, index: usize) -> u16 {
+/// The status of a request on the route that [`with_added_route`] adds, at an instance.
+pub async fn added_route_status(fleet: &bench::Fleet, index: usize) -> u16 {
     let mut caller = fleet.caller(index).await.unwrap();
     caller.call(&call("GET", "/added/7", "probe")).await.unwrap().status()
 }
 
-fn with_added_route(version: u64) -> serde_json::Value {
+/// The standard configuration with another route.
+pub fn with_added_route(version: u64) -> serde_json::Value {
     let mut document = document::standard(version);
     let added = document::route("added", "idempotent", "app", 2, 1_000);
     document["routes"].as_array_mut().unwrap().push(added);
