A stream that no server could take is not refused for the version record

A request that begins a stream got code 1027 with a short Retry-After where servers of an unrecorded version were listed, but none accepted requests: the choice among recorded servers alone decided the reason. Both choices are made now, and the record is the reason only if it is what keeps a server from the stream. Test: `a_stream_without_a_server_that_accepts_it_is_not_refused_for_the_record` (fails without the change).

--- a/sl-route/src/state/admit.rs
+++ b/sl-route/src/state/admit.rs
@@ -209,13 +209,17 @@
             return place::choose(now, servers(), required);
         }
         let recorded = Requirements { needs_recorded_version: true, ..required };
-        match place::choose(now, servers(), recorded) {
-            Ok(placement) => Ok(placement),
-            Err(_) if self.origins.known_versions.promised_until().is_due(now) => {
-                place::choose(now, servers(), required)
-            }
-            Err(PlacementError::NoServer) => Err(PlacementError::VersionUnrecorded),
-            Err(e) => Err(e),
+        let error = match place::choose(now, servers(), recorded) {
+            Ok(placement) => return Ok(placement),
+            Err(e) => e,
+        };
+        let at_any = place::choose(now, servers(), required);
+        if self.origins.known_versions.promised_until().is_due(now) {
+            return at_any;
+        }
+        match (error, at_any) {
+            (PlacementError::NoServer, Ok(_)) => Err(PlacementError::VersionUnrecorded),
+            (error, _) => Err(error),
         }
     }
 
--- a/sl-route/tests/it/origins.rs
+++ b/sl-route/tests/it/origins.rs
@@ -7,7 +7,7 @@
 use sl_base::{RequestId, ServiceId, StreamId, UnixMillis, WallClock};
 use sl_route::{
     Arrival, Decision, Effect, Event, Options, Refusal, RetryPolicy, ServerKey, ServerRecord,
-    State,
+    ServerState, State,
     effect::OriginKnowledge,
     known_versions::NoProof,
     note::{Note, Notes},
@@ -288,6 +288,15 @@
     assert!((200..1_000).contains(&retry_after.0), "{retry_after}");
 }
 
+// Guards against a caller that is told to come back soon although no server could take its stream.
+#[test]
+fn a_stream_without_a_server_that_accepts_it_is_not_refused_for_the_record() {
+    let mut state = started(Some(versions(ERA, &["v1"])), &[]);
+    let leaving = ServerRecord { state: ServerState::Draining, ..engine("b", "v2") };
+    state.step(at(5), Event::ServerListed(leaving));
+    assert_eq!(refusal(begin(&mut state, 10, 1)), Some(Refusal::NoServer));
+}
+
 // Guards against streams that begin at a version which the record lacks while another instance has
 // renewed the record's promise, and against a promise that ends although the store takes writes.
 #[test]
