Streams keep to the version record also while a write of it may be executed late

With a renewal that is executed after an outage of 11 s, streams that had begun at an unrecorded version in the last second before a loss of all instances were joined: instances count their hold from the renewal before, 3 s earlier, and hold only 2 s longer.

Change: while a promise holds, the listing of a server of an unrecorded version extends the hold to 14 s from then; a write that lacks the version was sent before.

Test: `no_stream_is_joined`, case `late_write_before_a_long_outage` (fails without the change: a stream of v2, begun at 17.2 s, goes on at v1 at 18.5 s), and late writes among the random orders.

--- a/sl-route/src/known_versions.rs
+++ b/sl-route/src/known_versions.rs
@@ -162,6 +162,16 @@
         Ok(())
     }
 
+    /// Records that a server is listed whose version the record lacks, while a promise holds. The store may
+    /// execute a write late that was sent before, and whose promise begins when it was sent; later writes
+    /// have the version.
+    pub fn extend_promise(&mut self, now: Timestamp) {
+        if !self.promised_until.is_due(now) {
+            let until = now.after(Millis(RECORD_VALIDITY.0 + CLOCK_TOLERANCE.0));
+            self.promised_until = self.promised_until.max(until);
+        }
+    }
+
     /// Until when no stream begins at a version that the record lacks.
     pub fn promised_until(&self) -> Timestamp {
         self.promised_until
--- a/sl-route/src/state/listing.rs
+++ b/sl-route/src/state/listing.rs
@@ -147,7 +147,8 @@
             server.record = record;
             return;
         }
-        let Some(service) = self.document.services.get(&record.service) else {
+        let document = self.document.clone();
+        let Some(service) = document.services.get(&record.service) else {
             return;
         };
         let cold_until = self.directory.cold_until(&record.id);
--- a/sl-route/src/state/origins.rs
+++ b/sl-route/src/state/origins.rs
@@ -72,11 +72,12 @@
 
     /// Until when a server that is listed now begins no streams which another one can begin,
     /// because the version record lacks its version.
-    pub(super) fn unrecorded_until(&self, now: Timestamp, record: &ServerRecord) -> Timestamp {
-        let known = &self.origins.known_versions;
+    pub(super) fn unrecorded_until(&mut self, now: Timestamp, record: &ServerRecord) -> Timestamp {
+        let known = &mut self.origins.known_versions;
         if known.is_recorded(record.service, &record.version) {
             return now;
         }
+        known.extend_promise(now);
         now.after(RECORD_TIMEOUT).max(known.promised_until())
     }
 
