The end of a connection that the monitor has shut down is no orderly end

Looked for beside the fault of early responses: where the monitor finds that a server's host is gone, it shuts the socket down, and a reader saw an ordinary end, so that a response without a length would have looked whole.

Change: the monitor marks the connection as failed, as a failed read or write does. Test: `the_end_of_a_connection_whose_host_is_gone_is_no_orderly_end` (fails without the change).

--- a/sl-http/src/conn/socket.rs
+++ b/sl-http/src/conn/socket.rs
@@ -31,7 +31,7 @@
     has_probe_limit: AtomicBool,
     /// Whether the connection failed because the peer's host is gone.
     is_host_gone: AtomicBool,
-    /// Whether a read or write has failed. The system reports an error once, to whoever comes first, and
+    /// Whether a read or write has failed, or the monitor has shut the connection down. The system reports an error once, to whoever comes first, and
     /// what is read afterwards looks like an orderly end.
     has_failed: AtomicBool,
 }
@@ -74,6 +74,7 @@
     /// Fails the connection, as the peer's host is gone: reads and writes that wait end.
     pub(crate) fn fail(&self) {
         self.is_host_gone.store(true, Ordering::Relaxed);
+        self.has_failed.store(true, Ordering::Relaxed);
         self.set_reset_on_end(true);
         // Fails if the connection has ended already.
         let _ = SockRef::from(&self.stream).shutdown(Shutdown::Both);
--- a/sl-http/tests/it/peer_monitor.rs
+++ b/sl-http/tests/it/peer_monitor.rs
@@ -61,6 +61,18 @@
     assert!(conn.is_host_gone() && conn.is_closed_by_peer());
 }
 
+// Guards against a reader that takes the end of a connection which the monitor has shut down for an orderly one:
+// a response without a length would look whole.
+#[tokio::test]
+async fn the_end_of_a_connection_whose_host_is_gone_is_no_orderly_end() {
+    let monitor = PeerMonitor::default();
+    let (peer, mut conn) = paused_peer(&monitor).await;
+    SockRef::from(&peer).attach_filter(&[SockFilter::new(RETURN, 0, 0, 0)]).unwrap();
+    check_for(&monitor, HOST_TIMEOUT * 3).await.unwrap();
+    let end = conn.fill().await;
+    assert!(end.is_err(), "{end:?}");
+}
+
 // Guards against a table of connections that grows with each response.
 #[tokio::test]
 async fn a_peer_that_has_read_everything_is_no_longer_watched() {
