--- a/sl-edge/src/cache_fetch.rs
+++ b/sl-edge/src/cache_fetch.rs
@@ -69,7 +69,7 @@
             if !is_empty || !caches.bars.is_empty() {
                 self.apply(peer, caches);
             }
-            // An engine after which no page begins may come from a peer that never ends.
+            // Pages that do not advance would come again and again.
             if next <= *after {
                 let is_all = !is_empty || after.is_some();
                 return Ok(if is_all { Fetched::All } else { Fetched::NoEngine });
--- a/sl-mirror/src/mirror.rs
+++ b/sl-mirror/src/mirror.rs
@@ -200,42 +200,43 @@
     /// the key `after`, and ends after [`PAGE_BYTES_MAX`].
     pub fn page_since(&self, since: Version, after: Option<&str>) -> UpdatePage {
         let since = Some(since).filter(|it| self.has_changes_since(*it));
-        let from = after.map_or(Bound::Unbounded, Bound::Excluded);
-        let removals = since.map(|it| self.removals_since(it)).unwrap_or_default();
-        let mut removals = removals.range::<str, _>((from, Bound::Unbounded)).peekable();
-        let values = self.items.range::<str, _>((from, Bound::Unbounded));
-        let mut values = values.filter(|(_, it)| Some(it.version) > since).peekable();
         let mut page = UpdatePage { since, version: self.version, ..UpdatePage::default() };
+        let mut changes = self.changes_since(since, after);
         let mut bytes = 0;
-        loop {
-            let is_removal_next = match (removals.peek(), values.peek()) {
-                (None, None) => return page,
-                (Some(removal), Some(value)) => *removal.0 < value.0.as_str(),
-                (removal, _) => removal.is_some(),
-            };
-            let item = if is_removal_next {
-                removals.next().map(|(key, revision)| removal(key, *revision))
-            } else {
-                values.next().map(to_item)
-            };
-            let Some(item) = item else {
-                return page;
-            };
-            bytes += item.key.len() + item.value.as_ref().map_or(0, Vec::len);
-            page.items.push(item);
-            let has_more = removals.peek().is_some() || values.peek().is_some();
-            if bytes >= PAGE_BYTES_MAX && has_more {
-                page.next = page.items.last().map(|it| it.key.clone());
-                return page;
+        while let Some((key, (revision, value))) = changes.pop_first() {
+            bytes += key.len() + value.map_or(0, Vec::len);
+            page.items.push(Item { key: key.to_owned(), revision, value: value.cloned() });
+            if bytes >= PAGE_BYTES_MAX && !changes.is_empty() {
+                page.next = Some(key.to_owned());
+                break;
             }
         }
+        page
     }
 
-    /// The keys that were removed after `since` and do not exist, with the revisions of their removals.
-    fn removals_since(&self, since: Version) -> BTreeMap<&str, u64> {
-        let removed = self.tombstones.iter().filter(|(revision, _)| *revision > since.revision);
-        let removed = removed.filter(|(_, key)| !self.items.contains_key(key));
-        removed.map(|(revision, key)| (key.as_str(), *revision)).collect()
+    /// What has changed since `since`, or all items, of the keys after `after`: the revision of each, and the
+    /// value unless it was removed.
+    fn changes_since(
+        &self,
+        since: Option<Version>,
+        after: Option<&str>,
+    ) -> BTreeMap<&str, (u64, Option<&Vec<u8>>)> {
+        let from = after.map_or(Bound::Unbounded, Bound::Excluded);
+        let values = self.items.range::<str, _>((from, Bound::Unbounded));
+        let values = values.filter(|(_, it)| Some(it.version) > since);
+        let mut changes: BTreeMap<&str, (u64, Option<&Vec<u8>>)> = values
+            .map(|(key, it)| (key.as_str(), (it.version.revision, Some(&it.value))))
+            .collect();
+        let Some(since) = since else {
+            return changes;
+        };
+        for (revision, key) in &self.tombstones {
+            let is_after = after.is_none_or(|it| key.as_str() > it);
+            if is_after && *revision > since.revision && !self.items.contains_key(key) {
+                changes.insert(key, (*revision, None));
+            }
+        }
+        changes
     }
 
     /// Stores an item of the current era.
@@ -275,11 +276,3 @@
         self.tombstones_since = self.version;
     }
 }
-
-fn removal(key: &str, revision: u64) -> Item {
-    Item { key: key.to_owned(), revision, value: None }
-}
-
-fn to_item((key, stored): (&String, &StoredValue)) -> Item {
-    Item { key: key.clone(), revision: stored.version.revision, value: Some(stored.value.clone()) }
-}
