--- a/review/stand-in-3/cases.rs
+++ b/review/stand-in-3/cases.rs
@@ -2,7 +2,6 @@
 
 mod cold_server;
 mod high_rank;
-mod large_bodies;
 mod late_configuration;
 mod refused_route;
 
@@ -12,7 +11,6 @@
 pub fn run(case: &str, trouble: bool, record: &Record) -> Result<Verdict, String> {
     match case {
         "11" => late_configuration::run(trouble, record),
-        "12" => large_bodies::run(trouble, record),
         "13" => high_rank::run(trouble, record),
         "14" => refused_route::run(trouble, record),
         "15" => cold_server::run(trouble, record),
--- a/review/stand-in-3/fleet.rs
+++ b/review/stand-in-3/fleet.rs
@@ -31,18 +31,6 @@
 }
 
 impl Instance {
-    /// Kills the process, as the platform does with one that uses too much memory.
-    pub fn kill(&mut self) {
-        let _ = self.child.kill();
-    }
-
-    /// Kilobytes of memory that the process has in use; `None` once it has ended.
-    pub fn memory_kb(&self) -> Option<u64> {
-        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).ok()?;
-        let line = status.lines().find_map(|it| it.strip_prefix("VmRSS:"))?;
-        line.trim().strip_suffix("kB")?.trim().parse().ok()
-    }
-
     pub fn is_ready(&self) -> bool {
         let head = "GET /ready HTTP/1.1\r\nHost: balancer\r\n\r\n";
         http::call(self.metrics, head, b"", Duration::from_millis(500)).status == 200
--- a/review/stand-in-3/http.rs
+++ b/review/stand-in-3/http.rs
@@ -116,25 +116,6 @@
         Ok(self.buf.drain(..length).collect())
     }
 
-    /// Reads a body of `length` bytes and keeps none of it, a piece at a time with `pause` between two.
-    /// Returns how many bytes came.
-    pub fn skip(&mut self, length: usize, piece: usize, pause: Duration) -> usize {
-        let mut left = length - self.buf.len().min(length);
-        self.buf.clear();
-        let mut bytes = vec![0; piece];
-        while left > 0 {
-            let want = piece.min(left);
-            match self.stream.read(&mut bytes[..want]) {
-                Ok(read) if read > 0 => left -= read,
-                _ => return length - left,
-            }
-            if !pause.is_zero() {
-                std::thread::sleep(pause);
-            }
-        }
-        length
-    }
-
     pub fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
         self.stream.write_all(bytes)
     }
--- a/review/stand-in-3/server.rs
+++ b/review/stand-in-3/server.rs
@@ -4,7 +4,7 @@
     net::{SocketAddr, TcpListener},
     sync::{
         Arc, Mutex,
-        atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicUsize, Ordering},
+        atomic::{AtomicU32, AtomicU64, AtomicUsize, Ordering},
     },
     thread,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
@@ -48,8 +48,6 @@
     sequence: AtomicU64,
     arrivals: Mutex<Vec<Arrival>>,
     running: AtomicUsize,
-    /// Whether it reads bodies slowly.
-    reads_slowly: AtomicBool,
     /// How many times as long as usual it works.
     slowness: AtomicU32,
     cold_until: Mutex<Option<Instant>>,
@@ -57,10 +55,6 @@
 
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
 
-/// Bytes that a server which reads slowly takes at a time, and the pause after them.
-const SLOW_PIECE: usize = 64 * 1_024;
-const SLOW_PAUSE: Duration = Duration::from_millis(100);
-
 impl Server {
     pub fn start(options: Options, store: &Store) -> std::io::Result<Server> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
@@ -73,7 +67,6 @@
             sequence: AtomicU64::new(0),
             arrivals: Mutex::default(),
             running: AtomicUsize::new(0),
-            reads_slowly: AtomicBool::new(false),
             slowness: AtomicU32::new(1),
             cold_until: Mutex::default(),
         }));
@@ -98,10 +91,6 @@
         self.0.arrivals.lock().unwrap().clone()
     }
 
-    pub fn set_slow_reader(&self, is_slow: bool) {
-        self.0.reads_slowly.store(is_slow, Ordering::SeqCst);
-    }
-
     /// Has the server work so many times as long as usual.
     pub fn set_slowness(&self, times: u32) {
         self.0.slowness.store(times, Ordering::SeqCst);
@@ -159,14 +148,8 @@
             arrivals.push(Arrival { at, attempt_id: attempt_id.clone(), run_at: None });
             arrivals.len() - 1
         };
-        let (piece, pause) = match self.0.reads_slowly.load(Ordering::SeqCst) {
-            true => (SLOW_PIECE, SLOW_PAUSE),
-            false => (1 << 20, Duration::ZERO),
-        };
         let length = head.length();
-        if conn.skip(length, piece, pause) < length {
-            return None;
-        }
+        conn.body(length).ok()?;
         let echo = format!("X-Attempt-Id: {attempt_id}\r\n");
         if head.get("x-expect-instance").is_some_and(|it| it != id) {
             let fields = format!("{echo}X-Instance-Id: {id}\r\nX-Not-Executed: 1\r\n");
