A follower of the store is relied on for as long as its last answer is recent

Cause: a follower said that it follows the store for as long as no call had failed. A watch without an answer fails after 2,600 ms only, so nobody else turned to the store before. An instance that took over said so as well, before the store had answered it.

Change: what a follower tells its peers expires 750 ms after the time until which its last answer is known to have all changes (freshness.rs), which for a response that was on its way for long is when the call was sent. A watch waits for 250 ms in place of 2,000. Instances on standby take over in groups by rank, 12 at once and four times as many each 150 ms (takeover.rs); before, all did at once. The writers of records, the report that all entries are complete, and the search for a configuration at the start go by the same bound. The age of a claim counts from the peer's last report of its state, no longer from any message. Lines: `last answer of the store too old for peers to rely on`, and the ranks in `store watch resumed`; counter `store_claims_lapsed`.

--- a/sl-edge/src/catch_up.rs
+++ b/sl-edge/src/catch_up.rs
@@ -44,7 +44,7 @@
             let newer = timeout(SEED_INTERVAL.into(), self.gossip.newer_peer_seen.notified()).await;
             if newer.is_ok() {
                 self.fetch_from_newer_peer().await;
-            } else if self.core.document().version == 0 && !self.store.is_reachable() {
+            } else if self.core.document().version == 0 && !self.store.is_served() {
                 seed_index += 1;
                 self.fetch_from_seed(seed_index).await;
             }
--- a/sl-edge/src/membership.rs
+++ b/sl-edge/src/membership.rs
@@ -45,6 +45,8 @@
     is_listed: bool,
     /// When the last message of the peer was received; zero before the first.
     last_seen: Timestamp,
+    /// When the peer last reported its state; zero before the first time.
+    reported_at: Timestamp,
     /// The peer's state as of its last message; `None` before the first.
     info: Option<PeerInfo>,
 }
@@ -55,7 +57,7 @@
     /// The instance's incarnation. The lowest one has been running for longest, and so knows
     /// the most about the engines' caches.
     pub(crate) incarnation: Incarnation,
-    /// Whether the instance follows the store itself and the store responds.
+    /// Whether the instance follows the store itself and the store has just answered it.
     pub(crate) follows_store: bool,
     /// Whether, in addition, the store's entries are complete again after the last outage.
     pub(crate) has_complete_store: bool,
@@ -67,7 +69,7 @@
     pub(crate) addresses: Addresses,
 }
 
-/// A peer that sent no message for this long no longer counts as following the store.
+/// A peer that has not reported its state for this long no longer counts as following the store.
 const FOLLOWER_TIMEOUT: Millis = Millis(700);
 
 /// A peer that sent no message for this long is neither a relay nor served by one.
@@ -76,6 +78,19 @@
 /// A peer without an entry in the store is removed if it sent no message for this long.
 const UNLISTED_TIMEOUT: Millis = Millis(10_000);
 
+impl PeerEntry {
+    /// A peer that neither the store lists nor has sent a message.
+    fn unseen(addresses: Addresses) -> PeerEntry {
+        PeerEntry {
+            addresses,
+            is_listed: false,
+            last_seen: Timestamp::default(),
+            reported_at: Timestamp::default(),
+            info: None,
+        }
+    }
+}
+
 impl PeerTable {
     /// Records that the store has an entry for the instance `name`, or no longer has one.
     pub(crate) fn set_listing(&self, name: &str, addresses: Option<Addresses>) {
@@ -88,9 +103,7 @@
             }
             (Some(peer), None) => peer.is_listed = false,
             (None, Some(addresses)) => {
-                let last_seen = Timestamp::default();
-                let peer = PeerEntry { addresses, is_listed: true, last_seen, info: None };
-                peers.insert(id, peer);
+                peers.insert(id, PeerEntry { is_listed: true, ..PeerEntry::unseen(addresses) });
             }
             (None, None) => {}
         }
@@ -107,10 +120,10 @@
     pub(crate) fn record_state(&self, now: Timestamp, id: InstanceId, info: PeerInfo) {
         let mut peers = self.0.borrow_mut();
         let addresses = info.addresses;
-        let peer = PeerEntry { addresses, is_listed: false, last_seen: now, info: None };
-        let peer = peers.entry(id).or_insert(peer);
+        let peer = peers.entry(id).or_insert(PeerEntry::unseen(addresses));
         peer.addresses = addresses;
         peer.last_seen = now;
+        peer.reported_at = now;
         peer.info = Some(info);
     }
 
@@ -165,7 +178,7 @@
     /// `include_unseen`, listed peers that have not sent a message yet count as well.
     pub(crate) fn store_followers(&self, now: Timestamp, include_unseen: bool) -> Vec<InstanceId> {
         let follows = |it: &PeerEntry| match it.info {
-            Some(info) => info.follows_store && !it.last_seen.after(FOLLOWER_TIMEOUT).is_due(now),
+            Some(info) => info.follows_store && !it.reported_at.after(FOLLOWER_TIMEOUT).is_due(now),
             None => include_unseen && it.is_listed,
         };
         self.0.borrow().iter().filter(|(_, it)| follows(it)).map(|(&id, _)| id).collect()
--- a/sl-edge/src/metrics.rs
+++ b/sl-edge/src/metrics.rs
@@ -85,6 +85,8 @@
     link_bytes_received: Gauge,
     /// Outages of the store that were long enough for leases to lapse.
     pub store_outages: Counter,
+    /// Times that the last answer of the store became too old for peers to rely on this instance.
+    pub store_claims_lapsed: Counter,
     /// Requests by route and outcome.
     pub requests: Family<RouteOutcomeLabels, Counter>,
     /// Requests by team and outcome.
@@ -199,6 +201,7 @@
             link_bytes_sent: Gauge::default(),
             link_bytes_received: Gauge::default(),
             store_outages: Counter::default(),
+            store_claims_lapsed: Counter::default(),
             requests: Family::default(),
             team_requests: Family::default(),
             team_tokens: Family::default(),
@@ -447,6 +450,11 @@
             "Outages of the platform's store in which leases may have lapsed",
             self.store_outages.clone(),
         );
+        it.register(
+            "store_claims_lapsed",
+            "Times that the last answer of the platform's store became too old for peers to rely on",
+            self.store_claims_lapsed.clone(),
+        );
     }
 
     fn register(&self) {
--- a/sl-edge/src/peers.rs
+++ b/sl-edge/src/peers.rs
@@ -289,7 +289,7 @@
         SenderState {
             info: PeerInfo {
                 incarnation: self.incarnation,
-                follows_store: self.store.is_following() && self.store.is_reachable(),
+                follows_store: self.store.claim_to_follow(),
                 has_complete_store: self.store.is_complete(),
                 cores: self.cores,
                 data_centre: self.data_centre,
--- a/sl-edge/src/store.rs
+++ b/sl-edge/src/store.rs
@@ -1,7 +1,9 @@
 //! The client of the platform's store: mirrors the store's entries through lists and watches.
 
 mod follow;
+pub mod freshness;
 pub mod outage;
+pub mod takeover;
 
 pub(crate) use follow::FOLLOWERS;
 
@@ -25,6 +27,7 @@
     membership::PeerTable,
     wire::{self, CallError, Response},
 };
+use freshness::Freshness;
 use outage::{CallEnd, Outage};
 use platform::store::{self, Call};
 
@@ -41,6 +44,10 @@
     /// When the first call to list or watch the store failed since the last success; `None` while they succeed.
     unavailable_since: Cell<Option<Timestamp>>,
     outage: Cell<Outage>,
+    /// How recent the changes are that this instance has read from the store itself.
+    freshness: Cell<Freshness>,
+    /// Whether the last heartbeat said that this instance follows the store.
+    has_claimed: Cell<bool>,
     /// Whether this instance is one of the few that follow the store for the whole fleet.
     following: Cell<bool>,
     /// Until then, this instance follows the store whatever its peers do, because it did not receive changes
@@ -102,6 +109,8 @@
             has_unconfirmed_removals: Cell::new(false),
             unavailable_since: Cell::new(None),
             outage: Cell::new(Outage::new(core.now(), heartbeat)),
+            freshness: Cell::default(),
+            has_claimed: Cell::new(false),
             core,
             on_change: Box::new(on_change),
         }
@@ -176,10 +185,28 @@
         self.follow_until.set(until);
     }
 
-    /// Whether this instance may write for the fleet: it follows the store, the store responds, and
-    /// its entries are known.
+    /// Whether the store has answered this instance so recently that its peers may rely on it for
+    /// changes; see docs/design/absence.md. False on standby.
+    pub(crate) fn is_served(&self) -> bool {
+        self.is_following() && self.freshness.get().is_fresh(self.core.now())
+    }
+
+    /// What the next heartbeat says of [`StoreClient::is_served`]. Logs when it is no longer true.
+    pub(crate) fn claim_to_follow(&self) -> bool {
+        let is_served = self.is_served();
+        let has_lapsed = self.has_claimed.replace(is_served) && !is_served;
+        if has_lapsed && self.is_following() {
+            self.core.metrics.store_claims_lapsed.inc();
+            warn!(self.core.log, "last answer of the store too old for peers to rely on";
+                "version" => %self.version());
+        }
+        is_served
+    }
+
+    /// Whether this instance may write for the fleet: the store serves it, and the store's entries are
+    /// known.
     pub(crate) fn can_write(&self) -> bool {
-        self.is_following() && self.is_reachable() && !self.version().is_unknown()
+        self.is_served() && !self.version().is_unknown()
     }
 
     /// The revision at which a mirrored key was last written in this era; `None` if it does not exist.
@@ -193,10 +220,10 @@
         self.unavailable_since.get().is_none()
     }
 
-    /// Whether this instance follows the store, and the store's entries are complete
-    /// again after the last outage.
+    /// Whether the store serves this instance, and the store's entries are complete again after the
+    /// last outage.
     pub(crate) fn is_complete(&self) -> bool {
-        self.is_following() && self.is_reachable() && self.origin() == Origin::Live
+        self.is_served() && self.origin() == Origin::Live
     }
 
     /// Applies the changes received from a peer.
--- a/sl-edge/src/store/follow.rs
+++ b/sl-edge/src/store/follow.rs
@@ -1,14 +1,18 @@
 //! Following the store: lists its entries and watches for changes, as one of the few instances that
 //! do so for the whole fleet, or stands by.
 
-use sl_base::{Millis, hash};
+use sl_base::{InstanceId, Millis, Timestamp, hash};
 use sl_http::{BodyError, Conn};
 use sl_mirror::{Item, Version};
 use sl_route::{Event, stream_origin::OriginBatch};
 use slog::{debug, info, warn};
 use tokio::time::sleep;
 
-use super::{CALL_TIMEOUT, StoreClient};
+use super::{
+    CALL_TIMEOUT, StoreClient,
+    freshness::{Freshness, current_at},
+    takeover::Takeover,
+};
 use crate::{
     backoff::Backoff,
     record_schedule::FollowerRank,
@@ -52,10 +56,14 @@
 const STARTUP_PERIOD: Millis = Millis(2_000);
 
 /// How often an instance on standby checks whether it has to follow the store.
-const STANDBY_CHECK_INTERVAL: Millis = Millis(100);
+const STANDBY_CHECK_INTERVAL: Millis = Millis(50);
+
+/// How long a watch waits that only asks whether the store answers.
+const PROBE_WAIT: Millis = Millis(1);
 
-/// How long the store holds a watch open without a change.
-const WATCH_WAIT: Millis = Millis(2_000);
+/// How long the store holds a watch open without a change. Short, since until the watch ends its
+/// follower can't tell a store without changes from one that does not answer.
+const WATCH_WAIT: Millis = Millis(250);
 
 /// How much longer than its wait a watch may take before it times out.
 const WATCH_MARGIN: Millis = Millis(600);
@@ -73,8 +81,20 @@
     fn should_follow(&self) -> bool {
         let now = self.core.now();
         let is_starting = !self.started_at.after(STARTUP_PERIOD).is_due(now);
-        let lacks_changes = !self.follow_until.get().is_due(now);
-        lacks_changes || self.followers_ahead(is_starting) < FOLLOWERS
+        self.lacks_changes(now) || self.followers_ahead(is_starting) < FOLLOWERS
+    }
+
+    /// Whether this instance has to leave its standby. If followers are missing, those that rank
+    /// first take over before the others; see [`Takeover`].
+    fn should_take_over(&self, takeover: &mut Takeover) -> bool {
+        let now = self.core.now();
+        let is_due = takeover.is_due(now, self.followers_ahead(false), self.active_ahead(now));
+        self.lacks_changes(now) || is_due
+    }
+
+    /// Whether this instance did not receive changes from its peers.
+    fn lacks_changes(&self, now: Timestamp) -> bool {
+        !self.follow_until.get().is_due(now)
     }
 
     /// Whether this instance is the first of those that follow the store, which writes for the fleet.
@@ -92,10 +112,23 @@
 
     /// The number of peers that follow the store and rank before this instance.
     fn followers_ahead(&self, include_unseen: bool) -> usize {
-        let own_weight = hash::weight(FOLLOWER_HASH_KEY, self.own_id.into());
-        let ahead = self.peer_table.store_followers(self.core.now(), include_unseen);
-        let ahead = ahead.into_iter().filter(|it| *it != self.own_id);
-        ahead.filter(|it| hash::weight(FOLLOWER_HASH_KEY, (*it).into()) > own_weight).count()
+        let followers = self.peer_table.store_followers(self.core.now(), include_unseen);
+        self.count_ahead(followers)
+    }
+
+    /// The number of peers that rank before this instance and sent a message recently, whether they
+    /// follow the store or not.
+    fn active_ahead(&self, now: Timestamp) -> usize {
+        let active = self.peer_table.recently_active(now);
+        self.count_ahead(active.into_iter().map(|it| it.0))
+    }
+
+    /// How many of `peers` rank before this instance.
+    fn count_ahead(&self, peers: impl IntoIterator<Item = InstanceId>) -> usize {
+        let weight = |id: InstanceId| hash::weight(FOLLOWER_HASH_KEY, id.into());
+        let own_weight = weight(self.own_id);
+        let others = peers.into_iter().filter(|it| *it != self.own_id);
+        others.filter(|it| weight(*it) > own_weight).count()
     }
 
     /// Follows the store, or stands by, until the daemon stops.
@@ -149,26 +182,31 @@
     async fn stand_by(&self) {
         info!(self.core.log, "store watch left to peers"; "version" => %self.version());
         self.following.set(false);
+        self.freshness.set(Freshness::default());
         // An outage that this instance saw says nothing about the store while peers follow it.
         self.unavailable_since.set(None);
         let mut outage = self.outage.get();
         outage.forget(self.core.now());
         self.outage.set(outage);
-        while !self.should_follow() {
+        let mut takeover = Takeover::default();
+        while !self.should_take_over(&mut takeover) {
             sleep(STANDBY_CHECK_INTERVAL.into()).await;
         }
         self.following.set(true);
-        info!(self.core.log, "store watch resumed"; "version" => %self.version());
+        info!(self.core.log, "store watch resumed"; "version" => %self.version(),
+            "followers_ahead" => self.followers_ahead(false),
+            "active_ahead" => self.active_ahead(self.core.now()));
     }
 
     async fn list(&self, conn: &mut Option<Conn>) -> Result<(), FollowError> {
+        let sent_at = self.core.now();
         let (version, items) = self.read_range(conn, "range", "").await?;
         let (batches, items): (Vec<_>, Vec<_>) =
             items.into_iter().partition(|it| stream_origins::is_batch(&it.key));
         let items = items.into_iter().map(to_mirror_item).collect();
         let changes = self.mirror.borrow_mut().replace(version, items);
         self.watched.set(version);
-        self.mark_available();
+        self.mark_available(sent_at);
         self.publish(changes, self.origin());
         self.apply_batches(batches);
         Ok(())
@@ -246,8 +284,9 @@
     }
 
     async fn watch(&self, conn: &mut Option<Conn>) -> Result<(), FollowError> {
-        // After a failure, a watch returns at once to show whether the store responds again.
-        let wait = if self.is_reachable() { WATCH_WAIT } else { Millis(1) };
+        // Without a recent answer, a watch returns at once to show whether the store responds.
+        let wait = if self.is_served() { WATCH_WAIT } else { PROBE_WAIT };
+        let sent_at = self.core.now();
         let from = self.version().max(self.watched.get());
         let call = store::watch(from.revision, wait);
         let timeout = Millis(wait.0 + WATCH_MARGIN.0);
@@ -262,7 +301,8 @@
         let page = self.parse_page(&response)?;
         let items = page.items.into_iter().filter(|it| platform::is_mirrored(&it.key));
         let items: Vec<Item> = items.filter_map(|it| self.kept(it)).map(to_mirror_item).collect();
-        self.mark_available();
+        let is_empty = items.is_empty();
+        self.mark_available(current_at(sent_at, wait, self.core.now(), is_empty));
         self.watched.set(Version::new(from.era, page.revision));
         let changes = match items.iter().map(|it| it.revision).max() {
             Some(last) => {
@@ -302,6 +342,7 @@
     }
 
     fn mark_unavailable(&self, reason: &FollowError) {
+        self.freshness.set(Freshness::default());
         if self.unavailable_since.get().is_none() {
             self.unavailable_since.set(Some(self.core.now()));
             warn!(self.core.log, "store unavailable";
@@ -309,8 +350,12 @@
         }
     }
 
-    fn mark_available(&self) {
+    /// Records that the store has answered a list or a watch, with all changes until `current_at`.
+    fn mark_available(&self, current_at: Timestamp) {
         self.core.record_store_contact();
+        let mut freshness = self.freshness.get();
+        freshness.record_answer(current_at);
+        self.freshness.set(freshness);
         if let Some(unavailable_since) = self.unavailable_since.take() {
             let away = self.core.now().micros_since(unavailable_since) / 1_000;
             info!(self.core.log, "store available again";
--- /dev/null
+++ b/sl-edge/tests/it/freshness.rs
@@ -0,0 +1,53 @@
+//! For how long peers rely on a follower of the store.
+
+use proptest::prelude::*;
+use sl_base::{Millis, Timestamp};
+use sl_edge::store::freshness::{FRESH_FOR, Freshness, current_at};
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::from_micros(1_000_000).after(Millis(millis))
+}
+
+#[test]
+fn nobody_relies_on_a_follower_before_its_first_answer() {
+    assert!(!Freshness::default().is_fresh(at(0)));
+}
+
+// Guards against a store that answers late: what a response says may be as old as the call.
+#[test]
+fn a_response_that_was_on_its_way_for_long_counts_from_when_the_watch_was_sent() {
+    let mut freshness = Freshness::default();
+    let received_at = at(FRESH_FOR.0);
+    freshness.record_answer(current_at(at(0), Millis(250), received_at, false));
+    assert!(!freshness.is_fresh(received_at));
+}
+
+// Guards against followers that give way to others again and again while nothing changes.
+#[test]
+fn watches_without_changes_keep_a_follower_fresh_with_responses_of_a_quarter_second() {
+    let (wait, latency) = (Millis(250), 240);
+    let mut freshness = Freshness::default();
+    let mut sent_at = 0;
+    for round in 0..20 {
+        let received_at = sent_at + wait.0 + latency;
+        assert!(round == 0 || freshness.is_fresh(at(received_at)));
+        freshness.record_answer(current_at(at(sent_at), wait, at(received_at), true));
+        sent_at = received_at;
+    }
+}
+
+proptest! {
+    // Guards against a follower that is believed although the store does not answer any more.
+    #[test]
+    fn a_follower_without_answers_is_not_relied_on_for_longer_than_the_bound(
+        sent in 0_u64..10_000,
+        wait in 1_u64..2_000,
+        took in 0_u64..5_000,
+        is_empty: bool,
+    ) {
+        let received_at = at(sent + took);
+        let mut freshness = Freshness::default();
+        freshness.record_answer(current_at(at(sent), Millis(wait), received_at, is_empty));
+        prop_assert!(!freshness.is_fresh(received_at.after(FRESH_FOR)));
+    }
+}
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -9,6 +9,7 @@
 mod endless;
 mod evacuation;
 mod failure;
+mod follower_claims;
 mod interruptions;
 mod large_listings;
 mod late_copies;
