One value that cannot be held leaves the rest of a configuration and a server in service

Servers that wrote `6.0` for their slots counted as removed, all of them.

Cause: the types of the decoder were narrower than JSON's numbers (`u8`, `u32`, whole numbers only), and one field that failed made the whole configuration or entry malformed. Teams that were listed but empty read as no teams, so that no key was asked for.

Change: a field says how it was read (`Read` in platform/src/number.rs: missing, exact, nearest, unreadable), one place for all of them in place of a rule in each struct. Numbers in any notation are read as the nearest value that the type holds, null as missing, the last of two values counts. Lists are read entry by entry: one of no use is left out, an unknown route type runs at most once, a list of regions that can't be read allows none, weights with fractions keep their proportion. Priorities hold 32 bits. What differs from the text is a deviation: a line each, the gauge `configuration_deviations`, and an error of `check configuration`. Of two versions with the same whole number the one written last holds. Still malformed as a whole: no JSON, a version that is no number of at least 1, lists that are no lists; they count in `configurations_malformed`. `tenants` that is there asks for keys. The same reading holds for servers' entries, the store's answers and the list of an engine's cache.

Tests that asked for the opposite are replaced: an unknown route type, a route without a service and unreadable regions made the whole configuration an error, `slots: -6` and `born: 1.5` the entry. Now they assert what the value becomes and that the rest is read; a text or a list in place of a server's number is still an error. The check names `version` by its path in place of line and column, as the decoder sees it by itself; empty teams are an error in place of a warning.

--- a/sl-edge/src/caller/request.rs
+++ b/sl-edge/src/caller/request.rs
@@ -378,7 +378,7 @@
     route: &Route,
     metadata: &RequestMetadata,
 ) -> Result<Option<Arc<Team>>, Code> {
-    if !document.has_teams {
+    if !document.requires_keys {
         return Ok(None);
     }
     match metadata.api_key.as_deref().and_then(|it| document.team(it)) {
--- a/sl-edge/src/change_handler.rs
+++ b/sl-edge/src/change_handler.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use platform::{
-    Addresses, Entry, Malformed,
+    Addresses, Entry, Malformed, ReadDocument,
     crash_record::{CRASH_RECORD_KEY, ReadCrashRecord},
     stream_origins::VERSION_RECORD_KEY,
 };
@@ -19,6 +19,9 @@
     pub(crate) peer_table: Rc<PeerTable>,
 }
 
+/// Values of one configuration that are logged at most; the check of a configuration shows all.
+const DEVIATIONS_LOGGED_MAX: usize = 20;
+
 impl ChangeHandler {
     /// Applies changes in order; `origin` decides what a removal means. The records go first: an
     /// instance that starts has to know them before it sees the first server.
@@ -32,9 +35,11 @@
 
     fn apply_one(&self, change: &Change, origin: Origin) {
         match Entry::decode(&change.key, change.value.as_deref()) {
-            Entry::Document(Ok(document)) => self.apply_document(*document, change),
+            Entry::Document(Ok(read)) => self.apply_document(*read, change),
             Entry::Document(Err(e)) => {
-                warn!(self.core.log, "malformed configuration ignored"; "reason" => %e);
+                self.core.metrics.configurations_malformed.inc();
+                warn!(self.core.log, "malformed configuration ignored"; "reason" => %e,
+                    "in_force" => self.core.document().version);
             }
             Entry::Server { record: Some(Ok(record)), .. } => {
                 self.core.step(Event::ServerListed(record));
@@ -60,19 +65,33 @@
         }
     }
 
-    fn apply_document(&self, document: sl_route::Document, change: &Change) {
+    fn apply_document(&self, read: ReadDocument, change: &Change) {
+        let ReadDocument { document, deviations } = read;
         let before = self.core.document().version;
         let (version, routes) = (document.version, document.routes().count());
-        if version <= before {
+        if !self.is_newer(version, change) {
             info!(self.core.log, "configuration ignored: not newer than the one in force";
                 "version" => version, "in_force" => before);
             return;
         }
         self.core.metrics.document_version.set(version as i64);
+        self.core.metrics.configuration_deviations.set(deviations.len() as i64);
         self.core.step(Event::Document(document.into()));
         self.core.record_document_applied(change.clone());
         info!(self.core.log, "configuration in force";
             "version" => version, "before" => before, "routes" => routes);
+        for it in deviations.iter().take(DEVIATIONS_LOGGED_MAX) {
+            warn!(self.core.log, "value of the configuration not used as written";
+                "version" => version, "path" => &it.path, "used" => it.used);
+        }
+    }
+
+    /// Whether an entry has to replace the configuration in force. Versions that differ by less than
+    /// a whole number count as the same one; the entry written last holds then.
+    fn is_newer(&self, version: u64, change: &Change) -> bool {
+        let in_force = self.core.document().version;
+        let is_other = self.core.document_entry().is_none_or(|it| it.value != change.value);
+        version > in_force || version == in_force && version > 0 && is_other
     }
 
     fn apply_version_record(&self, record: Option<Result<VersionRecord, Malformed>>) {
--- a/sl-edge/src/metrics.rs
+++ b/sl-edge/src/metrics.rs
@@ -85,6 +85,10 @@
     link_bytes_received: Gauge,
     /// Outages of the store that were long enough for leases to lapse.
     pub store_outages: Counter,
+    /// Configurations in the store that could not be read.
+    pub configurations_malformed: Counter,
+    /// Values of the configuration in force that are not used as written.
+    pub configuration_deviations: Gauge,
     /// Times that the last answer of the store became too old for peers to rely on this instance.
     pub store_claims_lapsed: Counter,
     /// Requests by route and outcome.
@@ -201,6 +205,8 @@
             link_bytes_sent: Gauge::default(),
             link_bytes_received: Gauge::default(),
             store_outages: Counter::default(),
+            configurations_malformed: Counter::default(),
+            configuration_deviations: Gauge::default(),
             store_claims_lapsed: Counter::default(),
             requests: Family::default(),
             team_requests: Family::default(),
@@ -450,6 +456,16 @@
             "Outages of the platform's store in which leases may have lapsed",
             self.store_outages.clone(),
         );
+        it.register(
+            "configurations_malformed",
+            "Configurations in the platform's store that could not be read",
+            self.configurations_malformed.clone(),
+        );
+        it.register(
+            "configuration_deviations",
+            "Values of the configuration in force that are not used as written",
+            self.configuration_deviations.clone(),
+        );
         it.register(
             "store_claims_lapsed",
             "Times that the last answer of the platform's store became too old for peers to rely on",
--- a/sl-route/src/document.rs
+++ b/sl-route/src/document.rs
@@ -24,8 +24,9 @@
     keys: HashMap<String, Arc<Team>>,
     /// The longest timeout of any route; `None` without routes.
     longest_timeout: Option<Millis>,
-    /// Whether any teams are configured. If not, requests need no API key.
-    pub has_teams: bool,
+    /// Whether the configuration contains teams, even if none are listed. If not, requests need no API
+    /// key.
+    pub requires_keys: bool,
 }
 
 /// A route: the requests that it matches and how they are handled.
@@ -48,7 +49,7 @@
     /// The maximum number of attempts per request. Failed connections do not count.
     pub max_attempts: u32,
     /// The priority of the route's requests; 0 is the most urgent.
-    pub priority: u8,
+    pub priority: u32,
     /// Whether requests need no API key.
     pub allows_anonymous: bool,
     /// The target for the longest interval between two events of a stream.
@@ -159,7 +160,7 @@
     pub id: TeamId,
     /// The priority of the team's requests, which takes precedence over that of the route; 0 is
     /// the most urgent.
-    pub priority: u8,
+    pub priority: u32,
     /// The regions in which the team's requests may be served.
     pub allowed_regions: AllowedRegions,
 }
@@ -183,14 +184,22 @@
         let services =
             services.into_iter().map(|it| (ServiceId::of(&it.name), Arc::new(it))).collect();
         let mut keys = HashMap::new();
-        let mut has_teams = false;
+        let mut requires_keys = false;
         for (team, api_keys) in teams {
-            has_teams = true;
+            requires_keys = true;
             let team = Arc::new(team);
             keys.extend(api_keys.into_iter().map(|it| (it, team.clone())));
         }
         let longest_timeout = by_host.values().flatten().map(|it| it.timeout).max();
-        Document { version, routes: by_host, services, limits, keys, has_teams, longest_timeout }
+        Document {
+            version,
+            routes: by_host,
+            services,
+            limits,
+            keys,
+            requires_keys,
+            longest_timeout,
+        }
     }
 
     /// The route of a request to `path` at `host`: the one with the longest matching prefix. A
--- a/sl-route/src/event.rs
+++ b/sl-route/src/event.rs
@@ -247,7 +247,7 @@
     }
 
     /// The sort key of urgency, the most urgent first: the team's priority, then the route's.
-    pub fn priority(&self) -> (u8, u8) {
+    pub fn priority(&self) -> (u32, u32) {
         (self.team.as_ref().map_or(0, |it| it.priority), self.route.priority)
     }
 }
--- a/sl-route/src/region.rs
+++ b/sl-route/src/region.rs
@@ -30,6 +30,12 @@
 }
 
 impl AllowedRegions {
+    /// A list that allows no region.
+    pub fn nowhere() -> AllowedRegions {
+        // No region has an empty name.
+        AllowedRegions::from_iter([String::new()])
+    }
+
     /// Whether a data centre of this region may serve; `None` if its region is unknown.
     fn allows(&self, region: Option<&str>) -> bool {
         self.0.is_empty() || region.is_some_and(|region| self.0.iter().any(|it| it == region))
--- a/sl-route/src/route_balance.rs
+++ b/sl-route/src/route_balance.rs
@@ -58,7 +58,7 @@
 struct ServiceCounts {
     all: Counts,
     /// By the sort key of urgency, the most urgent first.
-    priorities: BTreeMap<(u8, u8), PriorityCounts>,
+    priorities: BTreeMap<(u32, u32), PriorityCounts>,
 }
 
 #[derive(Clone, Debug, Default)]
--- a/sl-route/src/state/listing.rs
+++ b/sl-route/src/state/listing.rs
@@ -39,7 +39,8 @@
 
 impl State {
     pub(super) fn on_document(&mut self, now: Timestamp, document: Arc<Document>) {
-        if document.version <= self.document.version {
+        // Of the same version, the adapter passes on only what was written later.
+        if document.version < self.document.version {
             return;
         }
         self.document = document;
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -18,6 +18,7 @@
 mod membership;
 mod note_flood;
 mod notices;
+mod odd_values;
 mod operators;
 mod refusals;
 mod rejoin;
