Only the first follower watches the store with a short wait

Change: it is enough that one follower notices a silent store soon, since the others then take over at once and one that is served is enough for all. The first follower waits for 300 ms, and so does each instance for 3 s after it has taken over, as those before it may be silent, too; the others wait for 2,000 as before. What a follower says expires 450 ms after the wait of its next watch. The groups that take over are 12, 96 and 768 instances, 100 ms apart, in place of 12, 48, 192 and 768, 150 ms apart: the bound for 744 instances is 1,770 ms by arithmetic (docs/CAPACITY.md) in place of 2,020.

--- a/sl-edge/src/store.rs
+++ b/sl-edge/src/store.rs
@@ -50,6 +50,8 @@
     has_claimed: Cell<bool>,
     /// Whether this instance is one of the few that follow the store for the whole fleet.
     following: Cell<bool>,
+    /// When this instance last took over from a follower, or started.
+    resumed_at: Cell<Timestamp>,
     /// Until then, this instance follows the store whatever its peers do, because it did not receive changes
     /// from them.
     follow_until: Cell<Timestamp>,
@@ -98,6 +100,7 @@
     ) -> StoreClient {
         StoreClient {
             following: Cell::new(true),
+            resumed_at: Cell::new(core.now()),
             follow_until: Cell::new(core.now()),
             peer_table,
             own_id,
--- a/sl-edge/src/store/follow.rs
+++ b/sl-edge/src/store/follow.rs
@@ -10,7 +10,7 @@
 
 use super::{
     CALL_TIMEOUT, StoreClient,
-    freshness::{Freshness, current_at},
+    freshness::{FIRST_WATCH_WAIT, Freshness, WATCH_WAIT, current_at},
     takeover::Takeover,
 };
 use crate::{
@@ -61,9 +61,9 @@
 /// How long a watch waits that only asks whether the store answers.
 const PROBE_WAIT: Millis = Millis(1);
 
-/// How long the store holds a watch open without a change. Short, since until the watch ends its
-/// follower can't tell a store without changes from one that does not answer.
-const WATCH_WAIT: Millis = Millis(250);
+/// For this long after it has taken over, an instance watches like the first follower: those before it may
+/// be turned away by the store, too, and say so only after their watches have ended.
+const TAKEOVER_PERIOD: Millis = Millis(3_000);
 
 /// How much longer than its wait a watch may take before it times out.
 const WATCH_MARGIN: Millis = Millis(600);
@@ -193,6 +193,7 @@
             sleep(STANDBY_CHECK_INTERVAL.into()).await;
         }
         self.following.set(true);
+        self.resumed_at.set(self.core.now());
         info!(self.core.log, "store watch resumed"; "version" => %self.version(),
             "followers_ahead" => self.followers_ahead(false),
             "active_ahead" => self.active_ahead(self.core.now()));
@@ -285,7 +286,7 @@
 
     async fn watch(&self, conn: &mut Option<Conn>) -> Result<(), FollowError> {
         // Without a recent answer, a watch returns at once to show whether the store responds.
-        let wait = if self.is_served() { WATCH_WAIT } else { PROBE_WAIT };
+        let wait = if self.is_served() { self.watch_wait() } else { PROBE_WAIT };
         let sent_at = self.core.now();
         let from = self.version().max(self.watched.get());
         let call = store::watch(from.revision, wait);
@@ -315,6 +316,13 @@
         Ok(())
     }
 
+    /// How long the next watch waits for changes.
+    fn watch_wait(&self) -> Millis {
+        let has_taken_over = !self.resumed_at.get().after(TAKEOVER_PERIOD).is_due(self.core.now());
+        let is_first = has_taken_over || self.is_first_follower();
+        if is_first { FIRST_WATCH_WAIT } else { WATCH_WAIT }
+    }
+
     /// Checks that a response is of the era `expected`, and that no later one is known.
     fn check_era(&self, response: &Response, expected: u64) -> Result<(), FollowError> {
         let stated = self.stated_era(response).unwrap_or(expected);
@@ -354,7 +362,7 @@
     fn mark_available(&self, current_at: Timestamp) {
         self.core.record_store_contact();
         let mut freshness = self.freshness.get();
-        freshness.record_answer(current_at);
+        freshness.record_answer(current_at, self.watch_wait());
         self.freshness.set(freshness);
         if let Some(unavailable_since) = self.unavailable_since.take() {
             let away = self.core.now().micros_since(unavailable_since) / 1_000;
--- a/sl-edge/src/store/freshness.rs
+++ b/sl-edge/src/store/freshness.rs
@@ -13,14 +13,24 @@
     fresh_until: Timestamp,
 }
 
-/// How old the changes may be that a follower has read. It allows for two watches without a change in
-/// a row, and for responses that take 250 ms.
-pub const FRESH_FOR: Millis = Millis(750);
+/// How long the store holds a watch of the first follower open without a change. Short, since until the
+/// watch ends its follower can't tell a store without changes from one that does not answer.
+pub const FIRST_WATCH_WAIT: Millis = Millis(300);
+
+/// The same for the other followers. They need not notice a silent store so soon: if the first one does,
+/// others take over.
+pub const WATCH_WAIT: Millis = Millis(2_000);
+
+/// How much older than the wait of a watch the changes may be that a follower has read. It allows for the
+/// responses to two watches that take 225 ms each.
+pub const FRESH_MARGIN: Millis = Millis(450);
 
 impl Freshness {
-    /// Records an answer of the store that has all changes until `current_at`; see [`current_at`].
-    pub fn record_answer(&mut self, current_at: Timestamp) {
-        self.fresh_until = self.fresh_until.max(current_at.after(FRESH_FOR));
+    /// Records an answer of the store that has all changes until `current_at` (see [`current_at`]), after
+    /// which the next watch waits for `next_wait`.
+    pub fn record_answer(&mut self, current_at: Timestamp, next_wait: Millis) {
+        let fresh_until = current_at.after(next_wait).after(FRESH_MARGIN);
+        self.fresh_until = fresh_until;
     }
 
     /// Whether peers may rely on the follower.
--- a/sl-edge/src/store/takeover.rs
+++ b/sl-edge/src/store/takeover.rs
@@ -20,13 +20,13 @@
 const FIRST_GROUP: usize = 4 * FOLLOWERS;
 
 /// The time from one group to the next: longer than a call to the store usually takes.
-pub const GROUP_INTERVAL: Millis = Millis(150);
+pub const GROUP_INTERVAL: Millis = Millis(100);
 
 /// How many times more instances may follow the store with each group.
-const GROUP_GROWTH: usize = 4;
+const GROUP_GROWTH: usize = 8;
 
 /// With so many groups every instance of the largest fleet has its turn.
-const GROUPS_MAX: u32 = 6;
+const GROUPS_MAX: u32 = 4;
 
 impl Takeover {
     /// Whether the instance has to follow the store now, if `followers_ahead` of the instances that
