--- a/sl-route/src/lib.rs
+++ b/sl-route/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod prompt;
 pub mod region;
 pub mod request;
+pub mod response_times;
 pub mod route_balance;
 pub mod sample;
 pub mod send_limit;
--- a/sl-route/src/place.rs
+++ b/sl-route/src/place.rs
@@ -10,6 +10,7 @@
     evacuation::Evacuations,
     locality::{LeaveReason, Load, Locality},
     region::RegionLimits,
+    response_times::WorkKind,
     sample::Sample,
     server::{PlainServer, Server, ServerKind},
     stream_origin::StreamOrigin,
@@ -21,6 +22,8 @@
 pub struct Requirements<'a> {
     /// The prompt, for a request to a model engine.
     pub prompt: Option<&'a Prompt>,
+    /// The kind of work, for a request to a plain server.
+    pub work: WorkKind,
     /// Servers that already had an attempt of this request and are excluded.
     pub tried: &'a [ServerKey],
     /// Limits on the expected time to the first byte and on the cost to other requests.
@@ -258,8 +261,9 @@
     let servers = if healthy.is_empty() { servers } else { healthy };
     let considered = servers.len();
     let cached = required.prompt.map(|it| CachedPrefix::find(now, &servers, it, required.locality));
-    let candidates: Vec<Candidate<'_>> =
-        servers.into_iter().filter_map(|it| evaluate(now, it, required, cached)).collect();
+    let usual_ms = usual_response_ms(now, &servers, required.work);
+    let evaluate = |it| evaluate(now, it, required, cached, usual_ms);
+    let candidates: Vec<Candidate<'_>> = servers.into_iter().filter_map(evaluate).collect();
     match best_in_time(&candidates, required) {
         Some(found) => {
             let found = with_locality(found, &candidates, required);
@@ -334,6 +338,7 @@
     server: &'a Server,
     required: Requirements<'_>,
     cached: Option<CachedPrefix>,
+    usual_ms: f64,
 ) -> Option<Candidate<'a>> {
     let connections_max = required.connections_max;
     if server.own_in_flight + required.kept_free(connections_max) >= connections_max {
@@ -341,7 +346,7 @@
     }
     let mut candidate = match &server.kind {
         ServerKind::Engine(engine) => evaluate_engine(now, server, engine, required, cached)?,
-        ServerKind::Plain(plain) => evaluate_plain(now, server, plain),
+        ServerKind::Plain(plain) => evaluate_plain(now, server, plain, required.work, usual_ms),
     };
     let charge = required.locality.charge(Load {
         data_centre: candidate.data_centre,
@@ -458,10 +463,19 @@
     age_ms.map_or(0.0, |it| EVICTION_WEIGHT * (-it / REUSE_DECAY_MS).exp())
 }
 
-fn evaluate_plain<'a>(now: Timestamp, server: &'a Server, plain: &PlainServer) -> Candidate<'a> {
+fn evaluate_plain<'a>(
+    now: Timestamp,
+    server: &'a Server,
+    plain: &PlainServer,
+    work: WorkKind,
+    usual_ms: f64,
+) -> Candidate<'a> {
     let slots = f64::from(server.record.slots.max(1));
     let load_factor = 1.0 + SLOT_LOAD_FACTOR * plain.in_flight() as f64 / slots;
-    let response_ms = plain.response_ms().max(RESPONSE_MS_MIN);
+    let known_ms = known_response_ms(now, plain, work, slots);
+    let response_ms = known_ms.unwrap_or_default().max(RESPONSE_MS_MIN);
+    // A server of which nothing is known is as good as the best one, not better.
+    let ranked_ms = known_ms.unwrap_or(usual_ms).max(RESPONSE_MS_MIN);
     let overcommit = (plain.in_flight() as f64 + 1.0 - slots).max(0.0) / slots;
     let expected_ms = response_ms * (1.0 + overcommit);
     let placement = Placement {
@@ -481,7 +495,7 @@
     Candidate {
         placement,
         data_centre: &server.record.data_centre,
-        score: response_ms * load_factor - idle_bonus,
+        score: ranked_ms * load_factor - idle_bonus,
         prefill_ms: 0.0,
         duplicate_prefill_ms: 0.0,
         is_exempt: false,
@@ -489,3 +503,26 @@
         is_interchangeable: false,
     }
 }
+
+/// Milliseconds in which a plain server is expected to respond. Nothing is known of a kind of work without
+/// a recent response, unless the server is full: a request would not show how long the work takes.
+fn known_response_ms(
+    now: Timestamp,
+    plain: &PlainServer,
+    work: WorkKind,
+    slots: f64,
+) -> Option<f64> {
+    let times = &plain.response_times;
+    let has_free_slot = (plain.in_flight() as f64) < slots;
+    let last_ms = if has_free_slot { None } else { times.last_ms(work) };
+    times.expected_ms(now, work).or(last_ms)
+}
+
+/// The lowest time to a response that is known of any of the plain servers, in milliseconds.
+fn usual_response_ms(now: Timestamp, servers: &[&Server], work: WorkKind) -> f64 {
+    let known = servers.iter().filter_map(|it| match &it.kind {
+        ServerKind::Plain(plain) => plain.response_times.expected_ms(now, work),
+        ServerKind::Engine(_) => None,
+    });
+    known.min_by(f64::total_cmp).unwrap_or_default()
+}
--- a/sl-route/src/server.rs
+++ b/sl-route/src/server.rs
@@ -7,7 +7,8 @@
 
 use crate::{
     PromptPart, ServerRecord, ServerState, breaker::Breaker, document::WarmupLimits,
-    engine::Engine, health::Health, note::AttemptKey, send_limit::SendLimit, warmup::ColdSlots,
+    engine::Engine, health::Health, note::AttemptKey, response_times::ResponseTimes,
+    send_limit::SendLimit, warmup::ColdSlots,
 };
 
 /// Identifies one run of a backend server.
@@ -89,12 +90,12 @@
     Plain(PlainServer),
 }
 
-/// The load of a server that is not a model engine: its requests in flight and its usual
-/// response time.
+/// The load of a server that is not a model engine: its requests in flight and its response times.
 #[derive(Clone, Debug, Default)]
 pub struct PlainServer {
+    /// How long this instance's requests take.
+    pub response_times: ResponseTimes,
     in_flight: Vec<PlainAttempt>,
-    response_ms: f64,
     last_sent_at: Timestamp,
 }
 
@@ -108,9 +109,6 @@
 
 const MICROS_PER_MILLI: f64 = 1_000.0;
 
-/// The weight of one response in the moving average of a server's response times.
-const RESPONSE_WEIGHT: f64 = 0.1;
-
 impl ServerKind {
     /// The model engine, if the server is one.
     pub fn engine(&self) -> Option<&Engine> {
@@ -127,11 +125,6 @@
         self.in_flight.len()
     }
 
-    /// The moving average of the time to a response, in milliseconds.
-    pub fn response_ms(&self) -> f64 {
-        self.response_ms
-    }
-
     /// When a request was last sent to the server.
     pub fn last_sent_at(&self) -> Timestamp {
         self.last_sent_at
@@ -142,11 +135,6 @@
             self.in_flight.swap_remove(index);
         }
     }
-
-    /// Records the time to a response, in milliseconds.
-    pub fn record_response_time(&mut self, millis: f64) {
-        self.response_ms += (millis - self.response_ms) * RESPONSE_WEIGHT;
-    }
 }
 
 impl Server {
--- a/sl-route/src/state/admit.rs
+++ b/sl-route/src/state/admit.rs
@@ -14,6 +14,7 @@
     place::{self, LowestEstimates, PlacementError, Requirements},
     region::RegionLimits,
     request::InFlightRequest,
+    response_times::WorkKind,
     route_balance::{Admission, RouteStanding},
     sample::Sample,
     share::{ContendedUsage, Standing},
@@ -232,6 +233,7 @@
     ) -> Requirements<'a> {
         Requirements {
             prompt: in_flight.arrival.prompt.as_ref(),
+            work: WorkKind::of(&in_flight.arrival.route),
             tried: &in_flight.tried,
             limits,
             connections_max: self.connections_max(in_flight.arrival.service),
--- a/sl-route/src/state/attempt.rs
+++ b/sl-route/src/state/attempt.rs
@@ -13,6 +13,7 @@
     note::{AttemptKey, Note},
     place::{LowestEstimates, Placement, PlacementError},
     request::{CurrentAttempt, InFlightRequest},
+    response_times::WorkKind,
     server::{Server, ServerKind},
 };
 
@@ -52,6 +53,9 @@
             return;
         };
         server.record_cached_parts(now, &parts);
+        if let ServerKind::Plain(plain) = &mut server.kind {
+            plain.response_times.record_sent(now, WorkKind::of(&in_flight.arrival.route));
+        }
         in_flight.attempts += 1;
         in_flight.tried.push(placement.server);
         let kind = AttemptKind::new(in_flight.attempts, placement.fetch.is_some());
@@ -161,6 +165,7 @@
         if let Some(current) = started {
             self.record_stream_start(&mut in_flight, current.server);
         }
+        let work = WorkKind::of(&in_flight.arrival.route);
         self.requests.insert(request, in_flight);
         let Some(CurrentAttempt { server, key, sent_at, expected_ms, kind, .. }) = started else {
             return;
@@ -172,7 +177,9 @@
             server.health.record_success(now);
             server.breaker.record_response(now);
             match &mut server.kind {
-                ServerKind::Plain(plain) => plain.record_response_time(took_ms),
+                ServerKind::Plain(plain) => {
+                    plain.response_times.record_response(now, work, sent_at);
+                }
                 ServerKind::Engine(_) => self.estimates.record_started(kind, expected_ms, took_ms),
             }
             let kind = server.kind.engine().map(|_| kind);
@@ -341,6 +348,9 @@
         let Some(current) = in_flight.current else {
             return;
         };
+        if fault == Fault::DeadlineExceeded && !current.has_response_started() {
+            self.record_unanswered(now, in_flight, current);
+        }
         // The silence of an attempt counts once, when it is noticed.
         let was_counted = fault == Fault::ResponseTimeout && current.was_silent;
         if fault != Fault::DeadlineExceeded && !was_counted {
@@ -351,6 +361,21 @@
         }
     }
 
+    /// Records that a plain server had not begun to respond when the request was due.
+    fn record_unanswered(
+        &mut self,
+        now: Timestamp,
+        in_flight: &InFlightRequest,
+        current: CurrentAttempt,
+    ) {
+        if let Some(server) = self.servers.get_mut(&current.server)
+            && let ServerKind::Plain(plain) = &mut server.kind
+        {
+            let work = WorkKind::of(&in_flight.arrival.route);
+            plain.response_times.record_unanswered(now, work, current.sent_at);
+        }
+    }
+
     fn probe_draw(&self, server: ServerKey) -> ProbeDraw {
         ProbeDraw { server, instance: self.options.instance, instances: self.instances }
     }
--- a/sl-route/tests/it/main.rs
+++ b/sl-route/tests/it/main.rs
@@ -25,6 +25,7 @@
 mod place;
 mod region;
 mod request_crashes;
+mod response_times;
 mod restore;
 mod retry;
 mod route_balance;
