An idle engine whose speed was measured long ago gets a prompt in spite of it

Prompts that would take too long by an engine's measured speed were refused for good, if no shorter prompt came to measure it anew: the speed has no age, and only prompts that are sent give samples.

Change: a speed counts as outdated 8 s after its last sample. An idle engine with an outdated speed takes a prompt that the estimate speaks against; sending it renews the estimate for 8 s, at all instances by its note, so it is one at a time over the fleet.

Measured: the new test fails on (the prompt is refused after 8 s of idleness) and passes now.

--- a/sl-route/src/engine.rs
+++ b/sl-route/src/engine.rs
@@ -103,8 +103,13 @@
     max_speedup: f64,
     /// Whether no sample was observed yet.
     is_prior: bool,
+    /// When the estimate counts as outdated: a request is then sent in spite of it.
+    outdated_at: Timestamp,
 }
 
+/// How long after its last sample a speed estimate counts as outdated.
+const SPEED_HOLDS_FOR: Millis = Millis(8_000);
+
 /// Time to the first token beyond queueing and prefill: the network round trip and one decode
 /// step.
 const FIRST_TOKEN_OVERHEAD: Millis = Millis(25);
@@ -144,14 +149,16 @@
     fn from_prior(prior: SpeedPrior) -> SpeedEstimate {
         let millis = prior.weight_tokens / prior.tokens_per_ms.max(1.0);
         let SpeedPrior { weight_tokens, max_speedup, .. } = prior;
-        SpeedEstimate { tokens: weight_tokens, millis, max_speedup, is_prior: true }
+        let outdated_at = Timestamp::NEVER;
+        SpeedEstimate { tokens: weight_tokens, millis, max_speedup, is_prior: true, outdated_at }
     }
 
     fn tokens_per_ms(self) -> f64 {
         self.tokens / self.millis
     }
 
-    fn observe(&mut self, tokens: u32, millis: f64) {
+    fn observe(&mut self, now: Timestamp, tokens: u32, millis: f64) {
+        self.outdated_at = now.after(SPEED_HOLDS_FOR);
         let min_ms = f64::from(tokens) / (self.tokens_per_ms() * self.max_speedup);
         let millis = millis.max(min_ms);
         self.max_speedup = SPEEDUP_MAX;
@@ -246,6 +253,12 @@
         self.speed.is_prior && self.queue.is_empty()
     }
 
+    /// Whether the engine is idle and its speed was last measured so long ago that a request which the
+    /// estimate speaks against may show it anew.
+    pub fn has_outdated_speed(&self, now: Timestamp) -> bool {
+        self.is_idle() && self.speed.outdated_at.is_due(now)
+    }
+
     /// Whether the speed estimate is based on samples rather than on the prior.
     pub fn has_measured_speed(&self) -> bool {
         !self.speed.is_prior
@@ -332,6 +345,10 @@
         tokens: u32,
         expires_at: Timestamp,
     ) {
+        if self.speed.outdated_at.is_due(now) {
+            // One request at a time, also if it brings no sample.
+            self.speed.outdated_at = now.after(SPEED_HOLDS_FOR);
+        }
         self.load.add(now, self.prefill_ms(tokens));
         self.prefill_done_at = offset_by_micros(
             self.prefill_done_at.max(now),
@@ -368,7 +385,7 @@
         self.shift_estimates(late_micros * CORRECTION_GAIN);
         if request.tokens >= SPEED_SAMPLE_TOKENS_MIN {
             let since = self.last_first_token_at.max(request.sent_at);
-            self.speed.observe(request.tokens, now.millis_since(since));
+            self.speed.observe(now, request.tokens, now.millis_since(since));
         }
         self.last_first_token_at = now;
         self.pace.record_prefill(self.prefill_ms(request.tokens));
--- a/sl-route/src/place.rs
+++ b/sl-route/src/place.rs
@@ -415,7 +415,7 @@
         own_has_time: false,
         left_data_centre: None,
     };
-    let is_exempt = !is_limited && is_exempt(engine, expected_ms, required);
+    let is_exempt = !is_limited && is_exempt(now, engine, expected_ms, required);
     let duplicate_tokens = cached.map_or(0, |it| it.tokens_beyond(local_tokens));
     let duplicate_prefill_ms = f64::from(duplicate_tokens) / engine.tokens_per_ms();
     let prefill_ms = engine.prefill_ms(prefill_tokens);
@@ -449,11 +449,17 @@
 /// Whether the time limit does not apply, because a refusal would help no other request: the
 /// engine's speed is unmeasured and the engine would be in time if it were
 /// `UNMEASURED_SPEEDUP_MAX` times faster than estimated, or it is idle and is expected to
-/// start its response before the request's deadline.
-fn is_exempt(engine: &Engine, expected_ms: f64, required: Requirements<'_>) -> bool {
+/// start its response before the request's deadline, or its speed has not been measured for long.
+fn is_exempt(
+    now: Timestamp,
+    engine: &Engine,
+    expected_ms: f64,
+    required: Requirements<'_>,
+) -> bool {
     let may_be_in_time = expected_ms <= required.limits.allowed_ms * UNMEASURED_SPEEDUP_MAX;
     engine.needs_speed_sample() && may_be_in_time
         || engine.is_idle() && expected_ms <= required.remaining_ms
+        || engine.has_outdated_speed(now)
 }
 
 /// Factor on a request's prefill time that accounts for prefill repeated later, because the
--- a/sl-route/tests/it/place.rs
+++ b/sl-route/tests/it/place.rs
@@ -333,3 +333,30 @@
     here.step(at(4), Event::NotesReceived { from: 2, notes: there.take_notes() });
     assert_eq!(here.servers().map(|it| it.in_flight()).sum::<usize>(), 1);
 }
+
+// Guards against prompts that are refused for good by the speed of an engine which has recovered: nothing else
+// measures it again.
+#[test]
+fn an_idle_engine_shows_its_speed_anew_by_one_request_at_a_time() {
+    let mut state = state(1, &ENGINES[..1]);
+    let short = |now, number| {
+        let prompt = prompt(&format!("p{number}"), 10_000, &format!("own-{number}"), 500);
+        arrival(at(now), number, RetryPolicy::Stream, Some(prompt))
+    };
+    let long = |now, number| {
+        let prompt = prompt(&format!("p{number}"), 90_000, &format!("own-{number}"), 500);
+        arrival(at(now), number, RetryPolicy::Stream, Some(prompt))
+    };
+    let mut now = 0;
+    for number in 1..=100 {
+        assert!(sent_target(&arrive(&mut state, at(now), short(now, number))).is_some());
+        now += 1_300;
+        complete(&mut state, at(now), number);
+    }
+    // By then some 8 tokens a millisecond, which takes longer than the 8 s that a caller waits.
+    assert!(sent_target(&arrive(&mut state, at(now), long(now, 101))).is_none());
+    now += 8_000;
+    assert!(sent_target(&arrive(&mut state, at(now), long(now, 102))).is_some());
+    assert!(sent_target(&arrive(&mut state, at(now), long(now, 103))).is_none());
+    complete(&mut state, at(now + 900), 102);
+}
