Followers don't give way to each other after a change that ends a long watch

Cause: a change counted from when its watch was sent. With a wait of 2,000 ms a change near its end was 2,000 ms old at once, so that what the follower said expired during the next watch. And an instance on standby did not count listed peers that have not sent a message yet, though the decision to stand by does.

Change: with a long wait a change counts from when it was received; only the first follower has to be exact, as others take over if it is silent. Both decisions count the same peers at the start.

--- a/sl-edge/src/store/follow.rs
+++ b/sl-edge/src/store/follow.rs
@@ -80,15 +80,20 @@
     /// receives the changes from its peers.
     fn should_follow(&self) -> bool {
         let now = self.core.now();
-        let is_starting = !self.started_at.after(STARTUP_PERIOD).is_due(now);
-        self.lacks_changes(now) || self.followers_ahead(is_starting) < FOLLOWERS
+        self.lacks_changes(now) || self.followers_ahead(self.is_starting(now)) < FOLLOWERS
+    }
+
+    /// Whether listed peers that have not sent a message yet are taken to follow the store.
+    fn is_starting(&self, now: Timestamp) -> bool {
+        !self.started_at.after(STARTUP_PERIOD).is_due(now)
     }
 
     /// Whether this instance has to leave its standby. If followers are missing, those that rank
     /// first take over before the others; see [`Takeover`].
     fn should_take_over(&self, takeover: &mut Takeover) -> bool {
         let now = self.core.now();
-        let is_due = takeover.is_due(now, self.followers_ahead(false), self.active_ahead(now));
+        let followers_ahead = self.followers_ahead(self.is_starting(now));
+        let is_due = takeover.is_due(now, followers_ahead, self.active_ahead(now));
         self.lacks_changes(now) || is_due
     }
 
--- a/sl-edge/src/store/freshness.rs
+++ b/sl-edge/src/store/freshness.rs
@@ -40,9 +40,14 @@
 }
 
 /// The time until which the response to a watch, sent at `sent_at` and received at `now`, is known to
-/// have all changes. How long the response was on its way is unknown. The store holds a watch without
-/// changes for `wait`, and sends changes at any time after the watch was sent.
+/// have all changes. The store holds a watch without changes for `wait`, and sends changes at any time after
+/// the watch was sent. How long the response was on its way is unknown, so changes count from when the watch was
+/// sent; with a long wait they would count as old in no time, and only the first follower has to be exact.
 pub fn current_at(sent_at: Timestamp, wait: Millis, now: Timestamp, is_empty: bool) -> Timestamp {
     let held_until = sent_at.after(wait);
-    if is_empty && held_until.is_due(now) { held_until } else { sent_at }
+    match held_until.is_due(now) {
+        true if is_empty => held_until,
+        false if wait > FIRST_WATCH_WAIT => now,
+        _ => sent_at,
+    }
 }
--- a/sl-edge/tests/it/freshness.rs
+++ b/sl-edge/tests/it/freshness.rs
@@ -42,6 +42,27 @@
     }
 }
 
+// Guards against a follower that is not relied on after each change which ends a long watch late: its rank and
+// those behind it took over from each other every few seconds.
+#[test]
+fn a_change_at_the_end_of_a_long_watch_keeps_a_follower_fresh_until_the_end_of_the_next_one() {
+    let received_at = at(WATCH_WAIT.0 - 10);
+    let mut freshness = Freshness::default();
+    let current_at = current_at(at(0), WATCH_WAIT, received_at, false);
+    freshness.record_answer(current_at, WATCH_WAIT);
+    assert!(freshness.is_fresh(received_at.after(WATCH_WAIT).after(Millis(200))));
+}
+
+// Guards against the same at the first follower, whose responses count from when the watch was sent.
+#[test]
+fn a_change_at_the_end_of_a_short_watch_keeps_the_first_follower_fresh() {
+    let received_at = at(FIRST_WATCH_WAIT.0 - 10);
+    let mut freshness = Freshness::default();
+    let current_at = current_at(at(0), FIRST_WATCH_WAIT, received_at, false);
+    freshness.record_answer(current_at, FIRST_WATCH_WAIT);
+    assert!(freshness.is_fresh(received_at.after(FIRST_WATCH_WAIT).after(Millis(100))));
+}
+
 proptest! {
     // Guards against a follower that is believed although the store does not answer any more.
     #[test]
--- a/tests/it/follower_claims.rs
+++ b/tests/it/follower_claims.rs
@@ -95,3 +95,23 @@
     let times = join_all(times).await;
     assert!(times.iter().all(|it| *it <= APPLY), "followers first: {order:?}, took {times:?}");
 }
+
+// Guards against instances that take over from each other while the store answers all of them: at the start, when
+// they have not heard of each other yet, and after changes which end a long watch late.
+#[tokio::test(flavor = "multi_thread")]
+async fn nobody_takes_over_while_the_store_answers_all() {
+    let fleet = fleet(INSTANCES).await;
+    followers_first(&fleet).await;
+    let taken_over = || {
+        let logs = fleet.instances.iter().map(|it| it.log());
+        logs.map(|it| it.matches("store watch resumed").count()).sum::<usize>()
+    };
+    let at_start = taken_over();
+    assert!(at_start <= INSTANCES, "{at_start}");
+    for version in 4..7 {
+        tokio::time::sleep(Duration::from_millis(1_800)).await;
+        fleet.store.put(document::CONFIG_KEY, &document::standard(version));
+    }
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    assert_eq!(taken_over(), at_start);
+}
