--- a/sl-route/src/place.rs
+++ b/sl-route/src/place.rs
@@ -1,6 +1,8 @@
 //! Placement: selects the server for a request, and rejects requests that no server is
 //! expected to respond in time.
 
+mod plain;
+
 use sl_base::{Millis, Timestamp};
 
 use crate::{
@@ -12,7 +14,7 @@
     region::RegionLimits,
     response_times::WorkKind,
     sample::Sample,
-    server::{PlainServer, Server, ServerKind},
+    server::{Server, ServerKind},
     stream_origin::StreamOrigin,
     transfer::{CachedPrefix, Fetch},
 };
@@ -178,19 +180,6 @@
 /// rate.
 const FAILURE_PENALTY_MS: f64 = 600.0;
 
-/// Relative increase of a plain server's response time from no slot to all slots in use.
-const SLOT_LOAD_FACTOR: f64 = 2.0;
-
-/// Largest bonus, in milliseconds, for a plain server that has been idle. Among servers that
-/// score the same, the one idle the longest goes first.
-const IDLE_BONUS_MS: f64 = 2.0;
-
-/// Idle time, in milliseconds, at which the bonus reaches its maximum.
-const IDLE_BONUS_FULL_MS: f64 = 5_000.0;
-
-/// Lower bound on the expected response time of a plain server, in milliseconds.
-const RESPONSE_MS_MIN: f64 = 5.0;
-
 /// How many times faster than its prior an unmeasured engine may be. The prior is derived from
 /// the configured token rate, which may date from a much smaller fleet.
 const UNMEASURED_SPEEDUP_MAX: f64 = 50.0;
@@ -261,7 +250,7 @@
     let servers = if healthy.is_empty() { servers } else { healthy };
     let considered = servers.len();
     let cached = required.prompt.map(|it| CachedPrefix::find(now, &servers, it, required.locality));
-    let usual_ms = usual_response_ms(now, &servers, required.work);
+    let usual_ms = plain::usual_response_ms(now, &servers, required.work);
     let evaluate = |it| evaluate(now, it, required, cached, usual_ms);
     let candidates: Vec<Candidate<'_>> = servers.into_iter().filter_map(evaluate).collect();
     match best_in_time(&candidates, required) {
@@ -346,7 +335,7 @@
     }
     let mut candidate = match &server.kind {
         ServerKind::Engine(engine) => evaluate_engine(now, server, engine, required, cached)?,
-        ServerKind::Plain(plain) => evaluate_plain(now, server, plain, required.work, usual_ms),
+        ServerKind::Plain(plain) => plain::evaluate(now, server, plain, required.work, usual_ms),
     };
     let charge = required.locality.charge(Load {
         data_centre: candidate.data_centre,
@@ -468,67 +457,3 @@
     let age_ms = engine.cache.eviction_age_ms(now);
     age_ms.map_or(0.0, |it| EVICTION_WEIGHT * (-it / REUSE_DECAY_MS).exp())
 }
-
-fn evaluate_plain<'a>(
-    now: Timestamp,
-    server: &'a Server,
-    plain: &PlainServer,
-    work: WorkKind,
-    usual_ms: f64,
-) -> Candidate<'a> {
-    let slots = f64::from(server.record.slots.max(1));
-    let load_factor = 1.0 + SLOT_LOAD_FACTOR * plain.in_flight() as f64 / slots;
-    let known_ms = known_response_ms(now, plain, work, slots);
-    let response_ms = known_ms.unwrap_or_default().max(RESPONSE_MS_MIN);
-    // A server of which nothing is known is as good as the best one, not better.
-    let ranked_ms = known_ms.unwrap_or(usual_ms).max(RESPONSE_MS_MIN);
-    let overcommit = (plain.in_flight() as f64 + 1.0 - slots).max(0.0) / slots;
-    let expected_ms = response_ms * (1.0 + overcommit);
-    let placement = Placement {
-        server: server.key,
-        expected_ms,
-        decode_ms: 0.0,
-        backlog_ms: response_ms * overcommit,
-        prefill_tokens: 0,
-        fetch: None,
-        candidates: 0,
-        view_age_ms: 0.0,
-        own_has_time: false,
-        left_data_centre: None,
-    };
-    let idle_ms = now.millis_since(plain.last_sent_at());
-    let idle_bonus = IDLE_BONUS_MS * (idle_ms / IDLE_BONUS_FULL_MS).min(1.0);
-    Candidate {
-        placement,
-        data_centre: &server.record.data_centre,
-        score: ranked_ms * load_factor - idle_bonus,
-        prefill_ms: 0.0,
-        duplicate_prefill_ms: 0.0,
-        is_exempt: false,
-        ends_in_time: true,
-        is_interchangeable: false,
-    }
-}
-
-/// Milliseconds in which a plain server is expected to respond. Nothing is known of a kind of work without
-/// a recent response, unless the server is full: a request would not show how long the work takes.
-fn known_response_ms(
-    now: Timestamp,
-    plain: &PlainServer,
-    work: WorkKind,
-    slots: f64,
-) -> Option<f64> {
-    let times = &plain.response_times;
-    let has_free_slot = (plain.in_flight() as f64) < slots;
-    let last_ms = if has_free_slot { None } else { times.last_ms(work) };
-    times.expected_ms(now, work).or(last_ms)
-}
-
-/// The lowest time to a response that is known of any of the plain servers, in milliseconds.
-fn usual_response_ms(now: Timestamp, servers: &[&Server], work: WorkKind) -> f64 {
-    let known = servers.iter().filter_map(|it| match &it.kind {
-        ServerKind::Plain(plain) => plain.response_times.expected_ms(now, work),
-        ServerKind::Engine(_) => None,
-    });
-    known.min_by(f64::total_cmp).unwrap_or_default()
-}
