A watch that ends without a change doesn't move on past the changes that it missed

Cause: the stand-in's watches hear of nothing for a second while a change is made, and one that ends in that time names the revision after it. The follower went on from there, so that neither the change nor the loss of the history was noticed. With a wait of 2,000 ms hardly a watch ended in that second; with 300 ms it does.

Change: a watch without changes is followed by one from the same revision. The store then shows what was missed, or that it is no longer kept.

--- a/sl-edge/src/store/follow.rs
+++ b/sl-edge/src/store/follow.rs
@@ -305,11 +305,15 @@
             return Err(FollowError::HistoryCompacted);
         }
         let page = self.parse_page(&response)?;
+        // If the store is further without a change to show, its watches have missed some. The next watch starts
+        // from the same revision, so that it gets them, or learns that they are no longer kept.
+        let is_empty = page.items.is_empty() && page.malformed == 0;
         let items = page.items.into_iter().filter(|it| platform::is_mirrored(&it.key));
         let items: Vec<Item> = items.filter_map(|it| self.kept(it)).map(to_mirror_item).collect();
-        let is_empty = items.is_empty();
         self.mark_available(current_at(sent_at, wait, self.core.now(), is_empty));
-        self.watched.set(Version::new(from.era, page.revision));
+        if !is_empty {
+            self.watched.set(Version::new(from.era, page.revision));
+        }
         let changes = match items.iter().map(|it| it.revision).max() {
             Some(last) => {
                 let version = Version::new(from.era, last);
