--- a/sl-route/tests/it/response_times.rs
+++ b/sl-route/tests/it/response_times.rs
@@ -12,8 +12,7 @@
 
 use crate::testbed::{arrival, arrive, at, route, sent_target, state};
 
-/// The users' letter asks for servers to be used again within seconds of their recovery. This is the longest time
-/// from then until a route is served as before.
+/// The longest time from the recovery of servers until a route is served as before.
 const RECOVERY: Millis = Millis(10_000);
 
 const SERVERS: [(&str, &str); 4] = [("a", "app"), ("b", "app"), ("c", "app"), ("d", "app")];
