One slow response no longer leaves a plain server unused

Callers saw: nothing refused, but work that no longer spread. A server whose first response was slow, as the first on a new connection is, got no request for two seconds or more.

Cause: since the first response is the whole average, and servers were compared by it.

Change: the first responses count alike in the average, servers are compared by it to the degree to which it is known, and up to a quarter above the best is no difference. Whether a response comes in time is still judged by the whole average.

The new test servers_share_the_work_after_one_slow_response fails on (23 of 24 requests on one of two servers; 18 of 24 with a later slow response) and passes now.

--- a/sl-route/src/place/plain.rs
+++ b/sl-route/src/place/plain.rs
@@ -18,6 +18,10 @@
 /// Idle time, in milliseconds, at which the bonus reaches its maximum.
 const IDLE_BONUS_FULL_MS: f64 = 5_000.0;
 
+/// Servers rank like the best one if they take up to this many times longer: a few responses make such a difference, and
+/// it is no reason to leave a server unused.
+const SIMILAR_FACTOR: f64 = 1.25;
+
 /// Lower bound on the expected response time of a plain server, in milliseconds.
 const RESPONSE_MS_MIN: f64 = 5.0;
 
@@ -34,8 +38,8 @@
     let load_factor = 1.0 + SLOT_LOAD_FACTOR * plain.in_flight() as f64 / slots;
     let known_ms = known_response_ms(now, plain, work, slots);
     let response_ms = known_ms.unwrap_or_default().max(RESPONSE_MS_MIN);
-    // A server of which nothing is known is as good as the best one, not better.
-    let ranked_ms = known_ms.unwrap_or(usual_ms).max(RESPONSE_MS_MIN);
+    let confidence = plain.response_times.confidence(work);
+    let ranked_ms = ranked_response_ms(known_ms, confidence, usual_ms);
     let overcommit = (plain.in_flight() as f64 + 1.0 - slots).max(0.0) / slots;
     let expected_ms = response_ms * (1.0 + overcommit);
     let placement = Placement {
@@ -78,6 +82,15 @@
     times.expected_ms(now, work).or(last_ms)
 }
 
+/// Milliseconds by which a plain server is compared with others. A server of which nothing is known is as good as the
+/// best one, not better, and a few slow responses make it little worse.
+fn ranked_response_ms(known_ms: Option<f64>, confidence: f64, usual_ms: f64) -> f64 {
+    let usual_ms = usual_ms.max(RESPONSE_MS_MIN);
+    let known_ms = known_ms.unwrap_or(usual_ms).max(usual_ms);
+    let believed_ms = usual_ms + (known_ms - usual_ms) * confidence;
+    (believed_ms / SIMILAR_FACTOR).max(usual_ms)
+}
+
 /// The lowest time to a response that is known of any of the plain servers, in milliseconds.
 pub(super) fn usual_response_ms(now: Timestamp, servers: &[&Server], work: WorkKind) -> f64 {
     let known = servers.iter().filter_map(|it| match &it.kind {
--- a/sl-route/src/response_times.rs
+++ b/sl-route/src/response_times.rs
@@ -35,6 +35,11 @@
     kind: WorkKind,
     /// The moving average, in milliseconds.
     mean_ms: f64,
+    /// The weight of the responses that the average counts, from 0 to 1. The average is divided by it, so
+    /// that the first response counts no more than the second.
+    weight: f64,
+    /// The same weight, with the responses of the averages before this one.
+    confidence: f64,
     /// When the first request was sent that the average counts.
     since: Timestamp,
     /// When the last response was recorded.
@@ -70,6 +75,12 @@
         (!estimate.holds_until.is_due(now)).then_some(estimate.mean_ms)
     }
 
+    /// How far the average is to be believed when servers are compared, from 0 to 1. One response says
+    /// little: it may be slow because its connection was new.
+    pub fn confidence(&self, kind: WorkKind) -> f64 {
+        self.estimates.iter().find(|it| it.kind == kind).map_or(0.0, |it| it.confidence)
+    }
+
     /// The milliseconds to a response that were expected last, however long ago.
     pub fn last_ms(&self, kind: WorkKind) -> Option<f64> {
         self.estimates.iter().find(|it| it.kind == kind).map(|it| it.mean_ms)
@@ -113,12 +124,15 @@
         let renews = estimate.renewed_at.is_some_and(|it| sent_at >= it);
         let has_ended = estimate.renewed_at.is_none() && estimate.holds_until.is_due(now);
         if renews || has_ended {
-            let answered_sent_at = estimate.answered_sent_at;
+            let Estimate { answered_sent_at, confidence, .. } = *estimate;
             *estimate = Estimate::new(now, kind, sent_at, millis);
             estimate.answered_sent_at = answered_sent_at;
+            estimate.confidence = confidence;
             return;
         }
-        estimate.mean_ms += (millis - estimate.mean_ms) * RESPONSE_WEIGHT;
+        estimate.weight += (1.0 - estimate.weight) * RESPONSE_WEIGHT;
+        estimate.confidence += (1.0 - estimate.confidence) * RESPONSE_WEIGHT;
+        estimate.mean_ms += (millis - estimate.mean_ms) * RESPONSE_WEIGHT / estimate.weight;
         estimate.sampled_at = now;
         estimate.holds_until = estimate.holds_until.max(now.after(estimate.holds_for()));
     }
@@ -144,6 +158,8 @@
         let mut estimate = Estimate {
             kind,
             mean_ms: millis,
+            weight: RESPONSE_WEIGHT,
+            confidence: RESPONSE_WEIGHT,
             since: sent_at,
             sampled_at: now,
             holds_until: now,
--- a/sl-route/tests/it/response_times.rs
+++ b/sl-route/tests/it/response_times.rs
@@ -187,6 +187,30 @@
     assert!(served >= 0.99, "{served}");
 }
 
+// Guards against a single slow response, as the first one on a new connection is, that leaves a server unused.
+#[rstest]
+#[case::first_response(0)]
+#[case::later_response(8)]
+fn servers_share_the_work_after_one_slow_response(#[case] slow_number: u64) {
+    const REQUESTS: u64 = 24;
+    const EVERY_MS: u64 = 60;
+    let mut state = state(0, &SERVERS[..2]);
+    let mut sent = Vec::new();
+    for number in 0..REQUESTS {
+        let now = number * EVERY_MS;
+        let arrival = Arrival {
+            route: route_of(SHORT),
+            ..arrival(at(now), number, RetryPolicy::NonIdempotent, None)
+        };
+        let effects = arrive(&mut state, at(now), arrival);
+        sent.push(sent_target(&effects).unwrap().id.clone());
+        let took_ms = if number == slow_number { 3 * SHORT.work_ms } else { SHORT.work_ms };
+        end(&mut state, now + took_ms, &Due { at_ms: now + took_ms, number, is_response: true });
+    }
+    let shares = SERVERS[..2].iter().map(|it| sent.iter().filter(|id| ***id == *it.0).count());
+    assert!(shares.min() >= Some(REQUESTS as usize / 4), "{sent:?}");
+}
+
 fn kind(name: &'static str) -> WorkKind {
     WorkKind::of(&route_of(Load { name, ..SHORT }))
 }
