A server that turns cold while the store is down gets few requests

Cause: its entry cannot be written, and of its responses only those to health requests say that it is cold. Nobody asked.

Change: while fewer instances than usual have recent answers of the store for 500 ms, one instance asks each server that may turn cold for its health, three times a second, and tells its peers as before. `health_path` is read from the configuration.

--- a/bench/src/load/fleet.rs
+++ b/bench/src/load/fleet.rs
@@ -56,6 +56,7 @@
         max_connections: 1_000,
         engine,
         warmup: None,
+        health_path: None,
     });
     let total_tokens_per_ms: f64 =
         (0..options.engines).map(|it| engine_tokens_per_ms(options.load, it)).sum();
--- a/bench/src/load/play.rs
+++ b/bench/src/load/play.rs
@@ -210,7 +210,9 @@
                     self.finish_call(request.0 as usize, Outcome::Failed);
                 }
                 Effect::Log(decision) => self.record_decision(&decision),
-                Effect::KeepWaiting { .. } | Effect::ListCache { .. } => {}
+                Effect::KeepWaiting { .. }
+                | Effect::ListCache { .. }
+                | Effect::CheckHealth { .. } => {}
             }
         }
         self.schedule_notes(instance);
--- a/sl-edge/src/core.rs
+++ b/sl-edge/src/core.rs
@@ -25,8 +25,9 @@
 use tokio::sync::{Notify, mpsc};
 
 use crate::{
-    clock::Clock, detail::TailSampler, handle::SharedRecorder, log::Line, metrics::Metrics,
-    overload::LoadShedder, peers::arrivals::PeerArrival, shutdown::ShutdownControl,
+    clock::Clock, detail::TailSampler, handle::SharedRecorder, health::HealthCheck, log::Line,
+    metrics::Metrics, overload::LoadShedder, peers::arrivals::PeerArrival,
+    shutdown::ShutdownControl,
 };
 
 /// What the reducer decided to do next with one request.
@@ -73,8 +74,15 @@
     document_entry: RefCell<Option<Change>>,
     ready: Arc<AtomicBool>,
     pub(crate) recorder: SharedRecorder,
+    server_calls: ServerCalls,
+}
+
+/// Where the calls to servers are made that belong to no request of a caller.
+pub(crate) struct ServerCalls {
     /// Engines whose cache contents are to be listed.
-    cache_list_tx: mpsc::UnboundedSender<(ServerKey, SocketAddr)>,
+    pub(crate) cache_lists: mpsc::UnboundedSender<(ServerKey, SocketAddr)>,
+    /// Servers that are to be asked for their health.
+    pub(crate) health_checks: mpsc::UnboundedSender<HealthCheck>,
 }
 
 /// Messages from peers since the last log line about them, and gaps in their sequence numbers.
@@ -115,14 +123,13 @@
 const GAUGE_INTERVAL: Millis = Millis(1_000);
 
 impl Core {
-    /// `cache_list_tx` receives the engines whose cache contents are to be listed; a graceful
-    /// shutdown ends within `drain_timeout`.
+    /// A graceful shutdown ends within `drain_timeout`.
     pub(crate) fn new(
         state: State,
         log: Logger,
         metrics: Metrics,
         recorder: SharedRecorder,
-        cache_list_tx: mpsc::UnboundedSender<(ServerKey, SocketAddr)>,
+        server_calls: ServerCalls,
         drain_timeout: Millis,
     ) -> Core {
         Core {
@@ -146,7 +153,7 @@
             document_entry: RefCell::default(),
             ready: Arc::default(),
             recorder,
-            cache_list_tx,
+            server_calls,
         }
     }
 
@@ -316,6 +323,14 @@
         }
     }
 
+    /// Reports to the reducer what a server's response says of the server itself, where no caller waits for it.
+    pub(crate) fn report_server_state(&self, server: ServerKey, headers: &Headers) {
+        if platform::announces_drain(headers) {
+            self.step(Event::ServerNotice { server, notice: ServerNotice::Draining });
+        }
+        self.report_warmup(server, headers);
+    }
+
     /// When the store's contents were last confirmed.
     pub(crate) fn store_contact_at(&self) -> Timestamp {
         self.store_contact_at.get()
@@ -345,7 +360,11 @@
             }
             Effect::ListCache { server, address } => {
                 // Fails only if the receiving task has ended because the daemon shuts down.
-                let _ = self.cache_list_tx.send((server, address));
+                let _ = self.server_calls.cache_lists.send((server, address));
+            }
+            Effect::CheckHealth { server, address, path } => {
+                // As above.
+                let _ = self.server_calls.health_checks.send(HealthCheck { server, address, path });
             }
             Effect::Log(decision) => self.log_decision(decision),
         }
--- a/sl-edge/src/engines.rs
+++ b/sl-edge/src/engines.rs
@@ -4,7 +4,7 @@
 
 use sl_base::Millis;
 use sl_http::Headers;
-use sl_route::{Event, PromptPart, ServerKey, ServerNotice};
+use sl_route::{Event, PromptPart, ServerKey};
 use slog::debug;
 use tokio::{sync::mpsc, time::Instant};
 
@@ -33,11 +33,8 @@
             continue;
         }
         let listed = fetch_list(address).await;
-        if matches!(&listed, Ok(it) if platform::announces_drain(&it.headers)) {
-            core.step(Event::ServerNotice { server, notice: ServerNotice::Draining });
-        }
         if let Ok(it) = &listed {
-            core.report_warmup(server, &it.headers);
+            core.report_server_state(server, &it.headers);
         }
         match listed {
             Ok(CacheList { parts, .. }) => core.step(Event::CacheListed { server, parts }),
--- a/sl-edge/src/lib.rs
+++ b/sl-edge/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod event_sequence;
 mod events;
 mod handle;
+mod health;
 pub mod lag;
 mod log;
 pub mod log_buffer;
--- a/sl-edge/src/metrics.rs
+++ b/sl-edge/src/metrics.rs
@@ -91,6 +91,8 @@
     pub configuration_deviations: Gauge,
     /// Times that the last answer of the store became too old for peers to rely on this instance.
     pub store_claims_lapsed: Counter,
+    /// Requests for the health of servers, while the store was silent.
+    pub health_checks: Counter,
     /// Requests by route and outcome.
     pub requests: Family<RouteOutcomeLabels, Counter>,
     /// Requests by team and outcome.
@@ -208,6 +210,7 @@
             configurations_malformed: Counter::default(),
             configuration_deviations: Gauge::default(),
             store_claims_lapsed: Counter::default(),
+            health_checks: Counter::default(),
             requests: Family::default(),
             team_requests: Family::default(),
             team_tokens: Family::default(),
@@ -471,6 +474,11 @@
             "Times that the last answer of the platform's store became too old for peers to rely on",
             self.store_claims_lapsed.clone(),
         );
+        it.register(
+            "health_checks",
+            "Requests for the health of servers, while the platform's store was silent",
+            self.health_checks.clone(),
+        );
     }
 
     fn register(&self) {
--- a/sl-edge/src/run.rs
+++ b/sl-edge/src/run.rs
@@ -33,11 +33,11 @@
     change_handler::ChangeHandler,
     clock::Clock,
     connection_tracker::ConnectionTracker,
-    core::Core,
+    core::{Core, ServerCalls},
     crash_record_writer::CrashRecordWriter,
     engines,
     handle::{Handle, QUERY_QUEUE_LEN, Query, SharedRecorder},
-    log,
+    health, log,
     log_buffer::LogWriter,
     membership::{Membership, PeerTable},
     metrics::Metrics,
@@ -198,16 +198,18 @@
         let max_callers = settings.bounds.max_descriptors as usize / CALLER_DESCRIPTORS_DIVISOR;
         let connections = Rc::new(ConnectionTracker::new(max_callers));
         let recorder = SharedRecorder::new(&settings.name);
-        let (cache_list_tx, cache_list_rx) = mpsc::unbounded_channel();
+        let (cache_lists, cache_list_rx) = mpsc::unbounded_channel();
+        let (health_checks, health_check_rx) = mpsc::unbounded_channel();
         let core = Rc::new(Core::new(
             state,
             log,
             Metrics::default(),
             recorder,
-            cache_list_tx,
+            ServerCalls { cache_lists, health_checks },
             settings.periods.drain_timeout,
         ));
         spawn_local(engines::list_caches(core.clone(), cache_list_rx));
+        spawn_local(health::check_servers(core.clone(), health_check_rx));
         let peer_table = Rc::new(PeerTable::default());
         let change_handler = ChangeHandler { core: core.clone(), peer_table: peer_table.clone() };
         let on_change = move |changes, origin| change_handler.apply(changes, origin);
@@ -312,7 +314,8 @@
         spawn_local(caller::accept_loop(ingress.clone(), caller_listener));
         spawn_local(async move { store.run().await });
         let (own_id, cores) = (settings.id(), settings.cores.value() as f32);
-        spawn_local(run_ticks(ingress, self.peer_table.clone(), own_id, cores));
+        let store = self.store.clone();
+        spawn_local(run_ticks(ingress, store, self.peer_table.clone(), own_id, cores));
         spawn_local({
             let membership = membership.clone();
             async move { membership.run().await }
@@ -383,6 +386,7 @@
 
 async fn run_ticks(
     ingress: Rc<Ingress>,
+    store: Rc<StoreClient>,
     peer_table: Rc<PeerTable>,
     own_id: InstanceId,
     cores: f32,
@@ -409,6 +413,9 @@
             listed_before = listed;
         }
         ingress.core.step(Event::StoreContact(ingress.core.store_contact_at()));
+        if store.is_followed() {
+            ingress.core.step(Event::StoreFollowed);
+        }
         ingress.core.set_largest_ratio(peer_table.largest_ratio(cores));
         let connection_share = peer_table.connection_share(own_id, cores);
         ingress.core.step(Event::ConnectionShare(connection_share));
--- a/sl-edge/src/store/follow.rs
+++ b/sl-edge/src/store/follow.rs
@@ -115,6 +115,18 @@
         FollowerRank { ahead: ahead as u64, followers: others as u64 + 1 }
     }
 
+    /// Whether as many instances as usual have recent answers of the store, so that none of its changes is
+    /// missed. The first of them to say otherwise is the one whose watches are the shortest.
+    pub(crate) fn is_followed(&self) -> bool {
+        let now = self.core.now();
+        let is_peer = |it: &InstanceId| *it != self.own_id;
+        let served_peers = self.peer_table.store_followers(now, false).into_iter().filter(is_peer);
+        let active_peers = self.peer_table.recently_active(now);
+        let instances = active_peers.iter().filter(|it| is_peer(&it.0)).count() + 1;
+        let served = served_peers.count() + usize::from(self.is_served());
+        served >= FOLLOWERS.min(instances)
+    }
+
     /// The number of peers that follow the store and rank before this instance.
     fn followers_ahead(&self, include_unseen: bool) -> usize {
         let followers = self.peer_table.store_followers(self.core.now(), include_unseen);
--- a/sl-route/src/document.rs
+++ b/sl-route/src/document.rs
@@ -98,6 +98,8 @@
     pub engine: Option<EngineLimits>,
     /// What its servers take while they are cold; `None` if they never are.
     pub warmup: Option<WarmupLimits>,
+    /// The path of requests for a server's health; `None` if its servers take none.
+    pub health_path: Option<Arc<str>>,
 }
 
 /// What a server takes while it is cold.
--- a/sl-route/src/effect.rs
+++ b/sl-route/src/effect.rs
@@ -60,6 +60,15 @@
         /// The address on which the engine listens.
         address: SocketAddr,
     },
+    /// Ask a server for its health, to read what the head of its response says.
+    CheckHealth {
+        /// The server to ask.
+        server: ServerKey,
+        /// The address on which the server listens.
+        address: SocketAddr,
+        /// The path to ask for.
+        path: Arc<str>,
+    },
     /// Write a decision to the log.
     Log(Decision),
 }
--- a/sl-route/src/event.rs
+++ b/sl-route/src/event.rs
@@ -161,9 +161,16 @@
     ConnectionShare(f64),
     /// The ids of the instances that the platform's store lists, sorted.
     InstancesListed(Vec<u32>),
+    /// A server has responded to a request for its health, or failed to.
+    HealthChecked {
+        /// The server that was asked.
+        server: ServerKey,
+    },
     /// The platform's store, or a peer on its behalf, last confirmed the store's contents at this
     /// time.
     StoreContact(Timestamp),
+    /// The platform's store answers as many instances as usual, so that none of its changes is missed.
+    StoreFollowed,
 }
 
 /// What a server asks of its callers in the head of a response.
--- a/sl-route/src/server.rs
+++ b/sl-route/src/server.rs
@@ -75,6 +75,8 @@
     pub warm_entries_from: Timestamp,
     /// What the server takes while it is cold; `None` if it never is.
     pub warmup: Option<WarmupLimits>,
+    /// When this instance may ask the server for its health again; never while it awaits a response.
+    pub check_health_at: Timestamp,
     /// When this instance may send to the server while it is cold.
     pub cold_slots: ColdSlots,
     /// The limit that the server names on the requests of all instances; `None` without one.
@@ -166,6 +168,11 @@
         self.warmup.is_some() && (self.may_have_restarted || !self.cold_until.is_due(now))
     }
 
+    /// Whether the server may turn cold without having announced it yet.
+    pub fn may_turn_cold(&self, now: Timestamp) -> bool {
+        self.warmup.is_some() && !self.is_cold(now)
+    }
+
     /// For how long the server is still cold. One that may have restarted is assumed to have done so
     /// just now.
     pub fn cold_for(&self, now: Timestamp) -> Millis {
--- a/sl-route/src/state.rs
+++ b/sl-route/src/state.rs
@@ -5,6 +5,7 @@
 mod cache;
 mod crashes;
 mod evacuation;
+mod health_checks;
 mod limits;
 mod listing;
 mod locality;
@@ -106,6 +107,8 @@
     listed_instances: Vec<u32>,
     /// When this instance last heard from the platform's store or from a peer.
     contact_at: Timestamp,
+    /// When the platform's store last answered as many instances as usual.
+    store_followed_at: Timestamp,
     /// Servers that turned cold or warm, or may have, in the current step.
     cold_changes: Vec<ColdChange>,
     part_demand: PartDemand,
@@ -164,6 +167,7 @@
             instances: INSTANCES_DEFAULT,
             listed_instances: Vec::new(),
             contact_at: now,
+            store_followed_at: now,
             cold_changes: Vec::new(),
             part_demand: PartDemand::new(now),
             announce_cold_at: now,
@@ -237,7 +241,9 @@
             Event::ConnectionShare(share) => self.connection_share = share,
             Event::InstanceCount(instances) => self.on_instance_count(now, instances),
             Event::InstancesListed(instances) => self.on_instances_listed(now, instances),
+            Event::HealthChecked { server } => self.on_health_checked(now, server),
             Event::StoreContact(at) => self.contact_at = self.contact_at.max(at),
+            Event::StoreFollowed => self.store_followed_at = now,
         }
         self.apply_cold_changes(now);
         if self.prune_at.is_due(now) {
@@ -347,6 +353,7 @@
     fn on_tick(&mut self, now: Timestamp) {
         self.update_limit_shares(now);
         self.update_cold_servers(now);
+        self.check_health(now);
         std::mem::take(&mut self.repeated_notes).into_iter().for_each(|it| self.queue_note(it));
         self.report_activity(now);
         self.report_estimates(now);
--- a/sl-route/src/state/listing.rs
+++ b/sl-route/src/state/listing.rs
@@ -179,6 +179,7 @@
                 cold_announced_until: now,
                 warm_entries_from: now,
                 warmup: service.warmup,
+                check_health_at: now,
                 cold_slots: ColdSlots::WARM,
                 send_limit: None,
             },
--- a/sl-route/tests/it/lost_ends.rs
+++ b/sl-route/tests/it/lost_ends.rs
@@ -17,6 +17,7 @@
         max_connections: 100,
         engine,
         warmup: None,
+        health_path: None,
     });
     let route = route(RetryPolicy::Stream, "model").as_ref().clone();
     Arc::new(Document::new(2, [route], services, Limits::default(), []))
--- a/sl-route/tests/it/testbed.rs
+++ b/sl-route/tests/it/testbed.rs
@@ -74,6 +74,7 @@
         max_connections: 100,
         engine,
         warmup,
+        health_path: None,
     });
     let limits = Limits { tokens_per_s: Some(120_000.0), ..Limits::default() };
     Arc::new(Document::new(version, [], services, limits, []))
@@ -174,6 +175,8 @@
 
 /// The effects that concern requests.
 pub fn request_effects(effects: Vec<Effect>) -> Vec<Effect> {
-    let is_on_request = |it: &Effect| !matches!(it, Effect::Log(_) | Effect::ListCache { .. });
+    let is_on_request = |it: &Effect| {
+        !matches!(it, Effect::Log(_) | Effect::ListCache { .. } | Effect::CheckHealth { .. })
+    };
     effects.into_iter().filter(is_on_request).collect()
 }
--- a/sl-route/tests/it/warmup.rs
+++ b/sl-route/tests/it/warmup.rs
@@ -160,6 +160,7 @@
         max_connections: 100,
         engine,
         warmup,
+        health_path: Some("/healthz".into()),
     });
     Arc::new(Document::new(1, [], services, Limits::default(), []))
 }
@@ -851,3 +852,106 @@
     }
     assert!(!is_sender(1, 400, &listed, 295), "an instance that is not listed sends nothing");
 }
+
+fn checked_servers(effects: &[Effect]) -> Vec<ServerKey> {
+    let checked = |it: &Effect| match it {
+        Effect::CheckHealth { server, .. } => Some(*server),
+        _ => None,
+    };
+    effects.iter().filter_map(checked).collect()
+}
+
+/// The servers that an instance asks for their health in each of `ticks` ticks, 100 ms apart. Each responds
+/// at once.
+fn checks(
+    state: &mut State,
+    ticks: std::ops::Range<u64>,
+    is_store_followed: bool,
+) -> Vec<ServerKey> {
+    let mut all = Vec::new();
+    for tick in ticks {
+        let now = at(tick * 100);
+        if is_store_followed {
+            state.step(now, Event::StoreFollowed);
+        }
+        for server in checked_servers(&state.step(now, Event::Tick)) {
+            state.step(now, Event::HealthChecked { server });
+            all.push(server);
+        }
+    }
+    all
+}
+
+// Guards against health requests in calm days, and against servers that are asked all the time.
+#[test]
+fn servers_are_asked_for_their_health_only_while_the_store_is_silent() {
+    let mut state = lone_instance();
+    state.step(START, Event::ServerListed(record("s", "app")));
+    assert!(checks(&mut state, 0..100, true).is_empty());
+    // Three in each second, from half a second after the last answer on.
+    let asked = checks(&mut state, 100..200, false).len();
+    assert!((30..=34).contains(&asked), "{asked} in 10 s");
+    assert!(checks(&mut state, 200..300, true).is_empty());
+}
+
+// Guards against a second question to a server that has not answered the first.
+#[test]
+fn a_server_that_does_not_respond_is_asked_once() {
+    let mut state = lone_instance();
+    state.step(START, Event::ServerListed(record("s", "app")));
+    let ticks = (0..100).map(|it| checked_servers(&state.step(at(it * 100), Event::Tick)).len());
+    assert_eq!(ticks.sum::<usize>(), 1);
+}
+
+// Guards against questions of each instance to each server, and against servers that no instance asks.
+#[test]
+fn each_server_is_asked_by_one_instance() {
+    const INSTANCES: u32 = 9;
+    const SERVERS: usize = 60;
+    let mut asked: HashMap<ServerKey, usize> = HashMap::new();
+    for instance in 0..INSTANCES {
+        let mut state = State::new(options(instance), START);
+        state.step(START, Event::Document(cold_document(6.6)));
+        for index in 0..SERVERS {
+            state.step(START, Event::ServerListed(record(&format!("s{index}"), "app")));
+        }
+        for from in (0..INSTANCES).filter(|it| *it != instance) {
+            state.step(at(600), Event::NotesReceived { from, notes: Notes::default() });
+        }
+        for server in checked_servers(&state.step(at(700), Event::Tick)) {
+            *asked.entry(server).or_default() += 1;
+        }
+    }
+    assert_eq!(asked.len(), SERVERS);
+    assert!(asked.values().all(|it| *it == 1), "{asked:?}");
+}
+
+// Guards against health requests to servers that are known to be cold, or that have no health path.
+#[test]
+fn servers_that_could_say_nothing_new_are_not_asked() {
+    let mut state = lone_instance();
+    state.step(START, Event::ServerListed(cold_record(60_000)));
+    assert!(checks(&mut state, 0..100, false).is_empty());
+    let mut state = State::new(options(1), START);
+    state.step(START, Event::Document(crate::testbed::document(1)));
+    state.step(START, Event::ServerListed(record("s", "app")));
+    assert!(checks(&mut state, 0..100, false).is_empty());
+}
+
+// Guards against servers that cannot be asked and keep an instance without peers from asking the others.
+#[test]
+fn servers_that_cannot_be_asked_hold_up_no_other() {
+    let mut state = lone_instance();
+    for index in 0..100 {
+        state.step(START, Event::ServerListed(record(&format!("s{index}"), "app")));
+    }
+    let all: Vec<ServerKey> = state.servers().map(|it| it.key).collect();
+    let until = at(60_000);
+    for server in &all[..60] {
+        let notice = ServerNotice::Pause { until };
+        state.step(START, Event::ServerNotice { server: *server, notice });
+    }
+    let asked: std::collections::HashSet<ServerKey> =
+        checks(&mut state, 0..12, false).into_iter().collect();
+    assert_eq!(asked, all[60..].iter().copied().collect());
+}
--- a/tests/it/warmup.rs
+++ b/tests/it/warmup.rs
@@ -3,7 +3,8 @@
 use std::time::{Duration, Instant};
 
 use bench::{Fleet, eventually};
-use stand_ins::{Response, Server, document};
+use rstest::rstest;
+use stand_ins::{Response, Server, document, store::Fault};
 
 use crate::{
     operators::{run_command, stdout_text},
@@ -30,8 +31,13 @@
 const ENTRY_INTERVAL: Duration = Duration::from_millis(1_200);
 
 async fn warmup_fleet() -> Fleet {
+    warmup_fleet_of(PER_SECOND).await
+}
+
+/// A fleet whose cold servers take so many requests a second.
+async fn warmup_fleet_of(per_second: f64) -> Fleet {
     let fleet = fleet(INSTANCES).await;
-    let document = document::with_warmup(document::standard(2), WARMUP_S, PER_SECOND);
+    let document = document::with_warmup(document::standard(2), WARMUP_S, per_second);
     fleet.store.put(document::CONFIG_KEY, &document);
     tokio::time::sleep(START_DELAY).await;
     fleet
@@ -133,6 +139,66 @@
     assert!((1..=ALLOWED).contains(&most), "{most} in a second");
 }
 
+/// How long the store is away before a server turns cold.
+const AWAY: Duration = Duration::from_secs(2);
+
+/// Requests a second that a cold server takes, and the users' bound in each second.
+const UNHEARD_PER_SECOND: f64 = 8.4;
+const UNHEARD_ALLOWED: usize = 17;
+
+/// How often a request is sent, so that each of two warm servers gets more than the bound.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(22);
+
+/// Sends requests to all instances in turn, at the interval, each on a connection of its own; returns the
+/// statuses other than 200.
+async fn send_at_interval(fleet: &Fleet, duration: Duration) -> Vec<u16> {
+    let count = duration.as_millis() / REQUEST_INTERVAL.as_millis();
+    let mut clock = tokio::time::interval(REQUEST_INTERVAL);
+    let mut statuses = Vec::new();
+    for instance in (0..INSTANCES).cycle().take(count as usize) {
+        clock.tick().await;
+        statuses.push(send(fleet, instance).await.status());
+    }
+    statuses.retain(|it| *it != 200);
+    statuses
+}
+
+// Guards against a server that turns cold while the store is down: its responses to health requests say so,
+// and nobody asked. It got the load of a warm one.
+#[rstest]
+#[case::silent(Fault::Silent)]
+#[case::unavailable(Fault::Unavailable)]
+#[case::resets(Fault::ResetsConnections)]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_server_that_turns_cold_while_the_store_is_down_gets_few_requests(#[case] fault: Fault) {
+    let fleet = warmup_fleet_of(UNHEARD_PER_SECOND).await;
+    let server = fleet.apps().next().unwrap();
+    server.hide_warmup();
+    fleet.store.set_fault(fault);
+    tokio::time::sleep(AWAY).await;
+    server.set_warmup(Duration::from_secs(3));
+    let cold_at = Instant::now();
+    let failed = send_at_interval(&fleet, Duration::from_millis(2_500)).await;
+    assert!(failed.is_empty(), "another server takes the rest, but: {failed:?}");
+    let most = most_in_second(server, cold_at);
+    assert!((1..=UNHEARD_ALLOWED).contains(&most), "{most} in a second");
+}
+
+// Guards against health requests, each of which needs a slot, while the store says what they would.
+#[tokio::test(flavor = "multi_thread")]
+async fn servers_are_asked_for_their_health_only_while_the_store_is_down() {
+    let fleet = warmup_fleet().await;
+    let server = fleet.apps().next().unwrap();
+    assert_eq!(server.health_checks().len(), 0, "before the outage");
+    fleet.store.set_fault(Fault::Silent);
+    eventually("the server is asked", async || !server.health_checks().is_empty()).await;
+    fleet.store.set_fault(Fault::None);
+    tokio::time::sleep(AWAY).await;
+    let asked = server.health_checks().len();
+    tokio::time::sleep(AWAY).await;
+    assert_eq!(server.health_checks().len(), asked, "after the outage");
+}
+
 // Guards against operators who cannot see why a server gets little.
 #[tokio::test(flavor = "multi_thread")]
 async fn the_status_of_the_fleet_shows_how_long_a_server_is_cold() {
