--- a/sl-core/tests/it/configuration.rs
+++ b/sl-core/tests/it/configuration.rs
@@ -168,10 +168,11 @@
 #[case("/routes/0/timeout_ms", json!(2_000), "changed: route h.example/a/: timeout: 1000 -> 2000")]
 #[case("/routes/0/service", json!("model"), r#"changed: route h.example/a/: services: [["app",1]] -> [["model",1]]"#)]
 #[case("/services/0/max_connections", json!(9), "changed: service app: max_connections: 100 -> 9")]
+#[case("/services/0/health_path", json!("/up"), r#"changed: service app: health_path: null -> "/up""#)]
 #[case("/limits/max_header_bytes", json!(9), "changed: limits: max_header_bytes: 16384 -> 9")]
 #[case("/tenants/1/allowed_regions", json!([]), r#"changed: tenant drivers: allowed_regions: ["north"] -> []"#)]
 #[case("/tenants", json!([{"name": "brewers", "api_keys": [KEY]}]), "removed: tenant drivers")]
-#[case("/services/-", json!({"name": "spare"}), r#"added: service spare: {"engine":null,"max_connections":100,"name":"spare","warmup":null}"#)]
+#[case("/services/-", json!({"name": "spare"}), r#"added: service spare: {"engine":null,"health_path":null,"max_connections":100,"name":"spare","warmup":null}"#)]
 fn differences_are_shown(#[case] pointer: &str, #[case] value: Value, #[case] expected: &str) {
     let text = valid_but(pointer, value).to_string();
     let (_, differences) = inspect(text.as_bytes(), Some(valid().to_string().as_bytes()));
--- a/tests/it/odd_values.rs
+++ b/tests/it/odd_values.rs
@@ -41,7 +41,8 @@
         };
         eventually("the key is rejected", rejected).await;
     }
-    assert!(fleet.instances[0].log().contains("configuration in force"));
+    let is_logged = async || fleet.instances[0].log().contains("configuration in force");
+    eventually("the log says that the configuration is in force", is_logged).await;
 }
 
 // Guards against servers that all count as removed because of how they write a number.
